Lay out the workspace and fix the interfaces between the parts

Cause: nothing exists yet; every part needs the types it shares with the others before they can be built side by side. Conclusion: the parts can now be built in parallel against these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Two commands do all set-up: make demo, make test.
+
+MODULES  := catalog client cmd dispatch entry experiment membership peer platform standin
+PACKAGES := $(MODULES:%=./%/...)
+BIN      := $(CURDIR)/.bin
+RACE     := $(if $(shell command -v $(or $(CC),gcc) 2>/dev/null),-race,)
+
+.PHONY: build test format-check vet lint unit generate tools
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+test: format-check vet lint unit
+
+format-check:
+	@unformatted=$$(gofmt -l $(MODULES)); \
+	if [ -n "$$unformatted" ]; then echo "run gofmt -w on:"; echo "$$unformatted"; exit 1; fi
+
+vet:
+	go vet $(PACKAGES)
+
+lint: $(BIN)/staticcheck
+	$(BIN)/staticcheck $(PACKAGES)
+
+# The race detector needs a C compiler; without one the tests run plainly.
+unit:
+	@[ -n "$(RACE)" ] || echo "no C compiler: tests run without the race detector"
+	go test $(RACE) $(PACKAGES)
+
+tools: $(BIN)/staticcheck $(BIN)/protoc-gen-go $(BIN)/protoc-gen-twirp
+
+$(BIN)/staticcheck $(BIN)/protoc-gen-go $(BIN)/protoc-gen-twirp: tools/go.mod
+	GOWORK=off go -C tools build -o $(BIN)/ honnef.co/go/tools/cmd/staticcheck \
+		github.com/twitchtv/twirp/protoc-gen-twirp google.golang.org/protobuf/cmd/protoc-gen-go
+
+# Needs protoc; the generated code is committed.
+generate: tools
+	cd peer && PATH=$(BIN):$$PATH protoc --go_out=paths=source_relative:. \
+		--twirp_out=paths=source_relative:. peerpb/peer.proto
--- /dev/null
+++ b/client/callerapi/callerapi.go
@@ -0,0 +1,112 @@
+// Package callerapi holds the JSON bodies of the caller API, shared by the
+// entry that serves it and the client package that calls it.
+//
+//	POST   /v1/job-ids      obtain job IDs ahead of time
+//	PUT    /v1/jobs/{id}    submit a job, wait up to ?wait= for its answer
+//	GET    /v1/jobs/{id}    wait for, or ask again for, the answer
+//	DELETE /v1/jobs/{id}    cancel
+//
+// A job that has its whole answer returns 200 and an Answer. One that still
+// runs when the wait is over returns 202 and a Pending. Everything else is a
+// Problem (RFC 9457, application/problem+json).
+package callerapi
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Limits of a job.
+const (
+	MaxTasks      = 760
+	MaxIDs        = 1000             // job IDs in one request
+	MaxWait       = 60 * time.Second // largest value of ?wait=
+	MaxBodyBytes  = 8 << 20
+	ProblemMedia  = "application/problem+json"
+	HeaderRetries = "Retry-After"
+)
+
+// IDsRequest asks for job IDs.
+type IDsRequest struct {
+	Count int `json:"count" minimum:"1" maximum:"1000" doc:"Number of job IDs wanted"`
+}
+
+// IDsResponse carries job IDs, each good for one job.
+type IDsResponse struct {
+	IDs       []string  `json:"ids" doc:"Job IDs, each good for one job"`
+	ExpiresAt time.Time `json:"expires_at" doc:"Time from which the IDs are refused"`
+}
+
+// Job is the body of a submission.
+type Job struct {
+	Service string `json:"service" minLength:"1" maxLength:"128" doc:"Service that runs the tasks"`
+	Tasks   []Task `json:"tasks" minItems:"1" maxItems:"760" doc:"Tasks of the job, all answered together"`
+}
+
+// Task is one task of a job.
+type Task struct {
+	Service    string          `json:"service,omitempty" maxLength:"128" doc:"Service of this task, if not that of the job"`
+	Payload    json.RawMessage `json:"payload,omitempty" doc:"Passed to the endpoint as it is"`
+	DeclaredMS float64         `json:"declared_ms,omitempty" minimum:"0" doc:"Expected run time in milliseconds"`
+	Needs      *Needs          `json:"needs,omitempty" doc:"Resources, if not those of the services text"`
+}
+
+// Needs is what one task needs of its worker.
+type Needs struct {
+	MilliCores   int `json:"milli_cores,omitempty" minimum:"0" doc:"Thousandths of a processor core"`
+	MemoryMiB    int `json:"memory_mib,omitempty" minimum:"0" doc:"Mebibytes of memory"`
+	Accelerators int `json:"accelerators,omitempty" minimum:"0" doc:"Whole accelerators"`
+}
+
+// Answer is the whole answer of a job.
+type Answer struct {
+	ID         string            `json:"id"`
+	Results    []json.RawMessage `json:"results" doc:"One result a task, in the order of submission"`
+	ResponseMS float64           `json:"response_ms" doc:"From admission to the last result, in milliseconds"`
+	IdealMS    float64           `json:"ideal_ms" doc:"What an idle system would have taken, in milliseconds"`
+}
+
+// Pending says that a job was admitted and has not ended.
+type Pending struct {
+	ID    string `json:"id"`
+	State string `json:"state" enum:"running"`
+}
+
+// Execution tells how much of a job has run.
+type Execution string
+
+// Executions.
+const (
+	NotRun  Execution = "not_run" // no task was started, and none will be
+	Ran     Execution = "ran"     // at least one task was started
+	Unknown Execution = "unknown" // the record of it is gone
+)
+
+// Code is the typed reason in a Problem.
+type Code string
+
+// Codes that the API itself gives; those of the decisions are in package
+// dispatch.
+const (
+	CodeBadRequest       Code = "bad_request"
+	CodeBodyTooLarge     Code = "body_too_large"
+	CodeUnauthorized     Code = "unauthorized"
+	CodeForgedID         Code = "id_forged"
+	CodeOwnerUnreachable Code = "owner_unreachable"
+	CodeOwnerGone        Code = "owner_gone"
+	CodeNotReady         Code = "not_ready"
+)
+
+// Problem is the body of every error (RFC 9457).
+type Problem struct {
+	Type         string    `json:"type" doc:"URI reference of the code's documentation"`
+	Title        string    `json:"title"`
+	Status       int       `json:"status"`
+	Detail       string    `json:"detail,omitempty" doc:"What happened and what to do"`
+	Code         Code      `json:"code"`
+	Execution    Execution `json:"execution" enum:"not_run,ran,unknown" doc:"Whether any task of the job was started"`
+	RetryAfterMS int64     `json:"retry_after_ms,omitempty" doc:"When to come back, in milliseconds"`
+}
+
+// Error makes a Problem an error.
+func (p *Problem) Error() string { return string(p.Code) + ": " + p.Detail }
--- /dev/null
+++ b/client/doc.go
@@ -0,0 +1,2 @@
+// Package client is the Go client of the caller API.
+package client
--- /dev/null
+++ b/cmd/lovage-entry/main.go
@@ -0,0 +1,4 @@
+// Command lovage-entry is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/lovage-load/main.go
@@ -0,0 +1,4 @@
+// Command lovage-load is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/lovage-standin/main.go
@@ -0,0 +1,4 @@
+// Command lovage-standin is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/lovagectl/main.go
@@ -0,0 +1,4 @@
+// Command lovagectl is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/dispatch/ready.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"time"
+
+	"lovagespread.example/dispatch/jobid"
+)
+
+// Ready holds the actions that follow from one input.
+type Ready struct {
+	Starts     []Start
+	Stops      []Stop
+	Answers    []Answer
+	Rejections []Rejection
+	Admissions []jobid.ID
+}
+
+func (r *Ready) reset() {
+	r.Starts = r.Starts[:0]
+	r.Stops = r.Stops[:0]
+	r.Answers = r.Answers[:0]
+	r.Rejections = r.Rejections[:0]
+	r.Admissions = r.Admissions[:0]
+}
+
+// Start orders that a task be sent to an endpoint once. Its other fields are
+// what the decision log shows.
+type Start struct {
+	Task     TaskRef
+	Service  string
+	Attempt  int
+	Endpoint string
+	Address  string
+	// LeaseEnd is the time after which the task must not be written to the
+	// endpoint any more. The shell checks it right before the write.
+	LeaseEnd time.Time
+	Hedge    bool
+	Eligible int     // endpoints that could have taken the task
+	Reason   Reason  // why this endpoint
+	Urgency  float64 // inferred; larger is more urgent
+}
+
+// Reason is the deciding reason of a placement.
+type Reason string
+
+// Reasons of a placement.
+const (
+	ReasonLeastLoaded  Reason = "least_loaded"
+	ReasonOnlyEligible Reason = "only_eligible"
+	ReasonSpreadRacks  Reason = "spread_racks"
+	ReasonProbation    Reason = "probation"
+	ReasonSpill        Reason = "spill"
+	ReasonHedge        Reason = "hedge"
+	ReasonRetry        Reason = "retry"
+)
+
+// Stop orders that a running task be stopped at its endpoint.
+type Stop struct {
+	Task     TaskRef
+	Attempt  int
+	Endpoint string
+	Address  string
+}
+
+// Execution tells how much of a job has run.
+type Execution string
+
+// Executions.
+const (
+	NotRun  Execution = "not_run" // no task was started, and none will be
+	Ran     Execution = "ran"     // at least one task was started
+	Unknown Execution = "unknown" // the ledger that knows is gone
+)
+
+// Code is the typed reason of a rejection or of a failed job. The caller API
+// shows it as the code of its problem details.
+type Code string
+
+// Codes of rejections and failures that the core decides.
+const (
+	CodeUnknownService Code = "unknown_service"
+	CodeUnknownTeam    Code = "unknown_team"
+	CodeQuota          Code = "quota_exceeded"
+	CodeOverload       Code = "overloaded"
+	CodeNeverRuns      Code = "can_never_run"
+	CodeNoEndpoint     Code = "no_endpoint"
+	CodeDraining       Code = "draining"
+	CodeExpired        Code = "id_expired"
+	CodeUnknownJob     Code = "unknown_job"
+	CodeClosed         Code = "id_closed" // an earlier refusal closed the ID
+	CodeTaskFailed     Code = "task_failed"
+	CodeTaskLost       Code = "task_outcome_unknown"
+	CodeCancelled      Code = "cancelled"
+)
+
+// Problem tells why a job was rejected or failed.
+type Problem struct {
+	Code       Code
+	Execution  Execution
+	Detail     string        // one sentence that names the remedy
+	RetryAfter time.Duration // 0: asking again is no use
+}
+
+// Rejection answers a Submit or an Ask that admits or finds no job.
+type Rejection struct {
+	ID      jobid.ID
+	Problem Problem
+}
+
+// Answer is the end of an admitted job. Problem is nil if and only if Results
+// holds the result of every task, in the order of submission.
+type Answer struct {
+	ID       jobid.ID
+	Service  string
+	Results  [][]byte
+	Problem  *Problem
+	Response time.Duration // from admission to this answer
+	Ideal    time.Duration // what an idle system would have taken
+}
--- /dev/null
+++ b/entry/settings/settings.go
@@ -0,0 +1,69 @@
+// Package settings reads the TOML settings of an entry.
+package settings
+
+import "time"
+
+// Settings are the settings of one entry process.
+type Settings struct {
+	Name          string   `toml:"name"`
+	Region        string   `toml:"region"`
+	FailureDomain string   `toml:"failure_domain"`
+	Listen        Listen   `toml:"listen"`
+	Platform      Platform `toml:"platform"`
+	JobIDs        JobIDs   `toml:"job_ids"`
+	Tokens        Tokens   `toml:"tokens"`
+	TLS           TLS      `toml:"tls"`
+	Limits        Limits   `toml:"limits"`
+	Log           Log      `toml:"log"`
+}
+
+// Listen holds the listen addresses, host:port.
+type Listen struct {
+	Caller string `toml:"caller"` // caller API, /healthz, /readyz
+	Peer   string `toml:"peer"`   // other entries
+	Admin  string `toml:"admin"`  // operators, /metrics
+}
+
+// Platform is how the platform is reached.
+type Platform struct {
+	URL       string `toml:"url"`
+	TokenFile string `toml:"token_file"` // empty: no token
+}
+
+// JobIDs are the keys and the lifetime of job IDs.
+type JobIDs struct {
+	// KeyFiles hold the MAC keys in hexadecimal, one key a file, at least 32
+	// bytes. Their position, from 1, is the key number. The last one signs;
+	// all of them verify.
+	KeyFiles []string      `toml:"key_files"`
+	Lifetime time.Duration `toml:"lifetime"` // default 15m
+}
+
+// Tokens are files of bearer tokens, one "name token" pair a line. An empty
+// path switches the check off and is allowed on loopback listeners only.
+type Tokens struct {
+	CallersFile   string `toml:"callers_file"`   // team and its token
+	OperatorsFile string `toml:"operators_file"` // operator and its token
+	PeersFile     string `toml:"peers_file"`     // one shared token between entries
+}
+
+// TLS holds PEM files. Empty paths mean plain TCP.
+type TLS struct {
+	CertificateFile string `toml:"certificate_file"`
+	KeyFile         string `toml:"key_file"`
+	PeerCAFile      string `toml:"peer_ca_file"` // of the other entries
+}
+
+// Limits bound what one entry holds.
+type Limits struct {
+	MaxWaitingTasks        int           `toml:"max_waiting_tasks"`        // default 10,000
+	MaxBodyBytes           int           `toml:"max_body_bytes"`           // default 8 MiB
+	ConnectionsPerEndpoint int           `toml:"connections_per_endpoint"` // default 64
+	StopTimeout            time.Duration `toml:"stop_timeout"`             // default 30s
+}
+
+// Log is the structured log.
+type Log struct {
+	Level string `toml:"level"` // debug, info, warn or error; default info
+	File  string `toml:"file"`  // empty: standard error
+}
--- /dev/null
+++ b/experiment/doc.go
@@ -0,0 +1,3 @@
+// Package experiment holds the load generator, the comparison of policies and
+// the reports.
+package experiment
