Parse services and settings, speak to the platform, stand in for it

Cause: the parts need a way to read what operators write and to reach the platform's log, VM list and usage reports.

Change: catalog.ParseServices and settings.Load report every problem of a text with file, line, key and remedy (package catalog/tomlcheck). platform.NewClient tells a refused request, an unavailable platform and a write of unknown outcome apart. standin/fakeplatform keeps streams with offsets and retention, lags its lists, limits appends and has fault switches.

--- /dev/null
+++ b/catalog/parse.go
@@ -0,0 +1,143 @@
+package catalog
+
+import (
+	"time"
+
+	"lovagespread.example/catalog/tomlcheck"
+)
+
+// Bounds and defaults of the services text.
+const (
+	MaxNameBytes = 128
+
+	DefaultSlots   = 1
+	MaxSlots       = 4096
+	DefaultRunTime = 200 * time.Millisecond
+	MaxRunTime     = time.Hour
+	DefaultTimeout = 10 * time.Second
+	MaxTimeout     = time.Hour
+	minTime        = time.Millisecond
+
+	maxMilliCores   = 1_000_000 // 1,000 cores
+	maxAccelerators = 1024
+
+	DefaultWeight = 1
+	MaxWeight     = 1_000_000
+	maxRate       = 1_000_000_000 // task starts a second
+	maxBurst      = 1_000_000_000 // tasks
+)
+
+// inferredRemedy answers every key by which a text tries to tell what is
+// urgent.
+const inferredRemedy = "remove it: urgency is inferred from depends_on and from traffic"
+
+var serviceRemedies = map[string]string{
+	"priority": inferredRemedy, "urgency": inferredRemedy, "importance": inferredRemedy,
+	"class": inferredRemedy, "criticality": inferredRemedy, "deadline": inferredRemedy,
+	"weight":      "remove it: weights belong to a [[team]]",
+	"cpu":         "use milli_cores, in thousandths of a core",
+	"cores":       "use milli_cores, in thousandths of a core",
+	"memory_mib":  `use memory with its unit, as in memory = "512MiB"`,
+	"run_time_ms": `use run_time with its unit, as in run_time = "200ms"`,
+	"timeout_ms":  `use timeout with its unit, as in timeout = "10s"`,
+}
+
+var teamRemedies = map[string]string{
+	"priority": "remove it: shares under contention follow from weight",
+	"urgency":  inferredRemedy,
+}
+
+// ParseServices reads a services text. file names it in errors. The error is
+// a *tomlcheck.Problems that lists every problem. The version is 0.
+func ParseServices(file string, text []byte) (*Catalog, error) {
+	doc := tomlcheck.Parse(file, text)
+	if doc.Failed() {
+		return nil, doc.Err()
+	}
+	root := doc.Root()
+	services := root.Tables("service")
+	teams := root.Tables("team")
+	root.RejectUnknown(nil)
+
+	c := &Catalog{}
+	for _, table := range services {
+		c.Services = append(c.Services, parseService(table))
+	}
+	for _, table := range teams {
+		c.Teams = append(c.Teams, parseTeam(table))
+	}
+	if len(services) == 0 && !doc.Failed() {
+		doc.Add(0, "service", "no service", "add a [[service]] table for each service")
+	}
+	checkServices(c.Services, services)
+	checkTeams(c.Teams, teams)
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func parseService(t *tomlcheck.Table) Service {
+	s := Service{
+		Name:       parseName(t),
+		DependsOn:  t.Strings("depends_on"),
+		Idempotent: t.Bool("idempotent"),
+		Slots:      t.Int("slots", tomlcheck.Optional, DefaultSlots, tomlcheck.Range{Min: 1, Max: MaxSlots}),
+		RunTime:    t.Duration("run_time", tomlcheck.Optional, DefaultRunTime, minTime, MaxRunTime),
+		Timeout:    t.Duration("timeout", tomlcheck.Optional, DefaultTimeout, minTime, MaxTimeout),
+		Needs: Resources{
+			MilliCores:   t.Int("milli_cores", tomlcheck.Optional, 0, tomlcheck.Range{Max: maxMilliCores}),
+			MemoryMiB:    t.MiB("memory", 0),
+			Accelerators: t.Int("accelerators", tomlcheck.Optional, 0, tomlcheck.Range{Max: maxAccelerators}),
+		},
+	}
+	t.RejectUnknown(serviceRemedies)
+	if s.Timeout < s.RunTime {
+		t.Add("timeout", "is shorter than run_time", "raise timeout or lower run_time")
+	}
+	return s
+}
+
+func parseTeam(t *tomlcheck.Table) Team {
+	team := Team{
+		Name:           parseName(t),
+		Weight:         t.Int("weight", tomlcheck.Optional, DefaultWeight, tomlcheck.Range{Min: 1, Max: MaxWeight}),
+		TasksPerSecond: t.Float("tasks_per_second", 0, tomlcheck.Range{Max: maxRate}),
+		Burst:          t.Int("burst", tomlcheck.Optional, 0, tomlcheck.Range{Max: maxBurst}),
+	}
+	t.RejectUnknown(teamRemedies)
+	if team.TasksPerSecond == 0 && team.Burst > 0 {
+		t.Add("burst", "has no effect without tasks_per_second", "add tasks_per_second or remove burst")
+	}
+	return team
+}
+
+func parseName(t *tomlcheck.Table) string {
+	name := t.String("name", tomlcheck.Required)
+	if name != "" && !validName(name) {
+		t.Add("name", "is not a valid name", nameRemedy)
+	}
+	return name
+}
+
+const nameRemedy = "use 1 to 128 letters, digits, '-', '_' or '.'"
+
+func validName(name string) bool {
+	if len(name) == 0 || len(name) > MaxNameBytes {
+		return false
+	}
+	for _, r := range name {
+		if !nameRune(r) {
+			return false
+		}
+	}
+	return true
+}
+
+func nameRune(r rune) bool {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
+		return true
+	}
+	return r == '-' || r == '_' || r == '.'
+}
--- /dev/null
+++ b/catalog/tomlcheck/problem.go
@@ -0,0 +1,55 @@
+package tomlcheck
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Problem is one fault of a text.
+type Problem struct {
+	File   string `json:"file"`
+	Line   int    `json:"line"`          // from 1; 0: the file as a whole
+	Key    string `json:"key,omitempty"` // path of the key, as in service[2].slots
+	What   string `json:"what"`          // the fault
+	Remedy string `json:"remedy"`        // what to write instead
+}
+
+// String returns the problem as one line.
+func (p Problem) String() string {
+	place := p.File
+	if p.Line > 0 {
+		place = fmt.Sprintf("%s:%d", p.File, p.Line)
+	}
+	if p.Key != "" {
+		place += ": " + p.Key
+	}
+	return place + ": " + p.What + ": " + p.Remedy
+}
+
+// Problems is the error of a text with at least one problem.
+type Problems struct {
+	List []Problem `json:"problems"`
+}
+
+// Error returns one problem a line.
+func (p *Problems) Error() string {
+	lines := make([]string, len(p.List))
+	for i, problem := range p.List {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Add appends a problem.
+func (p *Problems) Add(problem Problem) { p.List = append(p.List, problem) }
+
+// Err returns the problems ordered by line, or nil if there are none.
+func (p *Problems) Err() error {
+	if len(p.List) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(p.List, func(a, b Problem) int { return cmp.Compare(a.Line, b.Line) })
+	return p
+}
--- /dev/null
+++ b/standin/fakeplatform/bucket.go
@@ -0,0 +1,30 @@
+package fakeplatform
+
+import "time"
+
+// bucket admits a number of appends a second, with a burst of one second.
+type bucket struct {
+	perSecond int // 0: no limit
+	tokens    float64
+	last      time.Time
+}
+
+func newBucket(perSecond int) bucket {
+	return bucket{perSecond: perSecond, tokens: float64(perSecond)}
+}
+
+func (b *bucket) take(now time.Time) bool {
+	if b.perSecond == 0 {
+		return true
+	}
+	if !b.last.IsZero() {
+		refill := now.Sub(b.last).Seconds() * float64(b.perSecond)
+		b.tokens = min(b.tokens+refill, float64(b.perSecond))
+	}
+	b.last = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/standin/fakeplatform/history.go
@@ -0,0 +1,30 @@
+package fakeplatform
+
+import "time"
+
+// history keeps the past values of a list, so that readers see it late.
+type history[T any] struct {
+	entries []dated[T]
+}
+
+type dated[T any] struct {
+	at    time.Time
+	value T
+}
+
+func (h *history[T]) set(now time.Time, value T) {
+	h.entries = append(h.entries, dated[T]{at: now, value: value})
+}
+
+// at returns the value as of a time, and forgets older ones. Before the first
+// value it returns that.
+func (h *history[T]) at(asOf time.Time) T {
+	for len(h.entries) > 1 && !h.entries[1].at.After(asOf) {
+		h.entries = h.entries[1:]
+	}
+	if len(h.entries) == 0 {
+		var none T
+		return none
+	}
+	return h.entries[0].value
+}
--- /dev/null
+++ b/standin/fakeplatform/platform_test.go
@@ -0,0 +1,91 @@
+package fakeplatform
+
+import (
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"lovagespread.example/platform"
+	"lovagespread.example/platform/platformapi"
+)
+
+func serve(t *testing.T, opts Options) (*Platform, *platform.Client) {
+	t.Helper()
+	p := New(opts)
+	server := httptest.NewServer(p.Handler())
+	t.Cleanup(server.Close)
+	client, err := platform.NewClient(platform.Options{URL: server.URL, Token: opts.Token})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p, client
+}
+
+func TestAppendAndRead(t *testing.T) {
+	_, client := serve(t, Options{Token: "secret"})
+	for want := range int64(3) {
+		first, err := client.Append(t.Context(), "s", [][]byte{{byte(want)}})
+		if err != nil || first != want {
+			t.Fatalf("offset %d, %v", first, err)
+		}
+	}
+	got, err := client.Read(t.Context(), "s", 1, 10, 0)
+	if err != nil || len(got.Records) != 2 || got.Next != 3 || got.Records[0].Data[0] != 1 {
+		t.Fatalf("read %+v, %v", got, err)
+	}
+}
+
+func TestLostReplyIsUnknownAndTakesEffect(t *testing.T) {
+	p, client := serve(t, Options{})
+	p.LoseReplies(1)
+	_, err := client.Append(t.Context(), "s", [][]byte{{1}})
+	var unknown *platform.UnknownOutcomeError
+	if !errors.As(err, &unknown) {
+		t.Fatalf("error %v", err)
+	}
+	if len(p.Records("s")) != 1 {
+		t.Fatal("the write had no effect")
+	}
+}
+
+func TestRateLimitIsRefused(t *testing.T) {
+	_, client := serve(t, Options{AppendsPerSecond: 1})
+	var refused *platform.RefusedError
+	for range 100 {
+		if _, err := client.Append(t.Context(), "s", [][]byte{{1}}); errors.As(err, &refused) {
+			return
+		}
+	}
+	t.Fatal("no append of 100 was refused")
+}
+
+func TestListFaults(t *testing.T) {
+	p, client := serve(t, Options{ListLag: None})
+	p.SetVMs([]platformapi.VM{{Name: "a"}, {Name: "b"}})
+	cases := []struct {
+		fault ListFault
+		want  int
+	}{{ListNormal, 2}, {ListEmpty, 0}, {ListShrunken, 1}, {ListStale, 2}}
+	for _, c := range cases {
+		p.SetListFault(c.fault, 1)
+		list, err := client.VMs(t.Context())
+		if err != nil || len(list.VMs) != c.want {
+			t.Errorf("%q: %d VMs, %v; want %d", c.fault, len(list.VMs), err, c.want)
+		}
+	}
+}
+
+func TestRetention(t *testing.T) {
+	s := newStream()
+	s.append(time.Unix(0, 0), [][]byte{{0}, {1}})
+	s.append(time.Unix(5, 0), [][]byte{{2}, {3}})
+	s.expire(time.Unix(9, 0), Options{RetainRecords: 3})
+	if s.oldest != 1 {
+		t.Errorf("oldest %d after retention by count, want 1", s.oldest)
+	}
+	s.expire(time.Unix(9, 0), Options{RetainFor: 6 * time.Second})
+	if s.oldest != 2 {
+		t.Errorf("oldest %d after retention by age, want 2", s.oldest)
+	}
+}
