--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -4,9 +4,9 @@
 
 // Resources is what one task needs of the worker that hosts its endpoint.
 type Resources struct {
-	MilliCores   int // thousandths of a processor core
-	MemoryMiB    int // mebibytes
-	Accelerators int // whole devices
+	MilliCores   int `json:"milli_cores,omitempty"`  // thousandths of a processor core
+	MemoryMiB    int `json:"memory_mib,omitempty"`   // mebibytes
+	Accelerators int `json:"accelerators,omitempty"` // whole devices
 }
 
 // Fits reports whether need can be met out of r.
@@ -18,28 +18,33 @@
 
 // Service is one entry of the services text.
 type Service struct {
-	Name       string
-	DependsOn  []string      // names of services that this one calls while it runs
-	Idempotent bool          // a task may run more than once without harm
-	Slots      int           // tasks at once on one endpoint
-	RunTime    time.Duration // prior for the run time of a task
-	Timeout    time.Duration // lease of a task: it is given up after this long
-	Needs      Resources     // of one task, unless the task declares its own
+	Name       string        `json:"name"`
+	DependsOn  []string      `json:"depends_on,omitempty"` // names of services that this one calls while it runs
+	Idempotent bool          `json:"idempotent,omitempty"` // a task may run more than once without harm
+	Slots      int           `json:"slots"`                // tasks at once on one endpoint
+	RunTime    time.Duration `json:"run_time_ns"`          // prior for the run time of a task
+	Timeout    time.Duration `json:"timeout_ns"`           // lease of a task: it is given up after this long
+	Needs      Resources     `json:"needs"`                // of one task, unless the task declares its own
 }
 
 // Team is a tenant of the platform.
 type Team struct {
-	Name           string
-	Weight         int     // share under contention, relative to other teams
-	TasksPerSecond float64 // sustained task starts; 0 means no limit
-	Burst          int     // tasks above the sustained rate, at once
+	Name           string  `json:"name"`
+	Weight         int     `json:"weight"`                     // share under contention, relative to other teams
+	TasksPerSecond float64 `json:"tasks_per_second,omitempty"` // sustained task starts; 0 means no limit
+	Burst          int     `json:"burst,omitempty"`            // tasks above the sustained rate, at once
 }
 
 // Catalog is one version of the configuration. It is immutable once built.
 type Catalog struct {
-	Version  uint64
-	Services []Service
-	Teams    []Team
+	Version  uint64    `json:"version"`
+	Format   int       `json:"format,omitempty"` // newest record format in use; 0 stands for 1
+	Services []Service `json:"services,omitempty"`
+	Teams    []Team    `json:"teams,omitempty"`
+	Drains   []Drain   `json:"drains,omitempty"`
+	// KeyNumbers are the job-ID keys in use, by their position in the
+	// settings, from 1. The last one signs. Empty: all keys of the settings.
+	KeyNumbers []int `json:"key_numbers,omitempty"`
 }
 
 // Service returns the service of the given name.
@@ -51,3 +56,13 @@
 	}
 	return Service{}, false
 }
+
+// Team returns the team of the given name.
+func (c *Catalog) Team(name string) (Team, bool) {
+	for i := range c.Teams {
+		if c.Teams[i].Name == name {
+			return c.Teams[i], true
+		}
+	}
+	return Team{}, false
+}
--- /dev/null
+++ b/catalog/change/record.go
@@ -0,0 +1,179 @@
+package change
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovagespread.example/catalog"
+)
+
+// MaxFormat is the newest record format that this program reads.
+const MaxFormat = 1
+
+// FirstFormat is in use until a change raises it.
+const FirstFormat = 1
+
+// Change is one change of the configuration.
+type Change struct {
+	ID     string    // unique; the same in every copy of the change
+	Base   uint64    // version on which the change is based
+	Author string    // operator
+	Time   time.Time // when the author made it
+	Body   Body
+}
+
+// Snapshot is a whole version of the configuration.
+type Snapshot struct {
+	Catalog *catalog.Catalog
+	Through int64 // first offset whose record is not included
+}
+
+// Record is what a record of the stream holds: one of the two.
+type Record struct {
+	Change   *Change
+	Snapshot *Snapshot
+}
+
+// UnreadableError says why a record is skipped.
+type UnreadableError struct {
+	What  string
+	Cause error // may be nil
+}
+
+func (e *UnreadableError) Error() string {
+	if e.Cause == nil {
+		return e.What + ": publish the change again with the current lovagectl"
+	}
+	return fmt.Sprintf("%s (%v): publish the change again with the current lovagectl", e.What, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreadableError) Unwrap() error { return e.Cause }
+
+// envelope is the outer form of every record.
+type envelope struct {
+	Format   int             `json:"format"`
+	Checksum string          `json:"checksum"` // xxhash of Change or Snapshot, 16 hexadecimal digits
+	Change   json.RawMessage `json:"change,omitempty"`
+	Snapshot json.RawMessage `json:"snapshot,omitempty"`
+}
+
+type wireChange struct {
+	ID     string          `json:"id"`
+	Base   uint64          `json:"base"`
+	Author string          `json:"author"`
+	Time   time.Time       `json:"time"`
+	Kind   Kind            `json:"kind"`
+	Body   json.RawMessage `json:"body"`
+}
+
+type wireSnapshot struct {
+	Through int64            `json:"through"`
+	Catalog *catalog.Catalog `json:"catalog"`
+}
+
+// EncodeChange returns the record of a change.
+func EncodeChange(c Change) ([]byte, error) {
+	body, err := json.Marshal(c.Body)
+	if err != nil {
+		return nil, err
+	}
+	wire := wireChange{ID: c.ID, Base: c.Base, Author: c.Author, Time: c.Time, Kind: c.Body.Kind(), Body: body}
+	text, err := json.Marshal(wire)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(envelope{Format: c.Body.format(), Checksum: checksum(text), Change: text})
+}
+
+// EncodeSnapshot returns the record of a snapshot.
+func EncodeSnapshot(s Snapshot) ([]byte, error) {
+	text, err := json.Marshal(wireSnapshot{Through: s.Through, Catalog: s.Catalog})
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(envelope{Format: inUse(s.Catalog), Checksum: checksum(text), Snapshot: text})
+}
+
+// Decode reads a record. format is the one in use. The error is an
+// *UnreadableError.
+func Decode(data []byte, format int) (Record, error) {
+	var e envelope
+	if err := strict(data, &e); err != nil {
+		return Record{}, &UnreadableError{What: "not a configuration record", Cause: err}
+	}
+	if e.Format < FirstFormat || e.Format > min(format, MaxFormat) {
+		return Record{}, &UnreadableError{What: fmt.Sprintf("record of format %d, but %d is in use", e.Format, format)}
+	}
+	switch {
+	case e.Change != nil && e.Snapshot == nil && checksum(e.Change) == e.Checksum:
+		return decodeChange(e.Change)
+	case e.Snapshot != nil && e.Change == nil && checksum(e.Snapshot) == e.Checksum:
+		return decodeSnapshot(e.Snapshot)
+	}
+	return Record{}, &UnreadableError{What: "record with a wrong checksum"}
+}
+
+func decodeChange(text []byte) (Record, error) {
+	var wire wireChange
+	if err := strict(text, &wire); err != nil {
+		return Record{}, &UnreadableError{What: "not a change", Cause: err}
+	}
+	if wire.ID == "" {
+		return Record{}, &UnreadableError{What: "change without ID"}
+	}
+	body, err := decodeBody(wire.Kind, wire.Body)
+	if err != nil {
+		return Record{}, err
+	}
+	c := &Change{ID: wire.ID, Base: wire.Base, Author: wire.Author, Time: wire.Time, Body: body}
+	return Record{Change: c}, nil
+}
+
+func decodeSnapshot(text []byte) (Record, error) {
+	var wire wireSnapshot
+	if err := strict(text, &wire); err != nil {
+		return Record{}, &UnreadableError{What: "not a snapshot", Cause: err}
+	}
+	if wire.Catalog == nil || wire.Through < 0 {
+		return Record{}, &UnreadableError{What: "incomplete snapshot"}
+	}
+	s := Snapshot{Catalog: wire.Catalog, Through: wire.Through}
+	return Record{Snapshot: &s}, nil
+}
+
+// strict decodes JSON and rejects unknown fields, so that every program of
+// one format reads the same records.
+func strict(text []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return &UnreadableError{What: "text after the record"}
+	}
+	return nil
+}
+
+func checksum(text []byte) string { return fmt.Sprintf("%016x", xxhash.Sum64(text)) }
+
+// Digest returns the digest of a version: two catalogs are equal if their
+// digests are.
+func Digest(c *catalog.Catalog) []byte {
+	text, err := json.Marshal(c)
+	if err != nil {
+		panic(err) // a catalog holds nothing that JSON can't express
+	}
+	digest := xxhash.New()
+	_, _ = digest.Write(text) // never fails
+	return digest.Sum(nil)
+}
+
+// inUse returns the record format in use at a version.
+func inUse(c *catalog.Catalog) int { return max(c.Format, FirstFormat) }
--- a/catalog/checks.go
+++ b/catalog/checks.go
@@ -8,60 +8,77 @@
 	"lovagespread.example/catalog/tomlcheck"
 )
 
+// whole stands for a key itself in place of one of its elements.
+const whole = -1
+
+// reporter takes a problem of the entry at index: of a key, or of one element
+// of a key that holds a list.
+type reporter func(index int, key string, element int, what, remedy string)
+
+// inTables reports the problems of a text.
+func inTables(tables []*tomlcheck.Table) reporter {
+	return func(index int, key string, element int, what, remedy string) {
+		if element == whole {
+			tables[index].Add(key, what, remedy)
+			return
+		}
+		tables[index].AddElement(key, element, what, remedy)
+	}
+}
+
 // checkServices reports what only the whole list shows: duplicate names,
-// unknown dependencies and cycles. tables holds the origin of each service.
-func checkServices(services []Service, tables []*tomlcheck.Table) {
-	first := make(map[string]int, len(services))
+// unknown dependencies and cycles.
+func checkServices(services []Service, report reporter) {
+	names := make([]string, len(services))
 	for i, s := range services {
-		if s.Name == "" {
-			continue
-		}
-		if j, ok := first[s.Name]; ok {
-			reportDuplicate(s.Name, tables[i], tables[j])
-			continue
-		}
-		first[s.Name] = i
+		names[i] = s.Name
 	}
+	first := checkDuplicates("service", names, report)
 	for i, s := range services {
-		checkDependencies(s, tables[i], first)
+		checkDependencies(i, s, first, report)
 	}
 	for _, cycle := range cycles(services) {
-		start := first[cycle[0]]
 		what := "cycle: " + strings.Join(append(slices.Clone(cycle), cycle[0]), " -> ")
-		tables[start].Add("depends_on", what, "remove one of these dependencies")
+		report(first[cycle[0]], "depends_on", whole, what, "remove one of these dependencies")
 	}
 }
 
-func reportDuplicate(name string, again, before *tomlcheck.Table) {
-	what := fmt.Sprintf("duplicate name %s, first on line %d", name, before.Line("name"))
-	again.Add("name", what, "rename or remove one of the two")
+func checkTeams(teams []Team, report reporter) {
+	names := make([]string, len(teams))
+	for i, t := range teams {
+		names[i] = t.Name
+	}
+	checkDuplicates("team", names, report)
 }
 
-func checkDependencies(s Service, t *tomlcheck.Table, known map[string]int) {
-	for i, name := range s.DependsOn {
+// checkDuplicates returns the first index of each name.
+func checkDuplicates(list string, names []string, report reporter) map[string]int {
+	first := make(map[string]int, len(names))
+	for i, name := range names {
 		if name == "" {
 			continue
 		}
-		if slices.Index(s.DependsOn, name) < i {
-			t.AddElement("depends_on", i, "duplicate dependency "+name, "remove it")
+		if j, ok := first[name]; ok {
+			report(i, "name", whole, fmt.Sprintf("duplicate name %s, first in %s[%d]", name, list, j), "rename or remove one of the two")
 			continue
 		}
-		if _, ok := known[name]; !ok {
-			t.AddElement("depends_on", i, "unknown service "+name, "add a [[service]] of this name or correct the spelling")
-		}
+		first[name] = i
 	}
+	return first
 }
 
-func checkTeams(teams []Team, tables []*tomlcheck.Table) {
-	first := make(map[string]int, len(teams))
-	for i, team := range teams {
-		if team.Name == "" {
+func checkDependencies(index int, s Service, known map[string]int, report reporter) {
+	for i, name := range s.DependsOn {
+		if name == "" {
 			continue
 		}
-		if j, ok := first[team.Name]; ok {
-			reportDuplicate(team.Name, tables[i], tables[j])
+		if slices.Index(s.DependsOn, name) < i {
+			report(index, "depends_on", i, "duplicate dependency "+name, "remove it")
 			continue
 		}
-		first[team.Name] = i
+		if _, ok := known[name]; !ok {
+			remedy := "add a [[service]] of this name or correct the spelling"
+			report(index, "depends_on", i, fmt.Sprintf("unknown service %s", name), remedy)
+		}
 	}
 }
--- a/catalog/parse.go
+++ b/catalog/parse.go
@@ -18,13 +18,20 @@
 	MaxTimeout     = time.Hour
 	minTime        = time.Millisecond
 
-	maxMilliCores   = 1_000_000 // 1,000 cores
-	maxAccelerators = 1024
-
 	DefaultWeight = 1
 	MaxWeight     = 1_000_000
-	maxRate       = 1_000_000_000 // task starts a second
-	maxBurst      = 1_000_000_000 // tasks
+)
+
+// Ranges of numbers.
+var (
+	slotsRange        = tomlcheck.Range{Min: 1, Max: MaxSlots}
+	milliCoresRange   = tomlcheck.Range{Max: 1_000_000}
+	memoryRange       = tomlcheck.Range{Max: 1 << 30} // mebibytes
+	acceleratorsRange = tomlcheck.Range{Max: 1024}
+	weightRange       = tomlcheck.Range{Min: 1, Max: MaxWeight}
+	rateRange         = tomlcheck.Range{Max: 1e9} // task starts a second
+	burstRange        = tomlcheck.Range{Max: 1e9} // tasks
+	keyNumberRange    = tomlcheck.Range{Min: 1, Max: 255}
 )
 
 // inferredRemedy answers every key by which a text tries to tell what is
@@ -69,8 +76,8 @@
 	if len(services) == 0 && !doc.Failed() {
 		doc.Add(0, "service", "no service", "add a [[service]] table for each service")
 	}
-	checkServices(c.Services, services)
-	checkTeams(c.Teams, teams)
+	checkServices(c.Services, inTables(services))
+	checkTeams(c.Teams, inTables(teams))
 	if err := doc.Err(); err != nil {
 		return nil, err
 	}
@@ -82,18 +89,18 @@
 		Name:       parseName(t),
 		DependsOn:  t.Strings("depends_on"),
 		Idempotent: t.Bool("idempotent"),
-		Slots:      t.Int("slots", tomlcheck.Optional, DefaultSlots, tomlcheck.Range{Min: 1, Max: MaxSlots}),
+		Slots:      t.Int("slots", tomlcheck.Optional, DefaultSlots, slotsRange),
 		RunTime:    t.Duration("run_time", tomlcheck.Optional, DefaultRunTime, minTime, MaxRunTime),
 		Timeout:    t.Duration("timeout", tomlcheck.Optional, DefaultTimeout, minTime, MaxTimeout),
 		Needs: Resources{
-			MilliCores:   t.Int("milli_cores", tomlcheck.Optional, 0, tomlcheck.Range{Max: maxMilliCores}),
-			MemoryMiB:    t.MiB("memory", 0),
-			Accelerators: t.Int("accelerators", tomlcheck.Optional, 0, tomlcheck.Range{Max: maxAccelerators}),
+			MilliCores:   t.Int("milli_cores", tomlcheck.Optional, 0, milliCoresRange),
+			MemoryMiB:    t.MiB("memory", 0, memoryRange),
+			Accelerators: t.Int("accelerators", tomlcheck.Optional, 0, acceleratorsRange),
 		},
 	}
 	t.RejectUnknown(serviceRemedies)
 	if s.Timeout < s.RunTime {
-		t.Add("timeout", "is shorter than run_time", "raise timeout or lower run_time")
+		t.Add("timeout", "is shorter than run_time", timeoutRemedy)
 	}
 	return s
 }
@@ -101,9 +108,9 @@
 func parseTeam(t *tomlcheck.Table) Team {
 	team := Team{
 		Name:           parseName(t),
-		Weight:         t.Int("weight", tomlcheck.Optional, DefaultWeight, tomlcheck.Range{Min: 1, Max: MaxWeight}),
-		TasksPerSecond: t.Float("tasks_per_second", 0, tomlcheck.Range{Max: maxRate}),
-		Burst:          t.Int("burst", tomlcheck.Optional, 0, tomlcheck.Range{Max: maxBurst}),
+		Weight:         t.Int("weight", tomlcheck.Optional, DefaultWeight, weightRange),
+		TasksPerSecond: t.Float("tasks_per_second", 0, rateRange),
+		Burst:          t.Int("burst", tomlcheck.Optional, 0, burstRange),
 	}
 	t.RejectUnknown(teamRemedies)
 	if team.TasksPerSecond == 0 && team.Burst > 0 {
@@ -120,7 +127,11 @@
 	return name
 }
 
-const nameRemedy = "use 1 to 128 letters, digits, '-', '_' or '.'"
+// Remedies that several checks name.
+const (
+	nameRemedy    = "use 1 to 128 letters, digits, '-', '_' or '.'"
+	timeoutRemedy = "raise timeout or lower run_time"
+)
 
 func validName(name string) bool {
 	if len(name) == 0 || len(name) > MaxNameBytes {
--- a/catalog/tomlcheck/scalar.go
+++ b/catalog/tomlcheck/scalar.go
@@ -84,7 +84,7 @@
 }
 
 func (t *Table) inRange(key string, number float64, bounds Range) bool {
-	if number >= bounds.Min && number <= bounds.Max {
+	if bounds.Contains(number) {
 		return true
 	}
 	what := fmt.Sprintf("%v is out of range", number)
@@ -92,6 +92,11 @@
 	return false
 }
 
+// Contains reports whether a number is in the range.
+func (r Range) Contains(number float64) bool {
+	return number >= r.Min && number <= r.Max
+}
+
 // String describes the range.
 func (r Range) String() string {
 	low := strconv.FormatFloat(r.Min, 'f', -1, 64)
@@ -127,12 +132,15 @@
 
 // MiB reads a size such as "512MiB" and returns whole mebibytes; an absent
 // key gives fallback.
-func (t *Table) MiB(key string, fallback int) int {
+func (t *Table) MiB(key string, fallback int, bounds Range) int {
 	size := t.Bytes(key, int64(fallback)*mebibyte)
 	if size%mebibyte != 0 {
 		t.Add(key, "is not a whole number of MiB", `round it, as in "512MiB"`)
 		return fallback
 	}
+	if !t.inRange(key, float64(size/mebibyte), bounds) {
+		return fallback
+	}
 	return int(size / mebibyte)
 }
 
--- /dev/null
+++ b/standin/fakeplatform/memory_test.go
@@ -0,0 +1,74 @@
+package fakeplatform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"lovagespread.example/platform"
+)
+
+// memoryListener connects clients and a server through net.Pipe, so that
+// testing/synctest sees when all of them wait.
+type memoryListener struct {
+	connections chan net.Conn
+	closed      chan struct{}
+}
+
+func newMemoryListener() *memoryListener {
+	return &memoryListener{connections: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.connections:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr { return &net.UnixAddr{Name: "memory"} }
+
+func (l *memoryListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	ours, theirs := net.Pipe()
+	select {
+	case l.connections <- theirs:
+		return ours, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// memoryPlatform serves a platform in memory and returns a function that
+// makes clients of it.
+func memoryPlatform(t *testing.T, opts Options) (*Platform, func() *platform.Client) {
+	t.Helper()
+	p := New(opts)
+	listener := newMemoryListener()
+	server := &http.Server{Handler: p.Handler()}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return p, func() *platform.Client {
+		transport := &http.Transport{DialContext: listener.dial}
+		t.Cleanup(transport.CloseIdleConnections)
+		client, err := platform.NewClient(platform.Options{
+			URL:        "http://platform",
+			HTTPClient: &http.Client{Transport: transport},
+			Timeout:    2 * time.Second,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return client
+	}
+}
