Track attempts one by one in the ledger and bound its memory

Cause: Resolve did not know which attempt a fate was about, so a duplicate answer could resolve another attempt; Ran stayed true after a proof that nothing had started; Expire scanned all IDs at once and freed a closed ID at its expiry by this entry's clock alone; each refused ID cost a map entry.

Change: Resolve takes the attempt; a fate that decides nothing gives ok = false. IDs that are not open cost two bits in pages that are dropped whole, a bounded number a call, ClockMargin after expiry; dropped IDs are Forgotten and admit nothing. GiveUp bars starts while started tasks run on. Core says "not run" only after Close succeeded; an expired ID without record is answered unknown, and asking for an unseen ID closes it first, because the submission may still be on its way.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -109,9 +109,9 @@
 	case *Done:
 		c.done(in)
 	case *Refused:
-		c.resolve(in.Task, ledger.FateNotStarted, "the endpoint refused the task")
+		c.resolve(in.Task, in.Attempt, ledger.FateNotStarted, "the endpoint refused the task")
 	case *Failed:
-		c.resolve(in.Task, ledger.FateFailed, in.Detail)
+		c.resolve(in.Task, in.Attempt, ledger.FateFailed, in.Detail)
 	case *Lost:
 		c.lost(in)
 	case *SetEndpoints:
@@ -128,14 +128,12 @@
 }
 
 func (c *Core) submit(in *Submit) {
-	switch c.ledger.State(in.ID) {
-	case ledger.Open, ledger.Ended, ledger.Closed:
+	if c.ledger.State(in.ID) != ledger.Absent {
 		c.ask(in.ID)
 		return
 	}
 	if problem := c.refusal(in); problem != nil {
-		c.ledger.Close(in.ID)
-		c.reject(in.ID, *problem)
+		c.refuse(in.ID, *problem)
 		return
 	}
 	c.admit(in)
@@ -143,7 +141,7 @@
 
 func (c *Core) refusal(in *Submit) *Problem {
 	if in.ID.Expired(c.now) {
-		return notRun(CodeExpired, "the job ID has expired: obtain a new one with POST /v1/job-ids", 0)
+		return forgotten()
 	}
 	if c.draining {
 		return notRun(CodeDraining, "this entry is stopping: submit again with a new job ID", time.Second)
@@ -201,11 +199,38 @@
 	case ledger.Open:
 		c.ready.Admissions = append(c.ready.Admissions, id)
 	case ledger.Ended:
-		c.ready.Answers = append(c.ready.Answers, *c.answers[id])
+		c.answerAgain(id)
 	case ledger.Closed:
 		c.reject(id, *notRun("id_closed", "the job was refused earlier and was not run: submit it with a new job ID", 0))
+	case ledger.Forgotten:
+		c.reject(id, *forgotten())
 	default:
-		c.reject(id, *notRun(CodeUnknownJob, "no job was submitted with this ID: submit it with PUT", 0))
+		c.refuse(id, *notRun(CodeUnknownJob, "no job was submitted with this ID, which is closed now: submit the job with a new ID", 0))
+	}
+}
+
+func (c *Core) answerAgain(id jobid.ID) {
+	answer := c.answers[id]
+	if answer == nil {
+		c.reject(id, *forgotten())
+		return
+	}
+	c.ready.Answers = append(c.ready.Answers, *answer)
+}
+
+// refuse closes the ID for good before it says that the job was not run.
+func (c *Core) refuse(id jobid.ID, problem Problem) {
+	if !c.ledger.Close(id) {
+		problem.Execution = Unknown
+	}
+	c.reject(id, problem)
+}
+
+func forgotten() *Problem {
+	return &Problem{
+		Code:      CodeExpired,
+		Execution: Unknown,
+		Detail:    "the job ID has expired and its outcome is no longer kept: check the effects before you submit the job with a new ID",
 	}
 }
 
@@ -224,7 +249,7 @@
 
 func (c *Core) done(in *Done) {
 	c.release(in.Task)
-	if _, ok := c.ledger.Resolve(in.Task.Job, in.Task.Index, ledger.FateDone); !ok {
+	if _, ok := c.ledger.Resolve(in.Task.Job, in.Task.Index, in.Attempt, ledger.FateDone); !ok {
 		return
 	}
 	j := c.jobs[in.Task.Job]
@@ -244,12 +269,12 @@
 	if in.NotSent {
 		fate = ledger.FateNotStarted
 	}
-	c.resolve(in.Task, fate, in.Detail)
+	c.resolve(in.Task, in.Attempt, fate, in.Detail)
 }
 
-func (c *Core) resolve(ref TaskRef, fate ledger.Fate, detail string) {
+func (c *Core) resolve(ref TaskRef, attempt int, fate ledger.Fate, detail string) {
 	c.release(ref)
-	state, ok := c.ledger.Resolve(ref.Job, ref.Index, fate)
+	state, ok := c.ledger.Resolve(ref.Job, ref.Index, attempt, fate)
 	j := c.jobs[ref.Job]
 	if !ok || j == nil {
 		return
--- a/dispatch/ledger/ledger.go
+++ b/dispatch/ledger/ledger.go
@@ -6,195 +6,151 @@
 	"lovagespread.example/dispatch/jobid"
 )
 
-// TaskState is the state of one task.
-type TaskState uint8
-
-// States of a task.
-const (
-	Waiting TaskState = iota // never started, or proved not started
-	Started                  // an attempt may be running
-	Done                     // has a result
-	Failed                   // ran without a result
-	Lost                     // started; its fate is unknown
-)
-
 // JobState is the state of one job ID.
 type JobState uint8
 
 // States of a job ID.
 const (
-	Absent JobState = iota // never seen
-	Open                   // admitted, not ended
-	Ended                  // has its final outcome
-	Closed                 // refused as not run; admits no start
+	Absent    JobState = iota // never seen
+	Open                      // admitted, not ended
+	Ended                     // has its final outcome
+	Closed                    // refused as not run; admits no start
+	Forgotten                 // expired; its record may have been dropped
 )
 
 // Ledger records the jobs of one entry incarnation. It is not safe for
 // concurrent use: the control goroutine owns it.
 type Ledger struct {
-	jobs map[jobid.ID]*job
+	open     map[key]*job
+	finished pages
 }
 
-type job struct {
-	state   JobState
-	started bool // some task was started at any time
-	tasks   []task
+// key is the part of an ID that tells it from every other ID.
+type key struct {
+	owner    jobid.Incarnation
+	sequence uint64
 }
 
-type task struct {
-	state      TaskState
-	idempotent bool
-	attempt    int
-	running    int // attempts whose fate is open
+func keyOf(id jobid.ID) key {
+	return key{owner: id.Owner, sequence: id.Sequence}
+}
+
+// job is the record of an open job.
+type job struct {
+	id    jobid.ID
+	begun int  // attempts that are not proved not to have started
+	given bool // given up: admits no further start
+	tasks []task
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{jobs: make(map[jobid.ID]*job)}
+	return &Ledger{
+		open:     make(map[key]*job),
+		finished: newPages(),
+	}
 }
 
 // State returns the state of an ID.
 func (l *Ledger) State(id jobid.ID) JobState {
-	j := l.jobs[id]
-	if j == nil {
+	if l.open[keyOf(id)] != nil {
+		return Open
+	}
+	switch l.finished.get(id) {
+	case verdictNone:
 		return Absent
+	case verdictClosed:
+		return Closed
+	case verdictForgotten:
+		return Forgotten
+	default:
+		return Ended
 	}
-	return j.state
 }
 
 // Open admits a job. idempotent has one element a task. It returns false,
 // and changes nothing, unless the ID is absent.
 func (l *Ledger) Open(id jobid.ID, idempotent []bool) bool {
-	if l.jobs[id] != nil {
+	if l.State(id) != Absent {
 		return false
 	}
-	j := &job{state: Open, tasks: make([]task, len(idempotent))}
+	j := &job{id: id, tasks: make([]task, len(idempotent))}
 	for i, ok := range idempotent {
 		j.tasks[i].idempotent = ok
 	}
-	l.jobs[id] = j
+	l.open[keyOf(id)] = j
 	return true
 }
 
 // Close bars an ID for all time. It returns false, and changes nothing, if a
-// task of the job was ever started or the job has ended: then the job must
-// not be called "not run".
+// task of the job may have started, or if the ID has ended or is forgotten:
+// then the job must not be called "not run".
 func (l *Ledger) Close(id jobid.ID) bool {
-	j := l.jobs[id]
-	if j == nil {
-		l.jobs[id] = &job{state: Closed}
-		return true
-	}
-	if j.state == Closed {
+	switch l.State(id) {
+	case Closed:
 		return true
-	}
-	if j.started || j.state == Ended {
+	case Ended, Forgotten:
 		return false
 	}
-	j.state = Closed
-	j.tasks = nil
-	return true
-}
-
-// MayStart reports whether Start would succeed.
-func (l *Ledger) MayStart(id jobid.ID, index int) bool {
-	j := l.jobs[id]
-	if j == nil || j.state != Open {
-		return false
-	}
-	t := &j.tasks[index]
-	if t.state == Waiting {
-		return true
-	}
-	return t.idempotent && t.state == Started
-}
-
-// Start authorises one attempt of a task and returns its number, from 1. It
-// returns false if the task must not be started.
-func (l *Ledger) Start(id jobid.ID, index int) (attempt int, ok bool) {
-	if !l.MayStart(id, index) {
-		return 0, false
+	if j := l.open[keyOf(id)]; j != nil {
+		if j.begun > 0 {
+			return false
+		}
+		delete(l.open, keyOf(id))
 	}
-	j := l.jobs[id]
-	j.started = true
-	t := &j.tasks[index]
-	t.state = Started
-	t.attempt++
-	t.running++
-	return t.attempt, true
+	l.finished.set(id, verdictClosed)
+	return true
 }
 
-// Fate is what became of an attempt.
-type Fate uint8
-
-// Fates of an attempt.
-const (
-	FateDone       Fate = iota // it ran and gave a result
-	FateFailed                 // it ran and gave none
-	FateNotStarted             // it is proved not to have started
-	FateUnknown                // nothing is known, and nothing will be
-)
-
-// Resolve records the fate of an attempt and returns the state of the task
-// after it. It returns ok = false for an attempt that was resolved already or
-// that the ledger does not know; such an answer is ignored by its caller.
-func (l *Ledger) Resolve(id jobid.ID, index int, fate Fate) (state TaskState, ok bool) {
-	j := l.jobs[id]
-	if j == nil || j.state != Open || index >= len(j.tasks) {
-		return Waiting, false
+// GiveUp bars further starts of an open job, whose started attempts run on.
+// It returns the number of attempts whose fate is open. The job stays open,
+// so that their fates are still recorded, until End.
+func (l *Ledger) GiveUp(id jobid.ID) (running int) {
+	j := l.open[keyOf(id)]
+	if j == nil {
+		return 0
 	}
-	t := &j.tasks[index]
-	if t.state != Started || t.running == 0 {
-		return t.state, false
+	j.given = true
+	for i := range j.tasks {
+		running += j.tasks[i].running()
 	}
-	t.running--
-	t.state = next(t, fate)
-	return t.state, true
+	return running
 }
 
-func next(t *task, fate Fate) TaskState {
-	if fate == FateDone {
-		return Done
-	}
-	if t.running > 0 {
-		return Started
+// Ran reports whether any task of the job was started: that is, whether it
+// has an attempt that is not proved not to have started. It reports true for
+// a forgotten ID, of which nothing is known.
+func (l *Ledger) Ran(id jobid.ID) bool {
+	if j := l.open[keyOf(id)]; j != nil {
+		return j.begun > 0
 	}
-	switch {
-	case fate == FateNotStarted:
-		return Waiting
-	case t.idempotent:
-		return Waiting
-	case fate == FateFailed:
-		return Failed
+	switch l.finished.get(id) {
+	case verdictRan, verdictForgotten:
+		return true
 	default:
-		return Lost
+		return false
 	}
 }
 
-// Ran reports whether any task of the job was ever started.
-func (l *Ledger) Ran(id jobid.ID) bool {
-	j := l.jobs[id]
-	return j != nil && j.started
-}
-
 // End gives a job its final state. It returns false if the job is not open.
 func (l *Ledger) End(id jobid.ID) bool {
-	j := l.jobs[id]
-	if j == nil || j.state != Open {
+	j := l.open[keyOf(id)]
+	if j == nil {
 		return false
 	}
-	j.state = Ended
-	j.tasks = nil
+	delete(l.open, keyOf(id))
+	if j.begun > 0 {
+		l.finished.set(id, verdictRan)
+	} else {
+		l.finished.set(id, verdictNotRun)
+	}
 	return true
 }
 
-// Expire forgets the IDs that have expired and are not open. It returns the
-// number of IDs that remain.
+// Expire lets the ledger forget IDs that expired ClockMargin ago. One call
+// looks at a bounded number of pages, so that it never pauses traffic; regular
+// calls reach all of them. It returns the number of job IDs on record.
 func (l *Ledger) Expire(now time.Time) int {
-	for id, j := range l.jobs {
-		if j.state != Open && id.Expired(now) {
-			delete(l.jobs, id)
-		}
-	}
-	return len(l.jobs)
+	l.finished.expire(now)
+	return len(l.open) + l.finished.count
 }
