Hand a ledger over to a successor

Cause: a planned stop must not turn its jobs into unknown outcomes.

Change: a ledger knows the owners it answers for; IDs of others are Foreign and admit nothing. BeginHandOver, NextPart and Give export it in parts while it serves on, changed records again; the last part moves the authority over all IDs at once. Accept stages parts and counts nothing until the last. A refusal by the successor bars the session, so that Reclaim is safe. Attempts of the former owner stay open at the successor until resolved or abandoned. dispatch.Options gains Owner; zero leaves the owner check to the shell. Build tag broken_resend breaks the resend rule for checks of the checks.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -13,6 +13,9 @@
 type Options struct {
 	// Rand is the source of every random choice. Required.
 	Rand *rand.Rand
+	// Owner is the incarnation whose jobs the core may start. Zero: the
+	// shell sees to it that only such jobs come in.
+	Owner jobid.Incarnation
 	// MaxWaiting bounds the tasks that wait for a slot. Default 10,000.
 	MaxWaiting int
 	// MaxAttempts bounds the attempts of one task. Default 3.
@@ -70,7 +73,7 @@
 	return &Core{
 		opts:      opts,
 		catalog:   &catalog.Catalog{},
-		ledger:    ledger.New(),
+		ledger:    ledger.New(opts.Owner),
 		jobs:      make(map[jobid.ID]*job),
 		answers:   make(map[jobid.ID]*Answer),
 		endpoints: make(map[string]*endpoint),
@@ -204,6 +207,8 @@
 		c.reject(id, *notRun("id_closed", "the job was refused earlier and was not run: submit it with a new job ID", 0))
 	case ledger.Forgotten:
 		c.reject(id, *forgotten())
+	case ledger.Foreign:
+		c.reject(id, *foreign())
 	default:
 		c.refuse(id, *notRun(CodeUnknownJob, "no job was submitted with this ID, which is closed now: submit the job with a new ID", 0))
 	}
@@ -226,6 +231,15 @@
 	c.reject(id, problem)
 }
 
+func foreign() *Problem {
+	return &Problem{
+		Code:       CodeNotOwner,
+		Execution:  Unknown,
+		Detail:     "another entry answers for this job ID: ask again, it will be forwarded",
+		RetryAfter: time.Second,
+	}
+}
+
 func forgotten() *Problem {
 	return &Problem{
 		Code:      CodeExpired,
--- a/dispatch/ledger/doc.go
+++ b/dispatch/ledger/doc.go
@@ -30,6 +30,21 @@
 //     then refused by comparison with the latest expiry dropped, so that a
 //     clock that is set back admits no second run.
 //
+// # Succession
+//
+// A ledger that stops is handed to one successor, in parts and while it
+// serves on. The last part moves the authority over all its IDs at once:
+//
+//   - Before Give nothing at the successor counts. A successor that fails is
+//     replaced by another, and nothing is lost or started twice.
+//   - After Give the former owner admits nothing. What it has started is
+//     Started at the successor too, which learns the fates from it, or gives
+//     them up with Abandon once the former owner is gone. So a task is either
+//     waiting at the successor or was started by the former owner, never both.
+//   - Give is taken back only on proof that the last part was not accepted
+//     and never will be. Without proof the jobs are the successor's.
+//   - A part names the incarnation it is for; no other one accepts it.
+//
 // # Memory
 //
 // An open job costs one record of fixed size and one of each task. A job ID
--- /dev/null
+++ b/dispatch/ledger/handover.go
@@ -0,0 +1,184 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+
+	"lovagespread.example/dispatch/jobid"
+)
+
+// Part is one message of a hand-over from a ledger that stops to its
+// successor. A later part replaces what an earlier one said of the same job
+// or page.
+type Part struct {
+	From    jobid.Incarnation
+	To      jobid.Incarnation
+	Session uint64 // rises with each hand-over that From begins
+	Number  int    // from 0, without gaps
+	Last    bool
+	Jobs    []JobRecord
+	Pages   []PageRecord
+	// Owners are the incarnations that To answers for from now on, and
+	// Horizon is the latest expiry that was dropped, in Unix seconds. Both
+	// are set in the last part only.
+	Owners  []jobid.Incarnation
+	Horizon int64
+}
+
+// item names a record that the successor does not have yet.
+type item struct {
+	job  key
+	page pageKey
+	kind itemKind
+}
+
+type itemKind uint8
+
+const (
+	itemJob itemKind = iota
+	itemPage
+)
+
+// outgoing is a hand-over that this ledger has begun.
+type outgoing struct {
+	to      jobid.Incarnation
+	number  int
+	pending []item
+	queued  map[item]bool
+}
+
+func (o *outgoing) add(it item) {
+	if o.queued[it] {
+		return
+	}
+	o.queued[it] = true
+	o.pending = append(o.pending, it)
+}
+
+// BeginHandOver starts to hand the ledger over to a successor. The ledger
+// serves on; what changes is handed over again. It may be called again, with
+// the same or another successor, as long as Give was not called or was taken
+// back by Reclaim. It returns false if it may not, or if the ledger has no
+// owner of its own.
+func (l *Ledger) BeginHandOver(to jobid.Incarnation) bool {
+	if l.given || l.self == 0 || to == l.self || to == 0 {
+		return false
+	}
+	l.session++
+	l.out = &outgoing{to: to, queued: make(map[item]bool)}
+	for _, k := range sortedKeys(l.open) {
+		l.out.add(item{kind: itemJob, job: k})
+	}
+	for _, p := range l.finished.order {
+		l.out.add(item{kind: itemPage, page: p.key})
+	}
+	return true
+}
+
+// Pending returns the number of records that the successor does not have yet.
+func (l *Ledger) Pending() int {
+	if l.out == nil {
+		return 0
+	}
+	return len(l.out.pending)
+}
+
+// NextPart returns the next part with at most maxRecords records. It returns
+// false if none is pending: then Give follows.
+func (l *Ledger) NextPart(maxRecords int) (Part, bool) {
+	if l.given || l.Pending() == 0 {
+		return Part{}, false
+	}
+	return l.part(maxRecords), true
+}
+
+// Give returns the last part. From now on this ledger answers for no ID and
+// admits nothing. Send it only after the successor has confirmed all earlier
+// parts; it may be sent any number of times, to this successor alone.
+func (l *Ledger) Give() (Part, bool) {
+	if l.given || l.out == nil {
+		return Part{}, false
+	}
+	part := l.part(len(l.out.pending))
+	part.Last = true
+	part.Owners = l.answered()
+	part.Horizon = l.finished.horizon
+	l.given = true
+	return part, true
+}
+
+// Reclaim takes Give back. It is allowed only on proof that the successor
+// has not accepted the last part and never will: no byte of it was ever
+// written, or the successor itself has refused this session. A
+// WrongSuccessorError comes from another incarnation; it is such a proof only
+// if the last part was sent once.
+func (l *Ledger) Reclaim() {
+	l.given = false
+	l.out = nil
+}
+
+// Given reports whether a successor answers for this ledger's IDs.
+func (l *Ledger) Given() bool { return l.given }
+
+func (l *Ledger) part(maxRecords int) Part {
+	part := Part{From: l.self, To: l.out.to, Session: l.session, Number: l.out.number}
+	l.out.number++
+	count := min(maxRecords, len(l.out.pending))
+	for _, it := range l.out.pending[:count] {
+		delete(l.out.queued, it)
+		l.fill(&part, it)
+	}
+	l.out.pending = l.out.pending[count:]
+	return part
+}
+
+// fill adds a record. Nothing is said of a job that is no longer open, since
+// its page carries the verdict, nor of a page that was dropped.
+func (l *Ledger) fill(part *Part, it item) {
+	switch it.kind {
+	case itemJob:
+		if j := l.open[it.job]; j != nil {
+			part.Jobs = append(part.Jobs, l.jobRecord(j))
+		}
+	case itemPage:
+		if p := l.finished.byKey[it.page]; p != nil {
+			part.Pages = append(part.Pages, p.record())
+		}
+	}
+}
+
+// changedJob and finish keep the successor's copy up to date.
+func (l *Ledger) changedJob(j *job) {
+	if l.out != nil {
+		l.out.add(item{kind: itemJob, job: keyOf(j.id)})
+	}
+}
+
+func (l *Ledger) finish(id jobid.ID, v verdict) {
+	delete(l.open, keyOf(id))
+	l.finished.set(id, v)
+	if l.out != nil {
+		l.out.add(item{kind: itemPage, page: pageOf(id)})
+	}
+}
+
+// answered returns the incarnations this ledger answers for, in order.
+func (l *Ledger) answered() []jobid.Incarnation {
+	owners := make([]jobid.Incarnation, 0, len(l.owners))
+	for owner := range l.owners {
+		owners = append(owners, owner)
+	}
+	slices.Sort(owners)
+	return owners
+}
+
+func sortedKeys(open map[key]*job) []key {
+	keys := make([]key, 0, len(open))
+	for k := range open {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b key) int {
+		return cmp.Or(cmp.Compare(a.owner, b.owner), cmp.Compare(a.sequence, b.sequence))
+	})
+	return keys
+}
--- /dev/null
+++ b/dispatch/ledger/handover_test.go
@@ -0,0 +1,214 @@
+package ledger
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"lovagespread.example/dispatch/jobid"
+)
+
+// handOver sends all parts of l to a successor, each twice, and returns the
+// last part, which it does not send.
+func handOver(t *testing.T, l, to *Ledger, maxRecords int) Part {
+	t.Helper()
+	if !l.BeginHandOver(to.self) {
+		t.Fatal("hand-over not begun")
+	}
+	var parts []Part
+	for l.Pending() > 0 {
+		part, _ := l.NextPart(maxRecords)
+		parts = append(parts, part)
+	}
+	for i := len(parts) - 1; i >= 0; i-- { // out of order
+		accept(t, to, parts[i], false)
+		accept(t, to, parts[i], false)
+	}
+	last, ok := l.Give()
+	if !ok {
+		t.Fatal("not given")
+	}
+	return last
+}
+
+func accept(t *testing.T, l *Ledger, part Part, want bool) {
+	t.Helper()
+	accepted, err := l.Accept(part)
+	if err != nil || accepted != want {
+		t.Fatalf("part %d: accepted = %t, %v; want %t", part.Number, accepted, err, want)
+	}
+}
+
+// three admits jobs that are waiting, started and ended.
+func three(t *testing.T, l *Ledger) (waiting, started, ended jobid.ID) {
+	t.Helper()
+	ids := issuer(t, l.self)
+	for _, id := range []*jobid.ID{&waiting, &started, &ended} {
+		*id, _ = ids.Issue(epoch, lifetime)
+		l.Open(*id, []bool{false, false})
+	}
+	start(t, l, started, 0)
+	attempt := start(t, l, ended, 0)
+	resolve(t, l, ended, 0, attempt, FateFailed, Failed, true)
+	l.End(ended)
+	return waiting, started, ended
+}
+
+func TestSuccessorAnswersAndFormerOwnerDoesNot(t *testing.T) {
+	a, b := New(1), New(2)
+	waiting, started, ended := three(t, a)
+	last := handOver(t, a, b, 1)
+	if b.State(waiting) != Foreign || b.MayStart(waiting, 0) {
+		t.Fatal("a hand-over counts before its last part")
+	}
+	if a.State(waiting) != Foreign || a.MayStart(waiting, 0) || a.Close(waiting) {
+		t.Fatal("the former owner admits something after it gave the ledger away")
+	}
+	accept(t, b, last, true)
+	accept(t, b, last, true)
+	if b.State(ended) != Ended || !b.Ran(ended) || b.State(started) != Open {
+		t.Fatal("the successor does not know the jobs")
+	}
+	if b.MayStart(started, 0) || !b.MayStart(started, 1) || !b.MayStart(waiting, 0) {
+		t.Fatal("the successor may start what is started, or may not start what waits")
+	}
+	resolve(t, b, started, 0, 1, FateDone, Done, true)
+}
+
+func TestChangesDuringAHandOverReachTheSuccessor(t *testing.T) {
+	a, b := New(1), New(2)
+	waiting, started, _ := three(t, a)
+	a.BeginHandOver(2)
+	for a.Pending() > 0 {
+		part, _ := a.NextPart(10)
+		accept(t, b, part, false)
+	}
+	start(t, a, waiting, 1)
+	resolve(t, a, started, 0, 1, FateDone, Done, true)
+	a.End(started)
+	late, _ := issuer(t, 1).Issue(epoch, 2*lifetime)
+	late.Sequence = 1000
+	a.Open(late, []bool{true})
+	last, _ := a.Give()
+	accept(t, b, last, true)
+	if b.MayStart(waiting, 1) || b.State(started) != Ended || b.State(late) != Open {
+		t.Fatal("the successor has an old state")
+	}
+}
+
+func TestAbandonedAttemptsStayLost(t *testing.T) {
+	a, b := New(1), New(2)
+	id := newID(t)
+	a.Open(id, []bool{false, true})
+	start(t, a, id, 0)
+	start(t, a, id, 1)
+	accept(t, b, handOver(t, a, b, 10), true)
+	if b.MayStart(id, 0) || b.MayStart(id, 1) {
+		t.Fatal("an attempt of the former owner runs on and is started again")
+	}
+	if got := b.Inherited(); len(got) != 1 || got[0] != 1 {
+		t.Fatalf("waits for %v, want 1", got)
+	}
+	resolved := b.Abandon(1)
+	if len(resolved) != 2 || resolved[0].State != Lost || resolved[1].State != Waiting {
+		t.Fatalf("abandoned: %+v", resolved)
+	}
+	if b.MayStart(id, 0) || !b.MayStart(id, 1) {
+		t.Fatal("a lost non-idempotent task may start again, or an idempotent one may not")
+	}
+	resolve(t, b, id, 0, 1, FateDone, Lost, false)
+}
+
+func TestTwoNeighboursStopOneAfterTheOther(t *testing.T) {
+	a, b, c := New(1), New(2), New(3)
+	waiting, started, ended := three(t, a)
+	accept(t, b, handOver(t, a, b, 2), true)
+	start(t, b, waiting, 0)
+	accept(t, c, handOver(t, b, c, 2), true)
+	if b.State(waiting) != Foreign || c.State(ended) != Ended {
+		t.Fatal("the second successor does not answer for the first owner")
+	}
+	if c.MayStart(waiting, 0) || !c.MayStart(waiting, 1) || c.MayStart(started, 0) {
+		t.Fatal("the second successor may start what is started")
+	}
+	if got := c.Inherited(); len(got) != 2 || got[0] != 1 || got[1] != 2 {
+		t.Fatalf("waits for %v, want 1 and 2", got)
+	}
+	resolve(t, c, started, 0, 1, FateDone, Done, true)
+	if got := c.Abandon(2); len(got) != 1 || got[0].State != Lost {
+		t.Fatalf("abandoned: %+v", got)
+	}
+}
+
+func TestSuccessorThatFailsMidwayIsReplaced(t *testing.T) {
+	a, b, c := New(1), New(2), New(3)
+	waiting, _, _ := three(t, a)
+	a.BeginHandOver(2)
+	part, _ := a.NextPart(1)
+	accept(t, b, part, false)
+	accept(t, c, handOver(t, a, c, 1), true)
+	if !c.MayStart(waiting, 0) || b.MayStart(waiting, 0) {
+		t.Fatal("the second successor did not take over alone")
+	}
+}
+
+func TestMissingPartBarsTheSession(t *testing.T) {
+	a, b := New(1), New(2)
+	waiting, _, _ := three(t, a)
+	a.BeginHandOver(2)
+	withheld, _ := a.NextPart(1)
+	last, _ := a.Give()
+	_, err := b.Accept(last)
+	var missing *MissingPartError
+	if !errors.As(err, &missing) || missing.Have != 1 || missing.Want != 2 {
+		t.Fatalf("got %v, want a MissingPartError of 1 of 2", err)
+	}
+	var stale *StaleSessionError
+	for _, part := range []Part{withheld, last} {
+		if _, err := b.Accept(part); !errors.As(err, &stale) {
+			t.Fatalf("got %v, want a StaleSessionError", err)
+		}
+	}
+	a.Reclaim()
+	if !a.MayStart(waiting, 0) {
+		t.Fatal("the former owner does not serve on")
+	}
+	accept(t, b, handOver(t, a, b, 10), true)
+}
+
+func TestOnlyTheNamedSuccessorAccepts(t *testing.T) {
+	a, b := New(1), New(2)
+	three(t, a)
+	last := handOver(t, a, b, 10)
+	var wrong *WrongSuccessorError
+	if _, err := New(3).Accept(last); !errors.As(err, &wrong) {
+		t.Fatalf("got %v, want a WrongSuccessorError", err)
+	}
+	leaving := New(2)
+	leaving.BeginHandOver(4)
+	var leavingError *LeavingError
+	if _, err := leaving.Accept(last); !errors.As(err, &leavingError) {
+		t.Fatalf("got %v, want a LeavingError", err)
+	}
+}
+
+func TestForeignIDAdmitsNothing(t *testing.T) {
+	l := New(2)
+	id := newID(t) // of owner 1
+	if l.State(id) != Foreign || l.Open(id, []bool{false}) || l.Close(id) || !l.Ran(id) {
+		t.Fatal("an ID of another owner is admitted or called not run")
+	}
+}
+
+func TestHandedOverPagesExpire(t *testing.T) {
+	a, b := New(1), New(2)
+	waiting, started, ended := three(t, a)
+	accept(t, b, handOver(t, a, b, 10), true)
+	late := epoch.Add(lifetime + ClockMargin + time.Second)
+	if n := b.Expire(late); n != 2 {
+		t.Fatalf("%d records, want the 2 open jobs", n)
+	}
+	if b.State(ended) != Forgotten || b.State(started) != Open || b.State(waiting) != Open {
+		t.Fatal("an open job is forgotten, or an expired record is kept")
+	}
+}
--- a/dispatch/ledger/ledger.go
+++ b/dispatch/ledger/ledger.go
@@ -16,13 +16,21 @@
 	Ended                     // has its final outcome
 	Closed                    // refused as not run; admits no start
 	Forgotten                 // expired; its record may have been dropped
+	Foreign                   // another ledger answers for it
 )
 
 // Ledger records the jobs of one entry incarnation. It is not safe for
 // concurrent use: the control goroutine owns it.
 type Ledger struct {
+	self     jobid.Incarnation
+	owners   map[jobid.Incarnation]bool // answered for
 	open     map[key]*job
 	finished pages
+
+	session uint64 // of the latest hand-over begun
+	out     *outgoing
+	given   bool // a successor answers
+	in      map[jobid.Incarnation]*incoming
 }
 
 // key is the part of an ID that tells it from every other ID.
@@ -43,17 +51,39 @@
 	tasks []task
 }
 
-// New returns an empty ledger.
-func New() *Ledger {
+// New returns an empty ledger that answers for the IDs of one owner. A ledger
+// whose owner is zero answers for all IDs and cannot be handed over.
+func New(owner jobid.Incarnation) *Ledger {
 	return &Ledger{
+		self:     owner,
+		owners:   map[jobid.Incarnation]bool{owner: true},
 		open:     make(map[key]*job),
 		finished: newPages(),
+		in:       make(map[jobid.Incarnation]*incoming),
+	}
+}
+
+// AnswersFor reports whether this ledger is the authority on the IDs of an
+// owner.
+func (l *Ledger) AnswersFor(owner jobid.Incarnation) bool {
+	return !l.given && (l.self == 0 || l.owners[owner])
+}
+
+// find returns the record of an open job that this ledger answers for, or
+// nil.
+func (l *Ledger) find(id jobid.ID) *job {
+	if !l.AnswersFor(id.Owner) {
+		return nil
 	}
+	return l.open[keyOf(id)]
 }
 
 // State returns the state of an ID.
 func (l *Ledger) State(id jobid.ID) JobState {
-	if l.open[keyOf(id)] != nil {
+	if !l.AnswersFor(id.Owner) {
+		return Foreign
+	}
+	if l.find(id) != nil {
 		return Open
 	}
 	switch l.finished.get(id) {
@@ -79,26 +109,24 @@
 		j.tasks[i].idempotent = ok
 	}
 	l.open[keyOf(id)] = j
+	l.changedJob(j)
 	return true
 }
 
 // Close bars an ID for all time. It returns false, and changes nothing, if a
-// task of the job may have started, or if the ID has ended or is forgotten:
-// then the job must not be called "not run".
+// task of the job may have started, if the ID has ended or is forgotten, or
+// if another ledger answers for it: then it must not be called "not run".
 func (l *Ledger) Close(id jobid.ID) bool {
 	switch l.State(id) {
 	case Closed:
 		return true
-	case Ended, Forgotten:
+	case Ended, Forgotten, Foreign:
 		return false
 	}
-	if j := l.open[keyOf(id)]; j != nil {
-		if j.begun > 0 {
-			return false
-		}
-		delete(l.open, keyOf(id))
+	if j := l.find(id); j != nil && j.begun > 0 {
+		return false
 	}
-	l.finished.set(id, verdictClosed)
+	l.finish(id, verdictClosed)
 	return true
 }
 
@@ -106,11 +134,12 @@
 // It returns the number of attempts whose fate is open. The job stays open,
 // so that their fates are still recorded, until End.
 func (l *Ledger) GiveUp(id jobid.ID) (running int) {
-	j := l.open[keyOf(id)]
+	j := l.find(id)
 	if j == nil {
 		return 0
 	}
 	j.given = true
+	l.changedJob(j)
 	for i := range j.tasks {
 		running += j.tasks[i].running()
 	}
@@ -119,9 +148,13 @@
 
 // Ran reports whether any task of the job was started: that is, whether it
 // has an attempt that is not proved not to have started. It reports true for
-// a forgotten ID, of which nothing is known.
+// an ID of which nothing is known: a forgotten one, or one that another ledger
+// answers for.
 func (l *Ledger) Ran(id jobid.ID) bool {
-	if j := l.open[keyOf(id)]; j != nil {
+	if !l.AnswersFor(id.Owner) {
+		return true
+	}
+	if j := l.find(id); j != nil {
 		return j.begun > 0
 	}
 	switch l.finished.get(id) {
@@ -134,15 +167,14 @@
 
 // End gives a job its final state. It returns false if the job is not open.
 func (l *Ledger) End(id jobid.ID) bool {
-	j := l.open[keyOf(id)]
+	j := l.find(id)
 	if j == nil {
 		return false
 	}
-	delete(l.open, keyOf(id))
 	if j.begun > 0 {
-		l.finished.set(id, verdictRan)
+		l.finish(id, verdictRan)
 	} else {
-		l.finished.set(id, verdictNotRun)
+		l.finish(id, verdictNotRun)
 	}
 	return true
 }
--- a/dispatch/ledger/ledger_test.go
+++ b/dispatch/ledger/ledger_test.go
@@ -30,7 +30,7 @@
 
 func opened(t testing.TB, idempotent ...bool) (*Ledger, jobid.ID) {
 	t.Helper()
-	l, id := New(), newID(t)
+	l, id := New(1), newID(t)
 	if !l.Open(id, idempotent) {
 		t.Fatal("a new ID was not admitted")
 	}
@@ -168,7 +168,7 @@
 }
 
 func TestExpireReachesEveryPage(t *testing.T) {
-	l, id := New(), newID(t)
+	l, id := New(1), newID(t)
 	for range 10 * pagesPerExpire {
 		l.Close(id)
 		id.Sequence += PageIDs
--- /dev/null
+++ b/dispatch/ledger/rule_broken.go
@@ -0,0 +1,7 @@
+//go:build broken_resend
+
+package ledger
+
+// resendLost lets a non-idempotent task be sent again after its fate was
+// lost. This breaks the first invariant.
+const resendLost = true
--- a/dispatch/ledger/task.go
+++ b/dispatch/ledger/task.go
@@ -27,6 +27,7 @@
 type task struct {
 	last       uint32
 	open       uint32
+	starter    jobid.Incarnation // of the open attempts; zero: this ledger
 	state      TaskState
 	idempotent bool
 }
@@ -38,6 +39,9 @@
 	if t.state == Waiting {
 		return true
 	}
+	if t.starter != 0 {
+		return false
+	}
 	oldestIsOpen := t.open>>(attemptWindow-1) == 1
 	return t.idempotent && t.state == Started && !oldestIsOpen
 }
@@ -60,6 +64,9 @@
 		return false
 	}
 	t.open &^= bit
+	if t.open == 0 {
+		t.starter = 0
+	}
 	return true
 }
 
@@ -73,7 +80,7 @@
 		return Started
 	}
 	switch {
-	case fate == FateNotStarted, t.idempotent:
+	case fate == FateNotStarted, t.idempotent, resendLost && fate == FateUnknown:
 		return Waiting
 	case fate == FateFailed:
 		return Failed
@@ -95,7 +102,7 @@
 
 // task returns the record of a task of an open job, or nil.
 func (l *Ledger) task(id jobid.ID, index int) (*job, *task) {
-	j := l.open[keyOf(id)]
+	j := l.find(id)
 	if j == nil || index < 0 || index >= len(j.tasks) {
 		return nil, nil
 	}
@@ -116,6 +123,7 @@
 		return 0, false
 	}
 	j.begun++
+	l.changedJob(j)
 	return t.start(), true
 }
 
@@ -132,6 +140,7 @@
 	if !t.close(attempt) {
 		return t.state, false
 	}
+	l.changedJob(j)
 	if fate == FateNotStarted {
 		j.begun--
 	}
--- a/dispatch/ready.go
+++ b/dispatch/ready.go
@@ -91,6 +91,7 @@
 	CodeTaskFailed     Code = "task_failed"
 	CodeTaskLost       Code = "task_outcome_unknown"
 	CodeCancelled      Code = "cancelled"
+	CodeNotOwner       Code = "not_owner" // another entry answers for the ID
 )
 
 // Problem tells why a job was rejected or failed.
