Add stand-ins for endpoints and balancer, and the endpoint contract

Cause: the whole path needs endpoints and a balancer to run against. Change: endpoints and workers that speak the endpoint protocol, with slots, typed refusals, leases, guards and fault switches, and that record every start; a balancer that sends each request at most once; listeners whose connections go silent, break or slow down; a contract test in virtual time that any endpoint implementation must pass.

--- /dev/null
+++ b/standin/endpointcontract/contract.go
@@ -0,0 +1,143 @@
+// Package endpointcontract holds the tests that every implementation of the
+// endpoint protocol must pass; see package endpointapi.
+//
+// They run in virtual time over connections in memory, so an implementation
+// must take its time from package time.
+package endpointcontract
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lovagespread.example/platform/endpointapi"
+	"lovagespread.example/standin/faultnet"
+)
+
+// Subject is one endpoint under test. It executes Service with Slots slots.
+type Subject struct {
+	Service string
+	Slots   int
+	// Serve serves the protocol on l until l is closed.
+	Serve func(l net.Listener)
+	// Payload makes a task run for the given time.
+	Payload func(run time.Duration) json.RawMessage
+	// Leave makes the endpoint leave.
+	Leave func()
+	// Starts returns how often a task was started, whatever its attempt.
+	Starts func(job string, index int) int
+}
+
+// Test runs all tests, each against a new subject.
+func Test(t *testing.T, newSubject func() Subject) {
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runCase(t, newSubject(), c.run) })
+		})
+	}
+}
+
+func runCase(t *testing.T, s Subject, run func(*harness)) {
+	listener := faultnet.NewPipeListener()
+	go s.Serve(listener)
+	transport := &http.Transport{DialContext: listener.Dial}
+	run(&harness{T: t, Subject: s, client: &http.Client{Transport: transport}})
+	transport.CloseIdleConnections()
+	_ = listener.Close()
+	synctest.Wait()
+}
+
+// harness sends requests to the subject.
+type harness struct {
+	*testing.T
+	Subject
+	client *http.Client
+}
+
+// reply is what a task request came to.
+type reply struct {
+	status   int
+	response endpointapi.TaskResponse
+	refusal  endpointapi.Refusal
+	failure  endpointapi.Failure
+}
+
+const (
+	lease     = 10 * time.Second
+	entryName = "entry-1"
+)
+
+func (h *harness) request(job string, index int, run time.Duration) endpointapi.TaskRequest {
+	return endpointapi.TaskRequest{
+		TaskID:  job + "/0/1",
+		Job:     job,
+		Index:   index,
+		Attempt: 1,
+		Entry:   entryName,
+		Service: h.Service,
+		LeaseMS: lease.Milliseconds(),
+		Payload: h.Payload(run),
+	}
+}
+
+func (h *harness) do(req endpointapi.TaskRequest) reply {
+	h.Helper()
+	status, body := h.post("/v1/tasks", req)
+	r := reply{status: status}
+	switch status {
+	case http.StatusOK:
+		h.decode(body, &r.response)
+	case endpointapi.StatusRefused:
+		h.decode(body, &r.refusal)
+	case endpointapi.StatusFailed:
+		h.decode(body, &r.failure)
+	}
+	return r
+}
+
+// start sends a request and returns once the endpoint has taken it in.
+func (h *harness) start(req endpointapi.TaskRequest) <-chan reply {
+	done := make(chan reply, 1)
+	go func() { done <- h.do(req) }()
+	synctest.Wait()
+	return done
+}
+
+func (h *harness) post(path string, body any) (int, []byte) {
+	h.Helper()
+	raw, err := json.Marshal(body)
+	if err != nil {
+		h.Error(err)
+		return 0, nil
+	}
+	res, err := h.client.Post("http://endpoint"+path, "application/json", bytes.NewReader(raw))
+	if err != nil {
+		h.Errorf("POST %s: %v", path, err)
+		return 0, nil
+	}
+	defer res.Body.Close()
+	answer, err := io.ReadAll(res.Body)
+	if err != nil {
+		h.Errorf("POST %s: %v", path, err)
+	}
+	return res.StatusCode, answer
+}
+
+func (h *harness) decode(body []byte, into any) {
+	h.Helper()
+	if err := json.Unmarshal(body, into); err != nil {
+		h.Errorf("body %q: %v", body, err)
+	}
+}
+
+func (h *harness) wantStarts(job string, want int) {
+	h.Helper()
+	if got := h.Starts(job, 0); got != want {
+		h.Errorf("job %s was started %d times, want %d", job, got, want)
+	}
+}
--- /dev/null
+++ b/standin/fakebalancer/balancer.go
@@ -0,0 +1,146 @@
+// Package fakebalancer is a stand-in for the platform's balancer in front of
+// the entries.
+//
+// It passes each request to one ready entry, in turn, and never sends a
+// request a second time. What an entry does not answer becomes a 502.
+package fakebalancer
+
+import (
+	"context"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"sync/atomic"
+	"time"
+)
+
+// Options describe a balancer.
+type Options struct {
+	Entries       []string      // host:port of each entry's caller listener
+	ProbeInterval time.Duration // default 250ms
+}
+
+// Defaults and limits.
+const (
+	DefaultProbeInterval = 250 * time.Millisecond
+
+	probeTimeout     = time.Second
+	idleTimeout      = 30 * time.Second
+	dialTimeout      = time.Second
+	idlePerEntry     = 1024
+	maxProbeBodySize = 1 << 10
+)
+
+// Balancer is an http.Handler. It is safe for concurrent use.
+type Balancer struct {
+	opts   Options
+	client http.Client // for probes
+	proxy  httputil.ReverseProxy
+	ready  atomic.Pointer[[]string]
+	next   atomic.Uint64
+	faults atomic.Pointer[faults]
+}
+
+// New returns a balancer that holds no entry for ready until Run has probed
+// them.
+func New(opts Options) *Balancer {
+	if opts.ProbeInterval == 0 {
+		opts.ProbeInterval = DefaultProbeInterval
+	}
+	b := &Balancer{opts: opts, client: http.Client{Timeout: probeTimeout}}
+	b.ready.Store(&[]string{})
+	b.SetFaults(FaultSettings{})
+	b.proxy = httputil.ReverseProxy{
+		Rewrite:      rewrite,
+		Transport:    newOnceTransport(),
+		ErrorHandler: badGateway,
+		ErrorLog:     log.New(io.Discard, "", 0),
+	}
+	return b
+}
+
+// Run probes the entries until ctx ends.
+func (b *Balancer) Run(ctx context.Context) {
+	ticker := time.NewTicker(b.opts.ProbeInterval)
+	defer ticker.Stop()
+	for {
+		b.Probe(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Probe asks every entry whether it is ready and returns those that are.
+func (b *Balancer) Probe(ctx context.Context) []string {
+	answers := make([]chan bool, len(b.opts.Entries))
+	for i, entry := range b.opts.Entries {
+		answers[i] = make(chan bool, 1)
+		go func() { answers[i] <- b.probe(ctx, entry) }()
+	}
+	ready := []string{}
+	for i, entry := range b.opts.Entries {
+		if <-answers[i] {
+			ready = append(ready, entry)
+		}
+	}
+	b.ready.Store(&ready)
+	return ready
+}
+
+func (b *Balancer) probe(ctx context.Context, entry string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	res, err := b.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	_, _ = io.CopyN(io.Discard, res.Body, maxProbeBodySize)
+	return res.StatusCode == http.StatusOK
+}
+
+type entryKey struct{}
+
+// ServeHTTP passes a request to the next ready entry.
+func (b *Balancer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ready := *b.ready.Load()
+	if len(ready) == 0 {
+		http.Error(w, "no entry is ready: come back later", http.StatusServiceUnavailable)
+		return
+	}
+	entry := ready[b.next.Add(1)%uint64(len(ready))]
+	fault := b.faults.Load().draw()
+	if fault == breakBefore {
+		panic(http.ErrAbortHandler)
+	}
+	ctx := context.WithValue(r.Context(), entryKey{}, entry)
+	if fault == loseReply {
+		b.proxy.ServeHTTP(discard{header: http.Header{}}, r.WithContext(ctx))
+		panic(http.ErrAbortHandler)
+	}
+	b.proxy.ServeHTTP(w, r.WithContext(ctx))
+}
+
+func rewrite(r *httputil.ProxyRequest) {
+	entry, _ := r.In.Context().Value(entryKey{}).(string)
+	r.SetURL(&url.URL{Scheme: "http", Host: entry})
+	r.SetXForwarded()
+}
+
+func badGateway(w http.ResponseWriter, _ *http.Request, err error) {
+	http.Error(w, "the entry gave no answer: "+err.Error(), http.StatusBadGateway)
+}
+
+// discard takes an answer that nobody will see.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header       { return d.header }
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) WriteHeader(int)             {}
--- /dev/null
+++ b/standin/fakebalancer/faults.go
@@ -0,0 +1,78 @@
+package fakebalancer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/danielgtaylor/huma/v2"
+)
+
+// faults draws the fault of each request.
+type faults struct {
+	FaultSettings
+
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+type drawn int
+
+const (
+	noFault drawn = iota
+	breakBefore
+	loseReply
+)
+
+func (f *faults) draw() drawn {
+	if f.BreakShare == 0 && f.LoseReplyShare == 0 {
+		return noFault
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	x := f.rand.Float64()
+	switch {
+	case x < f.BreakShare:
+		return breakBefore
+	case x < f.BreakShare+f.LoseReplyShare:
+		return loseReply
+	}
+	return noFault
+}
+
+// FaultSettings are the fault switches of a balancer.
+type FaultSettings struct {
+	BreakShare     float64 `json:"break_share,omitempty" minimum:"0" maximum:"1" doc:"Share of requests whose connection breaks before they are passed on"`
+	LoseReplyShare float64 `json:"lose_reply_share,omitempty" minimum:"0" maximum:"1" doc:"Share of requests whose answer is lost on the way back"`
+	Seed           uint64  `json:"seed,omitempty" doc:"Of the choice of requests"`
+}
+
+// SetFaults replaces the fault switches.
+func (b *Balancer) SetFaults(s FaultSettings) {
+	b.faults.Store(&faults{FaultSettings: s, rand: rand.New(rand.NewPCG(s.Seed, s.Seed))})
+}
+
+type (
+	faultInput  struct{ Body FaultSettings }
+	readyOutput struct {
+		Body struct {
+			Ready []string `json:"ready"`
+		}
+	}
+)
+
+// Register adds the control operations of the balancer to an API:
+//
+//	POST /faults/balancer   replace the fault switches
+//	GET  /balancer          entries that are ready
+func (b *Balancer) Register(api huma.API) {
+	huma.Post(api, "/faults/balancer", func(_ context.Context, in *faultInput) (*struct{}, error) {
+		b.SetFaults(in.Body)
+		return nil, nil
+	})
+	huma.Get(api, "/balancer", func(context.Context, *struct{}) (*readyOutput, error) {
+		out := &readyOutput{}
+		out.Body.Ready = *b.ready.Load()
+		return out, nil
+	})
+}
--- /dev/null
+++ b/standin/fakeendpoint/messages.go
@@ -0,0 +1,47 @@
+package fakeendpoint
+
+import "sync/atomic"
+
+// messageCounters count what arrives at an endpoint, by kind.
+type messageCounters struct {
+	tasks      atomic.Int64
+	refusals   atomic.Int64
+	failures   atomic.Int64
+	heartbeats atomic.Int64
+	stops      atomic.Int64
+	throttles  atomic.Int64
+}
+
+// Messages counts requests that arrived, by kind. Each had one answer, unless
+// a fault took it away. Refusals and Failures are kinds of answers to Tasks.
+type Messages struct {
+	Tasks      int64 `json:"tasks"`
+	Refusals   int64 `json:"refusals"`
+	Failures   int64 `json:"failures"`
+	Heartbeats int64 `json:"heartbeats"`
+	Stops      int64 `json:"stops"`
+	Throttles  int64 `json:"throttles"`
+}
+
+// Add returns the sum of two counts.
+func (m Messages) Add(other Messages) Messages {
+	return Messages{
+		Tasks:      m.Tasks + other.Tasks,
+		Refusals:   m.Refusals + other.Refusals,
+		Failures:   m.Failures + other.Failures,
+		Heartbeats: m.Heartbeats + other.Heartbeats,
+		Stops:      m.Stops + other.Stops,
+		Throttles:  m.Throttles + other.Throttles,
+	}
+}
+
+func (c *messageCounters) snapshot() Messages {
+	return Messages{
+		Tasks:      c.tasks.Load(),
+		Refusals:   c.refusals.Load(),
+		Failures:   c.failures.Load(),
+		Heartbeats: c.heartbeats.Load(),
+		Stops:      c.stops.Load(),
+		Throttles:  c.throttles.Load(),
+	}
+}
--- /dev/null
+++ b/standin/fakeendpoint/worker.go
@@ -0,0 +1,83 @@
+package fakeendpoint
+
+import (
+	"sync"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/platform/endpointapi"
+	"lovagespread.example/platform/platformapi"
+)
+
+// Worker hosts endpoints and watches over what their tasks use. It is safe
+// for concurrent use.
+type Worker struct {
+	Name          string
+	Region        string
+	FailureDomain string
+	Rack          string
+	Capacity      catalog.Resources
+
+	mu    sync.Mutex
+	inUse catalog.Resources
+	tasks int
+}
+
+// guard is what a worker does about a task.
+type guard struct {
+	stop string  // not empty: the task is stopped, with this detail
+	rate float64 // speed of the task, 1 being full
+}
+
+// admit accounts for a task and returns what the guards do about it.
+func (w *Worker) admit(uses catalog.Resources, req *endpointapi.TaskRequest) guard {
+	w.account(uses, 1)
+	g := guard{rate: 1}
+	if req.MemoryMiB > 0 && uses.MemoryMiB > req.MemoryMiB {
+		g.stop = "stopped by the worker: the task used more memory than it declared"
+	}
+	if req.MilliCores > 0 && uses.MilliCores > req.MilliCores {
+		g.rate = float64(req.MilliCores) / float64(uses.MilliCores)
+	}
+	return g
+}
+
+func (w *Worker) release(uses catalog.Resources) { w.account(uses, -1) }
+
+func (w *Worker) account(uses catalog.Resources, sign int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tasks += sign
+	w.inUse.MilliCores += sign * uses.MilliCores
+	w.inUse.MemoryMiB += sign * uses.MemoryMiB
+	w.inUse.Accelerators += sign * uses.Accelerators
+}
+
+// Usage returns what the tasks of the worker use now.
+func (w *Worker) Usage() platformapi.Usage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return platformapi.Usage{
+		Worker:       w.Name,
+		MilliCores:   w.inUse.MilliCores,
+		MemoryMiB:    w.inUse.MemoryMiB,
+		Accelerators: w.inUse.Accelerators,
+		Tasks:        w.tasks,
+	}
+}
+
+// usesOf returns what a task really uses: what its payload says, else what
+// it declared.
+func usesOf(p Payload, req *endpointapi.TaskRequest) catalog.Resources {
+	uses := catalog.Resources{
+		MilliCores:   req.MilliCores,
+		MemoryMiB:    req.MemoryMiB,
+		Accelerators: req.Accelerators,
+	}
+	if p.UsesMilliCores > 0 {
+		uses.MilliCores = p.UsesMilliCores
+	}
+	if p.UsesMemoryMiB > 0 {
+		uses.MemoryMiB = p.UsesMemoryMiB
+	}
+	return uses
+}
--- /dev/null
+++ b/standin/faultnet/listener.go
@@ -0,0 +1,83 @@
+package faultnet
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Listener hands out connections with fault switches. It is safe for
+// concurrent use.
+type Listener struct {
+	net.Listener
+
+	delay  atomic.Int64 // nanoseconds before each write
+	silent atomic.Bool  // new connections are silent from the start
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// Wrap returns a listener whose connections carry fault switches.
+func Wrap(l net.Listener) *Listener {
+	return &Listener{Listener: l, conns: make(map[*Conn]struct{})}
+}
+
+// Accept waits for the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{Conn: raw, owner: l}
+	c.silent.Store(l.silent.Load())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	return c, nil
+}
+
+// SetDelay makes every write wait for d first.
+func (l *Listener) SetDelay(d time.Duration) { l.delay.Store(int64(d)) }
+
+// SetSilent decides whether connections accepted from now on are silent.
+func (l *Listener) SetSilent(on bool) { l.silent.Store(on) }
+
+// SilenceOpen makes the connections that are open now silent for good and
+// returns their number.
+func (l *Listener) SilenceOpen() int {
+	return l.each(func(c *Conn) { c.silent.Store(true) })
+}
+
+// BreakOpen resets the connections that are open now and returns their
+// number.
+func (l *Listener) BreakOpen() int {
+	return l.each((*Conn).Break)
+}
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+func (l *Listener) each(do func(*Conn)) int {
+	l.mu.Lock()
+	conns := make([]*Conn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	l.mu.Unlock()
+	for _, c := range conns {
+		do(c)
+	}
+	return len(conns)
+}
+
+func (l *Listener) forget(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
