Add lovagectl: check, diff, publish, status, history and more

Cause: operators need to check texts without network, and to publish changes and see what is in force while the admin API is not there.

Change: lovagectl works through the platform's log, with one follower a run. Exit codes tell rejected, unknown and unreachable apart.

--- /dev/null
+++ b/cmd/lovagectl/check.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/catalog/tomlcheck"
+	"lovagespread.example/entry/settings"
+)
+
+// checkReport is the JSON form of the result of check.
+type checkReport struct {
+	Files    []string            `json:"files"`
+	Problems []tomlcheck.Problem `json:"problems"`
+}
+
+func check(in *invocation) error {
+	kind := in.flags.String("kind", "auto", "what the files are: settings, services, or auto to tell by their tables")
+	files, err := in.parse(1, -1)
+	if err != nil {
+		return err
+	}
+	all := &tomlcheck.Problems{}
+	for _, file := range files {
+		err := checkFile(*kind, file)
+		var problems *tomlcheck.Problems
+		if errors.As(err, &problems) {
+			all.List = append(all.List, problems.List...)
+		} else if err != nil {
+			return err
+		}
+	}
+	report := checkReport{Files: files, Problems: append([]tomlcheck.Problem{}, all.List...)}
+	if len(all.List) > 0 {
+		if in.json {
+			_ = in.writeJSON(report)
+		}
+		return all
+	}
+	return in.show(report, func(w io.Writer) {
+		for _, file := range files {
+			fmt.Fprintf(w, "%s: no problem found\n", file)
+		}
+	})
+}
+
+func checkFile(kind, file string) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "name a readable file")
+	}
+	if kind == "auto" {
+		kind = guessKind(text)
+	}
+	switch kind {
+	case "services":
+		_, err = catalog.ParseServices(file, text)
+	case "settings":
+		_, err = settings.Parse(file, text)
+	default:
+		return usagef("unknown kind %q: use settings, services or auto", kind)
+	}
+	return err
+}
+
+// guessKind tells a services text by its tables.
+func guessKind(text []byte) string {
+	var probe struct {
+		Service any `toml:"service"`
+		Team    any `toml:"team"`
+	}
+	_ = toml.Unmarshal(text, &probe) // a syntax error is reported by the check
+	if probe.Service != nil || probe.Team != nil {
+		return "services"
+	}
+	return "settings"
+}
--- /dev/null
+++ b/cmd/lovagectl/exit.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+
+	"github.com/go-faster/errors"
+
+	"lovagespread.example/catalog/tomlcheck"
+	"lovagespread.example/platform"
+	"lovagespread.example/platform/follow"
+)
+
+// exitCode is the exit code of the process.
+type exitCode int
+
+// Exit codes.
+const (
+	exitDone     exitCode = 0
+	exitFailed   exitCode = 1
+	exitUsage    exitCode = 2
+	exitProblems exitCode = 3
+	exitRejected exitCode = 4
+	exitUnknown  exitCode = 5
+	exitPlatform exitCode = 6
+)
+
+var exitCodes = []struct {
+	code    exitCode
+	meaning string
+}{
+	{exitDone, "done"},
+	{exitFailed, "failed for another reason; nothing was changed"},
+	{exitUsage, "wrong command line"},
+	{exitProblems, "a text or the resulting configuration has problems; nothing was changed"},
+	{exitRejected, "rejected: another change on the same version came first"},
+	{exitUnknown, "unknown whether the change is or will be in force"},
+	{exitPlatform, "the platform refused or could not be reached; nothing was changed"},
+}
+
+// usageError is a wrong command line.
+type usageError struct{ what string }
+
+func (e *usageError) Error() string { return e.what }
+
+func usagef(format string, args ...any) error {
+	return &usageError{what: fmt.Sprintf(format, args...)}
+}
+
+func codeOf(err error) exitCode {
+	var (
+		usage       *usageError
+		problems    *tomlcheck.Problems
+		rejected    *follow.RejectedError
+		unknown     *follow.UnknownError
+		unknownLog  *platform.UnknownOutcomeError
+		refused     *platform.RefusedError
+		unavailable *platform.UnavailableError
+	)
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return exitDone
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &problems):
+		return exitProblems
+	case errors.As(err, &rejected):
+		return exitRejected
+	case errors.As(err, &unknown), errors.As(err, &unknownLog):
+		return exitUnknown
+	case errors.As(err, &refused), errors.As(err, &unavailable):
+		return exitPlatform
+	}
+	return exitFailed
+}
--- a/cmd/lovagectl/main.go
+++ b/cmd/lovagectl/main.go
@@ -1,4 +1,79 @@
-// Command lovagectl is under construction.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(int(code))
+}
+
+// command is one subcommand.
+type command struct {
+	name    string
+	args    string // of the usage line
+	summary string
+	run     func(*invocation) error
+}
+
+// commands returns the subcommands in the order of the usage text.
+func commands() []command {
+	return []command{
+		{"check", "FILE...", "check settings and services texts, without network", check},
+		{"diff", "FILE", "compare a services text with the version in force", diff},
+		{"publish", "FILE", "replace the services, and the teams if the text has any", publish},
+		{"status", "", "show the version in force", status},
+		{"history", "", "list the records that the log keeps, with their verdicts", history},
+		{"put-team", "NAME", "add or replace a team", putTeam},
+		{"remove-team", "NAME", "remove a team", removeTeam},
+		{"drain", "NAME", "give endpoints no new work", drain},
+		{"undrain", "NAME", "undo a drain", undrain},
+		{"set-keys", "NUMBER...", "set the job-ID keys in use, the signing key last", setKeys},
+		{"raise-format", "NUMBER", "put a newer record format in use, once every program reads it", raiseFormat},
+		{"export", "", "write the version in force as a snapshot", export},
+		{"restore", "FILE", "write a snapshot to a log that has forgotten the configuration", restore},
+		{"version", "", "print the version of this program", version},
+	}
+}
+
+// run executes one command line.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) exitCode {
+	if len(args) == 0 {
+		usage(stderr)
+		return exitUsage
+	}
+	switch args[0] {
+	case "-h", "-help", "--help", "help":
+		usage(stdout)
+		return exitDone
+	case "-version", "--version":
+		args = []string{"version"}
+	}
+	for _, c := range commands() {
+		if c.name == args[0] {
+			return runCommand(ctx, c, args[1:], stdout, stderr)
+		}
+	}
+	fmt.Fprintf(stderr, "lovagectl: unknown command %q: use one of the commands that lovagectl -h lists\n", args[0])
+	return exitUsage
+}
+
+func usage(w io.Writer) {
+	fmt.Fprintln(w, "usage: lovagectl COMMAND [FLAGS] [ARGUMENTS]")
+	fmt.Fprintln(w, "\nCommands (lovagectl COMMAND -h lists the flags of each):")
+	for _, c := range commands() {
+		fmt.Fprintf(w, "  %-13s %-10s %s\n", c.name, c.args, c.summary)
+	}
+	fmt.Fprintln(w, "\nExit codes:")
+	for _, e := range exitCodes {
+		fmt.Fprintf(w, "  %d  %s\n", e.code, e.meaning)
+	}
+}
--- /dev/null
+++ b/cmd/lovagectl/main_test.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"lovagespread.example/platform"
+	"lovagespread.example/standin/fakeplatform"
+)
+
+// masks replace what differs between runs.
+var masks = []struct {
+	pattern *regexp.Regexp
+	by      string
+}{
+	{regexp.MustCompile(`\d+\.\d+ s\b`), "S s"},
+	{regexp.MustCompile(`"seconds": [0-9.e-]+`), `"seconds": S`},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z`), "TIME"},
+	{regexp.MustCompile(`http://127.0.0.1:\d+`), "URL"},
+	{regexp.MustCompile(`127.0.0.1:\d+`), "ADDRESS"},
+	{regexp.MustCompile(` +\n`), "\n"},
+}
+
+type bench struct {
+	dir      string
+	url      string
+	platform *fakeplatform.Platform
+}
+
+// TestCommands runs transcripts with these directives:
+//
+//	file NAME     write a file
+//	run ARGS...   run lovagectl; PLATFORM stands for the flag of the stand-in
+//	forget N      make the log forget the records before offset N
+//	append        append a raw record
+//	down          break the platform; "up" mends it
+func TestCommands(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		p := fakeplatform.New(fakeplatform.Options{})
+		server := httptest.NewServer(p.Handler())
+		defer server.Close()
+		b := &bench{dir: t.TempDir(), url: server.URL, platform: p}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return b.directive(t, d)
+		})
+	})
+}
+
+func (b *bench) directive(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "file":
+		name := filepath.Join(b.dir, d.CmdArgs[0].Key)
+		if err := os.WriteFile(name, []byte(d.Input), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	case "run":
+		return b.run(t, strings.Fields(d.Input))
+	case "forget":
+		var before int64
+		if _, err := fmt.Sscan(d.CmdArgs[0].Key, &before); err != nil {
+			t.Fatal(err)
+		}
+		b.platform.Forget(platform.StreamConfiguration, before)
+	case "append":
+		client, err := platform.NewClient(platform.Options{URL: b.url})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := client.Append(t.Context(), platform.StreamConfiguration, [][]byte{[]byte(d.Input)}); err != nil {
+			t.Fatal(err)
+		}
+	case "down", "up":
+		b.platform.SetDown(d.Cmd == "down")
+	default:
+		t.Fatalf("unknown directive %q", d.Cmd)
+	}
+	return ""
+}
+
+func (b *bench) run(t *testing.T, args []string) string {
+	for i, arg := range args {
+		args[i] = strings.ReplaceAll(arg, "DIR", b.dir)
+	}
+	for i, arg := range args {
+		if arg == "PLATFORM" {
+			args = append(args[:i:i], append([]string{"-platform", b.url}, args[i+1:]...)...)
+			break
+		}
+	}
+	var stdout, stderr bytes.Buffer
+	code := run(t.Context(), args, &stdout, &stderr)
+	text := fmt.Sprintf("exit code %d\n%s%s", code, stdout.String(), stderr.String())
+	text = strings.ReplaceAll(text, b.dir, "DIR")
+	for _, m := range masks {
+		text = m.pattern.ReplaceAllString(text, m.by)
+	}
+	return text
+}
