--- a/client/callerapi/callerapi.go
+++ b/client/callerapi/callerapi.go
@@ -95,6 +95,9 @@
 	CodeOwnerUnreachable Code = "owner_unreachable"
 	CodeOwnerGone        Code = "owner_gone"
 	CodeNotReady         Code = "not_ready"
+	CodeNotFound         Code = "not_found"         // no such path
+	CodeTooManyRequests  Code = "too_many_requests" // this entry serves as many as it can
+	CodeInternal         Code = "internal"
 )
 
 // Problem is the body of every error (RFC 9457).
--- /dev/null
+++ b/entry/callerhttp/middleware.go
@@ -0,0 +1,51 @@
+package callerhttp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+
+	"lovagespread.example/entry/apierror"
+)
+
+type teamKey struct{}
+
+type controllerKey struct{}
+
+// authenticate admits requests with a known bearer token and notes the team.
+func (s *server) authenticate(api huma.API) func(huma.Context, func(huma.Context)) {
+	return func(ctx huma.Context, next func(huma.Context)) {
+		ctx = apierror.WithExecutions(ctx, s.opts.Jobs)
+		r, _ := humago.Unwrap(ctx)
+		team, ok := s.opts.Tokens.Holder(r)
+		if !ok {
+			_ = huma.WriteErr(api, ctx, http.StatusUnauthorized, "the bearer token is missing or unknown: send Authorization: Bearer with the token of your team")
+			return
+		}
+		next(huma.WithValue(ctx, teamKey{}, team))
+	}
+}
+
+func teamOf(ctx context.Context) string {
+	team, _ := ctx.Value(teamKey{}).(string)
+	return team
+}
+
+// keepController lets operations reach the connection's deadlines.
+func keepController(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), controllerKey{}, http.NewResponseController(w))
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// liftReadDeadline removes the deadline of the body once it has been read.
+// Otherwise its passing would look like a caller who hung up.
+func liftReadDeadline(ctx context.Context) {
+	if c, ok := ctx.Value(controllerKey{}).(*http.ResponseController); ok {
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
--- /dev/null
+++ b/entry/control/api.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/dispatch"
+	"lovagespread.example/dispatch/jobid"
+	"lovagespread.example/membership"
+)
+
+// Reply is the state of a job when the wait of a caller is over. A job that
+// still runs has neither an answer nor a problem.
+type Reply struct {
+	Answer  *dispatch.Answer
+	Problem *dispatch.Problem // the submission or the question was refused
+}
+
+// StoppedError reports a loop that has ended.
+type StoppedError struct{}
+
+func (e *StoppedError) Error() string {
+	return "this entry has stopped: ask again through the balancer"
+}
+
+// Submit offers a job and waits up to wait for its end. The caller may hang
+// up by ending the context: the job goes on.
+func (l *Loop) Submit(ctx context.Context, s Submission, wait time.Duration) (Reply, error) {
+	w := newWaiter(s.ID)
+	return l.await(ctx, &submitMessage{submission: s, waiter: w}, w, wait)
+}
+
+// Ask waits up to wait for the end of a job submitted earlier.
+func (l *Loop) Ask(ctx context.Context, id jobid.ID, wait time.Duration) (Reply, error) {
+	w := newWaiter(id)
+	return l.await(ctx, &askMessage{waiter: w}, w, wait)
+}
+
+// Cancel gives a job up and returns what became of it.
+func (l *Loop) Cancel(ctx context.Context, id jobid.ID) (Reply, error) {
+	w := newWaiter(id)
+	return l.await(ctx, &cancelMessage{waiter: w}, w, 0)
+}
+
+// Outcome passes what became of an attempt to the core.
+func (l *Loop) Outcome(service string, outcome dispatch.Input) {
+	_ = l.send(outcomeMessage{service: service, outcome: outcome})
+}
+
+// SetCatalog puts a version of the configuration in force.
+func (l *Loop) SetCatalog(c *catalog.Catalog) { _ = l.send(catalogMessage{c}) }
+
+// Drain makes the core refuse new jobs; those admitted run to their end.
+func (l *Loop) Drain() { _ = l.send(drainMessage{}) }
+
+// Member passes an observation to the membership tracker.
+func (l *Loop) Member(in membership.Input) { _ = l.send(membershipMessage{in}) }
+
+// Open returns the number of jobs that have not ended.
+func (l *Loop) Open() int {
+	reply := make(chan int, 1)
+	if l.send(openMessage{reply}) != nil {
+		return 0
+	}
+	select {
+	case n := <-reply:
+		return n
+	case <-l.done:
+		return 0
+	}
+}
+
+func (l *Loop) send(m message) error {
+	select {
+	case l.in <- m:
+		return nil
+	case <-l.done:
+		return &StoppedError{}
+	}
+}
+
+// await sends the message and waits for the verdict, then for the end.
+func (l *Loop) await(ctx context.Context, m message, w *waiter, wait time.Duration) (Reply, error) {
+	if err := l.send(m); err != nil {
+		return Reply{}, err
+	}
+	verdict, err := l.next(ctx, w, nil)
+	if err != nil || !verdict.admitted() {
+		return replyOf(verdict), err
+	}
+	if wait <= 0 {
+		return l.leave(w, false)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	end, err := l.next(ctx, w, timer.C)
+	return replyOf(end), err
+}
+
+// next returns the next event, or an admission when the wait is over.
+func (l *Loop) next(ctx context.Context, w *waiter, over <-chan time.Time) (event, error) {
+	select {
+	case e := <-w.events:
+		return e, nil
+	case <-over:
+		_, err := l.leave(w, false)
+		return event{}, err
+	case <-ctx.Done():
+		_, _ = l.leave(w, true)
+		return event{}, ctx.Err()
+	case <-l.done:
+		return event{}, &StoppedError{}
+	}
+}
+
+func (l *Loop) leave(w *waiter, hungUp bool) (Reply, error) {
+	return Reply{}, l.send(&leaveMessage{waiter: w, hungUp: hungUp})
+}
+
+func replyOf(e event) Reply { return Reply{Answer: e.answer, Problem: e.problem} }
--- /dev/null
+++ b/entry/control/bodies.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/client/callerapi"
+	"lovagespread.example/dispatch"
+	"lovagespread.example/dispatch/jobid"
+)
+
+// bodies holds what endpoints need of each open job. The loop owns it.
+type bodies map[jobid.ID]Submission
+
+// put keeps the body of a job unless the ID has one: the first submission of
+// an ID is the one that runs.
+func (b bodies) put(s Submission) {
+	if _, ok := b[s.ID]; !ok {
+		b[s.ID] = s
+	}
+}
+
+func (b bodies) payload(ref dispatch.TaskRef) []byte {
+	tasks := b[ref.Job].Job.Tasks
+	if ref.Index >= len(tasks) {
+		return nil
+	}
+	return tasks[ref.Index].Payload
+}
+
+// needs returns what the task declared, or else what the services text says.
+func (b bodies) needs(ref dispatch.TaskRef, service catalog.Service) catalog.Resources {
+	tasks := b[ref.Job].Job.Tasks
+	if ref.Index < len(tasks) && tasks[ref.Index].Needs != nil {
+		return *resources(tasks[ref.Index].Needs)
+	}
+	return service.Needs
+}
+
+func taskSpecs(tasks []callerapi.Task) []dispatch.TaskSpec {
+	return lo.Map(tasks, func(t callerapi.Task, _ int) dispatch.TaskSpec {
+		return dispatch.TaskSpec{
+			Service:  t.Service,
+			Declared: time.Duration(t.DeclaredMS * float64(time.Millisecond)),
+			Needs:    resources(t.Needs),
+		}
+	})
+}
+
+func resources(n *callerapi.Needs) *catalog.Resources {
+	if n == nil {
+		return nil
+	}
+	return &catalog.Resources{
+		MilliCores:   n.MilliCores,
+		MemoryMiB:    n.MemoryMiB,
+		Accelerators: n.Accelerators,
+	}
+}
--- /dev/null
+++ b/entry/control/loop.go
@@ -0,0 +1,172 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/dispatch"
+	"lovagespread.example/entry/endpointclient"
+	"lovagespread.example/membership"
+)
+
+// Sizes of the loop.
+const (
+	queueLength = 8192 // messages
+	maxBatch    = 512  // messages between two looks at the timer
+)
+
+// Endpoints carries out the actions of the core. Its methods do not block.
+type Endpoints interface {
+	Start(endpointclient.Task)
+	Stop(dispatch.Stop)
+}
+
+// Observe is told what the loop does. Its methods do not block.
+type Observe interface {
+	Step(time.Duration)
+	Answered(*dispatch.Answer)
+	Rejected(*dispatch.Rejection)
+}
+
+// Options are the parts that the loop works with.
+type Options struct {
+	Core      *dispatch.Core
+	Tracker   *membership.Tracker
+	Endpoints Endpoints
+	Observe   Observe
+}
+
+// Loop owns the control state. Create it with New, run it with Run.
+type Loop struct {
+	opts     Options
+	in       chan message
+	done     chan struct{}
+	snapshot atomic.Pointer[Snapshot]
+
+	// Owned by the goroutine in Run.
+	waiters waiters
+	bodies  bodies
+	catalog *catalog.Catalog
+	view    membership.View
+	loads   loads
+}
+
+// New returns a loop that has not started.
+func New(opts Options) *Loop {
+	l := &Loop{
+		opts:    opts,
+		in:      make(chan message, queueLength),
+		done:    make(chan struct{}),
+		waiters: make(waiters),
+		bodies:  make(bodies),
+		catalog: &catalog.Catalog{},
+		loads:   make(loads),
+	}
+	l.view, _ = opts.Tracker.Step(time.Now(), &membership.Tick{})
+	l.publish()
+	return l
+}
+
+// Run handles messages until the context ends. It must be called once.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.done)
+	timer := time.NewTimer(time.Until(l.opts.Core.NextTick()))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-l.in:
+			l.batch(m)
+		case <-timer.C:
+			l.tick()
+		}
+		timer.Reset(time.Until(l.opts.Core.NextTick()))
+	}
+}
+
+// batch handles a message and those that wait behind it.
+func (l *Loop) batch(m message) {
+	began := time.Now()
+	m.handle(l)
+	for range maxBatch {
+		select {
+		case next := <-l.in:
+			next.handle(l)
+			continue
+		default:
+		}
+		break
+	}
+	l.opts.Observe.Step(time.Since(began))
+}
+
+func (l *Loop) tick() {
+	l.step(&dispatch.Tick{})
+	l.track(&membership.Tick{})
+	l.publish()
+}
+
+// step feeds the core and carries out what it decides.
+func (l *Loop) step(in dispatch.Input) {
+	ready := l.opts.Core.Step(time.Now(), in)
+	for _, id := range ready.Admissions {
+		l.waiters.admit(id)
+	}
+	for i := range ready.Starts {
+		l.start(&ready.Starts[i])
+	}
+	for _, stop := range ready.Stops {
+		l.opts.Endpoints.Stop(stop)
+	}
+	for i := range ready.Answers {
+		l.answer(ready.Answers[i])
+	}
+	for i := range ready.Rejections {
+		l.reject(&ready.Rejections[i])
+	}
+}
+
+func (l *Loop) start(s *dispatch.Start) {
+	service, _ := l.catalog.Service(s.Service)
+	l.loads[s.Service]++
+	l.opts.Endpoints.Start(endpointclient.Task{
+		Start:   *s,
+		Payload: l.bodies.payload(s.Task),
+		Needs:   l.bodies.needs(s.Task, service),
+	})
+}
+
+func (l *Loop) answer(a dispatch.Answer) {
+	l.opts.Observe.Answered(&a)
+	delete(l.bodies, a.ID)
+	l.waiters.end(a.ID, event{answer: &a})
+}
+
+func (l *Loop) reject(r *dispatch.Rejection) {
+	l.opts.Observe.Rejected(r)
+	delete(l.bodies, r.ID)
+	problem := r.Problem
+	l.waiters.end(r.ID, event{problem: &problem})
+}
+
+// setCatalog puts a version of the configuration in force.
+func (l *Loop) setCatalog(c *catalog.Catalog) {
+	l.catalog = c
+	l.step(&dispatch.SetCatalog{Catalog: c})
+	l.publish()
+}
+
+// track feeds the membership tracker and passes a changed view to the core.
+func (l *Loop) track(in membership.Input) {
+	view, changed := l.opts.Tracker.Step(time.Now(), in)
+	if !changed {
+		return
+	}
+	l.view = view
+	l.step(&dispatch.SetEndpoints{Endpoints: endpointsOf(view)})
+	l.step(&dispatch.SetShare{Rank: view.Rank, Entries: view.Entries})
+	l.publish()
+}
--- /dev/null
+++ b/entry/control/message.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"lovagespread.example/catalog"
+	"lovagespread.example/client/callerapi"
+	"lovagespread.example/dispatch"
+	"lovagespread.example/dispatch/jobid"
+	"lovagespread.example/membership"
+)
+
+// message is anything that the loop takes from its channel.
+type message interface{ handle(*Loop) }
+
+// Submission is a job whose ID and body have been verified.
+type Submission struct {
+	ID     jobid.ID
+	Team   string
+	Job    callerapi.Job
+	Parent string // trace ID, or empty
+}
+
+type submitMessage struct {
+	submission Submission
+	waiter     *waiter
+}
+
+func (m *submitMessage) handle(l *Loop) {
+	l.waiters.add(m.waiter)
+	l.bodies.put(m.submission)
+	l.step(&dispatch.Submit{
+		ID:      m.submission.ID,
+		Team:    m.submission.Team,
+		Service: m.submission.Job.Service,
+		Tasks:   taskSpecs(m.submission.Job.Tasks),
+		Parent:  m.submission.Parent,
+	})
+}
+
+type askMessage struct{ waiter *waiter }
+
+func (m *askMessage) handle(l *Loop) {
+	l.waiters.add(m.waiter)
+	l.step(&dispatch.Ask{ID: m.waiter.id})
+}
+
+type cancelMessage struct{ waiter *waiter }
+
+func (m *cancelMessage) handle(l *Loop) {
+	l.waiters.add(m.waiter)
+	l.step(&dispatch.Cancel{ID: m.waiter.id})
+}
+
+// leaveMessage ends the wait of one caller. The job goes on.
+type leaveMessage struct {
+	waiter *waiter
+	hungUp bool
+}
+
+func (m *leaveMessage) handle(l *Loop) {
+	l.waiters.remove(m.waiter)
+	if m.hungUp {
+		l.step(&dispatch.HangUp{ID: m.waiter.id})
+	}
+}
+
+// outcomeMessage carries what became of an attempt.
+type outcomeMessage struct {
+	service string
+	outcome dispatch.Input
+}
+
+func (m outcomeMessage) handle(l *Loop) {
+	l.loads[m.service]--
+	l.step(m.outcome)
+}
+
+// catalogMessage puts a version of the configuration in force.
+type catalogMessage struct{ catalog *catalog.Catalog }
+
+func (m catalogMessage) handle(l *Loop) { l.setCatalog(m.catalog) }
+
+// drainMessage makes the core refuse new jobs.
+type drainMessage struct{}
+
+func (drainMessage) handle(l *Loop) { l.step(&dispatch.Drain{}) }
+
+// membershipMessage feeds the tracker.
+type membershipMessage struct{ input membership.Input }
+
+func (m membershipMessage) handle(l *Loop) { l.track(m.input) }
+
+// openMessage asks how many jobs are open.
+type openMessage struct{ reply chan<- int }
+
+func (m openMessage) handle(l *Loop) { m.reply <- l.opts.Core.Open() }
--- /dev/null
+++ b/entry/control/snapshot.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"lovagespread.example/catalog"
+	"lovagespread.example/dispatch"
+	"lovagespread.example/dispatch/jobid"
+	"lovagespread.example/membership"
+)
+
+// Snapshot is an immutable picture of the control state for traffic
+// goroutines.
+type Snapshot struct {
+	View    membership.View
+	Catalog *catalog.Catalog
+	Loads   []ServiceLoad
+}
+
+// ServiceLoad is the load of one service at this entry.
+type ServiceLoad struct {
+	Service string
+	Running int // attempts in flight
+}
+
+// Snapshot returns the latest snapshot. It is never nil.
+func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
+
+func (l *Loop) publish() {
+	l.snapshot.Store(&Snapshot{View: l.view, Catalog: l.catalog, Loads: l.loads.list()})
+}
+
+// endpointsOf translates the members into what the core places tasks on.
+func endpointsOf(view membership.View) []dispatch.Endpoint {
+	list := make([]dispatch.Endpoint, 0, len(view.Endpoints))
+	for _, e := range view.Endpoints {
+		list = append(list, dispatch.Endpoint{
+			Name:          e.Name,
+			Address:       e.Address,
+			Service:       e.Service,
+			Slots:         e.Slots,
+			FailureDomain: e.FailureDomain,
+			Rack:          e.Rack,
+			Worker:        e.Worker,
+			State:         stateOf(e.State),
+			Capacity: catalog.Resources{
+				MilliCores:   e.MilliCores,
+				MemoryMiB:    e.MemoryMiB,
+				Accelerators: e.Accelerators,
+			},
+		})
+	}
+	return list
+}
+
+func stateOf(s membership.State) dispatch.EndpointState {
+	switch s {
+	case membership.Suspect:
+		return dispatch.EndpointSuspect
+	case membership.Leaving:
+		return dispatch.EndpointLeaving
+	}
+	return dispatch.EndpointLive
+}
+
+// Owns reports whether this entry answers for the jobs of an incarnation.
+func (s *Snapshot) Owns(id jobid.Incarnation) bool {
+	return membership.Incarnation(id) == s.View.Self.Incarnation
+}
--- /dev/null
+++ b/entry/control/waiter.go
@@ -0,0 +1,63 @@
+package control
+
+import (
+	"slices"
+
+	"lovagespread.example/dispatch"
+	"lovagespread.example/dispatch/jobid"
+)
+
+// event is what a waiting caller is told: at most one admission, then at most
+// one end.
+type event struct {
+	answer  *dispatch.Answer
+	problem *dispatch.Problem
+}
+
+func (e event) admitted() bool { return e.answer == nil && e.problem == nil }
+
+// maxEvents is the number of events that one waiter can get.
+const maxEvents = 2
+
+// waiter is one caller that waits for one job.
+type waiter struct {
+	id     jobid.ID
+	told   bool // of the admission
+	events chan event
+}
+
+func newWaiter(id jobid.ID) *waiter {
+	return &waiter{id: id, events: make(chan event, maxEvents)}
+}
+
+// waiters holds the waiting callers by job. The loop owns it.
+type waiters map[jobid.ID][]*waiter
+
+func (w waiters) add(one *waiter) { w[one.id] = append(w[one.id], one) }
+
+func (w waiters) remove(one *waiter) {
+	list := slices.DeleteFunc(w[one.id], func(other *waiter) bool { return other == one })
+	if len(list) == 0 {
+		delete(w, one.id)
+		return
+	}
+	w[one.id] = list
+}
+
+// admit tells those who have not been told yet that the job is open.
+func (w waiters) admit(id jobid.ID) {
+	for _, one := range w[id] {
+		if !one.told {
+			one.told = true
+			one.events <- event{}
+		}
+	}
+}
+
+// end tells everybody who waits for the job and forgets them.
+func (w waiters) end(id jobid.ID, e event) {
+	for _, one := range w[id] {
+		one.events <- e
+	}
+	delete(w, id)
+}
--- /dev/null
+++ b/entry/endpointclient/client.go
@@ -0,0 +1,156 @@
+package endpointclient
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/dispatch"
+	"lovagespread.example/entry/wire"
+)
+
+// Limits of the conversation with an endpoint.
+const (
+	// MaxLease is the longest lease given to an endpoint at once. Heartbeats
+	// renew it for tasks that run longer.
+	MaxLease = 10 * time.Second
+	// MaxResultBytes bounds the body of an answer.
+	MaxResultBytes  = 8 << 20
+	maxHeaderBytes  = 16 << 10
+	idleConnTimeout = 30 * time.Second
+	controlTimeout  = 2 * time.Second
+	freshConnTries  = 3
+)
+
+// DefaultConnections is the number of connections to one endpoint.
+const DefaultConnections = 64
+
+// Task is one attempt of a task, ready to be sent.
+type Task struct {
+	dispatch.Start
+	Payload []byte
+	Needs   catalog.Resources
+}
+
+// Report takes the outcome of an attempt. It may block for a moment.
+type Report func(service string, outcome dispatch.Input)
+
+// Observe is told of each exchange with an endpoint. Its methods do not
+// block.
+type Observe interface {
+	Started(Task)
+	Stopped(dispatch.Stop)
+	Unanswered(t Task, sent bool, detail string)
+	Message(kind string)
+}
+
+// Health is told when an endpoint's behaviour changes, and of each silence.
+type Health interface {
+	EndpointAnswered(name string, leaving bool)
+	EndpointSilent(name string)
+}
+
+// Options are the parameters of a Client.
+type Options struct {
+	Entry       string // incarnation, in the text form of job IDs
+	Connections int    // to one endpoint; default DefaultConnections
+	Report      Report
+	Observe     Observe
+	Health      Health
+}
+
+// Client sends tasks to endpoints. It is safe for concurrent use.
+type Client struct {
+	opts Options
+
+	mu        sync.Mutex
+	endpoints map[string]*endpoint // by address
+	running   sync.WaitGroup
+}
+
+// endpoint is the client's state of one address.
+type endpoint struct {
+	address   string
+	transport *http.Transport
+	leases    leases
+	health    atomic.Uint32 // last reported; one of the values below
+}
+
+// What was last reported of an endpoint.
+const (
+	healthUnknown uint32 = iota
+	healthAnswering
+	healthLeaving
+	healthSilent
+)
+
+// New returns a client without connections.
+func New(opts Options) *Client {
+	if opts.Connections == 0 {
+		opts.Connections = DefaultConnections
+	}
+	return &Client{opts: opts, endpoints: make(map[string]*endpoint)}
+}
+
+// Start sends an attempt in a goroutine of its own and returns at once. The
+// slots of the endpoints bound the number of goroutines.
+func (c *Client) Start(task Task) {
+	c.running.Add(1)
+	go func() {
+		defer c.running.Done()
+		c.opts.Observe.Started(task)
+		c.opts.Report(task.Service, c.run(task))
+	}()
+}
+
+// Wait returns when no attempt is in flight.
+func (c *Client) Wait() { c.running.Wait() }
+
+func (c *Client) endpoint(address string) *endpoint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.endpoints[address]
+	if e == nil {
+		e = &endpoint{address: address, transport: c.newTransport()}
+		c.endpoints[address] = e
+	}
+	return e
+}
+
+// Forget drops the connections to every address that is not kept.
+func (c *Client) Forget(keep map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, e := range c.endpoints {
+		if keep[address] || !e.leases.empty() {
+			continue
+		}
+		e.transport.CloseIdleConnections()
+		delete(c.endpoints, address)
+	}
+}
+
+func (c *Client) newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:            wire.Dial,
+		MaxConnsPerHost:        c.opts.Connections,
+		MaxIdleConnsPerHost:    c.opts.Connections,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+// post sends one request that the transport cannot send again.
+func (e *endpoint) post(ctx context.Context, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.address+path, onceReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	return e.transport.RoundTrip(req)
+}
--- /dev/null
+++ b/entry/endpointclient/run.go
@@ -0,0 +1,227 @@
+package endpointclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"lovagespread.example/dispatch"
+	"lovagespread.example/entry/wire"
+	"lovagespread.example/platform/endpointapi"
+)
+
+// run makes one attempt and returns its outcome.
+func (c *Client) run(task Task) dispatch.Input {
+	body, err := json.Marshal(c.request(task))
+	if err != nil {
+		return lost(task, true, "the payload cannot be encoded: "+err.Error())
+	}
+	e := c.endpoint(task.Address)
+	e.leases.add(task.LeaseEnd)
+	defer e.leases.remove(task.LeaseEnd)
+	reply, sent, err := c.exchange(e, task.LeaseEnd, body)
+	if err != nil {
+		c.opts.Observe.Unanswered(task, sent, err.Error())
+		c.noteSilence(e, task.Endpoint)
+		return lost(task, !sent, err.Error())
+	}
+	return c.interpret(e, task, reply)
+}
+
+func (c *Client) noteSilence(e *endpoint, name string) {
+	e.health.Store(healthSilent)
+	c.opts.Health.EndpointSilent(name)
+}
+
+// noteAnswer reports an answer only if the endpoint behaved otherwise before.
+func (c *Client) noteAnswer(e *endpoint, name string, leaving bool) {
+	now := healthAnswering
+	if leaving {
+		now = healthLeaving
+	}
+	if e.health.Swap(now) != now {
+		c.opts.Health.EndpointAnswered(name, leaving)
+	}
+}
+
+func (c *Client) request(task Task) endpointapi.TaskRequest {
+	return endpointapi.TaskRequest{
+		TaskID:       taskID(task.Task, task.Attempt),
+		Job:          task.Task.Job.String(),
+		Index:        task.Task.Index,
+		Attempt:      task.Attempt,
+		Entry:        c.opts.Entry,
+		Service:      task.Service,
+		LeaseMS:      min(time.Until(task.LeaseEnd), MaxLease).Milliseconds(),
+		MilliCores:   task.Needs.MilliCores,
+		MemoryMiB:    task.Needs.MemoryMiB,
+		Accelerators: task.Needs.Accelerators,
+		Payload:      task.Payload,
+	}
+}
+
+func taskID(ref dispatch.TaskRef, attempt int) string {
+	return fmt.Sprintf("%s.%d.%d", ref.Job, ref.Index, attempt)
+}
+
+// reply is a complete HTTP response.
+type reply struct {
+	status int
+	body   []byte
+}
+
+// exchange sends the body and reads the whole response. sent is false only if
+// nothing was written and nothing will be.
+func (c *Client) exchange(e *endpoint, leaseEnd time.Time, body []byte) (r reply, sent bool, err error) {
+	for range freshConnTries {
+		r, sent, err = c.exchangeOnce(e, leaseEnd, body)
+		if sent || !aged(err) {
+			return r, sent, err
+		}
+	}
+	return r, sent, err
+}
+
+func aged(err error) bool {
+	var refused *wire.NotWrittenError
+	return errors.As(err, &refused) && refused.Reason == wire.ReasonAged
+}
+
+func (c *Client) exchangeOnce(e *endpoint, leaseEnd time.Time, body []byte) (reply, bool, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), leaseEnd)
+	defer cancel()
+	attempt := wire.NewAttempt(leaseEnd)
+	resp, err := e.post(attempt.Context(ctx), "/v1/tasks", body)
+	if err != nil {
+		return reply{}, attempt.Seal(), err
+	}
+	defer resp.Body.Close()
+	c.opts.Observe.Message(messageOf(resp.StatusCode))
+	data, err := readLimited(resp.Body)
+	return reply{status: resp.StatusCode, body: data}, true, err
+}
+
+func messageOf(status int) string {
+	if status == endpointapi.StatusRefused {
+		return "refusal"
+	}
+	return "task_answer"
+}
+
+func readLimited(r io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, MaxResultBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > MaxResultBytes {
+		return nil, &ResultTooLargeError{}
+	}
+	return data, nil
+}
+
+// interpret turns a response into an outcome. Only a typed refusal proves
+// that the task did not start.
+func (c *Client) interpret(e *endpoint, task Task, r reply) dispatch.Input {
+	switch r.status {
+	case http.StatusOK:
+		return c.done(e, task, r.body)
+	case endpointapi.StatusRefused:
+		return c.refused(e, task, r.body)
+	case endpointapi.StatusFailed:
+		return c.failed(e, task, r.body)
+	}
+	return lost(task, false, fmt.Sprintf("the endpoint replied with status %d, which is not of the protocol", r.status))
+}
+
+func (c *Client) done(e *endpoint, task Task, body []byte) dispatch.Input {
+	var answer endpointapi.TaskResponse
+	if err := decode(task, body, &answer, &answer.TaskID); err != nil {
+		return lost(task, false, err.Error())
+	}
+	return &dispatch.Done{
+		Task:    task.Task,
+		Attempt: task.Attempt,
+		RunTime: milliseconds(answer.RunMS),
+		Result:  answer.Result,
+		Load:    c.load(e, task, answer.Load),
+	}
+}
+
+func (c *Client) refused(e *endpoint, task Task, body []byte) dispatch.Input {
+	var refusal endpointapi.Refusal
+	if err := decode(task, body, &refusal, &refusal.TaskID); err != nil {
+		return lost(task, false, err.Error())
+	}
+	if !refusal.NotStarted {
+		return lost(task, false, "the endpoint refused without saying that the task was not started")
+	}
+	return &dispatch.Refused{
+		Task:    task.Task,
+		Attempt: task.Attempt,
+		Reason:  reasonOf(refusal.Code),
+		Load:    c.load(e, task, refusal.Load),
+	}
+}
+
+func (c *Client) failed(e *endpoint, task Task, body []byte) dispatch.Input {
+	var failure endpointapi.Failure
+	if err := decode(task, body, &failure, &failure.TaskID); err != nil {
+		return lost(task, false, err.Error())
+	}
+	return &dispatch.Failed{
+		Task:    task.Task,
+		Attempt: task.Attempt,
+		RunTime: milliseconds(failure.RunMS),
+		Detail:  failure.Detail,
+		Load:    c.load(e, task, failure.Load),
+	}
+}
+
+func (c *Client) load(e *endpoint, task Task, load endpointapi.Load) *dispatch.EndpointLoad {
+	c.noteAnswer(e, task.Endpoint, load.Leaving)
+	return &dispatch.EndpointLoad{Running: load.Running}
+}
+
+// decode reads a response body and checks that it belongs to the task.
+func decode(task Task, body []byte, into any, id *string) error {
+	if err := json.Unmarshal(body, into); err != nil {
+		return err
+	}
+	if *id != taskID(task.Task, task.Attempt) {
+		return &WrongTaskError{Got: *id}
+	}
+	return nil
+}
+
+func reasonOf(code endpointapi.RefusalCode) dispatch.RefusalReason {
+	switch code {
+	case endpointapi.RefusedLeaving:
+		return dispatch.RefusedDraining
+	case endpointapi.RefusedUnknownService:
+		return dispatch.RefusedUnknownService
+	case endpointapi.RefusedLeaseExpired:
+		return dispatch.RefusedLeaseExpired
+	}
+	return dispatch.RefusedFull
+}
+
+func lost(task Task, notSent bool, detail string) *dispatch.Lost {
+	return &dispatch.Lost{Task: task.Task, Attempt: task.Attempt, NotSent: notSent, Detail: detail}
+}
+
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// onceReader hides the type of the reader, so that net/http sets no GetBody
+// and cannot rewind the body to send the request again.
+func onceReader(body []byte) io.ReadCloser {
+	return io.NopCloser(onlyReader{bytes.NewReader(body)})
+}
+
+type onlyReader struct{ io.Reader }
--- /dev/null
+++ b/entry/endpointclient/stop.go
@@ -0,0 +1,29 @@
+package endpointclient
+
+import (
+	"context"
+
+	"lovagespread.example/dispatch"
+)
+
+// Stop asks an endpoint to stop a task, in a goroutine of its own. A lost
+// request is not repeated: the lease ends the task.
+func (c *Client) Stop(s dispatch.Stop) {
+	c.running.Add(1)
+	go func() {
+		defer c.running.Done()
+		c.opts.Observe.Stopped(s)
+		c.stop(s)
+	}()
+}
+
+func (c *Client) stop(s dispatch.Stop) {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	path := "/v1/tasks/" + taskID(s.Task, s.Attempt) + "/stop"
+	resp, err := c.endpoint(s.Address).post(ctx, path, nil)
+	if err != nil {
+		return
+	}
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/entry/listen/listen.go
@@ -0,0 +1,84 @@
+// Package listen builds HTTP servers with limits on headers, time and
+// connections.
+package listen
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"lovagespread.example/client/callerapi"
+)
+
+// Limits of every listener.
+const (
+	MaxConnections    = 8192
+	maxHeaderBytes    = 16 << 10
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	writeMargin       = 30 * time.Second
+	writeTimeout      = callerapi.MaxWait + writeMargin
+)
+
+// Server returns a server with the limits set.
+func Server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// Listen opens a TCP listener that holds at most max connections at once.
+// Further ones wait in the kernel's backlog.
+func Listen(address string, max int) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &limited{Listener: l, slots: make(chan struct{}, max), closed: make(chan struct{})}, nil
+}
+
+type limited struct {
+	net.Listener
+	slots  chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Accept waits for a free slot, then for a connection.
+func (l *limited) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &counted{Conn: c, free: func() { <-l.slots }}, nil
+}
+
+// Close stops the listener.
+func (l *limited) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// counted frees its slot when it is closed.
+type counted struct {
+	net.Conn
+	once sync.Once
+	free func()
+}
+
+// Close closes the connection.
+func (c *counted) Close() error {
+	c.once.Do(c.free)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/entry/metrics/metrics.go
@@ -0,0 +1,101 @@
+// Package metrics holds the Prometheus metrics of an entry. Every name ends
+// in its unit.
+package metrics
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const namespace = "lovage"
+
+// Kinds of messages, the label kind of Messages.
+const (
+	KindTask              = "task"
+	KindTaskAnswer        = "task_answer"
+	KindRefusal           = "refusal"
+	KindRetry             = "retry"
+	KindHedge             = "hedge"
+	KindStop              = "stop"
+	KindForward           = "forward"
+	KindHeartbeat         = "heartbeat"
+	KindEndpointHeartbeat = "endpoint_heartbeat"
+	KindHandOver          = "hand_over"
+	KindAppend            = "append"
+)
+
+// Set is all metrics of one entry.
+type Set struct {
+	registry *prometheus.Registry
+
+	ResponseRatio   *prometheus.HistogramVec // response ÷ ideal, by service
+	ResponseSeconds *prometheus.HistogramVec // from admission to the end, by service
+	Messages        *prometheus.CounterVec   // sent and received, by kind
+	Starts          *prometheus.CounterVec   // attempts, by service
+	Replies         *prometheus.CounterVec   // to callers, by code and execution
+	Answers         *prometheus.CounterVec   // ended jobs, by service and code
+	StepSeconds     prometheus.Histogram     // one batch of the control loop
+	PeerBytes       *prometheus.CounterVec   // of control messages, by direction
+	Running         *prometheus.GaugeVec     // attempts in flight, by service
+	OpenJobs        prometheus.Gauge
+	CatalogVersion  prometheus.Gauge
+	Members         *prometheus.GaugeVec // by role and state
+}
+
+// New returns metrics registered in a registry of their own.
+func New() *Set {
+	s := &Set{
+		registry:        prometheus.NewRegistry(),
+		ResponseRatio:   histograms("response_to_ideal_ratio", "Response time of a job divided by its ideal time.", ratioBuckets, "service"),
+		ResponseSeconds: histograms("response_seconds", "Time from the admission of a job to its end.", secondBuckets, "service"),
+		Messages:        counters("messages_total", "Messages sent and received.", "kind"),
+		Starts:          counters("task_starts_total", "Attempts sent to endpoints.", "service"),
+		Replies:         counters("replies_total", "Replies to callers.", "code", "execution"),
+		Answers:         counters("jobs_ended_total", "Jobs that have ended.", "service", "code"),
+		PeerBytes:       counters("peer_control_bytes_total", "Bytes of heartbeats between entries.", "direction"),
+		Running:         gauges("attempts_running", "Attempts in flight.", "service"),
+		Members:         gauges("members", "Known members.", "role", "state"),
+		OpenJobs:        gauge("open_jobs", "Jobs that have not ended."),
+		CatalogVersion:  gauge("configuration_version", "Version of the configuration in force."),
+		StepSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "control_batch_seconds", Buckets: stepBuckets,
+			Help: "Time of one batch of the control loop.",
+		}),
+	}
+	s.registry.MustRegister(s.ResponseRatio, s.ResponseSeconds, s.Messages, s.Starts, s.Replies,
+		s.Answers, s.StepSeconds, s.PeerBytes, s.Running, s.OpenJobs, s.CatalogVersion, s.Members,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return s
+}
+
+// Handler serves the metrics.
+func (s *Set) Handler() http.Handler {
+	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
+}
+
+var (
+	ratioBuckets  = []float64{1.01, 1.02, 1.05, 1.1, 1.2, 1.5, 2, 3, 5, 10, 20, 50, 100}
+	secondBuckets = prometheus.ExponentialBuckets(0.001, 2, 16)
+	stepBuckets   = prometheus.ExponentialBuckets(1e-6, 4, 10)
+)
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+func histograms(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: buckets,
+	}, labels)
+}
--- /dev/null
+++ b/entry/wire/attempt.go
@@ -0,0 +1,68 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+// Attempt follows one HTTP request through the connections that the transport
+// gives it.
+type Attempt struct {
+	deadline time.Time
+
+	mu    sync.Mutex
+	conns []*Conn
+	alien bool // a connection that is not a *Conn was used
+}
+
+// NewAttempt returns an attempt whose first byte must be written before
+// deadline.
+func NewAttempt(deadline time.Time) *Attempt { return &Attempt{deadline: deadline} }
+
+// Context returns a context that makes the transport report to the attempt.
+func (a *Attempt) Context(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
+}
+
+func (a *Attempt) gotConn(info httptrace.GotConnInfo) {
+	c, ok := unwrap(info.Conn)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !ok {
+		a.alien = true
+		return
+	}
+	c.Begin(a.deadline)
+	a.conns = append(a.conns, c)
+}
+
+// Seal bars further writes and reports whether any byte may have been
+// written. After a false result the request was not, and will not be, sent.
+func (a *Attempt) Seal() (written bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	written = a.alien
+	for _, c := range a.conns {
+		if c.Seal() {
+			written = true
+		}
+	}
+	return written
+}
+
+// unwrap finds the Conn below a TLS connection.
+func unwrap(c net.Conn) (*Conn, bool) {
+	for {
+		if wrapped, ok := c.(*Conn); ok {
+			return wrapped, true
+		}
+		inner, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil, false
+		}
+		c = inner.NetConn()
+	}
+}
--- /dev/null
+++ b/entry/wire/conn.go
@@ -0,0 +1,94 @@
+// Package wire wraps network connections so that the sender of a request can
+// prove whether any byte of it was written.
+package wire
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Conn is a connection that carries one request at a time and records whether
+// the current request was written to.
+//
+// Begin starts a request, Seal ends the writing of it: a write that comes
+// after Seal fails, so that the result of Seal is final.
+type Conn struct {
+	net.Conn
+	expiry time.Time
+
+	mu       sync.Mutex
+	deadline time.Time
+	written  bool
+	sealed   bool
+}
+
+// NewConn wraps a connection. No request starts on it from expiry on.
+func NewConn(c net.Conn, expiry time.Time) *Conn {
+	return &Conn{Conn: c, expiry: expiry}
+}
+
+// Begin starts a request whose first byte must be written before deadline.
+func (c *Conn) Begin(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = deadline
+	c.written = false
+	c.sealed = false
+}
+
+// Seal bars further writes of the current request and reports whether any
+// write of it was attempted.
+func (c *Conn) Seal() (written bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.written
+}
+
+// Write writes to the connection unless the request may not start any more.
+// It returns a *NotWrittenError if the request has not been written at all.
+func (c *Conn) Write(b []byte) (int, error) {
+	if err := c.permit(time.Now()); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// permit decides on a write at the given time. The attempt counts as written
+// before the first byte leaves, so an error of the write proves nothing.
+func (c *Conn) permit(now time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return &NotWrittenError{Reason: ReasonSealed}
+	}
+	if c.written {
+		return nil
+	}
+	if !c.deadline.IsZero() && !now.Before(c.deadline) {
+		return &NotWrittenError{Reason: ReasonLate}
+	}
+	if !now.Before(c.expiry) {
+		return &NotWrittenError{Reason: ReasonAged}
+	}
+	c.written = true
+	return nil
+}
+
+// Reason is why a write was refused.
+type Reason string
+
+// Reasons of a refused write.
+const (
+	ReasonSealed Reason = "the request was given up"
+	ReasonLate   Reason = "the lease had ended"
+	ReasonAged   Reason = "the connection had reached its greatest age"
+)
+
+// NotWrittenError reports a write that was refused before any byte left.
+type NotWrittenError struct{ Reason Reason }
+
+func (e *NotWrittenError) Error() string {
+	return "nothing was written: " + string(e.Reason)
+}
--- /dev/null
+++ b/membership/entries.go
@@ -0,0 +1,117 @@
+package membership
+
+import "time"
+
+// listEntries remembers where entries can be reached. The list names no
+// incarnation, so liveness comes from heartbeats alone.
+func (t *Tracker) listEntries(list []Entry) {
+	for _, e := range list {
+		if e.Name == t.self.Name {
+			continue
+		}
+		if t.listed[e.Name] != e {
+			t.listed[e.Name] = e
+			t.changed = true
+		}
+	}
+	if len(list) == 0 {
+		return
+	}
+	t.dropUnlisted(list)
+}
+
+func (t *Tracker) dropUnlisted(list []Entry) {
+	names := make(map[string]bool, len(list))
+	for _, e := range list {
+		names[e.Name] = true
+	}
+	for name := range t.listed {
+		if !names[name] {
+			delete(t.listed, name)
+			t.changed = true
+		}
+	}
+}
+
+func (t *Tracker) heartbeat(in *Heartbeat) {
+	t.hear(in.From)
+	for _, e := range in.Known {
+		t.hear(e)
+	}
+}
+
+// hear takes what an entry said of itself, directly or through others.
+func (t *Tracker) hear(e Entry) {
+	if e.Incarnation == 0 || e.Incarnation == t.self.Incarnation {
+		return
+	}
+	known := t.entries[e.Incarnation]
+	if known != nil && e.Sequence <= known.Sequence {
+		return
+	}
+	e.Heard = t.now
+	if e.State != Leaving {
+		e.State = Live
+	}
+	if known == nil || differ(*known, e) {
+		t.changed = true
+	}
+	t.entries[e.Incarnation] = &e
+	t.retireNamesakes(e)
+}
+
+// retireNamesakes marks earlier runs of the same entry as gone.
+func (t *Tracker) retireNamesakes(e Entry) {
+	for _, other := range t.entries {
+		if other.Name != e.Name || other.Incarnation == e.Incarnation {
+			continue
+		}
+		if other.State != Gone && other.Heard.Before(e.Heard) {
+			other.State = Gone
+			t.changed = true
+		}
+	}
+}
+
+func differ(a, b Entry) bool {
+	a.Sequence, b.Sequence = 0, 0
+	a.Heard, b.Heard = time.Time{}, time.Time{}
+	return a != b
+}
+
+// ageEntry lowers the state of an entry that has been silent.
+func (t *Tracker) ageEntry(e *Entry) {
+	silence := t.now.Sub(e.Heard)
+	if e.State == Gone {
+		if silence > t.opts.Retention {
+			delete(t.entries, e.Incarnation)
+			t.changed = true
+		}
+		return
+	}
+	next := t.stateAfter(e, silence)
+	if next != e.State {
+		e.State = next
+		t.changed = true
+	}
+}
+
+func (t *Tracker) stateAfter(e *Entry, silence time.Duration) State {
+	factor := time.Duration(1)
+	if e.FailureDomain != t.self.FailureDomain {
+		factor = farFactor
+	}
+	if e.State == Leaving {
+		if silence > leavingGoneAfter*factor {
+			return Gone
+		}
+		return Leaving
+	}
+	switch {
+	case silence > goneAfter*factor:
+		return Gone
+	case silence > suspectAfter*factor:
+		return Suspect
+	}
+	return Live
+}
--- /dev/null
+++ b/membership/input.go
@@ -0,0 +1,37 @@
+package membership
+
+import "time"
+
+// Input is anything that Tracker.Step takes.
+type Input interface{ isInput() }
+
+// List is the platform's list of VMs as of a time.
+type List struct {
+	AsOf      time.Time
+	Entries   []Entry // without incarnation
+	Endpoints []Endpoint
+}
+
+// Heartbeat is what an entry says of itself and of others.
+type Heartbeat struct {
+	From  Entry
+	Known []Entry
+}
+
+// EndpointAnswered says that an endpoint has answered a request.
+type EndpointAnswered struct {
+	Name    string
+	Leaving bool
+}
+
+// EndpointSilent says that a request to an endpoint got no answer.
+type EndpointSilent struct{ Name string }
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (*List) isInput()             {}
+func (*Heartbeat) isInput()        {}
+func (*EndpointAnswered) isInput() {}
+func (*EndpointSilent) isInput()   {}
+func (*Tick) isInput()             {}
--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,129 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/samber/lo"
+)
+
+// View is an immutable picture of the members.
+type View struct {
+	Self Entry
+	// Others are the other entries that were heard of, gone ones included,
+	// ordered by name and incarnation.
+	Others []Entry
+	// Unheard are listed entries of which no incarnation is known yet.
+	Unheard []Entry
+	// Endpoints are those of the own failure domain first, then the others,
+	// each by name. None is gone.
+	Endpoints []Endpoint
+	// Rank and Entries number the entries of the own failure domain that share
+	// its slots: this one is number Rank of Entries.
+	Rank    int
+	Entries int
+	// Successor is the entry that would take over the ledger of this one; its
+	// incarnation is 0 if there is none.
+	Successor Entry
+}
+
+func (t *Tracker) build() View {
+	v := View{Self: t.self, Others: t.others(), Unheard: t.unheard(), Endpoints: t.sortedEndpoints()}
+	v.Rank, v.Entries = t.share(v.Others)
+	v.Successor = t.successor(v.Others)
+	return v
+}
+
+func (t *Tracker) others() []Entry {
+	list := lo.MapToSlice(t.entries, func(_ Incarnation, e *Entry) Entry { return *e })
+	slices.SortFunc(list, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return list
+}
+
+func (t *Tracker) unheard() []Entry {
+	heard := make(map[string]bool, len(t.entries))
+	for _, e := range t.entries {
+		if e.State != Gone {
+			heard[e.Name] = true
+		}
+	}
+	list := lo.Filter(lo.Values(t.listed), func(e Entry, _ int) bool { return !heard[e.Name] })
+	slices.SortFunc(list, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+func (t *Tracker) sortedEndpoints() []Endpoint {
+	list := lo.MapToSlice(t.endpoints, func(_ string, e *endpoint) Endpoint { return e.Endpoint })
+	slices.SortFunc(list, func(a, b Endpoint) int {
+		return cmp.Or(t.distance(a)-t.distance(b), cmp.Compare(a.Name, b.Name))
+	})
+	return list
+}
+
+func (t *Tracker) distance(e Endpoint) int {
+	if e.FailureDomain == t.self.FailureDomain {
+		return 0
+	}
+	return 1
+}
+
+// share counts the entries that hold slots of the own failure domain. A
+// suspect or leaving one still holds its slots.
+func (t *Tracker) share(others []Entry) (rank, entries int) {
+	entries = 1
+	for _, e := range others {
+		if e.State == Gone || e.FailureDomain != t.self.FailureDomain {
+			continue
+		}
+		entries++
+		if e.Name < t.self.Name {
+			rank++
+		}
+	}
+	return rank, entries
+}
+
+// successor picks the live entry that follows by name, of the own failure
+// domain if there is one.
+func (t *Tracker) successor(others []Entry) Entry {
+	live := lo.Filter(others, func(e Entry, _ int) bool { return e.State == Live })
+	near := lo.Filter(live, func(e Entry, _ int) bool { return e.FailureDomain == t.self.FailureDomain })
+	if len(near) > 0 {
+		return nextByName(near, t.self.Name)
+	}
+	return nextByName(live, t.self.Name)
+}
+
+// nextByName returns the first entry after name, in a ring.
+func nextByName(sorted []Entry, name string) Entry {
+	for _, e := range sorted {
+		if e.Name > name {
+			return e
+		}
+	}
+	if len(sorted) == 0 {
+		return Entry{}
+	}
+	return sorted[0]
+}
+
+// maxSuccessions bounds the chain of entries that took over from one another.
+const maxSuccessions = 16
+
+// Owner returns the entry that answers for an incarnation: itself, or the one
+// that took over its ledger. It returns false if none is known.
+func (v *View) Owner(id Incarnation) (Entry, bool) {
+	for range maxSuccessions {
+		if id == v.Self.Incarnation {
+			return v.Self, true
+		}
+		e, ok := lo.Find(v.Others, func(e Entry) bool { return e.Incarnation == id })
+		if !ok || e.Successor == 0 {
+			return e, ok
+		}
+		id = e.Successor
+	}
+	return Entry{}, false
+}
