--- a/cmd/lovage-entry/main.go
+++ b/cmd/lovage-entry/main.go
@@ -1,4 +1,59 @@
-// Command lovage-entry is under construction.
+// Command lovage-entry runs one entry of the dispatcher.
+//
+// Exit codes: 0 after a graceful stop (SIGTERM or SIGINT), 1 after a failure
+// while running, 2 for wrong flags or settings.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"lovagespread.example/entry"
+	"lovagespread.example/entry/settings"
+)
+
+// Exit codes.
+const (
+	exitStopped  = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	config := flag.String("config", "", "`file` with the settings, in TOML (required; check it with lovagectl check)")
+	version := flag.Bool("version", false, "print the version and exit")
+	flag.Parse()
+	if *version {
+		fmt.Println("lovage-entry", entry.Version)
+		return
+	}
+	os.Exit(run(*config))
+}
+
+func run(path string) int {
+	if path == "" {
+		fmt.Fprintln(os.Stderr, "lovage-entry: -config is missing: name the settings file")
+		return exitSettings
+	}
+	loaded, err := settings.Load(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	e, err := entry.New(loaded)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lovage-entry:", err)
+		return exitSettings
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if err := e.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "lovage-entry:", err)
+		return exitFailed
+	}
+	return exitStopped
+}
--- /dev/null
+++ b/entry/engine.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"math/rand/v2"
+
+	"github.com/samber/do/v2"
+
+	"lovagespread.example/dispatch"
+	"lovagespread.example/entry/control"
+	"lovagespread.example/entry/endpointclient"
+	"lovagespread.example/entry/observe"
+	"lovagespread.example/entry/settings"
+	"lovagespread.example/membership"
+)
+
+// engine is the control loop with the endpoint client, which call each other.
+type engine struct {
+	loop   *control.Loop
+	client *endpointclient.Client
+}
+
+// health passes what the endpoint client sees to the membership tracker.
+type health struct{ member func(membership.Input) }
+
+func (h health) EndpointAnswered(name string, leaving bool) {
+	h.member(&membership.EndpointAnswered{Name: name, Leaving: leaving})
+}
+
+func (h health) EndpointSilent(name string) {
+	h.member(&membership.EndpointSilent{Name: name})
+}
+
+func newEngine(i do.Injector) (*engine, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	self := do.MustInvoke[membership.Entry](i)
+	observer := do.MustInvoke[*observe.Observer](i)
+	e := &engine{}
+	e.client = endpointclient.New(endpointclient.Options{
+		Entry:       incarnationOf(self).String(),
+		Connections: s.Limits.ConnectionsPerEndpoint,
+		Observe:     observer,
+		Report:      func(service string, outcome dispatch.Input) { e.loop.Outcome(service, outcome) },
+		Health:      health{func(in membership.Input) { e.loop.Member(in) }},
+	})
+	e.loop = control.New(control.Options{
+		Core: dispatch.New(dispatch.Options{
+			Rand:       rand.New(rand.NewPCG(uint64(self.Incarnation), rand.Uint64())),
+			MaxWaiting: s.Limits.MaxWaitingTasks,
+		}),
+		Tracker:   membership.New(membership.Options{Self: self}),
+		Endpoints: e.client,
+		Observe:   observer,
+	})
+	return e, nil
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"lovagespread.example/entry/decisionlog"
+	"lovagespread.example/entry/settings"
+	"lovagespread.example/entry/vmlist"
+	"lovagespread.example/membership"
+	"lovagespread.example/platform"
+)
+
+// Version is the version of the entry that the API documents show.
+const Version = "0.1.0"
+
+// Entry is one entry process. Create it with New, run it with Run.
+type Entry struct {
+	settings  settings.Settings
+	log       *decisionlog.Log
+	listeners *listeners
+	self      membership.Entry
+	engine    *engine
+	platform  *platform.Client
+	servers   []*server
+	stopping  atomic.Bool
+}
+
+// server is one HTTP server with its listener.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+// New opens the listeners and builds all parts. Nothing runs before Run.
+func New(s settings.Settings) (*Entry, error) {
+	injector := wire(s)
+	e, err := build(injector)
+	if err == nil {
+		return e, nil
+	}
+	if opened, openErr := do.Invoke[*listeners](injector); openErr == nil {
+		opened.close()
+	}
+	return nil, err
+}
+
+func build(i do.Injector) (*Entry, error) {
+	e := &Entry{settings: do.MustInvoke[settings.Settings](i)}
+	for _, set := range []func() error{
+		func() (err error) { e.log, err = do.Invoke[*decisionlog.Log](i); return err },
+		func() (err error) { e.listeners, err = do.Invoke[*listeners](i); return err },
+		func() (err error) { e.self, err = do.Invoke[membership.Entry](i); return err },
+		func() (err error) { e.engine, err = do.Invoke[*engine](i); return err },
+		func() (err error) { e.platform, err = do.Invoke[*platform.Client](i); return err },
+		func() (err error) { e.servers, err = newServers(i, e.ready); return err },
+	} {
+		if err := set(); err != nil {
+			return nil, err
+		}
+	}
+	return e, nil
+}
+
+// CallerAddr returns the address of the caller listener.
+func (e *Entry) CallerAddr() string { return e.listeners.caller.Addr().String() }
+
+// PeerAddr returns the address of the listener for other entries.
+func (e *Entry) PeerAddr() string { return e.listeners.peer.Addr().String() }
+
+// AdminAddr returns the address of the operators' listener.
+func (e *Entry) AdminAddr() string { return e.listeners.admin.Addr().String() }
+
+// Run serves until the context ends, then stops gracefully: no request in
+// flight is cut off within Limits.StopTimeout. It returns nil after a stop
+// that ended all jobs.
+func (e *Entry) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var running sync.WaitGroup
+	for _, part := range e.parts() {
+		running.Go(func() { part(background) })
+	}
+	failed := make(chan error, len(e.servers))
+	for _, s := range e.servers {
+		running.Go(func() { s.serve(failed) })
+	}
+	e.log.Info("started", zap.String("entry", e.self.Name), zap.Stringer("incarnation", incarnationOf(e.self)),
+		zap.String("caller", e.CallerAddr()), zap.String("peer", e.PeerAddr()), zap.String("admin", e.AdminAddr()))
+	err := e.untilStop(ctx, failed)
+	err = errors.Join(err, e.stop())
+	cancel()
+	running.Wait()
+	return errors.Join(err, e.log.Close())
+}
+
+// parts are the goroutines of an entry besides its servers.
+func (e *Entry) parts() []func(context.Context) {
+	poller := &vmlist.Poller{Lister: e.platform, Sink: e.engine.loop.Member, Log: e.log.Logger}
+	return []func(context.Context){
+		e.engine.loop.Run,
+		poller.Run,
+		e.follow,
+	}
+}
+
+func (s *server) serve(failed chan<- error) {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		failed <- errors.Wrap(err, s.name+" listener")
+	}
+}
+
+func (e *Entry) untilStop(ctx context.Context, failed <-chan error) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+// ready says why callers should go to another entry, if they should.
+func (e *Entry) ready() error {
+	if e.stopping.Load() {
+		return &NotReadyError{Reason: "this entry is stopping: use another one"}
+	}
+	if e.engine.loop.Snapshot().Catalog.Version == 0 {
+		return &NotReadyError{Reason: "no configuration has been read yet: check the platform's log and the other entries"}
+	}
+	return nil
+}
+
+// NotReadyError tells why an entry takes no new jobs.
+type NotReadyError struct{ Reason string }
+
+func (e *NotReadyError) Error() string { return e.Reason }
+
+// Times of a planned stop.
+const (
+	balancerNotice = 2 * time.Second // until the balancer has seen /readyz
+	pollOpenJobs   = 20 * time.Millisecond
+)
--- /dev/null
+++ b/entry/identity.go
@@ -0,0 +1,23 @@
+package entry
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+
+	"github.com/go-faster/errors"
+
+	"lovagespread.example/dispatch/jobid"
+)
+
+// drawIncarnation returns a random incarnation, never 0.
+func drawIncarnation() (jobid.Incarnation, error) {
+	var raw [8]byte
+	for {
+		if _, err := rand.Read(raw[:]); err != nil {
+			return 0, errors.Wrap(err, "draw an incarnation")
+		}
+		if id := binary.BigEndian.Uint64(raw[:]); id != 0 {
+			return jobid.Incarnation(id), nil
+		}
+	}
+}
--- /dev/null
+++ b/entry/listeners.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"net"
+
+	"github.com/go-faster/errors"
+	"github.com/samber/do/v2"
+
+	"lovagespread.example/entry/listen"
+	"lovagespread.example/entry/settings"
+)
+
+// listeners are the open listeners of an entry.
+type listeners struct {
+	caller, peer, admin net.Listener
+}
+
+func newListeners(i do.Injector) (*listeners, error) {
+	s := do.MustInvoke[settings.Settings](i).Listen
+	l := &listeners{}
+	for _, one := range []struct {
+		into    *net.Listener
+		address string
+	}{{&l.caller, s.Caller}, {&l.peer, s.Peer}, {&l.admin, s.Admin}} {
+		opened, err := listen.Listen(one.address, listen.MaxConnections)
+		if err != nil {
+			l.close()
+			return nil, errors.Wrap(err, "open listener: correct [listen] in the settings or free the address")
+		}
+		*one.into = opened
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, one := range []net.Listener{l.caller, l.peer, l.admin} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
--- /dev/null
+++ b/entry/servers.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/samber/do/v2"
+
+	"lovagespread.example/client/callerapi"
+	"lovagespread.example/dispatch/jobid"
+	"lovagespread.example/entry/callerhttp"
+	"lovagespread.example/entry/jobs"
+	"lovagespread.example/entry/listen"
+	"lovagespread.example/entry/metrics"
+	"lovagespread.example/entry/observe"
+	"lovagespread.example/entry/problem"
+	"lovagespread.example/entry/settings"
+	"lovagespread.example/entry/token"
+)
+
+func newServers(i do.Injector, ready func() error) ([]*server, error) {
+	open := do.MustInvoke[*listeners](i)
+	callers, err := newCallerHandler(i, ready)
+	if err != nil {
+		return nil, err
+	}
+	return []*server{
+		{name: "caller", listener: open.caller, http: listen.Server(callers)},
+		{name: "admin", listener: open.admin, http: listen.Server(newAdminHandler(i, ready))},
+	}, nil
+}
+
+func newCallerHandler(i do.Injector, ready func() error) (http.Handler, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	tokens, err := token.Load(s.Tokens.CallersFile)
+	if err != nil {
+		return nil, err
+	}
+	issuer, err := do.Invoke[*jobs.Issuer](i)
+	if err != nil {
+		return nil, err
+	}
+	service, err := do.Invoke[*jobs.Service](i)
+	if err != nil {
+		return nil, err
+	}
+	return callerhttp.NewHandler(callerhttp.Options{
+		Jobs:         service,
+		Issuer:       issuer,
+		Tokens:       tokens,
+		Ready:        ready,
+		Observe:      do.MustInvoke[*observe.Observer](i),
+		MaxBodyBytes: int64(s.Limits.MaxBodyBytes),
+		Version:      Version,
+	}), nil
+}
+
+func newAdminHandler(i do.Injector, ready func() error) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", do.MustInvoke[*metrics.Set](i).Handler())
+	mux.HandleFunc("GET /readyz", callerhttp.Readyz(ready))
+	return mux
+}
+
+func newJobs(i do.Injector) (*jobs.Service, error) {
+	verifier, err := do.Invoke[*jobid.Verifier](i)
+	if err != nil {
+		return nil, err
+	}
+	e, err := do.Invoke[*engine](i)
+	if err != nil {
+		return nil, err
+	}
+	return jobs.NewService(verifier, e.loop, noPeers{}), nil
+}
+
+// noPeers stands for the other entries where there are none.
+type noPeers struct{}
+
+// Forward says that the owner is not known.
+func (noPeers) Forward(context.Context, jobid.ID, jobs.Request) problem.Result {
+	return problem.ResultOf(problem.New(callerapi.CodeOwnerGone, callerapi.Unknown,
+		"the entry that owns this job ID is gone: whether the job ran is not known here, check before you submit it with a new ID"))
+}
--- /dev/null
+++ b/entry/stop.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// stop ends the entry gracefully: /readyz goes off, the balancer gets time to
+// see it, no new job is admitted, and those admitted run to their end.
+func (e *Entry) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Limits.StopTimeout)
+	defer cancel()
+	e.stopping.Store(true)
+	e.log.Info("stopping")
+	pause(ctx, balancerNotice)
+	e.engine.loop.Drain()
+	left := e.awaitJobs(ctx)
+	e.shutDownServers(ctx)
+	if left > 0 {
+		e.log.Error("stopped with open jobs", zap.Int("jobs", left))
+		return &OpenJobsError{Jobs: left}
+	}
+	e.engine.client.Wait()
+	e.log.Info("stopped")
+	return nil
+}
+
+// awaitJobs waits until no job is open and returns the number that is left.
+func (e *Entry) awaitJobs(ctx context.Context) int {
+	for {
+		open := e.engine.loop.Open()
+		if open == 0 || ctx.Err() != nil {
+			return open
+		}
+		pause(ctx, pollOpenJobs)
+	}
+}
+
+func (e *Entry) shutDownServers(ctx context.Context) {
+	for _, s := range e.servers {
+		if err := s.http.Shutdown(ctx); err != nil {
+			e.log.Warn("listener was cut off", zap.String("listener", s.name), zap.Error(err))
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// OpenJobsError reports a stop that ended before all jobs did.
+type OpenJobsError struct{ Jobs int }
+
+func (e *OpenJobsError) Error() string {
+	return fmt.Sprintf("%d jobs were still open at the end of limits.stop_timeout: raise it above the longest task", e.Jobs)
+}
--- /dev/null
+++ b/entry/vmlist/poller.go
@@ -0,0 +1,111 @@
+// Package vmlist polls the platform's list of VMs for the membership tracker.
+package vmlist
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovagespread.example/membership"
+	"lovagespread.example/platform"
+	"lovagespread.example/platform/platformapi"
+)
+
+// Spacing of polls. A failed poll doubles the spacing up to the largest.
+const (
+	spacing    = time.Second
+	maxSpacing = 15 * time.Second
+)
+
+// Poller polls until its context ends. A failed poll changes nothing: the
+// members known so far stay.
+type Poller struct {
+	Lister platform.VMLister
+	Sink   func(membership.Input)
+	Log    *zap.Logger
+}
+
+// Run polls until the context ends.
+func (p *Poller) Run(ctx context.Context) {
+	delay := spacing
+	for ctx.Err() == nil {
+		delay = p.next(delay, p.poll(ctx))
+		sleep(ctx, delay/2+rand.N(delay/2))
+	}
+}
+
+func (p *Poller) next(delay time.Duration, err error) time.Duration {
+	if err == nil {
+		return spacing
+	}
+	return min(2*delay, maxSpacing)
+}
+
+func (p *Poller) poll(ctx context.Context) error {
+	list, err := p.Lister.VMs(ctx)
+	if err != nil {
+		p.Log.Warn("the list of VMs cannot be read, the known members stay", zap.Error(err))
+		return err
+	}
+	p.Sink(translate(list))
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func translate(list platformapi.VMList) *membership.List {
+	out := &membership.List{AsOf: list.AsOf}
+	for i := range list.VMs {
+		vm := &list.VMs[i]
+		switch vm.Role {
+		case platformapi.RoleEntry:
+			out.Entries = append(out.Entries, entryOf(vm))
+		case platformapi.RoleEndpoint:
+			out.Endpoints = append(out.Endpoints, endpointOf(vm))
+		}
+	}
+	return out
+}
+
+func entryOf(vm *platformapi.VM) membership.Entry {
+	return membership.Entry{
+		Name:          vm.Name,
+		Address:       vm.Address,
+		Region:        vm.Region,
+		FailureDomain: vm.FailureDomain,
+		State:         stateOf(vm.State),
+	}
+}
+
+func endpointOf(vm *platformapi.VM) membership.Endpoint {
+	return membership.Endpoint{
+		Name:          vm.Name,
+		Address:       vm.Address,
+		Service:       vm.Service,
+		Slots:         vm.Slots,
+		Region:        vm.Region,
+		FailureDomain: vm.FailureDomain,
+		Rack:          vm.Rack,
+		Worker:        vm.Worker,
+		MilliCores:    vm.MilliCores,
+		MemoryMiB:     vm.MemoryMiB,
+		Accelerators:  vm.Accelerators,
+		State:         stateOf(vm.State),
+	}
+}
+
+func stateOf(s platformapi.VMState) membership.State {
+	if s == platformapi.VMLeaving {
+		return membership.Leaving
+	}
+	return membership.Live
+}
--- /dev/null
+++ b/entry/wiring.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"os"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/samber/do/v2"
+
+	"lovagespread.example/dispatch/jobid"
+	"lovagespread.example/entry/decisionlog"
+	"lovagespread.example/entry/jobs"
+	"lovagespread.example/entry/keys"
+	"lovagespread.example/entry/metrics"
+	"lovagespread.example/entry/observe"
+	"lovagespread.example/entry/settings"
+	"lovagespread.example/membership"
+	"lovagespread.example/platform"
+)
+
+// wire declares how the parts of an entry are built.
+func wire(s settings.Settings) do.Injector {
+	i := do.New()
+	do.ProvideValue(i, s)
+	do.ProvideValue(i, metrics.New())
+	do.Provide(i, newLog)
+	do.Provide(i, newObserver)
+	do.Provide(i, newListeners)
+	do.Provide(i, newSelf)
+	do.Provide(i, newKeys)
+	do.Provide(i, newVerifier)
+	do.Provide(i, newIssuer)
+	do.Provide(i, newPlatform)
+	do.Provide(i, newEngine)
+	do.Provide(i, newJobs)
+	return i
+}
+
+func newLog(i do.Injector) (*decisionlog.Log, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	return decisionlog.Open(s.Log.Level, s.Log.File)
+}
+
+func newObserver(i do.Injector) (*observe.Observer, error) {
+	log, err := do.Invoke[*decisionlog.Log](i)
+	if err != nil {
+		return nil, err
+	}
+	return observe.New(log.Logger, do.MustInvoke[*metrics.Set](i)), nil
+}
+
+// newSelf describes this run of the entry.
+func newSelf(i do.Injector) (membership.Entry, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	listeners, err := do.Invoke[*listeners](i)
+	if err != nil {
+		return membership.Entry{}, err
+	}
+	incarnation, err := drawIncarnation()
+	return membership.Entry{
+		Name:          s.Name,
+		Address:       listeners.peer.Addr().String(),
+		Incarnation:   membership.Incarnation(incarnation),
+		Region:        s.Region,
+		FailureDomain: s.FailureDomain,
+	}, err
+}
+
+func incarnationOf(e membership.Entry) jobid.Incarnation { return jobid.Incarnation(e.Incarnation) }
+
+func newKeys(i do.Injector) ([]jobid.Key, error) {
+	return keys.Load(do.MustInvoke[settings.Settings](i).JobIDs.KeyFiles)
+}
+
+func newVerifier(i do.Injector) (*jobid.Verifier, error) {
+	list, err := do.Invoke[[]jobid.Key](i)
+	if err != nil {
+		return nil, err
+	}
+	return jobid.NewVerifier(list...)
+}
+
+// newIssuer signs with the last key.
+func newIssuer(i do.Injector) (*jobs.Issuer, error) {
+	list, err := do.Invoke[[]jobid.Key](i)
+	if err != nil {
+		return nil, err
+	}
+	self, err := do.Invoke[membership.Entry](i)
+	if err != nil {
+		return nil, err
+	}
+	issuer, err := jobid.NewIssuer(incarnationOf(self), list[len(list)-1])
+	if err != nil {
+		return nil, err
+	}
+	return jobs.NewIssuer(issuer, do.MustInvoke[settings.Settings](i).JobIDs.Lifetime), nil
+}
+
+func newPlatform(i do.Injector) (*platform.Client, error) {
+	s := do.MustInvoke[settings.Settings](i).Platform
+	token, err := readToken(s.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	return platform.NewClient(platform.Options{URL: s.URL, Token: token})
+}
+
+func readToken(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", errors.Wrap(err, "read the platform's token")
+	}
+	return strings.TrimSpace(string(text)), nil
+}
