Serve jobs end to end over real sockets

Cause: the parts of an entry stood apart. Change: lovage-entry runs the caller API, the control loop, the endpoint client with lease heartbeats, and a graceful stop. A bad request closes its job ID, so that its "not run" stays true.

--- a/entry/callerhttp/operations.go
+++ b/entry/callerhttp/operations.go
@@ -22,15 +22,15 @@
 	Body callerapi.IDsResponse
 }
 
-// jobInput is what all operations on one job take.
-type jobInput struct {
+// JobInput is what all operations on one job take.
+type JobInput struct {
 	ID          string `path:"id" maxLength:"128" doc:"Job ID"`
 	Wait        string `query:"wait" maxLength:"16" example:"30s" doc:"How long to wait for the answer, at most 60s"`
 	Traceparent string `header:"traceparent" maxLength:"256" doc:"W3C trace context"`
 }
 
 type submitInput struct {
-	jobInput
+	JobInput
 	RawBody []byte `contentType:"application/json"`
 }
 
@@ -51,18 +51,18 @@
 }
 
 func (s *server) submit(ctx context.Context, in *submitInput) (*output, error) {
-	return s.do(ctx, jobs.Submit, &in.jobInput, in.RawBody)
+	return s.do(ctx, jobs.Submit, &in.JobInput, in.RawBody)
 }
 
-func (s *server) ask(ctx context.Context, in *jobInput) (*output, error) {
+func (s *server) ask(ctx context.Context, in *JobInput) (*output, error) {
 	return s.do(ctx, jobs.Ask, in, nil)
 }
 
-func (s *server) cancel(ctx context.Context, in *jobInput) (*output, error) {
+func (s *server) cancel(ctx context.Context, in *JobInput) (*output, error) {
 	return s.do(ctx, jobs.Cancel, in, nil)
 }
 
-func (s *server) do(ctx context.Context, method jobs.Method, in *jobInput, body []byte) (*output, error) {
+func (s *server) do(ctx context.Context, method jobs.Method, in *JobInput, body []byte) (*output, error) {
 	wait, err := parseWait(in.Wait)
 	if err != nil {
 		p := problem.New(callerapi.CodeBadRequest, s.opts.Jobs.Execution(ctx, in.ID), err.Error())
--- a/entry/endpointclient/client.go
+++ b/entry/endpointclient/client.go
@@ -73,9 +73,11 @@
 
 // endpoint is the client's state of one address.
 type endpoint struct {
+	name      string
 	address   string
 	transport *http.Transport
 	leases    leases
+	renewing  atomic.Bool   // a heartbeat is on its way
 	health    atomic.Uint32 // last reported; one of the values below
 }
 
@@ -109,12 +111,12 @@
 // Wait returns when no attempt is in flight.
 func (c *Client) Wait() { c.running.Wait() }
 
-func (c *Client) endpoint(address string) *endpoint {
+func (c *Client) endpoint(name, address string) *endpoint {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.endpoints[address]
 	if e == nil {
-		e = &endpoint{address: address, transport: c.newTransport()}
+		e = &endpoint{name: name, address: address, transport: c.newTransport()}
 		c.endpoints[address] = e
 	}
 	return e
--- a/entry/endpointclient/errors.go
+++ b/entry/endpointclient/errors.go
@@ -15,3 +15,10 @@
 func (e *WrongTaskError) Error() string {
 	return "the endpoint answered for task " + e.Got + ": repair its handling of task IDs"
 }
+
+// StatusError reports a status that is not of the endpoint protocol.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("the endpoint replied with status %d, which is not of the protocol: compare it with package endpointapi", e.Status)
+}
--- a/entry/endpointclient/run.go
+++ b/entry/endpointclient/run.go
@@ -21,31 +21,31 @@
 	if err != nil {
 		return lost(task, true, "the payload cannot be encoded: "+err.Error())
 	}
-	e := c.endpoint(task.Address)
-	e.leases.add(task.LeaseEnd)
-	defer e.leases.remove(task.LeaseEnd)
+	e := c.endpoint(task.Endpoint, task.Address)
+	held := e.leases.add(time.Now(), task.LeaseEnd)
+	defer e.leases.remove(held)
 	reply, sent, err := c.exchange(e, task.LeaseEnd, body)
 	if err != nil {
 		c.opts.Observe.Unanswered(task, sent, err.Error())
-		c.noteSilence(e, task.Endpoint)
+		c.noteSilence(e)
 		return lost(task, !sent, err.Error())
 	}
 	return c.interpret(e, task, reply)
 }
 
-func (c *Client) noteSilence(e *endpoint, name string) {
+func (c *Client) noteSilence(e *endpoint) {
 	e.health.Store(healthSilent)
-	c.opts.Health.EndpointSilent(name)
+	c.opts.Health.EndpointSilent(e.name)
 }
 
 // noteAnswer reports an answer only if the endpoint behaved otherwise before.
-func (c *Client) noteAnswer(e *endpoint, name string, leaving bool) {
+func (c *Client) noteAnswer(e *endpoint, leaving bool) {
 	now := healthAnswering
 	if leaving {
 		now = healthLeaving
 	}
 	if e.health.Swap(now) != now {
-		c.opts.Health.EndpointAnswered(name, leaving)
+		c.opts.Health.EndpointAnswered(e.name, leaving)
 	}
 }
 
@@ -135,7 +135,7 @@
 	case endpointapi.StatusFailed:
 		return c.failed(e, task, r.body)
 	}
-	return lost(task, false, fmt.Sprintf("the endpoint replied with status %d, which is not of the protocol", r.status))
+	return lost(task, false, (&StatusError{Status: r.status}).Error())
 }
 
 func (c *Client) done(e *endpoint, task Task, body []byte) dispatch.Input {
@@ -148,7 +148,7 @@
 		Attempt: task.Attempt,
 		RunTime: milliseconds(answer.RunMS),
 		Result:  answer.Result,
-		Load:    c.load(e, task, answer.Load),
+		Load:    c.load(e, answer.Load),
 	}
 }
 
@@ -164,7 +164,7 @@
 		Task:    task.Task,
 		Attempt: task.Attempt,
 		Reason:  reasonOf(refusal.Code),
-		Load:    c.load(e, task, refusal.Load),
+		Load:    c.load(e, refusal.Load),
 	}
 }
 
@@ -178,12 +178,12 @@
 		Attempt: task.Attempt,
 		RunTime: milliseconds(failure.RunMS),
 		Detail:  failure.Detail,
-		Load:    c.load(e, task, failure.Load),
+		Load:    c.load(e, failure.Load),
 	}
 }
 
-func (c *Client) load(e *endpoint, task Task, load endpointapi.Load) *dispatch.EndpointLoad {
-	c.noteAnswer(e, task.Endpoint, load.Leaving)
+func (c *Client) load(e *endpoint, load endpointapi.Load) *dispatch.EndpointLoad {
+	c.noteAnswer(e, load.Leaving)
 	return &dispatch.EndpointLoad{Running: load.Running}
 }
 
--- a/entry/endpointclient/stop.go
+++ b/entry/endpointclient/stop.go
@@ -21,7 +21,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
 	path := "/v1/tasks/" + taskID(s.Task, s.Attempt) + "/stop"
-	resp, err := c.endpoint(s.Address).post(ctx, path, nil)
+	resp, err := c.endpoint(s.Endpoint, s.Address).post(ctx, path, nil)
 	if err != nil {
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -108,6 +108,7 @@
 	poller := &vmlist.Poller{Lister: e.platform, Sink: e.engine.loop.Member, Log: e.log.Logger}
 	return []func(context.Context){
 		e.engine.loop.Run,
+		e.engine.client.RunHeartbeats,
 		poller.Run,
 		e.follow,
 	}
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"lovagespread.example/client/callerapi"
+	"lovagespread.example/standin/fakeendpoint"
+)
+
+func TestJobGetsWholeAnswer(t *testing.T) {
+	b := newTestbed(t)
+	b.addEndpoint("e1", "booking")
+	b.addEndpoint("e2", "booking")
+	e := b.start(b.settings("entry-1"))
+	id := e.newID()
+	const tasks = 40
+	answer := e.do(http.MethodPut, "/v1/jobs/"+id+"?wait=10s", jobOf("booking", tasks, 2)).answer(t)
+	checkResults(t, answer, tasks)
+	again := e.do(http.MethodGet, "/v1/jobs/"+id, "").answer(t)
+	checkResults(t, again, tasks)
+	if starts := totalStarts(b); starts != tasks {
+		t.Errorf("%d starts for %d tasks", starts, tasks)
+	}
+	e.stop()
+}
+
+func checkResults(t *testing.T, answer callerapi.Answer, tasks int) {
+	t.Helper()
+	if len(answer.Results) != tasks {
+		t.Fatalf("%d results for %d tasks", len(answer.Results), tasks)
+	}
+	for i, raw := range answer.Results {
+		var result fakeendpoint.Result
+		var payload fakeendpoint.Payload
+		if err := json.Unmarshal(raw, &result); err != nil {
+			t.Fatal(err)
+		}
+		if err := json.Unmarshal(result.Payload, &payload); err != nil || payload.Task != i {
+			t.Errorf("result %d is of task %d (%v)", i, payload.Task, err)
+		}
+	}
+}
+
+// totalStarts counts starts where they happen: at the endpoints.
+func totalStarts(b *testbed) int { return b.fleet.Starts.Report().Starts }
+
+func TestBadInputIsRefusedAndStartsNothing(t *testing.T) {
+	b := newTestbed(t)
+	b.addEndpoint("e1", "booking")
+	e := b.start(b.settings("entry-1"))
+	genuine := e.newID()
+	forged := genuine[:len(genuine)-1] + map[bool]string{true: "1", false: "0"}[strings.HasSuffix(genuine, "0")]
+	for _, c := range []struct {
+		name, method, path, body string
+		status                   int
+		code                     callerapi.Code
+	}{
+		{"not JSON", http.MethodPut, "/v1/jobs/ID", "{", 400, callerapi.CodeBadRequest},
+		{"empty body", http.MethodPut, "/v1/jobs/ID", "", 400, callerapi.CodeBadRequest},
+		{"unknown field", http.MethodPut, "/v1/jobs/ID", `{"service":"booking","priority":1,"tasks":[{}]}`, 400, callerapi.CodeBadRequest},
+		{"two values", http.MethodPut, "/v1/jobs/ID", jobOf("booking", 1, 1) + "{}", 400, callerapi.CodeBadRequest},
+		{"no task", http.MethodPut, "/v1/jobs/ID", jobOf("booking", 0, 1), 400, callerapi.CodeBadRequest},
+		{"761 tasks", http.MethodPut, "/v1/jobs/ID", jobOf("booking", 761, 1), 400, callerapi.CodeBadRequest},
+		{"bad wait", http.MethodPut, "/v1/jobs/ID" + "?wait=2h", jobOf("booking", 1, 1), 400, callerapi.CodeBadRequest},
+		{"body too large", http.MethodPut, "/v1/jobs/ID", strings.Repeat(" ", callerapi.MaxBodyBytes+1), 413, callerapi.CodeBodyTooLarge},
+		{"forged ID", http.MethodPut, "/v1/jobs/" + forged, jobOf("booking", 1, 1), 403, callerapi.CodeForgedID},
+		{"ID never submitted", http.MethodGet, "/v1/jobs/ID", "", 404, "unknown_job"},
+		{"no such path", http.MethodGet, "/v2/jobs", "", 404, callerapi.CodeNotFound},
+		{"no count", http.MethodPost, "/v1/job-ids", `{"count":0}`, 422, callerapi.CodeBadRequest},
+		{"unknown service", http.MethodPut, "/v1/jobs/ID", jobOf("bidding", 1, 1), 422, "unknown_service"},
+	} {
+		got := e.do(c.method, strings.Replace(c.path, "ID", e.newID(), 1), c.body)
+		p := got.problem(t)
+		if got.status != c.status || p.Code != c.code || p.Execution != callerapi.NotRun || p.Detail == "" {
+			t.Errorf("%s: status %d, problem %+v", c.name, got.status, p)
+		}
+		if media := got.header.Get("Content-Type"); media != callerapi.ProblemMedia {
+			t.Errorf("%s: content type %q", c.name, media)
+		}
+	}
+	if starts := totalStarts(b); starts != 0 {
+		t.Errorf("%d starts", starts)
+	}
+}
+
+func TestRefusalOfBadBodyIsTruthfulAboutAJobThatRan(t *testing.T) {
+	b := newTestbed(t)
+	b.addEndpoint("e1", "booking")
+	e := b.start(b.settings("entry-1"))
+	id := e.newID()
+	e.do(http.MethodPut, "/v1/jobs/"+id+"?wait=10s", jobOf("booking", 1, 1)).answer(t)
+	p := e.do(http.MethodPut, "/v1/jobs/"+id, "{").problem(t)
+	if p.Code != callerapi.CodeBadRequest || p.Execution == callerapi.NotRun {
+		t.Errorf("problem %+v", p)
+	}
+}
+
+func TestStopLetsJobsInFlightEnd(t *testing.T) {
+	b := newTestbed(t)
+	b.addEndpoint("e1", "booking")
+	e := b.start(b.settings("entry-1"))
+	id := e.newID()
+	done := make(chan response, 1)
+	go func() { done <- e.do(http.MethodPut, "/v1/jobs/"+id+"?wait=10s", jobOf("booking", 8, 400)) }()
+	eventually(t, "the job has started", func() bool { return totalStarts(b) > 0 })
+	e.stop()
+	checkResults(t, (<-done).answer(t), 8)
+}
--- a/entry/jobs/body.go
+++ b/entry/jobs/body.go
@@ -60,5 +60,5 @@
 }
 
 func badRequest(detail string) *callerapi.Problem {
-	return problem.NotRun(callerapi.CodeBadRequest, detail)
+	return problem.NotRun(callerapi.CodeBadRequest, detail+"; use a new job ID")
 }
--- a/entry/jobs/service.go
+++ b/entry/jobs/service.go
@@ -118,7 +118,8 @@
 }
 
 // Execution returns what this entry may say of a job when it refuses a request
-// about it before asking for a decision.
+// about it before asking for a decision. An ID without a job is closed by
+// that, so that "not run" stays true.
 func (s *Service) Execution(ctx context.Context, text string) callerapi.Execution {
 	id, p := s.verify(text)
 	if p != nil {
@@ -128,10 +129,7 @@
 		return callerapi.Unknown
 	}
 	reply, err := s.loop.Ask(ctx, id, 0)
-	if err != nil || reply.Problem == nil || reply.Problem.Code != dispatch.CodeUnknownJob {
-		return result(text, reply, err).Execution
-	}
-	return callerapi.NotRun
+	return result(text, reply, err).Execution
 }
 
 // result turns the reply of the loop into that to the caller.
--- /dev/null
+++ b/entry/testbed_test.go
@@ -0,0 +1,259 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/client/callerapi"
+	"lovagespread.example/entry/settings"
+	"lovagespread.example/platform"
+	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/standin/fakeendpoint"
+	"lovagespread.example/standin/fakeplatform"
+)
+
+const services = `
+[[service]]
+name = "booking"
+slots = 4
+run_time = "5ms"
+timeout = "2s"
+
+[[service]]
+name = "valuation"
+idempotent = true
+slots = 4
+run_time = "5ms"
+timeout = "2s"
+`
+
+const (
+	testDomain = "lodz-a"
+	testKey    = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+	testLimit  = 20 * time.Second // for anything to happen
+)
+
+// testbed is a platform, endpoints and entries on loopback sockets.
+type testbed struct {
+	t        *testing.T
+	platform *fakeplatform.Platform
+	url      string
+	fleet    *fakeendpoint.Fleet
+	entries  []platformapi.VM
+	dir      string
+}
+
+func newTestbed(t *testing.T) *testbed {
+	t.Helper()
+	b := &testbed{
+		t:        t,
+		platform: fakeplatform.New(fakeplatform.Options{ListLag: fakeplatform.None, AppendDelay: fakeplatform.None}),
+		fleet:    fakeendpoint.NewFleet(),
+		dir:      t.TempDir(),
+	}
+	server := httptest.NewServer(b.platform.Handler())
+	t.Cleanup(server.Close)
+	t.Cleanup(b.fleet.Close)
+	b.url = server.URL
+	b.publish(services)
+	return b
+}
+
+func (b *testbed) publish(text string) {
+	b.t.Helper()
+	log, err := platform.NewClient(platform.Options{URL: b.url})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	if _, err := log.Append(context.Background(), platform.StreamConfiguration, [][]byte{[]byte(text)}); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+func (b *testbed) addEndpoint(name, service string) *fakeendpoint.Server {
+	b.t.Helper()
+	worker := &fakeendpoint.Worker{
+		Name: "worker-" + name, FailureDomain: testDomain, Rack: "r1",
+		Capacity: catalog.Resources{MilliCores: 8000, MemoryMiB: 8192},
+	}
+	server, err := b.fleet.Add(fakeendpoint.Options{Name: name, Service: service, Slots: 4, Worker: worker}, "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.listVMs()
+	return server
+}
+
+func (b *testbed) listVMs() { b.platform.SetVMs(append(b.fleet.VMs(), b.entries...)) }
+
+func (b *testbed) file(name, text string) string {
+	b.t.Helper()
+	path := filepath.Join(b.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		b.t.Fatal(err)
+	}
+	return path
+}
+
+func (b *testbed) settings(name string) settings.Settings {
+	b.t.Helper()
+	text := fmt.Sprintf(`
+name = %q
+region = "pl-centrum"
+failure_domain = %q
+[listen]
+caller = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+[platform]
+url = %q
+[job_ids]
+key_files = [%q]
+[log]
+file = %q
+`, name, testDomain, b.url, b.file("key", testKey), filepath.Join(b.dir, name+".log"))
+	s, err := settings.Parse("test", []byte(text))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return s
+}
+
+// running is an entry that runs until stop is called.
+type running struct {
+	*Entry
+	t      *testing.T
+	cancel context.CancelFunc
+	result chan error
+	token  string
+}
+
+func (b *testbed) start(s settings.Settings) *running {
+	b.t.Helper()
+	e, err := New(s)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Entry: e, t: b.t, cancel: cancel, result: make(chan error, 1)}
+	go func() { r.result <- e.Run(ctx) }()
+	b.entries = append(b.entries, platformapi.VM{
+		Name: s.Name, Role: platformapi.RoleEntry, Address: e.PeerAddr(), State: platformapi.VMLive,
+		Region: s.Region, FailureDomain: s.FailureDomain,
+	})
+	b.listVMs()
+	b.t.Cleanup(func() { r.cancel() })
+	eventually(b.t, "the entry is ready and sees its endpoints", func() bool {
+		snapshot := e.engine.loop.Snapshot()
+		return e.ready() == nil && len(snapshot.View.Endpoints) == len(b.fleet.Servers())
+	})
+	return r
+}
+
+// stop ends the entry gracefully.
+func (r *running) stop() {
+	r.t.Helper()
+	r.cancel()
+	select {
+	case err := <-r.result:
+		if err != nil {
+			r.t.Fatalf("stop: %v", err)
+		}
+	case <-time.After(testLimit):
+		r.t.Fatal("the entry did not stop")
+	}
+}
+
+// eventually waits for a condition that other goroutines bring about.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(testLimit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %s: %s", testLimit, what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// response is a reply to a caller.
+type response struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (r response) problem(t *testing.T) callerapi.Problem {
+	t.Helper()
+	var p callerapi.Problem
+	if err := json.Unmarshal(r.body, &p); err != nil {
+		t.Fatalf("status %d, body %s: %v", r.status, r.body, err)
+	}
+	return p
+}
+
+func (r response) answer(t *testing.T) callerapi.Answer {
+	t.Helper()
+	var a callerapi.Answer
+	if err := json.Unmarshal(r.body, &a); err != nil || r.status != http.StatusOK {
+		t.Fatalf("status %d, body %s: %v", r.status, r.body, err)
+	}
+	return a
+}
+
+func (r *running) do(method, path, body string) response {
+	r.t.Helper()
+	req, err := http.NewRequest(method, "http://"+r.CallerAddr()+path, strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if r.token != "" {
+		req.Header.Set("Authorization", "Bearer "+r.token)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return response{status: resp.StatusCode, header: resp.Header, body: data}
+}
+
+func (r *running) newID() string {
+	r.t.Helper()
+	var ids callerapi.IDsResponse
+	got := r.do(http.MethodPost, "/v1/job-ids", `{"count":1}`)
+	if err := json.Unmarshal(got.body, &ids); err != nil || len(ids.IDs) != 1 {
+		r.t.Fatalf("status %d, body %s: %v", got.status, got.body, err)
+	}
+	return ids.IDs[0]
+}
+
+// jobOf returns a job of n tasks that run for the given milliseconds.
+func jobOf(service string, n int, runMS float64) string {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"service":%q,"tasks":[`, service)
+	for i := range n {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"payload":{"run_ms":%g,"task":%d}}`, runMS, i)
+	}
+	b.WriteString("]}")
+	return b.String()
+}
