Add the open-loop load generator

Cause: the demo and the measurements need seeded jobs whose answers are checked. Change: Poisson arrivals per service, jobs with fan-out, true run times in the payload, answers checked task by task, slowdown by histogram, starts and messages taken from the stand-in endpoints.

--- /dev/null
+++ b/experiment/load/generator.go
@@ -0,0 +1,105 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/client/callerapi"
+)
+
+// GeneratorOptions describe a stream of requests.
+type GeneratorOptions struct {
+	Run      string // prefix of request names; tells runs apart at the endpoints
+	Seed     uint64
+	Services []catalog.Service
+	Slots    map[string]int // of each service, over all endpoints
+	// Load is the offered work ÷ the work that the slots can do. 1 is as much
+	// as they can do.
+	Load float64
+}
+
+// Generator draws requests in the order of their due times. Each service is a
+// Poisson process. It is not safe for concurrent use.
+type Generator struct {
+	run     string
+	rand    *rand.Rand
+	streams []stream
+	count   int
+}
+
+// stream is the arrivals of one service.
+type stream struct {
+	kind kind
+	gap  float64 // mean time between jobs, in nanoseconds
+	next time.Duration
+}
+
+// NoServiceError reports that no service of the text has an endpoint.
+type NoServiceError struct{}
+
+func (*NoServiceError) Error() string {
+	return "no service of the services text has slots: add a [[pool]] for one to the stand-ins' settings"
+}
+
+// NewGenerator returns a generator, or a *NoServiceError.
+func NewGenerator(opts GeneratorOptions) (*Generator, error) {
+	g := &Generator{run: opts.Run, rand: rand.New(rand.NewPCG(opts.Seed, opts.Seed))}
+	for _, service := range opts.Services {
+		slots := opts.Slots[service.Name]
+		if slots == 0 {
+			continue
+		}
+		k := kindOf(service)
+		work := k.meanTasks() * float64(k.meanRunTime())
+		s := stream{kind: k, gap: work / (opts.Load * float64(slots))}
+		g.schedule(&s)
+		g.streams = append(g.streams, s)
+	}
+	if len(g.streams) == 0 {
+		return nil, &NoServiceError{}
+	}
+	return g, nil
+}
+
+func (g *Generator) schedule(s *stream) {
+	s.next += time.Duration(g.rand.ExpFloat64() * s.gap)
+}
+
+// Next returns the next request.
+func (g *Generator) Next() (*Request, error) {
+	s := g.earliest()
+	due := s.next
+	g.schedule(s)
+	g.count++
+	return g.draw(s.kind, due)
+}
+
+func (g *Generator) earliest() *stream {
+	first := &g.streams[0]
+	for i := range g.streams {
+		if g.streams[i].next < first.next {
+			first = &g.streams[i]
+		}
+	}
+	return first
+}
+
+func (g *Generator) draw(k kind, due time.Duration) (*Request, error) {
+	r := &Request{
+		Name: fmt.Sprintf("%s-%d", g.run, g.count),
+		Due:  due,
+		Job:  callerapi.Job{Service: k.service.Name},
+	}
+	for i := range k.drawTasks(g.rand) {
+		run := k.drawRunTime(g.rand)
+		task, err := newTask(r.Name, i, run, drawDeclared(g.rand, run))
+		if err != nil {
+			return nil, err
+		}
+		r.Job.Tasks = append(r.Job.Tasks, task)
+		r.Ideal = max(r.Ideal, run)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/experiment/load/measure.go
@@ -0,0 +1,53 @@
+package load
+
+import (
+	"context"
+	"time"
+
+	"lovagespread.example/standin/fakeendpoint"
+)
+
+// Measurement compares what the endpoints saw before and after a run.
+type Measurement struct {
+	standins *Standins
+	began    time.Time
+	starts   fakeendpoint.StartReport
+	messages fakeendpoint.Messages
+}
+
+// Begin notes what the endpoints have seen so far.
+func Begin(ctx context.Context, standins *Standins) (*Measurement, error) {
+	starts, err := standins.Starts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	messages, err := standins.Messages(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &Measurement{standins: standins, began: time.Now(), starts: starts, messages: messages}, nil
+}
+
+// Report combines what the callers got with what the endpoints saw since
+// Begin. repeats is the number of requests that callers sent again.
+func (m *Measurement) Report(ctx context.Context, tally *Tally, repeats int64, idempotent func(service string) bool) (Report, Detail, error) {
+	seconds := time.Since(m.began).Seconds()
+	starts, err := m.standins.Starts(ctx)
+	if err != nil {
+		return Report{}, Detail{}, err
+	}
+	messages, err := m.standins.Messages(ctx)
+	if err != nil {
+		return Report{}, Detail{}, err
+	}
+	starts.Starts -= m.starts.Starts
+	starts.Tasks -= m.starts.Tasks
+	e := evidence{
+		starts:   starts,
+		messages: messages.Sub(m.messages),
+		seconds:  seconds,
+		repeats:  repeats,
+	}
+	report, detail := tally.report(e, idempotent)
+	return report, detail, nil
+}
--- /dev/null
+++ b/experiment/load/mix.go
@@ -0,0 +1,94 @@
+package load
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"lovagespread.example/catalog"
+)
+
+// Bounds of true run times.
+const (
+	minRunTime = time.Millisecond
+	maxRunTime = 5 * time.Second
+)
+
+// Shape of the run times of one service.
+const (
+	runTimeSigma  = 0.5  // of the logarithm
+	longShare     = 0.01 // of tasks that run much longer
+	longFactor    = 10
+	declaredShare = 0.5 // of tasks that declare a run time
+	declaredSigma = 0.7 // error of a declaration, of the logarithm
+)
+
+// fanOut is a share of jobs with a range of sizes.
+type fanOut struct {
+	share    float64
+	min, max int // tasks
+}
+
+var (
+	nonIdempotentFanOuts = []fanOut{{0.85, 1, 1}, {0.15, 2, 3}}
+	idempotentFanOuts    = []fanOut{{0.5, 1, 1}, {0.4, 4, 12}, {0.1, 16, 40}}
+)
+
+// kind is what the jobs of one service look like.
+type kind struct {
+	service catalog.Service
+	fanOuts []fanOut
+	longest time.Duration
+}
+
+func kindOf(s catalog.Service) kind {
+	k := kind{service: s, fanOuts: idempotentFanOuts}
+	if !s.Idempotent {
+		k.fanOuts = nonIdempotentFanOuts
+	}
+	k.longest = min(maxRunTime, s.Timeout/2)
+	return k
+}
+
+// meanTasks returns the mean number of tasks of a job.
+func (k kind) meanTasks() float64 {
+	sum := 0.0
+	for _, f := range k.fanOuts {
+		sum += f.share * float64(f.min+f.max) / 2
+	}
+	return sum
+}
+
+// meanRunTime returns the mean run time of a task, before bounds are applied.
+func (k kind) meanRunTime() time.Duration {
+	median := float64(k.service.RunTime)
+	mean := median * math.Exp(runTimeSigma*runTimeSigma/2)
+	return time.Duration(mean * (1 + longShare*(longFactor-1)))
+}
+
+func (k kind) drawTasks(r *rand.Rand) int {
+	x := r.Float64()
+	for _, f := range k.fanOuts {
+		if x < f.share {
+			return f.min + r.IntN(f.max-f.min+1)
+		}
+		x -= f.share
+	}
+	return 1
+}
+
+func (k kind) drawRunTime(r *rand.Rand) time.Duration {
+	run := float64(k.service.RunTime) * math.Exp(runTimeSigma*r.NormFloat64())
+	if r.Float64() < longShare {
+		run *= longFactor
+	}
+	return max(minRunTime, min(time.Duration(run), k.longest))
+}
+
+// drawDeclared returns what the caller declares, 0 for nothing.
+func drawDeclared(r *rand.Rand, run time.Duration) time.Duration {
+	if r.Float64() >= declaredShare {
+		return 0
+	}
+	return time.Duration(float64(run) * math.Exp(declaredSigma*r.NormFloat64()))
+}
--- /dev/null
+++ b/experiment/load/report.go
@@ -0,0 +1,128 @@
+package load
+
+import (
+	"lovagespread.example/client/callerapi"
+	"lovagespread.example/standin/fakeendpoint"
+)
+
+// Report is the result of a run. Its first part is the line that the demo
+// ends with.
+type Report struct {
+	Jobs          int     `json:"jobs"`
+	Complete      int     `json:"complete"`
+	Failed        int     `json:"failed"`
+	Unknown       int     `json:"unknown"`
+	Partial       int     `json:"partial"`
+	DoubleStarts  int     `json:"double_starts"`
+	FalseNotRun   int     `json:"false_not_run"`
+	SlowdownP50   float64 `json:"slowdown_p50"`
+	SlowdownP99   float64 `json:"slowdown_p99"`
+	WastedPerTask float64 `json:"wasted_per_task"`
+	TaskStarts    float64 `json:"task_starts_per_s"`
+}
+
+// Kept reports whether the promises held: no partial answer, no double start,
+// no false statement that a job was not run.
+func (r Report) Kept() bool {
+	return r.Partial == 0 && r.DoubleStarts == 0 && r.FalseNotRun == 0
+}
+
+// Detail is what people want to see besides a Report.
+type Detail struct {
+	Codes    map[callerapi.Code]int   `json:"codes"`    // of failed and unknown jobs
+	Services map[string]ServiceDetail `json:"services"` // complete jobs
+	Messages fakeendpoint.Messages    `json:"messages"` // at the endpoints
+	Repeats  int64                    `json:"repeats"`  // requests that callers sent again
+	Doubles  []fakeendpoint.Repeated  `json:"double_starts"`
+	Broken   []string                 `json:"false_not_run"` // names of requests
+}
+
+// ServiceDetail is response ÷ ideal of one service.
+type ServiceDetail struct {
+	Jobs int64   `json:"jobs"`
+	P50  float64 `json:"slowdown_p50"`
+	P99  float64 `json:"slowdown_p99"`
+	P999 float64 `json:"slowdown_p999"`
+}
+
+// evidence is what the endpoints saw of a run.
+type evidence struct {
+	starts   fakeendpoint.StartReport
+	messages fakeendpoint.Messages
+	seconds  float64 // over which the starts were made
+	repeats  int64   // requests that callers sent again
+}
+
+// report combines what callers got with what endpoints saw.
+func (t *Tally) report(e evidence, idempotent func(service string) bool) (Report, Detail) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := Detail{
+		Codes:    t.codes,
+		Services: make(map[string]ServiceDetail, len(t.service)),
+		Messages: e.messages,
+		Repeats:  e.repeats,
+		Doubles:  doubles(e.starts, idempotent),
+		Broken:   started(e.starts, t.notRun),
+	}
+	for name, h := range t.service {
+		d.Services[name] = ServiceDetail{
+			Jobs: h.TotalCount(), P50: quantile(h, 50), P99: quantile(h, 99), P999: quantile(h, 99.9),
+		}
+	}
+	return Report{
+		Jobs:          t.jobs,
+		Complete:      t.outcomes[Complete],
+		Failed:        t.outcomes[Failed],
+		Unknown:       t.outcomes[Unknown],
+		Partial:       t.outcomes[Partial],
+		DoubleStarts:  len(d.Doubles),
+		FalseNotRun:   len(d.Broken),
+		SlowdownP50:   quantile(t.slowdown, 50),
+		SlowdownP99:   quantile(t.slowdown, 99),
+		WastedPerTask: wastedPerTask(e),
+		TaskStarts:    float64(e.starts.Starts) / e.seconds,
+	}, d
+}
+
+// doubles returns the non-idempotent tasks that were started more than once,
+// under one job ID or under several.
+func doubles(starts fakeendpoint.StartReport, idempotent func(string) bool) []fakeendpoint.Repeated {
+	list := []fakeendpoint.Repeated{}
+	for _, r := range starts.RepeatedRequests {
+		if !idempotent(r.Service) {
+			list = append(list, r)
+		}
+	}
+	if len(list) > 0 {
+		return list
+	}
+	for _, r := range starts.Repeated {
+		if !idempotent(r.Service) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+func started(starts fakeendpoint.StartReport, requests []string) []string {
+	list := []string{}
+	for _, name := range requests {
+		if starts.StartedRequests[name] > 0 {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// perExchange is a request and its answer.
+const perExchange = 2
+
+func wastedPerTask(e evidence) float64 {
+	if e.starts.Tasks == 0 {
+		return 0
+	}
+	extra := e.messages.Tasks - int64(e.starts.Tasks)
+	extra += e.messages.Heartbeats + e.messages.Stops + e.messages.Throttles + e.repeats
+	return float64(perExchange*extra) / float64(e.starts.Tasks)
+}
--- /dev/null
+++ b/experiment/load/request.go
@@ -0,0 +1,65 @@
+package load
+
+import (
+	"encoding/json"
+	"time"
+
+	"lovagespread.example/client/callerapi"
+	"lovagespread.example/standin/fakeendpoint"
+)
+
+// Request is one job to be sent.
+type Request struct {
+	Name  string        // unique in the run
+	Due   time.Duration // since the start of the run
+	Job   callerapi.Job
+	Ideal time.Duration // true run time of the longest task
+}
+
+// newTask returns the task at position i of the named request.
+func newTask(name string, i int, run, declared time.Duration) (callerapi.Task, error) {
+	payload, err := json.Marshal(fakeendpoint.Payload{
+		RunMS:   milliseconds(run),
+		Request: name,
+		Task:    i,
+	})
+	if err != nil {
+		return callerapi.Task{}, err
+	}
+	return callerapi.Task{Payload: payload, DeclaredMS: milliseconds(declared)}, nil
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// PartialError reports an answer that is not the whole answer to its request.
+type PartialError struct {
+	Request string
+	Detail  string
+}
+
+func (e *PartialError) Error() string {
+	return "request " + e.Request + ": " + e.Detail + ": keep the entries' logs and report it as a defect"
+}
+
+// Check returns a *PartialError unless the answer holds the request's own
+// result for each of its tasks, in order.
+func (r *Request) Check(answer callerapi.Answer) error {
+	if len(answer.Results) != len(r.Job.Tasks) {
+		return &PartialError{Request: r.Name, Detail: "the number of results differs from that of the tasks"}
+	}
+	for i, raw := range answer.Results {
+		if !r.owns(i, raw) {
+			return &PartialError{Request: r.Name, Detail: "a result is missing or belongs to another task"}
+		}
+	}
+	return nil
+}
+
+func (r *Request) owns(i int, raw json.RawMessage) bool {
+	var result fakeendpoint.Result
+	var payload fakeendpoint.Payload
+	if json.Unmarshal(raw, &result) != nil || json.Unmarshal(result.Payload, &payload) != nil {
+		return false
+	}
+	return payload.Request == r.Name && payload.Task == i
+}
--- /dev/null
+++ b/experiment/load/runner.go
@@ -0,0 +1,96 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lovagespread.example/client/callerapi"
+)
+
+// Caller submits one job and waits for its end. The error is a
+// *callerapi.Problem where the system gave one.
+type Caller interface {
+	Do(ctx context.Context, job callerapi.Job) (callerapi.Answer, error)
+}
+
+// Options describe a run.
+type Options struct {
+	Generator *Generator
+	Callers   []Caller // take turns
+	Duration  time.Duration
+	// Patience is how long a caller waits for one job.
+	Patience time.Duration
+	// MaxInFlight bounds the jobs that wait for their answer. Arrivals beyond
+	// it are not sent; Run reports their number.
+	MaxInFlight int
+}
+
+// Run sends the requests that fall due and waits for their ends. It returns
+// the number of arrivals that were not sent because of MaxInFlight.
+func Run(ctx context.Context, opts Options, tally *Tally) (unsent int, err error) {
+	r := &runner{opts: opts, tally: tally, start: time.Now()}
+	defer r.open.Wait()
+	for ctx.Err() == nil {
+		request, err := opts.Generator.Next()
+		if err != nil {
+			return r.unsent, err
+		}
+		if request.Due >= opts.Duration {
+			return r.unsent, nil
+		}
+		if !sleepUntil(ctx, r.start.Add(request.Due)) {
+			break
+		}
+		r.send(ctx, request)
+	}
+	return r.unsent, ctx.Err()
+}
+
+type runner struct {
+	opts     Options
+	tally    *Tally
+	start    time.Time
+	open     sync.WaitGroup
+	inFlight atomic.Int64
+	next     int
+	unsent   int
+}
+
+func (r *runner) send(ctx context.Context, request *Request) {
+	if r.inFlight.Load() >= int64(r.opts.MaxInFlight) {
+		r.unsent++
+		return
+	}
+	caller := r.opts.Callers[r.next%len(r.opts.Callers)]
+	r.next++
+	r.inFlight.Add(1)
+	r.open.Go(func() {
+		defer r.inFlight.Add(-1)
+		r.call(ctx, caller, request)
+	})
+}
+
+func (r *runner) call(ctx context.Context, caller Caller, request *Request) {
+	ctx, cancel := context.WithTimeout(ctx, r.opts.Patience)
+	defer cancel()
+	answer, err := caller.Do(ctx, request.Job)
+	response := time.Since(r.start) - request.Due
+	r.tally.Add(request, answer, err, response)
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/standin/fakeendpoint/messages.go
+++ b/standin/fakeendpoint/messages.go
@@ -45,3 +45,15 @@
 		Throttles:  c.throttles.Load(),
 	}
 }
+
+// Sub returns the difference of two counts.
+func (m Messages) Sub(other Messages) Messages {
+	return Messages{
+		Tasks:      m.Tasks - other.Tasks,
+		Refusals:   m.Refusals - other.Refusals,
+		Failures:   m.Failures - other.Failures,
+		Heartbeats: m.Heartbeats - other.Heartbeats,
+		Stops:      m.Stops - other.Stops,
+		Throttles:  m.Throttles - other.Throttles,
+	}
+}
