Add lovage-standin, the direct baseline and fault switches from the command line

Cause: the demo starts its surroundings as one process and measures against endpoints called directly. Change: one settings text starts platform, balancer, workers and endpoints, with a control listener; lovage-load has a table of subcommands, direct and fault; the examples hold both deployments.

--- a/cmd/lovage-load/main.go
+++ b/cmd/lovage-load/main.go
@@ -1,4 +1,23 @@
-// Command lovage-load is under construction.
+// Command lovage-load generates jobs, measures what comes of them, and sets
+// the fault switches of the stand-ins.
+//
+// Exit codes: 0 done, 1 failed or a promise was broken, 2 wrong usage.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"lovagespread.example/cmd/internal/command"
+)
+
+const program = "lovage-load"
+
+// commands are the subcommands, each in a file of its own.
+var commands = []command.Command{
+	{Name: "direct", Summary: "send tasks straight to the endpoints, as a baseline", Run: runDirect},
+	{Name: "fault", Summary: "set a fault switch of the stand-ins", Run: runFault},
+}
+
+func main() {
+	os.Exit(command.Main(program, commands, os.Args[1:]))
+}
--- a/experiment/load/generator.go
+++ b/experiment/load/generator.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -26,7 +25,7 @@
 	run     string
 	rand    *rand.Rand
 	streams []stream
-	count   int
+	count   int64
 }
 
 // stream is the arrivals of one service.
@@ -88,7 +87,7 @@
 
 func (g *Generator) draw(k kind, due time.Duration) (*Request, error) {
 	r := &Request{
-		Name: fmt.Sprintf("%s-%d", g.run, g.count),
+		Name: requestName(g.run, g.count),
 		Due:  due,
 		Job:  callerapi.Job{Service: k.service.Name},
 	}
--- a/experiment/load/request.go
+++ b/experiment/load/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"lovagespread.example/client/callerapi"
@@ -16,6 +17,10 @@
 	Ideal time.Duration // true run time of the longest task
 }
 
+func requestName(run string, number int64) string {
+	return fmt.Sprintf("%s-%d", run, number)
+}
+
 // newTask returns the task at position i of the named request.
 func newTask(name string, i int, run, declared time.Duration) (callerapi.Task, error) {
 	payload, err := json.Marshal(fakeendpoint.Payload{
--- a/experiment/load/standins.go
+++ b/experiment/load/standins.go
@@ -110,5 +110,8 @@
 	if into == nil {
 		return nil
 	}
-	return errors.Wrap(json.Unmarshal(answer, into), "decode the stand-ins' answer")
+	if err := json.Unmarshal(answer, into); err != nil {
+		return errors.Wrap(err, "decode the stand-ins' answer")
+	}
+	return nil
 }
--- /dev/null
+++ b/standin/deployment/fleet.go
@@ -0,0 +1,83 @@
+package deployment
+
+import (
+	"fmt"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/standin/fakeendpoint"
+)
+
+const (
+	milliPerCore = 1000
+	mibPerGiB    = 1024
+)
+
+// hosts are the workers of each failure domain.
+type hosts map[string][]*fakeendpoint.Worker
+
+func addWorkers(fleet *fakeendpoint.Fleet, s Settings) hosts {
+	all := make(hosts)
+	for _, domain := range s.FailureDomains {
+		for i := range s.Workers.PerFailureDomain {
+			w := newWorker(s, domain, i)
+			fleet.AddWorker(w)
+			all[domain] = append(all[domain], w)
+		}
+	}
+	return all
+}
+
+func newWorker(s Settings, domain string, i int) *fakeendpoint.Worker {
+	return &fakeendpoint.Worker{
+		Name:          fmt.Sprintf("%s-w%02d", domain, i),
+		Region:        s.Region,
+		FailureDomain: domain,
+		Rack:          fmt.Sprintf("%s-r%d", domain, i/s.Workers.PerRack),
+		Capacity: catalog.Resources{
+			MilliCores:   s.Workers.Cores * milliPerCore,
+			MemoryMiB:    s.Workers.MemoryGiB * mibPerGiB,
+			Accelerators: s.Workers.Accelerators,
+		},
+	}
+}
+
+// addPool spreads the executors of a pool over failure domains in turn, and
+// over the workers of each.
+func addPool(fleet *fakeendpoint.Fleet, s Settings, all hosts, p Pool) error {
+	for i := range p.Executors {
+		domain := s.FailureDomains[i%len(s.FailureDomains)]
+		workers := all[domain]
+		_, err := fleet.Add(fakeendpoint.Options{
+			Name:    fmt.Sprintf("%s-%s-%02d", p.Service, domain, i/len(s.FailureDomains)),
+			Service: p.Service,
+			Slots:   p.Slots,
+			Worker:  workers[(i/len(s.FailureDomains))%len(workers)],
+		}, DefaultListen)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pools returns the pool of each service of the text.
+func pools(s Settings, text *catalog.Catalog) []Pool {
+	var list []Pool
+	for _, service := range text.Services {
+		list = append(list, poolOf(s, service))
+	}
+	return list
+}
+
+func poolOf(s Settings, service catalog.Service) Pool {
+	pool := Pool{Service: service.Name, Executors: s.DefaultExecutors}
+	for _, p := range s.Pools {
+		if p.Service == service.Name {
+			pool = p
+		}
+	}
+	if pool.Slots == 0 {
+		pool.Slots = service.Slots
+	}
+	return pool
+}
