Route jobs to their owner and exchange heartbeats between entries

Cause: an entry knew no other one. Change: twirp client and server, heartbeats within a byte budget, one-hop forwarding, configuration from the log's follower and from other entries. Conclusion: any entry serves a job through its owner.

--- /dev/null
+++ b/entry/configuration/configuration.go
@@ -0,0 +1,84 @@
+// Package configuration keeps an entry at the newest configuration: from the
+// platform's log, and from other entries while the log cannot be reached.
+package configuration
+
+import (
+	"context"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"lovagespread.example/catalog/change"
+	"lovagespread.example/peer/peerpb"
+	"lovagespread.example/platform/follow"
+)
+
+// Peers fetches configurations from other entries.
+type Peers interface {
+	Configuration(ctx context.Context, address string, r *peerpb.ConfigurationRequest) (*peerpb.ConfigurationResponse, error)
+}
+
+// Keeper is safe for concurrent use.
+type Keeper struct {
+	follower *follow.Follower
+	peers    Peers
+	log      *zap.Logger
+	fetching atomic.Bool
+}
+
+// NewKeeper returns a keeper. The follower must be run by the caller.
+func NewKeeper(follower *follow.Follower, peers Peers, log *zap.Logger) *Keeper {
+	return &Keeper{follower: follower, peers: peers, log: log}
+}
+
+// Version returns the newest version that this entry knows, and its digest.
+func (k *Keeper) Version() (version uint64, digest []byte) {
+	status := k.follower.Status()
+	return status.Catalog.Version, status.Digest
+}
+
+// Reason says why no configuration is known yet; empty if one is.
+func (k *Keeper) Reason() string {
+	status := k.follower.Status()
+	return status.Reason()
+}
+
+// Newer returns a copy of the configuration if it is newer than a version.
+func (k *Keeper) Newer(ctx context.Context, than uint64) (*peerpb.ConfigurationResponse, error) {
+	if version, _ := k.Version(); version <= than {
+		return &peerpb.ConfigurationResponse{}, nil
+	}
+	newest, ok := k.follower.Copy(ctx)
+	if !ok || newest.Version <= than {
+		return &peerpb.ConfigurationResponse{}, nil
+	}
+	return &peerpb.ConfigurationResponse{Version: newest.Version, Digest: newest.Digest, Body: newest.Body}, nil
+}
+
+// Fetch takes the configuration of another entry, in a goroutine of its own.
+// One fetch runs at a time; the next heartbeat asks again if need be.
+func (k *Keeper) Fetch(ctx context.Context, address string) {
+	if !k.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer k.fetching.Store(false)
+		if err := k.fetch(ctx, address); err != nil {
+			k.log.Warn("a newer configuration could not be taken from another entry", zap.Error(err))
+		}
+	}()
+}
+
+func (k *Keeper) fetch(ctx context.Context, address string) error {
+	own, _ := k.Version()
+	resp, err := k.peers.Configuration(ctx, address, &peerpb.ConfigurationRequest{NewerThan: own})
+	if err != nil || resp.GetVersion() == 0 {
+		return err
+	}
+	_, err = k.follower.Adopt(ctx, change.Copy{
+		Version: resp.GetVersion(),
+		Digest:  resp.GetDigest(),
+		Body:    resp.GetBody(),
+	})
+	return err
+}
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -32,8 +32,14 @@
 
 func newEngine(i do.Injector) (*engine, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	self := do.MustInvoke[membership.Entry](i)
-	observer := do.MustInvoke[*observe.Observer](i)
+	self, err := do.Invoke[membership.Entry](i)
+	if err != nil {
+		return nil, err
+	}
+	observer, err := do.Invoke[*observe.Observer](i)
+	if err != nil {
+		return nil, err
+	}
 	e := &engine{}
 	e.client = endpointclient.New(endpointclient.Options{
 		Entry:       incarnationOf(self).String(),
@@ -45,6 +51,7 @@
 	e.loop = control.New(control.Options{
 		Core: dispatch.New(dispatch.Options{
 			Rand:       rand.New(rand.NewPCG(uint64(self.Incarnation), rand.Uint64())),
+			Owner:      incarnationOf(self),
 			MaxWaiting: s.Limits.MaxWaitingTasks,
 		}),
 		Tracker:   membership.New(membership.Options{Self: self}),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,11 +12,14 @@
 	"github.com/samber/do/v2"
 	"go.uber.org/zap"
 
+	"lovagespread.example/entry/configuration"
 	"lovagespread.example/entry/decisionlog"
+	"lovagespread.example/entry/heartbeat"
 	"lovagespread.example/entry/settings"
 	"lovagespread.example/entry/vmlist"
 	"lovagespread.example/membership"
 	"lovagespread.example/platform"
+	"lovagespread.example/platform/follow"
 )
 
 // Version is the version of the entry that the API documents show.
@@ -30,6 +33,10 @@
 	self      membership.Entry
 	engine    *engine
 	platform  *platform.Client
+	follower  *follow.Follower
+	keeper    *configuration.Keeper
+	announcer *heartbeat.Announcer
+	heartbeat *heartbeat.Heartbeater
 	servers   []*server
 	stopping  atomic.Bool
 }
@@ -62,6 +69,10 @@
 		func() (err error) { e.self, err = do.Invoke[membership.Entry](i); return err },
 		func() (err error) { e.engine, err = do.Invoke[*engine](i); return err },
 		func() (err error) { e.platform, err = do.Invoke[*platform.Client](i); return err },
+		func() (err error) { e.follower, err = do.Invoke[*follow.Follower](i); return err },
+		func() (err error) { e.keeper, err = do.Invoke[*configuration.Keeper](i); return err },
+		func() (err error) { e.announcer, err = do.Invoke[*heartbeat.Announcer](i); return err },
+		func() (err error) { e.heartbeat, err = do.Invoke[*heartbeat.Heartbeater](i); return err },
 		func() (err error) { e.servers, err = newServers(i, e.ready); return err },
 	} {
 		if err := set(); err != nil {
@@ -110,7 +121,8 @@
 		e.engine.loop.Run,
 		e.engine.client.RunHeartbeats,
 		poller.Run,
-		e.follow,
+		e.heartbeat.Run,
+		func(ctx context.Context) { _ = e.follower.Run(ctx) },
 	}
 }
 
@@ -135,7 +147,7 @@
 		return &NotReadyError{Reason: "this entry is stopping: use another one"}
 	}
 	if e.engine.loop.Snapshot().Catalog.Version == 0 {
-		return &NotReadyError{Reason: "no configuration has been read yet: check the platform's log and the other entries"}
+		return &NotReadyError{Reason: e.keeper.Reason()}
 	}
 	return nil
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -109,3 +109,29 @@
 	e.stop()
 	checkResults(t, (<-done).answer(t), 8)
 }
+
+func TestAnyEntryServesAJobThroughItsOwner(t *testing.T) {
+	b := newTestbed(t)
+	b.addEndpoint("e1", "booking")
+	owner := b.start(b.settings("entry-1"))
+	other := b.start(b.settings("entry-2"))
+	b.awaitPeers(owner, other)
+	id := owner.newID()
+	answer := other.do(http.MethodPut, "/v1/jobs/"+id+"?wait=10s", jobOf("booking", 8, 1)).answer(t)
+	checkResults(t, answer, 8)
+	checkResults(t, owner.do(http.MethodGet, "/v1/jobs/"+id, "").answer(t), 8)
+	checkResults(t, other.do(http.MethodGet, "/v1/jobs/"+id, "").answer(t), 8)
+	if starts := totalStarts(b); starts != 8 {
+		t.Errorf("%d starts for 8 tasks", starts)
+	}
+}
+
+// awaitPeers waits until the entries have heard of each other.
+func (b *testbed) awaitPeers(entries ...*running) {
+	b.t.Helper()
+	for _, e := range entries {
+		eventually(b.t, "the entries know each other", func() bool {
+			return e.engine.loop.Snapshot().View.Entries == len(entries)
+		})
+	}
+}
--- /dev/null
+++ b/entry/peerclient/client.go
@@ -0,0 +1,123 @@
+// Package peerclient calls other entries over twirp.
+package peerclient
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"lovagespread.example/entry/wire"
+	"lovagespread.example/peer/peerpb"
+)
+
+// Limits of the connections to one entry.
+const (
+	forwardConns    = 512
+	idleConns       = 64
+	idleTimeout     = time.Minute
+	controlTimeout  = time.Second
+	handOverTimeout = 10 * time.Second
+	maxReplyHeaders = 16 << 10
+)
+
+// Client calls entries by the address of their peer listener. It is safe for
+// concurrent use.
+type Client struct {
+	token   string
+	traffic *http.Transport
+	control *http.Transport
+	sent    atomic.Int64 // bytes of control
+	got     atomic.Int64 // bytes of control
+
+	mu    sync.Mutex
+	peers map[string]*peer // by address
+}
+
+// peer holds the stubs of one address.
+type peer struct {
+	traffic peerpb.Peer
+	control peerpb.Peer
+}
+
+// New returns a client that shows the given token to every entry.
+func New(token string) *Client {
+	c := &Client{token: token, peers: make(map[string]*peer)}
+	c.traffic = transport(wire.Dial)
+	c.control = transport(c.dialMetered)
+	return c
+}
+
+func transport(dial func(context.Context, string, string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{
+		DialContext:            dial,
+		MaxConnsPerHost:        forwardConns,
+		MaxIdleConnsPerHost:    idleConns,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxReplyHeaders,
+		DisableCompression:     true,
+	}
+}
+
+// ControlBytes returns the bytes of control messages that this entry has
+// exchanged on the connections it has opened.
+func (c *Client) ControlBytes() (sent, received int64) { return c.sent.Load(), c.got.Load() }
+
+func (c *Client) peer(address string) *peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[address]
+	if p == nil {
+		base := "http://" + address
+		p = &peer{
+			traffic: peerpb.NewPeerProtobufClient(base, &http.Client{Transport: c.traffic}),
+			control: peerpb.NewPeerProtobufClient(base, &http.Client{Transport: c.control}),
+		}
+		c.peers[address] = p
+	}
+	return p
+}
+
+func (c *Client) header(ctx context.Context) context.Context {
+	header := http.Header{}
+	header.Set("User-Agent", "")
+	if c.token != "" {
+		header.Set("Authorization", "Bearer "+c.token)
+	}
+	with, err := twirp.WithHTTPRequestHeaders(ctx, header)
+	if err != nil {
+		return ctx
+	}
+	return with
+}
+
+// Heartbeat exchanges liveness, configuration version and load.
+func (c *Client) Heartbeat(ctx context.Context, address string, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	ctx, cancel := context.WithTimeout(c.header(ctx), controlTimeout)
+	defer cancel()
+	return c.peer(address).control.Heartbeat(ctx, r)
+}
+
+// Configuration fetches the configuration if it is newer.
+func (c *Client) Configuration(ctx context.Context, address string, r *peerpb.ConfigurationRequest) (*peerpb.ConfigurationResponse, error) {
+	ctx, cancel := context.WithTimeout(c.header(ctx), handOverTimeout)
+	defer cancel()
+	return c.peer(address).control.Configuration(ctx, r)
+}
+
+// Forward takes a caller's request to the owner of its job. The context sets
+// the deadline.
+func (c *Client) Forward(ctx context.Context, address string, r *peerpb.ForwardRequest) (*peerpb.ForwardResponse, error) {
+	return c.peer(address).traffic.Forward(c.header(ctx), r)
+}
+
+// HandOver gives a part of the ledger to the successor.
+func (c *Client) HandOver(ctx context.Context, address string, r *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error) {
+	ctx, cancel := context.WithTimeout(c.header(ctx), handOverTimeout)
+	defer cancel()
+	return c.peer(address).traffic.HandOver(ctx, r)
+}
--- /dev/null
+++ b/entry/peerserver/server.go
@@ -0,0 +1,136 @@
+// Package peerserver serves other entries over twirp.
+package peerserver
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"lovagespread.example/client/callerapi"
+	"lovagespread.example/entry/jobs"
+	"lovagespread.example/entry/problem"
+	"lovagespread.example/entry/token"
+	"lovagespread.example/peer/peerpb"
+)
+
+// maxBodyBytes bounds the body of one message between entries.
+const maxBodyBytes = 64 << 20
+
+// Jobs serves forwarded requests.
+type Jobs interface {
+	Serve(ctx context.Context, r jobs.Request) (problem.Result, bool)
+}
+
+// Heartbeats takes heartbeats.
+type Heartbeats interface {
+	Received(r *peerpb.HeartbeatRequest) *peerpb.HeartbeatResponse
+}
+
+// Configurations gives copies of the configuration.
+type Configurations interface {
+	Newer(ctx context.Context, than uint64) (*peerpb.ConfigurationResponse, error)
+}
+
+// HandOvers takes the ledgers of entries that stop.
+type HandOvers interface {
+	HandOver(ctx context.Context, r *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error)
+}
+
+// Options are the parts that the server works with.
+type Options struct {
+	Jobs           Jobs
+	Heartbeats     Heartbeats
+	Configurations Configurations
+	HandOvers      HandOvers
+	Tokens         *token.Set
+}
+
+type server struct{ opts Options }
+
+var _ peerpb.Peer = (*server)(nil)
+
+// NewHandler returns the handler of the peer listener.
+func NewHandler(opts Options) http.Handler {
+	handler := peerpb.NewPeerServer(&server{opts: opts})
+	return authenticate(opts.Tokens, limit(handler))
+}
+
+func authenticate(tokens *token.Set, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, ok := tokens.Holder(r); !ok {
+			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "unknown peer token: use the tokens.peers_file that all entries share"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func limit(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Heartbeat implements peerpb.Peer.
+func (s *server) Heartbeat(_ context.Context, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	if r.GetFrom().GetIncarnation() == 0 {
+		return nil, twirp.RequiredArgumentError("from.incarnation")
+	}
+	return s.opts.Heartbeats.Received(r), nil
+}
+
+// Forward implements peerpb.Peer. It never forwards further.
+func (s *server) Forward(ctx context.Context, r *peerpb.ForwardRequest) (*peerpb.ForwardResponse, error) {
+	request, err := requestOf(r)
+	if err != nil {
+		return nil, err
+	}
+	result, ok := s.opts.Jobs.Serve(ctx, request)
+	if !ok {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "this entry does not own the job ID: look up its owner again")
+	}
+	return &peerpb.ForwardResponse{
+		Status:       int32(result.Status),
+		Body:         result.Body,
+		RetryAfterMs: result.RetryAfter.Milliseconds(),
+	}, nil
+}
+
+func requestOf(r *peerpb.ForwardRequest) (jobs.Request, error) {
+	request := jobs.Request{
+		JobID:       r.GetJobId(),
+		Body:        r.GetBody(),
+		Wait:        min(time.Duration(r.GetWaitMs())*time.Millisecond, callerapi.MaxWait),
+		Team:        r.GetTeam(),
+		Traceparent: r.GetTraceparent(),
+	}
+	switch r.GetMethod() {
+	case peerpb.Method_METHOD_SUBMIT:
+		request.Method = jobs.Submit
+	case peerpb.Method_METHOD_ASK:
+		request.Method = jobs.Ask
+	case peerpb.Method_METHOD_CANCEL:
+		request.Method = jobs.Cancel
+	default:
+		return request, twirp.InvalidArgumentError("method", "is unknown: use the same release on all entries")
+	}
+	return request, nil
+}
+
+// Configuration implements peerpb.Peer.
+func (s *server) Configuration(ctx context.Context, r *peerpb.ConfigurationRequest) (*peerpb.ConfigurationResponse, error) {
+	return s.opts.Configurations.Newer(ctx, r.GetNewerThan())
+}
+
+// HandOver implements peerpb.Peer.
+func (s *server) HandOver(ctx context.Context, r *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error) {
+	return s.opts.HandOvers.HandOver(ctx, r)
+}
+
+// Borrow implements peerpb.Peer. This entry lends no slots.
+func (s *server) Borrow(context.Context, *peerpb.BorrowRequest) (*peerpb.BorrowResponse, error) {
+	return &peerpb.BorrowResponse{}, nil
+}
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -1,19 +1,17 @@
 package entry
 
 import (
-	"context"
 	"net/http"
 
 	"github.com/samber/do/v2"
 
-	"lovagespread.example/client/callerapi"
 	"lovagespread.example/dispatch/jobid"
 	"lovagespread.example/entry/callerhttp"
+	"lovagespread.example/entry/forward"
 	"lovagespread.example/entry/jobs"
 	"lovagespread.example/entry/listen"
 	"lovagespread.example/entry/metrics"
 	"lovagespread.example/entry/observe"
-	"lovagespread.example/entry/problem"
 	"lovagespread.example/entry/settings"
 	"lovagespread.example/entry/token"
 )
@@ -24,8 +22,13 @@
 	if err != nil {
 		return nil, err
 	}
+	peers, err := newPeerHandler(i)
+	if err != nil {
+		return nil, err
+	}
 	return []*server{
 		{name: "caller", listener: open.caller, http: listen.Server(callers)},
+		{name: "peer", listener: open.peer, http: listen.Server(peers)},
 		{name: "admin", listener: open.admin, http: listen.Server(newAdminHandler(i, ready))},
 	}, nil
 }
@@ -71,14 +74,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return jobs.NewService(verifier, e.loop, noPeers{}), nil
-}
-
-// noPeers stands for the other entries where there are none.
-type noPeers struct{}
-
-// Forward says that the owner is not known.
-func (noPeers) Forward(context.Context, jobid.ID, jobs.Request) problem.Result {
-	return problem.ResultOf(problem.New(callerapi.CodeOwnerGone, callerapi.Unknown,
-		"the entry that owns this job ID is gone: whether the job ran is not known here, check before you submit it with a new ID"))
+	forwarder, err := do.Invoke[*forward.Forwarder](i)
+	if err != nil {
+		return nil, err
+	}
+	return jobs.NewService(verifier, e.loop, forwarder), nil
 }
--- a/entry/testbed_test.go
+++ b/entry/testbed_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"lovagespread.example/catalog"
+	"lovagespread.example/catalog/change"
 	"lovagespread.example/client/callerapi"
 	"lovagespread.example/entry/settings"
 	"lovagespread.example/platform"
@@ -76,7 +77,18 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	if _, err := log.Append(context.Background(), platform.StreamConfiguration, [][]byte{[]byte(text)}); err != nil {
+	parsed, err := catalog.ParseServices("services", []byte(text))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	record, err := change.EncodeChange(change.Change{
+		ID: "change-1", Author: "test", Time: time.Unix(1_700_000_000, 0),
+		Body: &change.ReplaceServices{Services: parsed.Services, Teams: parsed.Teams},
+	})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	if _, err := log.Append(context.Background(), platform.StreamConfiguration, [][]byte{record}); err != nil {
 		b.t.Fatal(err)
 	}
 }
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -32,6 +32,13 @@
 	do.Provide(i, newIssuer)
 	do.Provide(i, newPlatform)
 	do.Provide(i, newEngine)
+	do.Provide(i, newPeerToken)
+	do.Provide(i, newPeerClient)
+	do.Provide(i, newFollower)
+	do.Provide(i, newKeeper)
+	do.Provide(i, newAnnouncer)
+	do.Provide(i, newHeartbeater)
+	do.Provide(i, newForwarder)
 	do.Provide(i, newJobs)
 	return i
 }
--- /dev/null
+++ b/entry/wiring_peers.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"lovagespread.example/dispatch/jobid"
+	"lovagespread.example/entry/configuration"
+	"lovagespread.example/entry/decisionlog"
+	"lovagespread.example/entry/forward"
+	"lovagespread.example/entry/heartbeat"
+	"lovagespread.example/entry/jobs"
+	"lovagespread.example/entry/observe"
+	"lovagespread.example/entry/peerclient"
+	"lovagespread.example/entry/peerserver"
+	"lovagespread.example/entry/problem"
+	"lovagespread.example/entry/settings"
+	"lovagespread.example/entry/token"
+	"lovagespread.example/platform"
+	"lovagespread.example/platform/follow"
+)
+
+// peerToken is the token that all entries share; it may be empty.
+type peerToken string
+
+func newPeerToken(i do.Injector) (peerToken, error) {
+	shared, err := token.LoadShared(do.MustInvoke[settings.Settings](i).Tokens.PeersFile)
+	return peerToken(shared), err
+}
+
+func newPeerClient(i do.Injector) (*peerclient.Client, error) {
+	shared, err := do.Invoke[peerToken](i)
+	return peerclient.New(string(shared)), err
+}
+
+func newFollower(i do.Injector) (*follow.Follower, error) {
+	log, err := do.Invoke[*platform.Client](i)
+	if err != nil {
+		return nil, err
+	}
+	e, err := do.Invoke[*engine](i)
+	if err != nil {
+		return nil, err
+	}
+	return follow.New(follow.Options{
+		Log:       log,
+		Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		OnCatalog: e.loop.SetCatalog,
+		Logger:    do.MustInvoke[*decisionlog.Log](i).Logger,
+	}), nil
+}
+
+func newKeeper(i do.Injector) (*configuration.Keeper, error) {
+	follower, err := do.Invoke[*follow.Follower](i)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := do.Invoke[*peerclient.Client](i)
+	if err != nil {
+		return nil, err
+	}
+	return configuration.NewKeeper(follower, peers, do.MustInvoke[*decisionlog.Log](i).Logger), nil
+}
+
+func newAnnouncer(i do.Injector) (*heartbeat.Announcer, error) {
+	e, err := do.Invoke[*engine](i)
+	if err != nil {
+		return nil, err
+	}
+	keeper, err := do.Invoke[*configuration.Keeper](i)
+	if err != nil {
+		return nil, err
+	}
+	return heartbeat.NewAnnouncer(e.loop, keeper), nil
+}
+
+func newHeartbeater(i do.Injector) (*heartbeat.Heartbeater, error) {
+	announcer, err := do.Invoke[*heartbeat.Announcer](i)
+	if err != nil {
+		return nil, err
+	}
+	keeper := do.MustInvoke[*configuration.Keeper](i)
+	return heartbeat.New(heartbeat.Options{
+		Loop:      do.MustInvoke[*engine](i).loop,
+		Announcer: announcer,
+		Peers:     do.MustInvoke[*peerclient.Client](i),
+		Newer:     func(address string, _ uint64) { keeper.Fetch(context.Background(), address) },
+		Message:   do.MustInvoke[*observe.Observer](i).Message,
+		Log:       do.MustInvoke[*decisionlog.Log](i).Logger,
+	}), nil
+}
+
+func newForwarder(i do.Injector) (*forward.Forwarder, error) {
+	e, err := do.Invoke[*engine](i)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := do.Invoke[*peerclient.Client](i)
+	if err != nil {
+		return nil, err
+	}
+	return forward.New(forward.Options{
+		Loop:     e.loop,
+		Peers:    peers,
+		Observe:  do.MustInvoke[*observe.Observer](i),
+		Outcomes: noOutcomes{},
+		Started:  time.Now(),
+	}), nil
+}
+
+// noOutcomes knows no outcome of other entries' jobs.
+type noOutcomes struct{}
+
+func (noOutcomes) Outcome(jobid.ID) (problem.Result, bool) { return problem.Result{}, false }
+
+func newPeerHandler(i do.Injector) (http.Handler, error) {
+	shared, err := do.Invoke[peerToken](i)
+	if err != nil {
+		return nil, err
+	}
+	service, err := do.Invoke[*jobs.Service](i)
+	if err != nil {
+		return nil, err
+	}
+	heartbeater, err := do.Invoke[*heartbeat.Heartbeater](i)
+	if err != nil {
+		return nil, err
+	}
+	return peerserver.NewHandler(peerserver.Options{
+		Jobs:           service,
+		Heartbeats:     heartbeater,
+		Configurations: do.MustInvoke[*configuration.Keeper](i),
+		HandOvers:      noSuccession{},
+		Tokens:         token.Single("peer", string(shared)),
+	}), nil
+}
--- a/membership/entries.go
+++ b/membership/entries.go
@@ -1,35 +1,25 @@
 package membership
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // listEntries remembers where entries can be reached. The list names no
 // incarnation, so liveness comes from heartbeats alone.
 func (t *Tracker) listEntries(list []Entry) {
+	listed := make(map[string]Entry, len(list))
 	for _, e := range list {
-		if e.Name == t.self.Name {
-			continue
-		}
-		if t.listed[e.Name] != e {
-			t.listed[e.Name] = e
-			t.changed = true
+		if e.Name != t.self.Name {
+			listed[e.Name] = e
 		}
 	}
-	if len(list) == 0 {
+	if 2*len(listed) < len(t.listed) {
 		return
 	}
-	t.dropUnlisted(list)
-}
-
-func (t *Tracker) dropUnlisted(list []Entry) {
-	names := make(map[string]bool, len(list))
-	for _, e := range list {
-		names[e.Name] = true
-	}
-	for name := range t.listed {
-		if !names[name] {
-			delete(t.listed, name)
-			t.changed = true
-		}
+	if !maps.Equal(listed, t.listed) {
+		t.listed = listed
+		t.changed = true
 	}
 }
 
@@ -50,6 +40,7 @@
 		return
 	}
 	e.Heard = t.now
+	e.Ended = false
 	if e.State != Leaving {
 		e.State = Live
 	}
@@ -66,8 +57,9 @@
 		if other.Name != e.Name || other.Incarnation == e.Incarnation {
 			continue
 		}
-		if other.State != Gone && other.Heard.Before(e.Heard) {
+		if !other.Ended && other.Heard.Before(e.Heard) {
 			other.State = Gone
+			other.Ended = true
 			t.changed = true
 		}
 	}
@@ -83,10 +75,7 @@
 func (t *Tracker) ageEntry(e *Entry) {
 	silence := t.now.Sub(e.Heard)
 	if e.State == Gone {
-		if silence > t.opts.Retention {
-			delete(t.entries, e.Incarnation)
-			t.changed = true
-		}
+		t.ageGone(e, silence)
 		return
 	}
 	next := t.stateAfter(e, silence)
@@ -96,6 +85,20 @@
 	}
 }
 
+// ageGone marks a silent entry as ended once the list lacks its VM, and drops
+// its record after the retention.
+func (t *Tracker) ageGone(e *Entry, silence time.Duration) {
+	_, listed := t.listed[e.Name]
+	if !e.Ended && !listed && t.listedAt.After(e.Heard) {
+		e.Ended = true
+		t.changed = true
+	}
+	if silence > t.opts.Retention {
+		delete(t.entries, e.Incarnation)
+		t.changed = true
+	}
+}
+
 func (t *Tracker) stateAfter(e *Entry, silence time.Duration) State {
 	factor := time.Duration(1)
 	if e.FailureDomain != t.self.FailureDomain {
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -33,7 +33,8 @@
 	entries   map[Incarnation]*Entry
 	listed    map[string]Entry // entries of the list, by name
 	endpoints map[string]*endpoint
-	asOf      time.Time
+	asOf      time.Time // of the latest list, by the platform's clock
+	listedAt  time.Time // when it came
 	changed   bool
 	view      View
 }
@@ -83,6 +84,7 @@
 		return
 	}
 	t.asOf = in.AsOf
+	t.listedAt = t.now
 	t.listEntries(in.Entries)
 	t.listEndpoints(in.Endpoints)
 }
