Add a network in memory for scenarios in virtual time

Cause: the fault scenarios need partitions, silent connections and crashes under testing/synctest, where sockets cannot be used. Change: scenario/fabric: named hosts, links that are cut and healed, hosts that freeze, connections that go silent or break.

--- /dev/null
+++ b/scenario/fabric/fabric.go
@@ -0,0 +1,245 @@
+package fabric
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// link is an unordered pair of host names.
+type link struct{ a, b string }
+
+func linkOf(a, b string) link {
+	if a > b {
+		a, b = b, a
+	}
+	return link{a, b}
+}
+
+// Fabric is a network in memory. It is safe for concurrent use.
+type Fabric struct {
+	delay time.Duration // one way
+
+	mu        sync.Mutex
+	changed   chan struct{} // closed and replaced when a link or host changes
+	listeners map[string]*listener
+	cut       map[link]bool
+	frozen    map[string]bool
+	conns     map[*conn]bool
+}
+
+// New returns a network whose messages take delay one way.
+func New(delay time.Duration) *Fabric {
+	return &Fabric{
+		delay:     delay,
+		changed:   make(chan struct{}),
+		listeners: make(map[string]*listener),
+		cut:       make(map[link]bool),
+		frozen:    make(map[string]bool),
+		conns:     make(map[*conn]bool),
+	}
+}
+
+// Host returns the view of the network that one host has.
+func (f *Fabric) Host(name string) *Host { return &Host{fabric: f, name: name} }
+
+// Cut drops everything between two hosts until Heal.
+func (f *Fabric) Cut(a, b string) { f.change(func() { f.cut[linkOf(a, b)] = true }) }
+
+// Heal ends a cut.
+func (f *Fabric) Heal(a, b string) { f.change(func() { delete(f.cut, linkOf(a, b)) }) }
+
+// Freeze holds everything that goes to or comes from a host until Thaw.
+func (f *Fabric) Freeze(host string) { f.change(func() { f.frozen[host] = true }) }
+
+// Thaw ends a freeze.
+func (f *Fabric) Thaw(host string) { f.change(func() { delete(f.frozen, host) }) }
+
+// Remove resets every connection of a host and closes its listeners.
+func (f *Fabric) Remove(host string) {
+	for _, c := range f.connsOf(host) {
+		c.reset()
+	}
+	for _, l := range f.listenersOf(host) {
+		_ = l.Close()
+	}
+}
+
+// Silence makes the open connections to a host silent for good: both ends
+// stay open and nothing more is delivered. It returns their number.
+func (f *Fabric) Silence(host string) int {
+	n := 0
+	for _, c := range f.connsOf(host) {
+		if c.server == host {
+			c.silence()
+			n++
+		}
+	}
+	return n
+}
+
+// Break resets the open connections to a host and returns their number.
+func (f *Fabric) Break(host string) int {
+	n := 0
+	for _, c := range f.connsOf(host) {
+		if c.server == host {
+			c.reset()
+			n++
+		}
+	}
+	return n
+}
+
+func (f *Fabric) change(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *Fabric) connsOf(host string) []*conn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var found []*conn
+	for c := range f.conns {
+		if c.client == host || c.server == host {
+			found = append(found, c)
+		}
+	}
+	return found
+}
+
+func (f *Fabric) listenersOf(host string) []*listener {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var found []*listener
+	for _, l := range f.listeners {
+		if l.host == host {
+			found = append(found, l)
+		}
+	}
+	return found
+}
+
+// passes reports whether a message may go from one host to another now, and
+// otherwise what to wait for.
+func (f *Fabric) passes(a, b string) (bool, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	held := f.cut[linkOf(a, b)] || f.frozen[a] || f.frozen[b]
+	return !held, f.changed
+}
+
+// await returns once a message may go between two hosts, or false if done is
+// closed first.
+func (f *Fabric) await(a, b string, done <-chan struct{}) bool {
+	for {
+		ok, changed := f.passes(a, b)
+		if ok {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-done:
+			return false
+		}
+	}
+}
+
+// Host is one host's view of the network.
+type Host struct {
+	fabric *Fabric
+	name   string
+}
+
+// Listen opens a listener. Its address must not be in use.
+func (h *Host) Listen(address string) (net.Listener, error) {
+	f := h.fabric
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listeners[address] != nil {
+		return nil, &net.OpError{Op: "listen", Net: "tcp", Err: syscall.EADDRINUSE}
+	}
+	l := &listener{fabric: f, host: h.name, address: address, incoming: make(chan net.Conn), closed: make(chan struct{})}
+	f.listeners[address] = l
+	return l, nil
+}
+
+// Dial connects to an address. It suits http.Transport.DialContext.
+func (h *Host) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	f := h.fabric
+	f.mu.Lock()
+	l := f.listeners[address]
+	f.mu.Unlock()
+	if l == nil {
+		return nil, refused(address)
+	}
+	if !f.await(h.name, l.host, ctx.Done()) {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
+	}
+	return f.connect(ctx, h.name, l)
+}
+
+func refused(address string) error {
+	return &net.OpError{Op: "dial", Net: "tcp", Err: fmt.Errorf("%s: %w", address, syscall.ECONNREFUSED)}
+}
+
+func (f *Fabric) connect(ctx context.Context, client string, l *listener) (net.Conn, error) {
+	c := newConn(f, client, l.host)
+	select {
+	case l.incoming <- c.serverEnd:
+		f.mu.Lock()
+		f.conns[c] = true
+		f.mu.Unlock()
+		c.start()
+		return c.clientEnd, nil
+	case <-l.closed:
+		c.reset()
+		return nil, refused(l.address)
+	case <-ctx.Done():
+		c.reset()
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
+	}
+}
+
+type listener struct {
+	fabric   *Fabric
+	host     string
+	address  string
+	incoming chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// Accept waits for the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.incoming:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close frees the address. Open connections stay.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.fabric.mu.Lock()
+		defer l.fabric.mu.Unlock()
+		delete(l.fabric.listeners, l.address)
+	})
+	return nil
+}
+
+// Addr returns the address the listener was opened with.
+func (l *listener) Addr() net.Addr { return addr(l.address) }
+
+type addr string
+
+func (addr) Network() string  { return "tcp" }
+func (a addr) String() string { return string(a) }
