Run scripted scenarios against real entries in virtual time

Change: scenario/: a datadriven language whose verbs build platform, endpoints and entries on a network in memory, submit jobs, bring faults about and show what callers, endpoints and logs saw. At the end of every scenario double starts, partial answers and false 'not run' fail it. The entry opens its listeners and connections through wire.Network; scenarios supply theirs with entry.On. Starts.Requested counts the starts of one task of a request.

--- a/entry/endpointclient/client.go
+++ b/entry/endpointclient/client.go
@@ -57,6 +57,7 @@
 type Options struct {
 	Entry       string // incarnation, in the text form of job IDs
 	Connections int    // to one endpoint; default DefaultConnections
+	Dialer      wire.Dialer
 	Report      Report
 	Observe     Observe
 	Health      Health
@@ -137,7 +138,7 @@
 
 func (c *Client) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:            wire.Dial,
+		DialContext:            c.opts.Dialer.Dial,
 		MaxConnsPerHost:        c.opts.Connections,
 		MaxIdleConnsPerHost:    c.opts.Connections,
 		IdleConnTimeout:        idleConnTimeout,
--- a/entry/engine.go
+++ b/entry/engine.go
@@ -10,6 +10,7 @@
 	"lovagespread.example/entry/endpointclient"
 	"lovagespread.example/entry/observe"
 	"lovagespread.example/entry/settings"
+	"lovagespread.example/entry/wire"
 	"lovagespread.example/membership"
 )
 
@@ -38,6 +39,7 @@
 	e.client = endpointclient.New(endpointclient.Options{
 		Entry:       incarnationOf(self).String(),
 		Connections: s.Limits.ConnectionsPerEndpoint,
+		Dialer:      wire.Dialer{Network: do.MustInvoke[wire.Network](i)},
 		Observe:     observer,
 		Report:      func(service string, outcome dispatch.Input) { e.loop.Outcome(service, outcome) },
 		Health:      health{func(in membership.Input) { e.loop.Member(in) }},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"lovagespread.example/entry/decisionlog"
 	"lovagespread.example/entry/settings"
+	"lovagespread.example/entry/wire"
 	"lovagespread.example/entry/vmlist"
 	"lovagespread.example/membership"
 	"lovagespread.example/platform"
@@ -41,9 +42,27 @@
 	http     *http.Server
 }
 
+// options are what New can be told besides the settings.
+type options struct {
+	network wire.Network
+}
+
+// Option changes how New builds an entry.
+type Option func(*options)
+
+// On makes an entry listen and connect on the given network. The default is
+// TCP.
+func On(network wire.Network) Option {
+	return func(o *options) { o.network = network }
+}
+
 // New opens the listeners and builds all parts. Nothing runs before Run.
-func New(s settings.Settings) (*Entry, error) {
-	injector := wire(s)
+func New(s settings.Settings, with ...Option) (*Entry, error) {
+	opts := options{network: wire.TCP{}}
+	for _, option := range with {
+		option(&opts)
+	}
+	injector := inject(s, opts)
 	e, err := build(injector)
 	if err == nil {
 		return e, nil
@@ -71,6 +90,10 @@
 	return e, nil
 }
 
+// ConfigurationVersion returns the version of the configuration in force, or
+// 0 if there is none yet.
+func (e *Entry) ConfigurationVersion() uint64 { return e.engine.loop.Snapshot().Catalog.Version }
+
 // CallerAddr returns the address of the caller listener.
 func (e *Entry) CallerAddr() string { return e.listeners.caller.Addr().String() }
 
--- a/entry/listen/listen.go
+++ b/entry/listen/listen.go
@@ -32,14 +32,10 @@
 	}
 }
 
-// Listen opens a TCP listener that holds at most max connections at once.
+// Limit returns a listener that holds at most max connections at once.
 // Further ones wait in the kernel's backlog.
-func Listen(address string, max int) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &limited{Listener: l, slots: make(chan struct{}, max), closed: make(chan struct{})}, nil
+func Limit(l net.Listener, max int) net.Listener {
+	return &limited{Listener: l, slots: make(chan struct{}, max), closed: make(chan struct{})}
 }
 
 type limited struct {
--- a/entry/listeners.go
+++ b/entry/listeners.go
@@ -8,6 +8,7 @@
 
 	"lovagespread.example/entry/listen"
 	"lovagespread.example/entry/settings"
+	"lovagespread.example/entry/wire"
 )
 
 // listeners are the open listeners of an entry.
@@ -17,17 +18,18 @@
 
 func newListeners(i do.Injector) (*listeners, error) {
 	s := do.MustInvoke[settings.Settings](i).Listen
+	network := do.MustInvoke[wire.Network](i)
 	l := &listeners{}
 	for _, one := range []struct {
 		into    *net.Listener
 		address string
 	}{{&l.caller, s.Caller}, {&l.peer, s.Peer}, {&l.admin, s.Admin}} {
-		opened, err := listen.Listen(one.address, listen.MaxConnections)
+		opened, err := network.Listen(one.address)
 		if err != nil {
 			l.close()
 			return nil, errors.Wrap(err, "open listener: correct [listen] in the settings or free the address")
 		}
-		*one.into = opened
+		*one.into = listen.Limit(opened, listen.MaxConnections)
 	}
 	return l, nil
 }
--- a/entry/wire/dialer.go
+++ b/entry/wire/dialer.go
@@ -7,27 +7,21 @@
 	"time"
 )
 
-// Ages and probes of connections.
+// Ages of connections.
 const (
-	MaxConnAge   = 2 * time.Minute
-	ageJitter    = 30 * time.Second
-	dialTimeout  = 2 * time.Second
-	probeIdle    = 5 * time.Second
-	probeSpacing = 2 * time.Second
-	probeCount   = 3
+	MaxConnAge = 2 * time.Minute
+	ageJitter  = 30 * time.Second
 )
 
-// Dial opens a TCP connection wrapped in a Conn. The kernel probes it, so
-// that one whose other end has gone is noticed while idle; and it ages out at
-// a random time around MaxConnAge.
-func Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeIdle, Interval: probeSpacing, Count: probeCount,
-		},
-	}
-	c, err := dialer.DialContext(ctx, network, address)
+// Dialer opens connections on a network.
+type Dialer struct{ Network Network }
+
+// Dial opens a connection wrapped in a Conn. It ages out at a random time
+// around MaxConnAge.
+func (d Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := d.Network.Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/entry/wire/network.go
@@ -0,0 +1,40 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// Network opens listeners and connections. It is TCP in production and a
+// network in memory in scenarios.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Probes of idle connections.
+const (
+	dialTimeout  = 2 * time.Second
+	probeIdle    = 5 * time.Second
+	probeSpacing = 2 * time.Second
+	probeCount   = 3
+)
+
+// TCP is the network of the operating system. The kernel probes its
+// connections, so that one whose other end has gone is noticed while idle.
+type TCP struct{}
+
+// Listen opens a TCP listener.
+func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// Dial opens a TCP connection.
+func (TCP) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeSpacing, Count: probeCount,
+		},
+	}
+	return dialer.DialContext(ctx, network, address)
+}
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/http"
 	"os"
 	"strings"
 
@@ -14,13 +15,15 @@
 	"lovagespread.example/entry/metrics"
 	"lovagespread.example/entry/observe"
 	"lovagespread.example/entry/settings"
+	"lovagespread.example/entry/wire"
 	"lovagespread.example/membership"
 	"lovagespread.example/platform"
 )
 
-// wire declares how the parts of an entry are built.
-func wire(s settings.Settings) do.Injector {
+// inject declares how the parts of an entry are built.
+func inject(s settings.Settings, options options) do.Injector {
 	i := do.New()
+	do.ProvideValue(i, options.network)
 	do.ProvideValue(i, s)
 	do.ProvideValue(i, metrics.New())
 	do.Provide(i, newLog)
@@ -97,13 +100,24 @@
 	return jobs.NewIssuer(issuer, do.MustInvoke[settings.Settings](i).JobIDs.Lifetime), nil
 }
 
+// platformConnections is the number of idle connections to the platform.
+const platformConnections = 4
+
 func newPlatform(i do.Injector) (*platform.Client, error) {
 	s := do.MustInvoke[settings.Settings](i).Platform
 	token, err := readToken(s.TokenFile)
 	if err != nil {
 		return nil, err
 	}
-	return platform.NewClient(platform.Options{URL: s.URL, Token: token})
+	transport := &http.Transport{
+		DialContext:         do.MustInvoke[wire.Network](i).Dial,
+		MaxIdleConnsPerHost: platformConnections,
+	}
+	return platform.NewClient(platform.Options{
+		URL:        s.URL,
+		Token:      token,
+		HTTPClient: &http.Client{Transport: transport},
+	})
 }
 
 func readToken(path string) (string, error) {
--- /dev/null
+++ b/scenario/args.go
@@ -0,0 +1,95 @@
+package scenario
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// args are the arguments of one verb: plain words by position, and key=value
+// pairs. Each must be used; check reports those that were not.
+type args struct {
+	verb  string
+	words []string
+	pairs map[string]string
+	used  map[string]bool
+	input string
+}
+
+// argError reports a wrong use of a verb.
+type argError struct{ verb, what string }
+
+func (e *argError) Error() string { return e.verb + ": " + e.what + ": see docs/SCENARIOS.md" }
+
+func newArgs(d *datadriven.TestData) *args {
+	a := &args{verb: d.Cmd, pairs: make(map[string]string), used: make(map[string]bool), input: d.Input}
+	for _, arg := range d.CmdArgs {
+		if len(arg.Vals) == 0 {
+			a.words = append(a.words, arg.Key)
+			continue
+		}
+		a.pairs[arg.Key] = strings.Join(arg.Vals, ",")
+	}
+	return a
+}
+
+func (a *args) fail(format string, values ...any) {
+	panic(&argError{verb: a.verb, what: fmt.Sprintf(format, values...)})
+}
+
+// word takes the next plain word.
+func (a *args) word(what string) string {
+	if len(a.words) == 0 {
+		a.fail("name %s", what)
+	}
+	word := a.words[0]
+	a.words = a.words[1:]
+	return word
+}
+
+// more reports whether plain words are left.
+func (a *args) more() bool { return len(a.words) > 0 }
+
+func (a *args) text(key, fallback string) string {
+	a.used[key] = true
+	if value, ok := a.pairs[key]; ok {
+		return value
+	}
+	return fallback
+}
+
+func (a *args) number(key string, fallback int) int {
+	value := a.text(key, strconv.Itoa(fallback))
+	n, err := strconv.Atoi(value)
+	if err != nil {
+		a.fail("%s=%s is not a whole number", key, value)
+	}
+	return n
+}
+
+func (a *args) duration(key string, fallback time.Duration) time.Duration {
+	return a.parseDuration(a.text(key, fallback.String()))
+}
+
+func (a *args) parseDuration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		a.fail("%s is not a duration such as 200ms", text)
+	}
+	return d
+}
+
+// check fails if an argument was not used.
+func (a *args) check() {
+	if a.more() {
+		a.fail("%s is one word too many", a.words[0])
+	}
+	for key := range a.pairs {
+		if !a.used[key] {
+			a.fail("unknown argument %s", key)
+		}
+	}
+}
--- /dev/null
+++ b/scenario/jobs.go
@@ -0,0 +1,244 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"lovagespread.example/client/callerapi"
+	"lovagespread.example/standin/fakeendpoint"
+)
+
+// job is a job as its caller knows it.
+type job struct {
+	name    string
+	id      string
+	service string
+	tasks   int
+	calls   []*call
+}
+
+// call is one request for a job.
+type call struct {
+	via    string
+	method string
+	cancel context.CancelFunc
+	done   chan struct{}
+	reply  reply // once done is closed
+}
+
+// reply is what a call returned.
+type reply struct {
+	status    int
+	code      callerapi.Code
+	execution callerapi.Execution
+	retry     bool
+	results   int
+	wrong     string // what is wrong with a whole answer
+	err       error  // no reply
+}
+
+// Limits of callers.
+const (
+	idLimit     = 10 * time.Second
+	callerLimit = 2 * time.Minute
+)
+
+// issueID obtains a job ID ahead of time.
+func issueID(w *world, a *args) string {
+	name := a.word("the job")
+	if text := a.text("text", ""); text != "" {
+		w.jobs[name] = &job{name: name, id: text}
+		return ok("set")
+	}
+	j, err := w.obtainID(name, w.entry(a, a.text("via", "")))
+	if err != nil {
+		return ok("no ID: %v", err)
+	}
+	w.jobs[name] = j
+	return ok("issued")
+}
+
+func (w *world) obtainID(name string, via *entryHost) (*job, error) {
+	ctx, cancel := w.context(idLimit)
+	defer cancel()
+	body := mustJSON(callerapi.IDsRequest{Count: 1})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+via.caller()+"/v1/job-ids", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+token)
+	response, err := w.caller.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	var ids callerapi.IDsResponse
+	if err := json.NewDecoder(response.Body).Decode(&ids); err != nil {
+		return nil, err
+	}
+	if len(ids.IDs) != 1 {
+		return nil, fmt.Errorf("status %d and %d IDs", response.StatusCode, len(ids.IDs))
+	}
+	return &job{name: name, id: ids.IDs[0]}, nil
+}
+
+// submit sends a job and goes on without waiting for its reply.
+func submit(w *world, a *args) string {
+	name := a.word("the job")
+	via := w.entry(a, a.text("via", ""))
+	j := w.jobs[name]
+	if j == nil {
+		var err error
+		if j, err = w.obtainID(name, via); err != nil {
+			return ok("no ID: %v", err)
+		}
+		w.jobs[name] = j
+	}
+	j.service = a.text("service", "booking")
+	j.tasks = a.number("tasks", 1)
+	body := mustJSON(j.body(a.duration("run", 100*time.Millisecond), a.text("fail", "no") == "yes"))
+	w.call(j, via, http.MethodPut, a.duration("wait", 30*time.Second), body)
+	return ok("sent")
+}
+
+func (j *job) body(run time.Duration, fail bool) callerapi.Job {
+	body := callerapi.Job{Service: j.service, Tasks: make([]callerapi.Task, j.tasks)}
+	for i := range body.Tasks {
+		body.Tasks[i].Payload = mustJSON(j.payload(i, run, fail))
+	}
+	return body
+}
+
+func (j *job) payload(index int, run time.Duration, fail bool) fakeendpoint.Payload {
+	ms := float64(run) / float64(time.Millisecond)
+	return fakeendpoint.Payload{Request: j.name, Task: index, RunMS: ms, Fail: fail}
+}
+
+func ask(w *world, a *args) string {
+	j := w.job(a, a.word("the job"))
+	w.call(j, w.entry(a, a.text("via", "")), http.MethodGet, a.duration("wait", 30*time.Second), nil)
+	return ok("sent")
+}
+
+func cancelJob(w *world, a *args) string {
+	j := w.job(a, a.word("the job"))
+	w.call(j, w.entry(a, a.text("via", "")), http.MethodDelete, 0, nil)
+	return ok("sent")
+}
+
+// hangUp drops the calls of a job that have no reply yet.
+func hangUp(w *world, a *args) string {
+	j := w.job(a, a.word("the job"))
+	dropped := 0
+	for _, c := range j.calls {
+		select {
+		case <-c.done:
+		default:
+			c.cancel()
+			<-c.done
+			dropped++
+		}
+	}
+	return ok("%d calls", dropped)
+}
+
+func (w *world) call(j *job, via *entryHost, method string, wait time.Duration, body []byte) {
+	ctx, cancel := w.context(callerLimit)
+	c := &call{via: via.name, method: method, cancel: cancel, done: make(chan struct{})}
+	j.calls = append(j.calls, c)
+	url := fmt.Sprintf("http://%s/v1/jobs/%s?wait=%s", via.caller(), j.id, wait)
+	go func() {
+		defer close(c.done)
+		defer cancel()
+		c.reply = w.exchange(ctx, j, method, url, body)
+	}()
+}
+
+func (w *world) exchange(ctx context.Context, j *job, method, url string, body []byte) reply {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+token)
+	response, err := w.caller.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return reply{err: err}
+	}
+	return j.read(response, text)
+}
+
+func (j *job) read(response *http.Response, text []byte) reply {
+	r := reply{status: response.StatusCode, retry: response.Header.Get(callerapi.HeaderRetries) != ""}
+	switch {
+	case r.status == http.StatusOK:
+		var answer callerapi.Answer
+		if err := json.Unmarshal(text, &answer); err != nil {
+			return reply{status: r.status, wrong: err.Error()}
+		}
+		r.results = len(answer.Results)
+		r.wrong = j.verify(answer)
+	case r.status >= http.StatusBadRequest:
+		var problem callerapi.Problem
+		if err := json.Unmarshal(text, &problem); err != nil {
+			return reply{status: r.status, wrong: err.Error()}
+		}
+		r.code, r.execution = problem.Code, problem.Execution
+	}
+	return r
+}
+
+// verify returns what is wrong with an answer that claims to be whole.
+func (j *job) verify(answer callerapi.Answer) string {
+	if len(answer.Results) != j.tasks {
+		return fmt.Sprintf("%d results for %d tasks", len(answer.Results), j.tasks)
+	}
+	for i, raw := range answer.Results {
+		var result fakeendpoint.Result
+		var payload fakeendpoint.Payload
+		if json.Unmarshal(raw, &result) != nil || json.Unmarshal(result.Payload, &payload) != nil {
+			return fmt.Sprintf("result %d is not that of an endpoint", i)
+		}
+		if payload.Request != j.name || payload.Task != i {
+			return fmt.Sprintf("result %d is that of task %d of %s", i, payload.Task, payload.Request)
+		}
+	}
+	return ""
+}
+
+func (r reply) String() string {
+	switch {
+	case r.err != nil:
+		return "no reply"
+	case r.wrong != "":
+		return fmt.Sprintf("%d WRONG: %s", r.status, r.wrong)
+	case r.status == http.StatusOK:
+		return fmt.Sprintf("%d whole answer, results=%d", r.status, r.results)
+	case r.status < http.StatusBadRequest:
+		return fmt.Sprintf("%d running", r.status)
+	}
+	text := fmt.Sprintf("%d %s, execution=%s", r.status, r.code, r.execution)
+	if r.retry {
+		text += ", retry later"
+	}
+	return text
+}
+
+func mustJSON(v any) []byte {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
--- a/standin/fakeendpoint/starts.go
+++ b/standin/fakeendpoint/starts.go
@@ -58,6 +58,14 @@
 	return s.byJob[key].count
 }
 
+// Requested returns how often a task of a caller's request was started,
+// whatever its job IDs.
+func (s *Starts) Requested(key TaskKey) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byCaller[key].count
+}
+
 // Repeated is a task that was started more than once.
 type Repeated struct {
 	TaskKey
