--- a/entry/peerclient/client.go
+++ b/entry/peerclient/client.go
@@ -28,6 +28,7 @@
 // Client calls entries by the address of their peer listener. It is safe for
 // concurrent use.
 type Client struct {
+	dialer  wire.Dialer
 	token   string
 	traffic *http.Transport
 	control *http.Transport
@@ -44,10 +45,11 @@
 	control peerpb.Peer
 }
 
-// New returns a client that shows the given token to every entry.
-func New(token string) *Client {
-	c := &Client{token: token, peers: make(map[string]*peer)}
-	c.traffic = transport(wire.Dial)
+// New returns a client on the given network that shows the given token to
+// every entry.
+func New(network wire.Network, token string) *Client {
+	c := &Client{dialer: wire.Dialer{Network: network}, token: token, peers: make(map[string]*peer)}
+	c.traffic = transport(c.dialer.Dial)
 	c.control = transport(c.dialMetered)
 	return c
 }
--- a/entry/peerclient/meter.go
+++ b/entry/peerclient/meter.go
@@ -4,13 +4,11 @@
 	"context"
 	"net"
 	"sync/atomic"
-
-	"lovagespread.example/entry/wire"
 )
 
 // dialMetered opens a connection whose bytes are counted as control.
 func (c *Client) dialMetered(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := wire.Dial(ctx, network, address)
+	conn, err := c.dialer.Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/wiring_peers.go
+++ b/entry/wiring_peers.go
@@ -20,6 +20,7 @@
 	"lovagespread.example/entry/problem"
 	"lovagespread.example/entry/settings"
 	"lovagespread.example/entry/token"
+	"lovagespread.example/entry/wire"
 	"lovagespread.example/platform"
 	"lovagespread.example/platform/follow"
 )
@@ -34,7 +35,7 @@
 
 func newPeerClient(i do.Injector) (*peerclient.Client, error) {
 	shared, err := do.Invoke[peerToken](i)
-	return peerclient.New(string(shared)), err
+	return peerclient.New(do.MustInvoke[wire.Network](i), string(shared)), err
 }
 
 func newFollower(i do.Injector) (*follow.Follower, error) {
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -29,6 +29,7 @@
 
 // world is all that one scenario has built.
 type world struct {
+	published  uint64 // version of the configuration published last
 	t          *testing.T
 	dir        string
 	fabric     *fabric.Fabric
