--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,8 +14,8 @@
 
 	"lovagespread.example/entry/decisionlog"
 	"lovagespread.example/entry/settings"
-	"lovagespread.example/entry/wire"
 	"lovagespread.example/entry/vmlist"
+	"lovagespread.example/entry/wire"
 	"lovagespread.example/membership"
 	"lovagespread.example/platform"
 )
