Add make demo, its settings and the mixed load

Cause: one command shall show the whole path with its faults. Conclusion: awaits the entry process for its first run.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN      := $(CURDIR)/.bin
 RACE     := $(if $(shell command -v $(or $(CC),gcc) 2>/dev/null),-race,)
 
-.PHONY: build test format-check vet lint unit generate tools
+.PHONY: build demo test format-check vet lint unit generate tools
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -37,3 +37,7 @@
 generate: tools
 	cd peer && PATH=$(BIN):$$PATH protoc --go_out=paths=source_relative:. \
 		--twirp_out=paths=source_relative:. peerpb/peer.proto
+
+# Runs a whole deployment on this VM; SERVICES names a services text of one's own.
+demo:
+	@./scripts/demo.sh $(SERVICES)
--- a/cmd/lovage-load/main.go
+++ b/cmd/lovage-load/main.go
@@ -16,6 +16,9 @@
 var commands = []command.Command{
 	{Name: "direct", Summary: "send tasks straight to the endpoints, as a baseline", Run: runDirect},
 	{Name: "fault", Summary: "set a fault switch of the stand-ins", Run: runFault},
+	{Name: "layout", Summary: "write the settings of a whole deployment on free ports", Run: runLayout},
+	{Name: "ready", Summary: "wait until entries are ready behind the balancer", Run: runReady},
+	{Name: "run", Summary: "send mixed jobs and report what came of them", Run: runRun},
 }
 
 func main() {
--- /dev/null
+++ b/cmd/lovage-load/run.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/cmd/internal/command"
+	"lovagespread.example/experiment/load"
+)
+
+// progressInterval is the time between progress lines.
+const progressInterval = time.Second
+
+// runFlags are the flags of "lovage-load run".
+type runFlags struct {
+	control  string
+	address  string
+	services string
+	seed     uint64
+	load     float64
+	callers  int
+	inFlight int
+	duration time.Duration
+	patience time.Duration
+	json     bool
+	quiet    bool
+}
+
+func parseRunFlags(args []string) (runFlags, error) {
+	var f runFlags
+	flags := flag.NewFlagSet(program+" run", flag.ContinueOnError)
+	flags.StringVar(&f.control, "control", "", "control listener of lovage-standin, `host:port` (required)")
+	flags.StringVar(&f.address, "address", "", "balancer or entry that callers speak to, `host:port` (required)")
+	flags.StringVar(&f.services, "services", "", "services text `file` (required)")
+	flags.Uint64Var(&f.seed, "seed", 1, "seed of arrivals, sizes and run times")
+	flags.Float64Var(&f.load, "load", 0.5, "offered work as a share of what all slots can do")
+	flags.IntVar(&f.callers, "callers", 32, "callers, each with connections and job IDs of its own")
+	flags.IntVar(&f.inFlight, "in-flight", 20_000, "most jobs that wait for their answer at once")
+	flags.DurationVar(&f.duration, "duration", 20*time.Second, "length of the arrivals")
+	flags.DurationVar(&f.patience, "patience", 30*time.Second, "how long a caller waits for one job")
+	flags.BoolVar(&f.json, "json", false, "print only the result, as one line of JSON")
+	flags.BoolVar(&f.quiet, "quiet", false, "no progress lines on standard error")
+	if err := command.Parse(flags, args); err != nil {
+		return f, err
+	}
+	if f.control == "" || f.address == "" || f.services == "" {
+		return f, &command.UsageError{
+			What:   "-control, -address or -services is missing",
+			Remedy: "name the stand-ins, the balancer and the services text",
+		}
+	}
+	return f, nil
+}
+
+// BrokenPromiseError reports a run in which a promise was broken.
+type BrokenPromiseError struct{ Report load.Report }
+
+func (e *BrokenPromiseError) Error() string {
+	return fmt.Sprintf("%d partial answers, %d double starts, %d false not_run: keep the logs and report a defect",
+		e.Report.Partial, e.Report.DoubleStarts, e.Report.FalseNotRun)
+}
+
+// runRun carries out "lovage-load run".
+func runRun(args []string, out io.Writer) error {
+	f, err := parseRunFlags(args)
+	if err != nil {
+		return err
+	}
+	services, err := readServices(f.services)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	report, detail, err := measure(ctx, f, services)
+	if err != nil {
+		return err
+	}
+	if err := printResult(out, f, report, detail); err != nil {
+		return err
+	}
+	if !report.Kept() {
+		return &BrokenPromiseError{Report: report}
+	}
+	return nil
+}
+
+func readServices(file string) (*catalog.Catalog, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &command.UsageError{What: err.Error(), Remedy: "name a readable file with -services"}
+	}
+	services, err := catalog.ParseServices(file, text)
+	if err != nil {
+		return nil, &command.UsageError{What: err.Error(), Remedy: "correct the services text"}
+	}
+	return services, nil
+}
+
+func measure(ctx context.Context, f runFlags, services *catalog.Catalog) (load.Report, load.Detail, error) {
+	standins := load.NewStandins(f.control)
+	slots, err := standins.Slots(ctx)
+	if err != nil {
+		return load.Report{}, load.Detail{}, err
+	}
+	generator, err := load.NewGenerator(load.GeneratorOptions{
+		Run: newRun(), Seed: f.seed, Services: services.Services, Slots: slots, Load: f.load,
+	})
+	if err != nil {
+		return load.Report{}, load.Detail{}, err
+	}
+	measurement, err := load.Begin(ctx, standins)
+	if err != nil {
+		return load.Report{}, load.Detail{}, err
+	}
+	callers := newCallers(f.address, f.callers)
+	tally := load.NewTally()
+	if err := generate(ctx, f, generator, callers, tally); err != nil {
+		return load.Report{}, load.Detail{}, err
+	}
+	idempotent := func(name string) bool {
+		service, ok := services.Service(name)
+		return ok && service.Idempotent
+	}
+	return measurement.Report(ctx, tally, repeats(callers), idempotent)
+}
+
+func generate(ctx context.Context, f runFlags, generator *load.Generator, callers []*load.HTTPCaller, tally *load.Tally) error {
+	stop := showProgress(f, tally)
+	defer stop()
+	unsent, err := load.Run(ctx, load.Options{
+		Generator:   generator,
+		Callers:     asCallers(callers),
+		Duration:    f.duration,
+		Patience:    f.patience,
+		MaxInFlight: f.inFlight,
+	}, tally)
+	if unsent > 0 {
+		fmt.Fprintf(os.Stderr, "%d arrivals were not sent: raise -in-flight\n", unsent)
+	}
+	if errors.Is(err, context.Canceled) {
+		return nil // interrupted: report what came in
+	}
+	return err
+}
+
+func newCallers(address string, count int) []*load.HTTPCaller {
+	callers := make([]*load.HTTPCaller, count)
+	for i := range callers {
+		callers[i] = load.NewHTTPCaller(address)
+	}
+	return callers
+}
+
+func asCallers(callers []*load.HTTPCaller) []load.Caller {
+	list := make([]load.Caller, len(callers))
+	for i, caller := range callers {
+		list[i] = caller
+	}
+	return list
+}
+
+func repeats(callers []*load.HTTPCaller) int64 {
+	total := int64(0)
+	for _, caller := range callers {
+		total += caller.Repeats()
+	}
+	return total
+}
+
+// showProgress prints a line at intervals until it is stopped.
+func showProgress(f runFlags, tally *load.Tally) (stop func()) {
+	if f.quiet {
+		return func() {}
+	}
+	done := make(chan struct{})
+	start := time.Now()
+	go func() {
+		ticker := time.NewTicker(progressInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				printProgress(time.Since(start), tally.Progress())
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+func printProgress(elapsed time.Duration, p load.Progress) {
+	fmt.Fprintf(os.Stderr, "%3.0f s  jobs %6d  complete %6d  failed %4d  unknown %4d  slowdown p99 %.2f\n",
+		elapsed.Seconds(), p.Jobs, p.Complete, p.Failed, p.Unknown, p.P99)
+}
+
+func printResult(out io.Writer, f runFlags, report load.Report, detail load.Detail) error {
+	if !f.json {
+		text, err := json.MarshalIndent(detail, "", "  ")
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(os.Stderr, string(text))
+	}
+	return json.NewEncoder(out).Encode(report)
+}
--- a/cmd/lovage-standin/main.go
+++ b/cmd/lovage-standin/main.go
@@ -32,6 +32,7 @@
 	flags := flag.NewFlagSet(program, flag.ContinueOnError)
 	config := flags.String("config", "", "settings `file`, in TOML (required; see examples/collections.toml)")
 	addresses := flags.String("addresses", "", "`file` to write the listen addresses to, as JSON, once all listen (default: none)")
+	publish := flags.Bool("publish", false, "publish the services text as the first version of the configuration")
 	version := flags.Bool("version", false, "print the version and exit")
 	if err := command.Parse(flags, args); err != nil {
 		return err
@@ -44,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	return serve(settings, *addresses)
+	return serve(settings, *addresses, *publish)
 }
 
 func load(path string) (deployment.Settings, error) {
@@ -58,7 +59,7 @@
 	return settings, nil
 }
 
-func serve(settings deployment.Settings, addressesFile string) error {
+func serve(settings deployment.Settings, addressesFile string, publish bool) error {
 	injector := do.New()
 	do.ProvideValue(injector, settings)
 	do.Provide(injector, provideDeployment)
@@ -70,11 +71,16 @@
 		return err
 	}
 	defer d.Close()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if publish {
+		if err := d.PublishServices(ctx); err != nil {
+			return err
+		}
+	}
 	if err := announce(d.Addresses(), addressesFile); err != nil {
 		return err
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
 	<-ctx.Done()
 	return nil
 }
--- /dev/null
+++ b/experiment/demo/layout.go
@@ -0,0 +1,159 @@
+// Package demo writes the settings of a whole deployment on one VM: the
+// stand-ins and the entries of each failure domain, each on free ports.
+package demo
+
+import (
+	"bytes"
+	crand "crypto/rand"
+	"embed"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"text/template"
+
+	"github.com/go-faster/errors"
+
+	"lovagespread.example/standin/deployment"
+)
+
+// keyBytes is the length of the job-ID key.
+const keyBytes = 32
+
+// Permissions of what is written.
+const (
+	filePermissions = 0o644
+	keyPermissions  = 0o600
+)
+
+//go:embed templates
+var templateFiles embed.FS
+
+var templates = template.Must(template.ParseFS(templateFiles, "templates/*"))
+
+// Options say what to write.
+type Options struct {
+	Dir      string              // must exist
+	Standins deployment.Settings // region, failure domains, workers and pools
+	// EntriesPerDomain is the number of entries in each failure domain.
+	EntriesPerDomain int
+	Rand             *rand.Rand // source of ports
+}
+
+// Layout is what was written.
+type Layout struct {
+	Dir      string
+	Standins deployment.Settings
+	Entries  []Entry
+}
+
+// Entry is one entry process.
+type Entry struct {
+	deployment.Entry
+	Admin  string // host:port
+	Config string // settings file
+	Log    string // log file
+}
+
+// Platform returns the URL of the platform.
+func (l Layout) Platform() string { return "http://" + l.Standins.Platform.Listen }
+
+// KeyFile returns the file of the job-ID key.
+func (l Layout) KeyFile() string { return filepath.Join(l.Dir, "job-id.key") }
+
+// Write chooses ports and writes into the directory:
+//
+//	standin.toml       settings of lovage-standin
+//	entry-NAME.toml    settings of each entry
+//	job-id.key         key of the job IDs
+//	layout.sh          the addresses as shell variables
+func Write(opts Options) (Layout, error) {
+	l := Layout{Dir: opts.Dir, Standins: opts.Standins}
+	var err error
+	if l.Standins.ServicesFile, err = filepath.Abs(l.Standins.ServicesFile); err != nil {
+		return l, errors.Wrap(err, "services text")
+	}
+	free := &ports{rand: opts.Rand, taken: make(map[int]bool)}
+	if err := l.chooseAddresses(free, opts.EntriesPerDomain); err != nil {
+		return l, err
+	}
+	if err := l.writeKey(); err != nil {
+		return l, err
+	}
+	for _, entry := range l.Entries {
+		if err := render("entry.toml", entry.Config, entryData{Layout: l, Entry: entry}); err != nil {
+			return l, err
+		}
+	}
+	if err := render("standin.toml", filepath.Join(l.Dir, "standin.toml"), l); err != nil {
+		return l, err
+	}
+	return l, render("layout.sh", filepath.Join(l.Dir, "layout.sh"), l)
+}
+
+// entryData is what the template of an entry's settings sees.
+type entryData struct {
+	Layout
+	Entry Entry
+}
+
+func (l *Layout) chooseAddresses(free *ports, entriesPerDomain int) error {
+	s := &l.Standins
+	if err := fill(free, &s.ControlListen, &s.BalancerListen, &s.Platform.Listen); err != nil {
+		return err
+	}
+	for _, domain := range s.FailureDomains {
+		for i := range entriesPerDomain {
+			entry, err := l.newEntry(free, domain, i)
+			if err != nil {
+				return err
+			}
+			l.Entries = append(l.Entries, entry)
+			s.Entries = append(s.Entries, entry.Entry)
+		}
+	}
+	return nil
+}
+
+func (l *Layout) newEntry(free *ports, domain string, i int) (Entry, error) {
+	name := fmt.Sprintf("entry-%s-%d", domain, i+1)
+	e := Entry{
+		Entry:  deployment.Entry{Name: name, FailureDomain: domain},
+		Config: filepath.Join(l.Dir, name+".toml"),
+		Log:    filepath.Join(l.Dir, name+".log"),
+	}
+	return e, fill(free, &e.Caller, &e.Peer, &e.Admin)
+}
+
+func fill(free *ports, addresses ...*string) error {
+	for _, address := range addresses {
+		chosen, err := free.next()
+		if err != nil {
+			return err
+		}
+		*address = chosen
+	}
+	return nil
+}
+
+func (l *Layout) writeKey() error {
+	var key [keyBytes]byte
+	_, _ = crand.Read(key[:]) // never fails
+	text := hex.EncodeToString(key[:]) + "\n"
+	if err := os.WriteFile(l.KeyFile(), []byte(text), keyPermissions); err != nil {
+		return errors.Wrap(err, "write the job-ID key")
+	}
+	return nil
+}
+
+func render(name, file string, data any) error {
+	var text bytes.Buffer
+	if err := templates.ExecuteTemplate(&text, name, data); err != nil {
+		return errors.Wrapf(err, "template %s", name)
+	}
+	if err := os.WriteFile(file, text.Bytes(), filePermissions); err != nil {
+		return errors.Wrap(err, "write the layout")
+	}
+	return nil
+}
--- /dev/null
+++ b/experiment/demo/ports.go
@@ -0,0 +1,50 @@
+package demo
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+)
+
+// Ports are chosen below the range from which kernels take the local ports of
+// outgoing connections, so that none of those takes them before use.
+const (
+	firstPort = 20_000
+	lastPort  = 31_999
+	maxTries  = 1000
+)
+
+// NoPortError reports that no free port was found.
+type NoPortError struct{}
+
+func (*NoPortError) Error() string {
+	return fmt.Sprintf("no free port between %d and %d: end some processes", firstPort, lastPort)
+}
+
+// ports hands out addresses on loopback that nobody listens on.
+type ports struct {
+	rand  *rand.Rand
+	taken map[int]bool
+}
+
+func (p *ports) next() (string, error) {
+	for range maxTries {
+		port := firstPort + p.rand.IntN(lastPort-firstPort+1)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if p.taken[port] || !free(address) {
+			continue
+		}
+		p.taken[port] = true
+		return address, nil
+	}
+	return "", &NoPortError{}
+}
+
+func free(address string) bool {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = listener.Close()
+	return true
+}
--- /dev/null
+++ b/experiment/demo/templates/layout.sh
@@ -0,0 +1,7 @@
+SERVICES={{printf "%q" .Standins.ServicesFile}}
+CONTROL={{.Standins.ControlListen}}
+BALANCER={{.Standins.BalancerListen}}
+PLATFORM={{.Platform}}
+ENTRIES=({{range .Entries}}{{.Name}} {{end}})
+CALLERS=({{range .Entries}}{{.Caller}} {{end}})
+ADMINS=({{range .Entries}}{{.Admin}} {{end}})
--- a/experiment/load/standins.go
+++ b/experiment/load/standins.go
@@ -71,6 +71,15 @@
 	return slots, nil
 }
 
+// Ready returns the caller addresses of the entries that are ready.
+func (s *Standins) Ready(ctx context.Context) ([]string, error) {
+	var body struct {
+		Ready []string `json:"ready"`
+	}
+	err := s.do(ctx, http.MethodGet, "/balancer", nil, &body)
+	return body.Ready, err
+}
+
 // SetEndpointFault sets a fault switch of endpoints.
 func (s *Standins) SetEndpointFault(ctx context.Context, req fakeendpoint.FaultRequest) (done fakeendpoint.FaultResponse, err error) {
 	err = s.do(ctx, http.MethodPost, "/faults/endpoints", req, &done)
--- /dev/null
+++ b/standin/deployment/publish.go
@@ -0,0 +1,36 @@
+package deployment
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lovagespread.example/catalog/change"
+	"lovagespread.example/platform"
+)
+
+// firstChangeID is the ID of the change that publishes the services text.
+const firstChangeID = "lovage-standin-first"
+
+// PublishServices puts the services text on the platform's log as the first
+// version of the configuration.
+func (d *Deployment) PublishServices(ctx context.Context) error {
+	record, err := change.EncodeChange(change.Change{
+		ID:     firstChangeID,
+		Author: "lovage-standin",
+		Time:   time.Now(),
+		Body:   &change.ReplaceServices{Services: d.Services.Services, Teams: d.Services.Teams},
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode the services text")
+	}
+	client, err := platform.NewClient(platform.Options{URL: "http://" + d.addresses.Platform})
+	if err != nil {
+		return err
+	}
+	if _, err := client.Append(ctx, platform.StreamConfiguration, [][]byte{record}); err != nil {
+		return errors.Wrap(err, "publish the services text")
+	}
+	return nil
+}
