--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -57,14 +57,17 @@
 # await NAME waits for the end of a process and returns its exit code. One
 # that does not end in time is killed.
 await() {
-    local name=$1 pid=${pids[$1]} status=0 waited=0
-    while kill -0 "$pid" 2>/dev/null && ((waited < stop_timeout * 10)); do
-        sleep 0.1
-        waited=$((waited + 1))
-    done
-    kill -KILL "$pid" 2>/dev/null && say "$name did not stop in $stop_timeout s and was killed"
-    wait "$pid" 2>/dev/null || status=$?
+    local name=$1 pid=${pids[$1]} status=0 waited=0 late=0
+    { # bash reports killed jobs on standard error
+        while kill -0 "$pid" && ((waited < stop_timeout * 10)); do
+            sleep 0.1
+            waited=$((waited + 1))
+        done
+        kill -KILL "$pid" && late=1
+        wait "$pid" || status=$?
+    } 2>/dev/null
     unset "pids[$name]"
+    ((late == 0)) || say "$name did not stop in $stop_timeout s and was killed"
     return "$status"
 }
 
