--- a/catalog/change/adopt.go
+++ b/catalog/change/adopt.go
@@ -94,9 +94,7 @@
 	r.postponed = nil
 	r.complete = true
 	r.next = max(r.next, s.Through)
-	if s.Catalog.Version > r.judged.Version {
-		r.winners = make(winners)
-	}
+	r.winners.prune(s.Catalog.Version)
 	r.advance(s.Catalog)
 	for _, p := range held {
 		if p.offset >= s.Through {
--- a/catalog/change/verdict.go
+++ b/catalog/change/verdict.go
@@ -1,5 +1,7 @@
 package change
 
+import "maps"
+
 // VerdictKind is what became of a record.
 type VerdictKind uint8
 
@@ -42,6 +44,11 @@
 	}
 }
 
+// prune forgets old bases after a jump to a version.
+func (w winners) prune(version uint64) {
+	maps.DeleteFunc(w, func(base uint64, _ string) bool { return base+maxWinners < version })
+}
+
 // Fate is what is known of a change, whatever copies of it the log holds.
 type Fate uint8
 
