Measure decisions in virtual time against a seeded workload

Cause: no policy could be weighed, since nothing measured response against the ideal or wasted messages. Change: experiment/compare runs one dispatch.Core with fake endpoints in an event loop without goroutines; lovage-load compare prints the measures.

--- /dev/null
+++ b/cmd/lovage-load/compare.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+
+	"lovagespread.example/experiment/compare"
+)
+
+// runCompare carries out "lovage-load compare".
+func runCompare(args []string, out io.Writer) error {
+	flags := flag.NewFlagSet("lovage-load compare", flag.ContinueOnError)
+	asJSON := flags.Bool("json", false, "print the rows as one JSON array instead of a table")
+	seeds := flags.Int("seeds", compare.DefaultSeeds, "number of seeds, counted from 1")
+	parallel := flags.Int("parallel", compare.DefaultParallel, "runs at a time")
+	only := flags.String("only", "", "regular expression of scenario/policy names to run; empty: all")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	report, err := compare.Standard(*only, *seeds, *parallel)
+	if err != nil {
+		return err
+	}
+	if *asJSON {
+		return json.NewEncoder(out).Encode(report.Rows)
+	}
+	compare.WriteTable(out, report.Rows)
+	if report.Headline == nil {
+		return nil
+	}
+	line, err := json.Marshal(report.Headline)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(out, string(line))
+	return err
+}
--- /dev/null
+++ b/experiment/compare/report.go
@@ -0,0 +1,147 @@
+package compare
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+
+	"github.com/samber/lo"
+	"golang.org/x/sync/errgroup"
+)
+
+// Row is what one policy achieved on one scenario, over all seeds.
+type Row struct {
+	Scenario string                `json:"scenario"`
+	Policy   string                `json:"policy"`
+	Services map[string]ServiceRow `json:"services"` // "all" holds every service
+	Waste    Figure                `json:"waste"`    // extra messages per finished task
+	Messages map[string]Figure     `json:"messages"` // per finished task, by kind
+	Goodput  Figure                `json:"goodput"`  // share of the slots' time
+	Doubles  int                   `json:"double_starts"`
+	Late     int                   `json:"without_answer"`
+	runs     []*Results
+}
+
+// ServiceRow holds quantiles of response ÷ ideal and shares of jobs.
+type ServiceRow struct {
+	P50     Figure `json:"p50"`
+	P99     Figure `json:"p99"`
+	P999    Figure `json:"p999"`
+	InTime  Figure `json:"in_time"`
+	Failed  Figure `json:"failed"`
+	Refused Figure `json:"refused"`
+}
+
+// Case is one scenario under one policy.
+type Case struct {
+	Scenario func() *Scenario
+	Policy   Policy
+}
+
+// Measure runs every case with every seed, a number of runs at a time.
+func Measure(cases []Case, seeds []uint64, parallel int) ([]Row, error) {
+	runs := make([][]*Results, len(cases))
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(parallel)
+	for i, c := range cases {
+		runs[i] = make([]*Results, len(seeds))
+		for k, seed := range seeds {
+			group.Go(func() error {
+				r := Run(c.Scenario(), c.Policy, seed)
+				mu.Lock()
+				defer mu.Unlock()
+				runs[i][k] = r
+				return nil
+			})
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	rows := make([]Row, len(cases))
+	for i, c := range cases {
+		rows[i] = summarise(c, runs[i])
+	}
+	return rows, nil
+}
+
+func summarise(c Case, runs []*Results) Row {
+	scenario := c.Scenario()
+	row := Row{
+		Scenario: scenario.Name,
+		Policy:   c.Policy.Name,
+		Services: map[string]ServiceRow{"all": serviceRow(runs, func(r *Results) *ServiceResult { return r.All })},
+		Waste:    over(runs, (*Results).Waste),
+		Messages: make(map[string]Figure),
+		Goodput:  over(runs, func(r *Results) float64 { return r.goodput(scenario) }),
+		Doubles:  lo.SumBy(runs, func(r *Results) int { return r.Doubles }),
+		Late:     lo.SumBy(runs, func(r *Results) int { return r.Late }),
+		runs:     runs,
+	}
+	for _, shape := range scenario.shapes {
+		name := shape.service.Name
+		row.Services[name] = serviceRow(runs, func(r *Results) *ServiceResult { return of(r.Services, name) })
+	}
+	for kind, name := range messageNames {
+		row.Messages[name] = over(runs, func(r *Results) float64 {
+			return float64(r.Messages[kind]) / float64(max(r.TasksDone, 1))
+		})
+	}
+	return row
+}
+
+// goodput returns the work that was answered in time as a share of what the
+// slots could do in the measured time.
+func (r *Results) goodput(s *Scenario) float64 {
+	capacity := (s.Duration - warmUp).Seconds() * executors * slots * float64(len(s.shapes))
+	return r.GoodWork.Seconds() / capacity
+}
+
+func over(runs []*Results, f func(*Results) float64) Figure {
+	return figure(lo.Map(runs, func(r *Results, _ int) float64 { return f(r) }))
+}
+
+func serviceRow(runs []*Results, pick func(*Results) *ServiceResult) ServiceRow {
+	quantile := func(q float64) Figure {
+		return over(runs, func(r *Results) float64 { return pick(r).Slowdown(q) })
+	}
+	share := func(count func(*ServiceResult) int) Figure {
+		return over(runs, func(r *Results) float64 {
+			s := pick(r)
+			return float64(count(s)) / float64(max(s.Whole+s.Failed+s.Refused, 1))
+		})
+	}
+	return ServiceRow{
+		P50: quantile(0.5), P99: quantile(0.99), P999: quantile(0.999),
+		InTime:  share(func(s *ServiceResult) int { return s.InTime }),
+		Failed:  share(func(s *ServiceResult) int { return s.Failed }),
+		Refused: share(func(s *ServiceResult) int { return s.Refused }),
+	}
+}
+
+// WriteTable prints the rows for people.
+func WriteTable(w io.Writer, rows []Row) {
+	const format = "%-14s %-18s %-10s %14s %14s %14s %8s %8s %8s\n"
+	scenario := ""
+	for _, row := range rows {
+		if row.Scenario != scenario {
+			scenario = row.Scenario
+			fmt.Fprintf(w, "\n"+format, "scenario", "policy", "service", "p50", "p99", "p99.9", "in time", "failed", "refused")
+		}
+		names := lo.Keys(row.Services)
+		slices.Sort(names)
+		for _, name := range names {
+			s := row.Services[name]
+			fmt.Fprintf(w, format, row.Scenario, row.Policy, name, text(s.P50), text(s.P99), text(s.P999),
+				percent(s.InTime), percent(s.Failed), percent(s.Refused))
+		}
+		fmt.Fprintf(w, "%-14s %-18s waste %.4f ±%.4f  goodput %.4f ±%.4f  double starts %d  without answer %d\n",
+			row.Scenario, row.Policy, row.Waste.Mean, row.Waste.Spread, row.Goodput.Mean, row.Goodput.Spread, row.Doubles, row.Late)
+	}
+}
+
+func text(f Figure) string { return fmt.Sprintf("%.3f ±%.3f", f.Mean, f.Spread) }
+
+func percent(f Figure) string { return fmt.Sprintf("%.2f%%", 100*f.Mean) }
--- /dev/null
+++ b/experiment/compare/results.go
@@ -0,0 +1,125 @@
+package compare
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lovagespread.example/dispatch"
+)
+
+// message is a kind of message on the network.
+type message int
+
+const (
+	messageTask message = iota
+	messageRetry
+	messageHedge
+	messageAnswer
+	messageFailure
+	messageLost
+	messageStop
+	messageBorrow
+	messageKinds
+)
+
+var messageNames = [messageKinds]string{"task", "retry", "hedge", "answer", "failure", "lost", "stop", "borrow"}
+
+// Scale and range of the histograms of response ÷ ideal.
+const (
+	slowdownScale  = 1000 // a count of 1000 is a quotient of 1
+	maxSlowdown    = 10_000 * slowdownScale
+	histogramDigit = 3
+)
+
+// ServiceResult is what the callers of one service met.
+type ServiceResult struct {
+	Whole   int // answered whole
+	InTime  int // answered whole within the patience
+	Failed  int // admitted, answered as failed
+	Refused int
+	slow    *hdrhistogram.Histogram
+}
+
+func newServiceResult() *ServiceResult {
+	return &ServiceResult{slow: hdrhistogram.New(1, maxSlowdown, histogramDigit)}
+}
+
+// Slowdown returns a quantile (0 to 1) of response ÷ ideal.
+func (r *ServiceResult) Slowdown(quantile float64) float64 {
+	return float64(r.slow.ValueAtQuantile(quantile*100)) / slowdownScale
+}
+
+// Results are the counts of one run.
+type Results struct {
+	Services  map[string]*ServiceResult
+	Teams     map[string]*ServiceResult
+	All       *ServiceResult
+	Messages  [messageKinds]int
+	TasksDone int           // tasks that gave a result which was used
+	GoodWork  time.Duration // true run time of the jobs answered in time
+	Doubles   int           // second starts of non-idempotent tasks
+	Late      int           // jobs without an answer at the end of the run
+	// InTimeByArrival holds, for each second of arrival, the jobs answered in
+	// time and all jobs.
+	InTimeByArrival []arrivals
+	seen            map[dispatch.TaskRef]bool
+	idempotent      map[string]bool
+}
+
+type arrivals struct{ inTime, all int }
+
+func newResults() *Results {
+	return &Results{
+		Services:   make(map[string]*ServiceResult),
+		Teams:      make(map[string]*ServiceResult),
+		All:        newServiceResult(),
+		seen:       make(map[dispatch.TaskRef]bool),
+		idempotent: make(map[string]bool),
+	}
+}
+
+func (r *Results) count(m message) { r.Messages[m]++ }
+
+// started checks that no non-idempotent task starts twice.
+func (r *Results) started(a *attempt) {
+	if r.idempotent[a.start.Service] {
+		return
+	}
+	if r.seen[a.start.Task] {
+		r.Doubles++
+	}
+	r.seen[a.start.Task] = true
+}
+
+func of(m map[string]*ServiceResult, name string) *ServiceResult {
+	if m[name] == nil {
+		m[name] = newServiceResult()
+	}
+	return m[name]
+}
+
+// each calls f for every summary that a job belongs to.
+func (r *Results) each(j *Job, f func(*ServiceResult)) {
+	f(r.All)
+	f(of(r.Services, j.Service))
+	f(of(r.Teams, j.Team))
+}
+
+func (r *Results) second(at time.Duration) *arrivals {
+	i := int(at / time.Second)
+	for len(r.InTimeByArrival) <= i {
+		r.InTimeByArrival = append(r.InTimeByArrival, arrivals{})
+	}
+	return &r.InTimeByArrival[i]
+}
+
+// Waste returns the messages beyond one request and one answer per task that
+// gave a result, per such task.
+func (r *Results) Waste() float64 {
+	total := 0
+	for _, n := range r.Messages {
+		total += n
+	}
+	return float64(total-2*r.TasksDone) / float64(max(r.TasksDone, 1))
+}
--- /dev/null
+++ b/experiment/compare/scenario.go
@@ -0,0 +1,294 @@
+package compare
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/dispatch"
+)
+
+// Sizes of the users' installations.
+const (
+	executors      = 48 // endpoints of a service
+	slots          = 8  // of an endpoint
+	workersPerRack = 8
+	teamCount      = 130
+	floodTeam      = "team-000"
+)
+
+// phase is a stretch of time with one offered load.
+type phase struct {
+	until time.Duration
+	load  float64 // offered work as a share of the slots' time
+}
+
+// Scenario is a workload and what goes wrong during it.
+type Scenario struct {
+	Name     string
+	Duration time.Duration
+	Entries  int
+	// Resubmit makes callers whose patience has ended submit again.
+	Resubmit bool
+	// GiveUp is how long after its first submission a caller stops asking
+	// again after refusals.
+	GiveUp time.Duration
+
+	shapes   []*shape
+	phases   []phase
+	flood    float64                      // extra load that floodTeam offers
+	change   func(rng *rand.Rand, j *Job) // applied to each generated job
+	mishaps  func(s *sim, rng *rand.Rand) // schedules faults
+	capacity catalog.Resources            // of each worker
+}
+
+func (s *Scenario) teams() []catalog.Team {
+	list := make([]catalog.Team, teamCount)
+	for i := range list {
+		list[i] = catalog.Team{Name: teamName(i), Weight: 1}
+	}
+	return list
+}
+
+func teamName(i int) string { return fmt.Sprintf("team-%03d", i) }
+
+// endpointSpecs returns the endpoints: one of each service on every worker.
+func (s *Scenario) endpointSpecs() (list []dispatch.Endpoint) {
+	for _, shape := range s.shapes {
+		for i := range executors {
+			list = append(list, dispatch.Endpoint{
+				Name:     fmt.Sprintf("%s-%02d", shape.service.Name, i),
+				Address:  fmt.Sprintf("10.0.%d.%d:1", i/workersPerRack, i%workersPerRack),
+				Service:  shape.service.Name,
+				Slots:    slots,
+				Rack:     fmt.Sprintf("rack-%d", i/workersPerRack),
+				Worker:   fmt.Sprintf("worker-%02d", i),
+				Capacity: s.capacity,
+			})
+		}
+	}
+	return list
+}
+
+// generate draws the jobs of a run in the order of arrival.
+func (s *Scenario) generate(rng *rand.Rand) []Job {
+	var jobs []Job
+	for _, shape := range s.shapes {
+		perLoad := float64(executors*slots) / shape.meanWork.Seconds() // jobs per second at load 1
+		jobs = append(jobs, s.arrivals(rng, shape, perLoad, s.anyTeam)...)
+		if s.flood > 0 {
+			jobs = append(jobs, s.floodArrivals(rng, shape, perLoad)...)
+		}
+	}
+	slices.SortStableFunc(jobs, func(a, b Job) int { return int(a.At - b.At) })
+	return jobs
+}
+
+// anyTeam draws a team; the flooding team takes no part in the usual load.
+func (s *Scenario) anyTeam(rng *rand.Rand) string { return teamName(1 + rng.IntN(teamCount-1)) }
+
+func (s *Scenario) arrivals(rng *rand.Rand, sh *shape, perLoad float64, team func(*rand.Rand) string) (jobs []Job) {
+	at, i := time.Duration(0), 0
+	for i < len(s.phases) {
+		rate := perLoad * s.phases[i].load
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if at >= s.phases[i].until {
+			at = s.phases[i].until
+			i++
+			continue
+		}
+		jobs = append(jobs, s.complete(rng, sh, at, team(rng)))
+	}
+	return jobs
+}
+
+func (s *Scenario) floodArrivals(rng *rand.Rand, sh *shape, perLoad float64) []Job {
+	alone := Scenario{shapes: s.shapes, phases: []phase{{s.Duration, s.flood}}, change: s.change}
+	return alone.arrivals(rng, sh, perLoad, func(*rand.Rand) string { return floodTeam })
+}
+
+// complete draws the rest of a job that arrives at the given time.
+func (s *Scenario) complete(rng *rand.Rand, sh *shape, at time.Duration, team string) Job {
+	j := sh.job(rng)
+	j.At = at
+	j.Team = team
+	if s.change != nil {
+		s.change(rng, &j)
+	}
+	j.Ideal = idealRun(j.Tasks, executors*slots) + 2*oneWay
+	j.Patience = basePatience + idealPerWait*j.Ideal
+	return j
+}
+
+func (s *Scenario) inject(run *sim, rng *rand.Rand) {
+	if s.mishaps != nil {
+		s.mishaps(run, rng)
+	}
+}
+
+// steady returns a scenario with one load throughout.
+func steady(name string, load float64) *Scenario {
+	return &Scenario{
+		Name: name, Duration: runTime, Entries: 1, shapes: shapes(),
+		phases: []phase{{runTime, load}},
+	}
+}
+
+const runTime = 23 * time.Second
+
+// Load80 is the users' usual mix at 80% load.
+func Load80() *Scenario { return steady("load80", 0.8) }
+
+// Burst offers 120% for a while and then lets the system recover.
+func Burst() *Scenario {
+	s := steady("burst", 0)
+	s.phases = []phase{{6 * time.Second, 0.7}, {12 * time.Second, 1.2}, {runTime, 0.6}}
+	return s
+}
+
+// Overload offers the given load for the whole run.
+func Overload(load float64) *Scenario {
+	s := steady(fmt.Sprintf("overload%.0f", load*100), load)
+	return s
+}
+
+// Metastable offers 200% for five seconds; callers submit again whatever
+// was refused or took too long.
+func Metastable() *Scenario {
+	s := steady("metastable", 0)
+	s.phases = []phase{{5 * time.Second, 0.7}, {10 * time.Second, 2}, {runTime, 0.7}}
+	s.Resubmit = true
+	s.GiveUp = 5 * time.Second
+	return s
+}
+
+// Liars is Load80 in which a fifth of the teams declare 1 ms for every task.
+func Liars() *Scenario {
+	s := steady("liars", 0.95)
+	s.change = func(_ *rand.Rand, j *Job) {
+		if !isLiar(j.Team) {
+			return
+		}
+		for i := range j.Tasks {
+			j.Tasks[i].Declared = time.Millisecond
+		}
+	}
+	return s
+}
+
+func isLiar(team string) bool { return team < teamName(teamCount/5) }
+
+// Flood lets one team offer as much again as all others together.
+func Flood() *Scenario {
+	s := steady("flood", 0.6)
+	s.flood = 1.5
+	return s
+}
+
+// FloodBase is Flood without the flooding team.
+func FloodBase() *Scenario {
+	s := Flood()
+	s.Name, s.flood = "flood_base", 0
+	return s
+}
+
+// Cancellations lets callers cancel half of the jobs of one second in three.
+func Cancellations() *Scenario {
+	s := steady("cancellations", 0.9)
+	s.change = func(rng *rand.Rand, j *Job) {
+		if int(j.At/time.Second)%3 == 0 && rng.IntN(2) == 0 {
+			j.CancelAt = time.Duration(rng.Int64N(int64(200 * time.Millisecond)))
+		}
+	}
+	return s
+}
+
+// Faults combines stragglers, black holes, poisonous jobs and the loss of a
+// rack at 70% load.
+func Faults() *Scenario {
+	s := steady("faults", 0.7)
+	s.change = poison
+	s.mishaps = func(run *sim, rng *rand.Rand) {
+		run.at(4*time.Second, func() { run.breakSome(rng, straggler, 2) })
+		run.at(6*time.Second, func() { run.breakSome(rng, blackHole, 2) })
+		run.at(10*time.Second, func() { run.loseRack("rack-3") })
+	}
+	return s
+}
+
+// Stragglers slows some endpoints of every service down.
+func Stragglers() *Scenario {
+	s := steady("stragglers", 0.7)
+	s.mishaps = func(run *sim, rng *rand.Rand) {
+		run.at(4*time.Second, func() { run.breakSome(rng, straggler, 3) })
+	}
+	return s
+}
+
+// BlackHoles lets some endpoints of every service fail every task at once.
+func BlackHoles() *Scenario {
+	s := steady("blackholes", 0.7)
+	s.mishaps = func(run *sim, rng *rand.Rand) {
+		run.at(4*time.Second, func() { run.breakSome(rng, blackHole, 3) })
+	}
+	return s
+}
+
+// RackLoss takes a rack away in the middle of the run.
+func RackLoss() *Scenario {
+	s := steady("rackloss", 0.7)
+	s.mishaps = func(run *sim, _ *rand.Rand) {
+		run.at(8*time.Second, func() { run.loseRack("rack-3") })
+	}
+	return s
+}
+
+const poisonShare = 0.001
+
+func poison(rng *rand.Rand, j *Job) {
+	if rng.Float64() < poisonShare {
+		j.Tasks[rng.IntN(len(j.Tasks))].Poison = true
+	}
+}
+
+// breakSome gives a fault to a number of healthy endpoints of each service.
+func (s *sim) breakSome(rng *rand.Rand, f fault, perService int) {
+	for i := range s.scenario.shapes {
+		for n := 0; n < perService; {
+			e := s.order[i*executors+rng.IntN(executors)]
+			if e.fault == healthy {
+				e.fault = f
+				n++
+			}
+		}
+	}
+}
+
+// Delays until the membership sees that endpoints are silent.
+const (
+	suspectAfter = time.Second
+	removeAfter  = 5 * time.Second
+)
+
+// loseRack makes the endpoints of a rack silent for good.
+func (s *sim) loseRack(rack string) {
+	inRack := func(e *endpoint) bool { return e.spec.Rack == rack }
+	for _, e := range s.order {
+		if inRack(e) {
+			e.fault = lost
+		}
+	}
+	s.after(suspectAfter, func() { s.announceRack(inRack, dispatch.EndpointSuspect) })
+	s.after(removeAfter, func() { s.announceRack(inRack, dispatch.EndpointLeaving) })
+}
+
+func (s *sim) announceRack(in func(*endpoint) bool, state dispatch.EndpointState) {
+	s.announce(func(e *endpoint) dispatch.EndpointState {
+		if in(e) {
+			return state
+		}
+		return dispatch.EndpointLive
+	})
+}
--- /dev/null
+++ b/experiment/compare/sim.go
@@ -0,0 +1,278 @@
+package compare
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/dispatch"
+	"lovagespread.example/dispatch/jobid"
+)
+
+// Times of the model.
+const (
+	oneWay     = 500 * time.Microsecond // between entries and endpoints
+	warmUp     = 3 * time.Second        // jobs that arrive earlier are not measured
+	idLifetime = 15 * time.Minute
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// entry is one decision core and the job IDs that it owns.
+type entry struct {
+	core   *dispatch.Core
+	issuer *jobid.Issuer
+	tickAt time.Duration // of the next scheduled tick
+}
+
+// liveJob is a job that was submitted and has no answer yet.
+type liveJob struct {
+	*Job
+	from   *entry
+	at     time.Duration // of the submission
+	gone   bool          // the caller hung up
+	first  time.Duration // of the first submission of the same request
+	retold bool          // the request was submitted again
+}
+
+// sim is one run of one policy on one scenario.
+type sim struct {
+	loop
+	scenario  *Scenario
+	entries   []*entry
+	endpoints map[string]*endpoint
+	order     []*endpoint
+	jobs      map[jobid.ID]*liveJob
+	results   *Results
+	end       time.Duration
+}
+
+// Run runs one scenario under one policy.
+func Run(scenario *Scenario, policy Policy, seed uint64) *Results {
+	s := &sim{
+		scenario:  scenario,
+		endpoints: make(map[string]*endpoint),
+		jobs:      make(map[jobid.ID]*liveJob),
+		results:   newResults(),
+		end:       scenario.Duration,
+	}
+	rng := rand.New(rand.NewPCG(seed, 1))
+	s.addEndpoints()
+	jobs := scenario.generate(rng)
+	s.addEntries(policy, seed)
+	for i := range jobs {
+		j := &jobs[i]
+		s.at(j.At, func() { s.submit(j, j.At) })
+	}
+	scenario.inject(s, rand.New(rand.NewPCG(seed, 2)))
+	s.runUntil(s.end + drainTime)
+	s.results.Late = s.unanswered()
+	return s.results
+}
+
+// drainTime is how long a run goes on after the last arrival.
+const drainTime = 60 * time.Second
+
+func (s *sim) unanswered() (n int) {
+	for _, j := range s.jobs {
+		if j.At >= warmUp {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *sim) addEndpoints() {
+	for _, spec := range s.scenario.endpointSpecs() {
+		e := &endpoint{spec: spec, open: make(map[attemptKey]*attempt)}
+		s.endpoints[spec.Name] = e
+		s.order = append(s.order, e)
+	}
+}
+
+func (s *sim) addEntries(policy Policy, seed uint64) {
+	services := make([]catalog.Service, 0, len(s.scenario.shapes))
+	for _, shape := range s.scenario.shapes {
+		services = append(services, shape.service)
+		s.results.idempotent[shape.service.Name] = shape.service.Idempotent
+	}
+	text := &catalog.Catalog{Version: 1, Services: services, Teams: s.scenario.teams()}
+	for i := range s.scenario.Entries {
+		issuer, err := jobid.NewIssuer(jobid.Incarnation(i+1), jobid.Key{Number: 1, Secret: make([]byte, jobid.MinKeyBytes)})
+		if err != nil {
+			panic(err) // the key above has the right length
+		}
+		en := &entry{issuer: issuer, core: dispatch.New(policy.options(rand.New(rand.NewPCG(seed, uint64(3+i)))))}
+		s.entries = append(s.entries, en)
+		s.step(en, &dispatch.SetCatalog{Catalog: text})
+		s.step(en, &dispatch.SetShare{Rank: i, Entries: s.scenario.Entries})
+	}
+	s.announce(func(*endpoint) dispatch.EndpointState { return dispatch.EndpointLive })
+}
+
+// announce gives every entry the list of endpoints.
+func (s *sim) announce(state func(*endpoint) dispatch.EndpointState) {
+	list := make([]dispatch.Endpoint, 0, len(s.order))
+	for _, e := range s.order {
+		spec := e.spec
+		spec.State = state(e)
+		list = append(list, spec)
+	}
+	for _, en := range s.entries {
+		s.step(en, &dispatch.SetEndpoints{Endpoints: slices.Clone(list)})
+	}
+}
+
+func (s *sim) submit(j *Job, first time.Duration) {
+	en := s.entries[0]
+	if len(s.entries) > 1 {
+		en = s.entries[int(s.seq)%len(s.entries)]
+	}
+	id, _ := en.issuer.Issue(epoch.Add(s.now), idLifetime)
+	live := &liveJob{Job: j, from: en, at: s.now, first: first}
+	s.jobs[id] = live
+	specs := make([]dispatch.TaskSpec, len(j.Tasks))
+	for i, t := range j.Tasks {
+		specs[i].Declared = t.Declared
+	}
+	s.after(j.Patience, func() { s.hangUp(id) })
+	if j.CancelAt > 0 {
+		s.after(j.CancelAt, func() { s.cancel(id) })
+	}
+	s.step(en, &dispatch.Submit{ID: id, Team: j.Team, Service: j.Service, Tasks: specs})
+}
+
+func (s *sim) hangUp(id jobid.ID) {
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	j.gone = true
+	if s.scenario.Resubmit {
+		s.submit(j.Job, j.first)
+		j.retold = true
+	}
+	s.step(j.from, &dispatch.HangUp{ID: id})
+}
+
+func (s *sim) cancel(id jobid.ID) {
+	if j := s.jobs[id]; j != nil {
+		s.step(j.from, &dispatch.Cancel{ID: id})
+	}
+}
+
+// step feeds one input to a core and carries out what follows.
+func (s *sim) step(en *entry, in dispatch.Input) {
+	ready := en.core.Step(epoch.Add(s.now), in)
+	for _, start := range ready.Starts {
+		s.send(en, start)
+	}
+	for _, stop := range ready.Stops {
+		s.sendStop(stop)
+	}
+	for _, rejection := range ready.Rejections {
+		s.refused(rejection)
+	}
+	for i := range ready.Answers {
+		s.answered(&ready.Answers[i])
+	}
+	s.scheduleTick(en)
+}
+
+func (s *sim) scheduleTick(en *entry) {
+	at := en.core.NextTick().Sub(epoch)
+	if at >= s.end+drainTime || (en.tickAt > s.now && en.tickAt <= at) {
+		return
+	}
+	en.tickAt = at
+	s.at(at, func() {
+		if en.tickAt == at {
+			en.tickAt = 0
+			s.step(en, &dispatch.Tick{})
+		}
+	})
+}
+
+func (s *sim) send(en *entry, start dispatch.Start) {
+	switch {
+	case start.Hedge:
+		s.results.count(messageHedge)
+	case start.Attempt > 1:
+		s.results.count(messageRetry)
+	default:
+		s.results.count(messageTask)
+	}
+	live := s.jobs[start.Task.Job]
+	a := &attempt{start: start, from: en, task: &live.Tasks[start.Task.Index]}
+	e := s.endpoints[start.Endpoint]
+	s.after(oneWay, func() { s.receive(e, a) })
+}
+
+func (s *sim) sendStop(stop dispatch.Stop) {
+	s.results.count(messageStop)
+	e := s.endpoints[stop.Endpoint]
+	key := attemptKey{task: stop.Task, attempt: stop.Attempt}
+	s.after(oneWay, func() { s.stop(e, key) })
+}
+
+// refused ends a job that was not admitted. A caller that asks again does so
+// after the time it was told.
+func (s *sim) refused(r dispatch.Rejection) {
+	j := s.jobs[r.ID]
+	if j == nil {
+		return
+	}
+	delete(s.jobs, r.ID)
+	if j.retold {
+		return
+	}
+	wait := r.Problem.RetryAfter
+	if s.scenario.Resubmit && wait > 0 && s.now+wait < j.first+s.scenario.GiveUp {
+		s.after(wait, func() { s.submit(j.Job, j.first) })
+		return
+	}
+	if j.At < warmUp {
+		return
+	}
+	s.results.second(j.At).all++
+	s.results.each(j.Job, func(r *ServiceResult) { r.Refused++ })
+}
+
+func (s *sim) answered(answer *dispatch.Answer) {
+	j := s.jobs[answer.ID]
+	if j == nil {
+		return
+	}
+	delete(s.jobs, answer.ID)
+	if answer.Problem == nil {
+		s.results.TasksDone += len(j.Tasks)
+	}
+	if j.At < warmUp || j.retold {
+		return
+	}
+	response := s.now - j.first
+	inTime := answer.Problem == nil && !j.gone
+	arrival := s.results.second(j.At)
+	arrival.all++
+	if inTime {
+		arrival.inTime++
+		if s.now < s.end {
+			s.results.GoodWork += j.work()
+		}
+	}
+	s.results.each(j.Job, func(r *ServiceResult) { r.record(answer, inTime, float64(response)/float64(j.Ideal)) })
+}
+
+func (r *ServiceResult) record(answer *dispatch.Answer, inTime bool, slowdown float64) {
+	if answer.Problem != nil {
+		r.Failed++
+		return
+	}
+	r.Whole++
+	if inTime {
+		r.InTime++
+	}
+	value := min(int64(slowdown*slowdownScale), maxSlowdown)
+	_ = r.slow.RecordValue(value) // in range by the line above
+}
--- /dev/null
+++ b/experiment/compare/workload.go
@@ -0,0 +1,128 @@
+package compare
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"lovagespread.example/catalog"
+)
+
+// Task is one task of a generated job.
+type Task struct {
+	RunTime  time.Duration // true, on a healthy endpoint
+	Declared time.Duration // what the caller says
+	Poison   bool          // fails wherever it runs
+}
+
+// Job is one generated request.
+type Job struct {
+	At       time.Duration
+	Service  string
+	Team     string
+	Tasks    []Task
+	Patience time.Duration // the caller hangs up after this long
+	Ideal    time.Duration // without other load, network included
+	CancelAt time.Duration // after submission; 0: never
+}
+
+// work returns the true run time of all tasks.
+func (j *Job) work() (sum time.Duration) {
+	for _, t := range j.Tasks {
+		sum += t.RunTime
+	}
+	return sum
+}
+
+// shape describes the jobs of one service.
+type shape struct {
+	service     catalog.Service
+	medianRun   time.Duration
+	runSpread   float64 // standard deviation of the logarithm
+	longShare   float64 // share of tasks of several seconds
+	medianTasks float64
+	taskSpread  float64 // standard deviation of the logarithm
+	meanWork    time.Duration
+}
+
+// Bounds of generated jobs.
+const (
+	minRun       = 50 * time.Millisecond
+	maxRun       = time.Second
+	minLongRun   = 2 * time.Second
+	maxLongRun   = 5 * time.Second
+	maxTasks     = 760
+	basePatience = 3 * time.Second
+	idealPerWait = 4 // a caller waits this many times the ideal on top
+	meanSamples  = 20_000
+)
+
+func shapes() []*shape {
+	const timeout = 15 * time.Second
+	list := []*shape{
+		{service: catalog.Service{Name: "booking", RunTime: 150 * time.Millisecond, Slots: slots, Timeout: timeout},
+			medianRun: 120 * time.Millisecond, runSpread: 0.5, longShare: 0.005, medianTasks: 1, taskSpread: 0.4},
+		{service: catalog.Service{Name: "bid", RunTime: 100 * time.Millisecond, Slots: slots, Timeout: timeout},
+			medianRun: 80 * time.Millisecond, runSpread: 0.4, medianTasks: 1},
+		{service: catalog.Service{Name: "valuation", Idempotent: true, RunTime: 300 * time.Millisecond, Slots: slots, Timeout: timeout},
+			medianRun: 200 * time.Millisecond, runSpread: 0.5, longShare: 0.005, medianTasks: 6, taskSpread: 1.3},
+	}
+	for _, s := range list {
+		s.meanWork = s.measureMeanWork()
+	}
+	return list
+}
+
+// measureMeanWork samples the mean run time of a job with a seed of its own,
+// so that every run has the same rates.
+func (s *shape) measureMeanWork() time.Duration {
+	rng := rand.New(rand.NewPCG(7, 7))
+	var sum time.Duration
+	for range meanSamples {
+		j := s.job(rng)
+		sum += j.work()
+	}
+	return sum / meanSamples
+}
+
+// job draws one job. Tasks of a job resemble each other: the job has a scale,
+// which its caller knows roughly.
+func (s *shape) job(rng *rand.Rand) Job {
+	count := int(math.Round(s.medianTasks * math.Exp(s.taskSpread*rng.NormFloat64())))
+	count = min(max(count, 1), maxTasks)
+	scale := math.Exp(s.runSpread * rng.NormFloat64())
+	j := Job{Service: s.service.Name, Tasks: make([]Task, count)}
+	for i := range j.Tasks {
+		j.Tasks[i] = s.task(rng, scale)
+	}
+	return j
+}
+
+func (s *shape) task(rng *rand.Rand, scale float64) Task {
+	const within = 0.25 // spread of tasks of one job
+	run := time.Duration(float64(s.medianRun) * scale * math.Exp(within*rng.NormFloat64()))
+	run = min(max(run, minRun), maxRun)
+	if rng.Float64() < s.longShare {
+		run = minLongRun + time.Duration(rng.Int64N(int64(maxLongRun-minLongRun)))
+	}
+	return Task{RunTime: run, Declared: declare(rng, run)}
+}
+
+// declare returns what an honest caller says: roughly right, and one in ten
+// far off.
+func declare(rng *rand.Rand, run time.Duration) time.Duration {
+	const (
+		noise    = 0.4
+		farShare = 0.1
+		far      = 8.0
+	)
+	factor := math.Exp(noise * rng.NormFloat64())
+	if rng.Float64() < farShare {
+		if rng.IntN(2) == 0 {
+			factor *= far
+		} else {
+			factor /= far
+		}
+	}
+	return time.Duration(float64(run) * factor)
+}
