--- a/cmd/lovage-load/compare.go
+++ b/cmd/lovage-load/compare.go
@@ -6,17 +6,18 @@
 	"fmt"
 	"io"
 
+	"lovagespread.example/cmd/internal/command"
 	"lovagespread.example/experiment/compare"
 )
 
 // runCompare carries out "lovage-load compare".
 func runCompare(args []string, out io.Writer) error {
-	flags := flag.NewFlagSet("lovage-load compare", flag.ContinueOnError)
+	flags := flag.NewFlagSet(program+" compare", flag.ContinueOnError)
 	asJSON := flags.Bool("json", false, "print the rows as one JSON array instead of a table")
 	seeds := flags.Int("seeds", compare.DefaultSeeds, "number of seeds, counted from 1")
 	parallel := flags.Int("parallel", compare.DefaultParallel, "runs at a time")
 	only := flags.String("only", "", "regular expression of scenario/policy names to run; empty: all")
-	if err := flags.Parse(args); err != nil {
+	if err := command.Parse(flags, args); err != nil {
 		return err
 	}
 	report, err := compare.Standard(*only, *seeds, *parallel)
--- a/cmd/lovage-load/main.go
+++ b/cmd/lovage-load/main.go
@@ -1,20 +1,24 @@
-// Command lovage-load compares scheduling policies.
+// Command lovage-load generates jobs, measures what comes of them, and sets
+// the fault switches of the stand-ins.
 //
-//	lovage-load compare -h
+// Exit codes: 0 done, 1 failed or a promise was broken, 2 wrong usage.
 package main
 
 import (
-	"fmt"
 	"os"
+
+	"lovagespread.example/cmd/internal/command"
 )
 
+const program = "lovage-load"
+
+// commands are the subcommands, each in a file of its own.
+var commands = []command.Command{
+	{Name: "compare", Summary: "compare scheduling policies in virtual time", Run: runCompare},
+	{Name: "direct", Summary: "send tasks straight to the endpoints, as a baseline", Run: runDirect},
+	{Name: "fault", Summary: "set a fault switch of the stand-ins", Run: runFault},
+}
+
 func main() {
-	if len(os.Args) < 2 || os.Args[1] != "compare" {
-		fmt.Fprintln(os.Stderr, "usage: lovage-load compare [flags]; -h lists the flags")
-		os.Exit(2)
-	}
-	if err := runCompare(os.Args[2:], os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "lovage-load:", err)
-		os.Exit(1)
-	}
+	os.Exit(command.Main(program, commands, os.Args[1:]))
 }
