Add the callers' client and prove the endpoint client's at-most-once

Cause: callers had no package, and net/http's resend was untested. Change: client.Do submits again under the same ID after a lost reply and takes a new ID only on proof; a request that never reached its owner says so.

--- /dev/null
+++ b/client/call.go
@@ -0,0 +1,91 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"lovagespread.example/client/callerapi"
+)
+
+// callMargin is how long a reply may take beyond the wait.
+const callMargin = 5 * time.Second
+
+// reply is one of the bodies of the caller API. All are nil for a job that
+// still runs.
+type reply struct {
+	answer  *callerapi.Answer
+	ids     *callerapi.IDsResponse
+	problem *callerapi.Problem
+}
+
+// final reports whether another try cannot help.
+func (r reply) final() bool {
+	return r.problem != nil && r.problem.Status < http.StatusInternalServerError && r.problem.RetryAfterMS == 0
+}
+
+func (r reply) retryAfter() time.Duration {
+	if r.problem == nil {
+		return 0
+	}
+	return time.Duration(r.problem.RetryAfterMS) * time.Millisecond
+}
+
+// failure returns why a reply carries no IDs.
+func (r reply) failure() error {
+	if r.problem == nil {
+		return &ReplyError{Status: http.StatusAccepted}
+	}
+	return r.problem
+}
+
+// call makes one request. Its error says that nothing is known of the request.
+func (c *Client) call(ctx context.Context, method, path string, body []byte) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Wait+callMargin)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.opts.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if c.opts.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.opts.Token)
+	}
+	resp, err := c.opts.HTTP.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{}, err
+	}
+	return parse(method, resp, data)
+}
+
+func parse(method string, resp *http.Response, data []byte) (reply, error) {
+	var r reply
+	var into any
+	switch {
+	case resp.Header.Get("Content-Type") == callerapi.ProblemMedia:
+		r.problem = &callerapi.Problem{}
+		into = r.problem
+	case resp.StatusCode == http.StatusAccepted:
+		return r, nil
+	case resp.StatusCode != http.StatusOK:
+		return r, &ReplyError{Status: resp.StatusCode}
+	case method == http.MethodPost:
+		r.ids = &callerapi.IDsResponse{}
+		into = r.ids
+	default:
+		r.answer = &callerapi.Answer{}
+		into = r.answer
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return reply{}, err
+	}
+	return r, nil
+}
--- a/client/callerapi/callerapi.go
+++ b/client/callerapi/callerapi.go
@@ -98,17 +98,21 @@
 	CodeNotFound         Code = "not_found"         // no such path
 	CodeTooManyRequests  Code = "too_many_requests" // this entry serves as many as it can
 	CodeInternal         Code = "internal"
+	CodeDraining         Code = "draining" // as in package dispatch
 )
 
 // Problem is the body of every error (RFC 9457).
 type Problem struct {
-	Type         string    `json:"type" doc:"URI reference of the code's documentation"`
-	Title        string    `json:"title"`
-	Status       int       `json:"status"`
-	Detail       string    `json:"detail,omitempty" doc:"What happened and what to do"`
-	Code         Code      `json:"code"`
-	Execution    Execution `json:"execution" enum:"not_run,ran,unknown" doc:"Whether any task of the job was started"`
-	RetryAfterMS int64     `json:"retry_after_ms,omitempty" doc:"When to come back, in milliseconds"`
+	Type      string    `json:"type" doc:"URI reference of the code's documentation"`
+	Title     string    `json:"title"`
+	Status    int       `json:"status"`
+	Detail    string    `json:"detail,omitempty" doc:"What happened and what to do"`
+	Code      Code      `json:"code"`
+	Execution Execution `json:"execution" enum:"not_run,ran,unknown" doc:"Whether any task of the job was started"`
+	// NotDelivered says that the request did not reach the owner of its job ID
+	// and never will. It says nothing of earlier requests with the same ID.
+	NotDelivered bool  `json:"not_delivered,omitempty" doc:"This request did not reach the owner of its job ID and never will"`
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty" doc:"When to come back, in milliseconds"`
 }
 
 // Error makes a Problem an error.
--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,140 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lovagespread.example/client/callerapi"
+)
+
+// script answers submissions one after the other; the last step repeats.
+type script struct {
+	steps []step
+	ids   int
+	seen  []string // job IDs of submissions
+}
+
+// step is one reply: an error, an answer, or a problem.
+type step struct {
+	err     error
+	pending bool
+	problem *callerapi.Problem
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s *script) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Method == http.MethodPost {
+		s.ids++
+		id := fmt.Sprintf("id%d", s.ids)
+		return response(http.StatusOK, "application/json", callerapi.IDsResponse{
+			IDs: []string{id}, ExpiresAt: time.Now().Add(time.Hour),
+		}), nil
+	}
+	id := strings.TrimPrefix(r.URL.Path, "/v1/jobs/")
+	s.seen = append(s.seen, id)
+	next := s.steps[0]
+	if len(s.steps) > 1 {
+		s.steps = s.steps[1:]
+	}
+	switch {
+	case next.err != nil:
+		return nil, next.err
+	case next.pending:
+		return response(http.StatusAccepted, "application/json", callerapi.Pending{ID: id, State: "running"}), nil
+	case next.problem != nil:
+		return response(next.problem.Status, callerapi.ProblemMedia, next.problem), nil
+	}
+	return response(http.StatusOK, "application/json", callerapi.Answer{ID: id, Results: []json.RawMessage{[]byte("1")}}), nil
+}
+
+func response(status int, media string, body any) *http.Response {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	return &http.Response{
+		StatusCode: status,
+		Header:     http.Header{"Content-Type": {media}},
+		Body:       io.NopCloser(strings.NewReader(string(data))),
+	}
+}
+
+func problem(code callerapi.Code, execution callerapi.Execution, retryMS int64, undelivered bool) *callerapi.Problem {
+	return &callerapi.Problem{
+		Status: 503, Code: code, Execution: execution, RetryAfterMS: retryMS, NotDelivered: undelivered,
+	}
+}
+
+func TestDo(t *testing.T) {
+	lost := errors.New("connection reset")
+	gone := callerapi.CodeOwnerGone
+	for _, c := range []struct {
+		name  string
+		steps []step
+		want  string // answer, unknown, or the execution of the problem
+		seen  string
+	}{
+		{"answer at once", []step{{}}, "answer", "id1"},
+		{"lost reply is asked again under the same ID", []step{{err: lost}, {}}, "answer", "id1 id1"},
+		{"a wait that is over is continued", []step{{pending: true}, {pending: true}, {}}, "answer", "id1 id1 id1"},
+		{"no news at all", []step{{err: lost}}, "unknown", ""},
+		{"failed job", []step{{problem: problem("task_failed", callerapi.Ran, 0, false)}}, "ran", "id1"},
+		{"final refusal", []step{{problem: problem("unknown_service", callerapi.NotRun, 0, false)}}, "not_run", "id1"},
+		{"refusal with a time to come back", []step{{problem: problem("overloaded", callerapi.NotRun, 1000, false)}, {}}, "answer", "id1 id2"},
+		{"owner gone before delivery", []step{{problem: problem(gone, callerapi.Unknown, 0, true)}, {}}, "answer", "id1 id2"},
+		{"owner gone after a lost reply", []step{{err: lost}, {problem: problem(gone, callerapi.Unknown, 0, true)}}, "unknown", "id1 id1"},
+		{"owner gone after delivery", []step{{problem: problem(gone, callerapi.Unknown, 0, false)}}, "unknown", "id1"},
+		{"owner unreachable for a while", []step{{problem: problem(callerapi.CodeOwnerUnreachable, callerapi.Unknown, 1000, false)}, {}}, "answer", "id1 id1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &script{steps: c.steps}
+				cl := New(Options{URL: "http://balancer", HTTP: &http.Client{Transport: s}})
+				_, err := cl.Do(context.Background(), callerapi.Job{Service: "booking"})
+				if got := outcome(err); got != c.want {
+					t.Errorf("outcome %s (%v), want %s", got, err, c.want)
+				}
+				if seen := strings.Join(s.seen, " "); c.seen != "" && seen != c.seen {
+					t.Errorf("submissions %q, want %q", seen, c.seen)
+				}
+			})
+		})
+	}
+}
+
+func outcome(err error) string {
+	var unknown *OutcomeUnknownError
+	var p *callerapi.Problem
+	switch {
+	case err == nil:
+		return "answer"
+	case errors.As(err, &unknown):
+		return "unknown"
+	case errors.As(err, &p):
+		return string(p.Execution)
+	}
+	return err.Error()
+}
+
+func TestRefusalsAreRetriedAsOftenAsAllowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{steps: []step{{problem: problem("overloaded", callerapi.NotRun, 1000, false)}}}
+		cl := New(Options{URL: "http://balancer", HTTP: &http.Client{Transport: s}, Retries: 2})
+		begin := time.Now()
+		_, err := cl.Do(context.Background(), callerapi.Job{Service: "booking"})
+		if outcome(err) != "not_run" || len(s.seen) != 3 {
+			t.Errorf("error %v after %d submissions", err, len(s.seen))
+		}
+		if waited := time.Since(begin); waited < 2*time.Second {
+			t.Errorf("came back after %s in place of 1s each", waited)
+		}
+	})
+}
--- /dev/null
+++ b/client/errors.go
@@ -0,0 +1,36 @@
+package client
+
+import "fmt"
+
+// OutcomeUnknownError says that a job was submitted and that nothing is known
+// of its fate.
+type OutcomeUnknownError struct {
+	ID    string
+	Cause error
+}
+
+func (e *OutcomeUnknownError) Error() string {
+	return fmt.Sprintf("the outcome of job %s is unknown (%v): find out whether it took effect before you submit it again", e.ID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
+
+// NotSubmittedError says that no job ID could be obtained, so that nothing was
+// run.
+type NotSubmittedError struct{ Cause error }
+
+func (e *NotSubmittedError) Error() string {
+	return fmt.Sprintf("no job ID could be obtained (%v): check the address and the token, then try again", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NotSubmittedError) Unwrap() error { return e.Cause }
+
+// ReplyError reports a reply that is not of the caller API, such as that of a
+// balancer without a ready entry.
+type ReplyError struct{ Status int }
+
+func (e *ReplyError) Error() string {
+	return fmt.Sprintf("the reply with status %d is not of the caller API: check the balancer", e.Status)
+}
--- /dev/null
+++ b/client/ids.go
@@ -0,0 +1,111 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lovagespread.example/client/callerapi"
+)
+
+// expiryMargin is the lifetime that an ID must have left to be used.
+const expiryMargin = time.Minute
+
+// batch is the IDs obtained from one entry.
+type batch struct{ gone atomic.Bool }
+
+// discard drops the IDs that are left: their owner is gone.
+func (b *batch) discard() { b.gone.Store(true) }
+
+// jobID is an ID that has not been used.
+type jobID struct {
+	text   string
+	expiry time.Time
+	batch  *batch
+}
+
+func (id *jobID) usable(now time.Time) bool {
+	return !id.batch.gone.Load() && now.Add(expiryMargin).Before(id.expiry)
+}
+
+// idPool holds IDs obtained ahead.
+type idPool struct {
+	mu     sync.Mutex
+	unused []*jobID
+}
+
+// take returns an unused ID and obtains more if there is none.
+func (p *idPool) take(ctx context.Context, c *Client) (*jobID, error) {
+	for {
+		if id := p.pop(time.Now()); id != nil {
+			return id, nil
+		}
+		ids, err := c.obtain(ctx)
+		if err != nil {
+			return nil, err
+		}
+		p.push(ids)
+	}
+}
+
+func (p *idPool) pop(now time.Time) *jobID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.unused) > 0 {
+		last := len(p.unused) - 1
+		id := p.unused[last]
+		p.unused = p.unused[:last]
+		if id.usable(now) {
+			return id
+		}
+	}
+	return nil
+}
+
+func (p *idPool) push(ids []*jobID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unused = append(p.unused, ids...)
+}
+
+// obtain asks for a batch of IDs until it gets one or the client gives up.
+func (c *Client) obtain(ctx context.Context) ([]*jobID, error) {
+	body, err := json.Marshal(callerapi.IDsRequest{Count: c.opts.IDs})
+	if err != nil {
+		return nil, err
+	}
+	deadline := time.Now().Add(c.opts.GiveUp)
+	delay := minPause
+	for {
+		reply, err := c.call(ctx, http.MethodPost, "/v1/job-ids", body)
+		if err == nil && reply.ids != nil {
+			return batchOf(reply.ids), nil
+		}
+		if err == nil {
+			err = reply.failure()
+		}
+		if reply.final() || time.Now().After(deadline) || !pause(ctx, max(delay, reply.retryAfter())) {
+			return nil, err
+		}
+		delay = min(2*delay, maxPause)
+	}
+}
+
+// batchOf returns the IDs in the order in which pop takes them. An ID whose
+// lifetime is shorter than the margin could never be used, so the margin does
+// not apply to the first use.
+func batchOf(r *callerapi.IDsResponse) []*jobID {
+	shared := &batch{}
+	expiry := r.ExpiresAt
+	if time.Until(expiry) < 2*expiryMargin {
+		expiry = expiry.Add(expiryMargin)
+	}
+	ids := make([]*jobID, len(r.IDs))
+	for i, text := range r.IDs {
+		ids[len(ids)-1-i] = &jobID{text: text, expiry: expiry, batch: shared}
+	}
+	return ids
+}
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -16,6 +16,7 @@
 	"lovagespread.example/dispatch/jobid"
 	"lovagespread.example/entry/control"
 	"lovagespread.example/entry/jobs"
+	"lovagespread.example/entry/peerclient"
 	"lovagespread.example/entry/problem"
 	"lovagespread.example/membership"
 	"lovagespread.example/peer/peerpb"
@@ -71,13 +72,11 @@
 func (f *Forwarder) Forward(ctx context.Context, id jobid.ID, r jobs.Request) problem.Result {
 	view := f.opts.Loop.Snapshot().View
 	owner, ok := view.Owner(membership.Incarnation(id.Owner))
-	switch {
-	case !ok && time.Since(f.opts.Started) < settlingTime:
-		return f.unreachable(id, "unheard", reasonUnknown)
-	case !ok:
-		return f.gone(id, "unheard", reasonUnknown)
-	case owner.Ended:
-		return f.gone(id, owner.Name, reasonGone)
+	if !ok {
+		return f.unheard(id)
+	}
+	if owner.Ended {
+		return f.gone(id, verdict{owner: owner.Name, reason: reasonGone, notDelivered: true})
 	}
 	reason := reasonOwner
 	if owner.Incarnation != membership.Incarnation(id.Owner) {
@@ -87,6 +86,23 @@
 	return f.call(ctx, id, owner, r)
 }
 
+// verdict is why a request was not served by its owner.
+type verdict struct {
+	owner        string
+	reason       string
+	notDelivered bool
+}
+
+// unheard answers for an incarnation that was never heard of: it may be new
+// to an entry that has just started.
+func (f *Forwarder) unheard(id jobid.ID) problem.Result {
+	v := verdict{owner: "unheard", reason: reasonUnknown, notDelivered: true}
+	if time.Since(f.opts.Started) < settlingTime {
+		return f.unreachable(id, v)
+	}
+	return f.gone(id, v)
+}
+
 func (f *Forwarder) call(ctx context.Context, id jobid.ID, owner membership.Entry, r jobs.Request) problem.Result {
 	ctx, cancel := context.WithTimeout(ctx, r.Wait+margin)
 	defer cancel()
@@ -94,20 +110,31 @@
 	if err == nil {
 		return resultOf(resp)
 	}
+	v := verdict{owner: owner.Name, reason: reasonUnreachable, notDelivered: notDelivered(err)}
 	if ended(err) {
-		return f.gone(id, owner.Name, reasonGone)
+		v.reason = reasonGone
+		return f.gone(id, v)
 	}
-	return f.unreachable(id, owner.Name, reasonUnreachable)
+	return f.unreachable(id, v)
 }
 
 // ended reports whether the error proves that the owner's process does not
 // run any more: nothing listens at its address, or another incarnation does.
 func ended(err error) bool {
-	var twerr twirp.Error
-	if errors.As(err, &twerr) && twerr.Code() == twirp.FailedPrecondition {
-		return true
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return refusedByOther(err) || errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// refusedByOther reports that the entry at the address is not the owner.
+func refusedByOther(err error) bool {
+	var refusal twirp.Error
+	return errors.As(err, &refusal) && refusal.Code() == twirp.FailedPrecondition
+}
+
+// notDelivered reports whether the error proves that the owner did not get
+// the request and never will.
+func notDelivered(err error) bool {
+	var unsent *peerclient.NotDeliveredError
+	return refusedByOther(err) || errors.As(err, &unsent)
 }
 
 func request(owner membership.Entry, r jobs.Request) *peerpb.ForwardRequest {
@@ -148,17 +175,21 @@
 
 // gone answers for an owner that does not run any more: with the outcome it
 // has written behind, or else that nothing is known.
-func (f *Forwarder) gone(id jobid.ID, owner, reason string) problem.Result {
-	f.opts.Observe.Routed(id.String(), owner, reason)
+func (f *Forwarder) gone(id jobid.ID, v verdict) problem.Result {
+	f.opts.Observe.Routed(id.String(), v.owner, v.reason)
 	if result, ok := f.opts.Outcomes.Outcome(id); ok {
 		return result
 	}
-	return problem.ResultOf(problem.New(callerapi.CodeOwnerGone, callerapi.Unknown,
-		"the entry that owns this job ID is gone and its record with it: find out whether the job took effect before you submit it with a new ID"))
+	p := problem.New(callerapi.CodeOwnerGone, callerapi.Unknown,
+		"the entry that owns this job ID is gone and its record with it: find out whether the job took effect before you submit it with a new ID")
+	p.NotDelivered = v.notDelivered
+	return problem.ResultOf(p)
 }
 
-func (f *Forwarder) unreachable(id jobid.ID, owner, reason string) problem.Result {
-	f.opts.Observe.Routed(id.String(), owner, reason)
-	return problem.ResultOf(problem.Retry(callerapi.CodeOwnerUnreachable, callerapi.Unknown,
-		"the entry that owns this job ID cannot be reached now: ask again with the same ID after the given time", retryAfter))
+func (f *Forwarder) unreachable(id jobid.ID, v verdict) problem.Result {
+	f.opts.Observe.Routed(id.String(), v.owner, v.reason)
+	p := problem.Retry(callerapi.CodeOwnerUnreachable, callerapi.Unknown,
+		"the entry that owns this job ID cannot be reached now: ask again with the same ID after the given time", retryAfter)
+	p.NotDelivered = v.notDelivered
+	return problem.ResultOf(p)
 }
--- a/entry/peerclient/client.go
+++ b/entry/peerclient/client.go
@@ -112,11 +112,25 @@
 }
 
 // Forward takes a caller's request to the owner of its job. The context sets
-// the deadline.
+// the deadline. The error is a *NotDeliveredError if nothing was written and
+// nothing will be.
 func (c *Client) Forward(ctx context.Context, address string, r *peerpb.ForwardRequest) (*peerpb.ForwardResponse, error) {
-	return c.peer(address).traffic.Forward(c.header(ctx), r)
+	attempt := wire.NewAttempt(time.Time{})
+	resp, err := c.peer(address).traffic.Forward(attempt.Context(c.header(ctx)), r)
+	if err != nil && !attempt.Seal() {
+		return nil, &NotDeliveredError{Cause: err}
+	}
+	return resp, err
 }
 
+// NotDeliveredError reports a request of which no byte was written.
+type NotDeliveredError struct{ Cause error }
+
+func (e *NotDeliveredError) Error() string { return "nothing was written: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NotDeliveredError) Unwrap() error { return e.Cause }
+
 // HandOver gives a part of the ledger to the successor.
 func (c *Client) HandOver(ctx context.Context, address string, r *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error) {
 	ctx, cancel := context.WithTimeout(c.header(ctx), handOverTimeout)
