Add the table of faults to the scenarios

Change: RunFaults plays a fixed workload on two failure domains under timed faults and checks the promises, that every job ends, and that jobs after the faults are answered whole. Hosts can be taken away for good.

--- a/scenario/args.go
+++ b/scenario/args.go
@@ -36,6 +36,20 @@
 	return a
 }
 
+// splitLine reads the arguments of a line that does not come from a file.
+func splitLine(text, input string) *args {
+	fields := strings.Fields(text)
+	a := &args{verb: fields[0], pairs: make(map[string]string), used: make(map[string]bool), input: input}
+	for _, field := range fields[1:] {
+		if key, value, pair := strings.Cut(field, "="); pair {
+			a.pairs[key] = value
+		} else {
+			a.words = append(a.words, field)
+		}
+	}
+	return a
+}
+
 func (a *args) fail(format string, values ...any) {
 	panic(&argError{verb: a.verb, what: fmt.Sprintf(format, values...)})
 }
--- a/scenario/fabric/fabric.go
+++ b/scenario/fabric/fabric.go
@@ -1,6 +1,7 @@
 package fabric
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -28,6 +29,7 @@
 	listeners map[string]*listener
 	cut       map[link]bool
 	frozen    map[string]bool
+	gone      map[string]bool
 	conns     map[*conn]bool
 }
 
@@ -39,6 +41,7 @@
 		listeners: make(map[string]*listener),
 		cut:       make(map[link]bool),
 		frozen:    make(map[string]bool),
+		gone:      make(map[string]bool),
 		conns:     make(map[*conn]bool),
 	}
 }
@@ -58,8 +61,10 @@
 // Thaw ends a freeze.
 func (f *Fabric) Thaw(host string) { f.change(func() { delete(f.frozen, host) }) }
 
-// Remove resets every connection of a host and closes its listeners.
+// Remove takes a host away for good: its connections are reset, its listeners
+// closed, and it opens no new ones.
 func (f *Fabric) Remove(host string) {
+	f.change(func() { f.gone[host] = true })
 	for _, c := range f.connsOf(host) {
 		c.reset()
 	}
@@ -125,22 +130,34 @@
 	return found
 }
 
-// passes reports whether a message may go from one host to another now, and
-// otherwise what to wait for.
-func (f *Fabric) passes(a, b string) (bool, <-chan struct{}) {
+// passage tells whether messages go from one host to another.
+type passage int
+
+const (
+	open passage = iota
+	held         // until the fabric changes
+	never
+)
+
+func (f *Fabric) passage(a, b string) (passage, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	held := f.cut[linkOf(a, b)] || f.frozen[a] || f.frozen[b]
-	return !held, f.changed
+	switch {
+	case f.gone[a] || f.gone[b]:
+		return never, nil
+	case f.cut[linkOf(a, b)] || f.frozen[a] || f.frozen[b]:
+		return held, f.changed
+	}
+	return open, nil
 }
 
-// await returns once a message may go between two hosts, or false if done is
-// closed first.
+// await returns once a message may go between two hosts, or false if none
+// ever will or done is closed first.
 func (f *Fabric) await(a, b string, done <-chan struct{}) bool {
 	for {
-		ok, changed := f.passes(a, b)
-		if ok {
-			return true
+		state, changed := f.passage(a, b)
+		if state != held {
+			return state == open
 		}
 		select {
 		case <-changed:
@@ -179,7 +196,7 @@
 		return nil, refused(address)
 	}
 	if !f.await(h.name, l.host, ctx.Done()) {
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: cmp.Or(ctx.Err(), error(syscall.ENETUNREACH))}
 	}
 	return f.connect(ctx, h.name, l)
 }
--- a/scenario/faults.go
+++ b/scenario/faults.go
@@ -17,7 +17,6 @@
 		return ok("crashed")
 	}
 	e := w.entry(a, name)
-	w.fabric.Freeze(name)
 	w.fabric.Remove(name)
 	e.cancel()
 	delete(w.entries, name)
--- a/scenario/jobs.go
+++ b/scenario/jobs.go
@@ -6,9 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"lovagespread.example/client/callerapi"
 	"lovagespread.example/standin/fakeendpoint"
 )
@@ -91,7 +95,7 @@
 // submit sends a job and goes on without waiting for its reply.
 func submit(w *world, a *args) string {
 	name := a.word("the job")
-	via := w.entry(a, a.text("via", ""))
+	via := w.either(a, a.text("via", ""), a.text("else", ""))
 	j := w.jobs[name]
 	if j == nil {
 		var err error
@@ -132,14 +136,65 @@
 	return ok("sent")
 }
 
+// cancelAll cancels every job that has no final reply.
+func cancelAll(w *world, a *args) string {
+	via := w.entry(a, a.text("via", ""))
+	cancelled := 0
+	for _, name := range slices.Sorted(maps.Keys(w.jobs)) {
+		if j := w.jobs[name]; len(j.calls) > 0 && !j.final() {
+			w.call(j, via, http.MethodDelete, 0, nil)
+			cancelled++
+		}
+	}
+	return ok("%d jobs", cancelled)
+}
+
+// final reports whether the caller knows the end of the job.
+func (j *job) final() bool {
+	return slices.ContainsFunc(j.calls, func(c *call) bool {
+		return c.ended() && c.method != http.MethodDelete && c.reply.final()
+	})
+}
+
+// last returns the reply of the latest call that has one.
+func (j *job) last() reply {
+	for _, c := range slices.Backward(j.calls) {
+		if c.ended() {
+			return c.reply
+		}
+	}
+	return reply{err: errNoReply}
+}
+
+var errNoReply = errors.New("no call has a reply")
+
+func (c *call) ended() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// final reports whether asking again could not tell more. A caller that is
+// told to come back does so, unless the job was not run.
+func (r reply) final() bool {
+	switch {
+	case r.err != nil || r.status == http.StatusAccepted:
+		return false
+	case r.code == callerapi.CodeOwnerUnreachable:
+		return false
+	}
+	return true
+}
+
 // hangUp drops the calls of a job that have no reply yet.
 func hangUp(w *world, a *args) string {
 	j := w.job(a, a.word("the job"))
 	dropped := 0
 	for _, c := range j.calls {
-		select {
-		case <-c.done:
-		default:
+		if !c.ended() {
 			c.cancel()
 			<-c.done
 			dropped++
--- a/scenario/observe.go
+++ b/scenario/observe.go
@@ -45,10 +45,8 @@
 	var lines []string
 	for _, c := range j.calls {
 		text := "waiting"
-		select {
-		case <-c.done:
+		if c.ended() {
 			text = c.reply.String()
-		default:
 		}
 		lines = append(lines, fmt.Sprintf("%s via %s: %s", c.method, c.via, text))
 	}
@@ -139,9 +137,13 @@
 	for _, s := range parsed.Services {
 		w.idempotent[s.Name] = s.Idempotent
 	}
+	w.services = a.input
 	return w.publish(a, a.input)
 }
 
+// republish publishes the current services text again, as a new version.
+func republish(w *world, a *args) string { return w.publish(a, w.services) }
+
 // awaitStop waits for the end of a planned stop.
 func (w *world) awaitStop(e *entryHost) string {
 	select {
@@ -172,9 +174,7 @@
 }
 
 func (w *world) checkReply(name string, c *call, started int) {
-	select {
-	case <-c.done:
-	default:
+	if !c.ended() {
 		return
 	}
 	if c.reply.wrong != "" {
@@ -193,6 +193,15 @@
 	return e
 }
 
+// either returns the named entry, or the other one if it has crashed, as a
+// balancer would.
+func (w *world) either(a *args, name, other string) *entryHost {
+	if e := w.entries[name]; e != nil || other == "" {
+		return w.entry(a, name)
+	}
+	return w.entry(a, other)
+}
+
 func (w *world) endpoint(a *args, name string) *endpointHost {
 	e := w.endpoints[name]
 	if e == nil {
--- a/scenario/run.go
+++ b/scenario/run.go
@@ -37,6 +37,8 @@
 	"log":           logLines,
 	"ready":         readiness,
 	"configuration": configuration,
+	"cancel-all":    cancelAll,
+	"republish":     republish,
 }
 
 // Run runs one scenario file in virtual time.
@@ -50,6 +52,18 @@
 	})
 }
 
+// line runs one line of the language outside a file.
+func (w *world) line(text, input string) string {
+	a := splitLine(text, input)
+	do, ok := verbs[a.verb]
+	if !ok {
+		a.fail("unknown verb")
+	}
+	shown := do(w, a)
+	a.check()
+	return shown
+}
+
 func (w *world) step(t *testing.T, d *datadriven.TestData) (shown string) {
 	do, ok := verbs[d.Cmd]
 	if !ok {
--- /dev/null
+++ b/scenario/table.go
@@ -0,0 +1,191 @@
+package scenario
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Fault is a fault of the table: what brings it about, and what ends it, as
+// lines of the scenario language.
+type Fault struct {
+	Name  string
+	Begin []string
+	End   []string
+}
+
+// Faults returns the faults that the table combines. The hosts are those of
+// the table's deployment: entries a1 and a2 with endpoints e1, e2 (booking)
+// and v1, v2 (valuation) in failure domain a; b1, e3 and v3 in b.
+func Faults() []Fault {
+	return []Fault{
+		{Name: "entry crash", Begin: []string{"crash a1"}},
+		{Name: "endpoint crash", Begin: []string{"crash e1", "crash v1"}},
+		{Name: "log outage", Begin: []string{"platform down"}, End: []string{"platform none"}},
+		{Name: "lost reply", Begin: []string{"fault e1 lose-reply", "fault v1 lose-reply", "platform lose-replies=3"},
+			End: []string{"fault e1 none", "fault v1 none"}},
+		{Name: "silent connection", Begin: []string{"silence e1", "silence v1", "silence a2"}},
+		{Name: "pause past the lease", Begin: []string{"freeze a1"}, End: []string{"thaw a1"}},
+		{Name: "partition", Begin: []string{"cut domain:a domain:b", "cut domain:a platform", "cut a1 a2"},
+			End: []string{"heal domain:a domain:b", "heal domain:a platform", "heal a1 a2"}},
+		{Name: "cancellation", Begin: []string{"cancel-all via=a2"}},
+		{Name: "configuration change", Begin: []string{"republish"}},
+	}
+}
+
+// Times of the table's schedule.
+const (
+	jobSpacing  = 50 * time.Millisecond
+	firstFault  = 200 * time.Millisecond
+	secondFault = 300 * time.Millisecond // after the first
+	faultLength = 8 * time.Second
+	recovery    = 30 * time.Second
+	reaskLimit  = 30 * time.Second
+)
+
+// jobsPerService is how many jobs of each service the table's caller submits.
+const jobsPerService = 10
+
+const tableServices = `
+[[service]]
+name = "booking"
+depends_on = ["valuation"]
+slots = 4
+run_time = "300ms"
+timeout = "3s"
+
+[[service]]
+name = "valuation"
+idempotent = true
+slots = 4
+run_time = "300ms"
+timeout = "3s"
+`
+
+// RunFaults runs the table's workload under the given faults, each begun a
+// little after the one before. It fails the test if a promise is broken, if a
+// job has no final reply, or if a job that is submitted after the faults have
+// ended is not answered whole.
+func RunFaults(t *testing.T, faults ...Fault) {
+	dir := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, dir)
+		defer w.close()
+		w.deploy()
+		w.play(append(workload(), schedule(faults)...))
+		w.checkEveryJobEnds()
+		w.checkRecovered()
+		w.checkPromises()
+	})
+}
+
+func (w *world) deploy() {
+	w.line("services", tableServices)
+	for i, domain := range []string{"a", "a", "b"} {
+		w.line(fmt.Sprintf("endpoint e%d domain=%s service=booking slots=4", i+1, domain), "")
+		w.line(fmt.Sprintf("endpoint v%d domain=%s service=valuation slots=4", i+1, domain), "")
+	}
+	w.line("entry a1 domain=a", "")
+	w.line("entry a2 domain=a", "")
+	w.line("entry b1 domain=b", "")
+	w.line("advance 5s", "")
+	for i := range jobsPerService {
+		for _, service := range tableServiceNames {
+			w.line(fmt.Sprintf("id %s via=%s", jobName(service, i), entryOf(i)), "")
+		}
+	}
+}
+
+var tableServiceNames = []string{"booking", "valuation"}
+
+func jobName(service string, i int) string { return fmt.Sprintf("%s-%d", service, i) }
+
+// entryOf returns the entry that the balancer picks for the i-th jobs.
+func entryOf(i int) string { return []string{"a1", "a2"}[i%2] }
+
+// timedLine is a line of the scenario language and when to run it.
+type timedLine struct {
+	at   time.Duration
+	line string
+}
+
+func workload() []timedLine {
+	var lines []timedLine
+	for i := range jobsPerService {
+		for _, service := range tableServiceNames {
+			lines = append(lines, timedLine{
+				at:   time.Duration(i) * jobSpacing,
+				line: fmt.Sprintf("submit %s via=%s else=a2 service=%s tasks=2 run=300ms", jobName(service, i), entryOf(i), service),
+			})
+		}
+	}
+	return lines
+}
+
+func schedule(faults []Fault) []timedLine {
+	var lines []timedLine
+	for i, fault := range faults {
+		begin := firstFault + time.Duration(i)*secondFault
+		for _, line := range fault.Begin {
+			lines = append(lines, timedLine{at: begin, line: line})
+		}
+		for _, line := range fault.End {
+			lines = append(lines, timedLine{at: begin + faultLength, line: line})
+		}
+	}
+	return lines
+}
+
+// play runs lines at their times, then lets the system recover.
+func (w *world) play(lines []timedLine) {
+	slices.SortStableFunc(lines, func(a, b timedLine) int { return cmp.Compare(a.at, b.at) })
+	start := time.Now()
+	for _, l := range lines {
+		time.Sleep(l.at - time.Since(start))
+		w.line(l.line, "")
+	}
+	time.Sleep(recovery)
+	settle()
+}
+
+// checkEveryJobEnds asks again for every job that has no final reply, and
+// fails the test if one stays without.
+func (w *world) checkEveryJobEnds() {
+	names := slices.Sorted(maps.Keys(w.jobs))
+	for _, name := range names {
+		if !w.jobs[name].final() {
+			w.line("ask "+name+" via=a2 wait=20s", "")
+		}
+	}
+	time.Sleep(reaskLimit)
+	settle()
+	for _, name := range names {
+		if j := w.jobs[name]; !j.final() {
+			w.t.Errorf("%s has no final reply: %v", name, j.last())
+		}
+	}
+}
+
+// checkRecovered submits a job of each service after the faults.
+func (w *world) checkRecovered() {
+	for _, service := range tableServiceNames {
+		w.line(fmt.Sprintf("submit after-%s via=a2 service=%s tasks=2 run=300ms", service, service), "")
+	}
+	time.Sleep(reaskLimit)
+	settle()
+	for _, service := range tableServiceNames {
+		j := w.jobs["after-"+service]
+		if j == nil {
+			w.t.Errorf("after the faults no job ID was issued")
+			continue
+		}
+		if got := j.last(); got.status != http.StatusOK {
+			w.t.Errorf("after the faults a job of %s got %v", service, got)
+		}
+	}
+}
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -34,6 +34,7 @@
 	fabric     *fabric.Fabric
 	platform   *fakeplatform.Platform
 	starts     *fakeendpoint.Starts
+	services   string          // latest text published
 	idempotent map[string]bool // by service
 	endpoints  map[string]*endpointHost
 	entries    map[string]*entryHost
@@ -124,6 +125,9 @@
 	for _, e := range w.entries {
 		<-e.done
 	}
+	for _, e := range w.crashed {
+		<-e.done
+	}
 	synctest.Wait()
 }
 
