Give the slots of a cancelled job back

The core kept which endpoint a task ran at in the job's record, which a cancellation removes, so that the slots of tasks still running were never released. Change: the endpoint of a started task is kept with the core until its fate. Conclusion: slots belong to attempts, not to jobs.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -41,6 +41,7 @@
 	endpoints map[string]*endpoint
 	byService map[string][]*endpoint
 	waiting   []TaskRef
+	running   map[TaskRef]string // endpoint of each started task without a fate
 	share     SetShare
 	draining  bool
 }
@@ -52,7 +53,6 @@
 	results   [][]byte
 	remaining int
 	admitted  time.Time
-	running   map[int]string // endpoint of each running task
 	longest   time.Duration
 }
 
@@ -78,6 +78,7 @@
 		answers:   make(map[jobid.ID]*Answer),
 		endpoints: make(map[string]*endpoint),
 		byService: make(map[string][]*endpoint),
+		running:   make(map[TaskRef]string),
 		share:     SetShare{Rank: 0, Entries: 1},
 	}
 }
@@ -189,7 +190,6 @@
 		results:   make([][]byte, len(in.Tasks)),
 		remaining: len(in.Tasks),
 		admitted:  c.now,
-		running:   make(map[int]string, len(in.Tasks)),
 	}
 	for i := range in.Tasks {
 		c.waiting = append(c.waiting, TaskRef{Job: in.ID, Index: i})
@@ -329,14 +329,10 @@
 }
 
 func (c *Core) release(ref TaskRef) {
-	j := c.jobs[ref.Job]
-	if j == nil {
-		return
-	}
-	if e := c.endpoints[j.running[ref.Index]]; e != nil {
+	if e := c.endpoints[c.running[ref]]; e != nil {
 		e.running--
 	}
-	delete(j.running, ref.Index)
+	delete(c.running, ref)
 }
 
 func (c *Core) setEndpoints(list []Endpoint) {
@@ -379,7 +375,7 @@
 	}
 	service, _ := c.catalog.Service(name)
 	best.running++
-	j.running[ref.Index] = best.Name
+	c.running[ref] = best.Name
 	c.ready.Starts = append(c.ready.Starts, Start{
 		Task:     ref,
 		Service:  name,
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -69,3 +69,17 @@
 		t.Fatalf("starts: %+v", ready.Starts)
 	}
 }
+
+func TestCancelledJobGivesItsSlotsBack(t *testing.T) {
+	core := newCore(false)
+	first, second := newID(t), newID(t)
+	second.Sequence++
+	core.Step(epoch, &Submit{ID: first, Service: "booking", Tasks: make([]TaskSpec, 2)})
+	core.Step(epoch, &Cancel{ID: first})
+	core.Step(epoch, &Done{Task: TaskRef{first, 0}, Attempt: 1})
+	core.Step(epoch, &Done{Task: TaskRef{first, 1}, Attempt: 1})
+	ready := core.Step(epoch, &Submit{ID: second, Service: "booking", Tasks: make([]TaskSpec, 2)})
+	if len(ready.Starts) != 2 {
+		t.Fatalf("%d starts for 2 slots", len(ready.Starts))
+	}
+}
