Add the benchmark of one entry, a lasting deployment and a first job

Cause: what an entry adds has to be measured against endpoints called directly in the same run, and a newcomer needs something to speak to. Change: lovage-load bench, scripts/bench-entry.sh (entry on two cores), make up, examples/first-job.sh with the curl lines, tests of the load generator and its report.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN      := $(CURDIR)/.bin
 RACE     := $(if $(shell command -v $(or $(CC),gcc) 2>/dev/null),-race,)
 
-.PHONY: build demo test format-check vet lint unit generate tools
+.PHONY: build demo test up format-check vet lint unit generate tools
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -41,3 +41,7 @@
 # Runs a whole deployment on this VM; SERVICES names a services text of one's own.
 demo:
 	@./scripts/demo.sh $(SERVICES)
+
+# Runs a whole deployment until it is interrupted.
+up:
+	@./scripts/up.sh $(SERVICES)
--- a/cmd/lovage-load/main.go
+++ b/cmd/lovage-load/main.go
@@ -14,6 +14,7 @@
 
 // commands are the subcommands, each in a file of its own.
 var commands = []command.Command{
+	{Name: "bench", Summary: "measure what one entry adds to calling the endpoints directly", Run: runBench},
 	{Name: "direct", Summary: "send tasks straight to the endpoints, as a baseline", Run: runDirect},
 	{Name: "fault", Summary: "set a fault switch of the stand-ins", Run: runFault},
 	{Name: "layout", Summary: "write the settings of a whole deployment on free ports", Run: runLayout},
--- /dev/null
+++ b/experiment/load/bench.go
@@ -0,0 +1,88 @@
+package load
+
+import (
+	"context"
+	"time"
+)
+
+// BenchOptions describe a benchmark of one entry against its endpoints called
+// directly.
+type BenchOptions struct {
+	Run      string
+	Service  string
+	Tasks    int           // of each job of the throughput parts
+	Duration time.Duration // of each of the four parts
+	Entry    []Caller      // callers of the entry
+	Direct   []Caller      // callers of the endpoints, as many
+	Standins *Standins
+}
+
+// BenchReport is the result of a benchmark. All tasks have no run time.
+type BenchReport struct {
+	// EntryStarts is task starts a second through the entry, counted at the
+	// endpoints. The name says what the entry must be given.
+	EntryStarts float64 `json:"entry_starts_per_s_2cores"`
+	// AddedP99MS is the p99 response time of single tasks sent one by one
+	// through the idle entry, less the median of the same sent directly.
+	AddedP99MS float64 `json:"added_p99_ms"`
+	// OverheadVsDirect is task starts a second of direct calls ÷ EntryStarts.
+	OverheadVsDirect float64 `json:"overhead_vs_direct"`
+}
+
+// BenchDetail is what a BenchReport was computed from.
+type BenchDetail struct {
+	IdleDirect       ClosedResult `json:"idle_direct"`
+	IdleEntry        ClosedResult `json:"idle_entry"`
+	ThroughputDirect ClosedResult `json:"throughput_direct"`
+	ThroughputEntry  ClosedResult `json:"throughput_entry"`
+	DirectStarts     float64      `json:"direct_starts_per_s"`
+}
+
+// Bench runs single tasks one by one, then as many as the callers can send;
+// each part directly first, then through the entry.
+func Bench(ctx context.Context, opts BenchOptions) (BenchReport, BenchDetail, error) {
+	var report BenchReport
+	var detail BenchDetail
+	var err error
+	if detail.IdleDirect, _, err = opts.part(ctx, "id", opts.Direct[:1], 1); err != nil {
+		return report, detail, err
+	}
+	if detail.IdleEntry, _, err = opts.part(ctx, "ie", opts.Entry[:1], 1); err != nil {
+		return report, detail, err
+	}
+	if detail.ThroughputDirect, detail.DirectStarts, err = opts.part(ctx, "td", opts.Direct, opts.Tasks); err != nil {
+		return report, detail, err
+	}
+	if detail.ThroughputEntry, report.EntryStarts, err = opts.part(ctx, "te", opts.Entry, opts.Tasks); err != nil {
+		return report, detail, err
+	}
+	report.AddedP99MS = detail.IdleEntry.P99MS - detail.IdleDirect.P50MS
+	report.OverheadVsDirect = detail.DirectStarts / report.EntryStarts
+	return report, detail, nil
+}
+
+// part runs one part and returns the starts a second that endpoints saw.
+func (o BenchOptions) part(ctx context.Context, name string, callers []Caller, tasks int) (ClosedResult, float64, error) {
+	before, err := o.Standins.Messages(ctx)
+	if err != nil {
+		return ClosedResult{}, 0, err
+	}
+	start := time.Now()
+	result, err := RunClosed(ctx, ClosedOptions{
+		Run:      o.Run + name,
+		Service:  o.Service,
+		Tasks:    tasks,
+		Callers:  callers,
+		Duration: o.Duration,
+	})
+	if err != nil {
+		return result, 0, err
+	}
+	took := time.Since(start)
+	after, err := o.Standins.Messages(ctx)
+	if err != nil {
+		return result, 0, err
+	}
+	seen := after.Sub(before)
+	return result, float64(seen.Tasks-seen.Refusals) / took.Seconds(), nil
+}
