--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -59,9 +59,8 @@
     fi
     version=$(sed -nE 's/.*"version": ([0-9]+).*/\1/p' <<<"$published")
     say "published version $version of the configuration"
-    if ! "$bin/lovage-load" in-force -admins "$(join_by , "${ADMINS[@]}")" -version "$version" >&2; then
-        failed=1
-    fi
+    "$bin/lovage-load" in-force -admins "$(join_by , "${ADMINS[@]}")" -version "$version" >&2 ||
+        say "version $version was not seen in force at all entries"
 }
 
 join_by() {
