--- a/cmd/lovage-load/bench.go
+++ b/cmd/lovage-load/bench.go
@@ -46,7 +46,7 @@
 		Service:  *service,
 		Tasks:    *tasks,
 		Duration: *duration,
-		Entry:    asCallers(newCallers(*address, *count)),
+		Entry:    asCallers(newCallers(*address, *count, *duration)),
 		Direct:   direct,
 		Standins: load.NewStandins(*control),
 	})
