--- a/catalog/change/body.go
+++ b/catalog/change/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 
 	"lovagespread.example/catalog"
 )
@@ -13,6 +12,7 @@
 // Kinds of changes.
 const (
 	KindReplaceServices Kind = "replace_services"
+	KindEdit            Kind = "edit"
 	KindPutTeam         Kind = "put_team"
 	KindRemoveTeam      Kind = "remove_team"
 	KindDrain           Kind = "drain"
@@ -37,6 +37,15 @@
 	Teams    []catalog.Team    `json:"teams,omitempty"` // empty: they stay
 }
 
+// Edit adds, replaces and removes services and teams by name. It is much
+// smaller than ReplaceServices when little has changed.
+type Edit struct {
+	PutServices    []catalog.Service `json:"put_services,omitempty"`
+	RemoveServices []string          `json:"remove_services,omitempty"`
+	PutTeams       []catalog.Team    `json:"put_teams,omitempty"`
+	RemoveTeams    []string          `json:"remove_teams,omitempty"`
+}
+
 // PutTeam adds a team or replaces the one of that name.
 type PutTeam struct {
 	Team catalog.Team `json:"team"`
@@ -72,6 +81,8 @@
 	switch kind {
 	case KindReplaceServices:
 		return &ReplaceServices{}
+	case KindEdit:
+		return &Edit{}
 	case KindPutTeam:
 		return &PutTeam{}
 	case KindRemoveTeam:
@@ -98,80 +109,3 @@
 	}
 	return body, nil
 }
-
-// Kind implements Body.
-func (*ReplaceServices) Kind() Kind { return KindReplaceServices }
-
-// Kind implements Body.
-func (*PutTeam) Kind() Kind { return KindPutTeam }
-
-// Kind implements Body.
-func (*RemoveTeam) Kind() Kind { return KindRemoveTeam }
-
-// Kind implements Body.
-func (*Drain) Kind() Kind { return KindDrain }
-
-// Kind implements Body.
-func (*Undrain) Kind() Kind { return KindUndrain }
-
-// Kind implements Body.
-func (*SetKeyNumbers) Kind() Kind { return KindSetKeyNumbers }
-
-// Kind implements Body.
-func (*RaiseFormat) Kind() Kind { return KindRaiseFormat }
-
-func (*ReplaceServices) format() int { return FirstFormat }
-func (*PutTeam) format() int         { return FirstFormat }
-func (*RemoveTeam) format() int      { return FirstFormat }
-func (*Drain) format() int           { return FirstFormat }
-func (*Undrain) format() int         { return FirstFormat }
-func (*SetKeyNumbers) format() int   { return FirstFormat }
-func (*RaiseFormat) format() int     { return FirstFormat }
-
-func (b *ReplaceServices) apply(c *catalog.Catalog) {
-	c.Services = b.Services
-	if len(b.Teams) > 0 {
-		c.Teams = b.Teams
-	}
-}
-
-func (b *PutTeam) apply(c *catalog.Catalog) {
-	i := indexTeam(c.Teams, b.Team.Name)
-	if i < 0 {
-		c.Teams = append(c.Teams, b.Team)
-		return
-	}
-	c.Teams[i] = b.Team
-}
-
-func (b *RemoveTeam) apply(c *catalog.Catalog) {
-	c.Teams = slices.DeleteFunc(c.Teams, func(t catalog.Team) bool { return t.Name == b.Name })
-}
-
-func indexTeam(teams []catalog.Team, name string) int {
-	return slices.IndexFunc(teams, func(t catalog.Team) bool { return t.Name == name })
-}
-
-func (b *Drain) apply(c *catalog.Catalog) {
-	if !slices.Contains(c.Drains, b.Drain) {
-		c.Drains = append(c.Drains, b.Drain)
-	}
-}
-
-func (b *Undrain) apply(c *catalog.Catalog) {
-	c.Drains = slices.DeleteFunc(c.Drains, func(d catalog.Drain) bool { return d == b.Drain })
-}
-
-func (b *SetKeyNumbers) apply(c *catalog.Catalog) { c.KeyNumbers = b.Numbers }
-
-func (b *RaiseFormat) apply(c *catalog.Catalog) { c.Format = max(c.Format, b.Format) }
-
-// Apply returns the version that follows c by a change. c is not changed.
-func Apply(c *catalog.Catalog, change Change) *catalog.Catalog {
-	next := *c
-	next.Version = c.Version + 1
-	next.Teams = slices.Clone(c.Teams)
-	next.Drains = slices.Clone(c.Drains)
-	change.Body.apply(&next)
-	return &next
-}
--- /dev/null
+++ b/catalog/change/fuzz_test.go
@@ -0,0 +1,85 @@
+package change
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"lovagespread.example/catalog"
+)
+
+// FuzzDecode checks that every record is either skipped or read the same way
+// again once written, and that two replicas judge it alike.
+func FuzzDecode(f *testing.F) {
+	record, err := EncodeChange(Change{ID: "c", Time: time.Unix(0, 0).UTC(), Body: &PutTeam{Team: catalog.Team{Name: "t"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	snapshot, err := EncodeSnapshot(Snapshot{Catalog: &catalog.Catalog{Version: 3}, Through: 2})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(record)
+	f.Add(snapshot)
+	f.Add(bytes.Replace(record, []byte("put_team"), []byte("no_kind!"), 1))
+	f.Add([]byte(`{"format":1,"checksum":"ef46db3751d8e999","change":{}}`))
+	f.Add([]byte("null"))
+	f.Add([]byte(`{} {}`))
+	f.Add([]byte(`{"id":"c","base":0,"author":"a","time":"2026-01-01T00:00:00Z","kind":"drain","body":{"drain":{"scope":"rack","name":"r"}}}`))
+	f.Add([]byte(`{"through":1,"catalog":{"version":1,"services":[{"name":"a","needs":{}}],"key_numbers":[1]}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		checkRecord(t, data)
+		checkRecord(t, sealed("change", data))
+		checkRecord(t, sealed("snapshot", data))
+	})
+}
+
+// sealed puts content into an envelope with the right checksum.
+func sealed(key string, content []byte) []byte {
+	return fmt.Appendf(nil, `{"format":1,"checksum":%q,%q:%s}`, checksum(content), key, content)
+}
+
+func checkRecord(t *testing.T, data []byte) {
+	checkJudgedAlike(t, data)
+	first, err := Decode(data, MaxFormat)
+	if err != nil {
+		var unreadable *UnreadableError
+		if !errors.As(err, &unreadable) {
+			t.Fatalf("error %v", err)
+		}
+		return
+	}
+	again := encode(t, first)
+	second, err := Decode(again, MaxFormat)
+	if err != nil {
+		t.Fatalf("%s can't be read again: %v", again, err)
+	}
+	if !bytes.Equal(encode(t, second), again) {
+		t.Fatalf("%s reads differently the second time", data)
+	}
+}
+
+func checkJudgedAlike(t *testing.T, data []byte) {
+	a, b := NewReplica(), NewReplica()
+	first, second := a.Apply(0, data), b.Apply(0, bytes.Clone(data))
+	if first.Kind != second.Kind || !bytes.Equal(Digest(a.Catalog()), Digest(b.Catalog())) {
+		t.Fatalf("judged %v and %v", first, second)
+	}
+}
+
+func encode(t *testing.T, r Record) []byte {
+	t.Helper()
+	var data []byte
+	var err error
+	if r.Change != nil {
+		data, err = EncodeChange(*r.Change)
+	} else {
+		data, err = EncodeSnapshot(*r.Snapshot)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
--- a/catalog/change/rules_test.go
+++ b/catalog/change/rules_test.go
@@ -94,6 +94,9 @@
 	switch body := c.Body.(type) {
 	case *ReplaceServices:
 		body.Services = []catalog.Service{{Name: arg}}
+	case *Edit:
+		body.PutServices = []catalog.Service{{Name: arg, Slots: int(c.Base)}}
+		body.RemoveTeams = []string{arg}
 	case *PutTeam:
 		body.Team = catalog.Team{Name: arg, Weight: 1}
 	case *RemoveTeam:
--- a/cmd/lovagectl/publish.go
+++ b/cmd/lovagectl/publish.go
@@ -23,6 +23,11 @@
 	})
 }
 
+// always is a change that does not depend on the version in force.
+func always(body change.Body) func(*catalog.Catalog) change.Body {
+	return func(*catalog.Catalog) change.Body { return body }
+}
+
 func readServices(file string) (*catalog.Catalog, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -42,7 +47,9 @@
 	if err != nil {
 		return err
 	}
-	return d.publish(in, args[0], &change.ReplaceServices{Services: c.Services, Teams: c.Teams})
+	return d.publish(in, args[0], func(current *catalog.Catalog) change.Body {
+		return change.Difference(current, c)
+	})
 }
 
 func putTeam(in *invocation) error {
@@ -56,7 +63,7 @@
 		return err
 	}
 	team := catalog.Team{Name: args[0], Weight: *weight, TasksPerSecond: *rate, Burst: *burst}
-	return d.publish(in, in.name, &change.PutTeam{Team: team})
+	return d.publish(in, in.name, always(&change.PutTeam{Team: team}))
 }
 
 func removeTeam(in *invocation) error {
@@ -66,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	return d.publish(in, in.name, &change.RemoveTeam{Name: args[0]})
+	return d.publish(in, in.name, always(&change.RemoveTeam{Name: args[0]}))
 }
 
 func drain(in *invocation) error {
@@ -87,7 +94,7 @@
 		return err
 	}
 	target := catalog.Drain{Scope: catalog.Scope(*scope), Name: args[0], FailureDomain: *domain}
-	return d.publish(in, in.name, body(target))
+	return d.publish(in, in.name, always(body(target)))
 }
 
 func setKeys(in *invocation) error {
@@ -103,7 +110,7 @@
 			return usagef("key number %q: write a number from 1 to 255", arg)
 		}
 	}
-	return d.publish(in, in.name, &change.SetKeyNumbers{Numbers: numbers})
+	return d.publish(in, in.name, always(&change.SetKeyNumbers{Numbers: numbers}))
 }
 
 func raiseFormat(in *invocation) error {
@@ -117,5 +124,5 @@
 	if err != nil || format < change.FirstFormat || format > change.MaxFormat {
 		return usagef("format %q: write a number from %d to %d", args[0], change.FirstFormat, change.MaxFormat)
 	}
-	return d.publish(in, in.name, &change.RaiseFormat{Format: format})
+	return d.publish(in, in.name, always(&change.RaiseFormat{Format: format}))
 }
--- a/cmd/lovagectl/session.go
+++ b/cmd/lovagectl/session.go
@@ -123,7 +123,7 @@
 }
 
 // publish checks the whole resulting configuration and publishes the change.
-func (d *draft) publish(in *invocation, from string, body change.Body) error {
+func (d *draft) publish(in *invocation, from string, makeBody func(*catalog.Catalog) change.Body) error {
 	s, err := d.open(in.ctx)
 	if err != nil {
 		return err
@@ -133,6 +133,7 @@
 	if !status.Complete {
 		return errors.New(incompleteLog)
 	}
+	body := makeBody(status.Catalog)
 	c, err := d.change(status.Judged, body)
 	if err != nil {
 		return err
--- /dev/null
+++ b/standin/fakeplatform/follow_faults_test.go
@@ -0,0 +1,212 @@
+package fakeplatform
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lovagespread.example/catalog/change"
+	"lovagespread.example/platform"
+	"lovagespread.example/platform/follow"
+)
+
+func mustPublish(t *testing.T, p *process, id string, base uint64) {
+	t.Helper()
+	if version, err := publish(t, p, put(id, base)); err != nil || version != base+1 {
+		t.Fatalf("change %s on version %d: version %d, %v", id, base, version, err)
+	}
+}
+
+// handOver gives the newest version of one process to another, as entries do.
+func handOver(t *testing.T, from, to *process) {
+	t.Helper()
+	newest, ok := from.Copy(t.Context())
+	if !ok {
+		t.Fatal("nothing to hand over")
+	}
+	if _, err := to.Adopt(t.Context(), newest); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestStartDuringOutageTakesThePeersVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, client := memoryPlatform(t, Options{})
+		a := start(t, client(), 1, nil)
+		mustPublish(t, a, "c1", 0)
+		p.SetDown(true)
+		b := start(t, client(), 2, nil)
+		time.Sleep(inForce)
+		status := b.Status()
+		if reason := status.Reason(); reason == "" || b.version() != 0 {
+			t.Fatalf("version %d, reason %q", b.version(), reason)
+		}
+		handOver(t, a, b)
+		if b.version() != 1 {
+			t.Fatalf("version %d after the copy", b.version())
+		}
+		p.SetDown(false)
+		mustPublish(t, a, "c2", 1)
+		expectVersion(t, 2, a, b)
+	})
+}
+
+func TestVersionNeverFallsBehindAnAdoptedCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, client := memoryPlatform(t, Options{})
+		a := start(t, client(), 1, nil)
+		for i, id := range []string{"c1", "c2", "c3"} {
+			mustPublish(t, a, id, uint64(i))
+		}
+		p.SetDown(true)
+		b := start(t, client(), 2, nil)
+		handOver(t, a, b)
+		p.SetDown(false)
+		// b now reads versions 1 and 2 from the log, behind the copy; start
+		// fails the test if it serves one of them.
+		expectVersion(t, 3, a, b)
+		if judged := b.Status().Judged; judged != 3 {
+			t.Errorf("judged version %d, want 3", judged)
+		}
+	})
+}
+
+func TestSnapshotOutlivesRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, client := memoryPlatform(t, Options{RetainFor: time.Hour})
+		a := start(t, client(), 1, nil)
+		b := start(t, client(), 2, nil)
+		mustPublish(t, a, "c1", 0)
+		const hours = 6
+		time.Sleep(hours * time.Hour)
+		synctest.Wait()
+		// A snapshot each quarter of an hour is due; two processes that both
+		// write now and then may add to it.
+		if written := p.Appends(); written < hours*4-2 || written > hours*6 {
+			t.Errorf("%d appends in %d hours", written, hours)
+		}
+		late := start(t, client(), 3, nil)
+		expectVersion(t, 1, a, b, late)
+		if !late.Status().Complete {
+			t.Error("the late process does not know the whole state")
+		}
+		mustPublish(t, late, "c2", 1)
+		expectVersion(t, 2, a, b, late)
+	})
+}
+
+func TestManyChangesBringASnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, client := memoryPlatform(t, Options{RetainRecords: 60, AppendsPerSecond: None})
+		few := func(o *follow.Options) { o.SnapshotRecords = 20 }
+		a := start(t, client(), 1, few)
+		for base := range uint64(100) {
+			mustPublish(t, a, time.Duration(base).String(), base)
+			time.Sleep(time.Second)
+		}
+		expectVersion(t, 100, a, start(t, client(), 2, few))
+	})
+}
+
+func TestLogDownBeyondItsRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, client := memoryPlatform(t, Options{RetainFor: 30 * time.Minute})
+		a := start(t, client(), 1, nil)
+		mustPublish(t, a, "c1", 0)
+		p.SetDown(true)
+		time.Sleep(2 * time.Hour)
+		p.SetDown(false)
+		// The log has forgotten the change; the process that knows it writes a
+		// snapshot, from which a new one learns it.
+		time.Sleep(time.Minute)
+		late := start(t, client(), 2, nil)
+		expectVersion(t, 1, a, late)
+	})
+}
+
+func TestGapIsClosedByAPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, client := memoryPlatform(t, Options{})
+		never := func(o *follow.Options) { o.SnapshotEvery = 1000 * time.Hour }
+		a := start(t, client(), 1, never)
+		mustPublish(t, a, "c1", 0)
+		p.Forget(platform.StreamConfiguration, 1)
+		b := start(t, client(), 2, never)
+		time.Sleep(time.Second)
+		if status := b.Status(); status.Complete || status.Reason() == "" {
+			t.Fatalf("status with a gap: %+v", status)
+		}
+		handOver(t, a, b)
+		mustPublish(t, b, "c2", 1)
+		expectVersion(t, 2, a, b)
+	})
+}
+
+func TestCutOffProcessCatchesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, client := memoryPlatform(t, Options{})
+		a := start(t, client(), 1, nil)
+		cut := &cutLog{Log: client()}
+		b := start(t, cut, 2, nil)
+		mustPublish(t, a, "c1", 0)
+		expectVersion(t, 1, a, b)
+		cut.set(true)
+		mustPublish(t, a, "c2", 1)
+		expectVersion(t, 2, a)
+		cut.set(false)
+		expectVersion(t, 2, a, b)
+		if appended := p.Appends(); appended != 2 {
+			t.Errorf("%d appends, want the 2 changes", appended)
+		}
+	})
+}
+
+func TestSlowLogStillBringsChangesIntoForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, client := memoryPlatform(t, Options{})
+		a, b := start(t, client(), 1, nil), start(t, client(), 2, nil)
+		p.SetSlow(1500 * time.Millisecond)
+		mustPublish(t, a, "c1", 0)
+		expectVersion(t, 1, a, b)
+	})
+}
+
+func TestUnreadableRecordsTakeNothingDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, client := memoryPlatform(t, Options{})
+		a, b := start(t, client(), 1, nil), start(t, client(), 2, nil)
+		records := [][]byte{[]byte("corrupt"), []byte(`{"format":7,"checksum":"","change":{}}`), nil}
+		if _, err := client().Append(t.Context(), platform.StreamConfiguration, records); err != nil {
+			t.Fatal(err)
+		}
+		mustPublish(t, a, "c1", 0)
+		expectVersion(t, 1, a, b)
+		for _, p := range []*process{a, b} {
+			if got := p.Status().Counts.Unreadable; got != len(records) {
+				t.Errorf("%d records skipped, want %d", got, len(records))
+			}
+		}
+	})
+}
+
+func TestFateAfterRestartIsUnknownNotRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, client := memoryPlatform(t, Options{})
+		a := start(t, client(), 1, nil)
+		mustPublish(t, a, "c1", 0)
+		newest, _ := a.Copy(t.Context())
+		p.Forget(platform.StreamConfiguration, 1)
+		b := start(t, client(), 2, nil)
+		time.Sleep(time.Second)
+		if _, err := b.Adopt(t.Context(), newest); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, err := b.Publish(ctx, change.Change{ID: "c1", Base: 0, Body: services("c1")})
+		if _, ok := err.(*follow.UnknownError); !ok {
+			t.Fatalf("error %v, want an *UnknownError", err)
+		}
+	})
+}
--- a/standin/fakeplatform/memory_test.go
+++ b/standin/fakeplatform/memory_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"lovagespread.example/platform"
+	"lovagespread.example/platform/platformapi"
 )
 
 // memoryListener connects clients and a server through net.Pipe, so that
@@ -72,3 +74,19 @@
 		return client
 	}
 }
+
+// cutLog is a log that can be cut off.
+type cutLog struct {
+	platform.Log
+	cut atomic.Bool
+}
+
+func (l *cutLog) set(cut bool) { l.cut.Store(cut) }
+
+func (l *cutLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (platformapi.ReadResponse, error) {
+	response, err := l.Log.Read(ctx, stream, from, limit, wait)
+	if l.cut.Load() {
+		return platformapi.ReadResponse{}, &platform.UnavailableError{Operation: "read", Cause: net.ErrClosed}
+	}
+	return response, err
+}
