--- a/entry/control/snapshot.go
+++ b/entry/control/snapshot.go
@@ -28,10 +28,15 @@
 	l.snapshot.Store(&Snapshot{View: l.view, Catalog: l.catalog, Loads: l.loads.list()})
 }
 
-// endpointsOf translates the members into what the core places tasks on.
+// endpointsOf translates the members into what the core places tasks on: the
+// endpoints of the own failure domain, whose slots this entry shares with the
+// other entries there.
 func endpointsOf(view membership.View) []dispatch.Endpoint {
 	list := make([]dispatch.Endpoint, 0, len(view.Endpoints))
 	for _, e := range view.Endpoints {
+		if e.FailureDomain != view.Self.FailureDomain {
+			break
+		}
 		list = append(list, dispatch.Endpoint{
 			Name:          e.Name,
 			Address:       e.Address,
