Spread news of entries at once and settle before issuing job IDs

Change: what an entry was told is noted for each receiver, news goes out within 100 ms, and /readyz waits until the others know the entry. Conclusion: owners are known when their IDs are used.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -172,6 +172,9 @@
 	if e.engine.loop.Snapshot().Catalog.Version == 0 {
 		return &NotReadyError{Reason: e.keeper.Reason()}
 	}
+	if !e.heartbeat.Settled() {
+		return &NotReadyError{Reason: "the other entries do not know this one yet: it is ready in a few seconds"}
+	}
 	return nil
 }
 
--- a/entry/heartbeat/announcer.go
+++ b/entry/heartbeat/announcer.go
@@ -1,6 +1,7 @@
 package heartbeat
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/samber/lo"
@@ -10,9 +11,6 @@
 	"lovagespread.example/peer/peerpb"
 )
 
-// maxKnown is the number of other entries passed on in one message.
-const maxKnown = 4
-
 // Configuration tells which configuration this entry has.
 type Configuration interface {
 	Version() (version uint64, digest []byte)
@@ -28,13 +26,16 @@
 	sequence  uint64
 	leaving   bool
 	successor membership.Incarnation
-	passedOn  map[membership.Incarnation]uint64 // sequence last passed on
-	next      int                               // rotates over the others
+	gossip    gossip
 }
 
 // NewAnnouncer returns an announcer of a live entry.
 func NewAnnouncer(loop *control.Loop, config Configuration) *Announcer {
-	return &Announcer{loop: loop, config: config, passedOn: make(map[membership.Incarnation]uint64)}
+	return &Announcer{
+		loop:   loop,
+		config: config,
+		gossip: gossip{told: make(map[string]map[membership.Incarnation]passed)},
+	}
 }
 
 // Leave announces that this entry is stopping and who takes over its jobs;
@@ -46,22 +47,24 @@
 	a.successor = successor
 }
 
-// Request returns the next heartbeat.
-func (a *Announcer) Request() *peerpb.HeartbeatRequest {
+// Request returns the next heartbeat to an entry.
+func (a *Announcer) Request(receiver, domain string) *peerpb.HeartbeatRequest {
 	snapshot := a.loop.Snapshot()
 	version, digest := a.config.Version()
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	return &peerpb.HeartbeatRequest{
 		From:                 toProto(a.self(snapshot)),
 		ConfigurationVersion: version,
 		ConfigurationDigest:  digest,
 		Loads:                loadsOf(snapshot),
-		Known:                a.known(snapshot),
+		Known:                a.gossip.pick(&snapshot.View, receiver, domain),
 	}
 }
 
 // Response returns the same as an answer.
-func (a *Announcer) Response() *peerpb.HeartbeatResponse {
-	r := a.Request()
+func (a *Announcer) Response(receiver, domain string) *peerpb.HeartbeatResponse {
+	r := a.Request(receiver, domain)
 	return &peerpb.HeartbeatResponse{
 		From:                 r.From,
 		ConfigurationVersion: r.ConfigurationVersion,
@@ -71,9 +74,30 @@
 	}
 }
 
-func (a *Announcer) self(snapshot *control.Snapshot) membership.Entry {
+// hasNews reports whether an entry should hear from this one soon.
+func (a *Announcer) hasNews(t target) bool {
+	snapshot := a.loop.Snapshot()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gossip.hasNews(&snapshot.View, t.name, t.domain)
+}
+
+// lost notes that a message to an entry may not have arrived, so that all is
+// told again.
+func (a *Announcer) lost(receiver string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gossip.forget(receiver)
+}
+
+// keep forgets what was told to entries of other names.
+func (a *Announcer) keep(names map[string]bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	maps.DeleteFunc(a.gossip.told, func(name string, _ map[membership.Incarnation]passed) bool { return !names[name] })
+}
+
+func (a *Announcer) self(snapshot *control.Snapshot) membership.Entry {
 	a.sequence++
 	self := snapshot.View.Self
 	self.Sequence = a.sequence
@@ -84,28 +108,6 @@
 	return self
 }
 
-// known picks entries whose sequence has risen since they were last passed
-// on, in rotation.
-func (a *Announcer) known(snapshot *control.Snapshot) []*peerpb.Entry {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	others := snapshot.View.Others
-	var list []*peerpb.Entry
-	for range others {
-		a.next = (a.next + 1) % len(others)
-		e := others[a.next]
-		if e.State == membership.Gone || e.Sequence <= a.passedOn[e.Incarnation] {
-			continue
-		}
-		a.passedOn[e.Incarnation] = e.Sequence
-		list = append(list, toProto(e))
-		if len(list) == maxKnown {
-			break
-		}
-	}
-	return list
-}
-
 func loadsOf(snapshot *control.Snapshot) []*peerpb.ServiceLoad {
 	return lo.Map(snapshot.Loads, func(l control.ServiceLoad, _ int) *peerpb.ServiceLoad {
 		return &peerpb.ServiceLoad{Service: l.Service, Running: uint32(max(l.Running, 0))}
--- a/entry/heartbeat/heartbeater.go
+++ b/entry/heartbeat/heartbeater.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"lovagespread.example/entry/control"
+	"lovagespread.example/membership"
 	"lovagespread.example/peer/peerpb"
 )
 
@@ -17,9 +18,11 @@
 const (
 	nearSpacing     = 500 * time.Millisecond
 	farSpacing      = 2 * time.Second
-	lookSpacing     = 100 * time.Millisecond
-	bytesPerSecond  = 2 << 10 // of control, of the connections opened here
-	typicalExchange = 700     // bytes
+	newsSpacing     = 100 * time.Millisecond // while there is news to tell
+	lookSpacing     = 50 * time.Millisecond
+	downFor         = 5 * time.Second // after a failed exchange
+	bytesPerSecond  = 2 << 10         // of control, of the connections opened here
+	typicalExchange = 700             // bytes
 )
 
 // Peers exchanges heartbeats.
@@ -46,15 +49,27 @@
 	mu    sync.Mutex
 	heard map[string]time.Time // last exchange or attempt, by name
 	busy  map[string]bool
+	down  map[string]time.Time // last failed exchange, by name
+
+	met map[string]bool // entries that have said something
+
+	settled settling
 }
 
 // New returns a heartbeater that does nothing until Run.
 func New(opts Options) *Heartbeater {
-	return &Heartbeater{opts: opts, heard: make(map[string]time.Time), busy: make(map[string]bool)}
+	return &Heartbeater{
+		opts:  opts,
+		heard: make(map[string]time.Time),
+		busy:  make(map[string]bool),
+		down:  make(map[string]time.Time),
+		met:   make(map[string]bool),
+	}
 }
 
 // Run exchanges heartbeats until the context ends.
 func (h *Heartbeater) Run(ctx context.Context) {
+	h.settled.begin(time.Now())
 	for ctx.Err() == nil {
 		h.look(ctx)
 		sleep(ctx, lookSpacing/2+rand.N(lookSpacing))
@@ -65,7 +80,7 @@
 // answer.
 func (h *Heartbeater) Received(r *peerpb.HeartbeatRequest) *peerpb.HeartbeatResponse {
 	h.note(r.GetFrom(), r.GetKnown(), r.GetConfigurationVersion())
-	return h.opts.Announcer.Response()
+	return h.opts.Announcer.Response(r.GetFrom().GetName(), r.GetFrom().GetFailureDomain())
 }
 
 // Farewell tells every entry of the failure domain at once what this entry
@@ -73,7 +88,7 @@
 func (h *Heartbeater) Farewell(ctx context.Context) {
 	view := h.opts.Loop.Snapshot().View
 	var calls sync.WaitGroup
-	for _, t := range targets(&view, nearSpacing, farSpacing) {
+	for _, t := range targets(&view, h.isDown) {
 		calls.Go(func() { h.exchange(ctx, t) })
 	}
 	calls.Wait()
@@ -82,11 +97,12 @@
 // look starts the exchanges that are due.
 func (h *Heartbeater) look(ctx context.Context) {
 	view := h.opts.Loop.Snapshot().View
-	list := targets(&view, nearSpacing, farSpacing)
+	list := targets(&view, h.isDown)
 	stretch := stretchFor(len(list))
-	h.forget(list)
+	h.forget(&view)
+	h.settle(&view, list)
 	for _, t := range list {
-		if h.begin(t, time.Duration(stretch*float64(t.spacing))) {
+		if h.begin(t, h.spacing(t, stretch)) {
 			go func() {
 				defer h.finish(t)
 				h.exchange(ctx, t)
@@ -95,6 +111,22 @@
 	}
 }
 
+// spacing returns the pause between two exchanges, which is short while there
+// is news to tell.
+func (h *Heartbeater) spacing(t target, stretch float64) time.Duration {
+	if h.opts.Announcer.hasNews(t) && !h.isDown(t.name) {
+		return newsSpacing
+	}
+	return time.Duration(stretch * float64(t.spacing))
+}
+
+func (h *Heartbeater) isDown(name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	failed, ok := h.down[name]
+	return ok && time.Since(failed) < downFor
+}
+
 // stretchFor returns the factor by which spacings grow so that exchanges with
 // n entries stay within the budget. Each pair shares its exchanges.
 func stretchFor(n int) float64 {
@@ -119,31 +151,47 @@
 	delete(h.busy, t.name)
 }
 
-// forget drops the times of entries that are no targets any more.
-func (h *Heartbeater) forget(list []target) {
-	names := make(map[string]bool, len(list))
-	for _, t := range list {
-		names[t.name] = true
+// forget drops what is noted of entries that are not known any more.
+func (h *Heartbeater) forget(view *membership.View) {
+	names := make(map[string]bool, len(view.Others)+len(view.Unheard))
+	for _, e := range view.Others {
+		names[e.Name] = true
+	}
+	for _, e := range view.Unheard {
+		names[e.Name] = true
 	}
+	h.opts.Announcer.keep(names)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	maps.DeleteFunc(h.heard, func(name string, _ time.Time) bool { return !names[name] })
+	maps.DeleteFunc(h.down, func(name string, _ time.Time) bool { return !names[name] })
+	maps.DeleteFunc(h.met, func(name string, _ bool) bool { return !names[name] })
 }
 
 func (h *Heartbeater) exchange(ctx context.Context, t target) {
 	h.opts.Message("heartbeat")
-	resp, err := h.opts.Peers.Heartbeat(ctx, t.address, h.opts.Announcer.Request())
+	resp, err := h.opts.Peers.Heartbeat(ctx, t.address, h.opts.Announcer.Request(t.name, t.domain))
 	if err != nil {
+		h.failed(t)
 		h.opts.Log.Debug("heartbeat failed", zap.String("entry", t.name), zap.Error(err))
 		return
 	}
 	h.note(resp.GetFrom(), resp.GetKnown(), resp.GetConfigurationVersion())
 }
 
+func (h *Heartbeater) failed(t target) {
+	h.opts.Announcer.lost(t.name)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.down[t.name] = time.Now()
+}
+
 // note passes on what an entry has said.
 func (h *Heartbeater) note(from *peerpb.Entry, known []*peerpb.Entry, version uint64) {
 	h.mu.Lock()
 	h.heard[from.GetName()] = time.Now()
+	delete(h.down, from.GetName())
+	h.met[from.GetName()] = true
 	h.mu.Unlock()
 	h.opts.Loop.Member(heard(from, known))
 	if own, _ := h.opts.Announcer.config.Version(); version > own {
--- a/entry/heartbeat/targets.go
+++ b/entry/heartbeat/targets.go
@@ -11,6 +11,7 @@
 // target is an entry to exchange a heartbeat with.
 type target struct {
 	name    string
+	domain  string
 	address string
 	spacing time.Duration
 }
@@ -19,25 +20,27 @@
 // its failure domain, and, if it is the delegate of its failure domain, one
 // entry of each other. An entry that is alone in the list so far is a target
 // too, as its failure domain has no known delegate.
-func targets(v *membership.View, near, far time.Duration) []target {
+//
+// An entry for which down returns true speaks for no failure domain.
+func targets(v *membership.View, down func(name string) bool) []target {
 	reachable := append(alive(v), v.Unheard...)
+	candidates := lo.Filter(reachable, func(e membership.Entry, _ int) bool { return !down(e.Name) })
 	var list []target
 	for _, e := range reachable {
 		if e.FailureDomain == v.Self.FailureDomain {
-			list = append(list, target{e.Name, e.Address, near})
+			list = append(list, target{e.Name, e.FailureDomain, e.Address, nearSpacing})
 		}
 	}
 	if delegate(v, v.Self.FailureDomain) != v.Self.Name {
 		return list
 	}
-	for _, domain := range domains(reachable) {
+	for _, domain := range domains(candidates) {
 		if domain == v.Self.FailureDomain {
 			continue
 		}
-		e, _ := lo.Find(reachable, func(e membership.Entry) bool {
-			return e.FailureDomain == domain && e.Name == delegateOf(reachable, domain)
-		})
-		list = append(list, target{e.Name, e.Address, far})
+		name := delegateOf(candidates, domain)
+		e, _ := lo.Find(candidates, func(e membership.Entry) bool { return e.Name == name })
+		list = append(list, target{e.Name, e.FailureDomain, e.Address, farSpacing})
 	}
 	return list
 }
--- a/membership/entries.go
+++ b/membership/entries.go
@@ -10,9 +10,11 @@
 func (t *Tracker) listEntries(list []Entry) {
 	listed := make(map[string]Entry, len(list))
 	for _, e := range list {
-		if e.Name != t.self.Name {
-			listed[e.Name] = e
+		if e.Name == t.self.Name {
+			t.noteListed()
+			continue
 		}
+		listed[e.Name] = e
 	}
 	if 2*len(listed) < len(t.listed) {
 		return
@@ -23,6 +25,14 @@
 	}
 }
 
+// noteListed notes that the platform knows this entry.
+func (t *Tracker) noteListed() {
+	if !t.inList {
+		t.inList = true
+		t.changed = true
+	}
+}
+
 func (t *Tracker) heartbeat(in *Heartbeat) {
 	t.hear(in.From)
 	for _, e := range in.Known {
--- a/membership/view.go
+++ b/membership/view.go
@@ -10,6 +10,8 @@
 // View is an immutable picture of the members.
 type View struct {
 	Self Entry
+	// Listed says that a list of the platform has named this entry.
+	Listed bool
 	// Others are the other entries that were heard of, gone ones included,
 	// ordered by name and incarnation.
 	Others []Entry
@@ -28,7 +30,7 @@
 }
 
 func (t *Tracker) build() View {
-	v := View{Self: t.self, Others: t.others(), Unheard: t.unheard(), Endpoints: t.sortedEndpoints()}
+	v := View{Self: t.self, Listed: t.inList, Others: t.others(), Unheard: t.unheard(), Endpoints: t.sortedEndpoints()}
 	v.Rank, v.Entries = t.share(v.Others)
 	v.Successor = t.successor(v.Others)
 	return v
