--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -35,7 +35,7 @@
 	endpoints map[string]*endpoint
 	asOf      time.Time // of the latest list, by the platform's clock
 	listedAt  time.Time // when it came
-	inList    bool // the list names this entry
+	inList    bool      // the list names this entry
 	changed   bool
 	view      View
 }
