--- a/scenario/observe.go
+++ b/scenario/observe.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-	"lovagespread.example/catalog"
 	"lovagespread.example/client/callerapi"
 	"lovagespread.example/standin/fakeendpoint"
 )
@@ -128,22 +127,6 @@
 	return strings.Join(lines, "\n")
 }
 
-// publishServices publishes the services text in the input.
-func publishServices(w *world, a *args) string {
-	parsed, err := catalog.ParseServices("services", []byte(a.input))
-	if err != nil {
-		a.fail("%v", err)
-	}
-	for _, s := range parsed.Services {
-		w.idempotent[s.Name] = s.Idempotent
-	}
-	w.services = a.input
-	return w.publish(a, a.input)
-}
-
-// republish publishes the current services text again, as a new version.
-func republish(w *world, a *args) string { return w.publish(a, w.services) }
-
 // awaitStop waits for the end of a planned stop.
 func (w *world) awaitStop(e *entryHost) string {
 	select {
--- a/scenario/table.go
+++ b/scenario/table.go
@@ -17,6 +17,7 @@
 	Name  string
 	Begin []string
 	End   []string
+	Again []string // the second time; empty: like Begin
 }
 
 // Faults returns the faults that the table combines. The hosts are those of
@@ -24,7 +25,7 @@
 // and v1, v2 (valuation) in failure domain a; b1, e3 and v3 in b.
 func Faults() []Fault {
 	return []Fault{
-		{Name: "entry crash", Begin: []string{"crash a1"}},
+		{Name: "entry crash", Begin: []string{"crash a1"}, Again: []string{"crash b1"}},
 		{Name: "endpoint crash", Begin: []string{"crash e1", "crash v1"}},
 		{Name: "log outage", Begin: []string{"platform down"}, End: []string{"platform none"}},
 		{Name: "lost reply", Begin: []string{"fault e1 lose-reply", "fault v1 lose-reply", "platform lose-replies=3"},
@@ -67,6 +68,15 @@
 timeout = "3s"
 `
 
+func (f Fault) same(other Fault) bool { return f.Name == other.Name }
+
+func (f Fault) begin(again bool) []string {
+	if again && len(f.Again) > 0 {
+		return f.Again
+	}
+	return f.Begin
+}
+
 // RunFaults runs the table's workload under the given faults, each begun a
 // little after the one before. It fails the test if a promise is broken, if a
 // job has no final reply, or if a job that is submitted after the faults have
@@ -131,7 +141,7 @@
 	var lines []timedLine
 	for i, fault := range faults {
 		begin := firstFault + time.Duration(i)*secondFault
-		for _, line := range fault.Begin {
+		for _, line := range fault.begin(slices.ContainsFunc(faults[:i], fault.same)) {
 			lines = append(lines, timedLine{at: begin, line: line})
 		}
 		for _, line := range fault.End {
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -6,10 +6,12 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"lovagespread.example/catalog"
 	"lovagespread.example/platform"
 	"lovagespread.example/platform/platformapi"
 	"lovagespread.example/scenario/fabric"
@@ -29,14 +31,14 @@
 
 // world is all that one scenario has built.
 type world struct {
-	published  uint64 // version of the configuration published last
 	t          *testing.T
 	dir        string
 	fabric     *fabric.Fabric
 	platform   *fakeplatform.Platform
 	starts     *fakeendpoint.Starts
-	services   string          // latest text published
-	idempotent map[string]bool // by service
+	services   *catalog.Catalog // latest published
+	changes    int              // published so far
+	idempotent map[string]bool  // by service
 	endpoints  map[string]*endpointHost
 	entries    map[string]*entryHost
 	crashed    []*entryHost
@@ -138,7 +140,7 @@
 func (w *world) address() net.IP { return net.IPv4(10, 0, 1, byte(1+len(w.order))) }
 
 func (w *world) known(a *args, host string) string {
-	if w.endpoints[host] == nil && w.entries[host] == nil && host != platformHost && host != callerHost {
+	if !slices.Contains(w.order, host) && host != platformHost && host != callerHost {
 		a.fail("there is no %s", host)
 	}
 	return host
