--- a/cmd/lovage-load/run.go
+++ b/cmd/lovage-load/run.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return load.Report{}, load.Detail{}, err
 	}
-	callers := newCallers(f.address, f.callers)
+	callers := newCallers(f.address, f.callers, f.patience)
 	tally := load.NewTally()
 	if err := generate(ctx, f, generator, callers, tally); err != nil {
 		return load.Report{}, load.Detail{}, err
@@ -135,7 +135,7 @@
 	return measurement.Report(ctx, tally, repeats(callers), idempotent)
 }
 
-func generate(ctx context.Context, f runFlags, generator *load.Generator, callers []*load.HTTPCaller, tally *load.Tally) error {
+func generate(ctx context.Context, f runFlags, generator *load.Generator, callers []*load.ClientCaller, tally *load.Tally) error {
 	stop := showProgress(f, tally)
 	defer stop()
 	unsent, err := load.Run(ctx, load.Options{
@@ -154,15 +154,15 @@
 	return err
 }
 
-func newCallers(address string, count int) []*load.HTTPCaller {
-	callers := make([]*load.HTTPCaller, count)
+func newCallers(address string, count int, patience time.Duration) []*load.ClientCaller {
+	callers := make([]*load.ClientCaller, count)
 	for i := range callers {
-		callers[i] = load.NewHTTPCaller(address)
+		callers[i] = load.NewClientCaller(address, patience)
 	}
 	return callers
 }
 
-func asCallers(callers []*load.HTTPCaller) []load.Caller {
+func asCallers(callers []*load.ClientCaller) []load.Caller {
 	list := make([]load.Caller, len(callers))
 	for i, caller := range callers {
 		list[i] = caller
@@ -170,7 +170,7 @@
 	return list
 }
 
-func repeats(callers []*load.HTTPCaller) int64 {
+func repeats(callers []*load.ClientCaller) int64 {
 	total := int64(0)
 	for _, caller := range callers {
 		total += caller.Repeats()
