Use no connection that a silence has made suspect

Cause: scenario silent_connection: of two open connections that had gone silent, the first cost a booking its outcome, and the second cost the next booking its outcome too, because it stayed in the pool; a connection that went silent while idle was used 30 s later. Change: after an exchange that was sent and not answered, the endpoint's idle connections are closed; idle ones are kept for 2 s instead of 30 s (a new one costs a round trip). Conclusion: one loss per silence is what remains; it cannot be told from a slow task before its lease ends.

--- a/entry/endpointclient/client.go
+++ b/entry/endpointclient/client.go
@@ -18,9 +18,11 @@
 	// renew it for tasks that run longer.
 	MaxLease = 10 * time.Second
 	// MaxResultBytes bounds the body of an answer.
-	MaxResultBytes  = 8 << 20
-	maxHeaderBytes  = 16 << 10
-	idleConnTimeout = 30 * time.Second
+	MaxResultBytes = 8 << 20
+	maxHeaderBytes = 16 << 10
+	// idleConnTimeout is short, since a connection that went silent is found
+	// out only by a task sent on it, and a new one costs one round trip.
+	idleConnTimeout = 2 * time.Second
 	controlTimeout  = 2 * time.Second
 	freshConnTries  = 3
 )
--- a/entry/endpointclient/run.go
+++ b/entry/endpointclient/run.go
@@ -28,11 +28,20 @@
 	if err != nil {
 		c.opts.Observe.Unanswered(task, sent, err.Error())
 		c.noteSilence(e)
+		e.dropIdle(sent)
 		return lost(task, !sent, err.Error())
 	}
 	return c.interpret(e, task, reply)
 }
 
+// dropIdle closes the idle connections after an exchange that was sent and not
+// answered: whatever lost track of its connection may have lost the others.
+func (e *endpoint) dropIdle(sent bool) {
+	if sent {
+		e.transport.CloseIdleConnections()
+	}
+}
+
 func (c *Client) noteSilence(e *endpoint) {
 	e.health.Store(healthSilent)
 	c.opts.Health.EndpointSilent(e.name)
--- a/scenario/fabric/fabric.go
+++ b/scenario/fabric/fabric.go
@@ -74,11 +74,12 @@
 }
 
 // Silence makes the open connections to a host silent for good: both ends
-// stay open and nothing more is delivered. It returns their number.
+// stay open and nothing more is delivered. It returns the number of those that
+// were not silent before.
 func (f *Fabric) Silence(host string) int {
 	n := 0
 	for _, c := range f.connsOf(host) {
-		if c.server == host {
+		if c.server == host && !c.isSilent() {
 			c.silence()
 			n++
 		}
