--- a/dispatch/ledger/doc.go
+++ b/dispatch/ledger/doc.go
@@ -52,7 +52,7 @@
 // An open job costs one record of fixed size and one of each task. A job ID
 // that is Closed or Ended costs two bits in a page of PageIDs consecutive
 // sequence numbers. IDs cannot be forged, hence refusals and replays cost no
-// more than a quarter of a byte for each ID that was issued and has not
+// more than half a byte for each ID that was issued in sequence and has not
 // expired.
 //
 // The package does no I/O and reads no clock.
