Set faults of balancer and platform from the command line; check the text first

Cause: a faulty services text only showed as entries that never got ready, and half of the fault switches needed hand-written requests. Change: lovage-load fault -target endpoint, balancer or platform; the scripts check the services text before they start anything; tables for people.

--- a/cmd/lovage-load/fault.go
+++ b/cmd/lovage-load/fault.go
@@ -4,19 +4,49 @@
 	"context"
 	"encoding/json"
 	"flag"
+	"fmt"
 	"io"
 
 	"lovagespread.example/cmd/internal/command"
 	"lovagespread.example/experiment/load"
+	"lovagespread.example/standin/fakebalancer"
 	"lovagespread.example/standin/fakeendpoint"
+	"lovagespread.example/standin/fakeplatform"
 )
 
-// runFault carries out "lovage-load fault".
-func runFault(args []string, out io.Writer) error {
+// Targets of a fault.
+const (
+	targetEndpoint = "endpoint"
+	targetBalancer = "balancer"
+	targetPlatform = "platform"
+)
+
+// faultFlags are the flags of "lovage-load fault".
+type faultFlags struct {
+	target   string
+	control  string
+	platform string
+	endpoint fakeendpoint.FaultRequest
+	balancer fakebalancer.FaultSettings
+	faults   fakeplatform.Faults
+}
+
+func parseFaultFlags(args []string) (faultFlags, error) {
+	var f faultFlags
 	flags := flag.NewFlagSet(program+" fault", flag.ContinueOnError)
-	control := flags.String("control", "", "control listener of lovage-standin, `host:port` (required)")
-	req := fakeendpoint.FaultRequest{}
-	flags.StringVar((*string)(&req.Fault.Kind), "kind", "", "fault: crash, refuse, fail_fast, straggle, silence_open, silence, break_open, break_after_read, lose_reply, pause, leaving, delay or clear (required)")
+	flags.StringVar(&f.target, "target", targetEndpoint, "endpoint, balancer or platform")
+	flags.StringVar(&f.control, "control", "", "control listener of lovage-standin, `host:port` (required but for platform)")
+	addEndpointFaults(flags, &f.endpoint)
+	flags.Float64Var(&f.balancer.BreakShare, "break-share", 0, "of balancer: share of requests, 0 to 1, whose connection breaks before they are passed on")
+	flags.Float64Var(&f.balancer.LoseReplyShare, "lose-reply-share", 0, "of balancer: share of requests, 0 to 1, whose answer is lost on the way back")
+	flags.StringVar(&f.platform, "platform", "", "of platform: its `host:port` (required)")
+	addPlatformFaults(flags, &f.faults)
+	err := command.Parse(flags, args)
+	return f, err
+}
+
+func addEndpointFaults(flags *flag.FlagSet, req *fakeendpoint.FaultRequest) {
+	flags.StringVar((*string)(&req.Fault.Kind), "kind", "", "of endpoint: crash, refuse, fail_fast, straggle, silence_open, silence, break_open, break_after_read, lose_reply, pause, leaving, delay or clear (required)")
 	flags.Float64Var(&req.Fault.Factor, "factor", 0, "of straggle: how many times longer tasks run")
 	flags.Float64Var(&req.Fault.DelayMS, "delay-ms", 0, "of delay: milliseconds before each write")
 	flags.StringVar(&req.Selector.Endpoint, "endpoint", "", "only the endpoint of this name (default: all)")
@@ -25,15 +55,60 @@
 	flags.StringVar(&req.Selector.Rack, "rack", "", "only endpoints in this rack (default: all)")
 	flags.StringVar(&req.Selector.Worker, "worker", "", "only endpoints on this worker (default: all)")
 	flags.IntVar(&req.Selector.Limit, "limit", 0, "only the first so many endpoints, by name; 0 means all")
-	if err := command.Parse(flags, args); err != nil {
+}
+
+func addPlatformFaults(flags *flag.FlagSet, faults *fakeplatform.Faults) {
+	flags.BoolVar(&faults.Down, "down", false, "of platform: every connection breaks without a reply")
+	flags.BoolVar(&faults.Hang, "hang", false, "of platform: requests get no reply")
+	flags.Int64Var(&faults.SlowMS, "slow-ms", 0, "of platform: milliseconds that each request takes longer")
+	flags.IntVar(&faults.LoseReplies, "lose-replies", 0, "of platform: so many of the next appends take effect without a reply")
+	flags.StringVar((*string)(&faults.List), "list", "", "of platform: VM list is stale, empty or shrunken (default: as it should be)")
+	flags.IntVar(&faults.KeepVMs, "keep-vms", 0, "of platform: VMs that a shrunken list keeps")
+}
+
+// runFault carries out "lovage-load fault". For balancer and platform it
+// replaces all switches.
+func runFault(args []string, out io.Writer) error {
+	f, err := parseFaultFlags(args)
+	if err != nil {
 		return err
 	}
-	if *control == "" || req.Fault.Kind == "" {
+	ctx := context.Background()
+	switch f.target {
+	case targetEndpoint:
+		return f.setEndpoints(ctx, out)
+	case targetBalancer:
+		return f.setBalancer(ctx)
+	case targetPlatform:
+		return f.setPlatform(ctx)
+	}
+	return &command.UsageError{
+		What:   fmt.Sprintf("unknown target %q", f.target),
+		Remedy: "use endpoint, balancer or platform",
+	}
+}
+
+func (f faultFlags) setEndpoints(ctx context.Context, out io.Writer) error {
+	if f.control == "" || f.endpoint.Fault.Kind == "" {
 		return &command.UsageError{What: "-control or -kind is missing", Remedy: "name the control listener and the fault"}
 	}
-	done, err := load.NewStandins(*control).SetEndpointFault(context.Background(), req)
+	done, err := load.NewStandins(f.control).SetEndpointFault(ctx, f.endpoint)
 	if err != nil {
 		return err
 	}
 	return json.NewEncoder(out).Encode(done)
 }
+
+func (f faultFlags) setBalancer(ctx context.Context) error {
+	if f.control == "" {
+		return &command.UsageError{What: "-control is missing", Remedy: "name the control listener"}
+	}
+	return load.NewStandins(f.control).SetBalancerFaults(ctx, f.balancer)
+}
+
+func (f faultFlags) setPlatform(ctx context.Context) error {
+	if f.platform == "" {
+		return &command.UsageError{What: "-platform is missing", Remedy: "name the platform"}
+	}
+	return load.SetPlatformFaults(ctx, f.platform, f.faults)
+}
--- a/cmd/lovage-load/run.go
+++ b/cmd/lovage-load/run.go
@@ -48,7 +48,7 @@
 	flags.IntVar(&f.inFlight, "in-flight", 20_000, "most jobs that wait for their answer at once")
 	flags.DurationVar(&f.duration, "duration", 20*time.Second, "length of the arrivals")
 	flags.DurationVar(&f.patience, "patience", 30*time.Second, "how long a caller waits for one job")
-	flags.BoolVar(&f.json, "json", false, "print only the result, as one line of JSON")
+	flags.BoolVar(&f.json, "json", false, "only the result, as one line of JSON, without the table for people")
 	flags.BoolVar(&f.quiet, "quiet", false, "no progress lines on standard error")
 	if err := command.Parse(flags, args); err != nil {
 		return f, err
@@ -207,11 +207,9 @@
 
 func printResult(out io.Writer, f runFlags, report load.Report, detail load.Detail) error {
 	if !f.json {
-		text, err := json.MarshalIndent(detail, "", "  ")
-		if err != nil {
+		if err := detail.Write(os.Stderr); err != nil {
 			return err
 		}
-		fmt.Fprintln(os.Stderr, string(text))
 	}
 	return json.NewEncoder(out).Encode(report)
 }
--- a/experiment/load/standins.go
+++ b/experiment/load/standins.go
@@ -13,6 +13,7 @@
 
 	"lovagespread.example/standin/fakebalancer"
 	"lovagespread.example/standin/fakeendpoint"
+	"lovagespread.example/standin/fakeplatform"
 )
 
 // standinsTimeout bounds one request to the stand-ins' control listener.
@@ -91,6 +92,11 @@
 	return s.do(ctx, http.MethodPost, "/faults/balancer", settings, nil)
 }
 
+// SetPlatformFaults replaces the fault switches of the platform at host:port.
+func SetPlatformFaults(ctx context.Context, address string, faults fakeplatform.Faults) error {
+	return NewStandins(address).do(ctx, http.MethodPut, "/faults", faults, nil)
+}
+
 func (s *Standins) do(ctx context.Context, method, path string, body, into any) error {
 	raw, err := json.Marshal(body)
 	if err != nil {
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -65,6 +65,7 @@
     "$bin/lovage-load" layout -dir "$dir" "$@" >/dev/null
     # shellcheck source=/dev/null
     source "$dir/layout.sh"
+    "$bin/lovagectl" check "$SERVICES" >&2
     start standin "$bin/lovage-standin" -config "$dir/standin.toml" -publish
     for entry in "${ENTRIES[@]}"; do start_entry "$entry"; done
     if ! "$bin/lovage-load" ready -control "$CONTROL" -entries "${#ENTRIES[@]}"; then
