Let lovagectl wait until a change is in force at the entries

Cause: an operator needs to see where an accepted change is not in force yet.

Change: every publishing command takes -entries with the admin addresses and -wait; it reads the version metric of each and names those that lack it, with exit code 7. The JSON field in_force now tells how far the change has come; accepted tells the verdict of the log.

The command borrows experiment/load.WaitInForce.

--- a/cmd/lovagectl/doc.go
+++ b/cmd/lovagectl/doc.go
@@ -19,4 +19,5 @@
 //	4  rejected: another change on the same version came first
 //	5  unknown whether the change is or will be in force
 //	6  the platform refused or could not be reached; nothing was changed
+//	7  accepted, but not in force at every entry of -entries yet
 package main
--- a/cmd/lovagectl/exit.go
+++ b/cmd/lovagectl/exit.go
@@ -23,6 +23,7 @@
 	exitRejected exitCode = 4
 	exitUnknown  exitCode = 5
 	exitPlatform exitCode = 6
+	exitPartly   exitCode = 7
 )
 
 var exitCodes = []struct {
@@ -36,6 +37,7 @@
 	{exitRejected, "rejected: another change on the same version came first"},
 	{exitUnknown, "unknown whether the change is or will be in force"},
 	{exitPlatform, "the platform refused or could not be reached; nothing was changed"},
+	{exitPartly, "accepted, but not in force at every entry of -entries yet"},
 }
 
 // usageError is a wrong command line.
@@ -56,6 +58,7 @@
 		unknownLog  *platform.UnknownOutcomeError
 		refused     *platform.RefusedError
 		unavailable *platform.UnavailableError
+		partly      *notEverywhereError
 	)
 	switch {
 	case err == nil, errors.Is(err, flag.ErrHelp):
@@ -70,6 +73,8 @@
 		return exitUnknown
 	case errors.As(err, &refused), errors.As(err, &unavailable):
 		return exitPlatform
+	case errors.As(err, &partly):
+		return exitPartly
 	}
 	return exitFailed
 }
--- a/cmd/lovagectl/main_test.go
+++ b/cmd/lovagectl/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -33,6 +34,7 @@
 	dir      string
 	url      string
 	platform *fakeplatform.Platform
+	entries  []string
 }
 
 // TestCommands runs transcripts with these directives:
@@ -41,6 +43,7 @@
 //	run ARGS...   run lovagectl; PLATFORM stands for the flag of the stand-in
 //	forget N      make the log forget the records before offset N
 //	append        append a raw record
+//	entry V       start an entry that is at version V; ENTRIES lists all
 //	down          break the platform; "up" mends it
 func TestCommands(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -69,6 +72,8 @@
 			t.Fatal(err)
 		}
 		b.platform.Forget(platform.StreamConfiguration, before)
+	case "entry":
+		b.entry(t, d.CmdArgs[0].Key)
 	case "append":
 		client, err := platform.NewClient(platform.Options{URL: b.url})
 		if err != nil {
@@ -85,9 +90,18 @@
 	return ""
 }
 
+// entry serves the metric by which an entry tells its version.
+func (b *bench) entry(t *testing.T, version string) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, "lovage_configuration_version %s\n", version)
+	}))
+	t.Cleanup(server.Close)
+	b.entries = append(b.entries, strings.TrimPrefix(server.URL, "http://"))
+}
+
 func (b *bench) run(t *testing.T, args []string) string {
 	for i, arg := range args {
-		args[i] = strings.ReplaceAll(arg, "DIR", b.dir)
+		args[i] = strings.NewReplacer("DIR", b.dir, "ENTRIES", strings.Join(b.entries, ",")).Replace(arg)
 	}
 	for i, arg := range args {
 		if arg == "PLATFORM" {
--- a/cmd/lovagectl/publish.go
+++ b/cmd/lovagectl/publish.go
@@ -15,11 +15,15 @@
 
 func showPublication(in *invocation, p publication) error {
 	return in.show(p, func(w io.Writer) {
-		if !p.InForce {
+		if !p.Accepted {
 			fmt.Fprintf(w, "the change on version %d has no problem; nothing was published\n", p.Base)
 			return
 		}
-		fmt.Fprintf(w, "version %d is in force\tchange %s\t%.3f s\n", p.Version, p.ChangeID, p.Seconds)
+		fmt.Fprintf(w, "version %d is accepted\tchange %s\t%.3f s\n", p.Version, p.ChangeID, p.Seconds)
+		if p.InForce != nil {
+			there := p.InForce.Entries - len(p.InForce.Missing)
+			fmt.Fprintf(w, "in force at %d of %d entries\t\t%.3f s\n", there, p.InForce.Entries, p.InForce.Seconds)
+		}
 	})
 }
 
--- a/cmd/lovagectl/session.go
+++ b/cmd/lovagectl/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"flag"
+	"fmt"
 	mathrand "math/rand/v2"
 	"os"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"lovagespread.example/catalog"
 	"lovagespread.example/catalog/change"
+	"lovagespread.example/experiment/load"
 	"lovagespread.example/platform"
 	"lovagespread.example/platform/follow"
 )
@@ -101,6 +103,8 @@
 	base     int64
 	changeID string
 	dryRun   bool
+	entries  string
+	wait     time.Duration
 }
 
 const currentBase = -1
@@ -110,6 +114,8 @@
 	flags.StringVar(&d.author, "author", os.Getenv("USER"), "`name` of the operator, kept with the change")
 	flags.Int64Var(&d.base, "base", currentBase, "`version` that the change must follow; -1 takes the one in force")
 	flags.StringVar(&d.changeID, "change", "", "`ID` of the change, to publish it again (default: a new one)")
+	flags.StringVar(&d.entries, "entries", "", "admin `addresses` of entries, host:port with commas between; wait until the change is in force there")
+	flags.DurationVar(&d.wait, "wait", defaultWait, "longest wait for -entries, with its unit, as in 10s")
 	flags.BoolVar(&d.dryRun, "dry-run", false, "check the change and publish nothing")
 }
 
@@ -118,8 +124,10 @@
 	ChangeID string  `json:"change_id"`
 	Base     uint64  `json:"base"`
 	Version  uint64  `json:"version"`
-	InForce  bool    `json:"in_force"`
+	Accepted bool    `json:"accepted"`
 	Seconds  float64 `json:"seconds"` // from the append to the verdict
+	// InForce tells how far the change has come, if -entries is given.
+	InForce *load.InForce `json:"in_force,omitempty"`
 }
 
 // publish checks the whole resulting configuration and publishes the change.
@@ -153,9 +161,37 @@
 	if err != nil {
 		return err
 	}
-	result.InForce = true
+	result.Accepted = true
 	result.Seconds = time.Since(begin).Seconds()
-	return showPublication(in, result)
+	err = d.awaitEntries(in.ctx, &result, begin)
+	return errors.Join(showPublication(in, result), err)
+}
+
+// awaitEntries waits until the change is in force at the entries named.
+func (d *draft) awaitEntries(ctx context.Context, result *publication, begin time.Time) error {
+	if d.entries == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.wait)
+	defer cancel()
+	inForce := load.WaitInForce(ctx, strings.Split(d.entries, ","), result.Version, begin)
+	result.InForce = &inForce
+	if len(inForce.Missing) > 0 {
+		return &notEverywhereError{version: result.Version, missing: inForce.Missing, wait: d.wait}
+	}
+	return nil
+}
+
+// notEverywhereError says where an accepted change is not in force yet.
+type notEverywhereError struct {
+	version uint64
+	missing []string
+	wait    time.Duration
+}
+
+func (e *notEverywhereError) Error() string {
+	return fmt.Sprintf("version %d was accepted but is not in force after %s at %s: check these entries",
+		e.version, e.wait, strings.Join(e.missing, ", "))
 }
 
 // change returns the change that the flags ask for.
@@ -177,4 +213,7 @@
 	return c, nil
 }
 
+// defaultWait is the time within which a change must be in force.
+const defaultWait = 5 * time.Second
+
 const incompleteLog = "the log has forgotten part of the configuration: restore it with lovagectl restore, or wait for a snapshot of an entry"
