Test followers under random faults with seeds

Cause: single faults are tested one by one; they also come together.

Change: five followers of one log under 120 random events a seed: outages, slow replies, lost replies, cut-off and silent connections, restarts, copies of peers, operators' races.

--- /dev/null
+++ b/standin/fakeplatform/chaos_test.go
@@ -0,0 +1,194 @@
+package fakeplatform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lovagespread.example/catalog/change"
+	"lovagespread.example/platform"
+	"lovagespread.example/platform/follow"
+)
+
+const (
+	chaosSeeds     = 12
+	chaosProcesses = 5
+	chaosSteps     = 120
+)
+
+// chaos is a run of random faults on followers of one log.
+type chaos struct {
+	t         *testing.T
+	rand      *rand.Rand
+	platform  *Platform
+	network   *memoryListener
+	newClient func() *platform.Client
+	processes []*process
+	logs      []*cutLog
+	changes   int
+
+	group    sync.WaitGroup
+	mu       sync.Mutex
+	outcomes []outcome
+}
+
+// outcome is what an operator was told of a change.
+type outcome struct {
+	change change.Change
+	err    error
+}
+
+func newChaos(t *testing.T, seed uint64) *chaos {
+	c := &chaos{t: t, rand: rand.New(rand.NewPCG(seed, 7))}
+	c.platform, c.network, c.newClient = memoryNetwork(t, Options{RetainFor: None, RetainRecords: None, AppendsPerSecond: None})
+	for range chaosProcesses {
+		c.processes = append(c.processes, nil)
+		c.logs = append(c.logs, nil)
+		c.boot(len(c.processes) - 1)
+	}
+	return c
+}
+
+func (c *chaos) boot(i int) {
+	c.logs[i] = &cutLog{Log: c.newClient()}
+	c.processes[i] = start(c.t, c.logs[i], c.rand.Uint64(), nil)
+}
+
+func (c *chaos) any() int { return c.rand.IntN(chaosProcesses) }
+
+// step brings about one event.
+func (c *chaos) step() {
+	switch c.rand.IntN(10) {
+	case 0:
+		c.platform.SetDown(c.rand.IntN(2) == 0)
+	case 1:
+		c.platform.SetSlow(time.Duration(c.rand.IntN(4)) * time.Second)
+	case 2:
+		c.platform.LoseReplies(c.rand.IntN(4))
+	case 3:
+		c.logs[c.any()].set(c.rand.IntN(2) == 0)
+	case 4:
+		c.network.silence()
+	case 5:
+		i := c.any()
+		c.processes[i].end()
+		c.boot(i)
+	case 6:
+		c.handOver(c.processes[c.any()], c.processes[c.any()])
+	default:
+		c.publish(c.processes[c.any()])
+	}
+	time.Sleep(time.Duration(c.rand.IntN(1500)) * time.Millisecond)
+}
+
+func (c *chaos) handOver(from, to *process) {
+	if newest, ok := from.Copy(c.t.Context()); ok {
+		if _, err := to.Adopt(c.t.Context(), newest); err != nil {
+			c.t.Error(err)
+		}
+	}
+}
+
+// publish lets an operator publish on what a process serves.
+func (c *chaos) publish(p *process) {
+	ch := put(fmt.Sprint("c", c.changes), p.version())
+	c.changes++
+	patience := time.Duration(1+c.rand.IntN(10)) * time.Second
+	c.group.Go(func() {
+		ctx, cancel := context.WithTimeout(c.t.Context(), patience)
+		defer cancel()
+		_, err := p.Publish(ctx, ch)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.outcomes = append(c.outcomes, outcome{change: ch, err: err})
+	})
+}
+
+// heal ends every fault.
+func (c *chaos) heal() {
+	c.platform.SetFaults(Faults{})
+	for _, log := range c.logs {
+		log.set(false)
+	}
+	c.group.Wait()
+}
+
+// truth judges the whole log.
+func (c *chaos) truth() *change.Replica {
+	r := change.NewReplica()
+	for _, record := range c.platform.Records(platform.StreamConfiguration) {
+		r.Apply(record.Offset, record.Data)
+	}
+	return r
+}
+
+func (c *chaos) checkOneVersion(truth *change.Replica) {
+	c.t.Helper()
+	for i, p := range c.processes {
+		status := p.Status()
+		if !bytes.Equal(status.Digest, change.Digest(truth.Catalog())) {
+			c.t.Errorf("process %d serves version %d, the log holds %d", i, status.Catalog.Version, truth.Catalog().Version)
+		}
+		if status.Counts.Conflicts > 0 {
+			c.t.Errorf("process %d saw a conflicting copy", i)
+		}
+	}
+}
+
+func (c *chaos) checkOutcomes(truth *change.Replica) {
+	c.t.Helper()
+	for _, o := range c.outcomes {
+		fate, _ := truth.Fate(o.change.ID, o.change.Base)
+		if !truthful(o.err, fate) {
+			c.t.Errorf("change %s on version %d: the operator was told %v, its fate is %d", o.change.ID, o.change.Base, o.err, fate)
+		}
+	}
+}
+
+func truthful(err error, fate change.Fate) bool {
+	var (
+		rejected    *follow.RejectedError
+		unknown     *follow.UnknownError
+		refused     *platform.RefusedError
+		unavailable *platform.UnavailableError
+	)
+	switch {
+	case err == nil:
+		return fate == change.FateAccepted
+	case errors.As(err, &rejected):
+		return fate == change.FateRejected
+	case errors.As(err, &unknown):
+		return true
+	case errors.As(err, &refused), errors.As(err, &unavailable):
+		return fate != change.FateAccepted
+	}
+	return false
+}
+
+func TestOneVersionAfterRandomFaults(t *testing.T) {
+	for seed := range uint64(chaosSeeds) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newChaos(t, seed)
+				for range chaosSteps {
+					c.step()
+				}
+				c.heal()
+				time.Sleep(inForce)
+				synctest.Wait()
+				truth := c.truth()
+				c.checkOneVersion(truth)
+				c.checkOutcomes(truth)
+				if truth.Catalog().Version == 0 {
+					t.Error("no change was accepted")
+				}
+			})
+		})
+	}
+}
