--- a/entry/control/bodies.go
+++ b/entry/control/bodies.go
@@ -22,6 +22,8 @@
 	}
 }
 
+func (b bodies) label(id jobid.ID) string { return b[id].Label }
+
 func (b bodies) payload(ref dispatch.TaskRef) []byte {
 	tasks := b[ref.Job].Job.Tasks
 	if ref.Index >= len(tasks) {
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -134,6 +134,7 @@
 	l.loads[s.Service]++
 	l.opts.Endpoints.Start(endpointclient.Task{
 		Start:   *s,
+		Label:   l.bodies.label(s.Task.Job),
 		Payload: l.bodies.payload(s.Task),
 		Needs:   l.bodies.needs(s.Task, service),
 	})
--- a/entry/control/message.go
+++ b/entry/control/message.go
@@ -14,6 +14,7 @@
 // Submission is a job whose ID and body have been verified.
 type Submission struct {
 	ID     jobid.ID
+	Label  string // of the ID in logs and task IDs, as ID.String gives it
 	Team   string
 	Job    callerapi.Job
 	Parent string // trace ID, or empty
--- a/entry/endpointclient/client.go
+++ b/entry/endpointclient/client.go
@@ -31,6 +31,7 @@
 // Task is one attempt of a task, ready to be sent.
 type Task struct {
 	dispatch.Start
+	Label   string // of the job, in task IDs and logs
 	Payload []byte
 	Needs   catalog.Resources
 }
--- a/entry/endpointclient/run.go
+++ b/entry/endpointclient/run.go
@@ -5,9 +5,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"lovagespread.example/dispatch"
@@ -51,8 +51,8 @@
 
 func (c *Client) request(task Task) endpointapi.TaskRequest {
 	return endpointapi.TaskRequest{
-		TaskID:       taskID(task.Task, task.Attempt),
-		Job:          task.Task.Job.String(),
+		TaskID:       taskID(task.Label, task.Task.Index, task.Attempt),
+		Job:          task.Label,
 		Index:        task.Task.Index,
 		Attempt:      task.Attempt,
 		Entry:        c.opts.Entry,
@@ -65,10 +65,20 @@
 	}
 }
 
-func taskID(ref dispatch.TaskRef, attempt int) string {
-	return fmt.Sprintf("%s.%d.%d", ref.Job, ref.Index, attempt)
+// taskID names one attempt: job, index and attempt.
+func taskID(job string, index, attempt int) string {
+	text := make([]byte, 0, len(job)+taskIDSuffix)
+	text = append(text, job...)
+	text = append(text, '.')
+	text = strconv.AppendInt(text, int64(index), 10)
+	text = append(text, '.')
+	text = strconv.AppendInt(text, int64(attempt), 10)
+	return string(text)
 }
 
+// taskIDSuffix is room for the index and the attempt, in bytes.
+const taskIDSuffix = 10
+
 // reply is a complete HTTP response.
 type reply struct {
 	status int
@@ -192,7 +202,7 @@
 	if err := json.Unmarshal(body, into); err != nil {
 		return err
 	}
-	if *id != taskID(task.Task, task.Attempt) {
+	if *id != taskID(task.Label, task.Task.Index, task.Attempt) {
 		return &WrongTaskError{Got: *id}
 	}
 	return nil
--- a/entry/endpointclient/stop.go
+++ b/entry/endpointclient/stop.go
@@ -20,7 +20,7 @@
 func (c *Client) stop(s dispatch.Stop) {
 	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
-	path := "/v1/tasks/" + taskID(s.Task, s.Attempt) + "/stop"
+	path := "/v1/tasks/" + taskID(s.Task.Job.String(), s.Task.Index, s.Attempt) + "/stop"
 	resp, err := c.endpoint(s.Endpoint, s.Address).post(ctx, path, nil)
 	if err != nil {
 		return
--- a/entry/jobs/service.go
+++ b/entry/jobs/service.go
@@ -110,6 +110,7 @@
 	}
 	reply, err := s.loop.Submit(ctx, control.Submission{
 		ID:     id,
+		Label:  id.String(),
 		Team:   r.Team,
 		Job:    job,
 		Parent: traceID(r.Traceparent),
--- a/entry/observe/observer.go
+++ b/entry/observe/observer.go
@@ -28,7 +28,7 @@
 	o.metrics.Starts.WithLabelValues(t.Service).Inc()
 	o.metrics.Messages.WithLabelValues(kindOf(&t.Start)).Inc()
 	o.log.Info("place",
-		zap.Stringer("job", t.Task.Job),
+		zap.String("job", t.Label),
 		zap.Int("task", t.Task.Index),
 		zap.String("service", t.Service),
 		zap.String("endpoint", t.Endpoint),
@@ -61,7 +61,7 @@
 // Unanswered notes an attempt that got no answer.
 func (o *Observer) Unanswered(t endpointclient.Task, sent bool, detail string) {
 	o.log.Warn("lost",
-		zap.Stringer("job", t.Task.Job),
+		zap.String("job", t.Label),
 		zap.Int("task", t.Task.Index),
 		zap.String("endpoint", t.Endpoint),
 		zap.Int("attempt", t.Attempt),
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -10,7 +10,6 @@
 	"lovagespread.example/entry/forward"
 	"lovagespread.example/entry/jobs"
 	"lovagespread.example/entry/listen"
-	"lovagespread.example/entry/metrics"
 	"lovagespread.example/entry/observe"
 	"lovagespread.example/entry/settings"
 	"lovagespread.example/entry/token"
@@ -26,10 +25,14 @@
 	if err != nil {
 		return nil, err
 	}
+	admin, err := newAdminHandler(i, ready)
+	if err != nil {
+		return nil, err
+	}
 	return []*server{
 		{name: "caller", listener: open.caller, http: listen.Server(callers)},
 		{name: "peer", listener: open.peer, http: listen.Server(peers)},
-		{name: "admin", listener: open.admin, http: listen.Server(newAdminHandler(i, ready))},
+		{name: "admin", listener: open.admin, http: listen.Server(admin)},
 	}, nil
 }
 
@@ -58,13 +61,6 @@
 	}), nil
 }
 
-func newAdminHandler(i do.Injector, ready func() error) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", do.MustInvoke[*metrics.Set](i).Handler())
-	mux.HandleFunc("GET /readyz", callerhttp.Readyz(ready))
-	return mux
-}
-
 func newJobs(i do.Injector) (*jobs.Service, error) {
 	verifier, err := do.Invoke[*jobid.Verifier](i)
 	if err != nil {
--- a/entry/token/token.go
+++ b/entry/token/token.go
@@ -98,3 +98,14 @@
 	}
 	return fields[len(fields)-1], nil
 }
+
+// Require admits only requests that carry a known token.
+func (s *Set) Require(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, ok := s.Holder(r); !ok {
+			http.Error(w, "the bearer token is missing or unknown: send Authorization: Bearer with your token", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
