--- a/experiment/load/caller.go
+++ b/experiment/load/caller.go
@@ -1,177 +1,94 @@
 package load
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
-	"sync"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"lovagespread.example/client"
 	"lovagespread.example/client/callerapi"
 )
 
 const (
 	idsPerRequest = 100
-	idMargin      = 30 * time.Second // an ID is used only this long before it expires
-	submitWait    = "30s"
-	reaskPause    = 100 * time.Millisecond
 	idleToEntry   = 1024
 )
 
-// HTTPCaller is a Caller that speaks the caller API. It asks again under the
-// same job ID when an answer is lost. It is safe for concurrent use.
-type HTTPCaller struct {
-	base    string
-	client  http.Client
-	repeats atomic.Int64
-
-	mu      sync.Mutex
-	ids     []string
-	expires time.Time
+// ClientCaller is a Caller with the client package, its own connections and
+// its own job IDs. It is safe for concurrent use.
+type ClientCaller struct {
+	client   *client.Client
+	requests *countingTransport
+	jobs     atomic.Int64
 }
 
-// NewHTTPCaller returns a caller of the entry or balancer at host:port.
-func NewHTTPCaller(address string) *HTTPCaller {
+// NewClientCaller returns a caller of the entry or balancer at host:port.
+// patience is how long it asks for an answer of which it gets no news.
+func NewClientCaller(address string, patience time.Duration) *ClientCaller {
 	transport := &http.Transport{MaxIdleConnsPerHost: idleToEntry, DisableCompression: true}
-	return &HTTPCaller{base: "http://" + address, client: http.Client{Transport: transport}}
-}
-
-// Repeats returns the number of requests that were sent again.
-func (c *HTTPCaller) Repeats() int64 { return c.repeats.Load() }
-
-// Do submits a job and waits for its end.
-func (c *HTTPCaller) Do(ctx context.Context, job callerapi.Job) (callerapi.Answer, error) {
-	id, err := c.takeID(ctx)
-	if err != nil {
-		return callerapi.Answer{}, notSubmitted(err)
-	}
-	body, err := json.Marshal(job)
-	if err != nil {
-		return callerapi.Answer{}, errors.Wrap(err, "encode the job")
-	}
-	path := "/v1/jobs/" + id + "?wait=" + submitWait
-	method := http.MethodPut
-	for {
-		answer, err := c.once(ctx, method, path, body)
-		if err == nil || !retryable(err) {
-			return answer, err
-		}
-		if !pause(ctx, reaskPause) {
-			return answer, err
-		}
-		c.repeats.Add(1)
-		method = http.MethodPut // the same ID never starts a job twice
+	requests := &countingTransport{next: transport}
+	return &ClientCaller{
+		requests: requests,
+		client: client.New(client.Options{
+			URL:    "http://" + address,
+			HTTP:   &http.Client{Transport: requests},
+			IDs:    idsPerRequest,
+			GiveUp: patience,
+		}),
 	}
 }
 
-// notSubmitted makes an error of obtaining an ID say that nothing was run.
-func notSubmitted(err error) error {
-	return &callerapi.Problem{Code: codeNone, Execution: callerapi.NotRun, Detail: err.Error()}
-}
-
-// noAnswerError reports that a request got no answer of the caller API.
-type noAnswerError struct{ cause error }
-
-func (e *noAnswerError) Error() string { return "no answer, ask again: " + e.cause.Error() }
-func (e *noAnswerError) Unwrap() error { return e.cause }
-
-func retryable(err error) bool {
-	_, lost := errors.Into[*noAnswerError](err)
-	problem, ok := errors.Into[*callerapi.Problem](err)
-	return lost || ok && (problem.Code == callerapi.CodeOwnerUnreachable)
-}
-
-func (c *HTTPCaller) once(ctx context.Context, method, path string, body []byte) (answer callerapi.Answer, err error) {
-	status, raw, err := c.send(ctx, method, path, body)
+// Do submits a job and waits for its end. The error is a *callerapi.Problem;
+// its Execution is unknown where nobody can tell.
+func (c *ClientCaller) Do(ctx context.Context, job callerapi.Job) (callerapi.Answer, error) {
+	c.jobs.Add(1)
+	answer, err := c.client.Do(ctx, job)
 	if err != nil {
-		return answer, &noAnswerError{cause: err}
-	}
-	switch status {
-	case http.StatusOK:
-		if err := json.Unmarshal(raw, &answer); err != nil {
-			return answer, &noAnswerError{cause: err}
-		}
-		return answer, nil
-	case http.StatusAccepted:
-		return answer, &noAnswerError{cause: errors.New("still running")}
+		return callerapi.Answer{}, asProblem(err)
 	}
-	return answer, problemOf(raw)
+	return *answer, nil
 }
 
-func problemOf(raw []byte) error {
-	problem := &callerapi.Problem{}
-	if json.Unmarshal(raw, problem) != nil || problem.Code == "" {
-		return &noAnswerError{cause: errors.Errorf("not a problem of the caller API: %.100q", raw)}
-	}
-	return problem
+// Repeats returns the number of requests about jobs beyond one for each job.
+func (c *ClientCaller) Repeats() int64 {
+	return max(0, c.requests.aboutJobs.Load()-c.jobs.Load())
 }
 
-func (c *HTTPCaller) send(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return 0, nil, err
-	}
-	req.GetBody = nil // no implicit resend
-	req.Header.Set("Content-Type", "application/json")
-	res, err := c.client.Do(req)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer res.Body.Close()
-	raw, err := io.ReadAll(res.Body)
-	return res.StatusCode, raw, err
-}
+// Codes of failures for which the client gives no problem.
+const (
+	codeOutcomeUnknown callerapi.Code = "outcome_unknown"
+	codeNotSubmitted   callerapi.Code = "not_submitted"
+)
 
-func (c *HTTPCaller) takeID(ctx context.Context) (string, error) {
-	for {
-		if id := c.cachedID(); id != "" {
-			return id, nil
-		}
-		err := c.fetchIDs(ctx)
-		if err != nil && !pause(ctx, reaskPause) {
-			return "", err
+// asProblem gives every failure of the client the form of a problem.
+func asProblem(err error) error {
+	if unknown, ok := errors.Into[*client.OutcomeUnknownError](err); ok {
+		code := codeOutcomeUnknown
+		if cause, ok := errors.Into[*callerapi.Problem](unknown.Cause); ok {
+			code = cause.Code
 		}
+		return &callerapi.Problem{Code: code, Execution: callerapi.Unknown, Detail: err.Error()}
 	}
-}
-
-func (c *HTTPCaller) cachedID() string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.ids) == 0 || time.Until(c.expires) < idMargin {
-		return ""
+	if _, ok := errors.Into[*client.NotSubmittedError](err); ok {
+		return &callerapi.Problem{Code: codeNotSubmitted, Execution: callerapi.NotRun, Detail: err.Error()}
 	}
-	id := c.ids[0]
-	c.ids = c.ids[1:]
-	return id
+	return err
 }
 
-func (c *HTTPCaller) fetchIDs(ctx context.Context) error {
-	body, err := json.Marshal(callerapi.IDsRequest{Count: idsPerRequest})
-	if err != nil {
-		return err
-	}
-	status, raw, err := c.send(ctx, http.MethodPost, "/v1/job-ids", body)
-	if err != nil {
-		return err
-	}
-	if status >= http.StatusBadRequest {
-		return problemOf(raw)
-	}
-	var ids callerapi.IDsResponse
-	if err := json.Unmarshal(raw, &ids); err != nil {
-		return err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ids, c.expires = ids.IDs, ids.ExpiresAt
-	return nil
+// countingTransport counts the requests about jobs.
+type countingTransport struct {
+	next      http.RoundTripper
+	aboutJobs atomic.Int64
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	return sleepUntil(ctx, time.Now().Add(d))
+// RoundTrip passes a request on.
+func (t *countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if strings.HasPrefix(r.URL.Path, "/v1/jobs/") {
+		t.aboutJobs.Add(1)
+	}
+	return t.next.RoundTrip(r)
 }
