Write outcomes behind to the log and find them after the owner has gone

Cause: after a crash every re-ask ended in an unknown outcome. Change: ended jobs go to the stream outcomes within the append budget; the first question about an owner that is gone searches the lifetime of its IDs. The scenarios' world waits for slow stand-ins before it ends: the appender's given-up append otherwise outlived the scenario log_outage. No expectation changed. Conclusion: a re-ask after the owner's end gets the real answer if it was written.

--- a/entry/engine.go
+++ b/entry/engine.go
@@ -9,6 +9,7 @@
 	"lovagespread.example/entry/control"
 	"lovagespread.example/entry/endpointclient"
 	"lovagespread.example/entry/observe"
+	"lovagespread.example/entry/outcomes"
 	"lovagespread.example/entry/settings"
 	"lovagespread.example/entry/wire"
 	"lovagespread.example/membership"
@@ -31,6 +32,18 @@
 	h.member(&membership.EndpointSilent{Name: name})
 }
 
+// ended observes the loop and writes the outcomes of jobs behind.
+type ended struct {
+	*observe.Observer
+	outcomes *outcomes.Writer
+}
+
+// Answered notes the end of a job.
+func (e ended) Answered(a *dispatch.Answer) {
+	e.Observer.Answered(a)
+	e.outcomes.Write(a)
+}
+
 func newEngine(i do.Injector) (*engine, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	self, err := do.Invoke[membership.Entry](i)
@@ -41,6 +54,10 @@
 	if err != nil {
 		return nil, err
 	}
+	writer, err := do.Invoke[*outcomes.Writer](i)
+	if err != nil {
+		return nil, err
+	}
 	e := &engine{}
 	e.client = endpointclient.New(endpointclient.Options{
 		Entry:       incarnationOf(self).String(),
@@ -58,7 +75,7 @@
 		}),
 		Tracker:   membership.New(membership.Options{Self: self}),
 		Endpoints: e.client,
-		Observe:   observer,
+		Observe:   ended{observer, writer},
 	})
 	return e, nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,11 +15,13 @@
 	"lovagespread.example/entry/configuration"
 	"lovagespread.example/entry/decisionlog"
 	"lovagespread.example/entry/heartbeat"
+	"lovagespread.example/entry/outcomes"
 	"lovagespread.example/entry/settings"
 	"lovagespread.example/entry/vmlist"
 	"lovagespread.example/entry/wire"
 	"lovagespread.example/membership"
 	"lovagespread.example/platform"
+	"lovagespread.example/platform/appender"
 	"lovagespread.example/platform/follow"
 )
 
@@ -36,6 +38,8 @@
 	platform  *platform.Client
 	follower  *follow.Follower
 	keeper    *configuration.Keeper
+	appender  *appender.Appender
+	outcomes  *outcomes.Writer
 	announcer *heartbeat.Announcer
 	heartbeat *heartbeat.Heartbeater
 	servers   []*server
@@ -90,6 +94,8 @@
 		func() (err error) { e.platform, err = do.Invoke[*platform.Client](i); return err },
 		func() (err error) { e.follower, err = do.Invoke[*follow.Follower](i); return err },
 		func() (err error) { e.keeper, err = do.Invoke[*configuration.Keeper](i); return err },
+		func() (err error) { e.appender, err = do.Invoke[*appender.Appender](i); return err },
+		func() (err error) { e.outcomes, err = do.Invoke[*outcomes.Writer](i); return err },
 		func() (err error) { e.announcer, err = do.Invoke[*heartbeat.Announcer](i); return err },
 		func() (err error) { e.heartbeat, err = do.Invoke[*heartbeat.Heartbeater](i); return err },
 		func() (err error) { e.servers, err = newServers(i, e.ready); return err },
@@ -145,6 +151,8 @@
 		e.engine.client.RunHeartbeats,
 		poller.Run,
 		e.heartbeat.Run,
+		e.outcomes.Run,
+		func(ctx context.Context) { _ = e.appender.Run(ctx) },
 		func(ctx context.Context) { _ = e.follower.Run(ctx) },
 	}
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"net/http"
+	"reflect"
 	"strings"
 	"testing"
 
 	"lovagespread.example/client/callerapi"
+	"lovagespread.example/platform"
 	"lovagespread.example/standin/fakeendpoint"
 )
 
@@ -135,3 +137,33 @@
 		})
 	}
 }
+
+func TestOutcomeIsFoundAfterItsOwnerHasGone(t *testing.T) {
+	b := newTestbed(t)
+	b.addEndpoint("e1", "booking")
+	owner := b.start(b.settings("entry-1"))
+	other := b.start(b.settings("entry-2"))
+	b.awaitPeers(owner, other)
+	id := owner.newID()
+	whole := owner.do(http.MethodPut, "/v1/jobs/"+id+"?wait=10s", jobOf("booking", 3, 1)).answer(t)
+	eventually(t, "the outcome is written behind", func() bool {
+		return len(b.platform.Records(platform.StreamOutcomes)) > 0
+	})
+	never := owner.newID()
+	owner.stop()
+	var got response
+	eventually(t, "the outcome is found", func() bool {
+		got = other.do(http.MethodGet, "/v1/jobs/"+id, "")
+		return got.status == http.StatusOK
+	})
+	if again := got.answer(t); !reflect.DeepEqual(again.Results, whole.Results) || again.ID != id {
+		t.Errorf("answer %+v, first %+v", again, whole)
+	}
+	p := other.do(http.MethodPut, "/v1/jobs/"+never, jobOf("booking", 1, 1)).problem(t)
+	if p.Code != callerapi.CodeOwnerGone || p.Execution != callerapi.Unknown || !p.NotDelivered {
+		t.Errorf("problem %+v of a job whose owner is gone", p)
+	}
+	if starts := totalStarts(b); starts != 3 {
+		t.Errorf("%d starts of 3 tasks", starts)
+	}
+}
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -16,6 +16,7 @@
 	"lovagespread.example/dispatch/jobid"
 	"lovagespread.example/entry/control"
 	"lovagespread.example/entry/jobs"
+	"lovagespread.example/entry/outcomes"
 	"lovagespread.example/entry/peerclient"
 	"lovagespread.example/entry/problem"
 	"lovagespread.example/membership"
@@ -41,7 +42,7 @@
 
 // Outcomes finds the outcome of a job that its owner has written behind.
 type Outcomes interface {
-	Outcome(id jobid.ID) (problem.Result, bool)
+	Outcome(ctx context.Context, id jobid.ID, text string) (problem.Result, outcomes.State)
 }
 
 // Options are the parts that a Forwarder works with.
@@ -66,6 +67,9 @@
 	reasonGone        = "owner_gone"
 	reasonUnknown     = "owner_unknown"
 	reasonUnreachable = "owner_unreachable"
+
+	reasonWrittenBehind = "outcome_written_behind"
+	reasonSearching     = "searching_outcome"
 )
 
 // Forward returns the reply of the owner, or a problem.
@@ -73,10 +77,10 @@
 	view := f.opts.Loop.Snapshot().View
 	owner, ok := view.Owner(membership.Incarnation(id.Owner))
 	if !ok {
-		return f.unheard(id)
+		return f.unheard(ctx, id, r)
 	}
 	if owner.Ended {
-		return f.gone(id, verdict{owner: owner.Name, reason: reasonGone, notDelivered: true})
+		return f.gone(ctx, id, r, verdict{owner: owner.Name, reason: reasonGone, notDelivered: true})
 	}
 	reason := reasonOwner
 	if owner.Incarnation != membership.Incarnation(id.Owner) {
@@ -95,12 +99,12 @@
 
 // unheard answers for an incarnation that was never heard of: it may be new
 // to an entry that has just started.
-func (f *Forwarder) unheard(id jobid.ID) problem.Result {
+func (f *Forwarder) unheard(ctx context.Context, id jobid.ID, r jobs.Request) problem.Result {
 	v := verdict{owner: "unheard", reason: reasonUnknown, notDelivered: true}
 	if time.Since(f.opts.Started) < settlingTime {
 		return f.unreachable(id, v)
 	}
-	return f.gone(id, v)
+	return f.gone(ctx, id, r, v)
 }
 
 func (f *Forwarder) call(ctx context.Context, id jobid.ID, owner membership.Entry, r jobs.Request) problem.Result {
@@ -113,7 +117,7 @@
 	v := verdict{owner: owner.Name, reason: reasonUnreachable, notDelivered: notDelivered(err)}
 	if ended(err) {
 		v.reason = reasonGone
-		return f.gone(id, v)
+		return f.gone(ctx, id, r, v)
 	}
 	return f.unreachable(id, v)
 }
@@ -175,11 +179,18 @@
 
 // gone answers for an owner that does not run any more: with the outcome it
 // has written behind, or else that nothing is known.
-func (f *Forwarder) gone(id jobid.ID, v verdict) problem.Result {
-	f.opts.Observe.Routed(id.String(), v.owner, v.reason)
-	if result, ok := f.opts.Outcomes.Outcome(id); ok {
+func (f *Forwarder) gone(ctx context.Context, id jobid.ID, r jobs.Request, v verdict) problem.Result {
+	ctx, cancel := context.WithTimeout(ctx, r.Wait)
+	defer cancel()
+	result, state := f.opts.Outcomes.Outcome(ctx, id, r.JobID)
+	switch state {
+	case outcomes.Found:
+		f.opts.Observe.Routed(id.String(), v.owner, reasonWrittenBehind)
 		return result
+	case outcomes.Searching:
+		return f.unreachable(id, verdict{owner: v.owner, reason: reasonSearching, notDelivered: v.notDelivered})
 	}
+	f.opts.Observe.Routed(id.String(), v.owner, v.reason)
 	p := problem.New(callerapi.CodeOwnerGone, callerapi.Unknown,
 		"the entry that owns this job ID is gone and its record with it: find out whether the job took effect before you submit it with a new ID")
 	p.NotDelivered = v.notDelivered
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -15,6 +15,8 @@
 	defer cancel()
 	e.stopping.Store(true)
 	e.log.Info("stopping")
+	e.announcer.Leave(0)
+	e.heartbeat.Farewell(ctx)
 	pause(ctx, balancerNotice)
 	e.engine.loop.Drain()
 	left := e.awaitJobs(ctx)
--- /dev/null
+++ b/entry/wiring_log.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"math/rand/v2"
+
+	"github.com/samber/do/v2"
+
+	"lovagespread.example/entry/decisionlog"
+	"lovagespread.example/entry/outcomes"
+	"lovagespread.example/entry/settings"
+	"lovagespread.example/platform"
+	"lovagespread.example/platform/appender"
+)
+
+func newAppender(i do.Injector) (*appender.Appender, error) {
+	log, err := do.Invoke[*platform.Client](i)
+	if err != nil {
+		return nil, err
+	}
+	return appender.New(appender.Options{
+		Log:    log,
+		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Logger: do.MustInvoke[*decisionlog.Log](i).Logger,
+	}), nil
+}
+
+func newOutcomeWriter(i do.Injector) (*outcomes.Writer, error) {
+	queue, err := do.Invoke[*appender.Appender](i)
+	if err != nil {
+		return nil, err
+	}
+	return outcomes.NewWriter(queue), nil
+}
+
+func newOutcomeReader(i do.Injector) (*outcomes.Reader, error) {
+	log, err := do.Invoke[*platform.Client](i)
+	if err != nil {
+		return nil, err
+	}
+	return outcomes.NewReader(outcomes.Options{
+		Log:      log,
+		Lifetime: do.MustInvoke[settings.Settings](i).JobIDs.Lifetime,
+		Logger:   do.MustInvoke[*decisionlog.Log](i).Logger,
+	}), nil
+}
--- a/entry/wiring_peers.go
+++ b/entry/wiring_peers.go
@@ -8,16 +8,15 @@
 
 	"github.com/samber/do/v2"
 
-	"lovagespread.example/dispatch/jobid"
 	"lovagespread.example/entry/configuration"
 	"lovagespread.example/entry/decisionlog"
 	"lovagespread.example/entry/forward"
 	"lovagespread.example/entry/heartbeat"
 	"lovagespread.example/entry/jobs"
 	"lovagespread.example/entry/observe"
+	"lovagespread.example/entry/outcomes"
 	"lovagespread.example/entry/peerclient"
 	"lovagespread.example/entry/peerserver"
-	"lovagespread.example/entry/problem"
 	"lovagespread.example/entry/settings"
 	"lovagespread.example/entry/token"
 	"lovagespread.example/entry/wire"
@@ -108,16 +107,11 @@
 		Loop:     e.loop,
 		Peers:    peers,
 		Observe:  do.MustInvoke[*observe.Observer](i),
-		Outcomes: noOutcomes{},
+		Outcomes: do.MustInvoke[*outcomes.Reader](i),
 		Started:  time.Now(),
 	}), nil
 }
 
-// noOutcomes knows no outcome of other entries' jobs.
-type noOutcomes struct{}
-
-func (noOutcomes) Outcome(jobid.ID) (problem.Result, bool) { return problem.Result{}, false }
-
 func newPeerHandler(i do.Injector) (http.Handler, error) {
 	shared, err := do.Invoke[peerToken](i)
 	if err != nil {
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -131,9 +131,14 @@
 	for _, e := range w.crashed {
 		<-e.done
 	}
+	time.Sleep(longestHandler)
 	synctest.Wait()
 }
 
+// longestHandler is how long a slow stand-in may hold a request whose sender
+// has gone.
+const longestHandler = time.Minute
+
 func (w *world) path(name string) string { return filepath.Join(w.dir, name) }
 
 // address returns a fresh IP number for a new host.
