Give the load more callers with fewer job IDs each

Cause: 32 callers with 100 IDs each put half of all jobs on one of nine entries, which no larger number of callers would. Change: 200 callers with 16 IDs each.

--- a/cmd/lovage-load/run.go
+++ b/cmd/lovage-load/run.go
@@ -44,7 +44,7 @@
 	flags.StringVar(&f.services, "services", "", "services text `file` (required)")
 	flags.Uint64Var(&f.seed, "seed", 1, "seed of arrivals, sizes and run times")
 	flags.Float64Var(&f.load, "load", 0.5, "offered work as a share of what all slots can do")
-	flags.IntVar(&f.callers, "callers", 32, "callers, each with connections and job IDs of its own")
+	flags.IntVar(&f.callers, "callers", 200, "callers, each with connections and job IDs of its own")
 	flags.IntVar(&f.inFlight, "in-flight", 20_000, "most jobs that wait for their answer at once")
 	flags.DurationVar(&f.duration, "duration", 20*time.Second, "length of the arrivals")
 	flags.DurationVar(&f.patience, "patience", 30*time.Second, "how long a caller waits for one job")
--- a/experiment/load/caller.go
+++ b/experiment/load/caller.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	idsPerRequest = 100
+	idsPerRequest = 16
 	idleToEntry   = 1024
 )
 
