--- a/cmd/lovagectl/exit.go
+++ b/cmd/lovagectl/exit.go
@@ -9,6 +9,7 @@
 	"lovagespread.example/catalog/tomlcheck"
 	"lovagespread.example/platform"
 	"lovagespread.example/platform/follow"
+	"lovagespread.example/platform/operate"
 )
 
 // exitCode is the exit code of the process.
@@ -59,11 +60,12 @@
 		refused     *platform.RefusedError
 		unavailable *platform.UnavailableError
 		partly      *notEverywhereError
+		base        *operate.BaseError
 	)
 	switch {
 	case err == nil, errors.Is(err, flag.ErrHelp):
 		return exitDone
-	case errors.As(err, &usage):
+	case errors.As(err, &usage), errors.As(err, &base):
 		return exitUsage
 	case errors.As(err, &problems):
 		return exitProblems
--- a/cmd/lovagectl/session.go
+++ b/cmd/lovagectl/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"flag"
 	"fmt"
 	mathrand "math/rand/v2"
@@ -11,12 +10,14 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	"lovagespread.example/catalog"
 	"lovagespread.example/catalog/change"
 	"lovagespread.example/experiment/load"
 	"lovagespread.example/platform"
 	"lovagespread.example/platform/follow"
+	"lovagespread.example/platform/operate"
 )
 
 // never is longer than any run of this program.
@@ -121,49 +122,41 @@
 
 // publication is the JSON form of a published change.
 type publication struct {
-	ChangeID string  `json:"change_id"`
-	Base     uint64  `json:"base"`
-	Version  uint64  `json:"version"`
-	Accepted bool    `json:"accepted"`
-	Seconds  float64 `json:"seconds"` // from the append to the verdict
+	operate.Result
 	// InForce tells how far the change has come, if -entries is given.
 	InForce *load.InForce `json:"in_force,omitempty"`
 }
 
-// publish checks the whole resulting configuration and publishes the change.
+// publish publishes the change that makeBody gives on the version in force.
 func (d *draft) publish(in *invocation, from string, makeBody func(*catalog.Catalog) change.Body) error {
+	if d.author == "" {
+		return usagef("no author: add -author NAME")
+	}
 	s, err := d.open(in.ctx)
 	if err != nil {
 		return err
 	}
 	defer s.close()
-	status := s.follower.Status()
-	if !status.Complete {
-		return errors.New(incompleteLog)
+	request := operate.Request{
+		Author:   d.author,
+		From:     from,
+		ChangeID: d.changeID,
+		DryRun:   d.dryRun,
+		Body:     makeBody,
 	}
-	body := makeBody(status.Catalog)
-	c, err := d.change(status.Judged, body)
-	if err != nil {
-		return err
-	}
-	if c.Base == status.Judged {
-		if _, err := change.Prepare(from, status.Catalog, body); err != nil {
-			return err
-		}
-	}
-	result := publication{ChangeID: c.ID, Base: c.Base}
-	if d.dryRun {
-		result.Version = c.Base + 1
-		return showPublication(in, result)
+	if d.base != currentBase {
+		base := uint64(d.base)
+		request.Base = &base
 	}
 	begin := time.Now()
-	result.Version, err = s.follower.Publish(s.ctx, c)
+	result := publication{}
+	result.Result, err = operate.New(s.follower, zap.NewNop()).Publish(s.ctx, request)
 	if err != nil {
 		return err
 	}
-	result.Accepted = true
-	result.Seconds = time.Since(begin).Seconds()
-	err = d.awaitEntries(in.ctx, &result, begin)
+	if result.Accepted {
+		err = d.awaitEntries(in.ctx, &result, begin)
+	}
 	return errors.Join(showPublication(in, result), err)
 }
 
@@ -194,26 +187,5 @@
 		e.version, e.wait, strings.Join(e.missing, ", "))
 }
 
-// change returns the change that the flags ask for.
-func (d *draft) change(current uint64, body change.Body) (change.Change, error) {
-	c := change.Change{ID: d.changeID, Base: current, Author: d.author, Time: time.Now().UTC(), Body: body}
-	if c.ID == "" {
-		c.ID = rand.Text()
-	}
-	if d.base == currentBase {
-		if d.changeID != "" {
-			return c, usagef("-change without -base: add the base that the change was first published with")
-		}
-		return c, nil
-	}
-	if d.base < 0 || uint64(d.base) > current {
-		return c, usagef("-base %d: write a version from 0 to %d", d.base, current)
-	}
-	c.Base = uint64(d.base)
-	return c, nil
-}
-
 // defaultWait is the time within which a change must be in force.
 const defaultWait = 5 * time.Second
-
-const incompleteLog = "the log has forgotten part of the configuration: restore it with lovagectl restore, or wait for a snapshot of an entry"
