--- a/catalog/change/adopt.go
+++ b/catalog/change/adopt.go
@@ -92,6 +92,7 @@
 func (r *Replica) restart(s Snapshot) {
 	held := r.postponed
 	r.postponed = nil
+	r.postponedBytes = 0
 	r.complete = true
 	r.next = max(r.next, s.Through)
 	r.winners.prune(s.Catalog.Version)
--- a/catalog/change/prepare.go
+++ b/catalog/change/prepare.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"lovagespread.example/catalog"
 )
@@ -13,9 +14,22 @@
 	return fmt.Sprintf("the change alters nothing in version %d: it need not be published", e.Version)
 }
 
+// MaxRecordBytes is the size of the largest record of the log. A whole
+// configuration must fit, since snapshots keep it alive.
+const MaxRecordBytes = 1 << 20
+
+// TooLargeError says that a configuration does not fit into a snapshot.
+type TooLargeError struct{ Bytes int }
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the resulting configuration takes %d bytes of at most %d: remove services or teams that are not in use",
+		e.Bytes, MaxRecordBytes)
+}
+
 // Prepare returns the version that a change on the current version would
-// give, once the whole of it is checked. The error is a *tomlcheck.Problems or
-// a *NoChangeError. from names the origin of the change in errors.
+// give, once the whole of it is checked. The error is a *tomlcheck.Problems,
+// a *NoChangeError or a *TooLargeError. from names the origin of the change in
+// errors.
 func Prepare(from string, current *catalog.Catalog, body Body) (*catalog.Catalog, error) {
 	next := Apply(current, Change{Body: body})
 	if err := catalog.Check(from, next); err != nil {
@@ -26,5 +40,12 @@
 	if string(Digest(&same)) == string(Digest(current)) {
 		return nil, &NoChangeError{Version: current.Version}
 	}
+	snapshot, err := EncodeSnapshot(Snapshot{Catalog: next, Through: math.MaxInt64})
+	if err != nil {
+		return nil, err
+	}
+	if len(snapshot) > MaxRecordBytes {
+		return nil, &TooLargeError{Bytes: len(snapshot)}
+	}
 	return next, nil
 }
--- /dev/null
+++ b/catalog/change/prepare_test.go
@@ -0,0 +1,61 @@
+package change
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/catalog/tomlcheck"
+)
+
+func TestPrepareChecksTheWholeConfiguration(t *testing.T) {
+	service := func(name string, dependsOn ...string) catalog.Service {
+		return catalog.Service{Name: name, DependsOn: dependsOn, Slots: 1, RunTime: time.Second, Timeout: time.Minute}
+	}
+	current := &catalog.Catalog{Version: 4, Services: []catalog.Service{service("a", "b"), service("b")}}
+	var large []catalog.Service
+	for i := range 20_000 {
+		large = append(large, service(fmt.Sprint("service-", i)))
+	}
+	var (
+		problems *tomlcheck.Problems
+		none     *NoChangeError
+		tooLarge *TooLargeError
+	)
+	cases := []struct {
+		name string
+		body Body
+		want any
+	}{
+		{"a dependency is removed", &Edit{RemoveServices: []string{"b"}}, &problems},
+		{"a cycle comes up", &Edit{PutServices: []catalog.Service{service("b", "a")}}, &problems},
+		{"nothing changes", &Edit{PutServices: []catalog.Service{service("b")}}, &none},
+		{"too large", &Edit{PutServices: large}, &tooLarge},
+	}
+	for _, c := range cases {
+		if _, err := Prepare("test", current, c.body); err == nil || !errors.As(err, c.want) {
+			t.Errorf("%s: error %v", c.name, err)
+		}
+	}
+	next, err := Prepare("test", current, &Edit{PutServices: []catalog.Service{service("c", "a")}})
+	if err != nil || next.Version != 5 || len(next.Services) != 3 {
+		t.Errorf("a good change gives %+v, %v", next, err)
+	}
+}
+
+func TestGapHoldsBackABoundedNumberOfBytes(t *testing.T) {
+	r := NewReplica()
+	r.Gap(10)
+	const size = 1 << 20
+	for i := range int64(100) {
+		r.Apply(10+i, make([]byte, size))
+	}
+	if r.postponedBytes > maxPostponedBytes || len(r.postponed) != maxPostponedBytes/size {
+		t.Errorf("%d records of %d bytes held back", len(r.postponed), r.postponedBytes)
+	}
+	if first := r.postponed[0].offset; first != r.firstHeld {
+		t.Errorf("first record held back %d, noted as %d", first, r.firstHeld)
+	}
+}
--- a/catalog/change/replica.go
+++ b/catalog/change/replica.go
@@ -6,8 +6,11 @@
 	"lovagespread.example/catalog"
 )
 
-// maxPostponed bounds the records that a replica holds back during a gap.
-const maxPostponed = 50_000
+// Bounds of what a replica holds back during a gap.
+const (
+	maxPostponed      = 50_000 // records
+	maxPostponedBytes = 32 << 20
+)
 
 // Counts of a replica since it started.
 type Counts struct {
@@ -32,8 +35,9 @@
 	complete bool  // judged includes every record before next
 	outdated bool  // the format in use is newer than MaxFormat
 
-	postponed []postponed // records from the gap on, in order of offset
-	firstHeld int64       // no record from here on is missing
+	postponed      []postponed // records from the gap on, in order of offset
+	postponedBytes int
+	firstHeld      int64 // no record from here on is missing
 
 	adopted *Snapshot // ahead of judged, or nil
 	winners winners
@@ -110,15 +114,18 @@
 	r.next = oldest
 	r.firstHeld = oldest
 	r.postponed = nil
+	r.postponedBytes = 0
 	r.resume()
 }
 
 func (r *Replica) postpone(offset int64, data []byte) {
-	if len(r.postponed) == maxPostponed {
+	r.postponed = append(r.postponed, postponed{offset: offset, data: data})
+	r.postponedBytes += len(data)
+	for len(r.postponed) > maxPostponed || r.postponedBytes > maxPostponedBytes {
+		r.postponedBytes -= len(r.postponed[0].data)
 		r.postponed = r.postponed[1:]
-		r.firstHeld = r.postponed[0].offset
+		r.firstHeld++
 	}
-	r.postponed = append(r.postponed, postponed{offset: offset, data: data})
 }
 
 // judgePostponed looks for a snapshot that closes the gap.
