--- a/standin/fakeplatform/follow_faults_test.go
+++ b/standin/fakeplatform/follow_faults_test.go
@@ -112,11 +112,11 @@
 
 func TestLogDownBeyondItsRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p, client := memoryPlatform(t, Options{RetainFor: 30 * time.Minute})
-		a := start(t, client(), 1, nil)
+		p, client := memoryPlatform(t, Options{RetainFor: 2 * time.Minute})
+		a := start(t, client(), 1, func(o *follow.Options) { o.SnapshotEvery = 30 * time.Second })
 		mustPublish(t, a, "c1", 0)
 		p.SetDown(true)
-		time.Sleep(time.Hour)
+		time.Sleep(10 * time.Minute)
 		p.SetDown(false)
 		// The log has forgotten the change; the process that knows it writes a
 		// snapshot, from which a new one learns it.
--- a/standin/fakeplatform/platform_test.go
+++ b/standin/fakeplatform/platform_test.go
@@ -15,7 +15,7 @@
 	p := New(opts)
 	server := httptest.NewServer(p.Handler())
 	t.Cleanup(server.Close)
-	client, err := platform.NewClient(platform.Options{URL: server.URL, Token: opts.Token})
+	client, err := platform.NewClient(platform.Options{URL: server.URL, Token: opts.Token, Timeout: time.Minute})
 	if err != nil {
 		t.Fatal(err)
 	}
