Keep all control within 4 KB/s counting both ends; measure over domains and changes

Cause: at 44 entries in 11 failure domains (scripts/control.sh domains) an entry exchanged 2,298 B/s on the peer connections it had opened and as much on those it had accepted, 5.1 KB/s in all with the platform's 0.48, against 4. Change: the heartbeat budget counts 1,280 B/s on opened connections and 800 bytes an exchange (was 2,048 and 700); control.sh measures against failure domains and configuration changes too.

--- a/entry/heartbeat/heartbeater.go
+++ b/entry/heartbeat/heartbeater.go
@@ -21,8 +21,8 @@
 	newsSpacing     = 100 * time.Millisecond // while there is news to tell
 	lookSpacing     = 50 * time.Millisecond
 	downFor         = 5 * time.Second // after a failed exchange
-	bytesPerSecond  = 2 << 10         // of control, of the connections opened here
-	typicalExchange = 700             // bytes
+	bytesPerSecond  = 5 << 8          // of control, on the connections opened here; as much comes on those accepted
+	typicalExchange = 800             // bytes, both directions
 )
 
 // Peers exchanges heartbeats.
--- a/scripts/control.sh
+++ b/scripts/control.sh
@@ -1,14 +1,16 @@
 #!/usr/bin/env bash
 # Measures what control costs one entry while no caller sends jobs, with real
-# processes on this VM, against the number of entries or of endpoints. Prints
-# one sample a line as JSON, then the slopes.
+# processes on this VM, against one size of the deployment. Prints one sample a
+# line as JSON, then the slopes.
 #
-# usage: scripts/control.sh entries|endpoints
+# usage: scripts/control.sh entries|domains|endpoints|changes
 #
 # environment:
-#   CONTROL_SIZES    sizes: entries in each of the three failure domains
-#                    (default "1 2 4 8"), or executors of the one pool
-#                    (default "48 192 768 1536")
+#   CONTROL_SIZES    sizes: of entries, how many in each of three failure
+#                    domains (default "1 2 4 8"); of domains, how many with 4
+#                    entries each (default "2 4 8 11"); of endpoints, how many
+#                    (default "48 192 768 1536"); of changes, how many a day
+#                    (default "0 17280 43200 86400")
 #   CONTROL_SECONDS  time of one measurement, in seconds (default 15)
 #   CONTROL_RUNS     measurements of each size (default 2)
 
@@ -16,7 +18,7 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 source scripts/deployment.sh
 
-readonly against=${1:?usage: scripts/control.sh entries|endpoints}
+readonly against=${1:?usage: scripts/control.sh entries|domains|endpoints|changes}
 readonly seconds=${CONTROL_SECONDS:-15}
 readonly runs=${CONTROL_RUNS:-2}
 readonly settle=8 # seconds until lists and leases have settled
@@ -27,30 +29,50 @@
     for name in "${!pids[@]}"; do await "$name" || true; done
 }
 
-# standins EXECUTORS writes settings with that many executors.
+# standins EXECUTORS DOMAINS writes settings of that size.
 standins() {
-    sed -e "s/^executors = .*/executors = $1/" -e "s/^default_executors = .*/default_executors = 0/" \
+    local domains
+    domains=$(seq -s , -f '"domain-%g"' "$2")
+    sed -e "s/^failure_domains = .*/failure_domains = [$domains]/" -e "s/^executors = .*/executors = $1/" -e "s/^default_executors = .*/default_executors = 0/" \
         -e "s|^services_file = .*|services_file = \"$PWD/examples/bench-services.toml\"|" \
         examples/control.toml >"$dir/standins.toml"
 }
 
-# measure ENTRIES EXECUTORS
+# change_often PER_DAY publishes that many changes a day until it is ended.
+change_often() {
+    local n=0 pause
+    pause=$(awk -v n="$1" 'BEGIN { print 86400 / n }')
+    while sleep "$pause"; do
+        n=$((n + 1))
+        "$bin/lovagectl" put-team -platform "$PLATFORM" -weight "$((n % 9 + 1))" team-1 || true
+    done
+}
+
+# measure ENTRIES EXECUTORS DOMAINS CHANGES
 measure() {
     local joined run
-    standins "$2"
+    standins "$2" "$3"
     start_all -standins "$dir/standins.toml" -entries "$1"
+    (($4 == 0)) || start changes change_often "$4"
     sleep "$settle"
     joined=$(IFS=,; echo "${ADMINS[*]}")
     for ((run = 0; run < runs; run++)); do
-        "$bin/lovage-load" control -admins "$joined" -over "${seconds}s" -endpoints "$2" |
+        "$bin/lovage-load" control -admins "$joined" -over "${seconds}s" -endpoints "$2" -changes "$4" |
             tee -a "$dir/samples.json"
     done
     stop_all
 }
 
 case $against in
-entries) for n in ${CONTROL_SIZES:-1 2 4 8}; do measure "$n" 48; done ;;
-endpoints) for n in ${CONTROL_SIZES:-48 192 768 1536}; do measure 1 "$n"; done ;;
-*) say "measure against entries or endpoints"; exit 2 ;;
+entries) for n in ${CONTROL_SIZES:-1 2 4 8}; do measure "$n" 48 3 0; done ;;
+domains) for n in ${CONTROL_SIZES:-2 4 8 11}; do measure 4 48 "$n" 0; done ;;
+endpoints) for n in ${CONTROL_SIZES:-48 192 768 1536}; do measure 1 "$n" 3 0; done ;;
+changes) for n in ${CONTROL_SIZES:-0 17280 43200 86400}; do measure 1 48 3 "$n"; done ;;
+*) say "measure against entries, domains, endpoints or changes"; exit 2 ;;
+esac
+case $against in
+domains) size=entries ;;
+changes) size=changes_per_day ;;
+*) size=$against ;;
 esac
-"$bin/lovage-load" control -fit "$against" <"$dir/samples.json"
+"$bin/lovage-load" control -fit "$size" <"$dir/samples.json"
