Replace the scan over waiting tasks by queues ordered by inferred urgency

Cause: each step of the core looked at every waiting task and endpoint; a job that ended early leaked the slots of its running tasks. Change: services, teams and endpoints are held by pointer and index; one heap of jobs a service, keyed by a time-independent urgency; endpoints listed by load; learned run times, ejection, budget for retries and hedges, fair turns of teams, admission by expected wait, each a package of its own.

--- /dev/null
+++ b/dispatch/endpoints.go
@@ -0,0 +1,128 @@
+package dispatch
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/dispatch/outlier"
+	"lovagespread.example/dispatch/place"
+)
+
+// executor is one endpoint with what was learned of it.
+type executor struct {
+	place.Endpoint
+	service *service
+	state   EndpointState
+	share   int // slots that this entry owns
+	record  outlier.Record
+	listed  bool // in the newest list
+}
+
+func (e *executor) slow() bool { return e.record.Slow() }
+
+// setEndpoints builds the pools anew. What was learned of an endpoint whose
+// name and service stay is kept, and so are its running tasks.
+func (c *Core) setEndpoints(list []Endpoint) {
+	for _, s := range c.services {
+		s.pool = &place.Pool{Needs: s.spec.Needs}
+		s.peers.Endpoints = 0
+	}
+	for _, e := range c.executors {
+		e.Detach()
+		e.listed = false
+	}
+	racks := make(map[string]*place.Rack)
+	workers := make(map[string]*place.Worker)
+	for i := range list {
+		c.setEndpoint(&list[i], rackOf(racks, list[i].Rack), workerOf(workers, &list[i]))
+	}
+	for name, e := range c.executors {
+		if !e.listed && e.Running == 0 {
+			e.record.Leave(&e.service.peers)
+			delete(c.executors, name)
+		}
+	}
+}
+
+func (c *Core) setEndpoint(spec *Endpoint, rack *place.Rack, worker *place.Worker) {
+	s := c.serviceOf(spec.Service)
+	e := c.executors[spec.Name]
+	if e == nil || e.service != s {
+		e = &executor{service: s}
+		c.executors[spec.Name] = e
+	}
+	e.Name, e.Address, e.state, e.listed = spec.Name, spec.Address, spec.State, true
+	e.share = c.slots(spec)
+	e.Slots, e.Rack = e.slotsNow(), rack
+	if worker != nil {
+		worker.Host(&e.Endpoint)
+	}
+	e.Tier = e.tierNow()
+	s.peers.Endpoints++
+	s.pool.Add(&e.Endpoint)
+}
+
+func rackOf(racks map[string]*place.Rack, name string) *place.Rack {
+	if name == "" {
+		return nil
+	}
+	if racks[name] == nil {
+		racks[name] = &place.Rack{}
+	}
+	return racks[name]
+}
+
+func workerOf(workers map[string]*place.Worker, spec *Endpoint) *place.Worker {
+	if spec.Worker == "" || (spec.Capacity == catalog.Resources{}) {
+		return nil
+	}
+	if workers[spec.Worker] == nil {
+		workers[spec.Worker] = &place.Worker{Capacity: spec.Capacity}
+	}
+	return workers[spec.Worker]
+}
+
+// slots returns the slots of an endpoint that this entry owns. The remainder
+// of an uneven division goes to different entries at different endpoints.
+func (c *Core) slots(e *Endpoint) int {
+	share := e.Slots / c.share.Entries
+	offset := int(xxhash.Sum64String(e.Name) % uint64(c.share.Entries))
+	if (c.share.Rank+offset)%c.share.Entries < e.Slots%c.share.Entries {
+		share++
+	}
+	return share
+}
+
+// tierNow returns the tier that follows from membership and standing.
+func (e *executor) tierNow() place.Tier {
+	switch {
+	case e.state == EndpointLeaving, e.record.Standing() == outlier.Ejected:
+		return place.Excluded
+	case e.state == EndpointSuspect:
+		return place.Suspect
+	case e.record.Standing() == outlier.Doubtful:
+		return place.SecondChoice
+	default:
+		return place.Normal
+	}
+}
+
+// slotsNow returns the slots that may be filled: one on probation.
+func (e *executor) slotsNow() int {
+	if e.record.Standing() == outlier.Probation {
+		return min(1, e.share)
+	}
+	return e.share
+}
+
+// updateTier lists an endpoint where it belongs after a change.
+func (c *Core) updateTier(e *executor) {
+	pool := e.Pool()
+	if pool == nil {
+		return
+	}
+	if slots := e.slotsNow(); slots != e.Slots {
+		pool.SetSlots(&e.Endpoint, slots)
+	}
+	pool.SetTier(&e.Endpoint, e.tierNow())
+}
--- /dev/null
+++ b/dispatch/fate.go
@@ -0,0 +1,168 @@
+package dispatch
+
+import (
+	"lovagespread.example/dispatch/ledger"
+)
+
+// notStartedFactor is how many times as often as MaxAttempts a task is sent
+// that is proved not to have started.
+const notStartedFactor = 4
+
+// release ends an attempt and gives its slot back.
+func (c *Core) release(r *run) {
+	t := &r.job.tasks[r.index]
+	t.removeRun(r)
+	r.over = true
+	r.job.running--
+	r.executor.Free(t.needs)
+	c.countOpen(t.group, -1)
+	c.forget(r.job)
+}
+
+func (c *Core) done(in *Done) {
+	r := c.find(in.Task, in.Attempt)
+	if r != nil {
+		c.release(r)
+		c.learn(r, in)
+	}
+	if _, ok := c.ledger.Resolve(in.Task.Job, in.Task.Index, in.Attempt, ledger.FateDone); !ok || r == nil {
+		return
+	}
+	j := r.job
+	t := &j.tasks[r.index]
+	t.done = true
+	j.results[r.index] = in.Result
+	j.left--
+	j.longest = max(j.longest, in.RunTime)
+	if r.hedge {
+		t.group.service.hedges.Refund(hedgeRefund)
+	}
+	c.stopRuns(t)
+	if j.left == 0 {
+		c.end(j, nil)
+		return
+	}
+	j.view.Left = j.left
+	j.view.Work -= t.expected
+	c.reorder(j)
+}
+
+// learn takes in how long a task ran.
+func (c *Core) learn(r *run, in *Done) {
+	t := &r.job.tasks[r.index]
+	s := t.group.service
+	if !r.executor.slow() {
+		s.runs.Observe(r.job.team.index, t.declared, in.RunTime)
+	}
+	if c.opts.Off.has(Ejection) {
+		return
+	}
+	r.executor.record.Passed(c.now, &s.peers, in.RunTime, t.expected)
+	c.updateTier(r.executor)
+}
+
+func (c *Core) refused(in *Refused) {
+	r := c.find(in.Task, in.Attempt)
+	if r != nil {
+		if in.Reason == RefusedDraining {
+			r.executor.state = EndpointLeaving
+			c.updateTier(r.executor)
+		}
+	}
+	c.settle(r, in.Task, in.Attempt, ledger.FateNotStarted, "the endpoint refused the task")
+}
+
+func (c *Core) failed(in *Failed) {
+	r := c.find(in.Task, in.Attempt)
+	if r != nil && !r.stopped {
+		c.blame(r.executor)
+	}
+	c.settle(r, in.Task, in.Attempt, ledger.FateFailed, in.Detail)
+}
+
+func (c *Core) lost(in *Lost) {
+	r := c.find(in.Task, in.Attempt)
+	if r != nil && !r.stopped {
+		c.blame(r.executor)
+	}
+	fate := ledger.FateUnknown
+	if in.NotSent {
+		fate = ledger.FateNotStarted
+	}
+	c.settle(r, in.Task, in.Attempt, fate, in.Detail)
+}
+
+// blame counts a failure against an endpoint.
+func (c *Core) blame(e *executor) {
+	if c.opts.Off.has(Ejection) {
+		return
+	}
+	e.record.Failed(c.now, &e.service.peers)
+	c.updateTier(e)
+}
+
+// settle records an attempt that gave no result, and decides whether the task
+// is sent again.
+func (c *Core) settle(r *run, ref TaskRef, attempt int, fate ledger.Fate, detail string) {
+	if r != nil {
+		c.release(r)
+	}
+	state, ok := c.ledger.Resolve(ref.Job, ref.Index, attempt, fate)
+	if !ok || r == nil || r.job.ended {
+		return
+	}
+	t := &r.job.tasks[r.index]
+	if fate == ledger.FateNotStarted {
+		t.begun--
+		t.unsent++
+	}
+	switch state {
+	case ledger.Waiting:
+		c.sendAgain(r, fate, detail)
+	case ledger.Failed:
+		c.fail(r.job, CodeTaskFailed, detail)
+	case ledger.Lost:
+		c.fail(r.job, CodeTaskLost, detail)
+	}
+}
+
+// sendAgain queues a task once more if its attempts and the budget allow it.
+func (c *Core) sendAgain(r *run, fate ledger.Fate, detail string) {
+	t := &r.job.tasks[r.index]
+	earlier := t.failedAt
+	t.avoid = r.executor
+	if fate == ledger.FateNotStarted {
+		if t.unsent >= notStartedFactor*c.opts.MaxAttempts {
+			c.fail(r.job, CodeNoEndpoint, "no endpoint accepted the task: "+detail)
+			return
+		}
+		c.enqueue(r.job, r.index)
+		return
+	}
+	t.failedAt = r.executor
+	if t.begun >= c.opts.MaxAttempts || c.isPoisonous(earlier, r.executor) {
+		c.forgive(earlier, r.executor)
+		c.fail(r.job, CodeTaskFailed, detail)
+		return
+	}
+	if !t.group.service.retries.Spend() {
+		c.fail(r.job, CodeTaskFailed, detail+" (not retried: too many tasks fail)")
+		return
+	}
+	c.enqueue(r.job, r.index)
+}
+
+// isPoisonous reports whether a task that failed at two endpoints is to blame
+// itself, because neither of them fails its other tasks.
+func (c *Core) isPoisonous(first, second *executor) bool {
+	return first != nil && first != second && !first.record.Failing() && !second.record.Failing()
+}
+
+func (c *Core) forgive(list ...*executor) {
+	for _, e := range list {
+		if e != nil && !e.record.Failing() {
+			e.record.Forgive(&e.service.peers)
+			c.updateTier(e)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/job.go
@@ -0,0 +1,172 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lovagespread.example/catalog"
+	"lovagespread.example/dispatch/jobid"
+	"lovagespread.example/dispatch/queue"
+	"lovagespread.example/dispatch/urgency"
+)
+
+// job is an admitted job. It is kept until none of its tasks runs.
+type job struct {
+	id       jobid.ID
+	service  string
+	team     *team
+	trace    string
+	tasks    []task
+	groups   []group
+	results  [][]byte
+	left     int // tasks without a result
+	running  int
+	admitted time.Time
+	longest  time.Duration // run time of the longest task that has ended
+	ended    bool
+	view     urgency.Job
+}
+
+// task is one task of a job.
+type task struct {
+	group    *group
+	needs    catalog.Resources
+	declared time.Duration
+	expected time.Duration
+	runs     *run // attempts whose fate is open
+	begun    int  // attempts that may have started
+	unsent   int  // attempts that are proved not to have started
+	failedAt *executor
+	avoid    *executor
+	done     bool
+}
+
+// run is one attempt whose fate is open.
+type run struct {
+	job      *job
+	index    int
+	attempt  int
+	executor *executor
+	started  time.Time
+	leaseEnd time.Time
+	hedge    bool
+	stopped  bool // told to stop
+	over     bool // its fate is known
+	next     *run
+}
+
+// group holds the waiting tasks that a job has at one service.
+type group struct {
+	job     *job
+	service *service
+	item    queue.Item[*group]
+	waiting []int32 // task indices; the last one goes first
+}
+
+// find returns the open attempt of a task, or nil.
+func (c *Core) find(ref TaskRef, attempt int) *run {
+	j := c.jobs[ref.Job]
+	if j == nil || ref.Index < 0 || ref.Index >= len(j.tasks) {
+		return nil
+	}
+	for r := j.tasks[ref.Index].runs; r != nil; r = r.next {
+		if r.attempt == attempt {
+			return r
+		}
+	}
+	return nil
+}
+
+func (t *task) removeRun(r *run) {
+	for at := &t.runs; *at != nil; at = &(*at).next {
+		if *at == r {
+			*at = r.next
+			return
+		}
+	}
+}
+
+// enqueueAll puts all tasks of a new job into the queues. Within a job the
+// longest task goes first, since the answer waits for it.
+func (c *Core) enqueueAll(j *job) {
+	for i := range j.groups {
+		g := &j.groups[i]
+		slices.SortStableFunc(g.waiting, func(a, b int32) int {
+			if d := cmp.Compare(j.tasks[a].expected, j.tasks[b].expected); d != 0 {
+				return d
+			}
+			return cmp.Compare(b, a)
+		})
+		for _, index := range g.waiting {
+			c.countWaiting(g, &j.tasks[index], 1)
+		}
+		g.service.queue.Push(&g.item, c.opts.Order.Key(&j.view))
+	}
+}
+
+// enqueue puts one task back to the front of its job.
+func (c *Core) enqueue(j *job, index int) {
+	g := j.tasks[index].group
+	g.waiting = append(g.waiting, int32(index))
+	c.countWaiting(g, &j.tasks[index], 1)
+	if !g.item.Queued() {
+		g.service.queue.Push(&g.item, c.opts.Order.Key(&j.view))
+	}
+}
+
+// dequeue takes the first task of a group out of the queue.
+func (c *Core) dequeue(g *group) {
+	last := len(g.waiting) - 1
+	index := g.waiting[last]
+	g.waiting = g.waiting[:last]
+	c.countWaiting(g, &g.job.tasks[index], -1)
+	if last == 0 {
+		g.service.queue.Remove(&g.item)
+	}
+}
+
+// dequeueAll takes every waiting task of a job out of the queues.
+func (c *Core) dequeueAll(j *job) {
+	for i := range j.groups {
+		g := &j.groups[i]
+		for len(g.waiting) > 0 {
+			c.dequeue(g)
+		}
+	}
+}
+
+func (c *Core) countWaiting(g *group, t *task, n int) {
+	work := time.Duration(n) * t.expected
+	c.waiting += n
+	g.service.waiting += n
+	g.service.backlog += work
+	portion := g.job.team.at(g.service)
+	portion.backlog += work
+	c.countOpen(g, n)
+}
+
+// countOpen counts tasks of a team that wait or run at a service.
+func (c *Core) countOpen(g *group, n int) {
+	team := g.job.team
+	portion := team.at(g.service)
+	before := portion.open
+	portion.open += n
+	switch {
+	case before == 0 && portion.open > 0:
+		g.service.weight += team.weight
+	case before > 0 && portion.open == 0:
+		g.service.weight -= team.weight
+	}
+}
+
+// reorder gives the waiting groups of a job their new key.
+func (c *Core) reorder(j *job) {
+	key := c.opts.Order.Key(&j.view)
+	for i := range j.groups {
+		g := &j.groups[i]
+		if g.item.Queued() {
+			g.service.queue.Move(&g.item, key)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/limit/limit.go
@@ -0,0 +1,52 @@
+// Package limit decides which jobs are refused in overload.
+//
+// The measure is the expected wait: the expected run time of what waits,
+// divided by the slots. Refusing at the door by expected wait keeps the queue
+// no longer than callers are willing to wait, whatever the run times are.
+package limit
+
+import "time"
+
+// Limits on the expected wait.
+const (
+	// DefaultWait is the longest expected wait that is accepted while the
+	// callers' patience is not known.
+	DefaultWait = 1500 * time.Millisecond
+	// quiet is the share of the limit below which everything is accepted.
+	quiet = 0.25
+	// hard is the multiple of the limit above which nothing is accepted.
+	hard = 2
+)
+
+// Load is the expected wait of a job at one service, with its own work in it.
+type Load struct {
+	All  time.Duration // behind everything that waits, on all slots
+	Team time.Duration // behind its team's work only, on the team's share
+}
+
+// Admit reports whether a job is accepted. Below the limit everything is;
+// above it, teams that ask for more than their share are refused first.
+func Admit(load Load, wait time.Duration) bool {
+	limit := float64(wait)
+	switch {
+	case float64(load.All) <= quiet*limit:
+		return true
+	case float64(load.All) > hard*limit:
+		return false
+	case float64(load.All) <= limit:
+		return float64(load.Team) <= hard*limit
+	default:
+		return float64(load.Team) <= quiet*limit
+	}
+}
+
+// Bounds of the time after which a refused caller may ask again.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+)
+
+// RetryAfter returns when the queue will be short again.
+func RetryAfter(load Load, wait time.Duration) time.Duration {
+	return min(max(load.All-time.Duration(quiet*float64(wait)), minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/dispatch/outlier/outlier.go
@@ -0,0 +1,207 @@
+// Package outlier finds endpoints that fail or run tasks unlike their peers.
+package outlier
+
+import (
+	"math"
+	"time"
+)
+
+// Standing is how much an endpoint is trusted.
+type Standing uint8
+
+// Standings, from best to worst.
+const (
+	Good      Standing = iota
+	Doubtful           // gets tasks only when no good endpoint has a free slot
+	Probation          // gets one task at a time, to show whether it has recovered
+	Ejected            // gets no task
+)
+
+// Parameters of the verdicts.
+const (
+	gain           = 0.2  // weight of the newest outcome
+	failureRate    = 0.5  // ejects
+	peersFactor    = 3    // an outlier fails this many times as often as its peers
+	minOutcomes    = 3    // before a verdict
+	slowFactor     = 2.5  // run time against expectation that makes a straggler
+	minRuns        = 5    // before a verdict on run times
+	slowGain       = 0.15 // weight of the newest run time
+	maxRatio       = 10.0
+	firstEjection  = 5 * time.Second
+	longestAway    = 60 * time.Second
+	doubtAfterFail = time.Second
+	probationRuns  = 3
+	ejectableShare = 0.2 // of the endpoints of a service
+)
+
+// Peers is what the endpoints of one service have in common.
+type Peers struct {
+	Endpoints int
+	away      int     // ejected or on probation
+	slow      int     // doubtful for being slow
+	failures  float64 // moving average
+	ratio     float64 // moving average of the logarithm of run ÷ expected
+}
+
+const peersGain = 0.01
+
+// mayLose reports whether one more endpoint may be set back.
+func (p *Peers) mayLose() bool {
+	allowed := max(1, int(ejectableShare*float64(p.Endpoints)))
+	return p.Endpoints > 1 && p.away+p.slow < allowed
+}
+
+// Record is what is known of one endpoint. The zero record is good.
+type Record struct {
+	standing Standing
+	until    time.Time // the standing is looked at again
+	backoff  time.Duration
+	failures float64
+	outcomes int
+	ratio    float64
+	runs     int
+	passed   int // tasks passed on probation
+	slow     bool
+}
+
+// Standing returns the current standing.
+func (r *Record) Standing() Standing { return r.standing }
+
+// Slow reports whether the endpoint was set back for its run times.
+func (r *Record) Slow() bool { return r.slow }
+
+// Failing reports whether the endpoint fails many of its tasks.
+func (r *Record) Failing() bool {
+	return r.standing >= Probation || r.rate() >= failureRate
+}
+
+// rate returns the failure rate. The first outcomes count for more, so that
+// an endpoint that has failed all of few tasks is seen at once.
+func (r *Record) rate() float64 {
+	if r.outcomes == 0 {
+		return 0
+	}
+	return r.failures / (1 - math.Pow(1-gain, float64(r.outcomes)))
+}
+
+// Due reports whether Review would change the standing.
+func (r *Record) Due(now time.Time) bool {
+	return r.standing != Good && r.standing != Probation && !now.Before(r.until)
+}
+
+// Review moves an endpoint on when its time is up.
+func (r *Record) Review(p *Peers) {
+	switch r.standing {
+	case Ejected:
+		r.standing = Probation
+		r.passed = 0
+	case Doubtful:
+		if r.slow {
+			p.slow--
+			r.slow = false
+			r.runs = 0
+			r.ratio = 0
+		}
+		r.standing = Good
+	}
+}
+
+// Passed learns from a task that ran to its end. run ÷ expected is compared
+// with the peers'.
+func (r *Record) Passed(now time.Time, p *Peers, run, expected time.Duration) {
+	r.outcomes++
+	r.failures -= gain * r.failures
+	p.failures -= peersGain * p.failures
+	r.observeRatio(p, run, expected)
+	switch r.standing {
+	case Probation:
+		r.passed++
+		if r.passed >= probationRuns {
+			r.recover(p)
+		}
+	case Doubtful:
+		if !r.slow {
+			r.standing = Good
+		}
+	case Good:
+		r.judgeSpeed(now, p)
+	}
+}
+
+func (r *Record) recover(p *Peers) {
+	p.away--
+	*r = Record{backoff: r.backoff}
+}
+
+func (r *Record) observeRatio(p *Peers, run, expected time.Duration) {
+	if run <= 0 || expected <= 0 {
+		return
+	}
+	ratio := math.Log(min(max(float64(run)/float64(expected), 1/maxRatio), maxRatio))
+	r.runs++
+	r.ratio += (ratio - r.ratio) * max(slowGain, 1/float64(r.runs))
+	p.ratio += (ratio - p.ratio) * peersGain
+}
+
+func (r *Record) judgeSpeed(now time.Time, p *Peers) {
+	if r.runs < minRuns || r.ratio-p.ratio < math.Log(slowFactor) || !p.mayLose() {
+		return
+	}
+	r.slow = true
+	p.slow++
+	r.setBack(now, Doubtful)
+}
+
+// Failed learns from a task that started and gave no result, or from a
+// connection that gave no answer.
+func (r *Record) Failed(now time.Time, p *Peers) {
+	r.outcomes++
+	r.failures += gain * (1 - r.failures)
+	p.failures += peersGain * (1 - p.failures)
+	switch {
+	case r.standing == Probation:
+		r.setBack(now, Ejected)
+	case r.standing == Ejected:
+	case r.isOutlier(p) && p.mayLose():
+		if r.slow {
+			p.slow--
+			r.slow = false
+		}
+		p.away++
+		r.setBack(now, Ejected)
+	case r.standing == Good:
+		r.standing = Doubtful
+		r.until = now.Add(doubtAfterFail)
+	}
+}
+
+// isOutlier compares failure rates.
+func (r *Record) isOutlier(p *Peers) bool {
+	rate := r.rate()
+	return r.outcomes >= minOutcomes && rate >= failureRate && rate >= peersFactor*p.failures
+}
+
+// Forgive takes a failure back that was the task's fault.
+func (r *Record) Forgive(p *Peers) {
+	r.failures = max(0, r.failures-gain)
+	p.failures = max(0, p.failures-peersGain)
+	if r.standing == Doubtful && !r.slow {
+		r.standing = Good
+	}
+}
+
+func (r *Record) setBack(now time.Time, standing Standing) {
+	r.backoff = min(max(2*r.backoff, firstEjection), longestAway)
+	r.standing = standing
+	r.until = now.Add(r.backoff)
+}
+
+// Leave takes the endpoint out of its peers' counts.
+func (r *Record) Leave(p *Peers) {
+	if r.standing == Ejected || r.standing == Probation {
+		p.away--
+	}
+	if r.slow {
+		p.slow--
+	}
+}
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,171 @@
+package dispatch
+
+import (
+	"time"
+
+	"lovagespread.example/dispatch/outlier"
+	"lovagespread.example/dispatch/place"
+	"lovagespread.example/dispatch/queue"
+)
+
+// maxBlocked bounds the groups that are passed over because no worker has
+// room for their next task.
+const maxBlocked = 8
+
+// place starts every waiting task that finds an endpoint.
+func (c *Core) place() {
+	if c.waiting == 0 {
+		return
+	}
+	if c.opts.Order.Strict() {
+		c.placeStrictly()
+		return
+	}
+	for _, s := range c.byDepth {
+		if s.waiting > 0 {
+			c.placeAt(s)
+		}
+	}
+}
+
+// placeAt starts tasks of one service, the most urgent job first.
+func (c *Core) placeAt(s *service) {
+	var blocked [maxBlocked]*queue.Item[*group]
+	n := 0
+	for s.queue.Len() > 0 && (s.pool.Listed() > 0 || !c.opts.Picker.Late()) {
+		item := s.queue.First()
+		if c.placeNext(item.Value) {
+			continue
+		}
+		s.queue.Remove(item)
+		blocked[n] = item
+		n++
+		if n == maxBlocked {
+			break
+		}
+	}
+	for _, item := range blocked[:n] {
+		s.queue.Push(item, item.Key())
+	}
+}
+
+// placeStrictly starts tasks in one order over all services, up to the first
+// that finds no endpoint.
+func (c *Core) placeStrictly() {
+	for {
+		var first *queue.Item[*group]
+		for _, s := range c.byDepth {
+			if item := s.queue.First(); item != nil && (first == nil || item.Key() < first.Key()) {
+				first = item
+			}
+		}
+		if first == nil || !c.placeNext(first.Value) {
+			return
+		}
+	}
+}
+
+// placeNext starts the next task of a group. It returns false if no endpoint
+// can take it now.
+func (c *Core) placeNext(g *group) bool {
+	index := int(g.waiting[len(g.waiting)-1])
+	t := &g.job.tasks[index]
+	if t.done {
+		c.dequeue(g)
+		return true
+	}
+	eligible := g.service.pool.Listed()
+	e, reason := c.pick(g.service, t)
+	if e == nil {
+		return false
+	}
+	c.dequeue(g)
+	c.start(g, index, e, startInfo{eligible: eligible, reason: c.reasonOf(t, e, reason)})
+	return true
+}
+
+// pick chooses an endpoint. An endpoint that the task is to avoid is taken
+// only if there is no other.
+func (c *Core) pick(s *service, t *task) (*executor, place.Reason) {
+	r := place.Request{Needs: t.needs}
+	if t.avoid != nil {
+		r.Avoid = &t.avoid.Endpoint
+		if e, reason := c.opts.Picker.Pick(s.pool, r, c.opts.Rand); e != nil {
+			return c.executors[e.Name], reason
+		}
+		r.Avoid = nil
+	}
+	e, reason := c.opts.Picker.Pick(s.pool, r, c.opts.Rand)
+	if e == nil {
+		return nil, reason
+	}
+	return c.executors[e.Name], reason
+}
+
+func (c *Core) reasonOf(t *task, e *executor, reason place.Reason) Reason {
+	switch {
+	case e.record.Standing() == outlier.Probation:
+		return ReasonProbation
+	case t.begun+t.unsent > 0:
+		return ReasonRetry
+	case reason == place.SpreadRacks:
+		return ReasonSpreadRacks
+	case reason == place.OnlyEligible:
+		return ReasonOnlyEligible
+	default:
+		return ReasonLeastLoaded
+	}
+}
+
+// startInfo is what the decision log shows of a start.
+type startInfo struct {
+	eligible int
+	reason   Reason
+	hedge    bool
+}
+
+// start authorises one attempt and orders it to be sent.
+func (c *Core) start(g *group, index int, e *executor, info startInfo) {
+	j := g.job
+	attempt, ok := c.ledger.Start(j.id, index)
+	if !ok {
+		return
+	}
+	t := &j.tasks[index]
+	t.begun++
+	s := g.service
+	r := &run{
+		job: j, index: index, attempt: attempt, executor: e, started: c.now,
+		leaseEnd: c.now.Add(s.spec.Timeout), hedge: info.hedge, next: t.runs,
+	}
+	t.runs = r
+	j.running++
+	c.countOpen(g, 1)
+	e.Take(t.needs)
+	s.leases.Push(r)
+	if attempt == 1 {
+		s.retries.Earn()
+		s.hedges.Earn()
+	}
+	if s.spec.Idempotent && attempt == 1 {
+		s.watched.Push(r)
+	}
+	c.ready.Starts = append(c.ready.Starts, Start{
+		Task:     TaskRef{Job: j.id, Index: index},
+		Service:  s.spec.Name,
+		Attempt:  attempt,
+		Endpoint: e.Name,
+		Address:  e.Address,
+		LeaseEnd: r.leaseEnd,
+		Hedge:    info.hedge,
+		Eligible: info.eligible,
+		Reason:   info.reason,
+		Urgency:  c.urgency(g),
+	})
+}
+
+// urgency returns by how many seconds a job is past the point in time that
+// orders it; negative: that point is still to come.
+func (c *Core) urgency(g *group) float64 {
+	return float64(c.now.UnixNano()-g.item.Key()) / float64(time.Second)
+}
--- /dev/null
+++ b/dispatch/place/pool.go
@@ -0,0 +1,113 @@
+package place
+
+import "lovagespread.example/catalog"
+
+// Pool holds the endpoints of one service.
+type Pool struct {
+	// Needs are those of a usual task: an endpoint whose worker has no room
+	// for them is not offered.
+	Needs catalog.Resources
+
+	all     []*Endpoint
+	tiers   [tiers]tier
+	listed  int // endpoints with a free slot
+	slots   int // of all endpoints that are not excluded
+	running int
+}
+
+// tier lists endpoints by the number of their running tasks.
+type tier struct {
+	levels [][]*Endpoint
+	count  int
+}
+
+// All returns the endpoints of the pool.
+func (p *Pool) All() []*Endpoint { return p.all }
+
+// Listed returns the number of endpoints that could take a usual task.
+func (p *Pool) Listed() int { return p.listed }
+
+// Slots returns the slots of the endpoints that are not excluded.
+func (p *Pool) Slots() int { return p.slots }
+
+// Running returns the tasks placed on the pool's endpoints.
+func (p *Pool) Running() int { return p.running }
+
+// Add makes an endpoint part of the pool.
+func (p *Pool) Add(e *Endpoint) {
+	e.pool = p
+	p.all = append(p.all, e)
+	p.running += e.Running
+	if e.Rack != nil {
+		e.Rack.Slots += e.Slots
+		e.Rack.Running += e.Running
+	}
+	if e.Tier != Excluded {
+		p.slots += e.Slots
+	}
+	p.update(e)
+}
+
+// SetSlots changes the slots of an endpoint of the pool.
+func (p *Pool) SetSlots(e *Endpoint, slots int) {
+	if e.Tier != Excluded {
+		p.slots += slots - e.Slots
+	}
+	if e.Rack != nil {
+		e.Rack.Slots += slots - e.Slots
+	}
+	e.Slots = slots
+	p.update(e)
+}
+
+// SetTier changes the tier of an endpoint of the pool.
+func (p *Pool) SetTier(e *Endpoint, t Tier) {
+	if e.Tier == t {
+		return
+	}
+	if e.Tier == Excluded {
+		p.slots += e.Slots
+	}
+	if t == Excluded {
+		p.slots -= e.Slots
+	}
+	e.Tier = t
+	p.update(e)
+}
+
+func (p *Pool) update(e *Endpoint) {
+	offered := e.Tier != Excluded && e.Running < e.Slots && e.Worker.Fits(p.Needs)
+	if e.listed {
+		if offered && e.tier == e.Tier && e.level == e.Running {
+			return
+		}
+		p.unlist(e)
+	}
+	if offered {
+		p.list(e)
+	}
+}
+
+func (p *Pool) list(e *Endpoint) {
+	t := &p.tiers[e.Tier]
+	for len(t.levels) <= e.Running {
+		t.levels = append(t.levels, nil)
+	}
+	e.listed, e.tier, e.level, e.index = true, e.Tier, e.Running, len(t.levels[e.Running])
+	t.levels[e.level] = append(t.levels[e.level], e)
+	t.count++
+	p.listed++
+}
+
+func (p *Pool) unlist(e *Endpoint) {
+	t := &p.tiers[e.tier]
+	level := t.levels[e.level]
+	last := level[len(level)-1]
+	level[e.index] = last
+	last.index = e.index
+	level[len(level)-1] = nil
+	t.levels[e.level] = level[:len(level)-1]
+	t.count--
+	p.listed--
+	e.listed = false
+}
--- /dev/null
+++ b/dispatch/queue/queue.go
@@ -0,0 +1,92 @@
+// Package queue holds what waits, ordered by a key that its owner may change.
+package queue
+
+import "container/heap"
+
+// Item is the place of a value in a queue. The zero item is in no queue.
+type Item[T any] struct {
+	Value T
+	key   int64
+	seq   uint64 // order of items with the same key
+	index int    // in the heap, from 1; 0: in no queue
+}
+
+// Key returns the key that the item was last pushed or moved with.
+func (i *Item[T]) Key() int64 { return i.key }
+
+// Queued reports whether the item is in a queue.
+func (i *Item[T]) Queued() bool { return i.index > 0 }
+
+// Queue is a priority queue: the smallest key is first, and among equal keys
+// the one pushed first. The zero queue is empty.
+type Queue[T any] struct {
+	items items[T]
+	seq   uint64
+}
+
+// Len returns the number of items.
+func (q *Queue[T]) Len() int { return len(q.items) }
+
+// First returns the item with the smallest key, or nil.
+func (q *Queue[T]) First() *Item[T] {
+	if len(q.items) == 0 {
+		return nil
+	}
+	return q.items[0]
+}
+
+// Push adds an item that is in no queue.
+func (q *Queue[T]) Push(item *Item[T], key int64) {
+	q.seq++
+	item.key = key
+	item.seq = q.seq
+	heap.Push(&q.items, item)
+}
+
+// Move changes the key of an item of this queue.
+func (q *Queue[T]) Move(item *Item[T], key int64) {
+	if item.key == key {
+		return
+	}
+	item.key = key
+	heap.Fix(&q.items, item.index-1)
+}
+
+// Remove takes an item out of this queue. An item in no queue stays as it is.
+func (q *Queue[T]) Remove(item *Item[T]) {
+	if item.Queued() {
+		heap.Remove(&q.items, item.index-1)
+	}
+}
+
+type items[T any] []*Item[T]
+
+func (h items[T]) Len() int { return len(h) }
+
+func (h items[T]) Less(i, j int) bool {
+	if h[i].key != h[j].key {
+		return h[i].key < h[j].key
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h items[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i + 1
+	h[j].index = j + 1
+}
+
+func (h *items[T]) Push(x any) {
+	item := x.(*Item[T])
+	*h = append(*h, item)
+	item.index = len(*h)
+}
+
+func (h *items[T]) Pop() any {
+	last := len(*h) - 1
+	item := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	item.index = 0
+	return item
+}
--- /dev/null
+++ b/dispatch/trace.go
@@ -0,0 +1,35 @@
+package dispatch
+
+import "time"
+
+// trace is a request of which several jobs are part.
+type trace struct {
+	arrived time.Time
+	jobs    int // not ended
+}
+
+// join makes a job part of its trace and returns when the outermost request
+// came in: a nested job is as urgent as the request that waits for it.
+func (c *Core) join(name string) time.Time {
+	if name == "" {
+		return c.now
+	}
+	t := c.traces[name]
+	if t == nil {
+		t = &trace{arrived: c.now}
+		c.traces[name] = t
+	}
+	t.jobs++
+	return t.arrived
+}
+
+func (c *Core) leave(name string) {
+	t := c.traces[name]
+	if t == nil {
+		return
+	}
+	t.jobs--
+	if t.jobs == 0 {
+		delete(c.traces, name)
+	}
+}
--- /dev/null
+++ b/dispatch/urgency/urgency.go
@@ -0,0 +1,81 @@
+// Package urgency orders the jobs that wait for slots of one service.
+//
+// A job has one key, and the smallest key goes first. Keys do not depend on
+// the current time, so that a queue needs no re-ordering while time passes:
+// a waiting job becomes more urgent because later jobs get later keys.
+package urgency
+
+import "time"
+
+// Job is what an order may know of a job with waiting tasks.
+type Job struct {
+	// Arrived is when the request came in that the job serves: for a nested
+	// request, when the outermost one came in.
+	Arrived time.Time
+	// Turn is Arrived, or later if its team asks for more than its fair share.
+	Turn time.Time
+	// Ideal is the expected time of the whole job on an idle system.
+	Ideal time.Duration
+	// Work is the expected run time of the tasks that have no result yet.
+	Work time.Duration
+	// Declared is the sum of the run times that the caller declared.
+	Declared time.Duration
+	Tasks    int // of the job
+	Left     int // without a result
+	// Patience is how long callers of the service wait for an answer. Zero:
+	// not known.
+	Patience time.Duration
+}
+
+// Order gives jobs their keys.
+type Order interface {
+	// Key returns the key of a job. It is called again whenever a field of
+	// the job has changed.
+	Key(j *Job) int64
+	// Strict reports whether a task that cannot be placed holds back every
+	// task behind it, whatever its service.
+	Strict() bool
+}
+
+// Stretch orders by the time at which a job's response would be a fixed
+// multiple of its ideal: of two jobs that came in together, the shorter goes
+// first, and a long job is overtaken only by jobs that come in before its own
+// time is up. Hence nothing starves.
+type Stretch struct {
+	// Factor is the multiple of the ideal.
+	Factor float64
+	// LastFirst moves a job forward as its tasks end, since slots that are
+	// spent on half-done jobs answer nobody.
+	LastFirst bool
+}
+
+// Key implements Order.
+func (s Stretch) Key(j *Job) int64 {
+	ideal := float64(j.Ideal)
+	if s.LastFirst && j.Tasks > 0 {
+		ideal *= float64(j.Left) / float64(j.Tasks)
+	}
+	return j.Turn.UnixNano() + int64(s.Factor*ideal)
+}
+
+// Strict implements Order.
+func (Stretch) Strict() bool { return false }
+
+// FIFO orders by arrival. Global holds every service back behind the oldest
+// task that has no slot.
+type FIFO struct{ Global bool }
+
+// Key implements Order.
+func (FIFO) Key(j *Job) int64 { return j.Arrived.UnixNano() }
+
+// Strict implements Order.
+func (f FIFO) Strict() bool { return f.Global }
+
+// ShortestDeclared orders by what callers declare.
+type ShortestDeclared struct{}
+
+// Key implements Order.
+func (ShortestDeclared) Key(j *Job) int64 { return int64(j.Declared) }
+
+// Strict implements Order.
+func (ShortestDeclared) Strict() bool { return false }
--- a/experiment/compare/endpoint.go
+++ b/experiment/compare/endpoint.go
@@ -134,6 +134,8 @@
 	if a.running {
 		s.vacate(e, a)
 	}
+	delete(e.open, key)
+	s.after(oneWay, func() { s.answer(e, a, 0, true) })
 }
 
 var result = []byte("{}")
--- a/experiment/compare/policy.go
+++ b/experiment/compare/policy.go
@@ -2,23 +2,72 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"lovagespread.example/dispatch"
+	"lovagespread.example/dispatch/place"
+	"lovagespread.example/dispatch/urgency"
 )
 
+// truth tells the oracle what the jobs of a run really are.
+type truth func(dispatch.TaskRef) time.Duration
+
 // Policy is one way to order and place tasks.
 type Policy struct {
-	Name  string
-	apply func(*dispatch.Options)
+	Name   string
+	apply  func(*dispatch.Options)
+	oracle bool // knows true run times and which endpoints misbehave
 }
 
-func (p Policy) options(rng *rand.Rand) dispatch.Options {
+func (p Policy) options(rng *rand.Rand, expect truth) dispatch.Options {
 	opts := dispatch.Options{Rand: rng}
 	if p.apply != nil {
 		p.apply(&opts)
 	}
+	if p.oracle {
+		opts.Expect = expect
+	}
 	return opts
 }
 
+// baseline is what every baseline leaves out of the product's policy.
+const baseline = dispatch.Learning | dispatch.Ejection | dispatch.Hedging | dispatch.FairShare | dispatch.Admission
+
 // Inferred is the product's own policy.
 func Inferred() Policy { return Policy{Name: "inferred"} }
+
+// Without is the product's own policy with a mechanism switched off.
+func Without(name string, off dispatch.Mechanism) Policy {
+	return Policy{Name: "no_" + name, apply: func(o *dispatch.Options) { o.Off = off }}
+}
+
+// Ordered is the product's own policy with another order.
+func Ordered(name string, order urgency.Order) Policy {
+	return Policy{Name: name, apply: func(o *dispatch.Options) { o.Order = order }}
+}
+
+// Oracle is the product's order with true run times.
+func Oracle() Policy { return Policy{Name: "oracle", oracle: true} }
+
+// GlobalFIFO serves all services in one order of arrival.
+func GlobalFIFO() Policy { return plain("fifo", urgency.FIFO{Global: true}, place.Spread{}) }
+
+// ServiceFIFO serves each service in the order of arrival.
+func ServiceFIFO() Policy { return plain("service_fifo", urgency.FIFO{}, place.Spread{}) }
+
+// ShortestDeclared serves the job first that declares least work.
+func ShortestDeclared() Policy {
+	return plain("shortest_declared", urgency.ShortestDeclared{}, place.Spread{})
+}
+
+// Random sends each task at once to a random endpoint.
+func Random() Policy { return plain("random", urgency.FIFO{}, place.Random{}) }
+
+// TwoChoices sends each task at once to the less loaded of two endpoints.
+func TwoChoices() Policy { return plain("two_choices", urgency.FIFO{}, place.TwoChoices{}) }
+
+func plain(name string, order urgency.Order, picker place.Picker) Policy {
+	return Policy{Name: name, apply: func(o *dispatch.Options) {
+		o.Order, o.Picker, o.Off = order, picker, baseline
+	}}
+}
--- a/experiment/compare/sim.go
+++ b/experiment/compare/sim.go
@@ -103,7 +103,7 @@
 		if err != nil {
 			panic(err) // the key above has the right length
 		}
-		en := &entry{issuer: issuer, core: dispatch.New(policy.options(rand.New(rand.NewPCG(seed, uint64(3+i)))))}
+		en := &entry{issuer: issuer, core: dispatch.New(policy.options(rand.New(rand.NewPCG(seed, uint64(3+i))), s.trueRunTime))}
 		s.entries = append(s.entries, en)
 		s.step(en, &dispatch.SetCatalog{Catalog: text})
 		s.step(en, &dispatch.SetShare{Rank: i, Entries: s.scenario.Entries})
@@ -111,6 +111,10 @@
 	s.announce(func(*endpoint) dispatch.EndpointState { return dispatch.EndpointLive })
 }
 
+func (s *sim) trueRunTime(ref dispatch.TaskRef) time.Duration {
+	return s.jobs[ref.Job].Tasks[ref.Index].RunTime
+}
+
 // announce gives every entry the list of endpoints.
 func (s *sim) announce(state func(*endpoint) dispatch.EndpointState) {
 	list := make([]dispatch.Endpoint, 0, len(s.order))
--- a/experiment/compare/standard.go
+++ b/experiment/compare/standard.go
@@ -55,7 +55,14 @@
 }
 
 func standardCases() []Case {
-	return []Case{{Load80, Inferred()}, {Burst, Inferred()}}
+	var cases []Case
+	all := []Policy{Inferred(), Oracle(), GlobalFIFO(), ServiceFIFO(), ShortestDeclared(), Random(), TwoChoices()}
+	for _, scenario := range []func() *Scenario{Load80, Burst} {
+		for _, policy := range all {
+			cases = append(cases, Case{scenario, policy})
+		}
+	}
+	return cases
 }
 
 func headline([]Row) *Headline { return nil }
