Share the memory for waiting tasks between services; add fault and overload cases

Cause: at 200% load the tasks of two services filled the one bound on waiting tasks, and the third had idle slots. Idempotent tasks of a lost rack waited for the end of their leases. Change: a service may fill twice what is free of the bound; idempotent tasks of endpoints that become suspect are sent elsewhere within the retry budget; finer size classes with averages of logarithms; stretch factor 12; waste counted against the tasks sent.

--- a/cmd/lovage-load/compare.go
+++ b/cmd/lovage-load/compare.go
@@ -16,11 +16,12 @@
 	asJSON := flags.Bool("json", false, "print the rows as one JSON array instead of a table")
 	seeds := flags.Int("seeds", compare.DefaultSeeds, "number of seeds, counted from 1")
 	parallel := flags.Int("parallel", compare.DefaultParallel, "runs at a time")
+	set := flags.String("set", string(compare.StandardSet), "cases to run: standard, or ablation for the policy with one mechanism switched off")
 	only := flags.String("only", "", "regular expression of scenario/policy names to run; empty: all")
 	if err := command.Parse(flags, args); err != nil {
 		return err
 	}
-	report, err := compare.Standard(*only, *seeds, *parallel)
+	report, err := compare.Compare(compare.Set(*set), *only, *seeds, *parallel)
 	if err != nil {
 		return err
 	}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -58,7 +58,7 @@
 	DefaultMaxAttempts = 3
 	DefaultMaxAnswers  = 100_000
 	// DefaultStretch is the factor of the default order.
-	DefaultStretch = 4
+	DefaultStretch = 12
 )
 
 func (o *Options) setDefaults() {
@@ -72,7 +72,7 @@
 		o.MaxAnswers = DefaultMaxAnswers
 	}
 	if o.Order == nil {
-		o.Order = urgency.Stretch{Factor: DefaultStretch, LastFirst: true}
+		o.Order = urgency.Stretch{Factor: DefaultStretch}
 	}
 	if o.Picker == nil {
 		o.Picker = place.Spread{}
@@ -98,7 +98,8 @@
 	teams     map[string]*team
 	traces    map[string]*trace
 	executors map[string]*executor
-	listed    []Endpoint // as last announced
+	listed    []Endpoint  // as last announced
+	suspected []*executor // since the endpoints were last announced
 	share     SetShare
 	draining  bool
 }
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"lovagespread.example/catalog"
@@ -36,6 +38,7 @@
 	for i := range list {
 		c.setEndpoint(&list[i], rackOf(racks, list[i].Rack), workerOf(workers, &list[i]))
 	}
+	c.rescue()
 	for name, e := range c.executors {
 		if !e.listed && e.Running == 0 {
 			e.record.Leave(&e.service.peers)
@@ -44,6 +47,32 @@
 	}
 }
 
+// rescue sends the idempotent tasks of endpoints that have just become
+// suspect to others as well, rather than wait for the end of their leases.
+func (c *Core) rescue() {
+	if len(c.suspected) == 0 {
+		return
+	}
+	for _, s := range c.byDepth {
+		if !s.spec.Idempotent {
+			continue
+		}
+		for r := range s.leases.All() {
+			if c.isAlone(r) && slices.Contains(c.suspected, r.executor) && s.retries.Spend() {
+				c.sendHedge(r)
+			}
+		}
+	}
+	c.suspected = c.suspected[:0]
+}
+
+// isAlone reports whether an attempt is the only one of a task that still
+// needs a result.
+func (c *Core) isAlone(r *run) bool {
+	t := &r.job.tasks[r.index]
+	return !r.over && !r.job.ended && t.runs == r && r.next == nil
+}
+
 func (c *Core) setEndpoint(spec *Endpoint, rack *place.Rack, worker *place.Worker) {
 	s := c.serviceOf(spec.Service)
 	e := c.executors[spec.Name]
@@ -51,6 +80,9 @@
 		e = &executor{service: s}
 		c.executors[spec.Name] = e
 	}
+	if spec.State == EndpointSuspect && e.state == EndpointLive {
+		c.suspected = append(c.suspected, e)
+	}
 	e.Name, e.Address, e.state, e.listed = spec.Name, spec.Address, spec.State, true
 	e.share = c.slots(spec)
 	e.Slots, e.Rack = e.slotsNow(), rack
--- a/dispatch/estimate/estimate.go
+++ b/dispatch/estimate/estimate.go
@@ -8,7 +8,6 @@
 
 import (
 	"math"
-	"math/bits"
 	"time"
 
 	"github.com/DataDog/sketches-go/ddsketch"
@@ -16,8 +15,8 @@
 
 // Parameters of learning.
 const (
-	gain        = 0.1  // weight of the newest run time in a mean
-	priorRuns   = 3    // run times that outweigh what is known of the wider group
+	gain        = 0.05 // weight of the newest run time in an average
+	priorRuns   = 3    // run times that weigh as much as what the wider group knows
 	maxHint     = 2.0  // factor by which a declaration alone moves an estimate
 	accuracy    = 0.02 // relative, of quantiles
 	sketchBins  = 512
@@ -25,11 +24,12 @@
 	minQuantile = 400  // run times before a quantile is trusted
 	refresh     = 128  // run times between two computations of quantiles
 	defaultRun  = 200 * time.Millisecond
-	classes     = 24
+	perOctave   = 4 // size classes for each doubling
+	classes     = 20 * perOctave
 )
 
-// Class is a size class of declared run times: powers of two of 1 ms, and
-// class 0 for tasks without a declaration.
+// Class is a size class of declared run times: a fraction of a doubling, from
+// 1 ms on, and class 0 for tasks without a declaration.
 type Class uint8
 
 // ClassOf returns the class of a declared run time.
@@ -37,30 +37,31 @@
 	if declared <= 0 {
 		return 0
 	}
-	n := 1 + bits.Len64(uint64(declared/time.Millisecond))
-	return Class(min(n, classes-1))
+	octaves := math.Log2(float64(max(declared, time.Millisecond)) / float64(time.Millisecond))
+	return Class(min(1+int(octaves*perOctave), classes-1))
 }
 
-// middle returns the run time that a class stands for.
-func (c Class) middle() time.Duration {
-	const halfStep = 0.75
-	return time.Duration(halfStep * float64(time.Millisecond) * math.Exp2(float64(c)-1))
+// middle returns the run time that a class stands for, in seconds.
+func (c Class) middle() float64 {
+	return 1e-3 * math.Exp2((float64(c)-0.5)/perOctave)
 }
 
-type mean struct {
-	value float64 // seconds
+// average is a moving average of the logarithm of run times in seconds. The
+// logarithm keeps a few run times that are far off from ruling a class.
+type average struct {
+	value float64
 	runs  int
 }
 
-func (m *mean) add(seconds float64) {
-	m.runs++
-	m.value += (seconds - m.value) * max(gain, 1/float64(m.runs))
+func (a *average) add(value float64) {
+	a.runs++
+	a.value += (value - a.value) * max(gain, 1/float64(a.runs))
 }
 
-// blend weighs a mean against what is known of the wider group.
-func (m *mean) blend(wider float64) float64 {
-	n := float64(min(m.runs, 1/gain))
-	return (m.value*n + wider*priorRuns) / (n + priorRuns)
+// blend weighs an average against what is known of the wider group.
+func (a *average) blend(wider float64) float64 {
+	n := float64(min(a.runs, 1/gain))
+	return (a.value*n + wider*priorRuns) / (n + priorRuns)
 }
 
 type teamClass struct {
@@ -70,10 +71,11 @@
 
 // Service holds what is known of one service's tasks. Create it with New.
 type Service struct {
-	all     mean
-	teams   map[teamClass]*mean
-	tails   [classes]tail
-	prior   float64 // seconds
+	all     average
+	classes [classes]average
+	teams   map[teamClass]*average
+	tails   [classes / perOctave]tail
+	prior   float64 // logarithm of seconds
 	learned bool    // false: declarations are taken for the truth
 }
 
@@ -90,41 +92,39 @@
 	if prior <= 0 {
 		prior = defaultRun
 	}
-	return &Service{teams: make(map[teamClass]*mean), prior: prior.Seconds(), learned: learned}
+	return &Service{teams: make(map[teamClass]*average), prior: math.Log(prior.Seconds()), learned: learned}
 }
 
-// Mean returns the expected run time of any task of the service.
-func (s *Service) Mean() time.Duration { return duration(s.all.blend(s.prior)) }
-
 // Expect returns the expected run time of a task.
 func (s *Service) Expect(team int, declared time.Duration) time.Duration {
 	if !s.learned {
 		return s.declaredOrPrior(declared)
 	}
 	class := ClassOf(declared)
-	wider := s.all.blend(s.prior) * hint(class, s.all.blend(s.prior))
-	known := s.teams[teamClass{team, class}]
-	if known == nil {
-		return duration(wider)
+	service := s.all.blend(s.prior)
+	expected := s.classes[class].blend(service + hint(class, service))
+	if own := s.teams[teamClass{team, class}]; own != nil {
+		expected = own.blend(expected)
 	}
-	return duration(known.blend(wider))
+	return duration(math.Exp(expected))
 }
 
 func (s *Service) declaredOrPrior(declared time.Duration) time.Duration {
 	if declared > 0 {
 		return declared
 	}
-	return duration(s.prior)
+	return duration(math.Exp(s.prior))
 }
 
-// hint returns the bounded factor by which a declaration moves an estimate
-// before anything is known of its class.
-func hint(class Class, mean float64) float64 {
+// hint returns the bounded logarithm of the factor by which a declaration
+// moves an estimate before anything is known of its class.
+func hint(class Class, service float64) float64 {
 	if class == 0 {
-		return 1
+		return 0
 	}
-	ratio := math.Sqrt(class.middle().Seconds() / mean)
-	return min(max(ratio, 1/maxHint), maxHint)
+	const trust = 0.5
+	limit := math.Log(maxHint)
+	return min(max(trust*(math.Log(class.middle())-service), -limit), limit)
 }
 
 // Observe learns from a task that ran to its end.
@@ -134,20 +134,22 @@
 	}
 	class := ClassOf(declared)
 	key := teamClass{team, class}
-	known := s.teams[key]
-	if known == nil {
-		known = &mean{}
-		s.teams[key] = known
+	own := s.teams[key]
+	if own == nil {
+		own = &average{}
+		s.teams[key] = own
 	}
-	known.add(run.Seconds())
-	s.all.add(run.Seconds())
-	s.tails[class].add(run)
+	value := math.Log(run.Seconds())
+	own.add(value)
+	s.classes[class].add(value)
+	s.all.add(value)
+	s.tails[class/perOctave].add(run)
 }
 
 // High returns the run time that only one task in a few hundred of the class
 // exceeds, or 0 if too little is known.
 func (s *Service) High(declared time.Duration) time.Duration {
-	return s.tails[ClassOf(declared)].high
+	return s.tails[ClassOf(declared)/perOctave].high
 }
 
 // highQuantile is the quantile that High returns.
--- a/dispatch/limit/limit.go
+++ b/dispatch/limit/limit.go
@@ -1,8 +1,9 @@
 // Package limit decides which jobs are refused in overload.
 //
-// The measure is the expected wait: the expected run time of what waits,
+// The first measure is the expected wait: the expected run time of what waits,
 // divided by the slots. Refusing at the door by expected wait keeps the queue
-// no longer than callers are willing to wait, whatever the run times are.
+// no longer than callers are willing to wait, whatever the run times are. The
+// second is the number of waiting tasks, which bounds memory.
 package limit
 
 import "time"
@@ -40,6 +41,19 @@
 	}
 }
 
+// headroom is how many times the free part of the memory for waiting tasks
+// one service may fill.
+const headroom = 2
+
+// Full reports whether there is no memory left for the tasks of one more job.
+// limit bounds the waiting tasks of all services. A service may fill a
+// multiple of what is free, so that a service in overload leaves room for
+// those that are not.
+func Full(limit, waiting, ofService, job int) bool {
+	free := limit - waiting
+	return job > free || ofService > headroom*free
+}
+
 // Bounds of the time after which a refused caller may ask again.
 const (
 	minRetryAfter = 100 * time.Millisecond
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -156,10 +156,10 @@
 
 // overload checks quotas and the bounds of the queues.
 func (c *Core) overload(j *job) *Problem {
-	if c.waiting+len(j.tasks) > c.opts.MaxWaiting {
-		return notRun(CodeOverload, "too many tasks are waiting: submit again with a new job ID after the given time", time.Second)
-	}
 	for i := range j.groups {
+		if limit.Full(c.opts.MaxWaiting, c.waiting, j.groups[i].service.waiting, len(j.tasks)) {
+			return notRun(CodeOverload, "too many tasks are waiting: submit again with a new job ID after the given time", time.Second)
+		}
 		if problem := c.groupOverload(&j.groups[i], j); problem != nil {
 			return problem
 		}
--- a/dispatch/urgency/urgency.go
+++ b/dispatch/urgency/urgency.go
@@ -44,18 +44,11 @@
 type Stretch struct {
 	// Factor is the multiple of the ideal.
 	Factor float64
-	// LastFirst moves a job forward as its tasks end, since slots that are
-	// spent on half-done jobs answer nobody.
-	LastFirst bool
 }
 
 // Key implements Order.
 func (s Stretch) Key(j *Job) int64 {
-	ideal := float64(j.Ideal)
-	if s.LastFirst && j.Tasks > 0 {
-		ideal *= float64(j.Left) / float64(j.Tasks)
-	}
-	return j.Turn.UnixNano() + int64(s.Factor*ideal)
+	return j.Turn.UnixNano() + int64(s.Factor*float64(j.Ideal))
 }
 
 // Strict implements Order.
--- /dev/null
+++ b/experiment/compare/cases.go
@@ -0,0 +1,60 @@
+package compare
+
+import (
+	"lovagespread.example/dispatch"
+	"lovagespread.example/dispatch/urgency"
+)
+
+func overload(load float64) func() *Scenario {
+	return func() *Scenario { return Overload(load) }
+}
+
+// Offered loads of the goodput curve. The last one is the overload that is
+// compared with the peak.
+var goodputLoads = []float64{0.9, 1.1, 1.4, 2}
+
+func standardCases() []Case {
+	var cases []Case
+	for _, scenario := range []func() *Scenario{Load80, Burst} {
+		for _, policy := range []Policy{Inferred(), Oracle(), GlobalFIFO(), ServiceFIFO(), ShortestDeclared(), Random(), TwoChoices()} {
+			cases = append(cases, Case{scenario, policy})
+		}
+	}
+	for _, load := range goodputLoads {
+		cases = append(cases, Case{overload(load), Inferred()})
+	}
+	return append(cases,
+		Case{overload(2), ServiceFIFO()},
+		Case{Metastable, Inferred()}, Case{Metastable, ServiceFIFO()},
+		Case{Liars, Inferred()}, Case{Liars, ShortestDeclared()},
+		Case{FloodBase, Inferred()}, Case{Flood, Inferred()}, Case{Flood, ServiceFIFO()},
+		Case{Cancellations, Inferred()},
+		Case{Faults, Inferred()}, Case{Faults, ServiceFIFO()},
+	)
+}
+
+func ablationCases() []Case {
+	var cases []Case
+	add := func(scenario func() *Scenario, policies ...Policy) {
+		cases = append(cases, Case{scenario, Inferred()})
+		for _, policy := range policies {
+			cases = append(cases, Case{scenario, policy})
+		}
+	}
+	noLearning := Without("learning", dispatch.Learning)
+	noEjection := Without("ejection", dispatch.Ejection)
+	noHedging := Without("hedging", dispatch.Hedging)
+	noFairShare := Without("fair_share", dispatch.FairShare)
+	noAdmission := Without("admission", dispatch.Admission)
+	arrival := Ordered("arrival_order", urgency.FIFO{})
+	add(Load80, arrival, noHedging, noFairShare)
+	add(Burst, arrival, noLearning, noFairShare, noAdmission, Ordered("stretch_4", urgency.Stretch{Factor: 4}), Ordered("stretch_32", urgency.Stretch{Factor: 32}))
+	add(Liars, noLearning)
+	add(Flood, noFairShare)
+	add(overload(2), noAdmission)
+	add(Metastable, noAdmission)
+	add(Stragglers, noEjection, noHedging)
+	add(BlackHoles, noEjection)
+	add(RackLoss, noEjection, noHedging)
+	return cases
+}
--- a/experiment/compare/report.go
+++ b/experiment/compare/report.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"sync"
+	"time"
 
 	"github.com/samber/lo"
 	"golang.org/x/sync/errgroup"
@@ -15,8 +17,10 @@
 	Scenario string                `json:"scenario"`
 	Policy   string                `json:"policy"`
 	Services map[string]ServiceRow `json:"services"` // "all" holds every service
-	Waste    Figure                `json:"waste"`    // extra messages per finished task
-	Messages map[string]Figure     `json:"messages"` // per finished task, by kind
+	Honest   ServiceRow            `json:"honest"`   // teams that do not flood or declare falsely
+	Liars    ServiceRow            `json:"liars"`    // teams that declare falsely
+	Waste    Figure                `json:"waste"`    // extra messages per task sent
+	Messages map[string]Figure     `json:"messages"` // per task sent, by kind
 	Goodput  Figure                `json:"goodput"`  // share of the slots' time
 	Doubles  int                   `json:"double_starts"`
 	Late     int                   `json:"without_answer"`
@@ -33,6 +37,9 @@
 	Refused Figure `json:"refused"`
 }
 
+// allServices is the name under which Row.Services holds the sum.
+const allServices = "all"
+
 // Case is one scenario under one policy.
 type Case struct {
 	Scenario func() *Scenario
@@ -72,7 +79,9 @@
 	row := Row{
 		Scenario: scenario.Name,
 		Policy:   c.Policy.Name,
-		Services: map[string]ServiceRow{"all": serviceRow(runs, func(r *Results) *ServiceResult { return r.All })},
+		Services: map[string]ServiceRow{allServices: serviceRow(runs, func(r *Results) *ServiceResult { return r.All })},
+		Honest:   serviceRow(runs, func(r *Results) *ServiceResult { return r.Honest }),
+		Liars:    serviceRow(runs, func(r *Results) *ServiceResult { return r.Liars }),
 		Waste:    over(runs, (*Results).Waste),
 		Messages: make(map[string]Figure),
 		Goodput:  over(runs, func(r *Results) float64 { return r.goodput(scenario) }),
@@ -86,7 +95,7 @@
 	}
 	for kind, name := range messageNames {
 		row.Messages[name] = over(runs, func(r *Results) float64 {
-			return float64(r.Messages[kind]) / float64(max(r.TasksDone, 1))
+			return float64(r.Messages[kind]) / float64(max(r.Messages[messageTask], 1))
 		})
 	}
 	return row
@@ -123,23 +132,52 @@
 
 // WriteTable prints the rows for people.
 func WriteTable(w io.Writer, rows []Row) {
-	const format = "%-14s %-18s %-10s %14s %14s %14s %8s %8s %8s\n"
 	scenario := ""
 	for _, row := range rows {
 		if row.Scenario != scenario {
 			scenario = row.Scenario
-			fmt.Fprintf(w, "\n"+format, "scenario", "policy", "service", "p50", "p99", "p99.9", "in time", "failed", "refused")
-		}
-		names := lo.Keys(row.Services)
-		slices.Sort(names)
-		for _, name := range names {
-			s := row.Services[name]
-			fmt.Fprintf(w, format, row.Scenario, row.Policy, name, text(s.P50), text(s.P99), text(s.P999),
-				percent(s.InTime), percent(s.Failed), percent(s.Refused))
+			fmt.Fprintf(w, "\n"+tableFormat, "scenario", "policy", "service", "p50", "p99", "p99.9", "in time", "failed", "refused")
 		}
-		fmt.Fprintf(w, "%-14s %-18s waste %.4f ±%.4f  goodput %.4f ±%.4f  double starts %d  without answer %d\n",
-			row.Scenario, row.Policy, row.Waste.Mean, row.Waste.Spread, row.Goodput.Mean, row.Goodput.Spread, row.Doubles, row.Late)
+		row.write(w)
+	}
+}
+
+const tableFormat = "%-14s %-18s %-10s %14s %14s %14s %8s %8s %8s\n"
+
+func (r *Row) write(w io.Writer) {
+	names := lo.Keys(r.Services)
+	slices.Sort(names)
+	for _, name := range names {
+		r.writeLine(w, name, r.Services[name])
+	}
+	switch r.Scenario {
+	case Flood().Name, FloodBase().Name:
+		r.writeLine(w, "others", r.Honest)
+	case Liars().Name:
+		r.writeLine(w, "honest", r.Honest)
+		r.writeLine(w, "liars", r.Liars)
+	case Metastable().Name:
+		fmt.Fprintf(w, "%-14s %-18s in time by second of arrival:%s\n", r.Scenario, r.Policy, inTimeBySecond(r.runs))
+	}
+	fmt.Fprintf(w, "%-14s %-18s waste %.4f ±%.4f  goodput %.4f ±%.4f  double starts %d  without answer %d\n",
+		r.Scenario, r.Policy, r.Waste.Mean, r.Waste.Spread, r.Goodput.Mean, r.Goodput.Spread, r.Doubles, r.Late)
+}
+
+func (r *Row) writeLine(w io.Writer, name string, s ServiceRow) {
+	fmt.Fprintf(w, tableFormat, r.Scenario, r.Policy, name, text(s.P50), text(s.P99), text(s.P999),
+		percent(s.InTime), percent(s.Failed), percent(s.Refused))
+}
+
+// inTimeBySecond prints the share of jobs answered in time, for each second
+// of arrival after the warm-up, over all runs.
+func inTimeBySecond(runs []*Results) string {
+	var out strings.Builder
+	for i := int(warmUp / time.Second); i < len(runs[0].InTimeByArrival); i++ {
+		inTime := lo.SumBy(runs, func(r *Results) int { return r.second(time.Duration(i) * time.Second).inTime })
+		all := lo.SumBy(runs, func(r *Results) int { return r.second(time.Duration(i) * time.Second).all })
+		fmt.Fprintf(&out, " %d:%.0f%%", i, 100*float64(inTime)/float64(max(all, 1)))
 	}
+	return out.String()
 }
 
 func text(f Figure) string { return fmt.Sprintf("%.3f ±%.3f", f.Mean, f.Spread) }
--- a/experiment/compare/results.go
+++ b/experiment/compare/results.go
@@ -52,14 +52,14 @@
 
 // Results are the counts of one run.
 type Results struct {
-	Services  map[string]*ServiceResult
-	Teams     map[string]*ServiceResult
-	All       *ServiceResult
-	Messages  [messageKinds]int
-	TasksDone int           // tasks that gave a result which was used
-	GoodWork  time.Duration // true run time of the jobs answered in time
-	Doubles   int           // second starts of non-idempotent tasks
-	Late      int           // jobs without an answer at the end of the run
+	Services map[string]*ServiceResult
+	All      *ServiceResult
+	Honest   *ServiceResult // teams that do not flood or declare falsely
+	Liars    *ServiceResult // teams that declare falsely
+	Messages [messageKinds]int
+	GoodWork time.Duration // true run time of the jobs answered in time while the load lasted
+	Doubles  int           // second starts of non-idempotent tasks
+	Late     int           // jobs without an answer at the end of the run
 	// InTimeByArrival holds, for each second of arrival, the jobs answered in
 	// time and all jobs.
 	InTimeByArrival []arrivals
@@ -72,8 +72,9 @@
 func newResults() *Results {
 	return &Results{
 		Services:   make(map[string]*ServiceResult),
-		Teams:      make(map[string]*ServiceResult),
 		All:        newServiceResult(),
+		Honest:     newServiceResult(),
+		Liars:      newServiceResult(),
 		seen:       make(map[dispatch.TaskRef]bool),
 		idempotent: make(map[string]bool),
 	}
@@ -103,7 +104,12 @@
 func (r *Results) each(j *Job, f func(*ServiceResult)) {
 	f(r.All)
 	f(of(r.Services, j.Service))
-	f(of(r.Teams, j.Team))
+	switch {
+	case j.False:
+		f(r.Liars)
+	case j.Team != floodTeam:
+		f(r.Honest)
+	}
 }
 
 func (r *Results) second(at time.Duration) *arrivals {
@@ -114,12 +120,13 @@
 	return &r.InTimeByArrival[i]
 }
 
-// Waste returns the messages beyond one request and one answer per task that
-// gave a result, per such task.
+// Waste returns the messages beyond one request and one answer for each task
+// that was sent, per such task.
 func (r *Results) Waste() float64 {
 	total := 0
 	for _, n := range r.Messages {
 		total += n
 	}
-	return float64(total-2*r.TasksDone) / float64(max(r.TasksDone, 1))
+	sent := r.Messages[messageTask]
+	return float64(total-2*sent) / float64(max(sent, 1))
 }
--- a/experiment/compare/scenario.go
+++ b/experiment/compare/scenario.go
@@ -136,7 +136,7 @@
 	}
 }
 
-const runTime = 23 * time.Second
+const runTime = 20 * time.Second
 
 // Load80 is the users' usual mix at 80% load.
 func Load80() *Scenario { return steady("load80", 0.8) }
@@ -164,11 +164,13 @@
 	return s
 }
 
-// Liars is Load80 in which a fifth of the teams declare 1 ms for every task.
+// Liars is Burst in which a fifth of the teams declare 1 ms for every task.
 func Liars() *Scenario {
-	s := steady("liars", 0.95)
+	s := Burst()
+	s.Name = "liars"
 	s.change = func(_ *rand.Rand, j *Job) {
-		if !isLiar(j.Team) {
+		j.False = isLiar(j.Team)
+		if !j.False {
 			return
 		}
 		for i := range j.Tasks {
--- a/experiment/compare/sim.go
+++ b/experiment/compare/sim.go
@@ -249,21 +249,18 @@
 		return
 	}
 	delete(s.jobs, answer.ID)
-	if answer.Problem == nil {
-		s.results.TasksDone += len(j.Tasks)
+	inTime := answer.Problem == nil && !j.gone
+	if inTime && s.now >= warmUp && s.now < s.end {
+		s.results.GoodWork += j.work()
 	}
 	if j.At < warmUp || j.retold {
 		return
 	}
 	response := s.now - j.first
-	inTime := answer.Problem == nil && !j.gone
 	arrival := s.results.second(j.At)
 	arrival.all++
 	if inTime {
 		arrival.inTime++
-		if s.now < s.end {
-			s.results.GoodWork += j.work()
-		}
 	}
 	s.results.each(j.Job, func(r *ServiceResult) { r.record(answer, inTime, float64(response)/float64(j.Ideal)) })
 }
--- a/experiment/compare/workload.go
+++ b/experiment/compare/workload.go
@@ -23,6 +23,7 @@
 	Tasks    []Task
 	Patience time.Duration // the caller hangs up after this long
 	Ideal    time.Duration // without other load, network included
+	False    bool          // what its caller declares is made up
 	CancelAt time.Duration // after submission; 0: never
 }
 
