--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -98,6 +98,8 @@
 	teams     map[string]*team
 	traces    map[string]*trace
 	executors map[string]*executor
+	byID      []*executor // by place.Endpoint.ID
+	freeIDs   []int
 	listed    []Endpoint  // as last announced
 	suspected []*executor // since the endpoints were last announced
 	share     SetShare
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"lovagespread.example/catalog"
 	"lovagespread.example/dispatch/outlier"
@@ -41,14 +42,13 @@
 	c.rescue()
 	for name, e := range c.executors {
 		if !e.listed && e.Running == 0 {
-			e.record.Leave(&e.service.peers)
-			delete(c.executors, name)
+			c.drop(name, e)
 		}
 	}
 }
 
-// rescue sends the idempotent tasks of endpoints that have just become
-// suspect to others as well, rather than wait for the end of their leases.
+// rescue queues the idempotent tasks of endpoints that have just become
+// suspect once more, rather than wait for the end of their leases.
 func (c *Core) rescue() {
 	if len(c.suspected) == 0 {
 		return
@@ -57,27 +57,39 @@
 		if !s.spec.Idempotent {
 			continue
 		}
-		for r := range s.leases.All() {
-			if c.isAlone(r) && slices.Contains(c.suspected, r.executor) && s.retries.Spend() {
-				c.sendHedge(r)
+		stranded := lo.Filter(s.leases.Values(), func(r *run, _ int) bool {
+			return slices.Contains(c.suspected, r.executor) && c.isStranded(r)
+		})
+		for _, r := range stranded {
+			if s.retries.Spend() {
+				r.job.tasks[r.index].avoid = r.executor
+				c.enqueue(r.job, r.index)
 			}
 		}
 	}
 	c.suspected = c.suspected[:0]
 }
 
-// isAlone reports whether an attempt is the only one of a task that still
-// needs a result.
-func (c *Core) isAlone(r *run) bool {
-	t := &r.job.tasks[r.index]
-	return !r.over && !r.job.ended && t.runs == r && r.next == nil
+// isStranded reports whether the task of an attempt needs a result and has no
+// attempt at a live endpoint. It is true for the newest attempt only.
+func (c *Core) isStranded(r *run) bool {
+	newest := r.job.tasks[r.index].runs
+	if r.over || r.job.ended || newest != r || r.job.tasks[r.index].waiting {
+		return false
+	}
+	for ; newest != nil; newest = newest.next {
+		if newest.executor.state == EndpointLive {
+			return false
+		}
+	}
+	return true
 }
 
 func (c *Core) setEndpoint(spec *Endpoint, rack *place.Rack, worker *place.Worker) {
 	s := c.serviceOf(spec.Service)
 	e := c.executors[spec.Name]
 	if e == nil || e.service != s {
-		e = &executor{service: s}
+		e = c.newExecutor(s)
 		c.executors[spec.Name] = e
 	}
 	if spec.State == EndpointSuspect && e.state == EndpointLive {
@@ -94,6 +106,27 @@
 	s.pool.Add(&e.Endpoint)
 }
 
+// newExecutor returns an executor with a number that no other one has.
+func (c *Core) newExecutor(s *service) *executor {
+	e := &executor{service: s}
+	if n := len(c.freeIDs); n > 0 {
+		e.ID = c.freeIDs[n-1]
+		c.freeIDs = c.freeIDs[:n-1]
+		c.byID[e.ID] = e
+		return e
+	}
+	e.ID = len(c.byID)
+	c.byID = append(c.byID, e)
+	return e
+}
+
+func (c *Core) drop(name string, e *executor) {
+	e.record.Leave(&e.service.peers)
+	delete(c.executors, name)
+	c.byID[e.ID] = nil
+	c.freeIDs = append(c.freeIDs, e.ID)
+}
+
 func rackOf(racks map[string]*place.Rack, name string) *place.Rack {
 	if name == "" {
 		return nil
--- a/dispatch/estimate/estimate.go
+++ b/dispatch/estimate/estimate.go
@@ -128,11 +128,10 @@
 }
 
 // Observe learns from a task that ran to its end.
-func (s *Service) Observe(team int, declared, run time.Duration) {
+func (s *Service) Observe(team int, class Class, run time.Duration) {
 	if run <= 0 {
 		return
 	}
-	class := ClassOf(declared)
 	key := teamClass{team, class}
 	own := s.teams[key]
 	if own == nil {
@@ -148,8 +147,8 @@
 
 // High returns the run time that only one task in a few hundred of the class
 // exceeds, or 0 if too little is known.
-func (s *Service) High(declared time.Duration) time.Duration {
-	return s.tails[ClassOf(declared)/perOctave].high
+func (s *Service) High(class Class) time.Duration {
+	return s.tails[class/perOctave].high
 }
 
 // highQuantile is the quantile that High returns.
--- a/dispatch/fate.go
+++ b/dispatch/fate.go
@@ -52,7 +52,7 @@
 	t := &r.job.tasks[r.index]
 	s := t.group.service
 	if !r.executor.slow() {
-		s.runs.Observe(r.job.team.index, t.declared, in.RunTime)
+		s.runs.Observe(r.job.team.index, t.class, in.RunTime)
 	}
 	if c.opts.Off.has(Ejection) {
 		return
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lovagespread.example/catalog"
+	"lovagespread.example/dispatch/estimate"
 	"lovagespread.example/dispatch/jobid"
 	"lovagespread.example/dispatch/queue"
 	"lovagespread.example/dispatch/urgency"
@@ -32,13 +33,14 @@
 type task struct {
 	group    *group
 	needs    catalog.Resources
-	declared time.Duration
+	class    estimate.Class // of the declared run time
 	expected time.Duration
 	runs     *run // attempts whose fate is open
 	begun    int  // attempts that may have started
 	unsent   int  // attempts that are proved not to have started
 	failedAt *executor
 	avoid    *executor
+	waiting  bool // in a queue, possibly while an attempt is open
 	done     bool
 }
 
@@ -108,6 +110,9 @@
 // enqueue puts one task back to the front of its job.
 func (c *Core) enqueue(j *job, index int) {
 	g := j.tasks[index].group
+	if j.tasks[index].waiting {
+		return
+	}
 	g.waiting = append(g.waiting, int32(index))
 	c.countWaiting(g, &j.tasks[index], 1)
 	if !g.item.Queued() {
@@ -138,6 +143,7 @@
 
 func (c *Core) countWaiting(g *group, t *task, n int) {
 	work := time.Duration(n) * t.expected
+	t.waiting = n > 0
 	c.waiting += n
 	g.service.waiting += n
 	g.service.backlog += work
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -91,7 +91,7 @@
 	if t.avoid != nil {
 		r.Avoid = &t.avoid.Endpoint
 		if e, reason := c.opts.Picker.Pick(s.pool, r, c.opts.Rand); e != nil {
-			return c.executors[e.Name], reason
+			return c.byID[e.ID], reason
 		}
 		r.Avoid = nil
 	}
@@ -99,7 +99,7 @@
 	if e == nil {
 		return nil, reason
 	}
-	return c.executors[e.Name], reason
+	return c.byID[e.ID], reason
 }
 
 func (c *Core) reasonOf(t *task, e *executor, reason place.Reason) Reason {
--- a/dispatch/place/endpoint.go
+++ b/dispatch/place/endpoint.go
@@ -71,6 +71,7 @@
 
 // Endpoint is one executor as far as placement is concerned.
 type Endpoint struct {
+	ID      int // the owner's number for it
 	Name    string
 	Address string
 	Slots   int // that may be filled from here
--- a/dispatch/queue/fifo.go
+++ b/dispatch/queue/fifo.go
@@ -1,10 +1,5 @@
 package queue
 
-import (
-	"iter"
-	"slices"
-)
-
 // FIFO is a queue in the order of arrival. Push and Pop take constant
 // amortised time. The zero FIFO is empty.
 type FIFO[T any] struct {
@@ -34,9 +29,9 @@
 // not be empty.
 func (f *FIFO[T]) First() T { return f.values[f.head] }
 
-// All iterates over the values in the order of arrival. Values that are
-// pushed meanwhile are not reached.
-func (f *FIFO[T]) All() iter.Seq[T] { return slices.Values(f.values[f.head:]) }
+// Values returns the values in the order of arrival. The result is valid
+// until the next Push.
+func (f *FIFO[T]) Values() []T { return f.values[f.head:] }
 
 // Pop removes the first value. The queue must not be empty.
 func (f *FIFO[T]) Pop() {
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"lovagespread.example/catalog"
+	"lovagespread.example/dispatch/estimate"
 	"lovagespread.example/dispatch/ledger"
 	"lovagespread.example/dispatch/limit"
-	"lovagespread.example/dispatch/urgency"
 )
 
 // burstAllowance is how much of its fair share a team may use ahead of time.
@@ -91,7 +91,7 @@
 	for i := range in.Tasks {
 		c.buildTask(j, i, in)
 	}
-	j.view = c.viewOf(j)
+	c.fillView(j)
 	return j
 }
 
@@ -128,7 +128,8 @@
 	if spec.Needs != nil {
 		t.needs = *spec.Needs
 	}
-	t.declared = spec.Declared
+	t.class = estimate.ClassOf(spec.Declared)
+	j.view.Declared += spec.Declared
 	if c.opts.Expect != nil {
 		t.expected = c.opts.Expect(TaskRef{Job: in.ID, Index: i})
 	} else {
@@ -136,22 +137,22 @@
 	}
 }
 
-func (c *Core) viewOf(j *job) urgency.Job {
-	v := urgency.Job{Arrived: c.now, Turn: c.now, Tasks: len(j.tasks), Left: len(j.tasks)}
+func (c *Core) fillView(j *job) {
+	v := &j.view
+	v.Arrived, v.Turn = c.now, c.now
+	v.Tasks, v.Left = len(j.tasks), len(j.tasks)
 	for i := range j.groups {
 		g := &j.groups[i]
 		var work, longest time.Duration
 		for _, index := range g.waiting {
 			t := &j.tasks[index]
 			work += t.expected
-			v.Declared += t.declared
 			longest = max(longest, t.expected)
 		}
 		v.Work += work
 		v.Ideal = max(v.Ideal, longest, work/time.Duration(max(g.service.pool.Slots(), 1)))
 		v.Patience = max(v.Patience, g.service.patience.Known())
 	}
-	return v
 }
 
 // overload checks quotas and the bounds of the queues.
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -71,7 +71,7 @@
 			s.watched.Pop()
 			continue
 		}
-		high := s.runs.High(r.job.tasks[r.index].declared)
+		high := s.runs.High(r.job.tasks[r.index].class)
 		if high == 0 || c.now.Sub(r.started) < time.Duration(hedgeFactor*float64(high)) {
 			return
 		}
