Test the policies and the core; add make bench, compare and ablation

Cause: an endpoint was ejected at a cold start when all of its peers failed alike, found by the new test of outlier. Change: the peers' failure rate is corrected for its start at 0; tests of each policy package, of the core and of the comparison.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN      := $(CURDIR)/.bin
 RACE     := $(if $(shell command -v $(or $(CC),gcc) 2>/dev/null),-race,)
 
-.PHONY: build test format-check vet lint unit generate tools
+.PHONY: bench compare ablation build test format-check vet lint unit generate tools
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -37,3 +37,15 @@
 generate: tools
 	cd peer && PATH=$(BIN):$$PATH protoc --go_out=paths=source_relative:. \
 		--twirp_out=paths=source_relative:. peerpb/peer.proto
+
+# Time and allocations of the decisions.
+bench:
+	go test ./dispatch/... -run '^$$' -bench . -benchmem
+
+# The policy against the baselines, in virtual time; ends with one JSON line.
+compare:
+	@go run ./cmd/lovage-load compare
+
+# The policy with one mechanism switched off at a time.
+ablation:
+	@go run ./cmd/lovage-load compare -set ablation
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -11,61 +12,355 @@
 
 var epoch = time.Unix(1_700_000_000, 0)
 
-func newID(t *testing.T) jobid.ID {
+// harness drives one core with an idempotent service "quote" and a
+// non-idempotent one "booking".
+type harness struct {
+	*Core
+	t      *testing.T
+	issuer *jobid.Issuer
+	now    time.Time
+}
+
+func newHarness(t *testing.T, endpoints ...Endpoint) *harness {
 	t.Helper()
 	issuer, err := jobid.NewIssuer(1, jobid.Key{Number: 1, Secret: make([]byte, jobid.MinKeyBytes)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	id, _ := issuer.Issue(epoch, time.Hour)
+	h := &harness{Core: New(Options{Rand: rand.New(rand.NewPCG(1, 2))}), t: t, issuer: issuer, now: epoch}
+	h.step(&SetCatalog{Catalog: &catalog.Catalog{Services: []catalog.Service{
+		{Name: "booking", Slots: 2, RunTime: 100 * time.Millisecond, Timeout: time.Second},
+		{Name: "quote", Idempotent: true, Slots: 2, RunTime: 100 * time.Millisecond, Timeout: time.Second},
+	}}})
+	h.step(&SetEndpoints{Endpoints: endpoints})
+	return h
+}
+
+func endpointsOf(service string, count int) []Endpoint {
+	list := make([]Endpoint, count)
+	for i := range list {
+		list[i] = Endpoint{Name: fmt.Sprintf("%s-%d", service, i), Service: service, Slots: 2}
+	}
+	return list
+}
+
+func (h *harness) step(in Input) *Ready { return h.Step(h.now, in) }
+
+// wait lets time pass and ticks.
+func (h *harness) wait(d time.Duration) *Ready {
+	h.now = h.now.Add(d)
+	return h.step(&Tick{})
+}
+
+func (h *harness) newID() jobid.ID {
+	id, _ := h.issuer.Issue(h.now, time.Hour)
 	return id
 }
 
-func newCore(idempotent bool) *Core {
-	core := New(Options{Rand: rand.New(rand.NewPCG(1, 2))})
-	core.Step(epoch, &SetCatalog{Catalog: &catalog.Catalog{Services: []catalog.Service{
-		{Name: "booking", Idempotent: idempotent, Slots: 2, Timeout: time.Second},
-	}}})
-	core.Step(epoch, &SetEndpoints{Endpoints: []Endpoint{
-		{Name: "e1", Address: "127.0.0.1:1", Service: "booking", Slots: 2},
-	}})
-	return core
+func (h *harness) submit(service string, tasks int) (jobid.ID, *Ready) {
+	id := h.newID()
+	return id, h.step(&Submit{ID: id, Service: service, Tasks: make([]TaskSpec, tasks)})
+}
+
+func (h *harness) wantStarts(r *Ready, want int) []Start {
+	h.t.Helper()
+	if len(r.Starts) != want {
+		h.t.Fatalf("%d starts, want %d: %+v", len(r.Starts), want, r.Starts)
+	}
+	return append([]Start(nil), r.Starts...)
+}
+
+// wantAnswer checks that one job ended with the given code; "" means whole.
+func (h *harness) wantAnswer(r *Ready, code Code) Answer {
+	h.t.Helper()
+	if len(r.Answers) != 1 {
+		h.t.Fatalf("%d answers, want 1", len(r.Answers))
+	}
+	got := Code("")
+	if r.Answers[0].Problem != nil {
+		got = r.Answers[0].Problem.Code
+	}
+	if got != code {
+		h.t.Fatalf("answer has code %q, want %q", got, code)
+	}
+	return r.Answers[0]
 }
 
-func TestJobEndsWithEveryResult(t *testing.T) {
-	core := newCore(false)
-	id := newID(t)
-	ready := core.Step(epoch, &Submit{ID: id, Service: "booking", Tasks: make([]TaskSpec, 3)})
-	if len(ready.Starts) != 2 {
-		t.Fatalf("%d starts for 2 slots", len(ready.Starts))
+func (h *harness) wantRejection(r *Ready, code Code) Problem {
+	h.t.Helper()
+	if len(r.Rejections) != 1 || r.Rejections[0].Problem.Code != code {
+		h.t.Fatalf("rejections %+v, want code %q", r.Rejections, code)
 	}
-	core.Step(epoch, &Done{Task: TaskRef{id, 0}, Attempt: 1, Result: []byte("a")})
-	core.Step(epoch, &Done{Task: TaskRef{id, 2}, Attempt: 1, Result: []byte("c")})
-	ready = core.Step(epoch, &Done{Task: TaskRef{id, 1}, Attempt: 1, Result: []byte("b")})
-	if len(ready.Answers) != 1 || ready.Answers[0].Problem != nil || len(ready.Answers[0].Results) != 3 {
-		t.Fatalf("answers: %+v", ready.Answers)
+	return r.Rejections[0].Problem
+}
+
+func done(s Start) *Done {
+	return &Done{Task: s.Task, Attempt: s.Attempt, RunTime: 100 * time.Millisecond, Result: []byte(fmt.Sprint(s.Task.Index))}
+}
+
+func TestJobEndsWithEveryResultInOrder(t *testing.T) {
+	h := newHarness(t, endpointsOf("booking", 1)...)
+	_, r := h.submit("booking", 3)
+	starts := h.wantStarts(r, 2)
+	third := h.wantStarts(h.step(done(starts[1])), 1)
+	h.step(done(third[0]))
+	answer := h.wantAnswer(h.step(done(starts[0])), "")
+	for i, result := range answer.Results {
+		if string(result) != fmt.Sprint(i) {
+			t.Fatalf("result %d is %q", i, result)
+		}
 	}
 }
 
 func TestLostNonIdempotentTaskIsNotSentAgain(t *testing.T) {
-	core := newCore(false)
-	id := newID(t)
-	core.Step(epoch, &Submit{ID: id, Service: "booking", Tasks: make([]TaskSpec, 1)})
-	ready := core.Step(epoch, &Lost{Task: TaskRef{id, 0}, Attempt: 1})
-	if len(ready.Starts) != 0 {
-		t.Fatalf("sent again: %+v", ready.Starts)
+	h := newHarness(t, endpointsOf("booking", 2)...)
+	_, r := h.submit("booking", 1)
+	start := h.wantStarts(r, 1)[0]
+	r = h.step(&Lost{Task: start.Task, Attempt: 1})
+	h.wantStarts(r, 0)
+	if h.wantAnswer(r, CodeTaskLost).Problem.Execution != Ran {
+		t.Fatal("a job that may have run is called not run")
+	}
+}
+
+func TestUnsentTaskGoesToAnotherEndpoint(t *testing.T) {
+	h := newHarness(t, endpointsOf("booking", 2)...)
+	_, r := h.submit("booking", 1)
+	first := h.wantStarts(r, 1)[0]
+	second := h.wantStarts(h.step(&Lost{Task: first.Task, Attempt: 1, NotSent: true}), 1)[0]
+	if second.Attempt != 2 || second.Endpoint == first.Endpoint {
+		t.Fatalf("sent again to %s as attempt %d", second.Endpoint, second.Attempt)
+	}
+}
+
+func TestSilentTaskIsGivenUpAtTheEndOfItsLease(t *testing.T) {
+	h := newHarness(t, append(endpointsOf("booking", 1), endpointsOf("quote", 2)...)...)
+	h.submit("booking", 1)
+	h.wantStarts(h.wait(time.Second), 0)
+	h.wantAnswer(h.wait(leaseGrace), CodeTaskLost)
+
+	_, r := h.submit("quote", 1)
+	first := h.wantStarts(r, 1)[0]
+	again := h.wantStarts(h.wait(time.Second+leaseGrace), 1)[0]
+	if again.Endpoint == first.Endpoint {
+		t.Fatal("an idempotent task went back to the silent endpoint")
+	}
+	h.wantAnswer(h.step(done(again)), "")
+}
+
+func TestSlotsComeBackAfterAJobFailed(t *testing.T) {
+	h := newHarness(t, endpointsOf("booking", 1)...)
+	_, r := h.submit("booking", 2)
+	starts := h.wantStarts(r, 2)
+	h.wantAnswer(h.step(&Failed{Task: starts[0].Task, Attempt: 1}), CodeTaskFailed)
+	h.step(done(starts[1]))
+	_, r = h.submit("booking", 2)
+	h.wantStarts(r, 2)
+}
+
+func TestCancellationCostsNoMessageForWaitingTasks(t *testing.T) {
+	h := newHarness(t, append(endpointsOf("booking", 1), endpointsOf("quote", 1)...)...)
+	for _, c := range []struct {
+		service string
+		stops   int // of the two running tasks
+	}{{"booking", 0}, {"quote", 2}} {
+		id, _ := h.submit(c.service, 10)
+		r := h.step(&Cancel{ID: id})
+		h.wantAnswer(r, CodeCancelled)
+		if len(r.Stops) != c.stops {
+			t.Errorf("%s: %d stops, want %d", c.service, len(r.Stops), c.stops)
+		}
+		if h.waiting != 0 {
+			t.Errorf("%s: %d tasks still wait", c.service, h.waiting)
+		}
+	}
+}
+
+func TestTaskThatNoWorkerCanHoldIsRefusedAtOnce(t *testing.T) {
+	e := endpointsOf("booking", 1)
+	e[0].Worker, e[0].Capacity = "w", catalog.Resources{MilliCores: 4000, MemoryMiB: 1024}
+	h := newHarness(t, e...)
+	r := h.step(&Submit{ID: h.newID(), Service: "booking", Tasks: []TaskSpec{{Needs: &catalog.Resources{Accelerators: 1}}}})
+	if p := h.wantRejection(r, CodeNeverRuns); p.Execution != NotRun || p.RetryAfter != 0 {
+		t.Fatalf("problem %+v", p)
+	}
+}
+
+func TestEndpointsOfOneWorkerShareItsResources(t *testing.T) {
+	list := append(endpointsOf("booking", 1), endpointsOf("quote", 1)...)
+	for i := range list {
+		list[i].Worker, list[i].Capacity = "w", catalog.Resources{MilliCores: 3000}
+	}
+	h := newHarness(t, list...)
+	needs := &catalog.Resources{MilliCores: 2000}
+	r := h.step(&Submit{ID: h.newID(), Service: "booking", Tasks: []TaskSpec{{Needs: needs}}})
+	first := h.wantStarts(r, 1)[0]
+	h.wantStarts(h.step(&Submit{ID: h.newID(), Service: "quote", Tasks: []TaskSpec{{Needs: needs}}}), 0)
+	h.wantStarts(h.step(done(first)), 1)
+}
+
+func TestMembershipDecidesWhoGetsTasks(t *testing.T) {
+	list := endpointsOf("booking", 3)
+	list[0].State, list[1].State = EndpointLeaving, EndpointSuspect
+	h := newHarness(t, list...)
+	_, r := h.submit("booking", 5)
+	counts := map[string]int{}
+	for i, s := range h.wantStarts(r, 4) {
+		counts[s.Endpoint]++
+		if i < 2 && s.Endpoint != "booking-2" {
+			t.Errorf("start %d went to %s while a live endpoint had a free slot", i, s.Endpoint)
+		}
+	}
+	if counts["booking-0"] != 0 {
+		t.Error("a leaving endpoint got tasks")
+	}
+}
+
+func TestDrainingRefusalStopsNewTasksThere(t *testing.T) {
+	h := newHarness(t, endpointsOf("booking", 1)...)
+	_, r := h.submit("booking", 1)
+	start := h.wantStarts(r, 1)[0]
+	h.wantStarts(h.step(&Refused{Task: start.Task, Attempt: 1, Reason: RefusedDraining}), 0)
+	r = h.wait(noEndpointGrace)
+	for range 3 {
+		if len(r.Answers) > 0 {
+			break
+		}
+		r = h.wait(noEndpointGrace)
+	}
+	if h.wantAnswer(r, CodeNoEndpoint).Problem.Execution != NotRun {
+		t.Fatal("a job whose only attempt was refused is said to have run")
+	}
+}
+
+func TestEndpointThatFailsEverythingIsEjectedAndComesBack(t *testing.T) {
+	h := newHarness(t, endpointsOf("quote", 6)...)
+	const bad = "quote-3"
+	serve := func(rounds int, broken bool) (sentToBad int) {
+		for range rounds {
+			h.now = h.now.Add(10 * time.Millisecond)
+			_, r := h.submit("quote", 1)
+			for pending := h.wantStarts(r, 1); len(pending) > 0; {
+				s := pending[0]
+				if s.Endpoint == bad {
+					sentToBad++
+				}
+				if s.Endpoint == bad && broken {
+					r = h.step(&Failed{Task: s.Task, Attempt: s.Attempt})
+				} else {
+					r = h.step(done(s))
+				}
+				pending = append([]Start(nil), r.Starts...)
+			}
+		}
+		return sentToBad
+	}
+	serve(60, false)
+	if n := serve(200, true); n > 10 {
+		t.Errorf("%d of 200 tasks went to an endpoint that fails all of them", n)
+	}
+	if n := serve(200, true); n != 0 {
+		t.Errorf("%d tasks went to an ejected endpoint", n)
+	}
+	h.wait(time.Minute)
+	if n := serve(100, false); n < 5 {
+		t.Errorf("%d of 100 tasks went to an endpoint that has recovered", n)
 	}
-	if len(ready.Answers) != 1 || ready.Answers[0].Problem == nil {
-		t.Fatalf("answers: %+v", ready.Answers)
+}
+
+func TestPoisonousTaskDoesNotEjectEndpoints(t *testing.T) {
+	h := newHarness(t, endpointsOf("quote", 4)...)
+	for range 40 {
+		_, r := h.submit("quote", 1)
+		h.step(done(h.wantStarts(r, 1)[0]))
+	}
+	for range 10 {
+		_, r := h.submit("quote", 1)
+		attempts := 0
+		for len(r.Answers) == 0 {
+			s := h.wantStarts(r, 1)[0]
+			attempts++
+			r = h.step(&Failed{Task: s.Task, Attempt: s.Attempt})
+		}
+		h.wantAnswer(r, CodeTaskFailed)
+		if attempts > 2 {
+			t.Fatalf("a poisonous task was tried %d times", attempts)
+		}
+		for range 4 {
+			_, r := h.submit("quote", 1)
+			h.step(done(h.wantStarts(r, 1)[0]))
+		}
+	}
+	if got := h.services["quote"].pool.Slots(); got != 8 {
+		t.Fatalf("%d of 8 slots are left", got)
+	}
+}
+
+func TestQuotaAndItsRetryAfter(t *testing.T) {
+	h := newHarness(t, endpointsOf("quote", 4)...)
+	h.step(&SetCatalog{Catalog: &catalog.Catalog{
+		Services: h.catalog.Services,
+		Teams:    []catalog.Team{{Name: "a", Weight: 1, TasksPerSecond: 2, Burst: 4}},
+	}})
+	ask := func() *Ready {
+		return h.step(&Submit{ID: h.newID(), Team: "a", Service: "quote", Tasks: make([]TaskSpec, 3)})
 	}
+	h.wantStarts(ask(), 3)
+	problem := h.wantRejection(ask(), CodeQuota)
+	if problem.RetryAfter != time.Second {
+		t.Fatalf("retry after %v, want 1s", problem.RetryAfter)
+	}
+	h.now = h.now.Add(problem.RetryAfter)
+	h.wantStarts(ask(), 3)
 }
 
-func TestUnsentTaskIsSentAgain(t *testing.T) {
-	core := newCore(false)
-	id := newID(t)
-	core.Step(epoch, &Submit{ID: id, Service: "booking", Tasks: make([]TaskSpec, 1)})
-	ready := core.Step(epoch, &Lost{Task: TaskRef{id, 0}, Attempt: 1, NotSent: true})
-	if len(ready.Starts) != 1 || ready.Starts[0].Attempt != 2 {
-		t.Fatalf("starts: %+v", ready.Starts)
+func TestNestedJobTakesTheTurnOfItsRequest(t *testing.T) {
+	h := newHarness(t, endpointsOf("booking", 1)...)
+	submit := func(trace string) (jobid.ID, *Ready) {
+		id := h.newID()
+		return id, h.step(&Submit{ID: id, Service: "booking", Parent: trace, Tasks: make([]TaskSpec, 1)})
+	}
+	_, first := submit("outer")
+	running := h.wantStarts(first, 1)
+	submit("other")
+	h.now = h.now.Add(time.Second / 2)
+	submit("late")
+	nested, _ := submit("outer")
+	next := h.wantStarts(h.step(done(running[0])), 1)[0]
+	if next.Task.Job != nested {
+		t.Fatal("a job that came later went before one that an older request waits for")
+	}
+}
+
+func TestShareLeavesSlotsToOtherEntries(t *testing.T) {
+	total := 0
+	for rank := range 3 {
+		h := newHarness(t, endpointsOf("booking", 5)...)
+		h.step(&SetShare{Rank: rank, Entries: 3})
+		_, r := h.submit("booking", 20)
+		total += len(r.Starts)
+	}
+	if total != 10 {
+		t.Fatalf("three entries filled %d of 10 slots", total)
+	}
+}
+
+func TestSilentIdempotentTasksMoveWhenTheirEndpointIsSuspect(t *testing.T) {
+	list := endpointsOf("quote", 2)
+	h := newHarness(t, list...)
+	_, r := h.submit("quote", 1)
+	first := h.wantStarts(r, 1)[0]
+	for i := range list {
+		if list[i].Name == first.Endpoint {
+			list[i].State = EndpointSuspect
+		}
+	}
+	second := h.wantStarts(h.step(&SetEndpoints{Endpoints: list}), 1)[0]
+	if second.Endpoint == first.Endpoint {
+		t.Fatal("sent to the suspect endpoint again")
+	}
+	h.wantAnswer(h.step(done(second)), "")
+	if r := h.step(done(first)); len(r.Answers) != 0 {
+		t.Fatal("a late result answered the job again")
 	}
 }
--- /dev/null
+++ b/dispatch/estimate/estimate_test.go
@@ -0,0 +1,74 @@
+package estimate
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const (
+	honest = iota
+	liar
+)
+
+func within(t *testing.T, what string, got, want time.Duration, factor float64) {
+	t.Helper()
+	if ratio := math.Abs(math.Log(float64(got) / float64(want))); ratio > math.Log(factor) {
+		t.Errorf("%s: %v, want %v within a factor of %v", what, got, want, factor)
+	}
+}
+
+// TestWrongDeclarationsGainNothingLasting lets one team declare 1 ms for
+// tasks of 300 ms, and then also what another team declares truthfully.
+func TestWrongDeclarationsGainNothingLasting(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	s := New(200*time.Millisecond, true)
+	noise := func(d time.Duration) time.Duration {
+		return time.Duration(float64(d) * math.Exp(0.2*rng.NormFloat64()))
+	}
+	const long, short = 300 * time.Millisecond, 60 * time.Millisecond
+	for range 200 {
+		s.Observe(honest, ClassOf(long), noise(long))
+		s.Observe(honest, ClassOf(short), noise(short))
+		s.Observe(liar, ClassOf(time.Millisecond), noise(long))
+		s.Observe(liar, ClassOf(short), noise(long))
+	}
+	within(t, "what the liar's 1 ms is taken for", s.Expect(liar, time.Millisecond), long, 1.3)
+	within(t, "what the liar's 60 ms is taken for", s.Expect(liar, short), long, 1.5)
+	within(t, "what the honest team's 60 ms is taken for", s.Expect(honest, short), short, 1.5)
+	within(t, "what the honest team's 300 ms is taken for", s.Expect(honest, long), long, 1.3)
+}
+
+func TestUnknownDeclarationMovesTheExpectationABoundedStep(t *testing.T) {
+	s := New(200*time.Millisecond, true)
+	for range 100 {
+		s.Observe(honest, 0, 200*time.Millisecond)
+	}
+	for _, declared := range []time.Duration{time.Microsecond, time.Hour} {
+		within(t, declared.String(), s.Expect(liar, declared), 200*time.Millisecond, maxHint*1.01)
+	}
+}
+
+func TestHighIsKnownOnlyAfterEnoughRuns(t *testing.T) {
+	s := New(0, true)
+	class := ClassOf(100 * time.Millisecond)
+	for i := range minQuantile + refresh {
+		if i < minQuantile && s.High(class) != 0 {
+			t.Fatalf("a quantile after %d runs", i)
+		}
+		s.Observe(honest, class, time.Duration(1+i%100)*time.Millisecond)
+	}
+	within(t, "99th percentile of 1 to 100 ms", s.High(class), 99*time.Millisecond, 1+2*accuracy)
+}
+
+func TestPatienceIsALowQuantileOfHangUps(t *testing.T) {
+	var p Patience
+	for i := range 2 * minHangUps {
+		if i < minHangUps && p.Known() != 0 {
+			t.Fatalf("known after %d hang-ups", i)
+		}
+		p.Observe(time.Duration(1+i) * time.Second)
+	}
+	within(t, "patience", p.Known(), 5*time.Second, 1.2)
+}
--- a/dispatch/outlier/outlier.go
+++ b/dispatch/outlier/outlier.go
@@ -40,11 +40,28 @@
 	away      int     // ejected or on probation
 	slow      int     // doubtful for being slow
 	failures  float64 // moving average
+	outcomes  int
 	ratio     float64 // moving average of the logarithm of run ÷ expected
 }
 
 const peersGain = 0.01
 
+func (p *Peers) observe(failure float64) {
+	p.outcomes++
+	p.failures += peersGain * (failure - p.failures)
+}
+
+// rate returns the failure rate of all peers together.
+func (p *Peers) rate() float64 { return unbiased(p.failures, peersGain, p.outcomes) }
+
+// unbiased corrects a moving average for having started at 0.
+func unbiased(average, gain float64, n int) float64 {
+	if n == 0 {
+		return 0
+	}
+	return average / (1 - math.Pow(1-gain, float64(n)))
+}
+
 // mayLose reports whether one more endpoint may be set back.
 func (p *Peers) mayLose() bool {
 	allowed := max(1, int(ejectableShare*float64(p.Endpoints)))
@@ -77,12 +94,7 @@
 
 // rate returns the failure rate. The first outcomes count for more, so that
 // an endpoint that has failed all of few tasks is seen at once.
-func (r *Record) rate() float64 {
-	if r.outcomes == 0 {
-		return 0
-	}
-	return r.failures / (1 - math.Pow(1-gain, float64(r.outcomes)))
-}
+func (r *Record) rate() float64 { return unbiased(r.failures, gain, r.outcomes) }
 
 // Due reports whether Review would change the standing.
 func (r *Record) Due(now time.Time) bool {
@@ -111,7 +123,7 @@
 func (r *Record) Passed(now time.Time, p *Peers, run, expected time.Duration) {
 	r.outcomes++
 	r.failures -= gain * r.failures
-	p.failures -= peersGain * p.failures
+	p.observe(0)
 	r.observeRatio(p, run, expected)
 	switch r.standing {
 	case Probation:
@@ -157,7 +169,7 @@
 func (r *Record) Failed(now time.Time, p *Peers) {
 	r.outcomes++
 	r.failures += gain * (1 - r.failures)
-	p.failures += peersGain * (1 - p.failures)
+	p.observe(1)
 	switch {
 	case r.standing == Probation:
 		r.setBack(now, Ejected)
@@ -178,7 +190,7 @@
 // isOutlier compares failure rates.
 func (r *Record) isOutlier(p *Peers) bool {
 	rate := r.rate()
-	return r.outcomes >= minOutcomes && rate >= failureRate && rate >= peersFactor*p.failures
+	return r.outcomes >= minOutcomes && rate >= failureRate && rate >= peersFactor*p.rate()
 }
 
 // Forgive takes a failure back that was the task's fault.
--- /dev/null
+++ b/experiment/compare/compare_test.go
@@ -0,0 +1,56 @@
+package compare
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// short cuts a scenario down to a few seconds.
+func short(s *Scenario, d time.Duration) *Scenario {
+	s.Duration = d
+	s.phases = []phase{{d, s.phases[0].load}}
+	return s
+}
+
+func TestSameSeedGivesTheSameRun(t *testing.T) {
+	a := Run(short(Load80(), 4*time.Second), Inferred(), 7)
+	b := Run(short(Load80(), 4*time.Second), Inferred(), 7)
+	if a.Messages != b.Messages || a.GoodWork != b.GoodWork || a.All.Slowdown(0.99) != b.All.Slowdown(0.99) {
+		t.Fatalf("two runs differ: %v and %v", a.Messages, b.Messages)
+	}
+	if a.All.Whole == 0 {
+		t.Fatal("no job was answered")
+	}
+}
+
+// TestPromisesHoldUnderEveryScenario checks what must hold whatever fails:
+// every job ends, and no non-idempotent task starts twice.
+func TestPromisesHoldUnderEveryScenario(t *testing.T) {
+	for _, scenario := range []func() *Scenario{Faults, RackLoss, Cancellations, Metastable} {
+		s := short(scenario(), 8*time.Second)
+		if s.Name == RackLoss().Name {
+			s.mishaps = func(run *sim, _ *rand.Rand) { run.at(5*time.Second, func() { run.loseRack("rack-3") }) }
+		}
+		r := Run(s, Inferred(), 1)
+		if r.Doubles != 0 || r.Late != 0 {
+			t.Errorf("%s: %d double starts, %d jobs without an answer", s.Name, r.Doubles, r.Late)
+		}
+		if r.All.Whole == 0 {
+			t.Errorf("%s: no job was answered whole", s.Name)
+		}
+	}
+}
+
+func TestIdealRunUsesAllSlots(t *testing.T) {
+	tasks := make([]Task, 5)
+	for i := range tasks {
+		tasks[i].RunTime = time.Duration(1+i) * time.Second
+	}
+	if got := idealRun(tasks, 5); got != 5*time.Second {
+		t.Errorf("5 slots: %v", got)
+	}
+	if got := idealRun(tasks, 2); got != 8*time.Second {
+		t.Errorf("2 slots: %v, want 8s", got)
+	}
+}
