--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -364,3 +364,28 @@
 		t.Fatal("a late result answered the job again")
 	}
 }
+
+func TestCancelledJobGivesItsSlotsBack(t *testing.T) {
+	h := newHarness(t, endpointsOf("booking", 1)...)
+	id, r := h.submit("booking", 2)
+	starts := h.wantStarts(r, 2)
+	h.step(&Cancel{ID: id})
+	_, r = h.submit("booking", 2)
+	h.wantStarts(r, 0)
+	for _, s := range starts {
+		h.step(done(s))
+	}
+	if len(h.jobs) != 1 || h.services["booking"].pool.Running() != 2 {
+		t.Fatalf("%d jobs are kept, %d tasks run; want 1 and 2", len(h.jobs), h.services["booking"].pool.Running())
+	}
+}
+
+func TestIdleSystemRefusesNoJob(t *testing.T) {
+	h := newHarness(t, endpointsOf("quote", 1)...)
+	_, r := h.submit("quote", 1)
+	slow := done(h.wantStarts(r, 1)[0])
+	slow.RunTime = time.Minute
+	h.step(slow)
+	_, r = h.submit("quote", 760)
+	h.wantStarts(r, 2)
+}
--- a/dispatch/ledger/doc.go
+++ b/dispatch/ledger/doc.go
@@ -44,13 +44,15 @@
 //   - Give is taken back only on proof that the last part was not accepted
 //     and never will be. Without proof the jobs are the successor's.
 //   - A part names the incarnation it is for; no other one accepts it.
+//   - No record is dropped while it may be handed over, so that the successor
+//     never revives a job that has ended since it was told of it.
 //
 // # Memory
 //
 // An open job costs one record of fixed size and one of each task. A job ID
 // that is Closed or Ended costs two bits in a page of PageIDs consecutive
 // sequence numbers. IDs cannot be forged, hence refusals and replays cost no
-// more than a quarter of a byte for each ID that was issued and has not
+// more than half a byte for each ID that was issued in sequence and has not
 // expired.
 //
 // The package does no I/O and reads no clock.
--- a/dispatch/outlier/outlier_test.go
+++ b/dispatch/outlier/outlier_test.go
@@ -84,6 +84,11 @@
 
 func TestProbation(t *testing.T) {
 	records, peers := peersOf(10)
+	for i := range records {
+		for range 5 {
+			records[i].Passed(now, peers, usual, usual)
+		}
+	}
 	r := &records[0]
 	for range 5 {
 		r.Failed(now, peers)
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -161,18 +161,18 @@
 		if limit.Full(c.opts.MaxWaiting, c.waiting, j.groups[i].service.waiting, len(j.tasks)) {
 			return notRun(CodeOverload, "too many tasks are waiting: submit again with a new job ID after the given time", time.Second)
 		}
-		if problem := c.groupOverload(&j.groups[i], j); problem != nil {
+		if problem := c.groupOverload(&j.groups[i]); problem != nil {
 			return problem
 		}
 	}
 	return c.overQuota(j)
 }
 
-func (c *Core) groupOverload(g *group, j *job) *Problem {
+func (c *Core) groupOverload(g *group) *Problem {
 	if c.opts.Off.has(Admission) {
 		return nil
 	}
-	load := c.load(g, j.view.Work)
+	load := c.load(g)
 	wait := g.service.acceptableWait()
 	if limit.Admit(load, wait) {
 		return nil
@@ -180,12 +180,12 @@
 	return notRun(CodeOverload, "service "+g.service.spec.Name+" is overloaded: submit again with a new job ID after the given time", limit.RetryAfter(load, wait))
 }
 
-func (c *Core) load(g *group, work time.Duration) limit.Load {
+func (c *Core) load(g *group) limit.Load {
 	s := g.service
 	slots := float64(max(s.pool.Slots(), 1))
 	return limit.Load{
-		All:  time.Duration(float64(s.backlog+work) / slots),
-		Team: time.Duration(float64(g.job.team.at(s).backlog+work) / s.fairShare(g.job.team)),
+		All:  time.Duration(float64(s.backlog) / slots),
+		Team: time.Duration(float64(g.job.team.at(s).backlog) / s.fairShare(g.job.team)),
 	}
 }
 
--- /dev/null
+++ b/entry/forward/forward.go
@@ -0,0 +1,195 @@
+// Package forward takes callers' requests to the owner of their job ID, in
+// one hop, and tells the truth when that fails: nothing that may have reached
+// the owner is called not run.
+package forward
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"lovagespread.example/client/callerapi"
+	"lovagespread.example/dispatch/jobid"
+	"lovagespread.example/entry/control"
+	"lovagespread.example/entry/jobs"
+	"lovagespread.example/entry/peerclient"
+	"lovagespread.example/entry/problem"
+	"lovagespread.example/membership"
+	"lovagespread.example/peer/peerpb"
+)
+
+// Times of a forwarded request.
+const (
+	margin       = 3 * time.Second // for the owner, beyond the caller's wait
+	retryAfter   = time.Second
+	settlingTime = 10 * time.Second // after the start, entries are still unknown
+)
+
+// Peers calls other entries.
+type Peers interface {
+	Forward(ctx context.Context, address string, r *peerpb.ForwardRequest) (*peerpb.ForwardResponse, error)
+}
+
+// Observe is told of each routing decision.
+type Observe interface {
+	Routed(job, owner, reason string)
+}
+
+// Outcomes finds the outcome of a job that its owner has written behind.
+type Outcomes interface {
+	Outcome(id jobid.ID) (problem.Result, bool)
+}
+
+// Options are the parts that a Forwarder works with.
+type Options struct {
+	Loop     *control.Loop
+	Peers    Peers
+	Observe  Observe
+	Outcomes Outcomes
+	Started  time.Time // of this entry
+}
+
+// Forwarder implements jobs.Forwarder.
+type Forwarder struct{ opts Options }
+
+// New returns a forwarder.
+func New(opts Options) *Forwarder { return &Forwarder{opts: opts} }
+
+// Reasons of a routing decision.
+const (
+	reasonOwner       = "owner"
+	reasonSuccessor   = "successor"
+	reasonGone        = "owner_gone"
+	reasonUnknown     = "owner_unknown"
+	reasonUnreachable = "owner_unreachable"
+)
+
+// Forward returns the reply of the owner, or a problem.
+func (f *Forwarder) Forward(ctx context.Context, id jobid.ID, r jobs.Request) problem.Result {
+	view := f.opts.Loop.Snapshot().View
+	owner, ok := view.Owner(membership.Incarnation(id.Owner))
+	if !ok {
+		return f.unheard(id)
+	}
+	if owner.Ended {
+		return f.gone(id, verdict{owner: owner.Name, reason: reasonGone, notDelivered: true})
+	}
+	reason := reasonOwner
+	if owner.Incarnation != membership.Incarnation(id.Owner) {
+		reason = reasonSuccessor
+	}
+	f.opts.Observe.Routed(id.String(), owner.Name, reason)
+	return f.call(ctx, id, owner, r)
+}
+
+// verdict is why a request was not served by its owner.
+type verdict struct {
+	owner        string
+	reason       string
+	notDelivered bool
+}
+
+// unheard answers for an incarnation that was never heard of: it may be new
+// to an entry that has just started.
+func (f *Forwarder) unheard(id jobid.ID) problem.Result {
+	v := verdict{owner: "unheard", reason: reasonUnknown, notDelivered: true}
+	if time.Since(f.opts.Started) < settlingTime {
+		return f.unreachable(id, v)
+	}
+	return f.gone(id, v)
+}
+
+func (f *Forwarder) call(ctx context.Context, id jobid.ID, owner membership.Entry, r jobs.Request) problem.Result {
+	ctx, cancel := context.WithTimeout(ctx, r.Wait+margin)
+	defer cancel()
+	resp, err := f.opts.Peers.Forward(ctx, owner.Address, request(owner, r))
+	if err == nil {
+		return resultOf(resp)
+	}
+	v := verdict{owner: owner.Name, reason: reasonUnreachable, notDelivered: notDelivered(err)}
+	if ended(err) {
+		v.reason = reasonGone
+		return f.gone(id, v)
+	}
+	return f.unreachable(id, v)
+}
+
+// ended reports whether the error proves that the owner's process does not
+// run any more: nothing listens at its address, or another incarnation does.
+func ended(err error) bool {
+	return refusedByOther(err) || errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// refusedByOther reports that the entry at the address is not the owner.
+func refusedByOther(err error) bool {
+	var refusal twirp.Error
+	return errors.As(err, &refusal) && refusal.Code() == twirp.FailedPrecondition
+}
+
+// notDelivered reports whether the error proves that the owner did not get
+// the request and never will.
+func notDelivered(err error) bool {
+	var unsent *peerclient.NotDeliveredError
+	return refusedByOther(err) || errors.As(err, &unsent)
+}
+
+func request(owner membership.Entry, r jobs.Request) *peerpb.ForwardRequest {
+	return &peerpb.ForwardRequest{
+		Method:      methodOf(r.Method),
+		JobId:       r.JobID,
+		Body:        r.Body,
+		WaitMs:      r.Wait.Milliseconds(),
+		Team:        r.Team,
+		Traceparent: r.Traceparent,
+		Owner:       uint64(owner.Incarnation),
+	}
+}
+
+func methodOf(m jobs.Method) peerpb.Method {
+	switch m {
+	case jobs.Submit:
+		return peerpb.Method_METHOD_SUBMIT
+	case jobs.Cancel:
+		return peerpb.Method_METHOD_CANCEL
+	}
+	return peerpb.Method_METHOD_ASK
+}
+
+func resultOf(resp *peerpb.ForwardResponse) problem.Result {
+	result := problem.Result{
+		Status:     int(resp.GetStatus()),
+		Body:       resp.GetBody(),
+		RetryAfter: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond,
+		Execution:  callerapi.Ran,
+	}
+	var p callerapi.Problem
+	if result.MediaType() == callerapi.ProblemMedia && json.Unmarshal(result.Body, &p) == nil {
+		result.Code, result.Execution = p.Code, p.Execution
+	}
+	return result
+}
+
+// gone answers for an owner that does not run any more: with the outcome it
+// has written behind, or else that nothing is known.
+func (f *Forwarder) gone(id jobid.ID, v verdict) problem.Result {
+	f.opts.Observe.Routed(id.String(), v.owner, v.reason)
+	if result, ok := f.opts.Outcomes.Outcome(id); ok {
+		return result
+	}
+	p := problem.New(callerapi.CodeOwnerGone, callerapi.Unknown,
+		"the entry that owns this job ID is gone and its record with it: find out whether the job took effect before you submit it with a new ID")
+	p.NotDelivered = v.notDelivered
+	return problem.ResultOf(p)
+}
+
+func (f *Forwarder) unreachable(id jobid.ID, v verdict) problem.Result {
+	f.opts.Observe.Routed(id.String(), v.owner, v.reason)
+	p := problem.Retry(callerapi.CodeOwnerUnreachable, callerapi.Unknown,
+		"the entry that owns this job ID cannot be reached now: ask again with the same ID after the given time", retryAfter)
+	p.NotDelivered = v.notDelivered
+	return problem.ResultOf(p)
+}
