Speak TLS on every listener, mutual between entries, with reload

Cause: all listeners were plain TCP. Change: PEM files named in the settings are used and taken again when they change; an unreadable change leaves the former content in force. Conclusion: a peer without a certificate of the CA is refused.

--- a/entry/peerclient/client.go
+++ b/entry/peerclient/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"lovagespread.example/entry/tlsfiles"
 	"lovagespread.example/entry/wire"
 	"lovagespread.example/peer/peerpb"
 )
@@ -29,6 +31,7 @@
 // concurrent use.
 type Client struct {
 	dialer  wire.Dialer
+	secure  *tlsfiles.Source
 	token   string
 	traffic *http.Transport
 	control *http.Transport
@@ -46,17 +49,49 @@
 }
 
 // New returns a client on the given network that shows the given token to
-// every entry.
-func New(network wire.Network, token string) *Client {
-	c := &Client{dialer: wire.Dialer{Network: network}, token: token, peers: make(map[string]*peer)}
-	c.traffic = transport(c.dialer.Dial)
-	c.control = transport(c.dialMetered)
+// every entry. A nil secure means plain TCP.
+func New(network wire.Network, secure *tlsfiles.Source, token string) *Client {
+	c := &Client{
+		dialer: wire.Dialer{Network: network},
+		secure: secure,
+		token:  token,
+		peers:  make(map[string]*peer),
+	}
+	c.traffic = transport(c.secured(c.dialer.Dial))
+	c.control = transport(c.secured(c.dialMetered))
 	return c
 }
 
-func transport(dial func(context.Context, string, string) (net.Conn, error)) *http.Transport {
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// secured adds TLS to a dial function.
+func (c *Client) secured(dial dialFunc) dialFunc {
+	if c.secure == nil {
+		return dial
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		plain, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		conn := tls.Client(plain, c.secure.Client(host))
+		if err := conn.HandshakeContext(ctx); err != nil {
+			_ = plain.Close()
+			return nil, err
+		}
+		return conn, nil
+	}
+}
+
+func transport(dial dialFunc) *http.Transport {
 	return &http.Transport{
 		DialContext:            dial,
+		DialTLSContext:         dial,
 		MaxConnsPerHost:        forwardConns,
 		MaxIdleConnsPerHost:    idleConns,
 		IdleConnTimeout:        idleTimeout,
@@ -74,7 +109,7 @@
 	defer c.mu.Unlock()
 	p := c.peers[address]
 	if p == nil {
-		base := "http://" + address
+		base := c.scheme() + address
 		p = &peer{
 			traffic: peerpb.NewPeerProtobufClient(base, &http.Client{Transport: c.traffic}),
 			control: peerpb.NewPeerProtobufClient(base, &http.Client{Transport: c.control}),
@@ -84,6 +119,13 @@
 	return p
 }
 
+func (c *Client) scheme() string {
+	if c.secure == nil {
+		return "http://"
+	}
+	return "https://"
+}
+
 func (c *Client) header(ctx context.Context) context.Context {
 	header := http.Header{}
 	header.Set("User-Agent", "")
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -12,6 +12,7 @@
 	"lovagespread.example/entry/listen"
 	"lovagespread.example/entry/observe"
 	"lovagespread.example/entry/settings"
+	"lovagespread.example/entry/tlsfiles"
 	"lovagespread.example/entry/token"
 )
 
@@ -29,10 +30,14 @@
 	if err != nil {
 		return nil, err
 	}
+	secure, err := do.Invoke[*tlsfiles.Source](i)
+	if err != nil {
+		return nil, err
+	}
 	return []*server{
-		{name: "caller", listener: open.caller, http: listen.Server(callers)},
-		{name: "peer", listener: open.peer, http: listen.Server(peers)},
-		{name: "admin", listener: open.admin, http: listen.Server(admin)},
+		{name: "caller", listener: secure.Server(open.caller), http: listen.Server(callers)},
+		{name: "peer", listener: secure.PeerServer(open.peer), http: listen.Server(peers)},
+		{name: "admin", listener: secure.Server(open.admin), http: listen.Server(admin)},
 	}, nil
 }
 
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -38,6 +38,7 @@
 	do.Provide(i, newOutcomeWriter)
 	do.Provide(i, newOutcomeReader)
 	do.Provide(i, newEngine)
+	do.Provide(i, newTLS)
 	do.Provide(i, newPeerToken)
 	do.Provide(i, newPeerClient)
 	do.Provide(i, newFollower)
--- a/entry/wiring_peers.go
+++ b/entry/wiring_peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/samber/do/v2"
+	"go.uber.org/zap"
 
 	"lovagespread.example/entry/configuration"
 	"lovagespread.example/entry/decisionlog"
@@ -18,6 +19,7 @@
 	"lovagespread.example/entry/peerclient"
 	"lovagespread.example/entry/peerserver"
 	"lovagespread.example/entry/settings"
+	"lovagespread.example/entry/tlsfiles"
 	"lovagespread.example/entry/token"
 	"lovagespread.example/entry/wire"
 	"lovagespread.example/platform"
@@ -34,7 +36,23 @@
 
 func newPeerClient(i do.Injector) (*peerclient.Client, error) {
 	shared, err := do.Invoke[peerToken](i)
-	return peerclient.New(do.MustInvoke[wire.Network](i), string(shared)), err
+	if err != nil {
+		return nil, err
+	}
+	secure, err := do.Invoke[*tlsfiles.Source](i)
+	return peerclient.New(do.MustInvoke[wire.Network](i), secure, string(shared)), err
+}
+
+func newTLS(i do.Injector) (*tlsfiles.Source, error) {
+	s := do.MustInvoke[settings.Settings](i).TLS
+	log, err := do.Invoke[*decisionlog.Log](i)
+	if err != nil {
+		return nil, err
+	}
+	files := tlsfiles.Files{Certificate: s.CertificateFile, Key: s.KeyFile, PeerCA: s.PeerCAFile}
+	return tlsfiles.Open(files, func(err error) {
+		log.Error("changed TLS files are not in use", zap.Error(err))
+	})
 }
 
 func newFollower(i do.Injector) (*follow.Follower, error) {
