Serve the administration API: status, decisions of a job, planned stop

Cause: operators could read metrics only. A test greps the logs of two entries for tokens, keys and job IDs. Conclusion: a job's decisions can be asked for by its label in the log.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,8 @@
 	heartbeat *heartbeat.Heartbeater
 	servers   []*server
 	stopping  atomic.Bool
+	asked     chan struct{} // closed when an operator asks for a stop
+	askOnce   sync.Once
 }
 
 // server is one HTTP server with its listener.
@@ -85,7 +87,7 @@
 }
 
 func build(i do.Injector) (*Entry, error) {
-	e := &Entry{settings: do.MustInvoke[settings.Settings](i)}
+	e := &Entry{settings: do.MustInvoke[settings.Settings](i), asked: make(chan struct{})}
 	for _, set := range []func() error{
 		func() (err error) { e.log, err = do.Invoke[*decisionlog.Log](i); return err },
 		func() (err error) { e.listeners, err = do.Invoke[*listeners](i); return err },
@@ -98,7 +100,7 @@
 		func() (err error) { e.outcomes, err = do.Invoke[*outcomes.Writer](i); return err },
 		func() (err error) { e.announcer, err = do.Invoke[*heartbeat.Announcer](i); return err },
 		func() (err error) { e.heartbeat, err = do.Invoke[*heartbeat.Heartbeater](i); return err },
-		func() (err error) { e.servers, err = newServers(i, e.ready); return err },
+		func() (err error) { e.servers, err = newServers(i, e); return err },
 	} {
 		if err := set(); err != nil {
 			return nil, err
@@ -167,11 +169,16 @@
 	select {
 	case <-ctx.Done():
 		return nil
+	case <-e.asked:
+		return nil
 	case err := <-failed:
 		return err
 	}
 }
 
+// requestStop makes Run stop gracefully.
+func (e *Entry) requestStop() { e.askOnce.Do(func() { close(e.asked) }) }
+
 // ready says why callers should go to another entry, if they should.
 func (e *Entry) ready() error {
 	if e.stopping.Load() {
--- a/entry/observe/observer.go
+++ b/entry/observe/observer.go
@@ -8,6 +8,7 @@
 
 	"lovagespread.example/dispatch"
 	"lovagespread.example/entry/endpointclient"
+	"lovagespread.example/entry/explain"
 	"lovagespread.example/entry/metrics"
 	"lovagespread.example/entry/problem"
 )
@@ -16,17 +17,28 @@
 type Observer struct {
 	log     *zap.Logger
 	metrics *metrics.Set
+	ring    *explain.Ring
 }
 
-// New returns an observer that writes to the log and the metrics.
-func New(log *zap.Logger, set *metrics.Set) *Observer {
-	return &Observer{log: log, metrics: set}
+// New returns an observer that writes to the log, the metrics and the ring of
+// latest decisions.
+func New(log *zap.Logger, set *metrics.Set, ring *explain.Ring) *Observer {
+	return &Observer{log: log, metrics: set, ring: ring}
+}
+
+func (o *Observer) keep(d explain.Decision) {
+	d.Time = time.Now()
+	o.ring.Add(d)
 }
 
 // Started notes a placement decision and the message that follows from it.
 func (o *Observer) Started(t endpointclient.Task) {
 	o.metrics.Starts.WithLabelValues(t.Service).Inc()
 	o.metrics.Messages.WithLabelValues(kindOf(&t.Start)).Inc()
+	o.keep(explain.Decision{
+		Job: t.Label, Kind: explain.Place, Task: t.Task.Index, Attempt: t.Attempt, Endpoint: t.Endpoint,
+		Eligible: t.Eligible, Urgency: t.Urgency, Reason: string(t.Reason),
+	})
 	o.log.Info("place",
 		zap.String("job", t.Label),
 		zap.Int("task", t.Task.Index),
@@ -51,6 +63,9 @@
 // Stopped notes that a task is stopped at its endpoint.
 func (o *Observer) Stopped(s dispatch.Stop) {
 	o.Message(metrics.KindStop)
+	o.keep(explain.Decision{
+		Job: s.Task.Job.String(), Kind: explain.Stop, Task: s.Task.Index, Attempt: s.Attempt, Endpoint: s.Endpoint,
+	})
 	o.log.Info("stop",
 		zap.Stringer("job", s.Task.Job),
 		zap.Int("task", s.Task.Index),
@@ -60,6 +75,9 @@
 
 // Unanswered notes an attempt that got no answer.
 func (o *Observer) Unanswered(t endpointclient.Task, sent bool, detail string) {
+	o.keep(explain.Decision{
+		Job: t.Label, Kind: explain.Lost, Task: t.Task.Index, Attempt: t.Attempt, Endpoint: t.Endpoint, Reason: detail,
+	})
 	o.log.Warn("lost",
 		zap.String("job", t.Label),
 		zap.Int("task", t.Task.Index),
@@ -81,6 +99,7 @@
 	if a.Problem != nil {
 		code = string(a.Problem.Code)
 	}
+	o.keep(explain.Decision{Job: a.ID.String(), Kind: explain.End, Reason: code})
 	o.metrics.Answers.WithLabelValues(a.Service, code).Inc()
 	o.metrics.ResponseSeconds.WithLabelValues(a.Service).Observe(a.Response.Seconds())
 	if a.Problem == nil && a.Ideal > 0 {
@@ -90,6 +109,7 @@
 
 // Rejected notes a refusal of the core.
 func (o *Observer) Rejected(r *dispatch.Rejection) {
+	o.keep(explain.Decision{Job: r.ID.String(), Kind: explain.Reject, Reason: string(r.Problem.Code)})
 	o.log.Info("reject",
 		zap.Stringer("job", r.ID),
 		zap.String("code", string(r.Problem.Code)),
@@ -108,5 +128,6 @@
 // Routed notes that a request was forwarded to the owner of its job.
 func (o *Observer) Routed(job, owner, reason string) {
 	o.Message(metrics.KindForward)
+	o.keep(explain.Decision{Job: job, Kind: explain.Route, Endpoint: owner, Reason: reason})
 	o.log.Info("route", zap.String("job", job), zap.String("owner", owner), zap.String("reason", reason))
 }
--- /dev/null
+++ b/entry/security_test.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"lovagespread.example/client/callerapi"
+	"lovagespread.example/entry/adminapi"
+)
+
+const (
+	callerToken   = "caller-token-of-thirty-two-chars-1"
+	operatorToken = "operator-token-of-thirty-two-chars"
+	sharedToken   = "shared-token-of-thirty-two-chars-3"
+)
+
+// startGuarded starts an entry with all tokens set.
+func (b *testbed) startGuarded(name string) *running {
+	b.t.Helper()
+	s := b.settings(name)
+	s.Tokens.CallersFile = b.file("callers", "# teams\npaint "+callerToken+"\n")
+	s.Tokens.OperatorsFile = b.file("operators", "ola "+operatorToken+"\n")
+	s.Tokens.PeersFile = b.file("peers", "peer "+sharedToken+"\n")
+	return b.start(s)
+}
+
+// admin asks the operators' listener and decodes the reply into body.
+func (r *running) admin(method, path, token string, body any) int {
+	r.t.Helper()
+	req, err := http.NewRequest(method, "http://"+r.AdminAddr()+path, nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if body != nil {
+		if err := json.NewDecoder(resp.Body).Decode(body); err != nil {
+			r.t.Fatal(err)
+		}
+	}
+	return resp.StatusCode
+}
+
+func TestTokensAreCheckedAndNeverLogged(t *testing.T) {
+	b := newTestbed(t)
+	b.addEndpoint("e1", "booking")
+	b.publishTeams()
+	e := b.startGuarded("entry-1")
+	other := b.startGuarded("entry-2")
+	b.awaitPeers(e, other)
+	e.token = "wrong"
+	if got := e.do(http.MethodPost, "/v1/job-ids", `{"count":1}`); got.problem(t).Code != callerapi.CodeUnauthorized {
+		t.Errorf("status %d with a wrong token", got.status)
+	}
+	e.token, other.token = callerToken, callerToken
+	id := e.newID()
+	e.token = "wrong"
+	p := e.do(http.MethodPut, "/v1/jobs/"+id+"?wait=10s", jobOf("booking", 1, 1)).problem(t)
+	if p.Code != callerapi.CodeUnauthorized || p.Execution != callerapi.NotRun || totalStarts(b) != 0 {
+		t.Errorf("problem %+v with a wrong token, %d starts", p, totalStarts(b))
+	}
+	e.token = callerToken
+	id = e.newID()
+	other.do(http.MethodPut, "/v1/jobs/"+id+"?wait=10s", jobOf("booking", 1, 1)).answer(t)
+	for _, r := range []*running{e, other} {
+		r.stop()
+		checkNoSecrets(t, filepath.Join(b.dir, r.settings.Name+".log"), id)
+	}
+}
+
+// checkNoSecrets fails if the log shows a token, a key or a job ID that can be
+// used to ask.
+func checkNoSecrets(t *testing.T, path, id string) {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(text), `"msg":"place"`) && !strings.Contains(string(text), `"msg":"route"`) {
+		t.Errorf("%s has no decision", path)
+	}
+	for _, secret := range []string{callerToken, operatorToken, sharedToken, testKey, id} {
+		if strings.Contains(string(text), secret) {
+			t.Errorf("%s shows a secret", path)
+		}
+	}
+}
+
+func TestOperatorsSeeStatusAndDecisions(t *testing.T) {
+	b := newTestbed(t)
+	b.addEndpoint("e1", "booking")
+	b.publishTeams()
+	e := b.startGuarded("entry-1")
+	e.token = callerToken
+	e.do(http.MethodPut, "/v1/jobs/"+e.newID()+"?wait=10s", jobOf("booking", 2, 1)).answer(t)
+	if status := e.admin(http.MethodGet, "/v1/status", "wrong", nil); status != http.StatusUnauthorized {
+		t.Errorf("status %d for a stranger", status)
+	}
+	var status adminapi.Status
+	if code := e.admin(http.MethodGet, "/v1/status", operatorToken, &status); code != http.StatusOK {
+		t.Fatalf("status %d", code)
+	}
+	if !status.Ready || status.Entry.Name != "entry-1" || len(status.Endpoints) != 1 || status.Configuration.Version == 0 {
+		t.Errorf("status %+v", status)
+	}
+	var decisions adminapi.Decisions
+	label := status.Entry.Incarnation + "-1"
+	if code := e.admin(http.MethodGet, "/v1/jobs/"+label+"/decisions", operatorToken, &decisions); code != http.StatusOK {
+		t.Fatalf("status %d", code)
+	}
+	if len(decisions.Decisions) != 3 {
+		t.Errorf("decisions %+v, want 2 placements and an end", decisions.Decisions)
+	}
+	if code := e.admin(http.MethodPost, "/v1/stop", operatorToken, nil); code != http.StatusAccepted {
+		t.Errorf("status %d", code)
+	}
+	if err := <-e.result; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+}
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -16,9 +16,9 @@
 	"lovagespread.example/entry/token"
 )
 
-func newServers(i do.Injector, ready func() error) ([]*server, error) {
+func newServers(i do.Injector, e *Entry) ([]*server, error) {
 	open := do.MustInvoke[*listeners](i)
-	callers, err := newCallerHandler(i, ready)
+	callers, err := newCallerHandler(i, e.ready)
 	if err != nil {
 		return nil, err
 	}
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	admin, err := newAdminHandler(i, ready)
+	admin, err := newAdminHandler(i, e)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/testbed_test.go
+++ b/entry/testbed_test.go
@@ -73,17 +73,27 @@
 
 func (b *testbed) publish(text string) {
 	b.t.Helper()
-	log, err := platform.NewClient(platform.Options{URL: b.url})
+	parsed, err := catalog.ParseServices("services", []byte(text))
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	parsed, err := catalog.ParseServices("services", []byte(text))
+	b.append(0, &change.ReplaceServices{Services: parsed.Services, Teams: parsed.Teams})
+}
+
+// publishTeams adds the team of the tests.
+func (b *testbed) publishTeams() {
+	b.append(1, &change.PutTeam{Team: catalog.Team{Name: "paint", Weight: 1}})
+}
+
+// append puts a change on the log that is based on the given version.
+func (b *testbed) append(base uint64, body change.Body) {
+	b.t.Helper()
+	log, err := platform.NewClient(platform.Options{URL: b.url})
 	if err != nil {
 		b.t.Fatal(err)
 	}
 	record, err := change.EncodeChange(change.Change{
-		ID: "change-1", Author: "test", Time: time.Unix(1_700_000_000, 0),
-		Body: &change.ReplaceServices{Services: parsed.Services, Teams: parsed.Teams},
+		ID: fmt.Sprintf("change-%d", base), Base: base, Author: "test", Time: time.Unix(1_700_000_000, 0), Body: body,
 	})
 	if err != nil {
 		b.t.Fatal(err)
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -10,6 +10,7 @@
 
 	"lovagespread.example/dispatch/jobid"
 	"lovagespread.example/entry/decisionlog"
+	"lovagespread.example/entry/explain"
 	"lovagespread.example/entry/jobs"
 	"lovagespread.example/entry/keys"
 	"lovagespread.example/entry/metrics"
@@ -26,6 +27,7 @@
 	do.ProvideValue(i, options.network)
 	do.ProvideValue(i, s)
 	do.ProvideValue(i, metrics.New())
+	do.ProvideValue(i, explain.NewRing())
 	do.Provide(i, newLog)
 	do.Provide(i, newObserver)
 	do.Provide(i, newListeners)
@@ -60,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return observe.New(log.Logger, do.MustInvoke[*metrics.Set](i)), nil
+	return observe.New(log.Logger, do.MustInvoke[*metrics.Set](i), do.MustInvoke[*explain.Ring](i)), nil
 }
 
 // newSelf describes this run of the entry.
