--- a/entry/peerclient/client.go
+++ b/entry/peerclient/client.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -35,8 +34,7 @@
 	token   string
 	traffic *http.Transport
 	control *http.Transport
-	sent    atomic.Int64 // bytes of control
-	got     atomic.Int64 // bytes of control
+	meter   *wire.Meter // of control
 
 	mu    sync.Mutex
 	peers map[string]*peer // by address
@@ -57,8 +55,9 @@
 		token:  token,
 		peers:  make(map[string]*peer),
 	}
+	c.meter = wire.NewMeter(c.dialer.Dial)
 	c.traffic = transport(c.secured(c.dialer.Dial))
-	c.control = transport(c.secured(c.dialMetered))
+	c.control = transport(c.secured(c.meter.Dial))
 	return c
 }
 
@@ -100,9 +99,9 @@
 	}
 }
 
-// ControlBytes returns the bytes of control messages that this entry has
+// Control returns the meter of the control messages that this entry has
 // exchanged on the connections it has opened.
-func (c *Client) ControlBytes() (sent, received int64) { return c.sent.Load(), c.got.Load() }
+func (c *Client) Control() *wire.Meter { return c.meter }
 
 func (c *Client) peer(address string) *peer {
 	c.mu.Lock()
--- a/entry/wiring_peers.go
+++ b/entry/wiring_peers.go
@@ -14,6 +14,7 @@
 	"lovagespread.example/entry/forward"
 	"lovagespread.example/entry/heartbeat"
 	"lovagespread.example/entry/jobs"
+	"lovagespread.example/entry/metrics"
 	"lovagespread.example/entry/observe"
 	"lovagespread.example/entry/outcomes"
 	"lovagespread.example/entry/peerclient"
@@ -40,7 +41,13 @@
 		return nil, err
 	}
 	secure, err := do.Invoke[*tlsfiles.Source](i)
-	return peerclient.New(do.MustInvoke[wire.Network](i), secure, string(shared)), err
+	if err != nil {
+		return nil, err
+	}
+	client := peerclient.New(do.MustInvoke[wire.Network](i), secure, string(shared))
+	meter := client.Control()
+	do.MustInvoke[*metrics.Set](i).CountBytes("peers", meter.Sent, meter.Received)
+	return client, nil
 }
 
 func newTLS(i do.Injector) (*tlsfiles.Source, error) {
