--- a/experiment/compare/sim.go
+++ b/experiment/compare/sim.go
@@ -103,7 +103,7 @@
 		if err != nil {
 			panic(err) // the key above has the right length
 		}
-		en := &entry{issuer: issuer, core: dispatch.New(policy.options(rand.New(rand.NewPCG(seed, uint64(3+i)))))}
+		en := &entry{issuer: issuer, core: dispatch.New(policy.options(rand.New(rand.NewPCG(seed, uint64(3+i))), s.trueRunTime))}
 		s.entries = append(s.entries, en)
 		s.step(en, &dispatch.SetCatalog{Catalog: text})
 		s.step(en, &dispatch.SetShare{Rank: i, Entries: s.scenario.Entries})
@@ -111,6 +111,10 @@
 	s.announce(func(*endpoint) dispatch.EndpointState { return dispatch.EndpointLive })
 }
 
+func (s *sim) trueRunTime(ref dispatch.TaskRef) time.Duration {
+	return s.jobs[ref.Job].Tasks[ref.Index].RunTime
+}
+
 // announce gives every entry the list of endpoints.
 func (s *sim) announce(state func(*endpoint) dispatch.EndpointState) {
 	list := make([]dispatch.Endpoint, 0, len(s.order))
@@ -245,21 +249,18 @@
 		return
 	}
 	delete(s.jobs, answer.ID)
-	if answer.Problem == nil {
-		s.results.TasksDone += len(j.Tasks)
+	inTime := answer.Problem == nil && !j.gone
+	if inTime && s.now >= warmUp && s.now < s.end {
+		s.results.GoodWork += j.work()
 	}
 	if j.At < warmUp || j.retold {
 		return
 	}
 	response := s.now - j.first
-	inTime := answer.Problem == nil && !j.gone
 	arrival := s.results.second(j.At)
 	arrival.all++
 	if inTime {
 		arrival.inTime++
-		if s.now < s.end {
-			s.results.GoodWork += j.work()
-		}
 	}
 	s.results.each(j.Job, func(r *ServiceResult) { r.record(answer, inTime, float64(response)/float64(j.Ideal)) })
 }
