Hold what callers and endpoints say while a hand-over is in doubt

Cause: a rejection in doubt would let the shell drop a job that is served on.

Change: inputs are held until the last part is confirmed, refused or hopeless, and then taken in order.

--- a/dispatch/succession.go
+++ b/dispatch/succession.go
@@ -9,7 +9,9 @@
 
 // HandOver begins to hand all jobs over to another entry, which answers for
 // this entry's job IDs afterwards. The core serves on until the last part.
-// Each part comes as Ready.Transfer; a TransferResult must follow it.
+// Each part comes as Ready.Transfer; a TransferResult must follow it. While
+// the last part is in doubt the core keeps the inputs of callers and endpoints
+// for later: they must not be changed after Step.
 type HandOver struct {
 	To jobid.Incarnation
 	// MaxRecords bounds the jobs and the answers in one part. The last part
@@ -118,10 +120,19 @@
 	latest     *Transfer         // without result
 	unsent     []jobid.ID        // answers
 	sent       map[jobid.ID]bool // answers
-	confirmed  bool              // the last part
-	held       []Told            // fates learned before that
+	held       []Input           // that came while the last part was in doubt
+	given      givenState
 }
 
+// givenState is what is known of the last part.
+type givenState int
+
+const (
+	givenInDoubt   givenState = iota // or not sent yet
+	givenConfirmed                   // the successor has accepted it
+	givenHopeless                    // it will never be known
+)
+
 // taking is the state of a hand-over from a former owner.
 type taking struct {
 	session   uint64
--- a/dispatch/succession_give.go
+++ b/dispatch/succession_give.go
@@ -107,33 +107,28 @@
 	}
 }
 
-// serveOn takes a hand-over back, and takes in what was held.
+// serveOn takes a hand-over back, and then the inputs that were held.
 func (c *Core) serveOn() {
 	held := c.giving.held
 	c.giving = nil
 	c.ledger.Reclaim()
-	for i := range held {
-		c.told(&held[i])
+	for _, in := range held {
+		c.apply(in)
 	}
 }
 
+// handedOver leaves the open jobs to the successor.
 func (c *Core) handedOver() {
-	g := c.giving
-	g.latest = nil
-	g.confirmed = true
 	c.ready.HandedOver = true
-	c.ready.Told = append(c.ready.Told, g.held...)
-	g.held = nil
 	for _, j := range c.openJobs() {
 		c.ready.Moved = append(c.ready.Moved, j.id)
 		c.drop(j)
 	}
+	c.settleDoubt(givenConfirmed)
 }
 
 // giveUpJobs tells the callers of all open jobs that their outcome is unknown.
 func (c *Core) giveUpJobs() {
-	c.giving.latest = nil
-	c.giving.held = nil
 	for _, j := range c.openJobs() {
 		c.reject(j.id, Problem{
 			Code:      CodeOwnerGone,
@@ -142,6 +137,17 @@
 		})
 		c.drop(j)
 	}
+	c.settleDoubt(givenHopeless)
+}
+
+// settleDoubt ends the doubt and takes in what was held.
+func (c *Core) settleDoubt(state givenState) {
+	g := c.giving
+	held := g.held
+	g.latest, g.held, g.given = nil, nil, state
+	for _, in := range held {
+		c.stepGiven(in)
+	}
 }
 
 func (c *Core) openJobs() []*job {
@@ -161,8 +167,27 @@
 	c.forget(j)
 }
 
-// stepGiven takes inputs after the last part was sent.
+// stepGiven takes inputs after the last part was sent. What callers and
+// endpoints say is held while the part is in doubt.
 func (c *Core) stepGiven(in Input) {
+	switch in := in.(type) {
+	case *TransferResult:
+		c.transferResult(in.Outcome)
+	case *Accept:
+		c.accept(&in.Transfer)
+	case *SetEndpoints, *SetCatalog, *SetShare:
+		c.apply(in)
+	case *Submit, *Ask, *Cancel, *Done, *Refused, *Failed, *Lost, *Told:
+		if c.giving.given == givenInDoubt {
+			c.giving.held = append(c.giving.held, in)
+			return
+		}
+		c.stepMoved(in)
+	}
+}
+
+// stepMoved takes inputs about jobs that another entry answers for.
+func (c *Core) stepMoved(in Input) {
 	switch in := in.(type) {
 	case *Submit:
 		c.reject(in.ID, *foreign())
@@ -180,12 +205,6 @@
 		c.tell(Told{Task: in.Task, Attempt: in.Attempt, Fate: in.fate(), Detail: in.Detail})
 	case *Told:
 		c.tell(*in)
-	case *TransferResult:
-		c.transferResult(in.Outcome)
-	case *Accept:
-		c.accept(&in.Transfer)
-	case *SetEndpoints, *SetCatalog, *SetShare:
-		c.apply(in)
 	}
 }
 
@@ -196,15 +215,12 @@
 	return ledger.FateUnknown
 }
 
-// tell frees the slot of an attempt and passes its fate on, as soon as it is
-// known who needs it.
+// tell frees the slot of an attempt and passes its fate on.
 func (c *Core) tell(t Told) {
 	if r := c.find(t.Task, t.Attempt); r != nil {
 		c.release(r)
 	}
-	if c.giving.confirmed {
+	if c.giving.given == givenConfirmed {
 		c.ready.Told = append(c.ready.Told, t)
-		return
 	}
-	c.giving.held = append(c.giving.held, t)
 }
--- a/dispatch/succession_take.go
+++ b/dispatch/succession_take.go
@@ -164,12 +164,8 @@
 
 const lostDetail = "the entry that started a task is gone: check the effects before you submit the job with a new ID"
 
-// told takes the fate of an attempt that this core has not started, or that
-// it learned while a hand-over was in doubt.
+// told takes the fate of an attempt that this core has not started.
 func (c *Core) told(in *Told) {
-	if r := c.find(in.Task, in.Attempt); r != nil {
-		c.release(r)
-	}
 	state, ok := c.ledger.Resolve(in.Task.Job, in.Task.Index, in.Attempt, in.Fate)
 	if !ok {
 		return
