--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -14,6 +14,7 @@
 // job is an admitted job. It is kept until none of its tasks runs.
 type job struct {
 	id       jobid.ID
+	submit   *Submit
 	service  string
 	team     *team
 	trace    string
--- a/dispatch/jobid/jobid.go
+++ b/dispatch/jobid/jobid.go
@@ -14,6 +14,7 @@
 package jobid
 
 import (
+	"cmp"
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base32"
@@ -62,6 +63,11 @@
 // IsZero reports whether the ID is the zero value.
 func (id ID) IsZero() bool { return id == ID{} }
 
+// Compare orders IDs by owner, then by sequence.
+func Compare(a, b ID) int {
+	return cmp.Or(cmp.Compare(a.Owner, b.Owner), cmp.Compare(a.Sequence, b.Sequence))
+}
+
 // String returns a short form for logs. It carries no MAC, so a reader of
 // the log cannot submit or re-ask with it.
 func (id ID) String() string { return fmt.Sprintf("%s-%d", id.Owner, id.Sequence) }
@@ -153,6 +159,16 @@
 	return decodeBody(raw[:bodyBytes]), nil
 }
 
+// Text returns the text form of an ID that was verified before, as its issuer
+// gave it out. It returns false if the key of the ID is unknown.
+func (v *Verifier) Text(id ID) (string, bool) {
+	secret, ok := v.secrets[id.key]
+	if !ok {
+		return "", false
+	}
+	return encode(id, secret), true
+}
+
 // ForgedError reports a job ID that no entry of this system has issued.
 type ForgedError struct {
 	Detail string
--- a/dispatch/jobid/jobid_test.go
+++ b/dispatch/jobid/jobid_test.go
@@ -58,6 +58,18 @@
 	}
 }
 
+func TestTextReturnsTheIssuedForm(t *testing.T) {
+	id, text := issue(t, keyOne)
+	verifier, _ := NewVerifier(keyTwo, keyOne)
+	if got, ok := verifier.Text(id); !ok || got != text {
+		t.Fatalf("got %q, %t, want %q", got, ok, text)
+	}
+	other, _ := NewVerifier(keyTwo)
+	if _, ok := other.Text(id); ok {
+		t.Fatal("signed with an unknown key")
+	}
+}
+
 func TestParseRefusesUnknownKey(t *testing.T) {
 	_, text := issue(t, keyTwo)
 	verifier, _ := NewVerifier(keyOne)
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -79,6 +79,7 @@
 func (c *Core) build(in *Submit) *job {
 	j := &job{
 		id:       in.ID,
+		submit:   in,
 		service:  in.Service,
 		team:     c.teamOf(in.Team),
 		trace:    in.Parent,
--- a/dispatch/succession_give.go
+++ b/dispatch/succession_give.go
@@ -24,12 +24,14 @@
 // collectAnswers queues the kept answers that were not sent.
 func (c *Core) collectAnswers() {
 	g := c.giving
-	for id := range c.answered.All() {
+	first := len(g.unsent)
+	for id := range c.answers {
 		if !g.sent[id] {
 			g.sent[id] = true
 			g.unsent = append(g.unsent, id)
 		}
 	}
+	slices.SortFunc(g.unsent[first:], jobid.Compare)
 }
 
 // transfer sends the next part. The last one is due when all that is left
@@ -69,22 +71,7 @@
 
 func (c *Core) transferredJob(id jobid.ID) TransferredJob {
 	j := c.jobs[id]
-	in := Submit{ID: id, Team: c.nameOf(j.team), Service: j.service, Parent: j.trace}
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		needs := t.needs
-		in.Tasks = append(in.Tasks, TaskSpec{Service: t.group.service.spec.Name, Declared: t.declared, Needs: &needs})
-	}
-	return TransferredJob{Submit: in, Admitted: j.admitted, Results: slices.Clone(j.results), Longest: j.longest}
-}
-
-func (c *Core) nameOf(team *team) string {
-	for name, t := range c.teams {
-		if t == team {
-			return name
-		}
-	}
-	return ""
+	return TransferredJob{Submit: *j.submit, Admitted: j.admitted, Results: slices.Clone(j.results), Longest: j.longest}
 }
 
 func (c *Core) transferResult(outcome TransferOutcome) {
@@ -122,7 +109,7 @@
 	c.ready.HandedOver = true
 	for _, j := range c.openJobs() {
 		c.ready.Moved = append(c.ready.Moved, j.id)
-		c.drop(j)
+		c.moveOut(j)
 	}
 	c.settleDoubt(givenConfirmed)
 }
@@ -135,7 +122,7 @@
 			Execution: Unknown,
 			Detail:    "the entry that took the job over is gone: check the effects before you submit the job with a new ID",
 		})
-		c.drop(j)
+		c.moveOut(j)
 	}
 	c.settleDoubt(givenHopeless)
 }
@@ -151,15 +138,13 @@
 }
 
 func (c *Core) openJobs() []*job {
-	jobs := slices.SortedFunc(maps.Values(c.jobs), func(a, b *job) int {
-		return cmp.Or(cmp.Compare(a.id.Owner, b.id.Owner), cmp.Compare(a.id.Sequence, b.id.Sequence))
-	})
+	jobs := slices.SortedFunc(maps.Values(c.jobs), func(a, b *job) int { return jobid.Compare(a.id, b.id) })
 	return slices.DeleteFunc(jobs, func(j *job) bool { return j.ended })
 }
 
-// drop lets go of a job that another entry answers for. Its running tasks
+// moveOut lets go of a job that another entry answers for. Its running tasks
 // keep their slots until their fates are known.
-func (c *Core) drop(j *job) {
+func (c *Core) moveOut(j *job) {
 	j.ended = true
 	c.open--
 	c.dequeueAll(j)
