--- a/entry/control/message.go
+++ b/entry/control/message.go
@@ -19,6 +19,17 @@
 	Parent string // trace ID, or empty
 }
 
+// Input returns the submission as an input of the core.
+func (s *Submission) Input() *dispatch.Submit {
+	return &dispatch.Submit{
+		ID:      s.ID,
+		Team:    s.Team,
+		Service: s.Job.Service,
+		Tasks:   taskSpecs(s.Job.Tasks),
+		Parent:  s.Parent,
+	}
+}
+
 type submitMessage struct {
 	submission Submission
 	waiter     *waiter
@@ -27,13 +38,7 @@
 func (m *submitMessage) handle(l *Loop) {
 	l.waiters.add(m.waiter)
 	l.bodies.put(m.submission)
-	l.step(&dispatch.Submit{
-		ID:      m.submission.ID,
-		Team:    m.submission.Team,
-		Service: m.submission.Job.Service,
-		Tasks:   taskSpecs(m.submission.Job.Tasks),
-		Parent:  m.submission.Parent,
-	})
+	l.step(m.submission.Input())
 }
 
 type askMessage struct{ waiter *waiter }
