Carry out hand-overs between entries

Change: the control loop takes the steps of a planned stop, entry/succession gives and takes parts over twirp and tells fates afterwards; waiting callers are forwarded to the successor, also through an entry that has just handed over. A dial that failed proves something only for a part never sent before.

Not wired yet.

--- a/dispatch/ledger/ledger.go
+++ b/dispatch/ledger/ledger.go
@@ -64,6 +64,10 @@
 	}
 }
 
+// Owners returns the incarnations that this ledger answers for, or would if it
+// were not given away, in order.
+func (l *Ledger) Owners() []jobid.Incarnation { return slices.Clone(l.owners) }
+
 // AnswersFor reports whether this ledger is the authority on the IDs of an
 // owner.
 func (l *Ledger) AnswersFor(owner jobid.Incarnation) bool {
--- a/dispatch/succession.go
+++ b/dispatch/succession.go
@@ -156,6 +156,15 @@
 	}
 }
 
+// Owners returns the incarnations whose jobs this core answers for: none once
+// it has handed them over.
+func (c *Core) Owners() []jobid.Incarnation {
+	if c.giving != nil && c.giving.given != givenInDoubt {
+		return nil
+	}
+	return c.ledger.Owners()
+}
+
 // Idle reports whether no job is open and no task runs that this core has
 // started. After a hand-over the process may exit then.
 func (c *Core) Idle() bool { return len(c.jobs) == 0 }
--- a/entry/control/api.go
+++ b/entry/control/api.go
@@ -15,6 +15,8 @@
 type Reply struct {
 	Answer  *dispatch.Answer
 	Problem *dispatch.Problem // the submission or the question was refused
+	// Moved: the job was handed over while the caller waited for it.
+	Moved bool
 }
 
 // StoppedError reports a loop that has ended.
@@ -118,4 +120,6 @@
 	return Reply{}, l.send(&leaveMessage{waiter: w, hungUp: hungUp})
 }
 
-func replyOf(e event) Reply { return Reply{Answer: e.answer, Problem: e.problem} }
+func replyOf(e event) Reply {
+	return Reply{Answer: e.answer, Problem: e.problem, Moved: e.moved}
+}
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -51,6 +51,8 @@
 	catalog *catalog.Catalog
 	view    membership.View
 	loads   loads
+
+	succession succession
 }
 
 // New returns a loop that has not started.
@@ -63,6 +65,8 @@
 		bodies:  make(bodies),
 		catalog: &catalog.Catalog{},
 		loads:   make(loads),
+
+		succession: newSuccession(),
 	}
 	l.view, _ = opts.Tracker.Step(time.Now(), &membership.Tick{})
 	l.publish()
@@ -109,8 +113,9 @@
 	l.publish()
 }
 
-// step feeds the core and carries out what it decides.
-func (l *Loop) step(in dispatch.Input) {
+// step feeds the core and carries out what it decides. The result is valid
+// until the next step.
+func (l *Loop) step(in dispatch.Input) *dispatch.Ready {
 	ready := l.opts.Core.Step(time.Now(), in)
 	for _, id := range ready.Admissions {
 		l.waiters.admit(id)
@@ -127,6 +132,8 @@
 	for i := range ready.Rejections {
 		l.reject(&ready.Rejections[i])
 	}
+	l.succeed(ready)
+	return ready
 }
 
 func (l *Loop) start(s *dispatch.Start) {
@@ -168,5 +175,6 @@
 	l.view = view
 	l.step(&dispatch.SetEndpoints{Endpoints: endpointsOf(view)})
 	l.step(&dispatch.SetShare{Rank: view.Rank, Entries: view.Entries})
+	l.sayGone()
 	l.publish()
 }
--- a/entry/control/snapshot.go
+++ b/entry/control/snapshot.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"lovagespread.example/catalog"
 	"lovagespread.example/dispatch"
 	"lovagespread.example/dispatch/jobid"
@@ -13,6 +15,10 @@
 	View    membership.View
 	Catalog *catalog.Catalog
 	Loads   []ServiceLoad
+	// Owners are the incarnations whose jobs this entry answers for: itself
+	// and those that have handed their jobs over to it; none after it has
+	// handed over itself.
+	Owners []jobid.Incarnation
 }
 
 // ServiceLoad is the load of one service at this entry.
@@ -25,7 +31,14 @@
 func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
 
 func (l *Loop) publish() {
-	l.snapshot.Store(&Snapshot{View: l.view, Catalog: l.catalog, Loads: l.loads.list()})
+	view := l.view
+	view.Self.Successor = l.succession.successor
+	l.snapshot.Store(&Snapshot{
+		View:    view,
+		Catalog: l.catalog,
+		Loads:   l.loads.list(),
+		Owners:  l.opts.Core.Owners(),
+	})
 }
 
 // endpointsOf translates the members into what the core places tasks on.
@@ -63,5 +76,5 @@
 
 // Owns reports whether this entry answers for the jobs of an incarnation.
 func (s *Snapshot) Owns(id jobid.Incarnation) bool {
-	return membership.Incarnation(id) == s.View.Self.Incarnation
+	return slices.Contains(s.Owners, id)
 }
--- /dev/null
+++ b/entry/control/succession.go
@@ -0,0 +1,204 @@
+package control
+
+import (
+	"slices"
+
+	"lovagespread.example/dispatch"
+	"lovagespread.example/dispatch/jobid"
+	"lovagespread.example/membership"
+)
+
+// Outgoing is what a planned stop has to do next.
+type Outgoing struct {
+	// Transfer is the part to send; nil if none follows. Sent must be called
+	// with what became of it.
+	Transfer *dispatch.Transfer
+	// Submissions are those of the open jobs in Transfer.
+	Submissions map[jobid.ID]Submission
+	// HandedOver: the successor answers for the jobs of this entry.
+	HandedOver bool
+}
+
+// HandOver begins to hand all jobs over to another entry. This entry serves
+// on until the last part.
+func (l *Loop) HandOver(to jobid.Incarnation) (Outgoing, error) {
+	return l.give(&dispatch.HandOver{To: to}, to)
+}
+
+// Sent tells what became of the latest part to a successor, and returns what
+// follows.
+func (l *Loop) Sent(to jobid.Incarnation, outcome dispatch.TransferOutcome) (Outgoing, error) {
+	return l.give(&dispatch.TransferResult{Outcome: outcome}, to)
+}
+
+func (l *Loop) give(in dispatch.Input, to jobid.Incarnation) (Outgoing, error) {
+	reply := make(chan Outgoing, 1)
+	return call(l, &giveMessage{input: in, to: to, reply: reply}, reply)
+}
+
+// Accept takes one part of another entry's hand-over with the submissions of
+// its open jobs.
+func (l *Loop) Accept(t *dispatch.Transfer, submissions []Submission) (dispatch.Acceptance, error) {
+	reply := make(chan dispatch.Acceptance, 1)
+	return call(l, &acceptMessage{transfer: t, submissions: submissions, reply: reply}, reply)
+}
+
+// Told takes fates from an entry that has handed its jobs over to this one.
+func (l *Loop) Told(list []dispatch.Told) error {
+	reply := make(chan struct{}, 1)
+	_, err := call(l, &toldMessage{list: list, reply: reply}, reply)
+	return err
+}
+
+// Untold is what a stopping entry still has to tell its successor.
+type Untold struct {
+	Fates []dispatch.Told
+	Idle  bool // no task runs that could bring another fate
+}
+
+// Untold returns the fates that were not returned before.
+func (l *Loop) Untold() (Untold, error) {
+	reply := make(chan Untold, 1)
+	return call(l, untoldMessage{reply}, reply)
+}
+
+// call sends a message and waits for its reply.
+func call[T any](l *Loop, m message, reply <-chan T) (T, error) {
+	var none T
+	if err := l.send(m); err != nil {
+		return none, err
+	}
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-l.done:
+		return none, &StoppedError{}
+	}
+}
+
+type giveMessage struct {
+	input dispatch.Input
+	to    jobid.Incarnation
+	reply chan Outgoing
+}
+
+func (m *giveMessage) handle(l *Loop) {
+	ready := l.step(m.input)
+	out := Outgoing{Transfer: ready.Transfer, HandedOver: ready.HandedOver}
+	if out.Transfer != nil {
+		out.Submissions = l.bodies.of(out.Transfer)
+	}
+	if out.HandedOver {
+		l.succession.successor = membership.Incarnation(m.to)
+		l.publish()
+	}
+	m.reply <- out
+}
+
+// of returns the submissions of the open jobs in a part.
+func (b bodies) of(t *dispatch.Transfer) map[jobid.ID]Submission {
+	found := make(map[jobid.ID]Submission, len(t.Jobs))
+	for i := range t.Jobs {
+		id := t.Jobs[i].Submit.ID
+		if s, ok := b[id]; ok {
+			found[id] = s
+		}
+	}
+	return found
+}
+
+// succession is the loop's part in planned stops.
+type succession struct {
+	successor membership.Incarnation // has taken over; 0: none has
+
+	staged map[jobid.Incarnation][]Submission // of hand-overs to this entry
+	untold []dispatch.Told
+	gone   map[membership.Incarnation]bool // told to the core
+}
+
+func newSuccession() succession {
+	return succession{
+		staged: make(map[jobid.Incarnation][]Submission),
+		gone:   make(map[membership.Incarnation]bool),
+	}
+}
+
+// succeed carries out what the core decides about a planned stop.
+func (l *Loop) succeed(ready *dispatch.Ready) {
+	l.succession.untold = append(l.succession.untold, ready.Told...)
+	for _, id := range ready.Moved {
+		delete(l.bodies, id)
+		l.waiters.end(id, event{moved: true})
+	}
+}
+
+type acceptMessage struct {
+	transfer    *dispatch.Transfer
+	submissions []Submission
+	reply       chan dispatch.Acceptance
+}
+
+// handle keeps the submissions before the core starts their tasks.
+func (m *acceptMessage) handle(l *Loop) {
+	from := m.transfer.Part.From
+	staged := append(l.succession.staged[from], m.submissions...)
+	l.succession.staged[from] = staged
+	if m.transfer.Part.Last {
+		l.putAll(staged)
+	}
+	acceptance := *l.step(&dispatch.Accept{Transfer: *m.transfer}).Acceptance
+	if acceptance.Err != nil {
+		l.dropAll(staged)
+	}
+	if acceptance.Err != nil || acceptance.Done {
+		delete(l.succession.staged, from)
+	}
+	l.publish()
+	m.reply <- acceptance
+}
+
+func (l *Loop) putAll(list []Submission) {
+	for _, s := range list {
+		l.bodies.put(s)
+	}
+}
+
+// dropAll forgets submissions of jobs that this entry does not answer for.
+func (l *Loop) dropAll(list []Submission) {
+	owners := l.opts.Core.Owners()
+	for _, s := range list {
+		if !slices.Contains(owners, s.ID.Owner) {
+			delete(l.bodies, s.ID)
+		}
+	}
+}
+
+type toldMessage struct {
+	list  []dispatch.Told
+	reply chan struct{}
+}
+
+func (m *toldMessage) handle(l *Loop) {
+	for i := range m.list {
+		l.step(&m.list[i])
+	}
+	m.reply <- struct{}{}
+}
+
+type untoldMessage struct{ reply chan Untold }
+
+func (m untoldMessage) handle(l *Loop) {
+	m.reply <- Untold{Fates: l.succession.untold, Idle: l.opts.Core.Idle()}
+	l.succession.untold = nil
+}
+
+// sayGone tells the core of entries that have ended since the last view.
+func (l *Loop) sayGone() {
+	gone := l.succession.gone
+	for _, e := range l.view.Others {
+		if e.State == membership.Gone && !gone[e.Incarnation] {
+			gone[e.Incarnation] = true
+			l.step(&dispatch.Gone{Incarnation: jobid.Incarnation(e.Incarnation)})
+		}
+	}
+}
--- a/entry/control/waiter.go
+++ b/entry/control/waiter.go
@@ -12,9 +12,10 @@
 type event struct {
 	answer  *dispatch.Answer
 	problem *dispatch.Problem
+	moved   bool // another entry answers for the job
 }
 
-func (e event) admitted() bool { return e.answer == nil && e.problem == nil }
+func (e event) admitted() bool { return e.answer == nil && e.problem == nil && !e.moved }
 
 // maxEvents is the number of events that one waiter can get.
 const maxEvents = 2
--- a/entry/jobs/service.go
+++ b/entry/jobs/service.go
@@ -65,18 +65,26 @@
 }
 
 // Serve serves a request that another entry has forwarded. It returns false
-// if this entry is not the owner: a request takes one hop at most.
+// if this entry is not the owner: a request takes one hop, or two while a stop
+// is under way.
 func (s *Service) Serve(ctx context.Context, r Request) (problem.Result, bool) {
 	id, p := s.verify(r.JobID)
 	if p != nil {
 		return problem.ResultOf(p), true
 	}
-	if !s.owns(id) {
-		return problem.Result{}, false
+	if s.owns(id) {
+		return s.local(ctx, id, r), true
 	}
-	return s.local(ctx, id, r), true
+	if s.handedOver() {
+		return s.forward.Forward(ctx, id, r), true
+	}
+	return problem.Result{}, false
 }
 
+// handedOver reports whether another entry answers for this entry's jobs. It
+// serves those who have not heard of it by a second hop.
+func (s *Service) handedOver() bool { return s.loop.Snapshot().View.Self.Successor != 0 }
+
 func (s *Service) verify(text string) (jobid.ID, *callerapi.Problem) {
 	id, err := s.verifier.Parse(text)
 	if err != nil {
@@ -90,31 +98,39 @@
 }
 
 func (s *Service) local(ctx context.Context, id jobid.ID, r Request) problem.Result {
+	submission := control.Submission{ID: id, Team: r.Team, Parent: traceID(r.Traceparent)}
+	if r.Method == Submit {
+		job, p := parseJob(r.Body)
+		if p != nil {
+			p.Execution = s.Execution(ctx, r.JobID)
+			return problem.ResultOf(p)
+		}
+		submission.Job = job
+	}
+	began := time.Now()
+	reply, err := s.call(ctx, submission, r)
+	if !moved(reply) {
+		return result(r.JobID, reply, err)
+	}
+	r.Wait = max(r.Wait-time.Since(began), 0)
+	return s.forward.Forward(ctx, id, r)
+}
+
+func (s *Service) call(ctx context.Context, submission control.Submission, r Request) (control.Reply, error) {
 	switch r.Method {
 	case Submit:
-		return s.submit(ctx, id, r)
+		return s.loop.Submit(ctx, submission, r.Wait)
 	case Cancel:
-		reply, err := s.loop.Cancel(ctx, id)
-		return result(r.JobID, reply, err)
+		return s.loop.Cancel(ctx, submission.ID)
 	default:
-		reply, err := s.loop.Ask(ctx, id, r.Wait)
-		return result(r.JobID, reply, err)
+		return s.loop.Ask(ctx, submission.ID, r.Wait)
 	}
 }
 
-func (s *Service) submit(ctx context.Context, id jobid.ID, r Request) problem.Result {
-	job, p := parseJob(r.Body)
-	if p != nil {
-		p.Execution = s.Execution(ctx, r.JobID)
-		return problem.ResultOf(p)
-	}
-	reply, err := s.loop.Submit(ctx, control.Submission{
-		ID:     id,
-		Team:   r.Team,
-		Job:    job,
-		Parent: traceID(r.Traceparent),
-	}, r.Wait)
-	return result(r.JobID, reply, err)
+// moved reports whether another entry answers for the job since a moment ago.
+// A submission may go there again: its ID is admitted once.
+func moved(reply control.Reply) bool {
+	return reply.Moved || reply.Problem != nil && reply.Problem.Code == dispatch.CodeNotOwner
 }
 
 // Execution returns what this entry may say of a job when it refuses a request
--- a/entry/peerclient/client.go
+++ b/entry/peerclient/client.go
@@ -131,9 +131,15 @@
 // Unwrap returns the cause.
 func (e *NotDeliveredError) Unwrap() error { return e.Cause }
 
-// HandOver gives a part of the ledger to the successor.
+// HandOver gives a part of the ledger to the successor, or tells it fates. The
+// error is a *NotDeliveredError if nothing was written and nothing will be.
 func (c *Client) HandOver(ctx context.Context, address string, r *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error) {
 	ctx, cancel := context.WithTimeout(c.header(ctx), handOverTimeout)
 	defer cancel()
-	return c.peer(address).traffic.HandOver(ctx, r)
+	attempt := wire.NewAttempt(time.Time{})
+	resp, err := c.peer(address).traffic.HandOver(attempt.Context(ctx), r)
+	if err != nil && !attempt.Seal() {
+		return nil, &NotDeliveredError{Cause: err}
+	}
+	return resp, err
 }
--- a/entry/problem/problem.go
+++ b/entry/problem/problem.go
@@ -39,6 +39,7 @@
 	callerapi.Code(dispatch.CodeTaskFailed):     http.StatusBadGateway,
 	callerapi.Code(dispatch.CodeTaskLost):       http.StatusGatewayTimeout,
 	callerapi.Code(dispatch.CodeCancelled):      http.StatusConflict,
+	callerapi.Code(dispatch.CodeNotOwner):       http.StatusServiceUnavailable,
 }
 
 // New returns a problem with the status of its code.
--- /dev/null
+++ b/entry/succession/give.go
@@ -0,0 +1,218 @@
+package succession
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovagespread.example/dispatch"
+	"lovagespread.example/dispatch/jobid"
+	"lovagespread.example/entry/control"
+	"lovagespread.example/entry/handover"
+	"lovagespread.example/entry/peerclient"
+	"lovagespread.example/membership"
+	"lovagespread.example/peer/peerpb"
+)
+
+// Times of a hand-over.
+const (
+	retryInterval = 200 * time.Millisecond // between two tries to reach the successor
+	pollInterval  = 10 * time.Millisecond  // for fates to tell
+)
+
+// maxTold bounds the fates in one message.
+const maxTold = 500
+
+// Peers calls other entries.
+type Peers interface {
+	HandOver(ctx context.Context, address string, r *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error)
+}
+
+// Options are the parts that a Giver works with.
+type Options struct {
+	Self  jobid.Incarnation
+	Loop  *control.Loop
+	Codec handover.Codec
+	Peers Peers
+	Log   *zap.Logger
+}
+
+// Giver hands the jobs of this entry over at a planned stop.
+type Giver struct{ opts Options }
+
+// NewGiver returns a giver.
+func NewGiver(opts Options) *Giver { return &Giver{opts: opts} }
+
+// Give hands all jobs to a live entry and returns it. It tries one after the
+// other, and returns false if this entry still answers for its jobs, or if it
+// will never be known who does.
+func (g *Giver) Give(ctx context.Context) (membership.Entry, bool) {
+	tried := make(map[membership.Incarnation]bool)
+	for ctx.Err() == nil {
+		to, ok := g.choose(tried)
+		if !ok {
+			return membership.Entry{}, false
+		}
+		tried[to.Incarnation] = true
+		if g.giveTo(ctx, to) {
+			g.opts.Log.Info("jobs handed over", zap.String("successor", to.Name))
+			return to, true
+		}
+		g.opts.Log.Warn("hand-over failed", zap.String("successor", to.Name))
+	}
+	return membership.Entry{}, false
+}
+
+// choose returns the successor that membership names, or else any live entry.
+func (g *Giver) choose(tried map[membership.Incarnation]bool) (membership.Entry, bool) {
+	view := g.opts.Loop.Snapshot().View
+	if first := view.Successor; first.Incarnation != 0 && !tried[first.Incarnation] {
+		return first, true
+	}
+	for _, e := range view.Others {
+		if e.State == membership.Live && !tried[e.Incarnation] {
+			return e, true
+		}
+	}
+	return membership.Entry{}, false
+}
+
+func (g *Giver) giveTo(ctx context.Context, to membership.Entry) bool {
+	incarnation := jobid.Incarnation(to.Incarnation)
+	out, err := g.opts.Loop.HandOver(incarnation)
+	var latest *dispatch.Transfer
+	for err == nil && out.Transfer != nil {
+		first := out.Transfer != latest
+		latest = out.Transfer
+		out, err = g.opts.Loop.Sent(incarnation, g.send(ctx, to, out, first))
+	}
+	return err == nil && out.HandedOver
+}
+
+// send sends one part. first tells whether it was never sent before: only then
+// does a failure to deliver prove that the successor does not have it.
+func (g *Giver) send(ctx context.Context, to membership.Entry, out control.Outgoing, first bool) dispatch.TransferOutcome {
+	request, err := g.opts.Codec.Encode(out.Transfer, out.Submissions)
+	if err != nil {
+		g.opts.Log.Error("hand-over cannot be encoded", zap.Error(err))
+		return unsent(first)
+	}
+	response, err := g.opts.Peers.HandOver(ctx, to.Address, request)
+	if err == nil {
+		return g.outcomeOf(response, first)
+	}
+	var undelivered *peerclient.NotDeliveredError
+	if errors.As(err, &undelivered) && first {
+		return dispatch.TransferRefused
+	}
+	if ctx.Err() != nil || g.ended(to) {
+		return dispatch.TransferHopeless
+	}
+	g.opts.Log.Warn("hand-over part without reply", zap.String("successor", to.Name), zap.Error(err))
+	pause(ctx, retryInterval)
+	return dispatch.TransferUnsure
+}
+
+func (g *Giver) outcomeOf(r *peerpb.HandOverResponse, first bool) dispatch.TransferOutcome {
+	switch {
+	case r.GetAccepted():
+		return dispatch.TransferConfirmed
+	case r.GetBySuccessor():
+		g.opts.Log.Warn("hand-over refused", zap.String("reason", r.GetRefusal()))
+		return dispatch.TransferRefused
+	default:
+		return unsent(first)
+	}
+}
+
+// unsent is the outcome of a part that this try has not brought to the
+// successor and that no further try can bring there.
+func unsent(first bool) dispatch.TransferOutcome {
+	if first {
+		return dispatch.TransferRefused
+	}
+	return dispatch.TransferHopeless
+}
+
+// ended reports whether an entry is known to be gone.
+func (g *Giver) ended(to membership.Entry) bool {
+	for _, e := range g.opts.Loop.Snapshot().View.Others {
+		if e.Incarnation == to.Incarnation {
+			return e.Ended || e.State == membership.Gone
+		}
+	}
+	return true
+}
+
+// Tell passes fates to the successor until no task of this entry runs any
+// more, or the context ends.
+func (g *Giver) Tell(ctx context.Context, to membership.Entry) error {
+	for {
+		untold, err := g.opts.Loop.Untold()
+		if err != nil {
+			return err
+		}
+		if err := g.tellAll(ctx, to, untold.Fates); err != nil {
+			return err
+		}
+		if untold.Idle && len(untold.Fates) == 0 {
+			return nil
+		}
+		if len(untold.Fates) == 0 {
+			pause(ctx, pollInterval)
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+func (g *Giver) tellAll(ctx context.Context, to membership.Entry, fates []dispatch.Told) error {
+	for len(fates) > 0 {
+		count := min(maxTold, len(fates))
+		if err := g.tell(ctx, to, fates[:count]); err != nil {
+			return err
+		}
+		fates = fates[count:]
+	}
+	return nil
+}
+
+// tell sends fates until they are accepted. They may arrive twice.
+func (g *Giver) tell(ctx context.Context, to membership.Entry, fates []dispatch.Told) error {
+	request, err := g.opts.Codec.EncodeTold(g.opts.Self, jobid.Incarnation(to.Incarnation), fates)
+	if err != nil {
+		return err
+	}
+	for {
+		response, err := g.opts.Peers.HandOver(ctx, to.Address, request)
+		if err == nil && response.GetAccepted() {
+			return nil
+		}
+		if ctx.Err() != nil || g.ended(to) {
+			return &UntoldError{Fates: len(fates), Successor: to.Name}
+		}
+		pause(ctx, retryInterval)
+	}
+}
+
+// UntoldError reports fates that a successor did not take.
+type UntoldError struct {
+	Fates     int
+	Successor string
+}
+
+func (e *UntoldError) Error() string {
+	return "entry " + e.Successor + " did not take the fates of tasks that ran here: their jobs end with an unknown outcome; check their effects"
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/entry/succession/take.go
@@ -0,0 +1,54 @@
+package succession
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"lovagespread.example/dispatch/jobid"
+	"lovagespread.example/dispatch/ledger"
+	"lovagespread.example/entry/control"
+	"lovagespread.example/entry/handover"
+	"lovagespread.example/peer/peerpb"
+)
+
+// Taker takes the jobs of entries that stop. It is safe for concurrent use.
+type Taker struct {
+	Self  jobid.Incarnation
+	Loop  *control.Loop
+	Codec handover.Codec
+}
+
+// HandOver takes one part, or fates told after the last one.
+func (t *Taker) HandOver(_ context.Context, r *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error) {
+	if to := jobid.Incarnation(r.GetTo()); to != t.Self {
+		wrong := &ledger.WrongSuccessorError{To: to, Self: t.Self}
+		return &peerpb.HandOverResponse{Refusal: wrong.Error()}, nil
+	}
+	if len(r.GetTold()) > 0 {
+		return t.told(r)
+	}
+	part, err := t.Codec.Decode(r)
+	if err != nil {
+		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
+	}
+	acceptance, err := t.Loop.Accept(&part.Transfer, part.Submissions)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	if acceptance.Err != nil {
+		return &peerpb.HandOverResponse{Refusal: acceptance.Err.Error(), BySuccessor: true}, nil
+	}
+	return &peerpb.HandOverResponse{Accepted: true, Done: acceptance.Done, BySuccessor: true}, nil
+}
+
+func (t *Taker) told(r *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error) {
+	list, err := t.Codec.DecodeTold(r)
+	if err != nil {
+		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
+	}
+	if err := t.Loop.Told(list); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &peerpb.HandOverResponse{Accepted: true, BySuccessor: true}, nil
+}
--- a/membership/view.go
+++ b/membership/view.go
@@ -116,9 +116,12 @@
 // that took over its ledger. It returns false if none is known.
 func (v *View) Owner(id Incarnation) (Entry, bool) {
 	for range maxSuccessions {
-		if id == v.Self.Incarnation {
+		if id == v.Self.Incarnation && v.Self.Successor == 0 {
 			return v.Self, true
 		}
+		if id == v.Self.Incarnation {
+			id = v.Self.Successor
+		}
 		e, ok := lo.Find(v.Others, func(e Entry) bool { return e.Incarnation == id })
 		if !ok || e.Successor == 0 {
 			return e, ok
