--- a/dispatch/limit/limit.go
+++ b/dispatch/limit/limit.go
@@ -19,7 +19,8 @@
 	hard = 2
 )
 
-// Load is the expected wait of a job at one service, with its own work in it.
+// Load is the expected wait of a job at one service until its first task
+// starts. The job's own work is not in it: on an idle system no job is refused.
 type Load struct {
 	All  time.Duration // behind everything that waits, on all slots
 	Team time.Duration // behind its team's work only, on the team's share
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"lovagespread.example/catalog"
+	"lovagespread.example/dispatch/estimate"
 	"lovagespread.example/dispatch/ledger"
 	"lovagespread.example/dispatch/limit"
-	"lovagespread.example/dispatch/urgency"
 )
 
 // burstAllowance is how much of its fair share a team may use ahead of time.
@@ -92,7 +92,7 @@
 	for i := range in.Tasks {
 		c.buildTask(j, i, in)
 	}
-	j.view = c.viewOf(j)
+	c.fillView(j)
 	return j
 }
 
@@ -129,7 +129,8 @@
 	if spec.Needs != nil {
 		t.needs = *spec.Needs
 	}
-	t.declared = spec.Declared
+	t.class = estimate.ClassOf(spec.Declared)
+	j.view.Declared += spec.Declared
 	if c.opts.Expect != nil {
 		t.expected = c.opts.Expect(TaskRef{Job: in.ID, Index: i})
 	} else {
@@ -137,22 +138,22 @@
 	}
 }
 
-func (c *Core) viewOf(j *job) urgency.Job {
-	v := urgency.Job{Arrived: c.now, Turn: c.now, Tasks: len(j.tasks), Left: len(j.tasks)}
+func (c *Core) fillView(j *job) {
+	v := &j.view
+	v.Arrived, v.Turn = c.now, c.now
+	v.Tasks, v.Left = len(j.tasks), len(j.tasks)
 	for i := range j.groups {
 		g := &j.groups[i]
 		var work, longest time.Duration
 		for _, index := range g.waiting {
 			t := &j.tasks[index]
 			work += t.expected
-			v.Declared += t.declared
 			longest = max(longest, t.expected)
 		}
 		v.Work += work
 		v.Ideal = max(v.Ideal, longest, work/time.Duration(max(g.service.pool.Slots(), 1)))
 		v.Patience = max(v.Patience, g.service.patience.Known())
 	}
-	return v
 }
 
 // overload checks quotas and the bounds of the queues.
@@ -161,18 +162,18 @@
 		if limit.Full(c.opts.MaxWaiting, c.waiting, j.groups[i].service.waiting, len(j.tasks)) {
 			return notRun(CodeOverload, "too many tasks are waiting: submit again with a new job ID after the given time", time.Second)
 		}
-		if problem := c.groupOverload(&j.groups[i], j); problem != nil {
+		if problem := c.groupOverload(&j.groups[i]); problem != nil {
 			return problem
 		}
 	}
 	return c.overQuota(j)
 }
 
-func (c *Core) groupOverload(g *group, j *job) *Problem {
+func (c *Core) groupOverload(g *group) *Problem {
 	if c.opts.Off.has(Admission) {
 		return nil
 	}
-	load := c.load(g, j.view.Work)
+	load := c.load(g)
 	wait := g.service.acceptableWait()
 	if limit.Admit(load, wait) {
 		return nil
@@ -180,12 +181,12 @@
 	return notRun(CodeOverload, "service "+g.service.spec.Name+" is overloaded: submit again with a new job ID after the given time", limit.RetryAfter(load, wait))
 }
 
-func (c *Core) load(g *group, work time.Duration) limit.Load {
+func (c *Core) load(g *group) limit.Load {
 	s := g.service
 	slots := float64(max(s.pool.Slots(), 1))
 	return limit.Load{
-		All:  time.Duration(float64(s.backlog+work) / slots),
-		Team: time.Duration(float64(g.job.team.at(s).backlog+work) / s.fairShare(g.job.team)),
+		All:  time.Duration(float64(s.backlog) / slots),
+		Team: time.Duration(float64(g.job.team.at(s).backlog) / s.fairShare(g.job.team)),
 	}
 }
 
