--- a/entry/handover/codec_test.go
+++ b/entry/handover/codec_test.go
@@ -41,6 +41,7 @@
 func example(id jobid.ID) (*dispatch.Transfer, control.Submission) {
 	submission := control.Submission{
 		ID:     id,
+		Label:  id.String(),
 		Team:   "team",
 		Parent: "trace",
 		Job: callerapi.Job{Service: "booking", Tasks: []callerapi.Task{
--- a/entry/handover/decode.go
+++ b/entry/handover/decode.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return &FieldError{Field: "jobs.job_id", Cause: err}
 	}
-	submission := control.Submission{ID: id, Team: job.GetTeam(), Parent: job.GetTrace()}
+	submission := control.Submission{ID: id, Label: id.String(), Team: job.GetTeam(), Parent: job.GetTrace()}
 	if err := json.Unmarshal(job.GetBody(), &submission.Job); err != nil {
 		return &FieldError{Field: "jobs.body", Cause: err}
 	}
