--- a/cmd/lovage-load/compare.go
+++ b/cmd/lovage-load/compare.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"runtime"
 
 	"lovagespread.example/cmd/internal/command"
 	"lovagespread.example/experiment/compare"
@@ -15,12 +16,13 @@
 	flags := flag.NewFlagSet(program+" compare", flag.ContinueOnError)
 	asJSON := flags.Bool("json", false, "print the rows as one JSON array instead of a table")
 	seeds := flags.Int("seeds", compare.DefaultSeeds, "number of seeds, counted from 1")
-	parallel := flags.Int("parallel", compare.DefaultParallel, "runs at a time")
+	parallel := flags.Int("parallel", max(1, runtime.GOMAXPROCS(0)/2), "runs at a time; default: half of the processors")
+	set := flags.String("set", string(compare.StandardSet), "cases to run: standard, or ablation for the policy with one mechanism switched off")
 	only := flags.String("only", "", "regular expression of scenario/policy names to run; empty: all")
 	if err := command.Parse(flags, args); err != nil {
 		return err
 	}
-	report, err := compare.Standard(*only, *seeds, *parallel)
+	report, err := compare.Compare(compare.Set(*set), *only, *seeds, *parallel)
 	if err != nil {
 		return err
 	}
