Count late task starts and rate the starts over the arrivals

Cause: a start after the last answer, which would make a not_run false, wasn't counted, and the wait for the last answers watered the rate down. Change: lovage-load run waits 2 s after the last answer before it reads the starts (-settle); task_starts_per_s covers the arrivals only. Conclusion: the figure now is the rate while jobs arrive.

--- a/cmd/lovage-load/run.go
+++ b/cmd/lovage-load/run.go
@@ -32,6 +32,7 @@
 	inFlight int
 	duration time.Duration
 	patience time.Duration
+	settle   time.Duration
 	json     bool
 	quiet    bool
 }
@@ -48,6 +49,7 @@
 	flags.IntVar(&f.inFlight, "in-flight", 20_000, "most jobs that wait for their answer at once")
 	flags.DurationVar(&f.duration, "duration", 20*time.Second, "length of the arrivals")
 	flags.DurationVar(&f.patience, "patience", 30*time.Second, "how long a caller waits for one job")
+	flags.DurationVar(&f.settle, "settle", 2*time.Second, "time after the last answer in which late task starts still count")
 	flags.BoolVar(&f.json, "json", false, "only the result, as one line of JSON, without the table for people")
 	flags.BoolVar(&f.quiet, "quiet", false, "no progress lines on standard error")
 	if err := command.Parse(flags, args); err != nil {
@@ -125,33 +127,36 @@
 	}
 	callers := newCallers(f.address, f.callers, f.patience)
 	tally := load.NewTally()
-	if err := generate(ctx, f, generator, callers, tally); err != nil {
+	if err := generate(ctx, f, generator, callers, tally, measurement); err != nil {
 		return load.Report{}, load.Detail{}, err
 	}
 	idempotent := func(name string) bool {
 		service, ok := services.Service(name)
 		return ok && service.Idempotent
 	}
-	return measurement.Report(ctx, tally, repeats(callers), idempotent)
+	return measurement.Report(context.WithoutCancel(ctx), tally, repeats(callers), idempotent)
 }
 
-func generate(ctx context.Context, f runFlags, generator *load.Generator, callers []*load.ClientCaller, tally *load.Tally) error {
+func generate(ctx context.Context, f runFlags, generator *load.Generator, callers []*load.ClientCaller, tally *load.Tally, m *load.Measurement) error {
 	stop := showProgress(f, tally)
 	defer stop()
+	var rateErr error
 	unsent, err := load.Run(ctx, load.Options{
 		Generator:   generator,
 		Callers:     asCallers(callers),
 		Duration:    f.duration,
 		Patience:    f.patience,
 		MaxInFlight: f.inFlight,
+		ArrivalsEnd: func() { rateErr = m.EndOfArrivals(context.WithoutCancel(ctx)) },
 	}, tally)
 	if unsent > 0 {
 		fmt.Fprintf(os.Stderr, "%d arrivals were not sent: raise -in-flight\n", unsent)
 	}
-	if errors.Is(err, context.Canceled) {
-		return nil // interrupted: report what came in
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return err // an interrupted run reports what came in
 	}
-	return err
+	time.Sleep(f.settle)
+	return rateErr
 }
 
 func newCallers(address string, count int, patience time.Duration) []*load.ClientCaller {
--- a/experiment/load/measure.go
+++ b/experiment/load/measure.go
@@ -13,6 +13,7 @@
 	began    time.Time
 	starts   fakeendpoint.StartReport
 	messages fakeendpoint.Messages
+	rate     float64 // task starts a second, up to EndOfArrivals
 }
 
 // Begin notes what the endpoints have seen so far.
@@ -28,10 +29,21 @@
 	return &Measurement{standins: standins, began: time.Now(), starts: starts, messages: messages}, nil
 }
 
+// EndOfArrivals notes the rate of task starts since Begin. It is 0 without
+// this call.
+func (m *Measurement) EndOfArrivals(ctx context.Context) error {
+	messages, err := m.standins.Messages(ctx)
+	if err != nil {
+		return err
+	}
+	seen := messages.Sub(m.messages)
+	m.rate = float64(seen.Tasks-seen.Refusals) / time.Since(m.began).Seconds()
+	return nil
+}
+
 // Report combines what the callers got with what the endpoints saw since
 // Begin. repeats is the number of requests that callers sent again.
 func (m *Measurement) Report(ctx context.Context, tally *Tally, repeats int64, idempotent func(service string) bool) (Report, Detail, error) {
-	seconds := time.Since(m.began).Seconds()
 	starts, err := m.standins.Starts(ctx)
 	if err != nil {
 		return Report{}, Detail{}, err
@@ -45,7 +57,7 @@
 	e := evidence{
 		starts:   starts,
 		messages: messages.Sub(m.messages),
-		seconds:  seconds,
+		rate:     m.rate,
 		repeats:  repeats,
 	}
 	report, detail := tally.report(e, idempotent)
--- a/experiment/load/report.go
+++ b/experiment/load/report.go
@@ -49,7 +49,7 @@
 type evidence struct {
 	starts   fakeendpoint.StartReport
 	messages fakeendpoint.Messages
-	seconds  float64 // over which the starts were made
+	rate     float64 // task starts a second
 	repeats  int64   // requests that callers sent again
 }
 
@@ -81,7 +81,7 @@
 		SlowdownP50:   quantile(t.slowdown, 50),
 		SlowdownP99:   quantile(t.slowdown, 99),
 		WastedPerTask: wastedPerTask(e),
-		TaskStarts:    float64(e.starts.Starts) / e.seconds,
+		TaskStarts:    e.rate,
 	}, d
 }
 
--- a/experiment/load/runner.go
+++ b/experiment/load/runner.go
@@ -25,6 +25,9 @@
 	// MaxInFlight bounds the jobs that wait for their answer. Arrivals beyond
 	// it are not sent; Run reports their number.
 	MaxInFlight int
+	// ArrivalsEnd is called once, after the last arrival and before the last
+	// answers. Optional.
+	ArrivalsEnd func()
 }
 
 // Run sends the requests that fall due and waits for their ends. It returns
@@ -32,6 +35,9 @@
 func Run(ctx context.Context, opts Options, tally *Tally) (unsent int, err error) {
 	r := &runner{opts: opts, tally: tally, start: time.Now()}
 	defer r.open.Wait()
+	if opts.ArrivalsEnd != nil {
+		defer opts.ArrivalsEnd()
+	}
 	for ctx.Err() == nil {
 		request, err := opts.Generator.Next()
 		if err != nil {
