--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -34,6 +34,9 @@
 	do.Provide(i, newVerifier)
 	do.Provide(i, newIssuer)
 	do.Provide(i, newPlatform)
+	do.Provide(i, newAppender)
+	do.Provide(i, newOutcomeWriter)
+	do.Provide(i, newOutcomeReader)
 	do.Provide(i, newEngine)
 	do.Provide(i, newPeerToken)
 	do.Provide(i, newPeerClient)
@@ -116,8 +119,10 @@
 	if err != nil {
 		return nil, err
 	}
+	meter := wire.NewMeter(do.MustInvoke[wire.Network](i).Dial)
+	do.MustInvoke[*metrics.Set](i).CountBytes("platform", meter.Sent, meter.Received)
 	transport := &http.Transport{
-		DialContext:         do.MustInvoke[wire.Network](i).Dial,
+		DialContext:         meter.Dial,
 		MaxIdleConnsPerHost: platformConnections,
 	}
 	return platform.NewClient(platform.Options{
--- a/entry/wiring_peers.go
+++ b/entry/wiring_peers.go
@@ -8,16 +8,16 @@
 
 	"github.com/samber/do/v2"
 
-	"lovagespread.example/dispatch/jobid"
 	"lovagespread.example/entry/configuration"
 	"lovagespread.example/entry/decisionlog"
 	"lovagespread.example/entry/forward"
 	"lovagespread.example/entry/heartbeat"
 	"lovagespread.example/entry/jobs"
+	"lovagespread.example/entry/metrics"
 	"lovagespread.example/entry/observe"
+	"lovagespread.example/entry/outcomes"
 	"lovagespread.example/entry/peerclient"
 	"lovagespread.example/entry/peerserver"
-	"lovagespread.example/entry/problem"
 	"lovagespread.example/entry/settings"
 	"lovagespread.example/entry/token"
 	"lovagespread.example/entry/wire"
@@ -35,7 +35,13 @@
 
 func newPeerClient(i do.Injector) (*peerclient.Client, error) {
 	shared, err := do.Invoke[peerToken](i)
-	return peerclient.New(do.MustInvoke[wire.Network](i), string(shared)), err
+	if err != nil {
+		return nil, err
+	}
+	client := peerclient.New(do.MustInvoke[wire.Network](i), string(shared))
+	meter := client.Control()
+	do.MustInvoke[*metrics.Set](i).CountBytes("peers", meter.Sent, meter.Received)
+	return client, nil
 }
 
 func newFollower(i do.Injector) (*follow.Follower, error) {
@@ -108,16 +114,11 @@
 		Loop:     e.loop,
 		Peers:    peers,
 		Observe:  do.MustInvoke[*observe.Observer](i),
-		Outcomes: noOutcomes{},
+		Outcomes: do.MustInvoke[*outcomes.Reader](i),
 		Started:  time.Now(),
 	}), nil
 }
 
-// noOutcomes knows no outcome of other entries' jobs.
-type noOutcomes struct{}
-
-func (noOutcomes) Outcome(jobid.ID) (problem.Result, bool) { return problem.Result{}, false }
-
 func newPeerHandler(i do.Injector) (http.Handler, error) {
 	shared, err := do.Invoke[peerToken](i)
 	if err != nil {
