Show the messages that the entries count during a run

Cause: what forwards and heartbeats cost couldn't be read off a run. Change: lovage-load run -admins reads the entries' counters before and after; the demo shows the sums by kind.

--- a/cmd/lovage-load/run.go
+++ b/cmd/lovage-load/run.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -25,6 +26,7 @@
 type runFlags struct {
 	control  string
 	address  string
+	admins   string
 	services string
 	seed     uint64
 	load     float64
@@ -42,6 +44,7 @@
 	flags := flag.NewFlagSet(program+" run", flag.ContinueOnError)
 	flags.StringVar(&f.control, "control", "", "control listener of lovage-standin, `host:port` (required)")
 	flags.StringVar(&f.address, "address", "", "balancer or entry that callers speak to, `host:port` (required)")
+	flags.StringVar(&f.admins, "admins", "", "admin listeners of the entries, `host:port,...`, whose message counts are shown (default: none)")
 	flags.StringVar(&f.services, "services", "", "services text `file` (required)")
 	flags.Uint64Var(&f.seed, "seed", 1, "seed of arrivals, sizes and run times")
 	flags.Float64Var(&f.load, "load", 0.5, "offered work as a share of what all slots can do")
@@ -121,7 +124,7 @@
 	if err != nil {
 		return load.Report{}, load.Detail{}, err
 	}
-	measurement, err := load.Begin(ctx, standins)
+	measurement, err := load.Begin(ctx, standins, splitList(f.admins)...)
 	if err != nil {
 		return load.Report{}, load.Detail{}, err
 	}
@@ -137,6 +140,14 @@
 	return measurement.Report(context.WithoutCancel(ctx), tally, repeats(callers), idempotent)
 }
 
+// splitList splits a list at its commas; an empty one has no elements.
+func splitList(list string) []string {
+	if list == "" {
+		return nil
+	}
+	return strings.Split(list, ",")
+}
+
 func generate(ctx context.Context, f runFlags, generator *load.Generator, callers []*load.ClientCaller, tally *load.Tally, m *load.Measurement) error {
 	stop := showProgress(f, tally)
 	defer stop()
--- a/experiment/load/inforce.go
+++ b/experiment/load/inforce.go
@@ -1,25 +1,19 @@
 package load
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/go-faster/errors"
 )
 
 // versionMetric is the gauge by which an entry tells its configuration.
 const versionMetric = "lovage_configuration_version "
 
-const (
-	inForceInterval = 20 * time.Millisecond
-	metricsTimeout  = 2 * time.Second
-)
+// inForceInterval is the time between looks at the entries.
+const inForceInterval = 20 * time.Millisecond
 
 // InForce is how far a version of the configuration has come.
 type InForce struct {
@@ -77,23 +71,13 @@
 }
 
 func configurationVersion(ctx context.Context, admin string) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, metricsTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/metrics", nil)
+	lines, err := metricLines(ctx, admin, versionMetric)
 	if err != nil {
-		return 0, errors.Wrap(err, "admin address")
+		return 0, err
 	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, errors.Wrap(err, "read the metrics")
-	}
-	defer res.Body.Close()
-	lines := bufio.NewScanner(res.Body)
-	for lines.Scan() {
-		if text, ok := strings.CutPrefix(lines.Text(), versionMetric); ok {
-			value, err := strconv.ParseFloat(text, 64)
-			return uint64(value), err
-		}
+	if len(lines) == 0 {
+		return 0, &NoMetricError{Admin: admin}
 	}
-	return 0, &NoMetricError{Admin: admin}
+	value, err := strconv.ParseFloat(lines[0], 64)
+	return uint64(value), err
 }
--- a/experiment/load/measure.go
+++ b/experiment/load/measure.go
@@ -13,11 +13,14 @@
 	began    time.Time
 	starts   fakeendpoint.StartReport
 	messages fakeendpoint.Messages
+	admins   []string
+	entries  map[string]EntryMessages
 	rate     float64 // task starts a second, up to EndOfArrivals
 }
 
-// Begin notes what the endpoints have seen so far.
-func Begin(ctx context.Context, standins *Standins) (*Measurement, error) {
+// Begin notes what the endpoints have seen so far, and what the entries at
+// the given admin addresses, host:port, have counted.
+func Begin(ctx context.Context, standins *Standins, admins ...string) (*Measurement, error) {
 	starts, err := standins.Starts(ctx)
 	if err != nil {
 		return nil, err
@@ -26,7 +29,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Measurement{standins: standins, began: time.Now(), starts: starts, messages: messages}, nil
+	return &Measurement{
+		standins: standins,
+		began:    time.Now(),
+		starts:   starts,
+		messages: messages,
+		admins:   admins,
+		entries:  entryMessages(ctx, admins),
+	}, nil
 }
 
 // EndOfArrivals notes the rate of task starts since Begin. It is 0 without
@@ -61,5 +71,6 @@
 		repeats:  repeats,
 	}
 	report, detail := tally.report(e, idempotent)
+	detail.Entries = sumSince(m.entries, entryMessages(ctx, m.admins))
 	return report, detail, nil
 }
--- a/experiment/load/report.go
+++ b/experiment/load/report.go
@@ -29,10 +29,11 @@
 
 // Detail is what people want to see besides a Report.
 type Detail struct {
-	Codes    map[callerapi.Code]int   `json:"codes"`    // of failed and unknown jobs
-	Services map[string]ServiceDetail `json:"services"` // complete jobs
-	Messages fakeendpoint.Messages    `json:"messages"` // at the endpoints
-	Repeats  int64                    `json:"repeats"`  // requests that callers sent again
+	Codes    map[callerapi.Code]int   `json:"codes"`          // of failed and unknown jobs
+	Services map[string]ServiceDetail `json:"services"`       // complete jobs
+	Messages fakeendpoint.Messages    `json:"messages"`       // at the endpoints
+	Entries  EntryMessages            `json:"entry_messages"` // as the entries count them; a killed one takes its count along
+	Repeats  int64                    `json:"repeats"`        // requests that callers sent again
 	Doubles  []fakeendpoint.Repeated  `json:"double_starts"`
 	Broken   []string                 `json:"false_not_run"` // names of requests
 }
--- a/experiment/load/report_test.go
+++ b/experiment/load/report_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -137,25 +138,54 @@
 func measured(t *testing.T, tally *load.Tally, starts fakeendpoint.StartReport) load.Report {
 	t.Helper()
 	seen := fakeendpoint.StartReport{}
+	m, err := load.Begin(t.Context(), stubStandins(t, &seen))
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen = starts
+	idempotent := func(service string) bool { return service == "look" }
+	report, _, err := m.Report(t.Context(), tally, 0, idempotent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+// stubStandins reports the given starts and no messages.
+func stubStandins(t *testing.T, starts *fakeendpoint.StartReport) *load.Standins {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/starts" {
-			_ = json.NewEncoder(w).Encode(seen)
+			_ = json.NewEncoder(w).Encode(starts)
 			return
 		}
 		_ = json.NewEncoder(w).Encode(fakeendpoint.Messages{})
 	}))
-	defer server.Close()
-	m, err := load.Begin(t.Context(), load.NewStandins(strings.TrimPrefix(server.URL, "http://")))
+	t.Cleanup(server.Close)
+	return load.NewStandins(strings.TrimPrefix(server.URL, "http://"))
+}
+
+func TestEntryMessagesAreCountedSinceTheBeginning(t *testing.T) {
+	forwards := map[string]int{"steady": 10, "restarted": 10}
+	admin := func(name string) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprintf(w, "lovage_messages_total{kind=\"forward\"} %d\n", forwards[name])
+		}))
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	standins := stubStandins(t, &fakeendpoint.StartReport{})
+	m, err := load.Begin(t.Context(), standins, admin("steady"), admin("restarted"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	seen = starts
-	idempotent := func(service string) bool { return service == "look" }
-	report, _, err := m.Report(t.Context(), tally, 0, idempotent)
+	forwards["steady"], forwards["restarted"] = 15, 4
+	_, detail, err := m.Report(t.Context(), load.NewTally(), 0, func(string) bool { return true })
 	if err != nil {
 		t.Fatal(err)
 	}
-	return report
+	if want := "9 forward"; detail.Entries.String() != want {
+		t.Errorf("entries counted %q, want %q", detail.Entries, want)
+	}
 }
 
 func TestBrokenPromisesAreSeen(t *testing.T) {
--- a/experiment/load/table.go
+++ b/experiment/load/table.go
@@ -33,6 +33,9 @@
 	if err != nil {
 		return err
 	}
+	if len(d.Entries) > 0 {
+		fmt.Fprintln(out, "counted by the entries:", d.Entries)
+	}
 	for _, r := range d.Doubles {
 		fmt.Fprintf(out, "started %d times: task %d of %s (%s)\n", r.Count, r.Index, r.Job, r.Service)
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -75,7 +75,7 @@
 [[ -z $services ]] || layout+=(-services "$services")
 start_all "${layout[@]}"
 "$bin/lovage-load" run -control "$CONTROL" -address "$BALANCER" -services "$SERVICES" \
-    -duration "${seconds}s" -load "$offered" >"$dir/result.json" &
+    -admins "$(join_by , "${ADMINS[@]}")" -duration "${seconds}s" -load "$offered" >"$dir/result.json" &
 pids[load]=$!
 
 step=$((seconds / 6))
