--- a/entry/wiring_peers.go
+++ b/entry/wiring_peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/samber/do/v2"
+	"go.uber.org/zap"
 
 	"lovagespread.example/entry/configuration"
 	"lovagespread.example/entry/decisionlog"
@@ -19,6 +20,7 @@
 	"lovagespread.example/entry/peerclient"
 	"lovagespread.example/entry/peerserver"
 	"lovagespread.example/entry/settings"
+	"lovagespread.example/entry/tlsfiles"
 	"lovagespread.example/entry/token"
 	"lovagespread.example/entry/wire"
 	"lovagespread.example/platform"
@@ -38,12 +40,28 @@
 	if err != nil {
 		return nil, err
 	}
-	client := peerclient.New(do.MustInvoke[wire.Network](i), string(shared))
+	secure, err := do.Invoke[*tlsfiles.Source](i)
+	if err != nil {
+		return nil, err
+	}
+	client := peerclient.New(do.MustInvoke[wire.Network](i), secure, string(shared))
 	meter := client.Control()
 	do.MustInvoke[*metrics.Set](i).CountBytes("peers", meter.Sent, meter.Received)
 	return client, nil
 }
 
+func newTLS(i do.Injector) (*tlsfiles.Source, error) {
+	s := do.MustInvoke[settings.Settings](i).TLS
+	log, err := do.Invoke[*decisionlog.Log](i)
+	if err != nil {
+		return nil, err
+	}
+	files := tlsfiles.Files{Certificate: s.CertificateFile, Key: s.KeyFile, PeerCA: s.PeerCAFile}
+	return tlsfiles.Open(files, func(err error) {
+		log.Error("changed TLS files are not in use", zap.Error(err))
+	})
+}
+
 func newFollower(i do.Injector) (*follow.Follower, error) {
 	log, err := do.Invoke[*platform.Client](i)
 	if err != nil {
--- a/experiment/load/report.go
+++ b/experiment/load/report.go
@@ -29,10 +29,11 @@
 
 // Detail is what people want to see besides a Report.
 type Detail struct {
-	Codes    map[callerapi.Code]int   `json:"codes"`    // of failed and unknown jobs
-	Services map[string]ServiceDetail `json:"services"` // complete jobs
-	Messages fakeendpoint.Messages    `json:"messages"` // at the endpoints
-	Repeats  int64                    `json:"repeats"`  // requests that callers sent again
+	Codes    map[callerapi.Code]int   `json:"codes"`          // of failed and unknown jobs
+	Services map[string]ServiceDetail `json:"services"`       // complete jobs
+	Messages fakeendpoint.Messages    `json:"messages"`       // at the endpoints
+	Entries  EntryMessages            `json:"entry_messages"` // as the entries count them; a killed one takes its count along
+	Repeats  int64                    `json:"repeats"`        // requests that callers sent again
 	Doubles  []fakeendpoint.Repeated  `json:"double_starts"`
 	Broken   []string                 `json:"false_not_run"` // names of requests
 }
@@ -49,7 +50,7 @@
 type evidence struct {
 	starts   fakeendpoint.StartReport
 	messages fakeendpoint.Messages
-	seconds  float64 // over which the starts were made
+	rate     float64 // task starts a second
 	repeats  int64   // requests that callers sent again
 }
 
@@ -81,7 +82,7 @@
 		SlowdownP50:   quantile(t.slowdown, 50),
 		SlowdownP99:   quantile(t.slowdown, 99),
 		WastedPerTask: wastedPerTask(e),
-		TaskStarts:    float64(e.starts.Starts) / e.seconds,
+		TaskStarts:    e.rate,
 	}, d
 }
 
