Hand jobs over at a planned stop of an entry

Cause: a planned stop drained its jobs and took the answers with it.

Change: a stopping entry hands its jobs to the successor that membership names, forwards callers to it, tells it the fates of the tasks that ran here and exits when none runs. Without a live entry it drains as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"lovagespread.example/entry/heartbeat"
 	"lovagespread.example/entry/outcomes"
 	"lovagespread.example/entry/settings"
+	"lovagespread.example/entry/succession"
 	"lovagespread.example/entry/vmlist"
 	"lovagespread.example/entry/wire"
 	"lovagespread.example/membership"
@@ -42,6 +43,7 @@
 	outcomes  *outcomes.Writer
 	announcer *heartbeat.Announcer
 	heartbeat *heartbeat.Heartbeater
+	giver     *succession.Giver
 	servers   []*server
 	stopping  atomic.Bool
 	asked     chan struct{} // closed when an operator asks for a stop
@@ -100,6 +102,7 @@
 		func() (err error) { e.outcomes, err = do.Invoke[*outcomes.Writer](i); return err },
 		func() (err error) { e.announcer, err = do.Invoke[*heartbeat.Announcer](i); return err },
 		func() (err error) { e.heartbeat, err = do.Invoke[*heartbeat.Heartbeater](i); return err },
+		func() (err error) { e.giver, err = do.Invoke[*succession.Giver](i); return err },
 		func() (err error) { e.servers, err = newServers(i, e); return err },
 	} {
 		if err := set(); err != nil {
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -8,8 +8,10 @@
 	"go.uber.org/zap"
 )
 
-// stop ends the entry gracefully: /readyz goes off, the balancer gets time to
-// see it, no new job is admitted, and those admitted run to their end.
+// stop ends the entry gracefully: /readyz goes off, the jobs are handed over to
+// another entry and callers forwarded to it, the tasks that run here end, and
+// the balancer gets time to see it all. If no entry takes the jobs over, no new
+// job is admitted and those admitted run to their end.
 func (e *Entry) stop() error {
 	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Limits.StopTimeout)
 	defer cancel()
@@ -17,6 +19,7 @@
 	e.log.Info("stopping")
 	e.announcer.Leave(0)
 	e.heartbeat.Farewell(ctx)
+	e.handOver(ctx)
 	pause(ctx, balancerNotice)
 	e.engine.loop.Drain()
 	left := e.awaitJobs(ctx)
@@ -30,6 +33,20 @@
 	return nil
 }
 
+// handOver gives all jobs to a successor, if there is one, and tells it how the
+// tasks end that run here.
+func (e *Entry) handOver(ctx context.Context) {
+	successor, ok := e.giver.Give(ctx)
+	if !ok {
+		return
+	}
+	e.announcer.Leave(successor.Incarnation)
+	e.heartbeat.Farewell(ctx)
+	if err := e.giver.Tell(ctx, successor); err != nil {
+		e.log.Error("hand-over incomplete", zap.Error(err))
+	}
+}
+
 // awaitJobs waits until no job is open and returns the number that is left.
 func (e *Entry) awaitJobs(ctx context.Context) int {
 	for {
--- a/entry/succession/give.go
+++ b/entry/succession/give.go
@@ -11,6 +11,7 @@
 	"lovagespread.example/dispatch/jobid"
 	"lovagespread.example/entry/control"
 	"lovagespread.example/entry/handover"
+	"lovagespread.example/entry/metrics"
 	"lovagespread.example/entry/peerclient"
 	"lovagespread.example/membership"
 	"lovagespread.example/peer/peerpb"
@@ -36,7 +37,9 @@
 	Loop  *control.Loop
 	Codec handover.Codec
 	Peers Peers
-	Log   *zap.Logger
+	// Message counts a message of the given kind.
+	Message func(kind string)
+	Log     *zap.Logger
 }
 
 // Giver hands the jobs of this entry over at a planned stop.
@@ -99,6 +102,7 @@
 		g.opts.Log.Error("hand-over cannot be encoded", zap.Error(err))
 		return unsent(first)
 	}
+	g.opts.Message(metrics.KindHandOver)
 	response, err := g.opts.Peers.HandOver(ctx, to.Address, request)
 	if err == nil {
 		return g.outcomeOf(response, first)
@@ -187,6 +191,7 @@
 		return err
 	}
 	for {
+		g.opts.Message(metrics.KindHandOver)
 		response, err := g.opts.Peers.HandOver(ctx, to.Address, request)
 		if err == nil && response.GetAccepted() {
 			return nil
--- /dev/null
+++ b/entry/succession_test.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+
+	"lovagespread.example/client/callerapi"
+)
+
+func TestPlannedStopHandsJobsOver(t *testing.T) {
+	b := newTestbed(t)
+	b.addEndpoint("e1", "booking")
+	leaving := b.start(b.settings("entry-1"))
+	successor := b.start(b.settings("entry-2"))
+	b.awaitPeers(leaving, successor)
+	ended, open, later := leaving.newID(), leaving.newID(), leaving.newID()
+	whole := leaving.do(http.MethodPut, "/v1/jobs/"+ended+"?wait=10s", jobOf("booking", 2, 1)).answer(t)
+	checkResults(t, whole, 2)
+
+	const tasks = 12
+	done := make(chan response, 1)
+	go func() { done <- leaving.do(http.MethodPut, "/v1/jobs/"+open+"?wait=15s", jobOf("booking", tasks, 300)) }()
+	eventually(t, "the job has started", func() bool { return totalStarts(b) > 2 })
+	leaving.stop()
+	checkResults(t, (<-done).answer(t), tasks)
+
+	checkResults(t, successor.do(http.MethodGet, "/v1/jobs/"+open+"?wait=10s", "").answer(t), tasks)
+	checkResults(t, successor.do(http.MethodGet, "/v1/jobs/"+ended, "").answer(t), 2)
+	checkResults(t, successor.do(http.MethodPut, "/v1/jobs/"+later+"?wait=10s", jobOf("booking", 3, 1)).answer(t), 3)
+	if starts := totalStarts(b); starts != tasks+5 {
+		t.Errorf("%d starts for %d tasks", starts, tasks+5)
+	}
+}
+
+func TestTwoNeighboursStopOneAfterTheOther(t *testing.T) {
+	b := newTestbed(t)
+	b.addEndpoint("e1", "booking")
+	first := b.start(b.settings("entry-1"))
+	second := b.start(b.settings("entry-2"))
+	third := b.start(b.settings("entry-3"))
+	b.awaitPeers(first, second, third)
+	id := first.newID()
+	const tasks = 12
+	done := make(chan response, 1)
+	go func() { done <- first.do(http.MethodPut, "/v1/jobs/"+id+"?wait=15s", jobOf("booking", tasks, 300)) }()
+	eventually(t, "the job has started", func() bool { return totalStarts(b) > 0 })
+	first.stop()
+	second.stop()
+	checkResults(t, (<-done).answer(t), tasks)
+	checkResults(t, third.do(http.MethodGet, "/v1/jobs/"+id+"?wait=10s", "").answer(t), tasks)
+	if starts := totalStarts(b); starts != tasks {
+		t.Errorf("%d starts for %d tasks", starts, tasks)
+	}
+}
+
+func TestUnsubmittedIDOfAStoppedEntryIsRefusedTruthfully(t *testing.T) {
+	b := newTestbed(t)
+	b.addEndpoint("e1", "booking")
+	leaving := b.start(b.settings("entry-1"))
+	successor := b.start(b.settings("entry-2"))
+	b.awaitPeers(leaving, successor)
+	id := leaving.newID()
+	leaving.stop()
+	p := successor.do(http.MethodGet, "/v1/jobs/"+id, "").problem(t)
+	if p.Execution != callerapi.NotRun {
+		t.Fatalf("problem %+v", p)
+	}
+	if got := successor.do(http.MethodPut, "/v1/jobs/"+id, jobOf("booking", 1, 1)).problem(t); got.Execution != callerapi.NotRun {
+		t.Fatalf("problem %+v", got)
+	}
+	if starts := totalStarts(b); starts != 0 {
+		t.Errorf("%d starts of an ID that was called not run", starts)
+	}
+}
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -49,6 +49,9 @@
 	do.Provide(i, newHeartbeater)
 	do.Provide(i, newForwarder)
 	do.Provide(i, newJobs)
+	do.Provide(i, newCodec)
+	do.Provide(i, newTaker)
+	do.Provide(i, newGiver)
 	return i
 }
 
--- a/entry/wiring_peers.go
+++ b/entry/wiring_peers.go
@@ -20,6 +20,7 @@
 	"lovagespread.example/entry/peerclient"
 	"lovagespread.example/entry/peerserver"
 	"lovagespread.example/entry/settings"
+	"lovagespread.example/entry/succession"
 	"lovagespread.example/entry/tlsfiles"
 	"lovagespread.example/entry/token"
 	"lovagespread.example/entry/wire"
@@ -150,11 +151,15 @@
 	if err != nil {
 		return nil, err
 	}
+	taker, err := do.Invoke[*succession.Taker](i)
+	if err != nil {
+		return nil, err
+	}
 	return peerserver.NewHandler(peerserver.Options{
 		Jobs:           service,
 		Heartbeats:     heartbeater,
 		Configurations: do.MustInvoke[*configuration.Keeper](i),
-		HandOvers:      noSuccession{},
+		HandOvers:      taker,
 		Tokens:         token.Single("peer", string(shared)),
 	}), nil
 }
