Bring about a gone owner in the outcome test by a stop without successor

Cause: TestOutcomeIsFoundAfterItsOwnerHasGone took a planned stop for an owner that is gone with its record. A planned stop now hands the record over, so that the successor answers what the log answered before.

Change: its owner stops while no hand-over reaches anybody; what the test asks for is unchanged.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -150,7 +150,7 @@
 		return len(b.platform.Records(platform.StreamOutcomes)) > 0
 	})
 	never := owner.newID()
-	owner.stop()
+	owner.stopWithoutSuccessor()
 	var got response
 	eventually(t, "the outcome is found", func() bool {
 		got = other.do(http.MethodGet, "/v1/jobs/"+id, "")
--- a/entry/succession_test.go
+++ b/entry/succession_test.go
@@ -1,12 +1,50 @@
 package entry
 
 import (
+	"context"
+	"encoding/hex"
+	"errors"
 	"net/http"
 	"testing"
 
 	"lovagespread.example/client/callerapi"
+	"lovagespread.example/dispatch/jobid"
+	"lovagespread.example/entry/handover"
+	"lovagespread.example/entry/peerclient"
+	"lovagespread.example/entry/succession"
+	"lovagespread.example/peer/peerpb"
 )
 
+// unreachable are peers that no hand-over reaches.
+type unreachable struct{}
+
+func (unreachable) HandOver(context.Context, string, *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error) {
+	return nil, &peerclient.NotDeliveredError{Cause: errors.New("cut off")}
+}
+
+// stopWithoutSuccessor ends the entry gracefully while its hand-over reaches
+// nobody, so that its record is gone with it.
+func (r *running) stopWithoutSuccessor() {
+	r.t.Helper()
+	secret, err := hex.DecodeString(testKey)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	verifier, err := jobid.NewVerifier(jobid.Key{Number: 1, Secret: secret})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.giver = succession.NewGiver(succession.Options{
+		Self:    incarnationOf(r.self),
+		Loop:    r.engine.loop,
+		Codec:   handover.Codec{Verifier: verifier},
+		Peers:   unreachable{},
+		Message: func(string) {},
+		Log:     r.log.Logger,
+	})
+	r.stop()
+}
+
 func TestPlannedStopHandsJobsOver(t *testing.T) {
 	b := newTestbed(t)
 	b.addEndpoint("e1", "booking")
