--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 RACE     := $(if $(shell command -v $(or $(CC),gcc) 2>/dev/null),-race,)
 
 .PHONY: build demo test up format-check vet lint unit check-model generate tools
+.PHONY: bench compare ablation
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -44,6 +45,18 @@
 	cd peer && PATH=$(BIN):$$PATH protoc --go_out=paths=source_relative:. \
 		--twirp_out=paths=source_relative:. peerpb/peer.proto
 
+# Time and allocations of the decisions.
+bench:
+	go test ./dispatch/... -run '^$$' -bench . -benchmem
+
+# The policy against the baselines, in virtual time; ends with one JSON line.
+compare:
+	@go run ./cmd/lovage-load compare
+
+# The policy with one mechanism switched off at a time.
+ablation:
+	@go run ./cmd/lovage-load compare -set ablation
+
 # Runs a whole deployment on this VM; SERVICES names a services text of one's own.
 demo:
 	@./scripts/demo.sh $(SERVICES)
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -10,6 +10,7 @@
 
 	"lovagespread.example/dispatch/jobid"
 	"lovagespread.example/entry/decisionlog"
+	"lovagespread.example/entry/explain"
 	"lovagespread.example/entry/jobs"
 	"lovagespread.example/entry/keys"
 	"lovagespread.example/entry/metrics"
@@ -26,6 +27,7 @@
 	do.ProvideValue(i, options.network)
 	do.ProvideValue(i, s)
 	do.ProvideValue(i, metrics.New())
+	do.ProvideValue(i, explain.NewRing())
 	do.Provide(i, newLog)
 	do.Provide(i, newObserver)
 	do.Provide(i, newListeners)
@@ -38,6 +40,7 @@
 	do.Provide(i, newOutcomeWriter)
 	do.Provide(i, newOutcomeReader)
 	do.Provide(i, newEngine)
+	do.Provide(i, newTLS)
 	do.Provide(i, newPeerToken)
 	do.Provide(i, newPeerClient)
 	do.Provide(i, newFollower)
@@ -46,6 +49,9 @@
 	do.Provide(i, newHeartbeater)
 	do.Provide(i, newForwarder)
 	do.Provide(i, newJobs)
+	do.Provide(i, newCodec)
+	do.Provide(i, newTaker)
+	do.Provide(i, newGiver)
 	return i
 }
 
@@ -59,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return observe.New(log.Logger, do.MustInvoke[*metrics.Set](i)), nil
+	return observe.New(log.Logger, do.MustInvoke[*metrics.Set](i), do.MustInvoke[*explain.Ring](i)), nil
 }
 
 // newSelf describes this run of the entry.
