Show entries side by side, explain jobs and stop entries with lovagectl

Cause: operators had to speak to the administration API by hand.

With -json a failing command writes one document, not two. Transcripts no longer depend on the width of addresses.

Conclusion: the transcripts run against a stand-in of the API; a run against a real entry has not been made.

--- a/cmd/lovagectl/invocation.go
+++ b/cmd/lovagectl/invocation.go
@@ -19,6 +19,7 @@
 	raw    []string
 	flags  *flag.FlagSet
 	json   bool
+	wrote  bool // a JSON document was written
 	stdout io.Writer
 	stderr io.Writer
 }
@@ -65,12 +66,13 @@
 
 func (in *invocation) report(err error, code exitCode) {
 	fmt.Fprintln(in.stderr, err)
-	if in.json && code != exitProblems {
+	if in.json && !in.wrote {
 		_ = in.writeJSON(failure{Error: err.Error(), ExitCode: int(code)})
 	}
 }
 
 func (in *invocation) writeJSON(document any) error {
+	in.wrote = true
 	encoder := json.NewEncoder(in.stdout)
 	encoder.SetEscapeHTML(false)
 	encoder.SetIndent("", "  ")
--- a/cmd/lovagectl/main.go
+++ b/cmd/lovagectl/main.go
@@ -40,6 +40,9 @@
 		{"raise-format", "NUMBER", "put a newer record format in use, once every program reads it", raiseFormat},
 		{"export", "", "write the version in force as a snapshot", export},
 		{"restore", "FILE", "write a snapshot to a log that has forgotten the configuration", restore},
+		{"entries", "ADMIN...", "show the status of the entries at these admin addresses, host:port", entries},
+		{"explain", "ADMIN JOB", "show an entry's decisions about a job, by its label in the log", explain},
+		{"stop", "ADMIN", "begin the planned stop of an entry", stopEntry},
 		{"version", "", "print the version of this program", version},
 	}
 }
--- a/cmd/lovagectl/main_test.go
+++ b/cmd/lovagectl/main_test.go
@@ -28,6 +28,7 @@
 	{regexp.MustCompile(`http://127.0.0.1:\d+`), "URL"},
 	{regexp.MustCompile(`127.0.0.1:\d+`), "ADDRESS"},
 	{regexp.MustCompile(` +\n`), "\n"},
+	{regexp.MustCompile(`(\S) {2,}`), "$1  "},
 }
 
 type bench struct {
@@ -43,7 +44,8 @@
 //	run ARGS...   run lovagectl; PLATFORM stands for the flag of the stand-in
 //	forget N      make the log forget the records before offset N
 //	append        append a raw record
-//	entry V       start an entry that is at version V; ENTRIES lists all
+//	entry V       start an entry that is at version V; ENTRIES lists all, FIRST
+//	              is the first, or an address where none is
 //	down          break the platform; "up" mends it
 func TestCommands(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -90,18 +92,38 @@
 	return ""
 }
 
-// entry serves the metric by which an entry tells its version.
+// entry serves what lovagectl asks an entry at a version for.
 func (b *bench) entry(t *testing.T, version string) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprintf(w, "lovage_configuration_version %s\n", version)
-	}))
+	mux := http.NewServeMux()
+	reply := func(pattern, body string) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, body) })
+	}
+	reply("GET /metrics", "lovage_configuration_version "+version+"\n")
+	reply("GET /v1/status", `{"entry":{"name":"entry-1","failure_domain":"lodz-a"},"ready":true,"configuration":{"version":`+
+		version+`,"digest":"00ff"},"open_jobs":3,"others":[{"state":"live"},{"state":"suspect"}],"endpoints":[{"state":"live"}]}`)
+	reply("GET /v1/jobs/7c/decisions", `{"decisions":[{"time":"2026-01-01T00:00:00Z","kind":"start","task":2,"attempt":1,`+
+		`"endpoint":"e1","eligible":4,"urgency":0.5,"reason":"least_loaded"}]}`)
+	reply("POST /v1/stop", "")
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNotFound)
+		fmt.Fprint(w, `{"detail":"this entry keeps no decision about the job"}`)
+	})
+	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	b.entries = append(b.entries, strings.TrimPrefix(server.URL, "http://"))
 }
 
+// first returns the address of the first entry.
+func (b *bench) first() string {
+	if len(b.entries) == 0 {
+		return "127.0.0.1:1"
+	}
+	return b.entries[0]
+}
+
 func (b *bench) run(t *testing.T, args []string) string {
 	for i, arg := range args {
-		args[i] = strings.NewReplacer("DIR", b.dir, "ENTRIES", strings.Join(b.entries, ",")).Replace(arg)
+		args[i] = strings.NewReplacer("DIR", b.dir, "ENTRIES", strings.Join(b.entries, ","), "FIRST", b.first()).Replace(arg)
 	}
 	for i, arg := range args {
 		if arg == "PLATFORM" {
