Check names in settings and, if asked, the files that they name

Cause: a name with a space got into metrics and lists; a missing key file was noticed at the start of an entry only.

Change: name, region and failure domain of an entry follow the same rule as services; lovagectl check -files opens the files that settings name.

--- a/catalog/check.go
+++ b/catalog/check.go
@@ -94,8 +94,8 @@
 }
 
 func (k *checker) name(key, name string) {
-	if !validName(name) {
-		k.add(key, fmt.Sprintf("%q is not a valid name", strings.ToValidUTF8(name, "?")), nameRemedy)
+	if !ValidName(name) {
+		k.add(key, fmt.Sprintf("%q is not a valid name", strings.ToValidUTF8(name, "?")), NameRemedy)
 	}
 }
 
--- a/catalog/parse.go
+++ b/catalog/parse.go
@@ -121,19 +121,19 @@
 
 func parseName(t *tomlcheck.Table) string {
 	name := t.String("name", tomlcheck.Required)
-	if name != "" && !validName(name) {
-		t.Add("name", "is not a valid name", nameRemedy)
+	if name != "" && !ValidName(name) {
+		t.Add("name", "is not a valid name", NameRemedy)
 	}
 	return name
 }
 
-// Remedies that several checks name.
-const (
-	nameRemedy    = "use 1 to 128 letters, digits, '-', '_' or '.'"
-	timeoutRemedy = "raise timeout or lower run_time"
-)
+// NameRemedy tells what ValidName accepts.
+const NameRemedy = "use 1 to 128 letters, digits, '-', '_' or '.'"
+
+const timeoutRemedy = "raise timeout or lower run_time"
 
-func validName(name string) bool {
+// ValidName reports whether a service, team, entry or place may have a name.
+func ValidName(name string) bool {
 	if len(name) == 0 || len(name) > MaxNameBytes {
 		return false
 	}
--- a/cmd/lovagectl/check.go
+++ b/cmd/lovagectl/check.go
@@ -21,13 +21,14 @@
 
 func check(in *invocation) error {
 	kind := in.flags.String("kind", "auto", "what the files are: settings, services, or auto to tell by their tables")
+	opened := in.flags.Bool("files", false, "also check that the files named by settings can be read here")
 	files, err := in.parse(1, -1)
 	if err != nil {
 		return err
 	}
 	all := &tomlcheck.Problems{}
 	for _, file := range files {
-		err := checkFile(*kind, file)
+		err := checkFile(*kind, file, *opened)
 		var problems *tomlcheck.Problems
 		if errors.As(err, &problems) {
 			all.List = append(all.List, problems.List...)
@@ -49,7 +50,7 @@
 	})
 }
 
-func checkFile(kind, file string) error {
+func checkFile(kind, file string, opened bool) error {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return errors.Wrap(err, "name a readable file")
@@ -61,13 +62,21 @@
 	case "services":
 		_, err = catalog.ParseServices(file, text)
 	case "settings":
-		_, err = settings.Parse(file, text)
+		err = checkSettings(file, text, opened)
 	default:
 		return usagef("unknown kind %q: use settings, services or auto", kind)
 	}
 	return err
 }
 
+func checkSettings(file string, text []byte, opened bool) error {
+	s, err := settings.Parse(file, text)
+	if err != nil || !opened {
+		return err
+	}
+	return s.CheckFiles(file)
+}
+
 // guessKind tells a services text by its tables.
 func guessKind(text []byte) string {
 	var probe struct {
--- a/entry/settings/load.go
+++ b/entry/settings/load.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"lovagespread.example/catalog"
 	"lovagespread.example/catalog/tomlcheck"
 )
 
@@ -51,9 +52,9 @@
 	root := doc.Root()
 	t := openTables(root)
 	s := Settings{
-		Name:          root.String("name", tomlcheck.Required),
-		Region:        root.String("region", tomlcheck.Required),
-		FailureDomain: root.String("failure_domain", tomlcheck.Required),
+		Name:          parseName(root, "name"),
+		Region:        parseName(root, "region"),
+		FailureDomain: parseName(root, "failure_domain"),
 		Listen:        parseListen(t.listen),
 		Platform:      parsePlatform(t.platform),
 		JobIDs:        parseJobIDs(t.jobIDs),
@@ -91,6 +92,14 @@
 	"urgency":           "remove it: urgency is inferred",
 }
 
+func parseName(t *tomlcheck.Table, key string) string {
+	name := t.String(key, tomlcheck.Required)
+	if name != "" && !catalog.ValidName(name) {
+		t.Add(key, "is not a valid name", catalog.NameRemedy)
+	}
+	return name
+}
+
 func parseListen(t *tomlcheck.Table) Listen {
 	l := Listen{
 		Caller: t.String("caller", tomlcheck.Required),
