Find slow endpoints by their overdue tasks and hedge there only

Change: an attempt is overdue past a high quantile of run time over expected run time; an endpoint with two of them is doubtful and its idempotent tasks are hedged; a slow endpoint comes back through probation. Jobs get their key once, since the order looks at nothing that changes.

--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -17,6 +17,7 @@
 	service *service
 	state   EndpointState
 	share   int // slots that this entry owns
+	overdue []*run
 	paused  int // slots left alone for a while
 	record  outlier.Record
 	listed  bool // in the newest list
--- a/dispatch/estimate/estimate.go
+++ b/dispatch/estimate/estimate.go
@@ -20,9 +20,10 @@
 	maxHint     = 2.0  // factor by which a declaration alone moves an estimate
 	accuracy    = 0.02 // relative, of quantiles
 	sketchBins  = 512
-	window      = 4096 // run times until a sketch starts again
-	minQuantile = 400  // run times before a quantile is trusted
-	refresh     = 128  // run times between two computations of quantiles
+	window      = 1024 // values until a sketch starts again
+	sampleEvery = 4    // run times of which one goes into a sketch
+	minQuantile = 200  // values before a quantile is trusted
+	refresh     = 32   // values between two computations of quantiles
 	defaultRun  = 200 * time.Millisecond
 	perOctave   = 4 // size classes for each doubling
 	classes     = 20 * perOctave
@@ -74,16 +75,16 @@
 	all     average
 	classes [classes]average
 	teams   map[teamClass]*average
-	tails   [classes / perOctave]tail
+	ratios  tail    // run time ÷ expected run time
 	prior   float64 // logarithm of seconds
 	learned bool    // false: declarations are taken for the truth
 }
 
-// tail holds the quantiles of one class.
+// tail holds a high quantile of the newest values.
 type tail struct {
 	current, previous *ddsketch.DDSketch
 	runs              int
-	high              time.Duration // 0: not known
+	high              float64 // 0: not known
 }
 
 // New returns estimates that start from the given prior. Zero means none.
@@ -127,8 +128,9 @@
 	return min(max(trust*(math.Log(class.middle())-service), -limit), limit)
 }
 
-// Observe learns from a task that ran to its end.
-func (s *Service) Observe(team int, class Class, run time.Duration) {
+// Observe learns from a task that ran to its end. expected is what Expect
+// said of it.
+func (s *Service) Observe(team int, class Class, expected, run time.Duration) {
 	if run <= 0 {
 		return
 	}
@@ -142,30 +144,30 @@
 	own.add(value)
 	s.classes[class].add(value)
 	s.all.add(value)
-	s.tails[class/perOctave].add(run)
+	if expected > 0 && s.all.runs%sampleEvery == 0 {
+		s.ratios.add(float64(run) / float64(expected))
+	}
 }
 
-// High returns the run time that only one task in a few hundred of the class
-// exceeds, or 0 if too little is known.
-func (s *Service) High(class Class) time.Duration {
-	return s.tails[class/perOctave].high
-}
+// HighRatio returns the run time ÷ expected run time that only one task in a
+// hundred exceeds, or 0 if too little is known.
+func (s *Service) HighRatio() float64 { return s.ratios.high }
 
-// highQuantile is the quantile that High returns.
+// highQuantile is the quantile of HighRatio.
 const highQuantile = 0.99
 
-func (t *tail) add(run time.Duration) {
+func (t *tail) add(value float64) {
 	if t.current == nil || t.runs%window == 0 {
 		t.previous, t.current = t.current, newSketch()
 	}
 	t.runs++
-	_ = t.current.Add(run.Seconds()) // a positive finite number is always accepted
+	_ = t.current.Add(value) // a positive finite number is always accepted
 	if t.runs >= minQuantile && t.runs%refresh == 0 {
 		t.high = t.quantile(highQuantile)
 	}
 }
 
-func (t *tail) quantile(q float64) time.Duration {
+func (t *tail) quantile(q float64) float64 {
 	merged := t.current.Copy()
 	if t.previous != nil {
 		_ = merged.MergeWith(t.previous) // same mapping by construction
@@ -174,7 +176,7 @@
 	if err != nil {
 		return 0
 	}
-	return duration(value)
+	return value
 }
 
 func newSketch() *ddsketch.DDSketch {
--- a/dispatch/estimate/estimate_test.go
+++ b/dispatch/estimate/estimate_test.go
@@ -29,10 +29,10 @@
 	}
 	const long, short = 300 * time.Millisecond, 60 * time.Millisecond
 	for range 200 {
-		s.Observe(honest, ClassOf(long), noise(long))
-		s.Observe(honest, ClassOf(short), noise(short))
-		s.Observe(liar, ClassOf(time.Millisecond), noise(long))
-		s.Observe(liar, ClassOf(short), noise(long))
+		s.Observe(honest, ClassOf(long), 0, noise(long))
+		s.Observe(honest, ClassOf(short), 0, noise(short))
+		s.Observe(liar, ClassOf(time.Millisecond), 0, noise(long))
+		s.Observe(liar, ClassOf(short), 0, noise(long))
 	}
 	within(t, "what the liar's 1 ms is taken for", s.Expect(liar, time.Millisecond), long, 1.3)
 	within(t, "what the liar's 60 ms is taken for", s.Expect(liar, short), long, 1.5)
@@ -43,23 +43,24 @@
 func TestUnknownDeclarationMovesTheExpectationABoundedStep(t *testing.T) {
 	s := New(200*time.Millisecond, true)
 	for range 100 {
-		s.Observe(honest, 0, 200*time.Millisecond)
+		s.Observe(honest, 0, 0, 200*time.Millisecond)
 	}
 	for _, declared := range []time.Duration{time.Microsecond, time.Hour} {
 		within(t, declared.String(), s.Expect(liar, declared), 200*time.Millisecond, maxHint*1.01)
 	}
 }
 
-func TestHighIsKnownOnlyAfterEnoughRuns(t *testing.T) {
+func TestHighRatioIsKnownOnlyAfterEnoughRuns(t *testing.T) {
 	s := New(0, true)
-	class := ClassOf(100 * time.Millisecond)
-	for i := range minQuantile + refresh {
-		if i < minQuantile && s.High(class) != 0 {
+	for i := range sampleEvery * (minQuantile + refresh) {
+		if i < sampleEvery*minQuantile && s.HighRatio() != 0 {
 			t.Fatalf("a quantile after %d runs", i)
 		}
-		s.Observe(honest, class, time.Duration(1+i%100)*time.Millisecond)
+		s.Observe(honest, 0, 10*time.Millisecond, time.Duration(1+i/sampleEvery%100)*time.Millisecond)
+	}
+	if got := s.HighRatio(); math.Abs(got-9.9) > 9.9*2*accuracy {
+		t.Errorf("99th percentile of 0.1 to 10 is %v", got)
 	}
-	within(t, "99th percentile of 1 to 100 ms", s.High(class), 99*time.Millisecond, 1+2*accuracy)
 }
 
 func TestPatienceIsALowQuantileOfHangUps(t *testing.T) {
--- a/dispatch/fate.go
+++ b/dispatch/fate.go
@@ -15,6 +15,7 @@
 	r.over = true
 	r.job.running--
 	r.executor.Free(t.needs)
+	r.executor.notOverdue(r)
 	c.countOpen(t.group, -1)
 	c.forget(r.job)
 }
@@ -40,11 +41,7 @@
 	c.stopRuns(t)
 	if j.left == 0 {
 		c.end(j, nil)
-		return
 	}
-	j.view.Left = j.left
-	j.view.Work -= t.expected
-	c.reorder(j)
 }
 
 // learn takes in how long a task ran.
@@ -52,7 +49,7 @@
 	t := &r.job.tasks[r.index]
 	s := t.group.service
 	if !r.executor.slow() {
-		s.runs.Observe(r.job.team.index, t.class, in.RunTime)
+		s.runs.Observe(r.job.team.index, t.class, t.expected, in.RunTime)
 	}
 	if c.opts.Off.has(Ejection) {
 		return
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -52,7 +52,8 @@
 	executor *executor
 	started  time.Time
 	leaseEnd time.Time
-	hedge    bool
+	hedge    bool // is a second attempt
+	hedged   bool // has a second attempt
 	stopped  bool // told to stop
 	over     bool // its fate is known
 	next     *run
@@ -165,14 +166,3 @@
 		g.service.weight -= team.weight
 	}
 }
-
-// reorder gives the waiting groups of a job their new key.
-func (c *Core) reorder(j *job) {
-	key := c.opts.Order.Key(&j.view)
-	for i := range j.groups {
-		g := &j.groups[i]
-		if g.item.Queued() {
-			g.service.queue.Move(&g.item, key)
-		}
-	}
-}
--- a/dispatch/outlier/outlier.go
+++ b/dispatch/outlier/outlier.go
@@ -29,7 +29,7 @@
 	maxRatio       = 10.0
 	firstEjection  = 5 * time.Second
 	longestAway    = 60 * time.Second
-	doubtAfterFail = time.Second
+	doubtFor       = time.Second
 	probationRuns  = 3
 	ejectableShare = 0.2 // of the endpoints of a service
 )
@@ -108,13 +108,15 @@
 		r.standing = Probation
 		r.passed = 0
 	case Doubtful:
-		if r.slow {
-			p.slow--
-			r.slow = false
-			r.runs = 0
-			r.ratio = 0
+		if !r.slow {
+			r.standing = Good
+			return
 		}
-		r.standing = Good
+		r.slow = false
+		p.slow--
+		p.away++
+		r.standing = Probation
+		r.passed = 0
 	}
 }
 
@@ -124,9 +126,14 @@
 	r.outcomes++
 	r.failures -= gain * r.failures
 	p.observe(0)
-	r.observeRatio(p, run, expected)
+	ratio := r.observeRatio(p, run, expected)
 	switch r.standing {
 	case Probation:
+		if ratio-p.ratio >= math.Log(slowFactor) {
+			p.away--
+			r.slowDown(now, p)
+			return
+		}
 		r.passed++
 		if r.passed >= probationRuns {
 			r.recover(p)
@@ -145,20 +152,26 @@
 	*r = Record{backoff: r.backoff}
 }
 
-func (r *Record) observeRatio(p *Peers, run, expected time.Duration) {
+// observeRatio returns the logarithm of run ÷ expected.
+func (r *Record) observeRatio(p *Peers, run, expected time.Duration) float64 {
 	if run <= 0 || expected <= 0 {
-		return
+		return p.ratio
 	}
 	ratio := math.Log(min(max(float64(run)/float64(expected), 1/maxRatio), maxRatio))
 	r.runs++
 	r.ratio += (ratio - r.ratio) * max(slowGain, 1/float64(r.runs))
 	p.ratio += (ratio - p.ratio) * peersGain
+	return ratio
 }
 
 func (r *Record) judgeSpeed(now time.Time, p *Peers) {
 	if r.runs < minRuns || r.ratio-p.ratio < math.Log(slowFactor) || !p.mayLose() {
 		return
 	}
+	r.slowDown(now, p)
+}
+
+func (r *Record) slowDown(now time.Time, p *Peers) {
 	r.slow = true
 	p.slow++
 	r.setBack(now, Doubtful)
@@ -182,8 +195,7 @@
 		p.away++
 		r.setBack(now, Ejected)
 	case r.standing == Good:
-		r.standing = Doubtful
-		r.until = now.Add(doubtAfterFail)
+		r.Doubt(now)
 	}
 }
 
@@ -193,6 +205,15 @@
 	return r.outcomes >= minOutcomes && rate >= failureRate && rate >= peersFactor*p.rate()
 }
 
+// Doubt makes a good endpoint the second choice for a short while.
+func (r *Record) Doubt(now time.Time) {
+	if r.standing != Good {
+		return
+	}
+	r.standing = Doubtful
+	r.until = now.Add(doubtFor)
+}
+
 // Forgive takes a failure back that was the task's fault.
 func (r *Record) Forgive(p *Peers) {
 	r.failures = max(0, r.failures-gain)
--- a/dispatch/outlier/outlier_test.go
+++ b/dispatch/outlier/outlier_test.go
@@ -77,8 +77,16 @@
 		t.Fatal("never reviewed")
 	}
 	records[0].Review(peers)
-	if records[0].Standing() != Good || records[0].Slow() {
-		t.Fatal("not given another try")
+	records[0].Passed(now, peers, 5*usual, usual)
+	if records[0].Standing() != Doubtful {
+		t.Fatalf("standing %d after a slow task on probation", records[0].Standing())
+	}
+	records[0].Review(peers)
+	for range probationRuns {
+		records[0].Passed(now, peers, usual, usual)
+	}
+	if records[0].Standing() != Good || peers.slow != 0 || peers.away != 0 {
+		t.Fatalf("standing %d, %d slow, %d away", records[0].Standing(), peers.slow, peers.away)
 	}
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -147,8 +147,8 @@
 		s.retries.Earn()
 		s.hedges.Earn()
 	}
-	if s.spec.Idempotent && attempt == 1 {
-		s.watched.Push(r)
+	if attempt == 1 {
+		c.watch(s, r)
 	}
 	c.ready.Starts = append(c.ready.Starts, Start{
 		Task:     TaskRef{Job: j.id, Index: index},
--- a/dispatch/queue/queue.go
+++ b/dispatch/queue/queue.go
@@ -1,4 +1,4 @@
-// Package queue holds what waits, ordered by a key that its owner may change.
+// Package queue holds what waits, ordered by a key.
 package queue
 
 import "container/heap"
@@ -11,7 +11,7 @@
 	index int    // in the heap, from 1; 0: in no queue
 }
 
-// Key returns the key that the item was last pushed or moved with.
+// Key returns the key that the item was last pushed with.
 func (i *Item[T]) Key() int64 { return i.key }
 
 // Queued reports whether the item is in a queue.
@@ -43,15 +43,6 @@
 	heap.Push(&q.items, item)
 }
 
-// Move changes the key of an item of this queue.
-func (q *Queue[T]) Move(item *Item[T], key int64) {
-	if item.key == key {
-		return
-	}
-	item.key = key
-	heap.Fix(&q.items, item.index-1)
-}
-
 // Remove takes an item out of this queue. An item in no queue stays as it is.
 func (q *Queue[T]) Remove(item *Item[T]) {
 	if item.Queued() {
--- a/dispatch/queue/queue_test.go
+++ b/dispatch/queue/queue_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 )
 
-// TestQueueAgreesWithASortedList pushes, moves and removes at random.
+// TestQueueAgreesWithASortedList pushes, removes and pushes again at random.
 func TestQueueAgreesWithASortedList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var q Queue[int]
@@ -20,7 +20,9 @@
 				q.Push(item, key)
 				model = append(model, item)
 			case op == 2:
-				q.Move(rapid.SampledFrom(model).Draw(t, "item"), key)
+				item := rapid.SampledFrom(model).Draw(t, "item")
+				q.Remove(item)
+				q.Push(item, key)
 			default:
 				k := rapid.IntRange(0, len(model)-1).Draw(t, "index")
 				q.Remove(model[k])
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -17,8 +17,8 @@
 const (
 	retryShare = 0.02
 	retryLimit = 60
-	hedgeShare = 0.002
-	hedgeLimit = 5
+	hedgeShare = 0.01
+	hedgeLimit = 60
 	// hedgeRefund is what a hedge gives back that was answered first.
 	hedgeRefund = 0.8
 )
@@ -42,9 +42,9 @@
 	retries  retry.Budget
 	hedges   retry.Budget
 	leases   queue.FIFO[*run]
-	watched  queue.FIFO[*run] // idempotent, in the order of their start
-	weight   int              // of the teams with open tasks here
-	lacking  time.Time        // since when no endpoint can take tasks
+	watched  queue.Wheel[*run] // until they are overdue
+	weight   int               // of the teams with open tasks here
+	lacking  time.Time         // since when no endpoint can take tasks
 }
 
 // team is what the core knows of one team.
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -140,7 +140,6 @@
 func (c *Core) fillView(j *job) {
 	v := &j.view
 	v.Arrived, v.Turn = c.now, c.now
-	v.Tasks, v.Left = len(j.tasks), len(j.tasks)
 	for i := range j.groups {
 		g := &j.groups[i]
 		var work, longest time.Duration
@@ -151,7 +150,6 @@
 		}
 		v.Work += work
 		v.Ideal = max(v.Ideal, longest, work/time.Duration(max(g.service.pool.Slots(), 1)))
-		v.Patience = max(v.Patience, g.service.patience.Known())
 	}
 }
 
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -12,12 +12,6 @@
 	leaseGrace = 250 * time.Millisecond
 	// noEndpointGrace is how long jobs wait for an endpoint to come back.
 	noEndpointGrace = 10 * time.Second
-	// hedgeFactor times the high quantile of run times is when an attempt is
-	// thought to be stuck.
-	hedgeFactor = 1.5
-	// idleShare is the share of endpoints with a free slot below which no
-	// hedge is sent.
-	idleShare = 0.1
 )
 
 func (c *Core) tick() {
@@ -25,7 +19,7 @@
 	c.endPauses()
 	for _, s := range c.byDepth {
 		c.endLeases(s)
-		c.hedge(s)
+		c.takeOverdue(s)
 		c.checkEndpoints(s)
 	}
 	c.expire()
@@ -60,46 +54,6 @@
 	}
 }
 
-// hedge sends a second attempt of idempotent tasks that take far longer than
-// their like. It stops at the first attempt that is young.
-func (c *Core) hedge(s *service) {
-	if c.opts.Off.has(Hedging) {
-		return
-	}
-	for s.watched.Len() > 0 {
-		r := s.watched.First()
-		if r.over || r.job.ended {
-			s.watched.Pop()
-			continue
-		}
-		high := s.runs.High(r.job.tasks[r.index].class)
-		if high == 0 || c.now.Sub(r.started) < time.Duration(hedgeFactor*float64(high)) {
-			return
-		}
-		s.watched.Pop()
-		if s.mayHedge() {
-			c.sendHedge(r)
-		}
-	}
-}
-
-// mayHedge reports whether capacity is idle and the budget allows a hedge.
-func (s *service) mayHedge() bool {
-	idle := float64(s.pool.Listed()) >= idleShare*float64(len(s.pool.All()))
-	return s.waiting == 0 && idle && s.hedges.Spend()
-}
-
-func (c *Core) sendHedge(r *run) {
-	t := &r.job.tasks[r.index]
-	t.avoid = r.executor
-	e, _ := c.pick(t.group.service, t)
-	if e == nil || e == r.executor {
-		return
-	}
-	info := startInfo{eligible: t.group.service.pool.Listed(), reason: ReasonHedge, hedge: true}
-	c.start(t.group, r.index, e, info)
-}
-
 // checkEndpoints fails the jobs of a service that has had no usable endpoint
 // for long.
 func (c *Core) checkEndpoints(s *service) {
--- a/dispatch/urgency/urgency.go
+++ b/dispatch/urgency/urgency.go
@@ -16,21 +16,15 @@
 	Turn time.Time
 	// Ideal is the expected time of the whole job on an idle system.
 	Ideal time.Duration
-	// Work is the expected run time of the tasks that have no result yet.
+	// Work is the expected run time of all tasks.
 	Work time.Duration
 	// Declared is the sum of the run times that the caller declared.
 	Declared time.Duration
-	Tasks    int // of the job
-	Left     int // without a result
-	// Patience is how long callers of the service wait for an answer. Zero:
-	// not known.
-	Patience time.Duration
 }
 
 // Order gives jobs their keys.
 type Order interface {
-	// Key returns the key of a job. It is called again whenever a field of
-	// the job has changed.
+	// Key returns the key of a job, which stays the same while it waits.
 	Key(j *Job) int64
 	// Strict reports whether a task that cannot be placed holds back every
 	// task behind it, whatever its service.
