--- a/cmd/lovage-load/run.go
+++ b/cmd/lovage-load/run.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -25,6 +26,7 @@
 type runFlags struct {
 	control  string
 	address  string
+	admins   string
 	services string
 	seed     uint64
 	load     float64
@@ -32,6 +34,7 @@
 	inFlight int
 	duration time.Duration
 	patience time.Duration
+	settle   time.Duration
 	json     bool
 	quiet    bool
 }
@@ -41,14 +44,16 @@
 	flags := flag.NewFlagSet(program+" run", flag.ContinueOnError)
 	flags.StringVar(&f.control, "control", "", "control listener of lovage-standin, `host:port` (required)")
 	flags.StringVar(&f.address, "address", "", "balancer or entry that callers speak to, `host:port` (required)")
+	flags.StringVar(&f.admins, "admins", "", "admin listeners of the entries, `host:port,...`, whose message counts are shown (default: none)")
 	flags.StringVar(&f.services, "services", "", "services text `file` (required)")
 	flags.Uint64Var(&f.seed, "seed", 1, "seed of arrivals, sizes and run times")
 	flags.Float64Var(&f.load, "load", 0.5, "offered work as a share of what all slots can do")
-	flags.IntVar(&f.callers, "callers", 32, "callers, each with connections and job IDs of its own")
+	flags.IntVar(&f.callers, "callers", 200, "callers, each with connections and job IDs of its own")
 	flags.IntVar(&f.inFlight, "in-flight", 20_000, "most jobs that wait for their answer at once")
 	flags.DurationVar(&f.duration, "duration", 20*time.Second, "length of the arrivals")
 	flags.DurationVar(&f.patience, "patience", 30*time.Second, "how long a caller waits for one job")
-	flags.BoolVar(&f.json, "json", false, "print only the result, as one line of JSON")
+	flags.DurationVar(&f.settle, "settle", 2*time.Second, "time after the last answer in which late task starts still count")
+	flags.BoolVar(&f.json, "json", false, "only the result, as one line of JSON, without the table for people")
 	flags.BoolVar(&f.quiet, "quiet", false, "no progress lines on standard error")
 	if err := command.Parse(flags, args); err != nil {
 		return f, err
@@ -119,39 +124,50 @@
 	if err != nil {
 		return load.Report{}, load.Detail{}, err
 	}
-	measurement, err := load.Begin(ctx, standins)
+	measurement, err := load.Begin(ctx, standins, splitList(f.admins)...)
 	if err != nil {
 		return load.Report{}, load.Detail{}, err
 	}
 	callers := newCallers(f.address, f.callers, f.patience)
 	tally := load.NewTally()
-	if err := generate(ctx, f, generator, callers, tally); err != nil {
+	if err := generate(ctx, f, generator, callers, tally, measurement); err != nil {
 		return load.Report{}, load.Detail{}, err
 	}
 	idempotent := func(name string) bool {
 		service, ok := services.Service(name)
 		return ok && service.Idempotent
 	}
-	return measurement.Report(ctx, tally, repeats(callers), idempotent)
+	return measurement.Report(context.WithoutCancel(ctx), tally, repeats(callers), idempotent)
 }
 
-func generate(ctx context.Context, f runFlags, generator *load.Generator, callers []*load.ClientCaller, tally *load.Tally) error {
+// splitList splits a list at its commas; an empty one has no elements.
+func splitList(list string) []string {
+	if list == "" {
+		return nil
+	}
+	return strings.Split(list, ",")
+}
+
+func generate(ctx context.Context, f runFlags, generator *load.Generator, callers []*load.ClientCaller, tally *load.Tally, m *load.Measurement) error {
 	stop := showProgress(f, tally)
 	defer stop()
+	var rateErr error
 	unsent, err := load.Run(ctx, load.Options{
 		Generator:   generator,
 		Callers:     asCallers(callers),
 		Duration:    f.duration,
 		Patience:    f.patience,
 		MaxInFlight: f.inFlight,
+		ArrivalsEnd: func() { rateErr = m.EndOfArrivals(context.WithoutCancel(ctx)) },
 	}, tally)
 	if unsent > 0 {
 		fmt.Fprintf(os.Stderr, "%d arrivals were not sent: raise -in-flight\n", unsent)
 	}
-	if errors.Is(err, context.Canceled) {
-		return nil // interrupted: report what came in
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return err // an interrupted run reports what came in
 	}
-	return err
+	time.Sleep(f.settle)
+	return rateErr
 }
 
 func newCallers(address string, count int, patience time.Duration) []*load.ClientCaller {
@@ -207,11 +223,9 @@
 
 func printResult(out io.Writer, f runFlags, report load.Report, detail load.Detail) error {
 	if !f.json {
-		text, err := json.MarshalIndent(detail, "", "  ")
-		if err != nil {
+		if err := detail.Write(os.Stderr); err != nil {
 			return err
 		}
-		fmt.Fprintln(os.Stderr, string(text))
 	}
 	return json.NewEncoder(out).Encode(report)
 }
--- a/cmd/lovagectl/publish.go
+++ b/cmd/lovagectl/publish.go
@@ -15,14 +15,23 @@
 
 func showPublication(in *invocation, p publication) error {
 	return in.show(p, func(w io.Writer) {
-		if !p.InForce {
+		if !p.Accepted {
 			fmt.Fprintf(w, "the change on version %d has no problem; nothing was published\n", p.Base)
 			return
 		}
-		fmt.Fprintf(w, "version %d is in force\tchange %s\t%.3f s\n", p.Version, p.ChangeID, p.Seconds)
+		fmt.Fprintf(w, "version %d is accepted\tchange %s\t%.3f s\n", p.Version, p.ChangeID, p.Seconds)
+		if p.InForce != nil {
+			there := p.InForce.Entries - len(p.InForce.Missing)
+			fmt.Fprintf(w, "in force at %d of %d entries\t\t%.3f s\n", there, p.InForce.Entries, p.InForce.Seconds)
+		}
 	})
 }
 
+// always is a change that does not depend on the version in force.
+func always(body change.Body) func(*catalog.Catalog) change.Body {
+	return func(*catalog.Catalog) change.Body { return body }
+}
+
 func readServices(file string) (*catalog.Catalog, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -42,7 +51,9 @@
 	if err != nil {
 		return err
 	}
-	return d.publish(in, args[0], &change.ReplaceServices{Services: c.Services, Teams: c.Teams})
+	return d.publish(in, args[0], func(current *catalog.Catalog) change.Body {
+		return change.Difference(current, c)
+	})
 }
 
 func putTeam(in *invocation) error {
@@ -56,7 +67,7 @@
 		return err
 	}
 	team := catalog.Team{Name: args[0], Weight: *weight, TasksPerSecond: *rate, Burst: *burst}
-	return d.publish(in, in.name, &change.PutTeam{Team: team})
+	return d.publish(in, in.name, always(&change.PutTeam{Team: team}))
 }
 
 func removeTeam(in *invocation) error {
@@ -66,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	return d.publish(in, in.name, &change.RemoveTeam{Name: args[0]})
+	return d.publish(in, in.name, always(&change.RemoveTeam{Name: args[0]}))
 }
 
 func drain(in *invocation) error {
@@ -87,7 +98,7 @@
 		return err
 	}
 	target := catalog.Drain{Scope: catalog.Scope(*scope), Name: args[0], FailureDomain: *domain}
-	return d.publish(in, in.name, body(target))
+	return d.publish(in, in.name, always(body(target)))
 }
 
 func setKeys(in *invocation) error {
@@ -103,7 +114,7 @@
 			return usagef("key number %q: write a number from 1 to 255", arg)
 		}
 	}
-	return d.publish(in, in.name, &change.SetKeyNumbers{Numbers: numbers})
+	return d.publish(in, in.name, always(&change.SetKeyNumbers{Numbers: numbers}))
 }
 
 func raiseFormat(in *invocation) error {
@@ -117,5 +128,5 @@
 	if err != nil || format < change.FirstFormat || format > change.MaxFormat {
 		return usagef("format %q: write a number from %d to %d", args[0], change.FirstFormat, change.MaxFormat)
 	}
-	return d.publish(in, in.name, &change.RaiseFormat{Format: format})
+	return d.publish(in, in.name, always(&change.RaiseFormat{Format: format}))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,11 +15,13 @@
 	"lovagespread.example/entry/configuration"
 	"lovagespread.example/entry/decisionlog"
 	"lovagespread.example/entry/heartbeat"
+	"lovagespread.example/entry/outcomes"
 	"lovagespread.example/entry/settings"
 	"lovagespread.example/entry/vmlist"
 	"lovagespread.example/entry/wire"
 	"lovagespread.example/membership"
 	"lovagespread.example/platform"
+	"lovagespread.example/platform/appender"
 	"lovagespread.example/platform/follow"
 )
 
@@ -36,10 +38,14 @@
 	platform  *platform.Client
 	follower  *follow.Follower
 	keeper    *configuration.Keeper
+	appender  *appender.Appender
+	outcomes  *outcomes.Writer
 	announcer *heartbeat.Announcer
 	heartbeat *heartbeat.Heartbeater
 	servers   []*server
 	stopping  atomic.Bool
+	asked     chan struct{} // closed when an operator asks for a stop
+	askOnce   sync.Once
 }
 
 // server is one HTTP server with its listener.
@@ -81,7 +87,7 @@
 }
 
 func build(i do.Injector) (*Entry, error) {
-	e := &Entry{settings: do.MustInvoke[settings.Settings](i)}
+	e := &Entry{settings: do.MustInvoke[settings.Settings](i), asked: make(chan struct{})}
 	for _, set := range []func() error{
 		func() (err error) { e.log, err = do.Invoke[*decisionlog.Log](i); return err },
 		func() (err error) { e.listeners, err = do.Invoke[*listeners](i); return err },
@@ -90,9 +96,11 @@
 		func() (err error) { e.platform, err = do.Invoke[*platform.Client](i); return err },
 		func() (err error) { e.follower, err = do.Invoke[*follow.Follower](i); return err },
 		func() (err error) { e.keeper, err = do.Invoke[*configuration.Keeper](i); return err },
+		func() (err error) { e.appender, err = do.Invoke[*appender.Appender](i); return err },
+		func() (err error) { e.outcomes, err = do.Invoke[*outcomes.Writer](i); return err },
 		func() (err error) { e.announcer, err = do.Invoke[*heartbeat.Announcer](i); return err },
 		func() (err error) { e.heartbeat, err = do.Invoke[*heartbeat.Heartbeater](i); return err },
-		func() (err error) { e.servers, err = newServers(i, e.ready); return err },
+		func() (err error) { e.servers, err = newServers(i, e); return err },
 	} {
 		if err := set(); err != nil {
 			return nil, err
@@ -139,12 +147,14 @@
 
 // parts are the goroutines of an entry besides its servers.
 func (e *Entry) parts() []func(context.Context) {
-	poller := &vmlist.Poller{Lister: e.platform, Sink: e.engine.loop.Member, Log: e.log.Logger}
+	poller := &vmlist.Poller{Lister: e.platform, FailureDomain: e.self.FailureDomain, Sink: e.engine.loop.Member, Log: e.log.Logger}
 	return []func(context.Context){
 		e.engine.loop.Run,
 		e.engine.client.RunHeartbeats,
 		poller.Run,
 		e.heartbeat.Run,
+		e.outcomes.Run,
+		func(ctx context.Context) { _ = e.appender.Run(ctx) },
 		func(ctx context.Context) { _ = e.follower.Run(ctx) },
 	}
 }
@@ -159,11 +169,16 @@
 	select {
 	case <-ctx.Done():
 		return nil
+	case <-e.asked:
+		return nil
 	case err := <-failed:
 		return err
 	}
 }
 
+// requestStop makes Run stop gracefully.
+func (e *Entry) requestStop() { e.askOnce.Do(func() { close(e.asked) }) }
+
 // ready says why callers should go to another entry, if they should.
 func (e *Entry) ready() error {
 	if e.stopping.Load() {
--- a/entry/wiring_peers.go
+++ b/entry/wiring_peers.go
@@ -7,18 +7,20 @@
 	"time"
 
 	"github.com/samber/do/v2"
+	"go.uber.org/zap"
 
-	"lovagespread.example/dispatch/jobid"
 	"lovagespread.example/entry/configuration"
 	"lovagespread.example/entry/decisionlog"
 	"lovagespread.example/entry/forward"
 	"lovagespread.example/entry/heartbeat"
 	"lovagespread.example/entry/jobs"
+	"lovagespread.example/entry/metrics"
 	"lovagespread.example/entry/observe"
+	"lovagespread.example/entry/outcomes"
 	"lovagespread.example/entry/peerclient"
 	"lovagespread.example/entry/peerserver"
-	"lovagespread.example/entry/problem"
 	"lovagespread.example/entry/settings"
+	"lovagespread.example/entry/tlsfiles"
 	"lovagespread.example/entry/token"
 	"lovagespread.example/entry/wire"
 	"lovagespread.example/platform"
@@ -35,7 +37,29 @@
 
 func newPeerClient(i do.Injector) (*peerclient.Client, error) {
 	shared, err := do.Invoke[peerToken](i)
-	return peerclient.New(do.MustInvoke[wire.Network](i), string(shared)), err
+	if err != nil {
+		return nil, err
+	}
+	secure, err := do.Invoke[*tlsfiles.Source](i)
+	if err != nil {
+		return nil, err
+	}
+	client := peerclient.New(do.MustInvoke[wire.Network](i), secure, string(shared))
+	meter := client.Control()
+	do.MustInvoke[*metrics.Set](i).CountBytes("peers", meter.Sent, meter.Received)
+	return client, nil
+}
+
+func newTLS(i do.Injector) (*tlsfiles.Source, error) {
+	s := do.MustInvoke[settings.Settings](i).TLS
+	log, err := do.Invoke[*decisionlog.Log](i)
+	if err != nil {
+		return nil, err
+	}
+	files := tlsfiles.Files{Certificate: s.CertificateFile, Key: s.KeyFile, PeerCA: s.PeerCAFile}
+	return tlsfiles.Open(files, func(err error) {
+		log.Error("changed TLS files are not in use", zap.Error(err))
+	})
 }
 
 func newFollower(i do.Injector) (*follow.Follower, error) {
@@ -108,16 +132,11 @@
 		Loop:     e.loop,
 		Peers:    peers,
 		Observe:  do.MustInvoke[*observe.Observer](i),
-		Outcomes: noOutcomes{},
+		Outcomes: do.MustInvoke[*outcomes.Reader](i),
 		Started:  time.Now(),
 	}), nil
 }
 
-// noOutcomes knows no outcome of other entries' jobs.
-type noOutcomes struct{}
-
-func (noOutcomes) Outcome(jobid.ID) (problem.Result, bool) { return problem.Result{}, false }
-
 func newPeerHandler(i do.Injector) (http.Handler, error) {
 	shared, err := do.Invoke[peerToken](i)
 	if err != nil {
