Let a new entry take the list of VMs from another one in an outage

Cause: scenario boot_in_outage: an entry that started while the platform was down knew no other entry and no endpoint, so it could not take the configuration from its peers either and was not ready for the whole outage. Change: settings may name other entries (peers.addresses); while the platform has given no list, one of them is asked for its own over the new call Members. Configuration then comes by heartbeat as before. Without such settings the log names them as the remedy.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,7 +21,6 @@
 	"lovagespread.example/entry/vmlist"
 	"lovagespread.example/entry/wire"
 	"lovagespread.example/membership"
-	"lovagespread.example/platform"
 	"lovagespread.example/platform/appender"
 	"lovagespread.example/platform/follow"
 )
@@ -36,7 +35,7 @@
 	listeners *listeners
 	self      membership.Entry
 	engine    *engine
-	platform  *platform.Client
+	lists     *vmlist.Poller
 	follower  *follow.Follower
 	keeper    *configuration.Keeper
 	appender  *appender.Appender
@@ -95,7 +94,6 @@
 		func() (err error) { e.listeners, err = do.Invoke[*listeners](i); return err },
 		func() (err error) { e.self, err = do.Invoke[membership.Entry](i); return err },
 		func() (err error) { e.engine, err = do.Invoke[*engine](i); return err },
-		func() (err error) { e.platform, err = do.Invoke[*platform.Client](i); return err },
 		func() (err error) { e.follower, err = do.Invoke[*follow.Follower](i); return err },
 		func() (err error) { e.keeper, err = do.Invoke[*configuration.Keeper](i); return err },
 		func() (err error) { e.appender, err = do.Invoke[*appender.Appender](i); return err },
@@ -103,6 +101,7 @@
 		func() (err error) { e.announcer, err = do.Invoke[*heartbeat.Announcer](i); return err },
 		func() (err error) { e.heartbeat, err = do.Invoke[*heartbeat.Heartbeater](i); return err },
 		func() (err error) { e.giver, err = do.Invoke[*succession.Giver](i); return err },
+		func() (err error) { e.lists, err = do.Invoke[*vmlist.Poller](i); return err },
 		func() (err error) { e.servers, err = newServers(i, e); return err },
 	} {
 		if err := set(); err != nil {
@@ -150,11 +149,10 @@
 
 // parts are the goroutines of an entry besides its servers.
 func (e *Entry) parts() []func(context.Context) {
-	poller := &vmlist.Poller{Lister: e.platform, FailureDomain: e.self.FailureDomain, Sink: e.engine.loop.Member, Log: e.log.Logger}
 	return []func(context.Context){
 		e.engine.loop.Run,
 		e.engine.client.RunHeartbeats,
-		poller.Run,
+		e.lists.Run,
 		e.heartbeat.Run,
 		e.outcomes.Run,
 		func(ctx context.Context) { _ = e.appender.Run(ctx) },
--- /dev/null
+++ b/entry/peerclient/members.go
@@ -0,0 +1,63 @@
+package peerclient
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"lovagespread.example/peer/peerpb"
+	"lovagespread.example/platform/platformapi"
+)
+
+// Seeds asks the entries at addresses that are known beforehand.
+type Seeds struct {
+	Client    *Client
+	Addresses []string
+}
+
+// NoListError reports that none of the entries asked gave a list of VMs.
+type NoListError struct {
+	Asked int
+	Last  error // of the last one asked; may be nil
+}
+
+func (e *NoListError) Error() string {
+	if e.Asked == 0 {
+		return "no other entry is known beforehand: list some in peers.addresses of the settings"
+	}
+	return "none of the entries in peers.addresses gave a list of VMs: check that one of them runs and has read the platform's list"
+}
+
+// Unwrap returns the last error.
+func (e *NoListError) Unwrap() error { return e.Last }
+
+// Members returns the list of VMs of the first entry that has one.
+func (s Seeds) Members(ctx context.Context) (platformapi.VMList, error) {
+	var last error
+	for _, address := range s.Addresses {
+		list, err := s.Client.members(ctx, address)
+		if err == nil {
+			return list, nil
+		}
+		last = err
+	}
+	return platformapi.VMList{}, &NoListError{Asked: len(s.Addresses), Last: last}
+}
+
+var errNoList = errors.New("the entry has no list of VMs yet")
+
+func (c *Client) members(ctx context.Context, address string) (platformapi.VMList, error) {
+	ctx, cancel := context.WithTimeout(c.header(ctx), controlTimeout)
+	defer cancel()
+	reply, err := c.peer(address).control.Members(ctx, &peerpb.MembersRequest{})
+	if err != nil {
+		return platformapi.VMList{}, err
+	}
+	if !reply.GetKnown() {
+		return platformapi.VMList{}, errNoList
+	}
+	var list platformapi.VMList
+	err = json.Unmarshal(reply.GetList(), &list)
+	return list, err
+}
--- a/entry/peerserver/server.go
+++ b/entry/peerserver/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"time"
 
@@ -13,6 +14,7 @@
 	"lovagespread.example/entry/problem"
 	"lovagespread.example/entry/token"
 	"lovagespread.example/peer/peerpb"
+	"lovagespread.example/platform/platformapi"
 )
 
 // maxBodyBytes bounds the body of one message between entries.
@@ -33,6 +35,11 @@
 	Newer(ctx context.Context, than uint64) (*peerpb.ConfigurationResponse, error)
 }
 
+// Lists gives the list of VMs, or nil if there is none yet.
+type Lists interface {
+	Latest() *platformapi.VMList
+}
+
 // HandOvers takes the ledgers of entries that stop.
 type HandOvers interface {
 	HandOver(ctx context.Context, r *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error)
@@ -43,6 +50,7 @@
 	Jobs           Jobs
 	Heartbeats     Heartbeats
 	Configurations Configurations
+	Lists          Lists
 	HandOvers      HandOvers
 	Tokens         *token.Set
 }
@@ -82,6 +90,19 @@
 	return s.opts.Heartbeats.Received(r), nil
 }
 
+// Members implements peerpb.Peer.
+func (s *server) Members(context.Context, *peerpb.MembersRequest) (*peerpb.MembersResponse, error) {
+	list := s.opts.Lists.Latest()
+	if list == nil {
+		return &peerpb.MembersResponse{}, nil
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &peerpb.MembersResponse{Known: true, List: text}, nil
+}
+
 // Forward implements peerpb.Peer. It never forwards further.
 func (s *server) Forward(ctx context.Context, r *peerpb.ForwardRequest) (*peerpb.ForwardResponse, error) {
 	request, err := requestOf(r)
--- a/entry/settings/checks.go
+++ b/entry/settings/checks.go
@@ -16,6 +16,7 @@
 func checkTogether(s Settings, t tables) {
 	checkListeners(s, t.listen)
 	checkPlatform(s.Platform, t.platform)
+	checkPeers(s.Peers, t.peers)
 	checkJobIDs(s.JobIDs, t.jobIDs)
 	checkTLS(s.TLS, t.tls)
 	checkTokens(s, t.tokens)
@@ -89,6 +90,14 @@
 	}
 }
 
+func checkPeers(p Peers, t *tomlcheck.Table) {
+	for i, address := range p.Addresses {
+		if !validAddress(address) {
+			t.AddElement("addresses", i, strconv.Quote(address)+" is not an address", `write an IP number and a port, as in "10.0.0.5:7200"`)
+		}
+	}
+}
+
 func checkJobIDs(j JobIDs, t *tomlcheck.Table) {
 	if len(j.KeyFiles) == 0 {
 		t.Add("key_files", "no key file", `add key_files = ["..."], files of at least 32 bytes in hexadecimal`)
--- a/entry/settings/load.go
+++ b/entry/settings/load.go
@@ -56,6 +56,7 @@
 		FailureDomain: root.String("failure_domain", tomlcheck.Required),
 		Listen:        parseListen(t.listen),
 		Platform:      parsePlatform(t.platform),
+		Peers:         parsePeers(t.peers),
 		JobIDs:        parseJobIDs(t.jobIDs),
 		Tokens:        parseTokens(t.tokens),
 		TLS:           parseTLS(t.tls),
@@ -69,13 +70,14 @@
 
 // tables are the tables of a settings text.
 type tables struct {
-	listen, platform, jobIDs, tokens, tls, limits, log *tomlcheck.Table
+	listen, platform, peers, jobIDs, tokens, tls, limits, log *tomlcheck.Table
 }
 
 func openTables(root *tomlcheck.Table) tables {
 	return tables{
 		listen:   root.Table("listen"),
 		platform: root.Table("platform"),
+		peers:    root.Table("peers"),
 		jobIDs:   root.Table("job_ids"),
 		tokens:   root.Table("tokens"),
 		tls:      root.Table("tls"),
@@ -110,6 +112,12 @@
 	return p
 }
 
+func parsePeers(t *tomlcheck.Table) Peers {
+	p := Peers{Addresses: t.Strings("addresses")}
+	t.RejectUnknown(nil)
+	return p
+}
+
 func parseJobIDs(t *tomlcheck.Table) JobIDs {
 	j := JobIDs{
 		KeyFiles: t.Strings("key_files"),
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -10,6 +10,7 @@
 	FailureDomain string   `toml:"failure_domain"`
 	Listen        Listen   `toml:"listen"`
 	Platform      Platform `toml:"platform"`
+	Peers         Peers    `toml:"peers"`
 	JobIDs        JobIDs   `toml:"job_ids"`
 	Tokens        Tokens   `toml:"tokens"`
 	TLS           TLS      `toml:"tls"`
@@ -30,6 +31,13 @@
 	TokenFile string `toml:"token_file"` // empty: no token
 }
 
+// Peers are other entries that are known beforehand.
+type Peers struct {
+	// Addresses of peer listeners, host:port, that are asked for the list of
+	// VMs if the platform's cannot be read at the start. May be empty.
+	Addresses []string `toml:"addresses"`
+}
+
 // JobIDs are the keys and the lifetime of job IDs.
 type JobIDs struct {
 	// KeyFiles hold the MAC keys in hexadecimal, one key a file, at least 32
--- a/entry/vmlist/poller.go
+++ b/entry/vmlist/poller.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,14 +25,26 @@
 // members known so far stay.
 type Poller struct {
 	Lister platform.VMLister
+	// Peers are asked if the platform's list cannot be read at the start.
+	Peers Peers
 	// FailureDomain is the one whose endpoints are wanted.
 	FailureDomain string
 	Sink          func(membership.Input)
 	Log           *zap.Logger
 
-	known string // version of the latest list
+	known  string // version of the latest list
+	latest atomic.Pointer[platformapi.VMList]
 }
 
+// Peers gives the lists that other entries have.
+type Peers interface {
+	Members(ctx context.Context) (platformapi.VMList, error)
+}
+
+// Latest returns the latest list that the platform gave this entry, or nil if
+// it has given none.
+func (p *Poller) Latest() *platformapi.VMList { return p.latest.Load() }
+
 // Run polls until the context ends.
 func (p *Poller) Run(ctx context.Context) {
 	delay := spacing
@@ -51,16 +65,35 @@
 	list, err := p.Lister.VMs(ctx, platform.VMQuery{EndpointsIn: p.FailureDomain, Known: p.known})
 	if err != nil {
 		p.Log.Warn("the list of VMs cannot be read, the known members stay", zap.Error(err))
+		p.askPeers(ctx)
 		return err
 	}
 	if list.Unchanged {
 		return nil
 	}
 	p.known = list.Version
+	p.latest.Store(&list.VMList)
 	p.Sink(translate(list.VMList))
 	return nil
 }
 
+// askPeers takes the list of another entry while the platform has given none.
+// What is learned is not passed on as this entry's own.
+func (p *Poller) askPeers(ctx context.Context) {
+	if p.Latest() != nil {
+		return
+	}
+	list, err := p.Peers.Members(ctx)
+	if err != nil {
+		p.Log.Warn("no other entry has a list of VMs", zap.Error(err))
+		return
+	}
+	list.VMs = slices.DeleteFunc(list.VMs, func(vm platformapi.VM) bool {
+		return vm.Role == platformapi.RoleEndpoint && vm.FailureDomain != p.FailureDomain
+	})
+	p.Sink(translate(list))
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -45,6 +45,7 @@
 	do.Provide(i, newPeerClient)
 	do.Provide(i, newFollower)
 	do.Provide(i, newKeeper)
+	do.Provide(i, newPoller)
 	do.Provide(i, newAnnouncer)
 	do.Provide(i, newHeartbeater)
 	do.Provide(i, newForwarder)
--- a/entry/wiring_peers.go
+++ b/entry/wiring_peers.go
@@ -23,6 +23,7 @@
 	"lovagespread.example/entry/succession"
 	"lovagespread.example/entry/tlsfiles"
 	"lovagespread.example/entry/token"
+	"lovagespread.example/entry/vmlist"
 	"lovagespread.example/entry/wire"
 	"lovagespread.example/platform"
 	"lovagespread.example/platform/follow"
@@ -92,6 +93,29 @@
 	return configuration.NewKeeper(follower, peers, do.MustInvoke[*decisionlog.Log](i).Logger), nil
 }
 
+func newPoller(i do.Injector) (*vmlist.Poller, error) {
+	lister, err := do.Invoke[*platform.Client](i)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := do.Invoke[*peerclient.Client](i)
+	if err != nil {
+		return nil, err
+	}
+	e, err := do.Invoke[*engine](i)
+	if err != nil {
+		return nil, err
+	}
+	s := do.MustInvoke[settings.Settings](i)
+	return &vmlist.Poller{
+		Lister:        lister,
+		Peers:         peerclient.Seeds{Client: peers, Addresses: s.Peers.Addresses},
+		FailureDomain: s.FailureDomain,
+		Sink:          e.loop.Member,
+		Log:           do.MustInvoke[*decisionlog.Log](i).Logger,
+	}, nil
+}
+
 func newAnnouncer(i do.Injector) (*heartbeat.Announcer, error) {
 	e, err := do.Invoke[*engine](i)
 	if err != nil {
@@ -159,6 +183,7 @@
 		Jobs:           service,
 		Heartbeats:     heartbeater,
 		Configurations: do.MustInvoke[*configuration.Keeper](i),
+		Lists:          do.MustInvoke[*vmlist.Poller](i),
 		HandOvers:      taker,
 		Tokens:         token.Single("peer", string(shared)),
 	}), nil
--- a/scenario/hosts.go
+++ b/scenario/hosts.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"os"
+	"strconv"
 	"time"
 
 	"lovagespread.example/catalog"
@@ -149,6 +150,8 @@
 admin = "%[4]s:%[7]d"
 [platform]
 url = "http://%[8]s"
+[peers]
+addresses = [%[13]s]
 [job_ids]
 key_files = [%[9]q]
 lifetime = %[10]q
@@ -168,11 +171,20 @@
 	return path
 }
 
+// peerAddresses returns the peer listeners of the entries that peers= names.
+func (w *world) peerAddresses(a *args) string {
+	names := a.text("peers", "")
+	if names == "" {
+		return ""
+	}
+	return strconv.Quote(w.entry(a, names).vm().Address)
+}
+
 func (e *entryHost) settings(w *world, a *args) settings.Settings {
 	key := w.file("key", jobIDKey)
 	tokens := w.file("tokens", tokenName+" "+token)
 	text := fmt.Sprintf(settingsText, e.name, region, e.domain, e.ip, callerPort, peerPort, adminPort,
-		platformAddress, key, a.text("lifetime", "15m"), e.file, tokens)
+		platformAddress, key, a.text("lifetime", "15m"), e.file, tokens, w.peerAddresses(a))
 	s, err := settings.Parse(e.name, []byte(text))
 	if err != nil {
 		w.t.Fatal(err)
--- a/scripts/control.sh
+++ b/scripts/control.sh
@@ -44,7 +44,7 @@
     pause=$(awk -v n="$1" 'BEGIN { print 86400 / n }')
     while sleep "$pause"; do
         n=$((n + 1))
-        "$bin/lovagectl" put-team -platform "$PLATFORM" -weight "$((n % 9 + 1))" team-1 || true
+        "$bin/lovagectl" put-team -author control.sh -platform "$PLATFORM" -weight "$((n % 9 + 1))" team-1 || true
     done
 }
 
