Bound the parts of a hand-over in bytes

Cause: 500 jobs of large bodies exceed the size that a peer accepts in one message, so that a planned stop could not hand over.

Change: the shell tells the size of a submission; a part holds at most 8 MiB of submissions and results, and as much of answers, unless a single record is larger.

--- a/dispatch/input.go
+++ b/dispatch/input.go
@@ -29,6 +29,9 @@
 	Team    string
 	Service string
 	Tasks   []TaskSpec
+	// Bytes is the size of what the shell keeps of the job and would hand over
+	// with it.
+	Bytes int
 	// Parent is the trace ID of the request that this job serves, from the
 	// standard traceparent header. Empty if there is none.
 	Parent string
--- a/dispatch/ledger/bench_test.go
+++ b/dispatch/ledger/bench_test.go
@@ -121,7 +121,7 @@
 		a.BeginHandOver(2)
 		parts := 0
 		for a.Pending() > 0 {
-			part, _ := a.NextPart(500)
+			part, _ := a.NextPart(Limit{Records: 500})
 			to.Accept(part)
 			parts++
 		}
--- a/dispatch/ledger/handover.go
+++ b/dispatch/ledger/handover.go
@@ -83,13 +83,46 @@
 	return len(l.out.pending)
 }
 
-// NextPart returns the next part with at most maxRecords of the records that
-// are pending, if any. It returns false if no hand-over is under way.
-func (l *Ledger) NextPart(maxRecords int) (Part, bool) {
+// Limit bounds a part. A part has at least one record if any is pending.
+type Limit struct {
+	Records int
+	Bytes   int                // of what Weigh counts
+	Weigh   func(jobid.ID) int // bytes that go with the record of an open job; nil: none
+}
+
+// NextPart returns the next part of the records that are pending, if any. It
+// returns false if no hand-over is under way.
+func (l *Ledger) NextPart(limit Limit) (Part, bool) {
 	if l.given || l.out == nil {
 		return Part{}, false
 	}
-	return l.part(maxRecords), true
+	return l.part(l.fitting(limit)), true
+}
+
+// Fits reports whether all pending records fit into one part.
+func (l *Ledger) Fits(limit Limit) bool { return l.fitting(limit) == l.Pending() }
+
+// fitting returns the number of pending records that fit into one part.
+func (l *Ledger) fitting(limit Limit) int {
+	count, bytes := 0, 0
+	for ; count < min(limit.Records, l.Pending()); count++ {
+		bytes += l.weight(l.out.pending[count], limit)
+		if bytes > limit.Bytes && count > 0 {
+			break
+		}
+	}
+	return count
+}
+
+func (l *Ledger) weight(it item, limit Limit) int {
+	if it.kind != itemJob || limit.Weigh == nil {
+		return 0
+	}
+	j := l.open[it.job]
+	if j == nil {
+		return 0
+	}
+	return limit.Weigh(j.id)
 }
 
 // Give returns the last part. From now on this ledger answers for no ID and
@@ -120,10 +153,9 @@
 // Given reports whether a successor answers for this ledger's IDs.
 func (l *Ledger) Given() bool { return l.given }
 
-func (l *Ledger) part(maxRecords int) Part {
+func (l *Ledger) part(count int) Part {
 	part := Part{From: l.self, To: l.out.to, Session: l.session, Number: l.out.number}
 	l.out.number++
-	count := min(maxRecords, len(l.out.pending))
 	for _, it := range l.out.pending[:count] {
 		delete(l.out.queued, it)
 		l.fill(&part, it)
--- a/dispatch/ledger/handover_test.go
+++ b/dispatch/ledger/handover_test.go
@@ -17,7 +17,7 @@
 	}
 	var parts []Part
 	for l.Pending() > 0 {
-		part, _ := l.NextPart(maxRecords)
+		part, _ := l.NextPart(Limit{Records: maxRecords})
 		parts = append(parts, part)
 	}
 	for i := len(parts) - 1; i >= 0; i-- { // out of order
@@ -80,7 +80,7 @@
 	waiting, started, _ := three(t, a)
 	a.BeginHandOver(2)
 	for a.Pending() > 0 {
-		part, _ := a.NextPart(10)
+		part, _ := a.NextPart(Limit{Records: 10})
 		accept(t, b, part, false)
 	}
 	start(t, a, waiting, 1)
@@ -144,7 +144,7 @@
 	a, b, c := New(1), New(2), New(3)
 	waiting, _, _ := three(t, a)
 	a.BeginHandOver(2)
-	part, _ := a.NextPart(1)
+	part, _ := a.NextPart(Limit{Records: 1})
 	accept(t, b, part, false)
 	accept(t, c, handOver(t, a, c, 1), true)
 	if !c.MayStart(waiting, 0) || b.MayStart(waiting, 0) {
@@ -156,7 +156,7 @@
 	a, b := New(1), New(2)
 	waiting, _, _ := three(t, a)
 	a.BeginHandOver(2)
-	withheld, _ := a.NextPart(1)
+	withheld, _ := a.NextPart(Limit{Records: 1})
 	last, _ := a.Give()
 	_, err := b.Accept(last)
 	var missing *MissingPartError
@@ -218,7 +218,7 @@
 	_, started, _ := three(t, a)
 	a.BeginHandOver(2)
 	for a.Pending() > 0 {
-		part, _ := a.NextPart(10)
+		part, _ := a.NextPart(Limit{Records: 10})
 		accept(t, b, part, false)
 	}
 	a.End(started)
--- a/dispatch/modelcheck/succession.go
+++ b/dispatch/modelcheck/succession.go
@@ -1,5 +1,7 @@
 package modelcheck
 
+import "lovagespread.example/dispatch/ledger"
+
 func (w *World) stop(e, successor int) {
 	entry := &w.entries[e]
 	if !entry.ledger.BeginHandOver(incarnation(successor)) {
@@ -28,7 +30,7 @@
 
 func (w *World) nextPart(entry *entry) {
 	if entry.parts < w.config.Parts && entry.ledger.Pending() > 0 {
-		part, _ := entry.ledger.NextPart(w.config.PartRecords)
+		part, _ := entry.ledger.NextPart(ledger.Limit{Records: w.config.PartRecords})
 		entry.parts++
 		entry.sent = &part
 		return
--- a/dispatch/succession.go
+++ b/dispatch/succession.go
@@ -14,13 +14,19 @@
 // for later: they must not be changed after Step.
 type HandOver struct {
 	To jobid.Incarnation
-	// MaxRecords bounds the jobs and the answers in one part. The last part
-	// may hold as many again of what changed in the meantime. Default 500.
+	// MaxRecords bounds the open jobs in one part, and the answers. Default
+	// 500.
 	MaxRecords int
+	// MaxBytes bounds the bytes of submissions and results in one part, and
+	// those of answers, if there is more than one. Default 8 MiB.
+	MaxBytes int
 }
 
-// DefaultTransferRecords is the default of HandOver.MaxRecords.
-const DefaultTransferRecords = 500
+// Defaults of HandOver.
+const (
+	DefaultTransferRecords = 500
+	DefaultTransferBytes   = 8 << 20
+)
 
 // maxTransferParts bounds the parts that are sent before the last one.
 const maxTransferParts = 10_000
@@ -115,13 +121,13 @@
 
 // giving is the state of a hand-over to a successor.
 type giving struct {
-	maxRecords int
-	parts      int
-	latest     *Transfer         // without result
-	unsent     []jobid.ID        // answers
-	sent       map[jobid.ID]bool // answers
-	held       []Input           // that came while the last part was in doubt
-	given      givenState
+	limit  ledger.Limit
+	parts  int
+	latest *Transfer         // without result
+	unsent []jobid.ID        // answers
+	sent   map[jobid.ID]bool // answers
+	held   []Input           // that came while the last part was in doubt
+	given  givenState
 }
 
 // givenState is what is known of the last part.
--- a/dispatch/succession_give.go
+++ b/dispatch/succession_give.go
@@ -14,13 +14,30 @@
 		return
 	}
 	c.giving = &giving{
-		maxRecords: cmp.Or(in.MaxRecords, DefaultTransferRecords),
-		sent:       make(map[jobid.ID]bool),
+		limit: ledger.Limit{
+			Records: cmp.Or(in.MaxRecords, DefaultTransferRecords),
+			Bytes:   cmp.Or(in.MaxBytes, DefaultTransferBytes),
+			Weigh:   c.weigh,
+		},
+		sent: make(map[jobid.ID]bool),
 	}
-	c.collectAnswers()
 	c.transfer()
 }
 
+// weigh returns the bytes that go with the record of an open job.
+func (c *Core) weigh(id jobid.ID) int {
+	j := c.jobs[id]
+	return j.submit.Bytes + bytesOf(j.results)
+}
+
+func bytesOf(results [][]byte) int {
+	bytes := 0
+	for _, r := range results {
+		bytes += len(r)
+	}
+	return bytes
+}
+
 // collectAnswers queues the kept answers that were not sent.
 func (c *Core) collectAnswers() {
 	g := c.giving
@@ -39,14 +56,15 @@
 func (c *Core) transfer() {
 	g := c.giving
 	var t Transfer
-	last := len(g.unsent) == 0 && c.ledger.Pending() <= g.maxRecords
+	if len(g.unsent) == 0 {
+		c.collectAnswers()
+	}
+	t.Answers = c.takeAnswers()
+	last := len(g.unsent) == 0 && c.ledger.Fits(g.limit)
 	if last || g.parts >= maxTransferParts {
 		t.Part, _ = c.ledger.Give()
-		c.collectAnswers()
-		t.Answers = c.takeAnswers(len(g.unsent))
 	} else {
-		t.Part, _ = c.ledger.NextPart(g.maxRecords)
-		t.Answers = c.takeAnswers(g.maxRecords)
+		t.Part, _ = c.ledger.NextPart(g.limit)
 	}
 	for i := range t.Part.Jobs {
 		t.Jobs = append(t.Jobs, c.transferredJob(t.Part.Jobs[i].ID))
@@ -56,16 +74,24 @@
 	c.ready.Transfer = &t
 }
 
-func (c *Core) takeAnswers(limit int) []Answer {
+// takeAnswers returns the answers that go with the next part.
+func (c *Core) takeAnswers() []Answer {
 	g := c.giving
-	count := min(limit, len(g.unsent))
-	answers := make([]Answer, 0, count)
-	for _, id := range g.unsent[:count] {
-		if answer := c.answers[id]; answer != nil {
-			answers = append(answers, *answer)
+	var answers []Answer
+	bytes := 0
+	for len(g.unsent) > 0 && len(answers) < g.limit.Records {
+		answer := c.answers[g.unsent[0]]
+		if answer == nil {
+			g.unsent = g.unsent[1:]
+			continue
+		}
+		bytes += bytesOf(answer.Results)
+		if bytes > g.limit.Bytes && len(answers) > 0 {
+			break
 		}
+		answers = append(answers, *answer)
+		g.unsent = g.unsent[1:]
 	}
-	g.unsent = g.unsent[count:]
 	return answers
 }
 
--- a/dispatch/succession_test.go
+++ b/dispatch/succession_test.go
@@ -290,3 +290,26 @@
 		t.Fatalf("asked again: %+v", got)
 	}
 }
+
+func TestPartsAreBoundedInBytes(t *testing.T) {
+	s := newStopping(t, 1)
+	const jobs, bytes = 20, 100
+	for range jobs {
+		id, _ := s.ids.Issue(epoch, time.Hour)
+		s.a.Step(epoch, &Submit{ID: id, Service: "booking", Tasks: make([]TaskSpec, 1), Bytes: bytes})
+	}
+	transfer := s.a.Step(epoch, &HandOver{To: 2, MaxBytes: 3 * bytes}).Transfer
+	parts := 1
+	for !transfer.Part.Last {
+		if n := len(transfer.Jobs); n > 3 {
+			t.Fatalf("%d jobs of %d bytes in a part of %d", n, bytes, 3*bytes)
+		}
+		s.accept(transfer, false)
+		transfer = s.a.Step(epoch, &TransferResult{Outcome: TransferConfirmed}).Transfer
+		parts++
+	}
+	s.accept(transfer, true)
+	if parts != 7 || s.b.Open() != jobs {
+		t.Fatalf("%d jobs in %d parts, want %d in 7", s.b.Open(), parts, jobs)
+	}
+}
--- a/entry/control/message.go
+++ b/entry/control/message.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"github.com/samber/lo"
+
 	"lovagespread.example/catalog"
 	"lovagespread.example/client/callerapi"
 	"lovagespread.example/dispatch"
@@ -28,9 +30,14 @@
 		Service: s.Job.Service,
 		Tasks:   taskSpecs(s.Job.Tasks),
 		Parent:  s.Parent,
+		Bytes:   s.bytes(),
 	}
 }
 
+func (s *Submission) bytes() int {
+	return lo.SumBy(s.Job.Tasks, func(t callerapi.Task) int { return len(t.Payload) })
+}
+
 type submitMessage struct {
 	submission Submission
 	waiter     *waiter
