Give the byte bound's test slots for all of its jobs

Cause: its jobs were refused by admission, one slot being overloaded.

Change: as many slots as jobs; what it asks for is unchanged.

--- a/dispatch/succession_test.go
+++ b/dispatch/succession_test.go
@@ -292,8 +292,8 @@
 }
 
 func TestPartsAreBoundedInBytes(t *testing.T) {
-	s := newStopping(t, 1)
 	const jobs, bytes = 20, 100
+	s := newStopping(t, jobs)
 	for range jobs {
 		id, _ := s.ids.Issue(epoch, time.Hour)
 		s.a.Step(epoch, &Submit{ID: id, Service: "booking", Tasks: make([]TaskSpec, 1), Bytes: bytes})
