--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN      := $(CURDIR)/.bin
 RACE     := $(if $(shell command -v $(or $(CC),gcc) 2>/dev/null),-race,)
 
-.PHONY: build demo test up format-check vet lint unit check-model generate tools
+.PHONY: build demo soak test up format-check vet lint unit check-model generate tools
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -51,3 +51,7 @@
 # Runs a whole deployment until it is interrupted.
 up:
 	@./scripts/up.sh $(SERVICES)
+
+# Runs a whole deployment under many faults at once.
+soak:
+	@./scripts/soak.sh $(SERVICES)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -23,16 +23,14 @@
 readonly standins=${DEMO_STANDINS:-examples/collections.toml}
 
 kill_entry() {
-    say "killing $1"
-    kill -KILL "${pids[$1]}"
+    signal_entry KILL "$1"
     await "$1" || true
 }
 
 # stop_entry NAME stops an entry gracefully; it must exit with 0.
 stop_entry() {
     local status=0
-    say "stopping $1 gracefully"
-    kill -TERM "${pids[$1]}"
+    signal_entry TERM "$1"
     await "$1" || status=$?
     say "$1 exited with $status"
     if ((status != 0)); then
@@ -41,13 +39,6 @@
     fi
 }
 
-# Makes the open connections to the endpoints of one rack silent.
-silence_connections() {
-    local acted
-    acted=$("$bin/lovage-load" fault -control "$CONTROL" -kind silence_open -rack "${DOMAINS[0]}-r0")
-    say "made connections silent: $acted"
-}
-
 # Adds a service to the services text, publishes it, and reports how long the
 # change takes to be in force at all entries.
 publish_change() {
@@ -64,19 +55,11 @@
         say "version $version was not seen in force at all entries"
 }
 
-join_by() {
-    local IFS=$1
-    shift
-    printf '%s' "$*"
-}
-
 failed=0
 layout=(-standins "$standins" -entries 3)
 [[ -z $services ]] || layout+=(-services "$services")
 start_all "${layout[@]}"
-"$bin/lovage-load" run -control "$CONTROL" -address "$BALANCER" -services "$SERVICES" \
-    -admins "$(join_by , "${ADMINS[@]}")" -duration "${seconds}s" -load "$offered" >"$dir/result.json" &
-pids[load]=$!
+start_load "$seconds" "$offered"
 
 step=$((seconds / 6))
 sleep "$step"
@@ -86,7 +69,7 @@
 stop_entry "${ENTRIES[4]}"
 start_entry "${ENTRIES[4]}"
 sleep "$step"
-silence_connections
+fault -kind silence_open -rack "${DOMAINS[0]}-r0"
 publish_change
 sleep "$step"
 
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -13,7 +13,10 @@
 cleanup() {
     local status=$? name
     trap - EXIT
-    for name in "${!pids[@]}"; do kill -TERM "${pids[$name]}" 2>/dev/null || true; done
+    for name in "${!pids[@]}"; do
+        kill -TERM "${pids[$name]}" 2>/dev/null || true
+        kill -CONT "${pids[$name]}" 2>/dev/null || true
+    done
     for name in "${!pids[@]}"; do await "$name" || true; done
     if [[ -n ${KEEP:-} ]]; then
         say "settings and logs are kept in $dir"
@@ -75,3 +78,28 @@
     fi
     say "${#ENTRIES[@]} entries are ready"
 }
+
+# start_load SECONDS LOAD runs mixed jobs in the background. Progress goes to
+# standard error, the result to result.json in the directory.
+start_load() {
+    "$bin/lovage-load" run -control "$CONTROL" -address "$BALANCER" -services "$SERVICES" \
+        -admins "$(join_by , "${ADMINS[@]}")" -duration "${1}s" -load "$2" >"$dir/result.json" &
+    pids[load]=$!
+}
+
+join_by() {
+    local IFS=$1
+    shift
+    printf '%s' "$*"
+}
+
+# fault FLAGS... sets a fault switch of the stand-ins and says what it hit.
+fault() {
+    say "fault $*: $("$bin/lovage-load" fault -control "$CONTROL" -platform "${PLATFORM#http://}" "$@")"
+}
+
+# signal_entry SIGNAL NAME
+signal_entry() {
+    say "SIG$1 to $2"
+    kill "-$1" "${pids[$2]}"
+}
