--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -44,7 +44,7 @@
 publish_change() {
     local published version
     { cat "$SERVICES" && printf '\n[[service]]\nname = "demo-added-%s"\n' "$$"; } >"$dir/changed.toml"
-    if ! published=$("$bin/lovagectl" publish -platform "$PLATFORM" -json "$dir/changed.toml"); then
+    if ! published=$("$bin/lovagectl" publish -author demo -platform "$PLATFORM" -json "$dir/changed.toml"); then
         say "the change was not published"
         failed=1
         return
