--- a/dispatch/fate.go
+++ b/dispatch/fate.go
@@ -15,6 +15,7 @@
 	r.over = true
 	r.job.running--
 	r.executor.Free(t.needs)
+	r.executor.notOverdue(r)
 	c.countOpen(t.group, -1)
 	c.forget(r.job)
 }
@@ -39,7 +40,7 @@
 	t := &r.job.tasks[r.index]
 	s := t.group.service
 	if !r.executor.slow() {
-		s.runs.Observe(r.job.team.index, t.class, in.RunTime)
+		s.runs.Observe(r.job.team.index, t.class, t.expected, in.RunTime)
 	}
 	if c.opts.Off.has(Ejection) {
 		return
@@ -51,14 +52,24 @@
 func (c *Core) refused(in *Refused) {
 	r := c.find(in.Task, in.Attempt)
 	if r != nil {
-		if in.Reason == RefusedDraining {
-			r.executor.state = EndpointLeaving
-			c.updateTier(r.executor)
-		}
+		c.heed(r, in.Reason)
 	}
 	c.settle(r, in.Task, in.Attempt, ledger.FateNotStarted, "the endpoint refused the task")
 }
 
+// heed learns from the reason of a refusal. That an endpoint is full does
+// not count against the task.
+func (c *Core) heed(r *run, reason RefusalReason) {
+	switch reason {
+	case RefusedDraining:
+		r.executor.state = EndpointLeaving
+		c.updateTier(r.executor)
+	case RefusedFull:
+		r.job.tasks[r.index].unsent--
+		c.pauseSlot(r.executor)
+	}
+}
+
 func (c *Core) failed(in *Failed) {
 	r := c.find(in.Task, in.Attempt)
 	if r != nil && !r.stopped {
