--- a/cmd/lovage-load/compare.go
+++ b/cmd/lovage-load/compare.go
@@ -24,14 +24,27 @@
 	parallel := flags.Int("parallel", max(1, runtime.GOMAXPROCS(0)/2), "runs at a time; default: half of the processors")
 	set := flags.String("set", string(compare.StandardSet), "cases to run: standard, or ablation for the policy with one mechanism switched off")
 	only := flags.String("only", "", "regular expression of scenario/policy names to run; empty: all")
+	plot := flags.String("plot", "", "`file` (.png, .svg or .pdf) for the curves of one scenario; empty: none")
+	plotted := flags.String("plot-scenario", "burst", "scenario that -plot draws")
 	if err := command.Parse(flags, args); err != nil {
 		return err
 	}
+	if *seeds < 1 || *parallel < 1 {
+		return &command.UsageError{What: "-seeds or -parallel is below 1", Remedy: "give at least 1"}
+	}
+	if known := compare.Set(*set); known != compare.StandardSet && known != compare.AblationSet {
+		return &command.UsageError{What: "unknown -set " + *set, Remedy: "choose standard or ablation"}
+	}
 	debug.SetGCPercent(gcPercent)
 	report, err := compare.Compare(compare.Set(*set), *only, *seeds, *parallel)
 	if err != nil {
 		return err
 	}
+	if *plot != "" {
+		if err := report.Plot(*plotted, *plot); err != nil {
+			return err
+		}
+	}
 	if *asJSON {
 		return json.NewEncoder(out).Encode(report.Rows)
 	}
