--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -45,10 +45,14 @@
 	do.Provide(i, newPeerClient)
 	do.Provide(i, newFollower)
 	do.Provide(i, newKeeper)
+	do.Provide(i, newPoller)
 	do.Provide(i, newAnnouncer)
 	do.Provide(i, newHeartbeater)
 	do.Provide(i, newForwarder)
 	do.Provide(i, newJobs)
+	do.Provide(i, newCodec)
+	do.Provide(i, newTaker)
+	do.Provide(i, newGiver)
 	return i
 }
 
--- a/entry/wiring_peers.go
+++ b/entry/wiring_peers.go
@@ -20,8 +20,10 @@
 	"lovagespread.example/entry/peerclient"
 	"lovagespread.example/entry/peerserver"
 	"lovagespread.example/entry/settings"
+	"lovagespread.example/entry/succession"
 	"lovagespread.example/entry/tlsfiles"
 	"lovagespread.example/entry/token"
+	"lovagespread.example/entry/vmlist"
 	"lovagespread.example/entry/wire"
 	"lovagespread.example/platform"
 	"lovagespread.example/platform/follow"
@@ -91,6 +93,29 @@
 	return configuration.NewKeeper(follower, peers, do.MustInvoke[*decisionlog.Log](i).Logger), nil
 }
 
+func newPoller(i do.Injector) (*vmlist.Poller, error) {
+	lister, err := do.Invoke[*platform.Client](i)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := do.Invoke[*peerclient.Client](i)
+	if err != nil {
+		return nil, err
+	}
+	e, err := do.Invoke[*engine](i)
+	if err != nil {
+		return nil, err
+	}
+	s := do.MustInvoke[settings.Settings](i)
+	return &vmlist.Poller{
+		Lister:        lister,
+		Peers:         peerclient.Seeds{Client: peers, Addresses: s.Peers.Addresses},
+		FailureDomain: s.FailureDomain,
+		Sink:          e.loop.Member,
+		Log:           do.MustInvoke[*decisionlog.Log](i).Logger,
+	}, nil
+}
+
 func newAnnouncer(i do.Injector) (*heartbeat.Announcer, error) {
 	e, err := do.Invoke[*engine](i)
 	if err != nil {
@@ -150,11 +175,16 @@
 	if err != nil {
 		return nil, err
 	}
+	taker, err := do.Invoke[*succession.Taker](i)
+	if err != nil {
+		return nil, err
+	}
 	return peerserver.NewHandler(peerserver.Options{
 		Jobs:           service,
 		Heartbeats:     heartbeater,
 		Configurations: do.MustInvoke[*configuration.Keeper](i),
-		HandOvers:      noSuccession{},
+		Lists:          do.MustInvoke[*vmlist.Poller](i),
+		HandOvers:      taker,
 		Tokens:         token.Single("peer", string(shared)),
 	}), nil
 }
