--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -30,6 +30,26 @@
 //   - A Rejection with Execution NotRun is given only for a job of which no
 //     task was ever started, and the ledger admits no start for its ID later.
 //
+// # Policy
+//
+// Each part of the policy is a package of its own, and this one puts them
+// together:
+//
+//   - estimate: how long tasks run and callers wait, learned from traffic
+//   - urgency: the order of waiting jobs
+//   - queue: the data structures that hold what waits
+//   - place: the endpoint of a task, by load, rack and workers' resources
+//   - quota: rates and fair shares of teams
+//   - limit: refusals in overload
+//   - outlier: endpoints that fail or are slow
+//   - retry: the budget of messages beyond one for each task
+//
+// # Slots
+//
+// Every running task holds one slot of one endpoint, from its Start to its
+// fate, also after its job has ended. A fate may come from the shell or, past
+// the end of the lease, from the core itself.
+//
 // # Time and chance
 //
 // Core reads no clock and no global random number; Options carries the random
