Set the gauges; make news of a hand-over final in membership

Cause: configuration_version and three other gauges were never set, so the demo could not see a version in force; an entry that was handed over kept a share of the slots, and news of its successor could be lost with it.

--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -26,6 +26,7 @@
 // Observe is told what the loop does. Its methods do not block.
 type Observe interface {
 	Step(time.Duration)
+	Published(*Snapshot)
 	Answered(*dispatch.Answer)
 	Rejected(*dispatch.Rejection)
 }
--- a/entry/control/snapshot.go
+++ b/entry/control/snapshot.go
@@ -15,6 +15,8 @@
 	View    membership.View
 	Catalog *catalog.Catalog
 	Loads   []ServiceLoad
+	// OpenJobs is the number of jobs that have not ended.
+	OpenJobs int
 	// Owners are the incarnations whose jobs this entry answers for: itself
 	// and those that have handed their jobs over to it; none after it has
 	// handed over itself.
@@ -33,12 +35,15 @@
 func (l *Loop) publish() {
 	view := l.view
 	view.Self.Successor = l.succession.successor
-	l.snapshot.Store(&Snapshot{
-		View:    view,
-		Catalog: l.catalog,
-		Loads:   l.loads.list(),
-		Owners:  l.opts.Core.Owners(),
-	})
+	snapshot := &Snapshot{
+		View:     view,
+		Catalog:  l.catalog,
+		Loads:    l.loads.list(),
+		OpenJobs: l.opts.Core.Open(),
+		Owners:   l.opts.Core.Owners(),
+	}
+	l.snapshot.Store(snapshot)
+	l.opts.Observe.Published(snapshot)
 }
 
 // endpointsOf translates the members into what the core places tasks on: the
--- a/entry/control/succession.go
+++ b/entry/control/succession.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/samber/lo"
+
 	"lovagespread.example/dispatch"
 	"lovagespread.example/dispatch/jobid"
 	"lovagespread.example/membership"
@@ -153,10 +155,19 @@
 	if acceptance.Err != nil || acceptance.Done {
 		delete(l.succession.staged, from)
 	}
+	if acceptance.Done {
+		l.track(&membership.Succeeded{Owners: members(m.transfer.Part.Owners)})
+	}
 	l.publish()
 	m.reply <- acceptance
 }
 
+func members(owners []jobid.Incarnation) []membership.Incarnation {
+	return lo.Map(owners, func(id jobid.Incarnation, _ int) membership.Incarnation {
+		return membership.Incarnation(id)
+	})
+}
+
 func (l *Loop) putAll(list []Submission) {
 	for _, s := range list {
 		l.bodies.put(s)
--- a/entry/observe/observer.go
+++ b/entry/observe/observer.go
@@ -4,13 +4,16 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"lovagespread.example/dispatch"
+	"lovagespread.example/entry/control"
 	"lovagespread.example/entry/endpointclient"
 	"lovagespread.example/entry/explain"
 	"lovagespread.example/entry/metrics"
 	"lovagespread.example/entry/problem"
+	"lovagespread.example/membership"
 )
 
 // Observer is safe for concurrent use.
@@ -93,6 +96,28 @@
 // Step notes the time of one batch of the control loop.
 func (o *Observer) Step(d time.Duration) { o.metrics.StepSeconds.Observe(d.Seconds()) }
 
+// Published sets the gauges.
+func (o *Observer) Published(s *control.Snapshot) {
+	o.metrics.CatalogVersion.Set(float64(s.Catalog.Version))
+	o.metrics.OpenJobs.Set(float64(s.OpenJobs))
+	for _, load := range s.Loads {
+		o.metrics.Running.WithLabelValues(load.Service).Set(float64(load.Running))
+	}
+	o.countMembers(&s.View)
+}
+
+// states are the states of members that the gauge shows.
+var states = []membership.State{membership.Live, membership.Suspect, membership.Leaving, membership.Gone}
+
+func (o *Observer) countMembers(v *membership.View) {
+	entries := lo.CountValuesBy(v.Others, func(e membership.Entry) membership.State { return e.State })
+	endpoints := lo.CountValuesBy(v.Endpoints, func(e membership.Endpoint) membership.State { return e.State })
+	for _, state := range states {
+		o.metrics.Members.WithLabelValues("entry", state.String()).Set(float64(entries[state]))
+		o.metrics.Members.WithLabelValues("endpoint", state.String()).Set(float64(endpoints[state]))
+	}
+}
+
 // Answered notes the end of a job.
 func (o *Observer) Answered(a *dispatch.Answer) {
 	code := "ok"
--- a/membership/entries.go
+++ b/membership/entries.go
@@ -46,9 +46,14 @@
 		return
 	}
 	known := t.entries[e.Incarnation]
+	t.noteSuccessor(known, e.Successor)
 	if known != nil && e.Sequence <= known.Sequence {
 		return
 	}
+	if known != nil && known.Successor != 0 {
+		e.Successor = known.Successor
+		e.State = Leaving
+	}
 	e.Heard = t.now
 	e.Ended = false
 	if e.State != Leaving {
@@ -61,6 +66,27 @@
 	t.retireNamesakes(e)
 }
 
+// noteSuccessor notes who has taken over the jobs of an entry. A hand-over is
+// never taken back once it is announced, so the news counts whatever its
+// sequence.
+func (t *Tracker) noteSuccessor(known *Entry, successor Incarnation) {
+	if known == nil || successor == 0 || known.Successor != 0 {
+		return
+	}
+	known.Successor = successor
+	if known.State != Gone {
+		known.State = Leaving
+	}
+	t.changed = true
+}
+
+// succeeded notes that this entry has taken over the jobs of others.
+func (t *Tracker) succeeded(in *Succeeded) {
+	for _, owner := range in.Owners {
+		t.noteSuccessor(t.entries[owner], t.self.Incarnation)
+	}
+}
+
 // retireNamesakes marks earlier runs of the same entry as gone.
 func (t *Tracker) retireNamesakes(e Entry) {
 	for _, other := range t.entries {
@@ -114,15 +140,11 @@
 	if e.FailureDomain != t.self.FailureDomain {
 		factor = farFactor
 	}
-	if e.State == Leaving {
-		if silence > leavingGoneAfter*factor {
-			return Gone
-		}
-		return Leaving
-	}
 	switch {
 	case silence > goneAfter*factor:
 		return Gone
+	case e.State == Leaving:
+		return Leaving
 	case silence > suspectAfter*factor:
 		return Suspect
 	}
--- a/membership/input.go
+++ b/membership/input.go
@@ -27,6 +27,10 @@
 // EndpointSilent says that a request to an endpoint got no answer.
 type EndpointSilent struct{ Name string }
 
+// Succeeded says that this entry has taken over the jobs of other
+// incarnations.
+type Succeeded struct{ Owners []Incarnation }
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -34,4 +38,5 @@
 func (*Heartbeat) isInput()        {}
 func (*EndpointAnswered) isInput() {}
 func (*EndpointSilent) isInput()   {}
+func (*Succeeded) isInput()        {}
 func (*Tick) isInput()             {}
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -4,14 +4,13 @@
 
 // Periods after which silence counts.
 const (
-	suspectAfter     = 2 * time.Second  // an entry of the own failure domain
-	goneAfter        = 10 * time.Second // an entry of the own failure domain
-	farFactor        = 6                // longer for entries of other failure domains
-	leavingGoneAfter = 3 * time.Second  // an entry that said it was leaving
-	absentGoneAfter  = 30 * time.Second // an endpoint that a trusted list lacks
-	minSuspicion     = 2 * time.Second  // a silent endpoint; doubles up to the next
-	maxSuspicion     = time.Minute
-	silenceLimit     = 3 // requests without an answer, in a row
+	suspectAfter    = 2 * time.Second  // an entry of the own failure domain
+	goneAfter       = 10 * time.Second // an entry of the own failure domain
+	farFactor       = 6                // longer for entries of other failure domains
+	absentGoneAfter = 30 * time.Second // an endpoint that a trusted list lacks
+	minSuspicion    = 2 * time.Second  // a silent endpoint; doubles up to the next
+	maxSuspicion    = time.Minute
+	silenceLimit    = 3 // requests without an answer, in a row
 )
 
 // DefaultRetention is how long the record of a gone entry is kept.
@@ -69,6 +68,8 @@
 		t.answered(in)
 	case *EndpointSilent:
 		t.silent(in.Name)
+	case *Succeeded:
+		t.succeeded(in)
 	case *Tick:
 		t.tick()
 	}
--- a/membership/view.go
+++ b/membership/view.go
@@ -72,11 +72,12 @@
 }
 
 // share counts the entries that hold slots of the own failure domain. A
-// suspect or leaving one still holds its slots.
+// suspect or leaving one still holds its slots, until it has handed its jobs
+// over.
 func (t *Tracker) share(others []Entry) (rank, entries int) {
 	entries = 1
 	for _, e := range others {
-		if e.State == Gone || e.FailureDomain != t.self.FailureDomain {
+		if e.State == Gone || e.Successor != 0 || e.FailureDomain != t.self.FailureDomain {
 			continue
 		}
 		entries++
