--- a/cmd/lovagectl/exit.go
+++ b/cmd/lovagectl/exit.go
@@ -9,6 +9,7 @@
 	"lovagespread.example/catalog/tomlcheck"
 	"lovagespread.example/platform"
 	"lovagespread.example/platform/follow"
+	"lovagespread.example/platform/operate"
 )
 
 // exitCode is the exit code of the process.
@@ -23,6 +24,7 @@
 	exitRejected exitCode = 4
 	exitUnknown  exitCode = 5
 	exitPlatform exitCode = 6
+	exitPartly   exitCode = 7
 )
 
 var exitCodes = []struct {
@@ -36,6 +38,7 @@
 	{exitRejected, "rejected: another change on the same version came first"},
 	{exitUnknown, "unknown whether the change is or will be in force"},
 	{exitPlatform, "the platform refused or could not be reached; nothing was changed"},
+	{exitPartly, "accepted, but not in force at every entry of -entries yet"},
 }
 
 // usageError is a wrong command line.
@@ -56,11 +59,13 @@
 		unknownLog  *platform.UnknownOutcomeError
 		refused     *platform.RefusedError
 		unavailable *platform.UnavailableError
+		partly      *notEverywhereError
+		base        *operate.BaseError
 	)
 	switch {
 	case err == nil, errors.Is(err, flag.ErrHelp):
 		return exitDone
-	case errors.As(err, &usage):
+	case errors.As(err, &usage), errors.As(err, &base):
 		return exitUsage
 	case errors.As(err, &problems):
 		return exitProblems
@@ -70,6 +75,8 @@
 		return exitUnknown
 	case errors.As(err, &refused), errors.As(err, &unavailable):
 		return exitPlatform
+	case errors.As(err, &partly):
+		return exitPartly
 	}
 	return exitFailed
 }
--- a/experiment/load/measure.go
+++ b/experiment/load/measure.go
@@ -13,10 +13,14 @@
 	began    time.Time
 	starts   fakeendpoint.StartReport
 	messages fakeendpoint.Messages
+	admins   []string
+	entries  map[string]EntryMessages
+	rate     float64 // task starts a second, up to EndOfArrivals
 }
 
-// Begin notes what the endpoints have seen so far.
-func Begin(ctx context.Context, standins *Standins) (*Measurement, error) {
+// Begin notes what the endpoints have seen so far, and what the entries at
+// the given admin addresses, host:port, have counted.
+func Begin(ctx context.Context, standins *Standins, admins ...string) (*Measurement, error) {
 	starts, err := standins.Starts(ctx)
 	if err != nil {
 		return nil, err
@@ -25,13 +29,31 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Measurement{standins: standins, began: time.Now(), starts: starts, messages: messages}, nil
+	return &Measurement{
+		standins: standins,
+		began:    time.Now(),
+		starts:   starts,
+		messages: messages,
+		admins:   admins,
+		entries:  entryMessages(ctx, admins),
+	}, nil
+}
+
+// EndOfArrivals notes the rate of task starts since Begin. It is 0 without
+// this call.
+func (m *Measurement) EndOfArrivals(ctx context.Context) error {
+	messages, err := m.standins.Messages(ctx)
+	if err != nil {
+		return err
+	}
+	seen := messages.Sub(m.messages)
+	m.rate = float64(seen.Tasks-seen.Refusals) / time.Since(m.began).Seconds()
+	return nil
 }
 
 // Report combines what the callers got with what the endpoints saw since
 // Begin. repeats is the number of requests that callers sent again.
 func (m *Measurement) Report(ctx context.Context, tally *Tally, repeats int64, idempotent func(service string) bool) (Report, Detail, error) {
-	seconds := time.Since(m.began).Seconds()
 	starts, err := m.standins.Starts(ctx)
 	if err != nil {
 		return Report{}, Detail{}, err
@@ -45,9 +67,10 @@
 	e := evidence{
 		starts:   starts,
 		messages: messages.Sub(m.messages),
-		seconds:  seconds,
+		rate:     m.rate,
 		repeats:  repeats,
 	}
 	report, detail := tally.report(e, idempotent)
+	detail.Entries = sumSince(m.entries, entryMessages(ctx, m.admins))
 	return report, detail, nil
 }
