Check the gauge of the configuration version

Change: a test reads lovage_configuration_version from /metrics after a change. Figures: the test reads version 2.

--- a/entry/security_test.go
+++ b/entry/security_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"encoding/json"
 	"net/http"
 	"os"
@@ -94,6 +95,24 @@
 	}
 }
 
+// gauge returns the value of a metric without labels.
+func (r *running) gauge(name string) string {
+	r.t.Helper()
+	resp, err := http.Get("http://" + r.AdminAddr() + "/metrics")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if value, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			return value
+		}
+	}
+	r.t.Fatalf("no metric %s", name)
+	return ""
+}
+
 func TestOperatorsSeeStatusAndDecisions(t *testing.T) {
 	b := newTestbed(t)
 	b.addEndpoint("e1", "booking")
@@ -119,6 +138,9 @@
 	if len(decisions.Decisions) != 3 {
 		t.Errorf("decisions %+v, want 2 placements and an end", decisions.Decisions)
 	}
+	if got := e.gauge("lovage_configuration_version"); got != "2" {
+		t.Errorf("the metrics show configuration version %s", got)
+	}
 	if code := e.admin(http.MethodPost, "/v1/stop", operatorToken, nil); code != http.StatusAccepted {
 		t.Errorf("status %d", code)
 	}
