--- a/membership/entries.go
+++ b/membership/entries.go
@@ -140,12 +140,15 @@
 	if e.FailureDomain != t.self.FailureDomain {
 		factor = farFactor
 	}
+	silent := silence > suspectAfter*factor
 	switch {
 	case silence > goneAfter*factor:
 		return Gone
+	case e.Successor != 0 && silent:
+		return Suspect
 	case e.State == Leaving:
 		return Leaving
-	case silence > suspectAfter*factor:
+	case silent:
 		return Suspect
 	}
 	return Live
--- a/membership/view.go
+++ b/membership/view.go
@@ -72,12 +72,14 @@
 }
 
 // share counts the entries that hold slots of the own failure domain. A
-// suspect or leaving one still holds its slots, until it has handed its jobs
-// over.
+// suspect or leaving one still holds its slots. One that has handed its jobs
+// over holds them until it falls silent, which it does when its tasks have
+// ended.
 func (t *Tracker) share(others []Entry) (rank, entries int) {
 	entries = 1
 	for _, e := range others {
-		if e.State == Gone || e.Successor != 0 || e.FailureDomain != t.self.FailureDomain {
+		exited := e.Successor != 0 && e.State == Suspect
+		if e.State == Gone || exited || e.FailureDomain != t.self.FailureDomain {
 			continue
 		}
 		entries++
