--- a/dispatch/succession_take.go
+++ b/dispatch/succession_take.go
@@ -134,7 +134,6 @@
 		j.left--
 		j.view.Work -= t.expected
 	}
-	j.view.Left = j.left
 }
 
 func (c *Core) enqueueWaiting(j *job, records []ledger.TaskRecord) {
@@ -197,11 +196,7 @@
 	c.stopRuns(t)
 	if j.left == 0 {
 		c.end(j, nil)
-		return
 	}
-	j.view.Left = j.left
-	j.view.Work -= t.expected
-	c.reorder(j)
 }
 
 // resolved acts on the state of a task whose attempt gave no result.
--- a/entry/settings/load.go
+++ b/entry/settings/load.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"lovagespread.example/catalog"
 	"lovagespread.example/catalog/tomlcheck"
 )
 
@@ -51,11 +52,12 @@
 	root := doc.Root()
 	t := openTables(root)
 	s := Settings{
-		Name:          root.String("name", tomlcheck.Required),
-		Region:        root.String("region", tomlcheck.Required),
-		FailureDomain: root.String("failure_domain", tomlcheck.Required),
+		Name:          parseName(root, "name"),
+		Region:        parseName(root, "region"),
+		FailureDomain: parseName(root, "failure_domain"),
 		Listen:        parseListen(t.listen),
 		Platform:      parsePlatform(t.platform),
+		Peers:         parsePeers(t.peers),
 		JobIDs:        parseJobIDs(t.jobIDs),
 		Tokens:        parseTokens(t.tokens),
 		TLS:           parseTLS(t.tls),
@@ -69,13 +71,14 @@
 
 // tables are the tables of a settings text.
 type tables struct {
-	listen, platform, jobIDs, tokens, tls, limits, log *tomlcheck.Table
+	listen, platform, peers, jobIDs, tokens, tls, limits, log *tomlcheck.Table
 }
 
 func openTables(root *tomlcheck.Table) tables {
 	return tables{
 		listen:   root.Table("listen"),
 		platform: root.Table("platform"),
+		peers:    root.Table("peers"),
 		jobIDs:   root.Table("job_ids"),
 		tokens:   root.Table("tokens"),
 		tls:      root.Table("tls"),
@@ -91,6 +94,14 @@
 	"urgency":           "remove it: urgency is inferred",
 }
 
+func parseName(t *tomlcheck.Table, key string) string {
+	name := t.String(key, tomlcheck.Required)
+	if name != "" && !catalog.ValidName(name) {
+		t.Add(key, "is not a valid name", catalog.NameRemedy)
+	}
+	return name
+}
+
 func parseListen(t *tomlcheck.Table) Listen {
 	l := Listen{
 		Caller: t.String("caller", tomlcheck.Required),
@@ -110,6 +121,12 @@
 	return p
 }
 
+func parsePeers(t *tomlcheck.Table) Peers {
+	p := Peers{Addresses: t.Strings("addresses")}
+	t.RejectUnknown(nil)
+	return p
+}
+
 func parseJobIDs(t *tomlcheck.Table) JobIDs {
 	j := JobIDs{
 		KeyFiles: t.Strings("key_files"),
