--- a/dispatch/modelcheck/check.go
+++ b/dispatch/modelcheck/check.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// checkSuccessor holds that a successor that has confirmed the last part
+// answers for the former owner, unless it is gone or stops itself.
+func (w *World) checkSuccessor(e int) {
+	to := &w.entries[w.entries[e].successor]
+	if !to.alive || to.phase == inDoubt || to.phase == given {
+		return
+	}
+	if !to.ledger.AnswersFor(incarnation(e)) {
+		w.violate("entry %d has confirmed the hand-over of entry %d and does not answer for it", w.entries[e].successor, e)
+	}
+}
+
 // CheckEnd checks a world in which nothing more can happen.
 func (w *World) CheckEnd() {
 	for e := range w.entries {
--- a/dispatch/modelcheck/doc.go
+++ b/dispatch/modelcheck/doc.go
@@ -13,7 +13,8 @@
 //   - A complete answer has the result of every task.
 //   - A job that was called not run was not started before and is not later.
 //   - Nobody gives a job two different outcomes.
-//   - At most one live entry answers for an owner's job IDs.
+//   - At most one live entry answers for an owner's job IDs, and a successor
+//     that has confirmed a hand-over does.
 //   - Where nothing more can happen, no live entry has an open job.
 //
 // # What is modelled
--- a/dispatch/modelcheck/succession.go
+++ b/dispatch/modelcheck/succession.go
@@ -100,6 +100,7 @@
 		return
 	}
 	entry.phase = given
+	w.checkSuccessor(e)
 	held := entry.held
 	entry.held = nil
 	for _, a := range held {
