--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -149,6 +149,9 @@
 	eventually(t, "the outcome is written behind", func() bool {
 		return len(b.platform.Records(platform.StreamOutcomes)) > 0
 	})
+	eventually(t, "the metrics show the record", func() bool {
+		return owner.gauge(`lovage_log_records_total{kind="outcomes"}`) == "1"
+	})
 	never := owner.newID()
 	owner.stopWithoutSuccessor()
 	var got response
--- a/entry/metrics/metrics.go
+++ b/entry/metrics/metrics.go
@@ -81,6 +81,23 @@
 	}
 }
 
+// CountRecords adds counters of the records and appends of one kind that this
+// entry has written to the platform's log, and of those it has lost.
+func (s *Set) CountRecords(kind string, written, appends, dropped func() int) {
+	for _, c := range []struct {
+		name, help string
+		read       func() int
+	}{
+		{"log_records_total", "Records written to the platform's log, by kind.", written},
+		{"log_appends_total", "Appends to the platform's log, failed ones included, by kind.", appends},
+		{"log_records_dropped_total", "Records that were dropped before they were written, by kind.", dropped},
+	} {
+		s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: c.name, Help: c.help, ConstLabels: prometheus.Labels{"kind": kind},
+		}, func() float64 { return float64(c.read()) }))
+	}
+}
+
 // Handler serves the metrics.
 func (s *Set) Handler() http.Handler {
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
--- a/entry/wiring_log.go
+++ b/entry/wiring_log.go
@@ -6,6 +6,7 @@
 	"github.com/samber/do/v2"
 
 	"lovagespread.example/entry/decisionlog"
+	"lovagespread.example/entry/metrics"
 	"lovagespread.example/entry/outcomes"
 	"lovagespread.example/entry/settings"
 	"lovagespread.example/platform"
@@ -24,12 +25,23 @@
 	}), nil
 }
 
+// countOutcomes shows in the metrics what became of the outcomes.
+func countOutcomes(set *metrics.Set, queue *appender.Appender, writer *outcomes.Writer) {
+	counts := func() appender.Counts { return queue.Counts(appender.Outcomes) }
+	set.CountRecords(appender.Outcomes.String(),
+		func() int { return counts().Written },
+		func() int { return counts().Appends + counts().Failed },
+		func() int { return counts().Dropped + counts().Refused + int(writer.Dropped()) })
+}
+
 func newOutcomeWriter(i do.Injector) (*outcomes.Writer, error) {
 	queue, err := do.Invoke[*appender.Appender](i)
 	if err != nil {
 		return nil, err
 	}
-	return outcomes.NewWriter(queue), nil
+	writer := outcomes.NewWriter(queue)
+	countOutcomes(do.MustInvoke[*metrics.Set](i), queue, writer)
+	return writer, nil
 }
 
 func newOutcomeReader(i do.Injector) (*outcomes.Reader, error) {
