Say unknown, not not_run, of a job ID that another key may have signed

Scenario other_key shows it: 'says not run; 1 of its tasks were started'. Change: not_run is said only of a text that no key can have signed (wrong length or characters); of any other unverified ID the execution is unknown.

--- a/dispatch/jobid/jobid.go
+++ b/dispatch/jobid/jobid.go
@@ -136,15 +136,15 @@
 func (v *Verifier) Parse(text string) (ID, error) {
 	var raw [idBytes]byte
 	if encoding.DecodedLen(len(text)) != idBytes {
-		return ID{}, &ForgedError{Detail: "wrong length"}
+		return ID{}, &ForgedError{Detail: "wrong length", Malformed: true}
 	}
 	if _, err := encoding.Decode(raw[:], []byte(text)); err != nil {
-		return ID{}, &ForgedError{Detail: "not base32hex"}
+		return ID{}, &ForgedError{Detail: "not base32hex", Malformed: true}
 	}
 	// The last character has a bit that does not belong to the ID. One ID has
 	// one text form only, so it must be zero.
 	if encoding.EncodeToString(raw[:]) != text {
-		return ID{}, &ForgedError{Detail: "not the canonical form"}
+		return ID{}, &ForgedError{Detail: "not the canonical form", Malformed: true}
 	}
 	if raw[0] != version {
 		return ID{}, &ForgedError{Detail: "unknown version"}
@@ -169,9 +169,12 @@
 	return encode(id, secret), true
 }
 
-// ForgedError reports a job ID that no entry of this system has issued.
+// ForgedError reports a text that no key known here has signed. Malformed
+// tells whether no key at all can have signed it; otherwise an entry with other
+// keys, as during their rotation, may have issued it.
 type ForgedError struct {
-	Detail string
+	Detail    string
+	Malformed bool
 }
 
 func (e *ForgedError) Error() string {
--- a/entry/jobs/service.go
+++ b/entry/jobs/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
@@ -88,11 +89,21 @@
 func (s *Service) verify(text string) (jobid.ID, *callerapi.Problem) {
 	id, err := s.verifier.Parse(text)
 	if err != nil {
-		return id, problem.NotRun(callerapi.CodeForgedID, err.Error())
+		return id, problem.New(callerapi.CodeForgedID, executionOf(err), err.Error())
 	}
 	return id, nil
 }
 
+// executionOf says what is known of a job whose ID does not verify here: that
+// it was not run only if no entry can have issued such a text.
+func executionOf(err error) callerapi.Execution {
+	var forged *jobid.ForgedError
+	if errors.As(err, &forged) && forged.Malformed {
+		return callerapi.NotRun
+	}
+	return callerapi.Unknown
+}
+
 func (s *Service) owns(id jobid.ID) bool {
 	return s.loop.Snapshot().Owns(id.Owner)
 }
--- a/scenario/hosts.go
+++ b/scenario/hosts.go
@@ -40,6 +40,9 @@
 	token     = "a-token-of-thirty-two-characters"
 )
 
+// otherJobIDKey signs the job IDs of an entry that was given another key.
+const otherJobIDKey = "ffeeddccbbaa99887766554433221100ffeeddccbbaa99887766554433221100"
+
 // endpointHost is one endpoint on a host of its own.
 type endpointHost struct {
 	*fakeendpoint.Endpoint
@@ -182,6 +185,9 @@
 
 func (e *entryHost) settings(w *world, a *args) settings.Settings {
 	key := w.file("key", jobIDKey)
+	if a.text("key", "shared") == "other" {
+		key = w.file("other-key", otherJobIDKey)
+	}
 	tokens := w.file("tokens", tokenName+" "+token)
 	text := fmt.Sprintf(settingsText, e.name, region, e.domain, e.ip, callerPort, peerPort, adminPort,
 		platformAddress, key, a.text("lifetime", "15m"), e.file, tokens, w.peerAddresses(a))
