Bound the kept answers in bytes

Cause: 100,000 answers were kept for re-asking whatever their size: at 1 KiB a result and 10 results a job that is 1 GB, against 256 MB for control. Change: the results of kept answers are bounded too, 64 MiB by default, oldest first; a re-ask of a dropped one is told that it ran.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -121,19 +121,39 @@
 	}
 }
 
+// keep holds an answer for those who ask again, and drops the oldest ones
+// beyond the bounds. The newest is kept whatever its size.
 func (c *Core) keep(answer *Answer) {
 	c.answers[answer.ID] = answer
 	c.answered.Push(answer.ID)
-	for c.answered.Len() > c.opts.MaxAnswers {
+	c.answerBytes += answer.bytes()
+	for c.answered.Len() > 1 && c.keepsTooMuch() {
 		c.dropAnswer()
 	}
 }
 
+func (c *Core) keepsTooMuch() bool {
+	return c.answered.Len() > c.opts.MaxAnswers || c.answerBytes > c.opts.MaxAnswerBytes
+}
+
 func (c *Core) dropAnswer() {
-	delete(c.answers, c.answered.First())
+	id := c.answered.First()
+	if answer := c.answers[id]; answer != nil {
+		c.answerBytes -= answer.bytes()
+	}
+	delete(c.answers, id)
 	c.answered.Pop()
 }
 
+// bytes returns the size of the results.
+func (a *Answer) bytes() int {
+	total := 0
+	for _, result := range a.Results {
+		total += len(result)
+	}
+	return total
+}
+
 // stopRuns stops the attempts of an idempotent task.
 func (c *Core) stopRuns(t *task) {
 	if !t.group.service.spec.Idempotent {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -27,6 +27,9 @@
 	// MaxAnswers bounds the answers that are kept for re-asking. The oldest
 	// are dropped first. Default 100,000.
 	MaxAnswers int
+	// MaxAnswerBytes bounds the results of those answers, in bytes. Default
+	// 64 MiB.
+	MaxAnswerBytes int
 
 	// Order decides which job goes first. Default: the inferred urgency.
 	Order urgency.Order
@@ -57,6 +60,8 @@
 	DefaultMaxWaiting  = 10_000
 	DefaultMaxAttempts = 3
 	DefaultMaxAnswers  = 100_000
+	// DefaultMaxAnswerBytes is a quarter of what an entry may use for control.
+	DefaultMaxAnswerBytes = 64 << 20
 	// DefaultStretch is the factor of the default order.
 	DefaultStretch = 12
 )
@@ -71,6 +76,9 @@
 	if o.MaxAnswers == 0 {
 		o.MaxAnswers = DefaultMaxAnswers
 	}
+	if o.MaxAnswerBytes == 0 {
+		o.MaxAnswerBytes = DefaultMaxAnswerBytes
+	}
 	if o.Order == nil {
 		o.Order = urgency.Stretch{Factor: DefaultStretch}
 	}
@@ -82,31 +90,32 @@
 // Core decides admission, order, placement and the end of jobs. It is not
 // safe for concurrent use: one goroutine owns it.
 type Core struct {
-	opts      Options
-	now       time.Time
-	ready     Ready
-	catalog   *catalog.Catalog
-	ledger    *ledger.Ledger
-	jobs      map[jobid.ID]*job // not ended, or with running tasks
-	open      int               // jobs that have not ended
-	waiting   int               // tasks without a slot
-	answers   map[jobid.ID]*Answer
-	answered  queue.FIFO[jobid.ID]
-	admitted  queue.FIFO[*job]
-	services  map[string]*service
-	byDepth   []*service // deepest in the dependency graph first
-	teams     map[string]*team
-	traces    map[string]*trace
-	executors map[string]*executor
-	byID      []*executor // by place.Endpoint.ID
-	freeIDs   []int
-	listed    []Endpoint // as last announced
-	pauses    queue.FIFO[pause]
-	suspected []*executor // since the endpoints were last announced
-	share     SetShare
-	draining  bool
-	giving    *giving // nil: no hand-over was begun
-	taking    map[jobid.Incarnation]*taking
+	opts        Options
+	now         time.Time
+	ready       Ready
+	catalog     *catalog.Catalog
+	ledger      *ledger.Ledger
+	jobs        map[jobid.ID]*job // not ended, or with running tasks
+	open        int               // jobs that have not ended
+	waiting     int               // tasks without a slot
+	answers     map[jobid.ID]*Answer
+	answered    queue.FIFO[jobid.ID]
+	answerBytes int // of the results in answers
+	admitted    queue.FIFO[*job]
+	services    map[string]*service
+	byDepth     []*service // deepest in the dependency graph first
+	teams       map[string]*team
+	traces      map[string]*trace
+	executors   map[string]*executor
+	byID        []*executor // by place.Endpoint.ID
+	freeIDs     []int
+	listed      []Endpoint // as last announced
+	pauses      queue.FIFO[pause]
+	suspected   []*executor // since the endpoints were last announced
+	share       SetShare
+	draining    bool
+	giving      *giving // nil: no hand-over was begun
+	taking      map[jobid.Incarnation]*taking
 }
 
 // New returns a core without catalog or endpoints: it rejects every job until
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -400,3 +400,25 @@
 		r = h.wait(fullPause)
 	}
 }
+
+// A job whose answer was dropped must not be called not run.
+func TestKeptAnswersAreBoundedInBytes(t *testing.T) {
+	h := newHarness(t, endpointsOf("quote", 1)...)
+	h.opts.MaxAnswerBytes = 1000
+	finish := func(size int) jobid.ID {
+		id, r := h.submit("quote", 1)
+		h.wantStarts(r, 1)
+		h.step(&Done{Task: TaskRef{Job: id}, Attempt: 1, RunTime: time.Millisecond, Result: make([]byte, size)})
+		return id
+	}
+	first, second, large := finish(600), finish(300), finish(5000)
+	for _, id := range []jobid.ID{first, second} {
+		r := h.step(&Ask{ID: id})
+		if len(r.Rejections) != 1 || r.Rejections[0].Problem.Execution == NotRun {
+			t.Fatalf("ask for a dropped answer: %+v", r)
+		}
+	}
+	if r := h.step(&Ask{ID: large}); len(r.Answers) != 1 || len(r.Answers[0].Results[0]) != 5000 {
+		t.Fatalf("the newest answer was dropped: %+v", r.Rejections)
+	}
+}
