Give drained endpoints no new work

Cause: operators could publish drains of an endpoint, rack or failure domain, and entries ignored them. Change: the control loop treats an endpoint that the configuration in force drains as leaving, whatever it says itself, and looks again at every version.

--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -173,9 +173,16 @@
 func (l *Loop) setCatalog(c *catalog.Catalog) {
 	l.catalog = c
 	l.step(&dispatch.SetCatalog{Catalog: c})
+	l.setEndpoints()
 	l.publish()
 }
 
+// setEndpoints tells the core which endpoints there are, and which of them the
+// operators have drained.
+func (l *Loop) setEndpoints() {
+	l.step(&dispatch.SetEndpoints{Endpoints: endpointsOf(l.view, l.catalog)})
+}
+
 // track feeds the membership tracker and passes a changed view to the core.
 func (l *Loop) track(in membership.Input) {
 	view, changed := l.opts.Tracker.Step(time.Now(), in)
@@ -183,7 +190,7 @@
 		return
 	}
 	l.view = view
-	l.step(&dispatch.SetEndpoints{Endpoints: endpointsOf(view)})
+	l.setEndpoints()
 	l.step(&dispatch.SetShare{Rank: view.Rank, Entries: view.Entries})
 	l.sayGone()
 	l.publish()
--- a/entry/control/snapshot.go
+++ b/entry/control/snapshot.go
@@ -48,8 +48,9 @@
 
 // endpointsOf translates the members into what the core places tasks on: the
 // endpoints of the own failure domain, whose slots this entry shares with the
-// other entries there.
-func endpointsOf(view membership.View) []dispatch.Endpoint {
+// other entries there. One that operators have drained is leaving, whatever it
+// says itself.
+func endpointsOf(view membership.View, c *catalog.Catalog) []dispatch.Endpoint {
 	list := make([]dispatch.Endpoint, 0, len(view.Endpoints))
 	for _, e := range view.Endpoints {
 		if e.FailureDomain != view.Self.FailureDomain {
@@ -63,7 +64,7 @@
 			FailureDomain: e.FailureDomain,
 			Rack:          e.Rack,
 			Worker:        e.Worker,
-			State:         stateOf(e.State),
+			State:         drainedOr(stateOf(e.State), e, c),
 			Capacity: catalog.Resources{
 				MilliCores:   e.MilliCores,
 				MemoryMiB:    e.MemoryMiB,
@@ -74,6 +75,14 @@
 	return list
 }
 
+func drainedOr(state dispatch.EndpointState, e membership.Endpoint, c *catalog.Catalog) dispatch.EndpointState {
+	where := catalog.Location{Endpoint: e.Name, Rack: e.Rack, FailureDomain: e.FailureDomain}
+	if c.Drained(where) {
+		return dispatch.EndpointLeaving
+	}
+	return state
+}
+
 func stateOf(s membership.State) dispatch.EndpointState {
 	switch s {
 	case membership.Suspect:
--- a/scenario/faults.go
+++ b/scenario/faults.go
@@ -1,6 +1,8 @@
 package scenario
 
 import (
+	"strings"
+
 	"lovagespread.example/standin/fakeendpoint"
 	"lovagespread.example/standin/fakeplatform"
 )
@@ -68,14 +70,17 @@
 	}
 }
 
+// domainPrefix begins a word that names a failure domain.
+const domainPrefix = "domain:"
+
 func (w *world) group(a *args, word string) []string {
-	const prefix = "domain:"
-	if len(word) <= len(prefix) || word[:len(prefix)] != prefix {
+	domain, ok := strings.CutPrefix(word, domainPrefix)
+	if !ok {
 		return []string{w.known(a, word)}
 	}
 	var hosts []string
 	for _, name := range w.order {
-		if w.domainOf(name) == word[len(prefix):] {
+		if w.domainOf(name) == domain {
 			hosts = append(hosts, name)
 		}
 	}
--- a/scenario/publish.go
+++ b/scenario/publish.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,12 +29,34 @@
 	return w.publish(a)
 }
 
+// drain takes endpoints out of use: an endpoint, or a whole failure domain
+// named domain:NAME.
+func drain(w *world, a *args) string {
+	return w.publishBody(a, &change.Drain{Drain: drainOf(a.word("an endpoint or domain:NAME"))})
+}
+
+// undrain undoes a drain.
+func undrain(w *world, a *args) string {
+	return w.publishBody(a, &change.Undrain{Drain: drainOf(a.word("an endpoint or domain:NAME"))})
+}
+
+func drainOf(word string) catalog.Drain {
+	if domain, ok := strings.CutPrefix(word, domainPrefix); ok {
+		return catalog.Drain{Scope: catalog.ScopeFailureDomain, Name: domain}
+	}
+	return catalog.Drain{Scope: catalog.ScopeEndpoint, Name: word}
+}
+
 // republish publishes the current services text again, as a new version.
 func republish(w *world, a *args) string { return w.publish(a) }
 
 // publish appends a change that replaces the services and shows what its
 // author knows of it.
 func (w *world) publish(a *args) string {
+	return w.publishBody(a, &change.ReplaceServices{Services: w.services.Services, Teams: w.services.Teams})
+}
+
+func (w *world) publishBody(a *args, body change.Body) string {
 	w.changes++
 	base, err := strconv.ParseUint(a.text("base", strconv.FormatUint(w.newestVersion(), 10)), 10, 64)
 	if err != nil {
@@ -44,7 +67,7 @@
 		Base:   base,
 		Author: "scenario",
 		Time:   time.Now(),
-		Body:   &change.ReplaceServices{Services: w.services.Services, Teams: w.services.Teams},
+		Body:   body,
 	})
 	if err != nil {
 		a.fail("%v", err)
--- a/scenario/run.go
+++ b/scenario/run.go
@@ -38,6 +38,8 @@
 	"ready":         readiness,
 	"configuration": configuration,
 	"cancel-all":    cancelAll,
+	"drain":         drain,
+	"undrain":       undrain,
 	"republish":     republish,
 }
 
