Measure what noting a placement costs

Cause: none of the benchmarks showed the cost of the decision log, whose lines are neither sampled nor dropped. Change: BenchmarkPlacementNoted, part of make bench.

--- /dev/null
+++ b/entry/observe/bench_test.go
@@ -0,0 +1,32 @@
+package observe
+
+import (
+	"path/filepath"
+	"testing"
+
+	"lovagespread.example/dispatch"
+	"lovagespread.example/entry/decisionlog"
+	"lovagespread.example/entry/endpointclient"
+	"lovagespread.example/entry/explain"
+	"lovagespread.example/entry/metrics"
+)
+
+// BenchmarkPlacementNoted is what one placement costs to note: its log line
+// through the buffered file, its metrics and its place in the ring.
+func BenchmarkPlacementNoted(b *testing.B) {
+	log, err := decisionlog.Open("info", filepath.Join(b.TempDir(), "log"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	o := New(log.Logger, metrics.New(), explain.NewRing())
+	task := endpointclient.Task{Label: "0123456789abcdef-42", Start: dispatch.Start{
+		Service: "booking", Endpoint: "booking-lodz-a-07", Eligible: 12, Reason: dispatch.ReasonLeastLoaded, Urgency: 1.25, Attempt: 1,
+	}}
+	b.ReportAllocs()
+	for b.Loop() {
+		o.Started(task)
+	}
+	if err := log.Close(); err != nil {
+		b.Fatal(err)
+	}
+}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 
-go test ./dispatch/... -run '^$' -bench . -benchmem -count=1
+go test ./dispatch/... ./entry/observe -run '^$' -bench . -benchmem -count=1
 runs=$(go test ./dispatch -run '^$' -bench '^BenchmarkDecision$' -benchmem -count=5)
 echo "$runs"
 decision=$(awk '/^BenchmarkDecision/ { print $3, $7 }' <<<"$runs" | sort -n | sed -n 3p)
