Keep one pause, and take the unused message Borrow out

Cause: read-through: the same pause stood four times in the entry (stop, succession, heartbeat, vmlist); Borrow was still in the protocol between entries and always answered 0 slots, although lending was measured and dropped (decision 0004). Conclusion: no check or bound was touched.

--- a/entry/heartbeat/heartbeater.go
+++ b/entry/heartbeat/heartbeater.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"lovagespread.example/entry/control"
+	"lovagespread.example/entry/wait"
 	"lovagespread.example/membership"
 	"lovagespread.example/peer/peerpb"
 )
@@ -72,7 +73,7 @@
 	h.settled.begin(time.Now())
 	for ctx.Err() == nil {
 		h.look(ctx)
-		sleep(ctx, lookSpacing/2+rand.N(lookSpacing))
+		wait.For(ctx, lookSpacing/2+rand.N(lookSpacing))
 	}
 }
 
@@ -198,12 +199,3 @@
 		h.opts.Newer(from.GetAddress(), version)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/entry/peerserver/server.go
+++ b/entry/peerserver/server.go
@@ -150,8 +150,3 @@
 func (s *server) HandOver(ctx context.Context, r *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error) {
 	return s.opts.HandOvers.HandOver(ctx, r)
 }
-
-// Borrow implements peerpb.Peer. This entry lends no slots.
-func (s *server) Borrow(context.Context, *peerpb.BorrowRequest) (*peerpb.BorrowResponse, error) {
-	return &peerpb.BorrowResponse{}, nil
-}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"go.uber.org/zap"
+
+	"lovagespread.example/entry/wait"
 )
 
 // stop ends the entry gracefully: /readyz goes off, the jobs are handed over to
@@ -20,7 +21,7 @@
 	e.announcer.Leave(0)
 	e.heartbeat.Farewell(ctx)
 	e.handOver(ctx)
-	pause(ctx, balancerNotice)
+	wait.For(ctx, balancerNotice)
 	e.engine.loop.Drain()
 	left := e.awaitJobs(ctx)
 	e.shutDownServers(ctx)
@@ -54,7 +55,7 @@
 		if open == 0 || ctx.Err() != nil {
 			return open
 		}
-		pause(ctx, pollOpenJobs)
+		wait.For(ctx, pollOpenJobs)
 	}
 }
 
@@ -66,15 +67,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // OpenJobsError reports a stop that ended before all jobs did.
 type OpenJobsError struct{ Jobs int }
 
--- a/entry/succession/give.go
+++ b/entry/succession/give.go
@@ -13,6 +13,7 @@
 	"lovagespread.example/entry/handover"
 	"lovagespread.example/entry/metrics"
 	"lovagespread.example/entry/peerclient"
+	"lovagespread.example/entry/wait"
 	"lovagespread.example/membership"
 	"lovagespread.example/peer/peerpb"
 )
@@ -115,7 +116,7 @@
 		return dispatch.TransferHopeless
 	}
 	g.opts.Log.Warn("hand-over part without reply", zap.String("successor", to.Name), zap.Error(err))
-	pause(ctx, retryInterval)
+	wait.For(ctx, retryInterval)
 	return dispatch.TransferUnsure
 }
 
@@ -165,7 +166,7 @@
 			return nil
 		}
 		if len(untold.Fates) == 0 {
-			pause(ctx, pollInterval)
+			wait.For(ctx, pollInterval)
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -199,7 +200,7 @@
 		if ctx.Err() != nil || g.ended(to) {
 			return &UntoldError{Fates: len(fates), Successor: to.Name}
 		}
-		pause(ctx, retryInterval)
+		wait.For(ctx, retryInterval)
 	}
 }
 
@@ -212,12 +213,3 @@
 func (e *UntoldError) Error() string {
 	return "entry " + e.Successor + " did not take the fates of tasks that ran here: their jobs end with an unknown outcome; check their effects"
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/entry/vmlist/poller.go
+++ b/entry/vmlist/poller.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"lovagespread.example/entry/wait"
 	"lovagespread.example/membership"
 	"lovagespread.example/platform"
 	"lovagespread.example/platform/platformapi"
@@ -50,7 +51,7 @@
 	delay := spacing
 	for ctx.Err() == nil {
 		delay = p.next(delay, p.poll(ctx))
-		sleep(ctx, delay/2+rand.N(delay/2))
+		wait.For(ctx, delay/2+rand.N(delay/2))
 	}
 }
 
@@ -94,15 +95,6 @@
 	p.Sink(translate(list))
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func translate(list platformapi.VMList) *membership.List {
 	out := &membership.List{AsOf: list.AsOf}
 	for i := range list.VMs {
