--- a/cmd/lovagectl/exit.go
+++ b/cmd/lovagectl/exit.go
@@ -7,9 +7,9 @@
 	"github.com/go-faster/errors"
 
 	"lovagespread.example/catalog/tomlcheck"
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/follow"
-	"lovagespread.example/platform/operate"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/follow"
+	"lovagespread.example/logservice/operate"
 )
 
 // exitCode is the exit code of the process.
@@ -56,9 +56,9 @@
 		problems    *tomlcheck.Problems
 		rejected    *follow.RejectedError
 		unknown     *follow.UnknownError
-		unknownLog  *platform.UnknownOutcomeError
-		refused     *platform.RefusedError
-		unavailable *platform.UnavailableError
+		unknownLog  *logservice.UnknownOutcomeError
+		refused     *logservice.RefusedError
+		unavailable *logservice.UnavailableError
 		partly      *notEverywhereError
 		base        *operate.BaseError
 	)
--- a/cmd/lovagectl/history.go
+++ b/cmd/lovagectl/history.go
@@ -9,8 +9,8 @@
 	"github.com/go-faster/errors"
 
 	"lovagespread.example/catalog/change"
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // historyEntry is one record of the log and what became of it.
@@ -49,11 +49,11 @@
 	})
 }
 
-func readHistory(in *invocation, log platform.Log) ([]historyEntry, error) {
+func readHistory(in *invocation, log logservice.Log) ([]historyEntry, error) {
 	replica := change.NewReplica()
 	entries := []historyEntry{}
 	for {
-		response, err := log.Read(in.ctx, platform.StreamConfiguration, replica.Next(), platformapi.MaxReadRecords, 0)
+		response, err := log.Read(in.ctx, logservice.StreamConfiguration, replica.Next(), platformapi.MaxReadRecords, 0)
 		if err != nil {
 			return nil, err
 		}
@@ -156,6 +156,6 @@
 	if err != nil {
 		return restoration{}, err
 	}
-	offset, err := s.log.Append(s.ctx, platform.StreamConfiguration, [][]byte{body})
+	offset, err := s.log.Append(s.ctx, logservice.StreamConfiguration, [][]byte{body})
 	return restoration{Version: snapshot.Catalog.Version, Offset: offset}, err
 }
--- a/cmd/lovagectl/main_test.go
+++ b/cmd/lovagectl/main_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"lovagespread.example/platform"
+	"lovagespread.example/logservice"
 	"lovagespread.example/standin/fakeplatform"
 )
 
@@ -73,15 +73,15 @@
 		if _, err := fmt.Sscan(d.CmdArgs[0].Key, &before); err != nil {
 			t.Fatal(err)
 		}
-		b.platform.Forget(platform.StreamConfiguration, before)
+		b.platform.Forget(logservice.StreamConfiguration, before)
 	case "entry":
 		b.entry(t, d.CmdArgs[0].Key)
 	case "append":
-		client, err := platform.NewClient(platform.Options{URL: b.url})
+		client, err := logservice.NewClient(logservice.Options{URL: b.url})
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := client.Append(t.Context(), platform.StreamConfiguration, [][]byte{[]byte(d.Input)}); err != nil {
+		if _, err := client.Append(t.Context(), logservice.StreamConfiguration, [][]byte{[]byte(d.Input)}); err != nil {
 			t.Fatal(err)
 		}
 	case "down", "up":
--- a/cmd/lovagectl/session.go
+++ b/cmd/lovagectl/session.go
@@ -15,9 +15,9 @@
 	"lovagespread.example/catalog"
 	"lovagespread.example/catalog/change"
 	"lovagespread.example/experiment/load"
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/follow"
-	"lovagespread.example/platform/operate"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/follow"
+	"lovagespread.example/logservice/operate"
 )
 
 // never is longer than any run of this program.
@@ -36,11 +36,11 @@
 	flags.DurationVar(&c.timeout, "timeout", defaultTimeout, "longest run of the command, with its unit, as in 10s")
 }
 
-func (c *connection) client() (*platform.Client, error) {
+func (c *connection) client() (*logservice.Client, error) {
 	if c.url == "" {
 		return nil, usagef("no platform: add -platform URL")
 	}
-	opts := platform.Options{URL: c.url}
+	opts := logservice.Options{URL: c.url}
 	if c.tokenFile != "" {
 		token, err := os.ReadFile(c.tokenFile)
 		if err != nil {
@@ -48,13 +48,13 @@
 		}
 		opts.Token = strings.TrimSpace(string(token))
 	}
-	return platform.NewClient(opts)
+	return logservice.NewClient(opts)
 }
 
 // session is a follower that has read the log to its end.
 type session struct {
 	ctx      context.Context
-	log      platform.Log
+	log      logservice.Log
 	follower *follow.Follower
 	close    func()
 }
@@ -87,7 +87,7 @@
 		cause := follower.Status().Err
 		s.close()
 		if cause == nil {
-			cause = &platform.UnavailableError{Operation: "read the configuration", Cause: err}
+			cause = &logservice.UnavailableError{Operation: "read the configuration", Cause: err}
 		}
 		return nil, cause
 	}
--- a/entry/configuration/configuration.go
+++ b/entry/configuration/configuration.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	"lovagespread.example/catalog/change"
+	"lovagespread.example/logservice/follow"
 	"lovagespread.example/peer/peerpb"
-	"lovagespread.example/platform/follow"
 )
 
 // Peers fetches configurations from other entries.
--- a/entry/endpointclient/client_test.go
+++ b/entry/endpointclient/client_test.go
@@ -15,7 +15,7 @@
 	"lovagespread.example/dispatch"
 	"lovagespread.example/dispatch/jobid"
 	"lovagespread.example/entry/wire"
-	"lovagespread.example/platform/endpointapi"
+	"lovagespread.example/logservice/endpointapi"
 )
 
 // nothing observes nothing.
--- a/entry/endpointclient/heartbeat.go
+++ b/entry/endpointclient/heartbeat.go
@@ -8,7 +8,7 @@
 
 	"github.com/samber/lo"
 
-	"lovagespread.example/platform/endpointapi"
+	"lovagespread.example/logservice/endpointapi"
 )
 
 // heartbeatSpacing is the pause between two looks at the leases.
--- a/entry/endpointclient/run.go
+++ b/entry/endpointclient/run.go
@@ -12,7 +12,7 @@
 
 	"lovagespread.example/dispatch"
 	"lovagespread.example/entry/wire"
-	"lovagespread.example/platform/endpointapi"
+	"lovagespread.example/logservice/endpointapi"
 )
 
 // run makes one attempt and returns its outcome.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,9 +20,9 @@
 	"lovagespread.example/entry/succession"
 	"lovagespread.example/entry/vmlist"
 	"lovagespread.example/entry/wire"
+	"lovagespread.example/logservice/appender"
+	"lovagespread.example/logservice/follow"
 	"lovagespread.example/membership"
-	"lovagespread.example/platform/appender"
-	"lovagespread.example/platform/follow"
 )
 
 // Version is the version of the entry that the API documents show.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"lovagespread.example/client/callerapi"
-	"lovagespread.example/platform"
+	"lovagespread.example/logservice"
 	"lovagespread.example/standin/fakeendpoint"
 )
 
@@ -152,7 +152,7 @@
 	id := owner.newID()
 	whole := owner.do(http.MethodPut, "/v1/jobs/"+id+"?wait=10s", jobOf("booking", 3, 1)).answer(t)
 	eventually(t, "the outcome is written behind", func() bool {
-		return len(b.platform.Records(platform.StreamOutcomes)) > 0
+		return len(b.platform.Records(logservice.StreamOutcomes)) > 0
 	})
 	eventually(t, "the metrics show the record", func() bool {
 		return owner.gauge(`lovage_log_records_total{kind="outcomes"}`) == "1"
--- a/entry/outcomes/reader.go
+++ b/entry/outcomes/reader.go
@@ -10,8 +10,8 @@
 
 	"lovagespread.example/dispatch/jobid"
 	"lovagespread.example/entry/problem"
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // State is what a lookup found.
@@ -33,7 +33,7 @@
 
 // Options are the parameters of a Reader.
 type Options struct {
-	Log      platform.Log
+	Log      logservice.Log
 	Lifetime time.Duration // of job IDs: older outcomes are of no use
 	Logger   *zap.Logger
 }
@@ -152,7 +152,7 @@
 		return err
 	}
 	for {
-		page, err := r.opts.Log.Read(ctx, platform.StreamOutcomes, next, platformapi.MaxReadRecords, 0)
+		page, err := r.opts.Log.Read(ctx, logservice.StreamOutcomes, next, platformapi.MaxReadRecords, 0)
 		if err != nil {
 			return err
 		}
@@ -181,14 +181,14 @@
 // start finds, by halving, the first record young enough to be of use.
 func (r *Reader) start(ctx context.Context) (int64, error) {
 	oldest := time.Now().Add(-r.opts.Lifetime)
-	page, err := r.opts.Log.Read(ctx, platform.StreamOutcomes, 0, 1, 0)
+	page, err := r.opts.Log.Read(ctx, logservice.StreamOutcomes, 0, 1, 0)
 	if err != nil {
 		return 0, err
 	}
 	low, high := page.Oldest, page.Next
 	for low < high {
 		middle := low + (high-low)/2
-		page, err := r.opts.Log.Read(ctx, platform.StreamOutcomes, middle, 1, 0)
+		page, err := r.opts.Log.Read(ctx, logservice.StreamOutcomes, middle, 1, 0)
 		if err != nil {
 			return 0, err
 		}
--- a/entry/outcomes/writer.go
+++ b/entry/outcomes/writer.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 
 	"lovagespread.example/dispatch"
-	"lovagespread.example/platform/appender"
+	"lovagespread.example/logservice/appender"
 )
 
 // queueLength is the number of answers that wait to be encoded.
--- a/entry/peerclient/members.go
+++ b/entry/peerclient/members.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-faster/errors"
 
+	"lovagespread.example/logservice/platformapi"
 	"lovagespread.example/peer/peerpb"
-	"lovagespread.example/platform/platformapi"
 )
 
 // Seeds asks the entries at addresses that are known beforehand.
--- a/entry/peerserver/server.go
+++ b/entry/peerserver/server.go
@@ -13,8 +13,8 @@
 	"lovagespread.example/entry/jobs"
 	"lovagespread.example/entry/problem"
 	"lovagespread.example/entry/token"
+	"lovagespread.example/logservice/platformapi"
 	"lovagespread.example/peer/peerpb"
-	"lovagespread.example/platform/platformapi"
 )
 
 // maxBodyBytes bounds the body of one message between entries.
--- a/entry/testbed_test.go
+++ b/entry/testbed_test.go
@@ -18,8 +18,8 @@
 	"lovagespread.example/catalog/change"
 	"lovagespread.example/client/callerapi"
 	"lovagespread.example/entry/settings"
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/platformapi"
 	"lovagespread.example/standin/fakeendpoint"
 	"lovagespread.example/standin/fakeplatform"
 )
@@ -88,7 +88,7 @@
 // append puts a change on the log that is based on the given version.
 func (b *testbed) append(base uint64, body change.Body) {
 	b.t.Helper()
-	log, err := platform.NewClient(platform.Options{URL: b.url})
+	log, err := logservice.NewClient(logservice.Options{URL: b.url})
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -98,7 +98,7 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	if _, err := log.Append(context.Background(), platform.StreamConfiguration, [][]byte{record}); err != nil {
+	if _, err := log.Append(context.Background(), logservice.StreamConfiguration, [][]byte{record}); err != nil {
 		b.t.Fatal(err)
 	}
 }
--- a/entry/vmlist/poller.go
+++ b/entry/vmlist/poller.go
@@ -11,9 +11,9 @@
 	"go.uber.org/zap"
 
 	"lovagespread.example/entry/wait"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/platformapi"
 	"lovagespread.example/membership"
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/platformapi"
 )
 
 // Spacing of polls. A failed poll doubles the spacing up to the largest.
@@ -25,7 +25,7 @@
 // Poller polls until its context ends. A failed poll changes nothing: the
 // members known so far stay.
 type Poller struct {
-	Lister platform.VMLister
+	Lister logservice.VMLister
 	// Peers are asked if the platform's list cannot be read at the start.
 	Peers Peers
 	// FailureDomain is the one whose endpoints are wanted.
@@ -63,7 +63,7 @@
 }
 
 func (p *Poller) poll(ctx context.Context) error {
-	list, err := p.Lister.VMs(ctx, platform.VMQuery{EndpointsIn: p.FailureDomain, Known: p.known})
+	list, err := p.Lister.VMs(ctx, logservice.VMQuery{EndpointsIn: p.FailureDomain, Known: p.known})
 	if err != nil {
 		p.Log.Warn("the list of VMs cannot be read, the known members stay", zap.Error(err))
 		p.askPeers(ctx)
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -17,8 +17,8 @@
 	"lovagespread.example/entry/observe"
 	"lovagespread.example/entry/settings"
 	"lovagespread.example/entry/wire"
+	"lovagespread.example/logservice"
 	"lovagespread.example/membership"
-	"lovagespread.example/platform"
 )
 
 // inject declares how the parts of an entry are built.
@@ -120,7 +120,7 @@
 // platformConnections is the number of idle connections to the platform.
 const platformConnections = 4
 
-func newPlatform(i do.Injector) (*platform.Client, error) {
+func newPlatform(i do.Injector) (*logservice.Client, error) {
 	s := do.MustInvoke[settings.Settings](i).Platform
 	token, err := readToken(s.TokenFile)
 	if err != nil {
@@ -132,7 +132,7 @@
 		DialContext:         meter.Dial,
 		MaxIdleConnsPerHost: platformConnections,
 	}
-	return platform.NewClient(platform.Options{
+	return logservice.NewClient(logservice.Options{
 		URL:        s.URL,
 		Token:      token,
 		HTTPClient: &http.Client{Transport: transport},
--- a/entry/wiring_log.go
+++ b/entry/wiring_log.go
@@ -9,12 +9,12 @@
 	"lovagespread.example/entry/metrics"
 	"lovagespread.example/entry/outcomes"
 	"lovagespread.example/entry/settings"
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/appender"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/appender"
 )
 
 func newAppender(i do.Injector) (*appender.Appender, error) {
-	log, err := do.Invoke[*platform.Client](i)
+	log, err := do.Invoke[*logservice.Client](i)
 	if err != nil {
 		return nil, err
 	}
@@ -45,7 +45,7 @@
 }
 
 func newOutcomeReader(i do.Injector) (*outcomes.Reader, error) {
-	log, err := do.Invoke[*platform.Client](i)
+	log, err := do.Invoke[*logservice.Client](i)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/wiring_peers.go
+++ b/entry/wiring_peers.go
@@ -25,8 +25,8 @@
 	"lovagespread.example/entry/token"
 	"lovagespread.example/entry/vmlist"
 	"lovagespread.example/entry/wire"
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/follow"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/follow"
 )
 
 // peerToken is the token that all entries share; it may be empty.
@@ -65,7 +65,7 @@
 }
 
 func newFollower(i do.Injector) (*follow.Follower, error) {
-	log, err := do.Invoke[*platform.Client](i)
+	log, err := do.Invoke[*logservice.Client](i)
 	if err != nil {
 		return nil, err
 	}
@@ -94,7 +94,7 @@
 }
 
 func newPoller(i do.Injector) (*vmlist.Poller, error) {
-	lister, err := do.Invoke[*platform.Client](i)
+	lister, err := do.Invoke[*logservice.Client](i)
 	if err != nil {
 		return nil, err
 	}
--- a/experiment/load/direct.go
+++ b/experiment/load/direct.go
@@ -13,7 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"lovagespread.example/client/callerapi"
-	"lovagespread.example/platform/endpointapi"
+	"lovagespread.example/logservice/endpointapi"
 	"lovagespread.example/standin/fakeendpoint"
 )
 
--- a/platform/appender/appender.go
+++ b/logservice/appender/appender.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // Shares divide the appends of a process between the kinds. They add up to 1.
@@ -44,11 +44,11 @@
 
 // Options are the parameters of an Appender.
 type Options struct {
-	Log              platform.Log // required
-	Rand             *rand.Rand   // required; used by the appender alone
-	Logger           *zap.Logger  // nil: none
-	AppendsPerSecond float64      // of this process; 0: DefaultAppendsPerSecond
-	Shares           Shares       // zero: DefaultShares
+	Log              logservice.Log // required
+	Rand             *rand.Rand     // required; used by the appender alone
+	Logger           *zap.Logger    // nil: none
+	AppendsPerSecond float64        // of this process; 0: DefaultAppendsPerSecond
+	Shares           Shares         // zero: DefaultShares
 	Limits           [kinds]Limits
 }
 
@@ -123,8 +123,8 @@
 }
 
 // Append writes a record and returns its offset once it is synced. The error
-// is a *FullError, a *platform.RefusedError or a *platform.UnavailableError if
-// nothing was written, and a *platform.UnknownOutcomeError otherwise.
+// is a *FullError, a *logservice.RefusedError or a *logservice.UnavailableError if
+// nothing was written, and a *logservice.UnknownOutcomeError otherwise.
 func (a *Appender) Append(ctx context.Context, k Kind, record []byte) (int64, error) {
 	e := &entry{data: record, result: make(chan result, 1)}
 	if !a.push(k, e) {
@@ -145,9 +145,9 @@
 	removed := a.queues[k].remove(e)
 	a.mu.Unlock()
 	if removed {
-		return &platform.UnavailableError{Operation: operation, Cause: cause}
+		return &logservice.UnavailableError{Operation: operation, Cause: cause}
 	}
-	return &platform.UnknownOutcomeError{Operation: operation, Cause: cause}
+	return &logservice.UnknownOutcomeError{Operation: operation, Cause: cause}
 }
 
 func (a *Appender) push(k Kind, e *entry) bool {
@@ -189,7 +189,7 @@
 
 // run writes the records of one kind.
 func (a *Appender) run(ctx context.Context, k Kind) error {
-	backoff := platform.NewBackoff(a.rands[k])
+	backoff := logservice.NewBackoff(a.rands[k])
 	for {
 		select {
 		case <-ctx.Done():
@@ -211,7 +211,7 @@
 }
 
 // writeBatch makes one append. Its error is that of the context.
-func (a *Appender) writeBatch(ctx context.Context, k Kind, backoff *platform.Backoff) error {
+func (a *Appender) writeBatch(ctx context.Context, k Kind, backoff *logservice.Backoff) error {
 	if err := a.awaitBudget(ctx, k); err != nil {
 		return err
 	}
@@ -296,15 +296,15 @@
 }
 
 func isRefused(err error) bool {
-	var refused *platform.RefusedError
+	var refused *logservice.RefusedError
 	return errors.As(err, &refused)
 }
 
 func mayRetry(k Kind, err error) bool {
-	var refused *platform.RefusedError
+	var refused *logservice.RefusedError
 	if errors.As(err, &refused) {
 		return refused.Temporary()
 	}
-	var unavailable *platform.UnavailableError
+	var unavailable *logservice.UnavailableError
 	return errors.As(err, &unavailable) || k.droppable()
 }
--- a/platform/appender/appender_test.go
+++ b/logservice/appender/appender_test.go
@@ -11,8 +11,8 @@
 	"testing/synctest"
 	"time"
 
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // slowLog is a log whose appends take a time and may fail.
@@ -64,7 +64,7 @@
 	return len(l.written[k.Stream()]), l.appends[k.Stream()]
 }
 
-func start(t *testing.T, log platform.Log, adjust func(*Options)) *Appender {
+func start(t *testing.T, log logservice.Log, adjust func(*Options)) *Appender {
 	t.Helper()
 	opts := Options{Log: log, Rand: rand.New(rand.NewPCG(1, 2))}
 	if adjust != nil {
@@ -169,13 +169,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := newSlowLog(time.Millisecond)
 		log.setFailure(func(stream string) error {
-			return &platform.UnavailableError{Operation: "append", Cause: errors.New("connection refused")}
+			return &logservice.UnavailableError{Operation: "append", Cause: errors.New("connection refused")}
 		})
 		a := start(t, log, nil)
 		a.Enqueue(Outcomes, []byte("o"))
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
-		var unavailable *platform.UnavailableError
+		var unavailable *logservice.UnavailableError
 		if _, err := a.Append(ctx, Claims, []byte("given up")); !errors.As(err, &unavailable) {
 			t.Errorf("error %v, want an *UnavailableError", err)
 		}
@@ -199,19 +199,19 @@
 		log.setFailure(func(stream string) error {
 			calls[stream]++
 			if calls[stream] == 1 {
-				return &platform.UnknownOutcomeError{Operation: "append", Cause: errors.New("reset")}
+				return &logservice.UnknownOutcomeError{Operation: "append", Cause: errors.New("reset")}
 			}
 			return nil
 		})
 		a := start(t, log, nil)
 		a.Enqueue(Outcomes, []byte("o"))
-		var unknown *platform.UnknownOutcomeError
+		var unknown *logservice.UnknownOutcomeError
 		if _, err := a.Append(t.Context(), Claims, []byte("c")); !errors.As(err, &unknown) {
 			t.Errorf("error %v, want an *UnknownOutcomeError", err)
 		}
 		time.Sleep(5 * time.Second)
 		synctest.Wait()
-		if calls[platform.StreamClaims] != 1 || calls[platform.StreamOutcomes] != 2 {
+		if calls[logservice.StreamClaims] != 1 || calls[logservice.StreamOutcomes] != 2 {
 			t.Errorf("appends by stream: %v", calls)
 		}
 	})
@@ -221,7 +221,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := newSlowLog(time.Millisecond)
 		log.setFailure(func(string) error {
-			return &platform.RefusedError{Operation: "append", Status: http.StatusTooManyRequests}
+			return &logservice.RefusedError{Operation: "append", Status: http.StatusTooManyRequests}
 		})
 		a := start(t, log, func(o *Options) { o.Limits[Claims] = Limits{Records: 2, Bytes: 1 << 10} })
 		var taken int
--- a/platform/appender/kind.go
+++ b/logservice/appender/kind.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"lovagespread.example/platform"
+	"lovagespread.example/logservice"
 )
 
 // Kind is a kind of records, in falling order of priority.
@@ -19,7 +19,7 @@
 
 var (
 	kindNames   = [kinds]string{"changes", "claims", "outcomes"}
-	kindStreams = [kinds]string{platform.StreamConfiguration, platform.StreamClaims, platform.StreamOutcomes}
+	kindStreams = [kinds]string{logservice.StreamConfiguration, logservice.StreamClaims, logservice.StreamOutcomes}
 )
 
 // String returns the name of the kind.
--- a/platform/appender/log.go
+++ b/logservice/appender/log.go
@@ -6,23 +6,23 @@
 	"net/http"
 	"time"
 
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/platformapi"
 )
 
-// Log returns a platform.Log whose appends go through the appender as records
+// Log returns a logservice.Log whose appends go through the appender as records
 // of a kind, one record each. Its reads go straight to the platform.
-func (a *Appender) Log(k Kind) platform.Log { return &kindLog{appender: a, kind: k} }
+func (a *Appender) Log(k Kind) logservice.Log { return &kindLog{appender: a, kind: k} }
 
 type kindLog struct {
 	appender *Appender
 	kind     Kind
 }
 
-// Append implements platform.Log for one record in the stream of the kind.
+// Append implements logservice.Log for one record in the stream of the kind.
 func (l *kindLog) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
 	if stream != l.kind.Stream() || len(records) != 1 {
-		return 0, &platform.RefusedError{
+		return 0, &logservice.RefusedError{
 			Operation: "append to stream " + stream,
 			Status:    http.StatusBadRequest,
 			Detail:    fmt.Sprintf("one record of stream %s is wanted, %d were given", l.kind.Stream(), len(records)),
@@ -31,7 +31,7 @@
 	return l.appender.Append(ctx, l.kind, records[0])
 }
 
-// Read implements platform.Log.
+// Read implements logservice.Log.
 func (l *kindLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (platformapi.ReadResponse, error) {
 	return l.appender.opts.Log.Read(ctx, stream, from, limit, wait)
 }
--- a/platform/appender/queue.go
+++ b/logservice/appender/queue.go
@@ -1,6 +1,6 @@
 package appender
 
-import "lovagespread.example/platform/platformapi"
+import "lovagespread.example/logservice/platformapi"
 
 // maxBatchBytes bounds the records of one append.
 const maxBatchBytes = 4 << 20
--- a/platform/client.go
+++ b/logservice/client.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"bytes"
@@ -15,7 +15,7 @@
 
 	"github.com/go-faster/errors"
 
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // Deadlines and limits of a Client.
--- a/platform/contract/lists.go
+++ b/logservice/contract/lists.go
@@ -7,18 +7,18 @@
 
 	"github.com/go-faster/errors"
 
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // VMListUnderTest is a list without lag and the hooks to it.
 type VMListUnderTest struct {
-	Lister  platform.VMLister
+	Lister  logservice.VMLister
 	Set     func(vms []platformapi.VM)
 	SetDown func(down bool) // an outage
 }
 
-// TestVMList tests a platform.VMLister. newList is called once a test.
+// TestVMList tests a logservice.VMLister. newList is called once a test.
 func TestVMList(t *testing.T, newList func(t *testing.T) VMListUnderTest) {
 	t.Helper()
 	t.Run("ListsEveryField", func(t *testing.T) { listsEveryField(t, newList(t)) })
@@ -40,7 +40,7 @@
 		},
 	}
 	l.Set(want)
-	list, err := l.Lister.VMs(t.Context(), platform.VMQuery{})
+	list, err := l.Lister.VMs(t.Context(), logservice.VMQuery{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -58,7 +58,7 @@
 		{Name: "endpoint-a", Role: platformapi.RoleEndpoint, FailureDomain: "a"},
 		{Name: "endpoint-b", Role: platformapi.RoleEndpoint, FailureDomain: "b"},
 	})
-	list, err := l.Lister.VMs(t.Context(), platform.VMQuery{EndpointsIn: "a"})
+	list, err := l.Lister.VMs(t.Context(), logservice.VMQuery{EndpointsIn: "a"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -74,17 +74,17 @@
 func tellsWhatIsUnchanged(t *testing.T, l VMListUnderTest) {
 	vms := []platformapi.VM{{Name: "endpoint-a", Role: platformapi.RoleEndpoint, FailureDomain: "a"}}
 	l.Set(vms)
-	first, err := l.Lister.VMs(t.Context(), platform.VMQuery{})
+	first, err := l.Lister.VMs(t.Context(), logservice.VMQuery{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	again, err := l.Lister.VMs(t.Context(), platform.VMQuery{Known: first.Version})
+	again, err := l.Lister.VMs(t.Context(), logservice.VMQuery{Known: first.Version})
 	if err != nil || !again.Unchanged || again.Version != first.Version {
 		t.Errorf("listed %+v, %v; want version %q unchanged", again, err, first.Version)
 	}
 	vms[0].State = platformapi.VMLeaving
 	l.Set(vms)
-	changed, err := l.Lister.VMs(t.Context(), platform.VMQuery{Known: first.Version})
+	changed, err := l.Lister.VMs(t.Context(), logservice.VMQuery{Known: first.Version})
 	if err != nil || changed.Unchanged || changed.Version == first.Version || len(changed.VMs) != 1 {
 		t.Errorf("listed %+v, %v; want a changed list", changed, err)
 	}
@@ -95,8 +95,8 @@
 		t.Skip("no hook to an outage")
 	}
 	l.SetDown(true)
-	_, err := l.Lister.VMs(t.Context(), platform.VMQuery{})
-	var unavailable *platform.UnavailableError
+	_, err := l.Lister.VMs(t.Context(), logservice.VMQuery{})
+	var unavailable *logservice.UnavailableError
 	if !errors.As(err, &unavailable) {
 		t.Errorf("error %v, want an *UnavailableError", err)
 	}
@@ -104,12 +104,12 @@
 
 // UsageUnderTest is a usage reader without lag and the hooks to it.
 type UsageUnderTest struct {
-	Reader  platform.UsageReader
+	Reader  logservice.UsageReader
 	Set     func(usage []platformapi.Usage)
 	SetDown func(down bool) // an outage
 }
 
-// TestUsage tests a platform.UsageReader. newUsage is called once a test.
+// TestUsage tests a logservice.UsageReader. newUsage is called once a test.
 func TestUsage(t *testing.T, newUsage func(t *testing.T) UsageUnderTest) {
 	t.Helper()
 	t.Run("ReportsEveryField", func(t *testing.T) { reportsEveryField(t, newUsage(t)) })
@@ -136,7 +136,7 @@
 	}
 	u.SetDown(true)
 	_, err := u.Reader.Usage(t.Context())
-	var unavailable *platform.UnavailableError
+	var unavailable *logservice.UnavailableError
 	if !errors.As(err, &unavailable) {
 		t.Errorf("error %v, want an *UnavailableError", err)
 	}
--- a/platform/contract/log.go
+++ b/logservice/contract/log.go
@@ -10,8 +10,8 @@
 
 	"github.com/go-faster/errors"
 
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // longWait is longer than any test runs.
@@ -19,13 +19,13 @@
 
 // LogUnderTest is a new, empty log and the hooks to its faults.
 type LogUnderTest struct {
-	Log       platform.Log
+	Log       logservice.Log
 	Forget    func(stream string, before int64) // drops records
 	LoseReply func()                            // the next append takes effect without a reply
 	SetDown   func(down bool)                   // an outage
 }
 
-// TestLog tests a platform.Log. newLog is called once a test.
+// TestLog tests a logservice.Log. newLog is called once a test.
 func TestLog(t *testing.T, newLog func(t *testing.T) LogUnderTest) {
 	t.Helper()
 	tests := []struct {
@@ -188,7 +188,7 @@
 	}
 	for name, batch := range cases {
 		_, err := l.Log.Append(t.Context(), "s", batch)
-		var refused *platform.RefusedError
+		var refused *logservice.RefusedError
 		if !errors.As(err, &refused) {
 			t.Errorf("%s: error %v, want a *RefusedError", name, err)
 		}
@@ -226,7 +226,7 @@
 	first := appendTo(t, l, "s", "a")
 	l.LoseReply()
 	_, err := l.Log.Append(t.Context(), "s", [][]byte{[]byte("b")})
-	var unknown *platform.UnknownOutcomeError
+	var unknown *logservice.UnknownOutcomeError
 	if !errors.As(err, &unknown) {
 		t.Fatalf("error %v, want an *UnknownOutcomeError", err)
 	}
@@ -240,8 +240,8 @@
 	first := appendTo(t, l, "s", "a")
 	l.SetDown(true)
 	_, err := l.Log.Append(t.Context(), "s", [][]byte{[]byte("b")})
-	var unknown *platform.UnknownOutcomeError
-	var unavailable *platform.UnavailableError
+	var unknown *logservice.UnknownOutcomeError
+	var unavailable *logservice.UnavailableError
 	if !errors.As(err, &unknown) && !errors.As(err, &unavailable) {
 		t.Errorf("append during an outage: error %v", err)
 	}
--- a/platform/errors.go
+++ b/logservice/errors.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"fmt"
--- a/platform/follow/follower.go
+++ b/logservice/follow/follower.go
@@ -11,8 +11,8 @@
 
 	"lovagespread.example/catalog"
 	"lovagespread.example/catalog/change"
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // Defaults of Options.
@@ -25,13 +25,13 @@
 
 // Options are the parameters of a Follower.
 type Options struct {
-	Log  platform.Log // required
-	Rand *rand.Rand   // required; used by the follower alone
+	Log  logservice.Log // required
+	Rand *rand.Rand     // required; used by the follower alone
 	// OnCatalog gets each newer version, in order, from one goroutine. It
 	// must not block.
 	OnCatalog func(*catalog.Catalog)
 	Logger    *zap.Logger // nil: none
-	Stream    string      // empty: platform.StreamConfiguration
+	Stream    string      // empty: logservice.StreamConfiguration
 	// PollWait is the length of one long poll. Together with HedgeAfter it
 	// bounds how long a connection that has gone silent holds up a change.
 	PollWait time.Duration
@@ -54,7 +54,7 @@
 		o.Logger = zap.NewNop()
 	}
 	if o.Stream == "" {
-		o.Stream = platform.StreamConfiguration
+		o.Stream = logservice.StreamConfiguration
 	}
 	if o.PollWait == 0 {
 		o.PollWait = DefaultPollWait
@@ -75,7 +75,7 @@
 // for concurrent use.
 type Follower struct {
 	opts     Options
-	backoff  platform.Backoff
+	backoff  logservice.Backoff
 	status   atomic.Pointer[Status]
 	messages chan message
 	batches  chan batch
@@ -112,7 +112,7 @@
 	opts = opts.withDefaults()
 	f := &Follower{
 		opts:     opts,
-		backoff:  platform.NewBackoff(opts.Rand),
+		backoff:  logservice.NewBackoff(opts.Rand),
 		messages: make(chan message),
 		batches:  make(chan batch),
 		wanted:   make(chan order, 1),
@@ -197,7 +197,7 @@
 	}
 	f.checkOffsets(b)
 	if b.response.Oldest > f.replica.Next() {
-		err := platform.CheckKept(f.opts.Stream, f.replica.Next(), b.response.Oldest)
+		err := logservice.CheckKept(f.opts.Stream, f.replica.Next(), b.response.Oldest)
 		f.opts.Logger.Warn("configuration records are missing", zap.Error(err))
 		f.replica.Gap(b.response.Oldest)
 	}
--- a/platform/follow/hedge.go
+++ b/logservice/follow/hedge.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // HedgeAfter is the time past the end of a long poll after which a second
--- a/platform/follow/publish.go
+++ b/logservice/follow/publish.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	"lovagespread.example/catalog/change"
-	"lovagespread.example/platform"
+	"lovagespread.example/logservice"
 )
 
 // RejectedError says that a change is not in force and never will be: another
@@ -60,7 +60,7 @@
 // Publish appends a change and waits for its fate. It returns the version
 // that the change made, or an error that tells the truth about it:
 // a *RejectedError, an *UnknownError, or, if nothing was written, a
-// *platform.RefusedError or a *platform.UnavailableError.
+// *logservice.RefusedError or a *logservice.UnavailableError.
 //
 // Further copies of the change are harmless, so an append of unknown outcome
 // is repeated until the context ends.
@@ -75,10 +75,10 @@
 		f.settleWaiters()
 	})
 	if !registered {
-		return 0, &platform.UnavailableError{Operation: "publish change " + c.ID, Cause: errors.New("the follower has stopped")}
+		return 0, &logservice.UnavailableError{Operation: "publish change " + c.ID, Cause: errors.New("the follower has stopped")}
 	}
 	defer f.forget(w)
-	p := &publication{follower: f, waiter: w, record: record, backoff: platform.NewBackoff(seeded(c.ID))}
+	p := &publication{follower: f, waiter: w, record: record, backoff: logservice.NewBackoff(seeded(c.ID))}
 	return p.run(ctx)
 }
 
@@ -112,7 +112,7 @@
 	follower *Follower
 	waiter   *waiter
 	record   []byte
-	backoff  platform.Backoff
+	backoff  logservice.Backoff
 	written  bool  // some append may have taken effect
 	last     error // of the last append
 }
@@ -143,14 +143,14 @@
 	}
 	p.last = err
 	p.follower.opts.Logger.Warn("appending a change failed", zap.String("change", p.waiter.id), zap.Error(err))
-	var refused *platform.RefusedError
+	var refused *logservice.RefusedError
 	if errors.As(err, &refused) {
 		if !p.written && !refused.Temporary() {
 			return false, err
 		}
 		return false, nil
 	}
-	var unavailable *platform.UnavailableError
+	var unavailable *logservice.UnavailableError
 	if !errors.As(err, &unavailable) {
 		p.written = true
 	}
--- a/platform/follow/snapshot.go
+++ b/logservice/follow/snapshot.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"lovagespread.example/catalog/change"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // snapshotTimer decides when a snapshot is due: when the last one is old, or
--- a/platform/follow/snapshot_test.go
+++ b/logservice/follow/snapshot_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"lovagespread.example/catalog/change"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // TestSnapshotsDueDespiteSkewedClocks: a VM whose clock is an hour off must
--- a/platform/operate/operate.go
+++ b/logservice/operate/operate.go
@@ -12,7 +12,7 @@
 
 	"lovagespread.example/catalog"
 	"lovagespread.example/catalog/change"
-	"lovagespread.example/platform/follow"
+	"lovagespread.example/logservice/follow"
 )
 
 // Request asks for one change.
--- a/platform/platform.go
+++ b/logservice/platform.go
@@ -1,12 +1,12 @@
-// Package platform is the client side of what the platform offers: the
+// Package logservice is the client side of what the platform offers: the
 // append-only log, the list of VMs and the usage reports.
-package platform
+package logservice
 
 import (
 	"context"
 	"time"
 
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // Streams of the log that the system uses.
--- a/scenario/hosts.go
+++ b/scenario/hosts.go
@@ -13,7 +13,7 @@
 	"lovagespread.example/catalog"
 	"lovagespread.example/entry"
 	"lovagespread.example/entry/settings"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/platformapi"
 	"lovagespread.example/scenario/fabric"
 	"lovagespread.example/standin/fakeendpoint"
 )
--- a/scenario/publish.go
+++ b/scenario/publish.go
@@ -11,7 +11,7 @@
 
 	"lovagespread.example/catalog"
 	"lovagespread.example/catalog/change"
-	"lovagespread.example/platform"
+	"lovagespread.example/logservice"
 )
 
 // publishServices publishes the services text in the input. base= is the
@@ -72,12 +72,12 @@
 	if err != nil {
 		a.fail("%v", err)
 	}
-	_, err = w.platformClient().Append(context.Background(), platform.StreamConfiguration, [][]byte{record})
+	_, err = w.platformClient().Append(context.Background(), logservice.StreamConfiguration, [][]byte{record})
 	return appendResult(err)
 }
 
 func appendResult(err error) string {
-	var unknown *platform.UnknownOutcomeError
+	var unknown *logservice.UnknownOutcomeError
 	switch {
 	case err == nil:
 		return ok("published")
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"lovagespread.example/catalog"
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/platformapi"
 	"lovagespread.example/scenario/fabric"
 	"lovagespread.example/standin/fakeendpoint"
 	"lovagespread.example/standin/fakeplatform"
@@ -97,8 +97,8 @@
 
 // platformClient returns a client of the platform as the caller's host sees
 // it.
-func (w *world) platformClient() *platform.Client {
-	c, err := platform.NewClient(platform.Options{
+func (w *world) platformClient() *logservice.Client {
+	c, err := logservice.NewClient(logservice.Options{
 		URL:        "http://" + platformAddress,
 		HTTPClient: &http.Client{Transport: w.transport(callerHost)},
 	})
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -12,7 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"lovagespread.example/catalog"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/platformapi"
 	"lovagespread.example/standin/fakebalancer"
 	"lovagespread.example/standin/fakeendpoint"
 	"lovagespread.example/standin/fakeplatform"
--- a/standin/deployment/deployment_test.go
+++ b/standin/deployment/deployment_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/samber/lo"
 
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/platformapi"
 	"lovagespread.example/standin/deployment"
 )
 
--- a/standin/deployment/entries.go
+++ b/standin/deployment/entries.go
@@ -9,7 +9,7 @@
 
 	"github.com/samber/lo"
 
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // probeTimeout bounds one look at an entry.
--- a/standin/deployment/publish.go
+++ b/standin/deployment/publish.go
@@ -7,7 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"lovagespread.example/catalog/change"
-	"lovagespread.example/platform"
+	"lovagespread.example/logservice"
 )
 
 // firstChangeID is the ID of the change that publishes the services text.
@@ -25,11 +25,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the services text")
 	}
-	client, err := platform.NewClient(platform.Options{URL: "http://" + d.addresses.Platform})
+	client, err := logservice.NewClient(logservice.Options{URL: "http://" + d.addresses.Platform})
 	if err != nil {
 		return err
 	}
-	if _, err := client.Append(ctx, platform.StreamConfiguration, [][]byte{record}); err != nil {
+	if _, err := client.Append(ctx, logservice.StreamConfiguration, [][]byte{record}); err != nil {
 		return errors.Wrap(err, "publish the services text")
 	}
 	return nil
--- a/standin/endpointcontract/cases.go
+++ b/standin/endpointcontract/cases.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"lovagespread.example/platform/endpointapi"
+	"lovagespread.example/logservice/endpointapi"
 )
 
 var cases = []struct {
--- a/standin/endpointcontract/contract.go
+++ b/standin/endpointcontract/contract.go
@@ -15,7 +15,7 @@
 	"testing/synctest"
 	"time"
 
-	"lovagespread.example/platform/endpointapi"
+	"lovagespread.example/logservice/endpointapi"
 	"lovagespread.example/standin/faultnet"
 )
 
--- a/standin/fakeendpoint/endpoint.go
+++ b/standin/fakeendpoint/endpoint.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"lovagespread.example/platform/endpointapi"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/endpointapi"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // Options describe one endpoint.
--- a/standin/fakeendpoint/faults_test.go
+++ b/standin/fakeendpoint/faults_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"lovagespread.example/catalog"
-	"lovagespread.example/platform/endpointapi"
+	"lovagespread.example/logservice/endpointapi"
 	"lovagespread.example/standin/fakeendpoint"
 	"lovagespread.example/standin/faultnet"
 )
--- a/standin/fakeendpoint/fleet.go
+++ b/standin/fakeendpoint/fleet.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/samber/lo"
 
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // Fleet is a set of endpoints with listeners of their own. It is safe for
--- a/standin/fakeendpoint/handler.go
+++ b/standin/fakeendpoint/handler.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"lovagespread.example/platform/endpointapi"
+	"lovagespread.example/logservice/endpointapi"
 )
 
 // maxTaskBytes bounds the body of a task request.
--- a/standin/fakeendpoint/task.go
+++ b/standin/fakeendpoint/task.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"lovagespread.example/platform/endpointapi"
+	"lovagespread.example/logservice/endpointapi"
 )
 
 // outcome is how a task ended. An empty detail means with a result.
--- a/standin/fakeendpoint/worker.go
+++ b/standin/fakeendpoint/worker.go
@@ -4,8 +4,8 @@
 	"sync"
 
 	"lovagespread.example/catalog"
-	"lovagespread.example/platform/endpointapi"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/endpointapi"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // Worker hosts endpoints and watches over what their tasks use. It is safe
--- a/standin/fakeplatform/bench_test.go
+++ b/standin/fakeplatform/bench_test.go
@@ -13,8 +13,8 @@
 
 	"lovagespread.example/catalog"
 	"lovagespread.example/catalog/change"
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/follow"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/follow"
 )
 
 // countedConn counts the bytes of a connection in both directions.
@@ -35,7 +35,7 @@
 	return n, err
 }
 
-func countedClient(b *testing.B, url string, bytes *atomic.Int64) *platform.Client {
+func countedClient(b *testing.B, url string, bytes *atomic.Int64) *logservice.Client {
 	b.Helper()
 	var dialer net.Dialer
 	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -46,7 +46,7 @@
 		return &countedConn{Conn: c, bytes: bytes}, nil
 	}}
 	b.Cleanup(transport.CloseIdleConnections)
-	client, err := platform.NewClient(platform.Options{URL: url, HTTPClient: &http.Client{Transport: transport}})
+	client, err := logservice.NewClient(logservice.Options{URL: url, HTTPClient: &http.Client{Transport: transport}})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -60,7 +60,7 @@
 	p := New(Options{AppendDelay: None, AppendsPerSecond: None})
 	server := httptest.NewServer(p.Handler())
 	defer server.Close()
-	author, err := platform.NewClient(platform.Options{URL: server.URL})
+	author, err := logservice.NewClient(logservice.Options{URL: server.URL})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -92,7 +92,7 @@
 	<-done
 }
 
-func publishEdit(b *testing.B, log platform.Log, base uint64) {
+func publishEdit(b *testing.B, log logservice.Log, base uint64) {
 	b.Helper()
 	record, err := change.EncodeChange(change.Change{
 		ID: fmt.Sprintf("change-%022d", base), Base: base, Author: "operator", Time: time.Unix(0, 0).UTC(),
@@ -105,7 +105,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	if _, err := log.Append(context.Background(), platform.StreamConfiguration, [][]byte{record}); err != nil {
+	if _, err := log.Append(context.Background(), logservice.StreamConfiguration, [][]byte{record}); err != nil {
 		b.Fatal(err)
 	}
 }
@@ -118,7 +118,7 @@
 	var bytes atomic.Int64
 	client := countedClient(b, server.URL, &bytes)
 	for b.Loop() {
-		if _, err := client.Read(context.Background(), platform.StreamConfiguration, 0, 1000, time.Millisecond); err != nil {
+		if _, err := client.Read(context.Background(), logservice.StreamConfiguration, 0, 1000, time.Millisecond); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/standin/fakeplatform/chaos_test.go
+++ b/standin/fakeplatform/chaos_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"lovagespread.example/catalog/change"
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/follow"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/follow"
 )
 
 const (
@@ -28,7 +28,7 @@
 	rand      *rand.Rand
 	platform  *Platform
 	network   *memoryListener
-	newClient func() *platform.Client
+	newClient func() *logservice.Client
 	processes []*process
 	logs      []*cutLog
 	changes   int
@@ -122,7 +122,7 @@
 // truth judges the whole log.
 func (c *chaos) truth() *change.Replica {
 	r := change.NewReplica()
-	for _, record := range c.platform.Records(platform.StreamConfiguration) {
+	for _, record := range c.platform.Records(logservice.StreamConfiguration) {
 		r.Apply(record.Offset, record.Data)
 	}
 	return r
@@ -155,8 +155,8 @@
 	var (
 		rejected    *follow.RejectedError
 		unknown     *follow.UnknownError
-		refused     *platform.RefusedError
-		unavailable *platform.UnavailableError
+		refused     *logservice.RefusedError
+		unavailable *logservice.UnavailableError
 	)
 	switch {
 	case err == nil:
--- a/standin/fakeplatform/contract_test.go
+++ b/standin/fakeplatform/contract_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"lovagespread.example/platform/contract"
+	"lovagespread.example/logservice/contract"
 )
 
 func TestContract(t *testing.T) {
--- a/standin/fakeplatform/follow_faults_test.go
+++ b/standin/fakeplatform/follow_faults_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"lovagespread.example/catalog/change"
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/follow"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/follow"
 )
 
 func mustPublish(t *testing.T, p *process, id string, base uint64) {
@@ -132,7 +132,7 @@
 		never := func(o *follow.Options) { o.SnapshotEvery = 1000 * time.Hour }
 		a := start(t, client(), 1, never)
 		mustPublish(t, a, "c1", 0)
-		p.Forget(platform.StreamConfiguration, 1)
+		p.Forget(logservice.StreamConfiguration, 1)
 		b := start(t, client(), 2, never)
 		time.Sleep(time.Second)
 		if status := b.Status(); status.Complete || status.Reason() == "" {
@@ -178,7 +178,7 @@
 		_, client := memoryPlatform(t, Options{})
 		a, b := start(t, client(), 1, nil), start(t, client(), 2, nil)
 		records := [][]byte{[]byte("corrupt"), []byte(`{"format":7,"checksum":"","change":{}}`), nil}
-		if _, err := client().Append(t.Context(), platform.StreamConfiguration, records); err != nil {
+		if _, err := client().Append(t.Context(), logservice.StreamConfiguration, records); err != nil {
 			t.Fatal(err)
 		}
 		mustPublish(t, a, "c1", 0)
@@ -197,7 +197,7 @@
 		a := start(t, client(), 1, nil)
 		mustPublish(t, a, "c1", 0)
 		newest, _ := a.Copy(t.Context())
-		p.Forget(platform.StreamConfiguration, 1)
+		p.Forget(logservice.StreamConfiguration, 1)
 		b := start(t, client(), 2, nil)
 		time.Sleep(time.Second)
 		if _, err := b.Adopt(t.Context(), newest); err != nil {
--- a/standin/fakeplatform/follow_test.go
+++ b/standin/fakeplatform/follow_test.go
@@ -12,8 +12,8 @@
 
 	"lovagespread.example/catalog"
 	"lovagespread.example/catalog/change"
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/follow"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/follow"
 )
 
 // inForce is the time within which an accepted change must be in force.
@@ -26,7 +26,7 @@
 	done sync.WaitGroup
 }
 
-func start(t *testing.T, log platform.Log, seed uint64, adjust func(*follow.Options)) *process {
+func start(t *testing.T, log logservice.Log, seed uint64, adjust func(*follow.Options)) *process {
 	t.Helper()
 	opts := follow.Options{Log: log, Rand: rand.New(rand.NewPCG(seed, 1))}
 	if adjust != nil {
--- a/standin/fakeplatform/memory_test.go
+++ b/standin/fakeplatform/memory_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // memoryListener connects clients and a server through net.Pipe, so that
@@ -100,24 +100,24 @@
 
 // memoryPlatform serves a platform in memory and returns a function that
 // makes clients of it.
-func memoryPlatform(t *testing.T, opts Options) (*Platform, func() *platform.Client) {
+func memoryPlatform(t *testing.T, opts Options) (*Platform, func() *logservice.Client) {
 	t.Helper()
 	p, _, client := memoryNetwork(t, opts)
 	return p, client
 }
 
 // memoryNetwork is memoryPlatform with access to the connections.
-func memoryNetwork(t *testing.T, opts Options) (*Platform, *memoryListener, func() *platform.Client) {
+func memoryNetwork(t *testing.T, opts Options) (*Platform, *memoryListener, func() *logservice.Client) {
 	t.Helper()
 	p := New(opts)
 	listener := newMemoryListener()
 	server := &http.Server{Handler: p.Handler()}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return p, listener, func() *platform.Client {
+	return p, listener, func() *logservice.Client {
 		transport := &http.Transport{DialContext: listener.dial}
 		t.Cleanup(transport.CloseIdleConnections)
-		client, err := platform.NewClient(platform.Options{
+		client, err := logservice.NewClient(logservice.Options{
 			URL:        "http://platform",
 			HTTPClient: &http.Client{Transport: transport},
 			Timeout:    2 * time.Second,
@@ -131,7 +131,7 @@
 
 // cutLog is a log that can be cut off.
 type cutLog struct {
-	platform.Log
+	logservice.Log
 	cut atomic.Bool
 }
 
@@ -140,7 +140,7 @@
 func (l *cutLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (platformapi.ReadResponse, error) {
 	response, err := l.Log.Read(ctx, stream, from, limit, wait)
 	if l.cut.Load() {
-		return platformapi.ReadResponse{}, &platform.UnavailableError{Operation: "read", Cause: net.ErrClosed}
+		return platformapi.ReadResponse{}, &logservice.UnavailableError{Operation: "read", Cause: net.ErrClosed}
 	}
 	return response, err
 }
--- a/standin/fakeplatform/platform.go
+++ b/standin/fakeplatform/platform.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // Defaults of Options.
--- a/standin/fakeplatform/platform_test.go
+++ b/standin/fakeplatform/platform_test.go
@@ -6,20 +6,20 @@
 	"testing"
 	"time"
 
-	"lovagespread.example/platform"
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // busyTimeout bounds a request on a VM that is busy with other tests: what the
 // tests check does not depend on time.
 const busyTimeout = time.Minute
 
-func serve(t *testing.T, opts Options) (*Platform, *platform.Client) {
+func serve(t *testing.T, opts Options) (*Platform, *logservice.Client) {
 	t.Helper()
 	p := New(opts)
 	server := httptest.NewServer(p.Handler())
 	t.Cleanup(server.Close)
-	client, err := platform.NewClient(platform.Options{URL: server.URL, Token: opts.Token, Timeout: busyTimeout})
+	client, err := logservice.NewClient(logservice.Options{URL: server.URL, Token: opts.Token, Timeout: busyTimeout})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -30,11 +30,11 @@
 	p := New(Options{Token: "secret"})
 	server := httptest.NewServer(p.Handler())
 	defer server.Close()
-	client, err := platform.NewClient(platform.Options{URL: server.URL, Token: "guess"})
+	client, err := logservice.NewClient(logservice.Options{URL: server.URL, Token: "guess"})
 	if err != nil {
 		t.Fatal(err)
 	}
-	var refused *platform.RefusedError
+	var refused *logservice.RefusedError
 	if _, err := client.Append(t.Context(), "s", [][]byte{{1}}); !errors.As(err, &refused) {
 		t.Fatalf("error %v", err)
 	}
@@ -45,12 +45,12 @@
 
 func TestUnreachablePlatformChangesNothing(t *testing.T) {
 	server := httptest.NewServer(New(Options{}).Handler())
-	client, err := platform.NewClient(platform.Options{URL: server.URL})
+	client, err := logservice.NewClient(logservice.Options{URL: server.URL})
 	if err != nil {
 		t.Fatal(err)
 	}
 	server.Close()
-	var unavailable *platform.UnavailableError
+	var unavailable *logservice.UnavailableError
 	if _, err := client.Append(t.Context(), "s", [][]byte{{1}}); !errors.As(err, &unavailable) {
 		t.Fatalf("error %v", err)
 	}
@@ -58,7 +58,7 @@
 
 func TestRateLimitIsRefused(t *testing.T) {
 	_, client := serve(t, Options{AppendsPerSecond: 1})
-	var refused *platform.RefusedError
+	var refused *logservice.RefusedError
 	for range 100 {
 		if _, err := client.Append(t.Context(), "s", [][]byte{{1}}); errors.As(err, &refused) {
 			return
@@ -76,7 +76,7 @@
 	}{{ListNormal, 2}, {ListEmpty, 0}, {ListShrunken, 1}, {ListStale, 2}}
 	for _, c := range cases {
 		p.SetListFault(c.fault, 1)
-		list, err := client.VMs(t.Context(), platform.VMQuery{})
+		list, err := client.VMs(t.Context(), logservice.VMQuery{})
 		if err != nil || len(list.VMs) != c.want {
 			t.Errorf("%q: %d VMs, %v; want %d", c.fault, len(list.VMs), err, c.want)
 		}
--- a/standin/fakeplatform/serve.go
+++ b/standin/fakeplatform/serve.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/platformapi"
 )
 
 const (
--- a/standin/fakeplatform/stream.go
+++ b/standin/fakeplatform/stream.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"lovagespread.example/platform/platformapi"
+	"lovagespread.example/logservice/platformapi"
 )
 
 // stream holds the records of one stream that are still kept.
