--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 # Needs protoc; the generated code is committed.
 generate: tools
 	cd peer && PATH=$(BIN):$$PATH protoc --go_out=paths=source_relative:. \
-		--twirp_out=paths=source_relative:. peerpb/peer.proto
+		--twirp_out=paths=source_relative:. peerpb/peer.proto fleetpb/fleet.proto
 
 # Benchmarks of the decisions and of one entry; ends with one JSON line.
 bench:
--- /dev/null
+++ b/dispatch/leased/job.go
@@ -0,0 +1,98 @@
+package leased
+
+import "time"
+
+// JobID is the identifier that a caller has chosen for a job.
+type JobID string
+
+// TaskID names a task of a job.
+type TaskID struct {
+	Job        JobID
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// Demand is an amount of an endpoint's resources.
+type Demand struct {
+	MilliCores   int
+	MemoryMiB    int
+	Accelerators int
+}
+
+func (d Demand) plus(o Demand) Demand {
+	return Demand{d.MilliCores + o.MilliCores, d.MemoryMiB + o.MemoryMiB, d.Accelerators + o.Accelerators}
+}
+
+func (d Demand) minus(o Demand) Demand {
+	return Demand{d.MilliCores - o.MilliCores, d.MemoryMiB - o.MemoryMiB, d.Accelerators - o.Accelerators}
+}
+
+// Within reports whether the demand fits into what is free.
+func (d Demand) Within(free Demand) bool {
+	return d.MilliCores <= free.MilliCores && d.MemoryMiB <= free.MemoryMiB && d.Accelerators <= free.Accelerators
+}
+
+// Step is a group of like tasks of a job.
+type Step struct {
+	Tasks          int
+	Demand         Demand // of one task
+	Estimate       time.Duration
+	After          []int  // steps that must be done first
+	Label          string // the endpoint must have it; empty: any
+	Rack           string // where the data lies; empty: anywhere
+	MaxPerEndpoint int    // tasks of the step on one endpoint; 0: any number
+}
+
+// Job is what a caller wants to be run.
+type Job struct {
+	ID          JobID
+	Spec        string // opaque, for the endpoints
+	Service     string
+	Queue       string // jobs of a queue are alike
+	Priority    int    // 0 goes first among jobs that are equally urgent
+	MaxAttempts int    // runs of a task that may fail
+	// The answer should come within Stretch times the expected run time and
+	// Slack more.
+	Stretch float64
+	Slack   time.Duration
+	// Patience is how long the caller goes on waiting.
+	Patience time.Duration
+	Steps    []Step
+	// Resubmitted says that another holder had the job before: runs of it may
+	// be under way that this one cannot see.
+	Resubmitted bool
+}
+
+// Guest is one task of a job whose queue is elsewhere.
+type Guest struct {
+	Task     TaskID
+	Service  string
+	Queue    string
+	Spec     string
+	Step     Step
+	Run      int    // number of this run
+	Saved    string // checkpoint to resume from
+	Patience time.Duration
+	// Adopt says that the run may already be under way on an endpoint that
+	// this core holds.
+	Adopt bool
+}
+
+// Ticket identifies one submission. The caller of Step chooses it.
+type Ticket uint64
+
+// longestChain returns the expected run time of a job on an idle system.
+func longestChain(steps []Step, expect func(time.Duration) time.Duration) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	var longest time.Duration
+	for i, s := range steps {
+		var begin time.Duration
+		for _, before := range s.After {
+			begin = max(begin, ends[before])
+		}
+		ends[i] = begin + expect(s.Estimate)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
--- /dev/null
+++ b/dispatch/leased/jobs.go
@@ -0,0 +1,314 @@
+package leased
+
+import "time"
+
+type taskState uint8
+
+const (
+	waitingTask taskState = iota
+	placedTask
+	lentTask
+	doneTask
+)
+
+type task struct {
+	id        TaskID
+	job       *job
+	step      *Step
+	state     taskState
+	run       *run // of a placed task
+	failures  int  // runs that ended as failed
+	runs      int  // number of the newest run
+	moves     int  // runs stopped for want of progress
+	saved     string
+	avoid     EndpointID // where the last run did badly
+	notBefore time.Time  // an earlier run may go on until then
+	lostIn    string     // cell whose new holder may know an earlier run
+	holder    uint64     // of a lent task
+	lentAt    time.Time
+}
+
+type job struct {
+	Job
+	tickets []Ticket
+	arrived time.Time
+	expires time.Time // the caller's deadline
+	goal    time.Time // by when the answer should come
+	tasks   [][]task
+	left    []int // tasks of each step that are not done
+	begun   bool  // a run was started
+	guest   bool
+}
+
+func (j *job) task(id TaskID) *task {
+	if id.Step < 0 || id.Step >= len(j.tasks) || id.Index < 0 || id.Index >= len(j.tasks[id.Step]) || id.Occurrence != 0 {
+		return nil
+	}
+	return &j.tasks[id.Step][id.Index]
+}
+
+// ready reports whether the steps before a step are done.
+func (j *job) ready(step int) bool {
+	for _, before := range j.Steps[step].After {
+		if j.left[before] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// resubmittedRuns is the number from which runs of a job are counted that
+// another holder may have started before.
+const resubmittedRuns = 16
+
+func (c *Core) submit(in *Submit) {
+	if j := c.jobs[in.Job.ID]; j != nil {
+		j.tickets = append(j.tickets, in.Ticket)
+		c.tickets[in.Ticket] = j
+		return
+	}
+	j := c.newJob(in.Job, in.Ticket)
+	if reason := c.impossible(&in.Job); reason != "" {
+		c.finish(j, Rejected, reason, 0)
+		return
+	}
+	c.jobs[j.ID] = j
+	if in.Job.Resubmitted {
+		c.claim(j)
+	}
+	c.wait(j)
+}
+
+func (c *Core) newJob(spec Job, ticket Ticket) *job {
+	j := &job{Job: spec, tickets: []Ticket{ticket}, arrived: c.now, expires: c.now.Add(spec.Patience)}
+	chain := longestChain(spec.Steps, func(d time.Duration) time.Duration { return c.expect(spec.Queue, d) })
+	j.goal = c.now.Add(time.Duration(spec.Stretch*float64(chain)) + spec.Slack)
+	j.tasks = make([][]task, len(spec.Steps))
+	j.left = make([]int, len(spec.Steps))
+	for s := range spec.Steps {
+		step := &j.Steps[s]
+		j.left[s] = step.Tasks
+		j.tasks[s] = make([]task, step.Tasks)
+		for i := range j.tasks[s] {
+			t := &j.tasks[s][i]
+			*t = task{id: TaskID{Job: spec.ID, Step: s, Index: i}, job: j, step: step}
+			if spec.Resubmitted {
+				t.runs = resubmittedRuns
+				t.notBefore = c.now.Add(c.opts.MaxLease + clockSlack)
+			}
+		}
+	}
+	c.tickets[ticket] = j
+	return j
+}
+
+// claim gives a resubmitted job the runs that were found on the endpoints.
+func (c *Core) claim(j *job) {
+	for s := range j.tasks {
+		for i := range j.tasks[s] {
+			t := &j.tasks[s][i]
+			if p := c.runs[t.id]; p != nil && p.run.task == nil && p.run.state == running {
+				c.adopt(t, p.endpoint, p.run)
+				continue
+			}
+			if _, done := c.doneAlone[t.id]; done {
+				c.done(t)
+			}
+		}
+	}
+}
+
+// impossible says why no endpoint can ever run a job, or nothing.
+func (c *Core) impossible(j *Job) string {
+	known := false
+	for s := range j.Steps {
+		fits := false
+		for _, e := range c.order {
+			if e.Service != j.Service || e.dropped {
+				continue
+			}
+			known = true
+			if j.Steps[s].Demand.Within(e.Capacity) && e.hasLabel(j.Steps[s].Label) {
+				fits = true
+				break
+			}
+		}
+		if known && !fits {
+			return "no endpoint of the service is large enough or has the label"
+		}
+	}
+	return ""
+}
+
+func (c *Core) cancel(ticket Ticket) {
+	j := c.tickets[ticket]
+	if j == nil {
+		return
+	}
+	delete(c.tickets, ticket)
+	for i, t := range j.tickets {
+		if t == ticket {
+			j.tickets = append(j.tickets[:i], j.tickets[i+1:]...)
+			break
+		}
+	}
+	if len(j.tickets) == 0 {
+		c.drop(j, "its caller has gone")
+	}
+}
+
+// drop stops all runs of a job and forgets it.
+func (c *Core) drop(j *job, reason string) {
+	for s := range j.tasks {
+		for i := range j.tasks[s] {
+			t := &j.tasks[s][i]
+			switch t.state {
+			case placedTask:
+				c.disown(t, reason)
+			case lentTask:
+				c.out.LendCancels = append(c.out.LendCancels, LendCancel{Task: t.id})
+			}
+			t.state = doneTask
+		}
+	}
+	delete(c.waiting, j)
+	if j.guest {
+		delete(c.guests, j.tasks[0][0].id)
+		return
+	}
+	delete(c.jobs, j.ID)
+}
+
+// disown stops the run of a task that is not wanted any more. The endpoint's
+// room stays taken until the end is listed.
+func (c *Core) disown(t *task, reason string) {
+	p := c.runs[t.id]
+	if p == nil || p.run.task != t {
+		return
+	}
+	c.stop(p.endpoint, p.run, reason)
+	p.run.task = nil
+	p.run.seen = c.now
+}
+
+// finish ends a job for all its tickets.
+func (c *Core) finish(j *job, verdict Verdict, reason string, retryAfter time.Duration) {
+	for _, t := range j.tickets {
+		delete(c.tickets, t)
+		c.out.Answers = append(c.out.Answers, Answer{
+			Ticket: t, Job: j.ID, Verdict: verdict, Reason: reason, RetryAfter: retryAfter, Took: c.now.Sub(j.arrived),
+		})
+	}
+	j.tickets = nil
+	c.drop(j, reason)
+}
+
+// taskEnded takes the end of a task's run.
+func (c *Core) taskEnded(t *task, end End, saved string) {
+	t.run = nil
+	t.state = waitingTask
+	if saved != "" {
+		t.saved = saved
+	}
+	switch end {
+	case EndDone:
+		c.done(t)
+		return
+	case EndFailed:
+		t.failures++
+		if t.failures >= max(1, t.job.MaxAttempts) {
+			c.finish(t.job, Failed, "a task has failed as often as it may", 0)
+			return
+		}
+	case EndUnknown:
+		t.notBefore = c.now.Add(c.opts.MaxLease + clockSlack)
+	}
+	c.wait(t.job)
+}
+
+func (c *Core) done(t *task) {
+	j := t.job
+	t.state = doneTask
+	j.left[t.id.Step]--
+	j.begun = true
+	for _, left := range j.left {
+		if left > 0 {
+			if j.left[t.id.Step] == 0 {
+				c.wait(j) // later steps may begin
+			}
+			return
+		}
+	}
+	c.finish(j, Completed, "", 0)
+}
+
+// wait puts a job on the queue.
+func (c *Core) wait(j *job) {
+	c.waiting[j] = struct{}{}
+	c.least = 0
+}
+
+// settleWaiting takes a job without waiting tasks off the queue.
+func (c *Core) settleWaiting(j *job) {
+	for s := range j.tasks {
+		for i := range j.tasks[s] {
+			if j.tasks[s][i].state == waitingTask && j.ready(s) {
+				return
+			}
+		}
+	}
+	delete(c.waiting, j)
+}
+
+// expire ends jobs whose caller's deadline has passed, and rejects those that
+// have not begun and cannot end in time any more.
+func (c *Core) expire() {
+	for _, j := range c.jobs {
+		if !c.now.Before(j.expires) {
+			verdict := Abandoned
+			if !j.begun {
+				verdict = Rejected
+			}
+			c.finish(j, verdict, "the caller's deadline has passed", c.retryAfter())
+			continue
+		}
+		if j.begun {
+			continue
+		}
+		if _, waits := c.waiting[j]; !waits {
+			continue
+		}
+		if c.now.Add(c.shortest(j)).After(j.expires) {
+			c.finish(j, Rejected, "no room before the caller's deadline", c.retryAfter())
+		}
+	}
+}
+
+// shortest returns the expected run time of what is left of a job.
+func (c *Core) shortest(j *job) time.Duration {
+	return longestChain(j.Steps, func(d time.Duration) time.Duration { return c.expect(j.Queue, d) })
+}
+
+// minRetryAfter is the least that a rejected caller is told to wait.
+const minRetryAfter = time.Second
+
+// retryAfter returns when a rejected caller may find room: when what waits now
+// has been served by what is held.
+func (c *Core) retryAfter() time.Duration {
+	var work float64 // core-seconds
+	for j := range c.waiting {
+		for s := range j.Steps {
+			work += float64(j.left[s]*j.Steps[s].Demand.MilliCores) / 1000 * c.expect(j.Queue, j.Steps[s].Estimate).Seconds()
+		}
+	}
+	var cores float64
+	for _, e := range c.order {
+		if e.held && !e.dropped {
+			cores += float64(e.Capacity.MilliCores) / 1000
+		}
+	}
+	if cores == 0 {
+		return minRetryAfter
+	}
+	return max(minRetryAfter, time.Duration(work/cores*float64(time.Second)))
+}
--- /dev/null
+++ b/dispatch/leased/lend.go
@@ -0,0 +1,160 @@
+package leased
+
+import "time"
+
+// freshRoom is the age up to which an announced room counts.
+const freshRoom = 600 * time.Millisecond
+
+// lend asks the holder of another cell to run a task, if one has announced
+// room for it.
+func (c *Core) lend(t *task) bool {
+	if t.job.guest {
+		return false
+	}
+	room, i := c.roomFor(t.step.Demand.MilliCores)
+	if room == nil {
+		return false
+	}
+	room.Free[i] -= t.step.Demand.MilliCores
+	c.lendTo(t, room, false)
+	return true
+}
+
+// lendBack asks the new holder of a cell for a task that ran there.
+func (c *Core) lendBack(t *task) bool {
+	for i := range c.rooms {
+		if c.rooms[i].Cell == t.lostIn {
+			t.lostIn = ""
+			c.lendTo(t, &c.rooms[i], true)
+			return true
+		}
+	}
+	return false
+}
+
+// largestRoom returns the most that another cell has announced for a task.
+func (c *Core) largestRoom() int {
+	most := 0
+	for i := range c.rooms {
+		for _, free := range c.rooms[i].Free {
+			most = max(most, free)
+		}
+	}
+	return most
+}
+
+// roomFor returns the tightest announced room that holds a task.
+func (c *Core) roomFor(milliCores int) (*Room, int) {
+	var best *Room
+	at := -1
+	for r := range c.rooms {
+		room := &c.rooms[r]
+		if room.Age > freshRoom {
+			continue
+		}
+		for i, free := range room.Free {
+			if free < milliCores {
+				continue
+			}
+			if best == nil || free < best.Free[at] {
+				best, at = room, i
+			}
+		}
+	}
+	return best, at
+}
+
+func (c *Core) lendTo(t *task, room *Room, adopt bool) {
+	t.runs++
+	step := *t.step
+	step.After = nil // a guest is ready
+	t.state = lentTask
+	t.holder = room.Holder
+	t.lentAt = c.now
+	t.job.begun = true
+	c.out.Lends = append(c.out.Lends, Lend{Holder: room.Holder, Cell: room.Cell, Guest: Guest{
+		Task: t.id, Service: t.job.Service, Queue: t.job.Queue, Spec: t.job.Spec, Step: step,
+		Run: t.runs, Saved: t.saved, Patience: t.job.expires.Sub(c.now), Adopt: adopt,
+	}})
+}
+
+func (c *Core) lendReply(in *LendReply) {
+	j := c.jobs[in.Task.Job]
+	if j == nil {
+		return
+	}
+	t := j.task(in.Task)
+	if t == nil || t.state != lentTask || t.runs != in.Run {
+		return
+	}
+	if in.Result == EndNoRoom {
+		c.forgetRoom(t.holder)
+	}
+	c.taskEnded(t, in.Result, in.Saved)
+}
+
+// forgetRoom drops what a holder has announced until it announces again.
+func (c *Core) forgetRoom(holder uint64) {
+	for i := range c.rooms {
+		if c.rooms[i].Holder == holder {
+			c.rooms[i].Free = nil
+		}
+	}
+}
+
+// submitGuest starts a task of another core's job, or answers that there is
+// no room.
+func (c *Core) submitGuest(in *SubmitGuest) {
+	g := &in.Guest
+	j := c.newGuest(g, in.Ticket)
+	t := &j.tasks[0][0]
+	if p := c.runs[t.id]; p != nil {
+		if p.run.task != nil || p.run.state != running {
+			c.endGuestNow(j, g.Run, EndNoRoom)
+			return
+		}
+		c.guests[t.id] = j
+		c.adopt(t, p.endpoint, p.run)
+		return
+	}
+	if _, done := c.doneAlone[t.id]; done && g.Adopt {
+		c.endGuestNow(j, g.Run, EndDone)
+		return
+	}
+	if g.Adopt {
+		c.endGuestNow(j, g.Run, EndNotRun)
+		return
+	}
+	e, fits := c.bestFor(t, nil)
+	if !fits || len(c.waiting) > 0 {
+		c.endGuestNow(j, g.Run, EndNoRoom)
+		return
+	}
+	c.guests[t.id] = j
+	t.runs = g.Run - 1
+	c.start(t, e)
+}
+
+func (c *Core) newGuest(g *Guest, ticket Ticket) *job {
+	j := &job{
+		Job:     Job{ID: g.Task.Job, Spec: g.Spec, Service: g.Service, Queue: g.Queue, MaxAttempts: 1, Steps: []Step{g.Step}},
+		tickets: []Ticket{ticket}, arrived: c.now, expires: c.now.Add(g.Patience), guest: true,
+		left: []int{1},
+	}
+	j.tasks = [][]task{{{id: g.Task, job: j, step: &j.Steps[0], saved: g.Saved}}}
+	c.tickets[ticket] = j
+	return j
+}
+
+func (c *Core) endGuest(j *job, run int, end End, saved string) {
+	t := &j.tasks[0][0]
+	t.state = doneTask
+	delete(c.guests, t.id)
+	for _, ticket := range j.tickets {
+		delete(c.tickets, ticket)
+		c.out.GuestAnswers = append(c.out.GuestAnswers, GuestAnswer{Ticket: ticket, Task: t.id, Run: run, Result: end, Saved: saved})
+	}
+	j.tickets = nil
+}
+
+func (c *Core) endGuestNow(j *job, run int, end End) { c.endGuest(j, run, end, "") }
--- /dev/null
+++ b/fleet/calls.go
@@ -0,0 +1,172 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovagespread.example/dispatch/leased"
+)
+
+// Timeouts of calls to endpoints.
+const (
+	startTimeout = 300 * time.Millisecond
+	stopTimeout  = 300 * time.Millisecond
+	holdTimeout  = 300 * time.Millisecond // beyond the wait that was asked for
+)
+
+func (l *Loop) start(order leased.Start) {
+	l.log.Info("placed", zap.String("job", string(order.Task.Job)), zap.Int("step", order.Task.Step), zap.Int("task", order.Task.Index),
+		zap.Int("run", order.Run), zap.String("endpoint", string(order.Endpoint)), zap.Duration("waited_ms", order.Waited),
+		zap.Int("free_millicores", order.Free.MilliCores), zap.Duration("expected_ms", order.Expects), zap.Int64("token", order.Token))
+	go func() {
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+		defer cancel()
+		reply := l.endpoints.Start(ctx, &order)
+		l.metrics.starts.WithLabelValues(reply.Result.String()).Inc()
+		l.metrics.startSeconds.Observe(time.Since(began).Seconds())
+		if reply.Result != leased.StartAccepted {
+			l.log.Warn("start_refused", zap.String("job", string(order.Task.Job)), zap.Int("step", order.Task.Step),
+				zap.Int("task", order.Task.Index), zap.Int("run", order.Run), zap.String("endpoint", string(order.Endpoint)),
+				zap.String("result", reply.Result.String()))
+		}
+		l.send(coreInput{&reply})
+	}()
+}
+
+func (l *Loop) stop(order leased.Stop) {
+	l.log.Info("stopped", zap.String("job", string(order.Task.Job)), zap.Int("step", order.Task.Step), zap.Int("task", order.Task.Index),
+		zap.Int("run", order.Run), zap.String("endpoint", string(order.Endpoint)), zap.String("reason", order.Reason))
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		reply := l.endpoints.Stop(ctx, &order)
+		l.metrics.stops.Inc()
+		l.send(coreInput{&reply})
+	}()
+}
+
+func (l *Loop) hold(order leased.Hold) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), order.Wait+holdTimeout)
+		defer cancel()
+		reply := l.endpoints.Hold(ctx, &order)
+		l.metrics.holds.WithLabelValues(reply.Result.String()).Inc()
+		l.send(coreInput{&reply})
+	}()
+}
+
+// coreInput passes an input to the core.
+type coreInput struct{ input leased.Input }
+
+func (m coreInput) handle(l *Loop) { l.step(m.input) }
+
+func (l *Loop) lend(order leased.Lend) {
+	ctx, cancel := context.WithTimeout(context.Background(), order.Guest.Patience)
+	l.lends[order.Guest.Task] = cancel
+	l.log.Info("lent", zap.String("job", string(order.Guest.Task.Job)), zap.Int("step", order.Guest.Task.Step),
+		zap.Int("task", order.Guest.Task.Index), zap.Int("run", order.Guest.Run), zap.String("cell", order.Cell), zap.Bool("adopt", order.Guest.Adopt))
+	go func() {
+		defer cancel()
+		end, saved := l.peers.lend(ctx, &order)
+		l.metrics.lends.WithLabelValues(end.String()).Inc()
+		l.send(lendEnded{&leased.LendReply{Task: order.Guest.Task, Run: order.Guest.Run, Result: end, Saved: saved}})
+	}()
+}
+
+type lendEnded struct{ reply *leased.LendReply }
+
+func (m lendEnded) handle(l *Loop) {
+	delete(l.lends, m.reply.Task)
+	l.step(m.reply)
+}
+
+func (l *Loop) cancelLend(task leased.TaskID) {
+	if cancel := l.lends[task]; cancel != nil {
+		cancel()
+		delete(l.lends, task)
+	}
+}
+
+func (l *Loop) answer(a leased.Answer) {
+	l.metrics.jobs.WithLabelValues(a.Verdict.String()).Inc()
+	if w := l.waiters[a.Ticket]; w != nil {
+		delete(l.waiters, a.Ticket)
+		w <- a
+	}
+}
+
+func (l *Loop) guestAnswer(a leased.GuestAnswer) {
+	if w := l.guests[a.Ticket]; w != nil {
+		delete(l.guests, a.Ticket)
+		w <- a
+	}
+}
+
+// submitJob offers a job to the core.
+type submitJob struct {
+	job    leased.Job
+	answer chan leased.Answer
+	ticket chan leased.Ticket
+}
+
+func (m submitJob) handle(l *Loop) {
+	l.nextTick++
+	l.waiters[l.nextTick] = m.answer
+	m.ticket <- l.nextTick
+	l.step(&leased.Submit{Ticket: l.nextTick, Job: m.job})
+}
+
+// submitGuest offers a task of another holder's job to the core.
+type submitGuest struct {
+	guest  leased.Guest
+	answer chan leased.GuestAnswer
+	ticket chan leased.Ticket
+}
+
+func (m submitGuest) handle(l *Loop) {
+	l.nextTick++
+	l.guests[l.nextTick] = m.answer
+	m.ticket <- l.nextTick
+	l.step(&leased.SubmitGuest{Ticket: l.nextTick, Guest: m.guest})
+}
+
+// withdraw cancels a ticket.
+type withdraw struct{ ticket leased.Ticket }
+
+func (m withdraw) handle(l *Loop) {
+	delete(l.waiters, m.ticket)
+	delete(l.guests, m.ticket)
+	l.step(&leased.Cancel{Ticket: m.ticket})
+}
+
+// runHere runs a job on this entry's core until it ends. It returns false if
+// the context ended first; the job is withdrawn then.
+func (l *Loop) runHere(ctx context.Context, job leased.Job) (leased.Answer, bool) {
+	answer := make(chan leased.Answer, 1)
+	ticket := make(chan leased.Ticket, 1)
+	l.send(submitJob{job, answer, ticket})
+	select {
+	case a := <-answer:
+		return a, true
+	case <-ctx.Done():
+		l.send(withdraw{<-ticket})
+		return leased.Answer{}, false
+	}
+}
+
+// runGuest runs a task of another holder's job.
+func (l *Loop) runGuest(ctx context.Context, guest leased.Guest) (leased.GuestAnswer, bool) {
+	answer := make(chan leased.GuestAnswer, 1)
+	ticket := make(chan leased.Ticket, 1)
+	l.send(submitGuest{guest, answer, ticket})
+	select {
+	case a := <-answer:
+		return a, true
+	case <-ctx.Done():
+		l.send(withdraw{<-ticket})
+		return leased.GuestAnswer{}, false
+	}
+}
--- /dev/null
+++ b/fleet/eventlog/eventlog.go
@@ -0,0 +1,177 @@
+// Package eventlog writes the structured log of a process: JSON lines, within
+// a budget of lines a second, never blocking the caller.
+package eventlog
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Bounds of the log.
+const (
+	// linesPerSecond bounds lines at level info: a few percent of a small VM's
+	// processor.
+	linesPerSecond = 300
+	// failuresPerSecond bounds lines at level warn and above.
+	failuresPerSecond = 600
+	flushInterval     = 250 * time.Millisecond
+	maxBuffered       = 512 << 10 // bytes
+)
+
+// Log is a logger with its writer.
+type Log struct {
+	*zap.Logger
+	writer  *writer
+	Dropped *atomic.Int64 // lines left out
+}
+
+// New returns a log that writes to out from a goroutine of its own. Close
+// flushes it.
+func New(out io.Writer, level zapcore.Level) *Log {
+	w := newWriter(out)
+	config := zap.NewProductionEncoderConfig()
+	config.TimeKey = "time"
+	config.MessageKey = "event"
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.EncodeDuration = zapcore.MillisDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), w, level)
+	budget := &budgetCore{Core: core, budget: &budget{}, dropped: &w.dropped}
+	return &Log{Logger: zap.New(budget), writer: w, Dropped: &w.dropped}
+}
+
+// Close writes what is buffered.
+func (l *Log) Close() { l.writer.close() }
+
+// budget counts the lines of the running second.
+type budget struct {
+	mu       sync.Mutex
+	second   int64
+	lines    int
+	failures int
+}
+
+func (b *budget) take(e zapcore.Entry) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := e.Time.Unix(); s != b.second {
+		b.second, b.lines, b.failures = s, 0, 0
+	}
+	if e.Level >= zapcore.WarnLevel {
+		b.failures++
+		return b.failures <= failuresPerSecond
+	}
+	b.lines++
+	return b.lines <= linesPerSecond
+}
+
+// budgetCore leaves out lines beyond the budget.
+type budgetCore struct {
+	zapcore.Core
+	budget  *budget
+	dropped *atomic.Int64
+}
+
+// With implements zapcore.Core.
+func (c *budgetCore) With(fields []zapcore.Field) zapcore.Core {
+	return &budgetCore{Core: c.Core.With(fields), budget: c.budget, dropped: c.dropped}
+}
+
+// Check implements zapcore.Core.
+func (c *budgetCore) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if !c.Enabled(e.Level) {
+		return checked
+	}
+	if !c.budget.take(e) {
+		c.dropped.Add(1)
+		return checked
+	}
+	return checked.AddCore(e, c)
+}
+
+// writer buffers lines and writes them in batches. Lines that do not fit into
+// the buffer are dropped and counted.
+type writer struct {
+	out     io.Writer
+	dropped atomic.Int64
+	wake    chan struct{}
+	done    chan struct{}
+
+	mu     sync.Mutex
+	buffer []byte
+	closed bool
+}
+
+func newWriter(out io.Writer) *writer {
+	w := &writer{out: out, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write implements zapcore.WriteSyncer.
+func (w *writer) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	first := len(w.buffer) == 0
+	if len(w.buffer)+len(line) > maxBuffered {
+		w.dropped.Add(1)
+	} else {
+		w.buffer = append(w.buffer, line...)
+	}
+	w.mu.Unlock()
+	if first {
+		w.signal()
+	}
+	return len(line), nil
+}
+
+// Sync implements zapcore.WriteSyncer.
+func (w *writer) Sync() error { return nil }
+
+func (w *writer) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *writer) run() {
+	defer close(w.done)
+	for range w.wake {
+		w.mu.Lock()
+		closed := w.closed
+		w.mu.Unlock()
+		if !closed {
+			time.Sleep(flushInterval)
+		}
+		w.flush()
+		if closed {
+			return
+		}
+	}
+}
+
+func (w *writer) flush() {
+	w.mu.Lock()
+	lines := w.buffer
+	w.buffer = nil
+	w.mu.Unlock()
+	if len(lines) == 0 {
+		return
+	}
+	// A log that cannot be written has no other place to say so.
+	if _, err := w.out.Write(lines); err != nil {
+		w.dropped.Add(1)
+	}
+}
+
+func (w *writer) close() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	w.signal()
+	<-w.done
+}
--- /dev/null
+++ b/fleet/follow/follow.go
@@ -0,0 +1,224 @@
+// Package follow keeps up with keyed logs: logs in which the newest record of
+// each key counts. It decides when to read, how long to trust what was read
+// while the log could not be reached, and when an absent key is gone.
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+)
+
+// Record is the newest value of a key. An empty value means that the key was
+// dropped.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// KeyedLog is a log of keyed records. Its methods block until the log has
+// answered or the context ends.
+type KeyedLog interface {
+	// Newest returns the newest record of each key, and an offset to go on
+	// reading from.
+	Newest(context.Context) ([]Record, int64, error)
+	// Read returns the records from an offset on and the next offset. It waits
+	// for news up to wait. A *GapError says that the records are gone.
+	Read(ctx context.Context, from int64, wait time.Duration) ([]Record, int64, error)
+}
+
+// GapError reports that records to be read are no longer kept.
+type GapError struct{ From int64 }
+
+func (e *GapError) Error() string {
+	return "the records are no longer kept: read the newest of each key"
+}
+
+// Times of reading.
+const (
+	readTimeout  = 1500 * time.Millisecond // beyond the wait that was asked for
+	firstBackoff = 150 * time.Millisecond
+	maxBackoff   = 1200 * time.Millisecond
+	// unreachableAfter is the silence after which records that vanish are
+	// doubted: their writers may not have reached the log either.
+	unreachableAfter = 2500 * time.Millisecond
+	// returnGrace is how long writers have to come back after an outage.
+	returnGrace = 2300 * time.Millisecond
+)
+
+// Pace tells how to read: with a wait for news, or in intervals.
+type Pace struct {
+	Wait     time.Duration // 0: the log is asked in intervals
+	Interval func() time.Duration
+}
+
+// Follower keeps the newest records of a keyed log.
+type Follower struct {
+	name   string
+	log    KeyedLog
+	pace   Pace
+	zap    *zap.Logger
+	update func(map[string][]byte)
+
+	records  map[string][]byte
+	doubted  map[string]time.Time // dropped keys, and until when they are kept
+	next     int64
+	listed   bool
+	reached  time.Time
+	outage   time.Time // end of the latest outage
+	failures int
+}
+
+// New returns a follower that passes all records to update after each change.
+// The map must not be changed or kept.
+func New(name string, log KeyedLog, pace Pace, logger *zap.Logger, update func(map[string][]byte)) *Follower {
+	return &Follower{name: name, log: log, pace: pace, zap: logger, update: update,
+		records: make(map[string][]byte), doubted: make(map[string]time.Time), reached: time.Now()}
+}
+
+// Run reads until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed, err := f.read(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.failed(err)
+			sleep(ctx, f.backoff())
+			continue
+		}
+		f.succeeded()
+		if f.dropDoubted(time.Now()) || changed {
+			f.update(f.records)
+		}
+		if f.pace.Wait == 0 {
+			f.rest(ctx)
+		}
+	}
+}
+
+// rest waits for the next read; the interval may shorten meanwhile.
+func (f *Follower) rest(ctx context.Context) {
+	began := time.Now()
+	const look = 100 * time.Millisecond
+	for ctx.Err() == nil {
+		left := f.pace.Interval() - time.Since(began)
+		if left <= 0 {
+			return
+		}
+		sleep(ctx, min(left, look))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (f *Follower) read(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout+f.pace.Wait)
+	defer cancel()
+	if !f.listed {
+		return f.list(ctx)
+	}
+	records, next, err := f.log.Read(ctx, f.next, f.pace.Wait)
+	if gap, ok := errors.Into[*GapError](err); ok {
+		f.zap.Info("log_gap", zap.String("log", f.name), zap.Int64("from", gap.From))
+		f.listed = false
+		return f.list(ctx)
+	}
+	if err != nil {
+		return false, err
+	}
+	f.next = next
+	now := time.Now()
+	for _, r := range records {
+		f.apply(now, r)
+	}
+	return len(records) > 0, nil
+}
+
+func (f *Follower) list(ctx context.Context) (bool, error) {
+	records, next, err := f.log.Newest(ctx)
+	if err != nil {
+		return false, err
+	}
+	now := time.Now()
+	present := make(map[string]bool, len(records))
+	for _, r := range records {
+		present[r.Key] = true
+		f.apply(now, r)
+	}
+	for key := range f.records {
+		if !present[key] {
+			f.apply(now, Record{Key: key})
+		}
+	}
+	f.next = next
+	f.listed = true
+	return true, nil
+}
+
+// apply takes a record. A key that vanishes right after an outage is kept for
+// the time that its writer has to come back.
+func (f *Follower) apply(now time.Time, r Record) {
+	if len(r.Value) > 0 {
+		delete(f.doubted, r.Key)
+		f.records[r.Key] = r.Value
+		return
+	}
+	if _, known := f.records[r.Key]; !known {
+		return
+	}
+	if now.Sub(f.reached) > unreachableAfter {
+		f.outage = now
+	}
+	if !f.outage.IsZero() && now.Sub(f.outage) < returnGrace {
+		f.doubted[r.Key] = f.outage.Add(returnGrace)
+		return
+	}
+	delete(f.records, r.Key)
+}
+
+func (f *Follower) dropDoubted(now time.Time) bool {
+	changed := false
+	for key, until := range f.doubted {
+		if now.After(until) {
+			delete(f.doubted, key)
+			delete(f.records, key)
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (f *Follower) failed(err error) {
+	f.failures++
+	if f.failures == 1 {
+		f.zap.Warn("dependency_lost", zap.String("dependency", f.name), zap.Error(err))
+	}
+}
+
+func (f *Follower) succeeded() {
+	now := time.Now()
+	if f.failures > 0 {
+		f.zap.Warn("dependency_regained", zap.String("dependency", f.name), zap.Duration("away_ms", now.Sub(f.reached)))
+	}
+	f.failures = 0
+	f.reached = now
+}
+
+// backoff grows with the failures in a row. It is spread, so that entries do
+// not come back all at once.
+func (f *Follower) backoff() time.Duration {
+	d := min(firstBackoff<<min(f.failures-1, 4), maxBackoff)
+	return d/2 + rand.N(d)
+}
--- /dev/null
+++ b/fleet/loop.go
@@ -0,0 +1,391 @@
+package fleet
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/membership/cells"
+	"lovagespread.example/peer/fleetpb"
+)
+
+// Sizes and times of the loop.
+const (
+	queueLength  = 8192 // messages
+	idleTick     = 60 * time.Millisecond
+	freezeLimit  = 250 * time.Millisecond // by which the clocks may differ before it counts as a freeze
+	roomsMinFree = 1000                   // thousandths of a core; less is not announced
+)
+
+// Snapshot is an immutable picture of the control state.
+type Snapshot struct {
+	View          *cells.View
+	Configuration *Configuration // nil: none yet
+	Endpoints     []leased.Endpoint
+	CellsOf       map[string]int     // cells of a failure domain
+	Free          map[cells.Cell]int // announced free thousandths of a core
+	Status        leased.Status
+	Stopping      bool
+}
+
+// message is something that the loop handles.
+type message interface{ handle(*Loop) }
+
+// Loop owns the control state. Create it with newLoop, run it with run.
+type Loop struct {
+	settings  Settings
+	log       *zap.Logger
+	metrics   *metrics
+	endpoints Endpoints
+	peers     *peers
+	beats     *beats
+	in        chan message
+	snapshot  atomic.Pointer[Snapshot]
+	clocks    clocks
+
+	// Owned by the goroutine in run.
+	core      *leased.Core
+	roster    *cells.Roster
+	view      *cells.View
+	directory Directory
+	dirty     bool // endpoints or holders may have changed
+	yielded   bool // fenced off while isolated: holds nothing until it hears others
+	held      map[leased.EndpointID]bool
+	cellsOf   map[string]int
+	rooms     map[cells.Cell]announced
+	maxToken  int64
+	nextTick  leased.Ticket
+	waiters   map[leased.Ticket]chan leased.Answer
+	guests    map[leased.Ticket]chan leased.GuestAnswer
+	lends     map[leased.TaskID]context.CancelFunc
+	stopping  bool
+}
+
+// announced is the free room of a cell as its holder has told.
+type announced struct {
+	holder cells.Incarnation
+	at     time.Time
+	free   []int
+}
+
+func newLoop(s Settings, self cells.Entry, endpoints Endpoints, log *zap.Logger, m *metrics, p *peers) *Loop {
+	l := &Loop{
+		settings: s, log: log, metrics: m, endpoints: endpoints, peers: p,
+		in:      make(chan message, queueLength),
+		roster:  cells.New(self, time.Now()),
+		held:    make(map[leased.EndpointID]bool),
+		cellsOf: make(map[string]int),
+		rooms:   make(map[cells.Cell]announced),
+		waiters: make(map[leased.Ticket]chan leased.Answer),
+		guests:  make(map[leased.Ticket]chan leased.GuestAnswer),
+		lends:   make(map[leased.TaskID]context.CancelFunc),
+	}
+	l.core = leased.New(leased.Options{MaxLease: s.MaxLease, NextToken: l.nextToken, Yields: l.yields})
+	l.view = l.roster.View(time.Now())
+	l.publish()
+	return l
+}
+
+// Latest returns the newest snapshot.
+func (l *Loop) Latest() *Snapshot { return l.snapshot.Load() }
+
+func (l *Loop) send(m message) { l.in <- m }
+
+func (l *Loop) run(ctx context.Context) {
+	l.clocks = startClocks()
+	timer := time.NewTimer(idleTick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-l.in:
+			m.handle(l)
+		case <-timer.C:
+			l.tick()
+			timer.Reset(l.untilTick())
+		}
+	}
+}
+
+func (l *Loop) untilTick() time.Duration {
+	s := l.core.Status()
+	if s.Jobs > 0 || s.Running > 0 {
+		return leased.TickInterval
+	}
+	return idleTick
+}
+
+func (l *Loop) tick() {
+	now := time.Now()
+	if gap := l.clocks.gap(); gap > freezeLimit {
+		l.log.Warn("process_stood_still", zap.Duration("gap_ms", gap))
+		l.roster.Woke(now)
+		l.dirty = true
+	}
+	l.refresh(now)
+	l.step(&leased.Tick{})
+	l.sendBeats(now)
+	l.publish()
+}
+
+// refresh takes the newest view of the entries, and the endpoints that follow
+// from it.
+func (l *Loop) refresh(now time.Time) {
+	previous := l.view
+	l.view = l.roster.View(now)
+	if !sameEntries(previous, l.view) {
+		l.dirty = true
+		l.noteEntries(previous, l.view)
+	}
+	if l.yielded && !l.view.Isolated {
+		l.yielded = false
+		l.dirty = true
+	}
+	if l.dirty || previous.Settled != l.view.Settled || previous.Isolated != l.view.Isolated || previous.Majority != l.view.Majority {
+		l.dirty = false
+		l.assign()
+		return
+	}
+	if len(l.view.Live) == 0 || now.UnixMilli()%500 < 60 { // domains become empty as time passes
+		l.assign()
+	}
+}
+
+func sameEntries(a, b *cells.View) bool {
+	return slices.EqualFunc(a.Live, b.Live, func(x, y cells.Entry) bool {
+		return x.Incarnation == y.Incarnation && x.Leaving == y.Leaving
+	})
+}
+
+// noteEntries logs who has come and gone, and ends the calls of and to those
+// that are gone.
+func (l *Loop) noteEntries(before, after *cells.View) {
+	for _, e := range before.Live {
+		if _, ok := after.Find(e.Incarnation); !ok {
+			l.log.Warn("entry_gone", zap.String("entry", e.Name), zap.Uint64("incarnation", uint64(e.Incarnation)))
+			l.peers.lost(e.Incarnation)
+			l.forgetRooms(e.Incarnation)
+		}
+	}
+	for _, e := range after.Live {
+		if old, ok := before.Find(e.Incarnation); !ok || old.Leaving != e.Leaving {
+			l.log.Info("entry_seen", zap.String("entry", e.Name), zap.String("failure_domain", e.FailureDomain),
+				zap.Uint64("incarnation", uint64(e.Incarnation)), zap.Bool("leaving", e.Leaving))
+		}
+	}
+}
+
+func (l *Loop) forgetRooms(holder cells.Incarnation) {
+	maps.DeleteFunc(l.rooms, func(_ cells.Cell, a announced) bool { return a.holder == holder })
+}
+
+// assign tells the core which endpoints this entry holds.
+func (l *Loop) assign() {
+	counts := make(map[string]int)
+	for i := range l.directory.Endpoints {
+		counts[l.directory.Endpoints[i].FailureDomain]++
+	}
+	for domain, n := range counts {
+		l.cellsOf[domain] = cells.Count(n, l.settings.EndpointsPerCell)
+	}
+	var mine []leased.Endpoint
+	holds := make(map[cells.Cell]bool)
+	for _, e := range l.directory.Endpoints {
+		cell := cells.Of(e.FailureDomain, string(e.ID), l.cellsOf[e.FailureDomain])
+		hold, known := holds[cell]
+		if !known {
+			hold = !l.yielded && !l.stopping && l.view.Holds(cell)
+			holds[cell] = hold
+		}
+		if hold {
+			e.Cell = cell.String()
+			mine = append(mine, e)
+		}
+	}
+	l.step(&leased.SetEndpoints{Endpoints: mine})
+}
+
+// nextToken returns a fencing token above all that were seen. The low bits
+// tell entries apart.
+func (l *Loop) nextToken(floor int64) int64 {
+	const low = 1 << tokenLowBits
+	epoch := max(l.maxToken, floor)>>tokenLowBits + 1
+	l.maxToken = epoch<<tokenLowBits | int64(uint64(l.view.Self.Incarnation)%low)
+	return l.maxToken
+}
+
+// tokenLowBits is the number of bits of a token that tell entries apart.
+const tokenLowBits = 10
+
+func (l *Loop) yields(cell string) bool {
+	for domain, n := range l.cellsOf {
+		for i := range n {
+			c := cells.Cell{FailureDomain: domain, Index: i}
+			if c.String() == cell {
+				return !l.view.Insists(c)
+			}
+		}
+	}
+	return true
+}
+
+// step feeds the core and carries out what it decides.
+func (l *Loop) step(in leased.Input) {
+	out := l.core.Step(time.Now(), in)
+	for i := range out.Starts {
+		l.start(out.Starts[i])
+	}
+	for i := range out.Stops {
+		l.stop(out.Stops[i])
+	}
+	for i := range out.Holds {
+		l.hold(out.Holds[i])
+	}
+	for i := range out.Answers {
+		l.answer(out.Answers[i])
+	}
+	for i := range out.GuestAnswers {
+		l.guestAnswer(out.GuestAnswers[i])
+	}
+	for i := range out.Lends {
+		l.lend(out.Lends[i])
+	}
+	for _, cancel := range out.LendCancels {
+		l.cancelLend(cancel.Task)
+	}
+	for i := range out.Notes {
+		l.note(&out.Notes[i])
+	}
+}
+
+func (l *Loop) note(n *leased.Note) {
+	l.log.Warn(n.Event, zap.String("endpoint", string(n.Endpoint)), zap.String("reason", n.Reason),
+		zap.Int64("token", n.Token), zap.Int("runs", n.Runs))
+	l.metrics.endpointEvents.WithLabelValues(n.Event).Inc()
+	if n.Event == "endpoint_fenced" && l.view.Isolated {
+		l.yielded = true
+		l.dirty = true
+	}
+}
+
+func (l *Loop) publish() {
+	s := &Snapshot{
+		View: l.view, Configuration: l.directory.Configuration, Endpoints: l.directory.Endpoints,
+		CellsOf: maps.Clone(l.cellsOf), Free: make(map[cells.Cell]int), Status: l.core.Status(), Stopping: l.stopping,
+	}
+	for cell, a := range l.rooms {
+		for _, free := range a.free {
+			s.Free[cell] += free
+		}
+	}
+	l.snapshot.Store(s)
+	l.metrics.publish(s)
+}
+
+// rosterBeat takes a heartbeat of another entry.
+type rosterBeat struct{ beat *fleetpb.Beat }
+
+func (m rosterBeat) handle(l *Loop) {
+	now := time.Now()
+	b := m.beat
+	l.maxToken = max(l.maxToken, b.Token)
+	isNew := l.roster.Hear(now, entryOf(b))
+	l.beats.learn(b)
+	if len(b.Rooms) > 0 {
+		l.takeRooms(now, b)
+	}
+	if isNew || b.Leaving != leavingIn(l.view, b.Incarnation) {
+		l.refresh(now)
+		l.publish()
+	}
+	if b.Hello {
+		l.sendBeatTo(now, b.Beats, false)
+	}
+	if b.ConfigurationVersion > l.directory.Version {
+		l.peers.fetchFrom(b.Address)
+	}
+}
+
+func leavingIn(v *cells.View, id uint64) bool {
+	e, ok := v.Find(cells.Incarnation(id))
+	return ok && e.Leaving
+}
+
+func (l *Loop) takeRooms(now time.Time, b *fleetpb.Beat) {
+	for _, r := range b.Rooms {
+		free := make([]int, len(r.Free))
+		for i, f := range r.Free {
+			free[i] = int(f)
+		}
+		cell := cells.Cell{FailureDomain: r.FailureDomain, Index: int(r.Cell)}
+		l.rooms[cell] = announced{holder: cells.Incarnation(b.Incarnation), at: now, free: free}
+	}
+	l.setRooms(now)
+}
+
+func (l *Loop) setRooms(now time.Time) {
+	rooms := make([]leased.Room, 0, len(l.rooms))
+	for cell, a := range l.rooms {
+		rooms = append(rooms, leased.Room{Holder: uint64(a.holder), Cell: cell.String(), Age: now.Sub(a.at), Free: slices.Clone(a.free)})
+	}
+	slices.SortFunc(rooms, func(a, b leased.Room) int { return len(a.Cell) - len(b.Cell) })
+	l.step(&leased.SetRooms{Rooms: rooms})
+}
+
+// setDirectory takes newer news of configuration or endpoints.
+type setDirectory struct{ directory Directory }
+
+func (m setDirectory) handle(l *Loop) {
+	d := m.directory
+	if d.Configuration != nil && d.Version > l.directory.Version {
+		l.directory.Version = d.Version
+		l.directory.Configuration = d.Configuration
+		l.log.Info("configuration_in_force", zap.Uint64("version", d.Version), zap.Int("queues", len(d.Configuration.Queues)))
+	}
+	if d.Endpoints != nil {
+		l.directory.Endpoints = d.Endpoints
+		l.assign()
+	}
+	l.publish()
+}
+
+// peerDirectory takes what another entry has learned. Its endpoints count only
+// while this entry has read none itself.
+type peerDirectory struct{ directory Directory }
+
+func (m peerDirectory) handle(l *Loop) {
+	if len(l.directory.Endpoints) > 0 {
+		m.directory.Endpoints = nil
+	}
+	setDirectory(m).handle(l)
+}
+
+// suspectEntry notes that a call to an entry broke.
+type suspectEntry struct{ id cells.Incarnation }
+
+func (m suspectEntry) handle(l *Loop) {
+	l.roster.Suspect(m.id)
+	l.refresh(time.Now())
+	l.publish()
+}
+
+// leave makes this entry hold nothing any more.
+type leave struct{}
+
+func (leave) handle(l *Loop) {
+	l.stopping = true
+	l.roster.Leave()
+	l.refresh(time.Now())
+	l.assign()
+	for range 2 { // a datagram may be lost
+		l.beats.nextFull = time.Time{}
+		l.sendBeats(time.Now())
+	}
+	l.publish()
+}
--- /dev/null
+++ b/fleet/metrics.go
@@ -0,0 +1,85 @@
+package fleet
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// durationBuckets are in seconds: from a hop to the longest patience.
+var durationBuckets = []float64{.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5}
+
+// metrics are the counters and histograms of a process.
+type metrics struct {
+	registry       *prometheus.Registry
+	answers        *prometheus.CounterVec   // by queue and verdict
+	answerSeconds  *prometheus.HistogramVec // by queue
+	jobs           *prometheus.CounterVec   // ended at this holder, by verdict
+	starts         *prometheus.CounterVec   // by result
+	startSeconds   prometheus.Histogram
+	stops          prometheus.Counter
+	holds          *prometheus.CounterVec // by result
+	lends          *prometheus.CounterVec // by end
+	endpointEvents *prometheus.CounterVec // by event
+	held           prometheus.Gauge
+	ejected        prometheus.Gauge
+	freeCores      prometheus.Gauge
+	waiting        prometheus.Gauge
+	openJobs       prometheus.Gauge
+	entries        prometheus.Gauge
+	version        prometheus.Gauge
+}
+
+func newMetrics(dropped func() float64) *metrics {
+	m := &metrics{registry: prometheus.NewRegistry()}
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "lovage", Name: name, Help: help}, labels)
+		m.registry.MustRegister(c)
+		return c
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "lovage", Name: name, Help: help})
+		m.registry.MustRegister(g)
+		return g
+	}
+	m.answers = counter("answers_total", "Answers to callers.", "queue", "verdict")
+	m.jobs = counter("jobs_ended_total", "Jobs that ended at this holder.", "verdict")
+	m.starts = counter("starts_total", "Starts of tasks, by the endpoint's answer.", "result")
+	m.holds = counter("holds_total", "Looks at endpoints, by the answer.", "result")
+	m.lends = counter("lends_total", "Tasks lent to other holders, by their end.", "end")
+	m.endpointEvents = counter("endpoint_events_total", "Changes of what is believed of endpoints.", "event")
+	m.stops = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "lovage", Name: "stops_total", Help: "Stops of tasks sent to endpoints."})
+	m.answerSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: "lovage", Name: "answer_seconds", Help: "Time from a caller's request to its answer.", Buckets: durationBuckets}, []string{"queue"})
+	m.startSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: "lovage", Name: "start_seconds", Help: "Time until an endpoint answered a start.", Buckets: durationBuckets})
+	m.registry.MustRegister(m.stops, m.answerSeconds, m.startSeconds)
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: "lovage", Name: "log_lines_dropped_total", Help: "Log lines left out to stay within the budget."}, dropped))
+	m.held = gauge("endpoints_held", "Endpoints that this entry holds.")
+	m.ejected = gauge("endpoints_ejected", "Held endpoints that get no work.")
+	m.freeCores = gauge("free_cores", "Free cores of held endpoints.")
+	m.waiting = gauge("jobs_waiting", "Jobs with tasks that wait for a place.")
+	m.openJobs = gauge("jobs_open", "Jobs that have not ended at this holder.")
+	m.entries = gauge("entries_live", "Other entries that are heard.")
+	m.version = gauge("configuration_version", "Version of the configuration in force.")
+	return m
+}
+
+// publish sets the gauges.
+func (m *metrics) publish(s *Snapshot) {
+	m.held.Set(float64(s.Status.Held))
+	m.ejected.Set(float64(s.Status.Ejected))
+	m.freeCores.Set(s.Status.FreeCores)
+	m.waiting.Set(float64(s.Status.Waiting))
+	m.openJobs.Set(float64(s.Status.Jobs))
+	m.entries.Set(float64(len(s.View.Live)))
+	if s.Configuration != nil {
+		m.version.Set(float64(s.Configuration.Version))
+	}
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/fleet/process.go
@@ -0,0 +1,150 @@
+package fleet
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/fleet/eventlog"
+	"lovagespread.example/membership/cells"
+	"lovagespread.example/peer/fleetpb"
+)
+
+// Process is one entry. Create it with New, run it with Run.
+type Process struct {
+	settings Settings
+	log      *zap.Logger
+	loop     *Loop
+	service  *Service
+	peers    *peers
+	beats    *beats
+	metrics  *metrics
+	servers  []*http.Server
+}
+
+// New builds a process. It listens, but serves nobody before Run.
+func New(s Settings, endpoints Endpoints, log *eventlog.Log) (*Process, error) {
+	address, err := net.ResolveUDPAddr("udp4", s.BeatAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "heartbeat address: write it as host:port")
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for heartbeats: free the port or choose another one")
+	}
+	m := newMetrics(func() float64 { return float64(log.Dropped.Load()) })
+	self := cells.Entry{
+		Name: s.Name, Address: s.PeerAddress, Beats: s.BeatAddress, FailureDomain: s.FailureDomain,
+		Incarnation: incarnationOf(s.Name, time.Now()), Weight: s.Weight, Interval: beatInterval,
+	}
+	p := &Process{settings: s, log: log.Logger, metrics: m}
+	p.peers = newPeers(self.Incarnation, log.Logger)
+	p.loop = newLoop(s, self, endpoints, log.Logger, m, p.peers)
+	p.beats = newBeats(conn, s, log.Logger)
+	p.loop.beats = p.beats
+	p.peers.report = p.loop.send
+	p.peers.latest = p.loop.Latest
+	p.service = newService(p.loop, p.peers, log.Logger, m)
+	return p, nil
+}
+
+// incarnationOf identifies a run: its start in milliseconds and, for runs of
+// other names that start at the same time, a hash of the name.
+func incarnationOf(name string, start time.Time) cells.Incarnation {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	const nameBits = 16
+	return cells.Incarnation(uint64(start.UnixMilli())<<nameBits | uint64(h.Sum32()%(1<<nameBits)))
+}
+
+// Service returns what serves callers.
+func (p *Process) Service() *Service { return p.service }
+
+// SetDirectory passes on what was learned of configuration and endpoints.
+func (p *Process) SetDirectory(d Directory) { p.loop.send(setDirectory{d}) }
+
+// AddSeeds passes on heartbeat addresses of other entries.
+func (p *Process) AddSeeds(addresses []string) { p.loop.send(addSeeds{addresses}) }
+
+// Leave makes this entry hold nothing and tell the others that it stops.
+func (p *Process) Leave() { p.loop.send(leave{}) }
+
+// Holding reports whether this entry holds endpoints, and so needs to know
+// them at once.
+func (p *Process) Holding() bool { return p.loop.Latest().Status.Endpoints > 0 }
+
+// Run serves other entries until the context ends.
+func (p *Process) Run(ctx context.Context) error {
+	peerServer, err := p.servePeers()
+	if err != nil {
+		return err
+	}
+	defer peerServer.Close()
+	if p.settings.Metrics != "" {
+		metricsServer, err := p.serveMetrics()
+		if err != nil {
+			return err
+		}
+		defer metricsServer.Close()
+	}
+	go p.beats.receive(ctx, p.loop)
+	p.loop.run(ctx)
+	return p.beats.conn.Close()
+}
+
+func (p *Process) servePeers() (*http.Server, error) {
+	listener, err := net.Listen("tcp4", p.settings.PeerAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for other entries: free the port or choose another one")
+	}
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP1(true)
+	s := &http.Server{
+		Handler:           fleetpb.NewFleetServer(&server{p.loop, p.peers}),
+		Protocols:         protocols,
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: peerPingAfter, PingTimeout: peerPingTimeout, MaxConcurrentStreams: maxPeerCalls},
+		ReadHeaderTimeout: peerDialTimeout * 4,
+	}
+	go p.serve(s, listener, "peer_server")
+	return s, nil
+}
+
+// maxPeerCalls bounds the calls of one entry that are open at a time.
+const maxPeerCalls = 4000
+
+func (p *Process) serveMetrics() (*http.Server, error) {
+	listener, err := net.Listen("tcp4", p.settings.Metrics)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for metrics: free the port or choose another one")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", p.metrics.handler())
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go p.serve(s, listener, "metrics_server")
+	return s, nil
+}
+
+func (p *Process) serve(s *http.Server, listener net.Listener, name string) {
+	if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		p.log.Error("server_ended", zap.String("server", name), zap.Error(err))
+	}
+}
+
+func newService(l *Loop, p *peers, log *zap.Logger, m *metrics) *Service {
+	return &Service{loop: l, peers: p, log: log, metrics: m, running: make(map[leased.JobID]*submission)}
+}
+
+// addSeeds takes heartbeat addresses.
+type addSeeds struct{ addresses []string }
+
+func (m addSeeds) handle(l *Loop) { l.beats.addAddresses(m.addresses) }
+
+// Grace returns how long a planned stop may take.
+func (p *Process) Grace() time.Duration { return p.settings.Grace }
--- /dev/null
+++ b/fleet/server.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"lovagespread.example/membership/cells"
+	"lovagespread.example/peer/fleetpb"
+)
+
+// server serves other entries.
+type server struct {
+	loop  *Loop
+	peers *peers
+}
+
+var _ fleetpb.Fleet = (*server)(nil)
+
+var verdicts = [...]fleetpb.Verdict{fleetpb.Verdict_COMPLETED, fleetpb.Verdict_FAILED, fleetpb.Verdict_REJECTED, fleetpb.Verdict_ABANDONED}
+
+// Submit implements fleetpb.Fleet.
+func (s *server) Submit(ctx context.Context, r *fleetpb.SubmitRequest) (*fleetpb.SubmitResponse, error) {
+	latest := s.loop.Latest()
+	if latest.Stopping || !holdsAny(latest) {
+		return &fleetpb.SubmitResponse{Verdict: fleetpb.Verdict_NOT_HOLDER}, nil
+	}
+	ctx, done := s.peers.while(ctx, cells.Incarnation(r.From))
+	defer done()
+	answer, ended := s.loop.runHere(ctx, jobFromPB(r))
+	if !ended {
+		return nil, ctx.Err()
+	}
+	return &fleetpb.SubmitResponse{
+		Verdict: verdicts[answer.Verdict], Reason: answer.Reason, RetryAfterUs: answer.RetryAfter.Microseconds(),
+	}, nil
+}
+
+func holdsAny(s *Snapshot) bool {
+	for domain, n := range s.CellsOf {
+		for i := range n {
+			if s.View.Holds(cells.Cell{FailureDomain: domain, Index: i}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Lend implements fleetpb.Fleet.
+func (s *server) Lend(ctx context.Context, r *fleetpb.LendRequest) (*fleetpb.LendResponse, error) {
+	ctx, done := s.peers.while(ctx, cells.Incarnation(r.From))
+	defer done()
+	answer, ended := s.loop.runGuest(ctx, guestFromPB(r))
+	if !ended {
+		return nil, ctx.Err()
+	}
+	return &fleetpb.LendResponse{End: uint32(answer.Result), Saved: answer.Saved}, nil
+}
+
+// Snapshot implements fleetpb.Fleet.
+func (s *server) Snapshot(context.Context, *fleetpb.SnapshotRequest) (*fleetpb.SnapshotResponse, error) {
+	latest := s.loop.Latest()
+	reply := &fleetpb.SnapshotResponse{}
+	if latest.Configuration != nil {
+		data, err := json.Marshal(latest.Configuration)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode the configuration")
+		}
+		reply.ConfigurationVersion = latest.Configuration.Version
+		reply.Configuration = data
+	}
+	data, err := json.Marshal(latest.Endpoints)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the endpoints")
+	}
+	reply.Endpoints = data
+	return reply, nil
+}
--- /dev/null
+++ b/membership/cells/cells.go
@@ -0,0 +1,280 @@
+// Package cells decides which entry holds the endpoints of which cell, from
+// heartbeats alone. It does no I/O and reads no clock.
+//
+// A cell is a share of the endpoints of a failure domain. Among the live
+// entries of the domain, rendezvous hashing over incarnations picks the
+// holder, weighted by their processor shares. If none is left, the other
+// domains' entries hold the cell, provided they hear most of all known
+// entries.
+//
+// Two sides of a partition may pick different holders. The endpoints' fencing
+// tokens keep that safe; Standing says which side gives way: an entry that
+// hears too little of its own domain does not take endpoints back once it has
+// been fenced off.
+package cells
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// Times of judging silence.
+const (
+	// missedBeats is the number of missed heartbeats after which an entry
+	// counts as silent.
+	missedBeats = 5
+	// minSilence bounds that from below: a busy entry may be late.
+	minSilence = 450 * time.Millisecond
+	// settleTime is how long a new entry listens before it holds anything.
+	settleTime = 600 * time.Millisecond
+	// forgetAfter is how long a silent entry counts among the known ones.
+	forgetAfter = 30 * time.Second
+	// foreignAfter is how long a failure domain must be without a live entry
+	// before others hold its cells.
+	foreignAfter = 800 * time.Millisecond
+)
+
+// Incarnation identifies one run of an entry process.
+type Incarnation uint64
+
+// Entry is what an entry says of itself.
+type Entry struct {
+	Name          string
+	Address       string // of its peer server, host:port
+	Beats         string // where it takes heartbeats, host:port
+	FailureDomain string
+	Incarnation   Incarnation
+	Weight        float64       // share of a processor
+	Interval      time.Duration // between its heartbeats
+	Leaving       bool          // it stops: it holds nothing new
+}
+
+// Cell is a share of the endpoints of a failure domain.
+type Cell struct {
+	FailureDomain string
+	Index         int
+}
+
+// String returns the cell as logs and messages write it.
+func (c Cell) String() string { return fmt.Sprintf("%s/%d", c.FailureDomain, c.Index) }
+
+// Roster keeps the entries. It is not safe for concurrent use.
+type Roster struct {
+	self    Entry
+	began   time.Time
+	members map[Incarnation]*member
+}
+
+type member struct {
+	Entry
+	heard   time.Time
+	suspect bool // its connection broke, and no heartbeat has come since
+}
+
+// New returns a roster that knows only its own entry.
+func New(self Entry, now time.Time) *Roster {
+	return &Roster{self: self, began: now, members: make(map[Incarnation]*member)}
+}
+
+// Hear takes a heartbeat. It returns true if the entry was not known as live.
+func (r *Roster) Hear(now time.Time, e Entry) bool {
+	if e.Incarnation == r.self.Incarnation || e.Incarnation == 0 {
+		return false
+	}
+	for id, m := range r.members {
+		if m.Name == e.Name && id < e.Incarnation {
+			delete(r.members, id)
+		}
+		if m.Name == e.Name && id > e.Incarnation {
+			return false
+		}
+	}
+	m := r.members[e.Incarnation]
+	isNew := m == nil || !r.live(now, m)
+	if m == nil {
+		m = &member{}
+		r.members[e.Incarnation] = m
+	}
+	m.Entry = e
+	m.heard = now
+	m.suspect = false
+	return isNew
+}
+
+// Suspect notes that the connection to an entry broke. It counts as silent
+// until its next heartbeat.
+func (r *Roster) Suspect(id Incarnation) {
+	if m := r.members[id]; m != nil {
+		m.suspect = true
+	}
+}
+
+// Leave notes that this entry stops.
+func (r *Roster) Leave() { r.self.Leaving = true }
+
+// Woke notes that this process stood still: what it knows of others is old.
+func (r *Roster) Woke(now time.Time) { r.began = now }
+
+func (r *Roster) live(now time.Time, m *member) bool {
+	limit := max(minSilence, missedBeats*m.Interval)
+	return !m.suspect && now.Sub(m.heard) <= limit
+}
+
+// View is an immutable picture of the entries.
+type View struct {
+	Self    Entry
+	Live    []Entry // others that are heard, by name; leaving ones included
+	Settled bool    // this entry has listened for long enough to hold cells
+	// Isolated says that this entry hears too few of the entries of its own
+	// failure domain to insist on holding its cells.
+	Isolated bool
+	// Majority says that it hears most of all known entries.
+	Majority bool
+	empty    map[string]bool // domains without a live entry for long enough
+}
+
+// View returns the picture at a time, and forgets entries silent for long.
+func (r *Roster) View(now time.Time) *View {
+	v := &View{Self: r.self, Settled: now.Sub(r.began) >= settleTime, empty: make(map[string]bool)}
+	lastHeard := make(map[string]time.Time)
+	known, near, nearLive, farLive := 1, 1, 1, 0
+	for id, m := range r.members {
+		if now.Sub(m.heard) > forgetAfter || m.Leaving && !r.live(now, m) {
+			delete(r.members, id)
+			continue
+		}
+		known++
+		isNear := m.FailureDomain == r.self.FailureDomain
+		if isNear {
+			near++
+		}
+		heard := lastHeard[m.FailureDomain]
+		if !m.Leaving && m.heard.After(heard) {
+			heard = m.heard
+		}
+		lastHeard[m.FailureDomain] = heard
+		if !r.live(now, m) {
+			continue
+		}
+		v.Live = append(v.Live, m.Entry)
+		if isNear {
+			nearLive++
+		} else {
+			farLive++
+		}
+	}
+	slices.SortFunc(v.Live, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	v.Isolated = 2*nearLive < near || 2*nearLive == near && farLive == 0 && known > 1
+	v.Majority = 2*(nearLive+farLive) > known
+	v.noteEmpty(now, r.began, lastHeard)
+	return v
+}
+
+// noteEmpty finds the domains whose entries have all been silent for long.
+func (v *View) noteEmpty(now, began time.Time, lastHeard map[string]time.Time) {
+	for domain, heard := range lastHeard {
+		v.empty[domain] = now.Sub(heard) > foreignAfter+minSilence
+	}
+	for _, e := range v.Live {
+		if !e.Leaving {
+			v.empty[e.FailureDomain] = false
+		}
+	}
+	v.empty[v.Self.FailureDomain] = v.Self.Leaving && v.empty[v.Self.FailureDomain]
+	v.empty[""] = now.Sub(began) > foreignAfter+minSilence
+}
+
+// isEmpty reports whether a domain has no live entry. A domain of which no
+// entry was ever heard counts as empty some time after the start.
+func (v *View) isEmpty(domain string) bool {
+	if domain == v.Self.FailureDomain && !v.Self.Leaving {
+		return false
+	}
+	empty, known := v.empty[domain]
+	if !known {
+		return v.empty[""]
+	}
+	return empty
+}
+
+// Holder returns the entry that holds a cell, and whether there is one.
+func (v *View) Holder(c Cell) (Entry, bool) {
+	near := lo.Filter(v.candidates(), func(e Entry, _ int) bool { return e.FailureDomain == c.FailureDomain })
+	if len(near) > 0 {
+		return pick(c, near), true
+	}
+	if !v.Majority || !v.isEmpty(c.FailureDomain) {
+		return Entry{}, false
+	}
+	others := v.candidates()
+	if len(others) == 0 {
+		return Entry{}, false
+	}
+	return pick(c, others), true
+}
+
+// candidates are the entries that may hold cells.
+func (v *View) candidates() []Entry {
+	list := lo.Filter(v.Live, func(e Entry, _ int) bool { return !e.Leaving })
+	if !v.Self.Leaving && v.Settled {
+		list = append(list, v.Self)
+	}
+	return list
+}
+
+// Holds reports whether this entry holds a cell.
+func (v *View) Holds(c Cell) bool {
+	e, ok := v.Holder(c)
+	return ok && e.Incarnation == v.Self.Incarnation
+}
+
+// Insists reports whether this entry takes an endpoint back after another
+// holder has fenced it off.
+func (v *View) Insists(c Cell) bool {
+	return v.Holds(c) && !v.Isolated && c.FailureDomain == v.Self.FailureDomain
+}
+
+// Find returns a live entry, or this one.
+func (v *View) Find(id Incarnation) (Entry, bool) {
+	if id == v.Self.Incarnation {
+		return v.Self, true
+	}
+	return lo.Find(v.Live, func(e Entry) bool { return e.Incarnation == id })
+}
+
+// pick chooses by weighted rendezvous hashing.
+func pick(c Cell, list []Entry) Entry {
+	return lo.MaxBy(list, func(a, b Entry) bool { return score(c, a) > score(c, b) })
+}
+
+func score(c Cell, e Entry) float64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s/%d/%d", c.FailureDomain, c.Index, e.Incarnation)
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	u := (float64(x>>11) + 0.5) / (1 << 53)
+	return -max(e.Weight, 0.01) / math.Log(u)
+}
+
+// Of returns the cell of an endpoint in a failure domain that is divided into
+// a number of cells.
+func Of(domain, endpoint string, cells int) Cell {
+	if cells <= 1 {
+		return Cell{FailureDomain: domain}
+	}
+	h := fnv.New32a()
+	h.Write([]byte(endpoint))
+	return Cell{FailureDomain: domain, Index: int(h.Sum32() % uint32(cells))}
+}
+
+// Count returns into how many cells a failure domain with some endpoints is
+// divided.
+func Count(endpoints, perCell int) int { return max(1, (endpoints+perCell-1)/perCell) }
