--- a/cmd/lovage-fleet/learn.go
+++ b/cmd/lovage-fleet/learn.go
@@ -34,7 +34,7 @@
 	configuration := follow.New("configuration", store.Keyed(platform.OperatorTopic),
 		follow.Pace{Wait: configurationWait}, log, func(records map[string][]byte) { setConfiguration(process, records, log) })
 	endpoints := follow.New("endpoints", store.Keyed(platform.ExecutorsTopic),
-		follow.Pace{Interval: func() time.Duration { return lo.Ternary(process.Holding(), holderInterval, otherInterval) }},
+		follow.Pace{Interval: func() time.Duration { return lo.Ternary(process.NeedsEndpoints(), holderInterval, otherInterval) }},
 		log, endpointUpdater(process, log))
 	entries := follow.New("entries", store.Keyed(platform.EntriesTopic),
 		follow.Pace{Interval: func() time.Duration { return entryInterval }}, log, func(records map[string][]byte) {
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -75,9 +75,12 @@
 // Leave makes this entry hold nothing and tell the others that it stops.
 func (p *Process) Leave() { p.loop.send(leave{}) }
 
-// Holding reports whether this entry holds endpoints, and so needs to know
-// them at once.
-func (p *Process) Holding() bool { return p.loop.Latest().Status.Endpoints > 0 }
+// NeedsEndpoints reports whether news of endpoints matter at once: this entry
+// holds some, or knows none.
+func (p *Process) NeedsEndpoints() bool {
+	latest := p.loop.Latest()
+	return latest.Status.Endpoints > 0 || len(latest.Endpoints) == 0
+}
 
 // Run serves other entries until the context ends.
 func (p *Process) Run(ctx context.Context) error {
