--- a/cmd/lovage-fleet/serve.go
+++ b/cmd/lovage-fleet/serve.go
@@ -24,9 +24,8 @@
 	// leaveTime is how long new connections may still come after readiness is
 	// off: the balancer looks once a second and wants two misses.
 	leaveTime = 2400 * time.Millisecond
-	// stopReserve is kept of the grace for closing connections.
-	stopReserve = 700 * time.Millisecond
-	stopLook    = 50 * time.Millisecond
+	// stopReserve is kept of the grace for closing connections and the log.
+	stopReserve = 500 * time.Millisecond
 )
 
 // Bounds of callers' connections, until the configuration names others.
@@ -111,13 +110,8 @@
 	began := time.Now()
 	log.Info("stopping", zap.Duration("grace_ms", grace))
 	process.Leave()
-	for time.Since(began) < grace-stopReserve {
-		if time.Since(began) >= leaveTime && process.Service().Open() == 0 {
-			break
-		}
-		time.Sleep(stopLook)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopReserve)
+	time.Sleep(leaveTime)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-stopReserve-time.Since(began))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		log.Warn("stopped_with_open_requests", zap.Error(err))
--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -101,6 +101,7 @@
 	for _, e := range c.order {
 		c.review(e)
 	}
+	c.forgetDropped()
 	c.expire()
 	for id, at := range c.doneAlone {
 		if c.now.Sub(at) > claimTime {
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -237,7 +237,6 @@
 		for _, r := range e.runs {
 			c.endRun(e, r, EndLapsed, "")
 		}
-		c.forgetDropped()
 	}
 	for _, r := range e.runs {
 		if r.task == nil && r.state != stopping && c.now.Sub(r.seen) > claimTime {
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -194,7 +194,7 @@
 			job.Patience = time.Until(deadline)
 			outcome, final := s.offer(ctx, latest, holder, &job)
 			if final {
-				return outcome
+				return honest(outcome, &job)
 			}
 			lost = time.Now()
 		}
@@ -210,6 +210,15 @@
 	}
 }
 
+// honest keeps a job from being called not run if an earlier holder may have
+// begun it.
+func honest(o Outcome, job *leased.Job) Outcome {
+	if o.Verdict == leased.Rejected && job.Resubmitted {
+		return Outcome{Verdict: leased.Abandoned, Reason: o.Reason + "; an earlier holder was lost"}
+	}
+	return o
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
@@ -235,11 +244,8 @@
 // noHolder rejects a job that no holder has been found for. One that an
 // earlier holder had may have run.
 func (s *Service) noHolder(job *leased.Job) Outcome {
-	reason := "no entry holds endpoints"
-	if job.Resubmitted {
-		return Outcome{Verdict: leased.Abandoned, Reason: reason + "; an earlier holder was lost"}
-	}
-	return Outcome{Verdict: leased.Rejected, Reason: reason, RetryAfter: noHolderRetryAfter}
+	o := Outcome{Verdict: leased.Rejected, Reason: "no entry holds endpoints", RetryAfter: noHolderRetryAfter}
+	return honest(o, job)
 }
 
 // offer hands a job to one holder. It returns false if another one is to be
@@ -304,9 +310,3 @@
 	return best, found
 }
 
-// Open returns how many callers wait for answers.
-func (s *Service) Open() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.running)
-}
--- a/membership/cells/cells.go
+++ b/membership/cells/cells.go
@@ -32,7 +32,7 @@
 	// minSilence bounds that from below: a busy entry may be late.
 	minSilence = 450 * time.Millisecond
 	// settleTime is how long a new entry listens before it holds anything.
-	settleTime = 600 * time.Millisecond
+	settleTime = 350 * time.Millisecond
 	// forgetAfter is how long a silent entry counts among the known ones.
 	forgetAfter = 30 * time.Second
 	// foreignAfter is how long a failure domain must be without a live entry
