--- /dev/null
+++ b/dispatch/leased/faults_test.go
@@ -0,0 +1,232 @@
+package leased_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lovagespread.example/dispatch/leased"
+)
+
+// steady submits a job each interval until a time.
+func (w *world) steady(core int, name string, interval, until time.Duration, tasks int, run, patience time.Duration) {
+	n := 0
+	for at := w.now; at < until; at += interval {
+		id := leased.JobID(fmt.Sprintf("%s%04d", name, n))
+		n++
+		w.at(at, func() { w.submit(core, id, tasks, 27_000, run, patience) })
+	}
+}
+
+func (w *world) wantNoDouble() {
+	w.t.Helper()
+	if len(w.double) > 0 {
+		w.t.Errorf("a task ran twice at a time: %s (%d times)", w.double[0], len(w.double))
+	}
+}
+
+func TestJobCompletesWithinAFewHops(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 4)
+	w.run(100 * time.Millisecond)
+	w.submit(0, "j", 8, 27_000, 60*time.Millisecond, time.Second)
+	w.run(time.Second)
+	a := w.answers["j"]
+	if a.Verdict != leased.Completed || a.Took > 65*time.Millisecond {
+		t.Errorf("answer %+v, want completed within 65 ms", a)
+	}
+}
+
+func TestJobTooLargeIsRejectedAtOnce(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 2)
+	w.run(100 * time.Millisecond)
+	w.submit(0, "j", 1, 65_000, 60*time.Millisecond, time.Second)
+	if a, ok := w.answers["j"]; !ok || a.Verdict != leased.Rejected {
+		t.Errorf("answer %+v, want an immediate rejection", a)
+	}
+}
+
+func TestDroppedEndpointWhoseLeaseLapsesIsForgotten(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 3)
+	w.run(100 * time.Millisecond)
+	w.submit(0, "j", 6, 27_000, 3*time.Second, 20*time.Second)
+	w.run(200 * time.Millisecond)
+	w.cut["e01"] = true
+	w.owner["e01"] = -1
+	w.announce()
+	w.run(15 * time.Second)
+	if a := w.answers["j"]; a.Verdict != leased.Completed {
+		t.Errorf("answer %+v, want completed", a)
+	}
+	w.wantNoDouble()
+}
+
+func TestCutEndpointsTasksRunElsewhereAfterTheirLease(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 4)
+	w.run(100 * time.Millisecond)
+	w.submit(0, "j", 4, 27_000, 900*time.Millisecond, 10*time.Second)
+	w.run(300 * time.Millisecond)
+	w.cut["e00"] = true
+	w.run(8 * time.Second)
+	a := w.answers["j"]
+	if a.Verdict != leased.Completed || a.Took > 3500*time.Millisecond {
+		t.Errorf("answer %+v, want completed within 3.5 s", a)
+	}
+	w.wantNoDouble()
+}
+
+func TestHangingRunMovesElsewhere(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 4)
+	w.endpoints["e00"].Hangs = true
+	w.run(100 * time.Millisecond)
+	w.submit(0, "j", 8, 27_000, 60*time.Millisecond, 5*time.Second)
+	w.run(5 * time.Second)
+	a := w.answers["j"]
+	if a.Verdict != leased.Completed || a.Took > 600*time.Millisecond {
+		t.Errorf("answer %+v, want completed within 600 ms", a)
+	}
+	w.wantNoDouble()
+}
+
+func TestEndpointThatFailsEverythingIsEjected(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 8)
+	w.endpoints["e03"].Fails = true
+	w.run(100 * time.Millisecond)
+	w.steady(0, "j", 20*time.Millisecond, 4*time.Second, 2, 60*time.Millisecond, time.Second)
+	w.run(6 * time.Second)
+	failed := w.verdicts()[leased.Failed]
+	if failed > 3 {
+		t.Errorf("%d jobs failed, want at most 3 before the endpoint was ejected", failed)
+	}
+	if w.notes["endpoint_ejected"] == 0 {
+		t.Error("the endpoint was not ejected")
+	}
+}
+
+func TestCancelledJobStopsWithinAStop(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 2)
+	w.run(100 * time.Millisecond)
+	w.submit(0, "j", 4, 27_000, 5*time.Second, 10*time.Second)
+	w.run(200 * time.Millisecond)
+	w.step(0, &leased.Cancel{Ticket: 1})
+	w.run(250 * time.Millisecond)
+	for id, e := range w.endpoints {
+		if n := len(e.Running()); n > 0 {
+			t.Errorf("%s runs %d tasks of a cancelled job", id, n)
+		}
+	}
+}
+
+func TestSuccessorAdoptsRunsOfALostHolder(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.addEndpoints(0, 4)
+	w.run(100 * time.Millisecond)
+	w.submit(0, "j", 8, 27_000, 900*time.Millisecond, 10*time.Second)
+	w.run(400 * time.Millisecond)
+	w.dead[0] = true
+	for id := range w.owner {
+		w.owner[id] = 1
+	}
+	w.announce()
+	w.run(420 * time.Millisecond)
+	job := w.submitted[1].job
+	job.Resubmitted = true
+	w.submitAs(1, job, 900*time.Millisecond)
+	w.run(5 * time.Second)
+	a := w.answers["j"]
+	if a.Verdict != leased.Completed || a.Took > 700*time.Millisecond {
+		t.Errorf("answer %+v, want completed when the runs that were under way end", a)
+	}
+	if n := w.starts[leased.TaskID{Job: "j"}]; n != 1 {
+		t.Errorf("task 0 was started %d times, want once", n)
+	}
+	w.wantNoDouble()
+}
+
+func TestRunsNobodyClaimsAreStopped(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.addEndpoints(0, 2)
+	w.run(100 * time.Millisecond)
+	w.submit(0, "j", 4, 27_000, 20*time.Second, 30*time.Second)
+	w.run(300 * time.Millisecond)
+	w.dead[0] = true
+	for id := range w.owner {
+		w.owner[id] = 1
+	}
+	w.announce()
+	w.run(1500 * time.Millisecond)
+	for id, e := range w.endpoints {
+		if n := len(e.Running()); n > 0 {
+			t.Errorf("%s still runs %d tasks that nobody has claimed", id, n)
+		}
+	}
+}
+
+func TestRestartedEndpointIsHeldAnew(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 2)
+	w.run(100 * time.Millisecond)
+	w.submit(0, "j", 4, 27_000, 500*time.Millisecond, 10*time.Second)
+	w.run(200 * time.Millisecond)
+	w.endpoints["e00"].Restart(99)
+	w.run(5 * time.Second)
+	if a := w.answers["j"]; a.Verdict != leased.Completed || a.Took > 2*time.Second {
+		t.Errorf("answer %+v, want completed within 2 s", a)
+	}
+}
+
+// TestNoTaskRunsTwiceUnderRandomFaults plays cuts, hangs, restarts, orders that
+// are carried out late, changes of holder and cancels, and checks that no task
+// ever has two runs at work.
+func TestNoTaskRunsTwiceUnderRandomFaults(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, seed, 3)
+			w.addEndpoints(0, 5)
+			w.addEndpoints(1, 5)
+			w.lose = 0.03
+			w.run(100 * time.Millisecond)
+			for core := range 2 {
+				w.steady(core, fmt.Sprintf("c%d-", core), 60*time.Millisecond, 8*time.Second, 3, 150*time.Millisecond, 2*time.Second)
+			}
+			w.randomFaults(8 * time.Second)
+			w.run(14 * time.Second)
+			w.wantNoDouble()
+			if done := w.verdicts()[leased.Completed]; done < len(w.answers)/2 {
+				t.Errorf("%d of %d answers were completed, want half: %v", done, len(w.answers), w.verdicts())
+			}
+		})
+	}
+}
+
+func (w *world) randomFaults(until time.Duration) {
+	for at := 500 * time.Millisecond; at < until; at += 400 * time.Millisecond {
+		id := w.specs[w.rng.IntN(len(w.specs))].ID
+		length := time.Duration(w.rng.Int64N(int64(2 * time.Second)))
+		kind := w.rng.IntN(4)
+		w.at(at, func() { w.fault(kind, id, length) })
+	}
+}
+
+func (w *world) fault(kind int, id leased.EndpointID, length time.Duration) {
+	e := w.endpoints[id]
+	switch kind {
+	case 0:
+		w.cut[id] = true
+		w.after(length, func() { w.cut[id] = false })
+	case 1:
+		e.Hangs = true
+		w.after(length, func() { e.Hangs = false })
+	case 2:
+		e.Restart(int64(w.now))
+	case 3:
+		w.owner[id] = w.rng.IntN(2)
+		w.announce()
+	}
+}
--- /dev/null
+++ b/fleet/service_test.go
@@ -0,0 +1,57 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/membership/cells"
+)
+
+func TestJobThatAnEarlierHolderHadIsNeverCalledNotRun(t *testing.T) {
+	rejected := Outcome{Verdict: leased.Rejected, Reason: "no room", RetryAfter: time.Second}
+	if got := honest(rejected, &leased.Job{}); got.Verdict != leased.Rejected {
+		t.Errorf("first holder: %v, want rejected", got.Verdict)
+	}
+	if got := honest(rejected, &leased.Job{Resubmitted: true}); got.Verdict != leased.Abandoned {
+		t.Errorf("second holder: %v, want abandoned", got.Verdict)
+	}
+}
+
+func TestLongestPrefixOfAHostDecides(t *testing.T) {
+	l := &Loop{}
+	l.snapshot.Store(&Snapshot{Configuration: &Configuration{Queues: []Queue{
+		{Name: "short", Host: "h", PathPrefix: "/a/"},
+		{Name: "long", Host: "h", PathPrefix: "/a/b/"},
+		{Name: "other", Host: "i", PathPrefix: "/a/b/c/"},
+	}}})
+	s := &Service{loop: l}
+	for _, c := range []struct{ host, path, queue, rest string }{
+		{"h", "/a/1", "short", "1"},
+		{"h", "/a/b/1", "long", "1"},
+		{"h", "/a/b/", "long", ""},
+		{"h", "/c/1", "", ""},
+		{"j", "/a/1", "", ""},
+	} {
+		q, rest, ok := s.Resolve(c.host, c.path)
+		if ok != (c.queue != "") || q.Name != c.queue || rest != c.rest {
+			t.Errorf("%s%s: queue %q, rest %q, want %q, %q", c.host, c.path, q.Name, rest, c.queue, c.rest)
+		}
+	}
+}
+
+func TestJobsGoToTheCellWithMostRoom(t *testing.T) {
+	self := cells.Entry{Name: "a1", FailureDomain: "a", Incarnation: 1, Weight: 1}
+	other := cells.Entry{Name: "a2", FailureDomain: "a", Incarnation: 2, Weight: 1, Interval: time.Second}
+	now := time.Now()
+	r := cells.New(self, now.Add(-time.Minute))
+	r.Hear(now, other)
+	view := r.View(now)
+	s := &Snapshot{View: view, CellsOf: map[string]int{"a": 4}, Free: map[cells.Cell]int{
+		{FailureDomain: "a", Index: 2}: 64_000, {FailureDomain: "a", Index: 0}: 1_000,
+	}}
+	want, _ := view.Holder(cells.Cell{FailureDomain: "a", Index: 2})
+	if got, ok := holderFor(s); !ok || got.Incarnation != want.Incarnation {
+		t.Errorf("picked %q, want %q", got.Name, want.Name)
+	}
+}
--- /dev/null
+++ b/membership/cells/cells_test.go
@@ -0,0 +1,169 @@
+package cells
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+const beat = 100 * time.Millisecond
+
+func entry(name, domain string, id Incarnation) Entry {
+	return Entry{Name: name, FailureDomain: domain, Incarnation: id, Weight: 0.4, Interval: beat}
+}
+
+// rosterOf returns the roster of the first entry, which has heard the others.
+func rosterOf(now time.Time, self Entry, others ...Entry) *Roster {
+	r := New(self, now.Add(-time.Minute))
+	for _, e := range others {
+		r.Hear(now, e)
+	}
+	return r
+}
+
+func hearAll(r *Roster, from, to time.Time, others ...Entry) {
+	for now := from; !now.After(to); now = now.Add(beat) {
+		for _, e := range others {
+			r.Hear(now, e)
+		}
+	}
+}
+
+var (
+	a1 = entry("a1", "a", 1)
+	a2 = entry("a2", "a", 2)
+	a3 = entry("a3", "a", 3)
+	b1 = entry("b1", "b", 4)
+	b2 = entry("b2", "b", 5)
+)
+
+func TestAllEntriesPickTheSameHolder(t *testing.T) {
+	all := []Entry{a1, a2, a3, b1, b2}
+	for i := range 20 {
+		cell := Cell{"a", i}
+		want, _ := rosterOf(start, all[0], all...).View(start).Holder(cell)
+		for _, self := range all[1:] {
+			got, ok := rosterOf(start, self, all...).View(start).Holder(cell)
+			if !ok || got.Incarnation != want.Incarnation {
+				t.Errorf("%s picks %s for %s, %s picks %s", self.Name, got.Name, cell, all[0].Name, want.Name)
+			}
+			if got.FailureDomain != "a" {
+				t.Errorf("%s is held from failure domain %s", cell, got.FailureDomain)
+			}
+		}
+	}
+}
+
+func TestSilentHolderIsReplacedWithinSixHundredMilliseconds(t *testing.T) {
+	r := rosterOf(start, a1, a2, a3, b1)
+	later := start.Add(600 * time.Millisecond)
+	hearAll(r, start, later, a1, b1)
+	for i := range 20 {
+		e, ok := r.View(later).Holder(Cell{"a", i})
+		if !ok || e.Name != "a1" {
+			t.Fatalf("cell %d is held by %q, want the only live entry", i, e.Name)
+		}
+	}
+}
+
+func TestBrokenConnectionMakesAnEntrySilentUntilItsNextHeartbeat(t *testing.T) {
+	r := rosterOf(start, a1, a2)
+	r.Suspect(a2.Incarnation)
+	if live := r.View(start).Live; len(live) != 0 {
+		t.Errorf("live: %v, want none", live)
+	}
+	r.Hear(start.Add(beat), a2)
+	if live := r.View(start.Add(beat)).Live; len(live) != 1 {
+		t.Errorf("live: %v, want a2", live)
+	}
+}
+
+func TestIsolatedEntryDoesNotInsist(t *testing.T) {
+	r := rosterOf(start, a1, a2, a3, b1, b2)
+	later := start.Add(2 * time.Second)
+	v := r.View(later)
+	if !v.Isolated || v.Insists(Cell{"a", 0}) {
+		t.Errorf("isolated %v, insists %v: want an isolated entry that gives way", v.Isolated, v.Insists(Cell{"a", 0}))
+	}
+}
+
+func TestFailureDomainCutOffHoldsItsOwnCells(t *testing.T) {
+	r := rosterOf(start, a1, a2, a3, b1, b2)
+	later := start.Add(2 * time.Second)
+	hearAll(r, start, later, a2, a3)
+	v := r.View(later)
+	if v.Isolated {
+		t.Error("the failure domain counts as isolated though its entries hear each other")
+	}
+	if e, ok := v.Holder(Cell{"a", 0}); !ok || e.FailureDomain != "a" {
+		t.Errorf("its own cell is held by %q", e.Name)
+	}
+}
+
+func TestEmptyFailureDomainIsHeldByOthers(t *testing.T) {
+	r := rosterOf(start, a1, a2, a3, b1, b2)
+	later := start.Add(2 * time.Second)
+	hearAll(r, start, later, a2, a3)
+	if e, ok := r.View(later).Holder(Cell{"b", 0}); !ok || e.FailureDomain != "a" {
+		t.Errorf("the cell of the empty domain is held by %q (%v), want an entry of a", e.Name, ok)
+	}
+}
+
+func TestMinorityDoesNotHoldOtherDomains(t *testing.T) {
+	r := rosterOf(start, b1, b2, a1, a2, a3)
+	later := start.Add(2 * time.Second)
+	hearAll(r, start, later, b2)
+	if e, ok := r.View(later).Holder(Cell{"a", 0}); ok {
+		t.Errorf("a minority lets %s hold the cells of the others", e.Name)
+	}
+}
+
+func TestLeavingEntryHoldsNothing(t *testing.T) {
+	r := rosterOf(start, a1, a2)
+	r.Leave()
+	for i := range 10 {
+		if e, _ := r.View(start).Holder(Cell{"a", i}); e.Name != "a2" {
+			t.Errorf("cell %d is held by %q, want a2", i, e.Name)
+		}
+	}
+}
+
+func TestLastEntryOfADomainThatLeavesIsReplacedAtOnce(t *testing.T) {
+	leaving := b1
+	leaving.Leaving = true
+	r := rosterOf(start, a1, a2, a3, leaving)
+	if e, ok := r.View(start).Holder(Cell{"b", 0}); !ok || e.FailureDomain != "a" {
+		t.Errorf("held by %q (%v), want an entry of a", e.Name, ok)
+	}
+}
+
+func TestNewEntryListensFirst(t *testing.T) {
+	r := New(a1, start)
+	if _, ok := r.View(start.Add(100 * time.Millisecond)).Holder(Cell{"a", 0}); ok {
+		t.Error("a new entry holds a cell before it has listened")
+	}
+	if !r.View(start.Add(time.Second)).Holds(Cell{"a", 0}) {
+		t.Error("the only entry does not hold its cell")
+	}
+}
+
+func TestNewRunOfAnEntryReplacesTheOld(t *testing.T) {
+	r := rosterOf(start, a1, a2)
+	again := a2
+	again.Incarnation = 20
+	r.Hear(start, again)
+	r.Hear(start, a2)
+	live := r.View(start).Live
+	if len(live) != 1 || live[0].Incarnation != 20 {
+		t.Errorf("live: %v, want the new run alone", live)
+	}
+}
+
+func TestWokenEntryListensFirst(t *testing.T) {
+	r := rosterOf(start, a1)
+	r.Woke(start)
+	if r.View(start.Add(beat)).Holds(Cell{"a", 0}) {
+		t.Error("an entry that stood still holds cells before it has listened")
+	}
+}
