--- a/cmd/lovage-fleet/serve.go
+++ b/cmd/lovage-fleet/serve.go
@@ -59,7 +59,7 @@
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- process.Run(ctx) }()
-	learn(ctx, do.MustInvoke[*platform.Store](i), process, file, log.Logger)
+	process.Learn(ctx, do.MustInvoke[*platform.Store](i).Sources(file))
 
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -66,22 +66,12 @@
 // Service returns what serves callers.
 func (p *Process) Service() *Service { return p.service }
 
-// SetDirectory passes on what was learned of configuration and endpoints.
-func (p *Process) SetDirectory(d Directory) { p.loop.send(setDirectory{d}) }
-
 // AddSeeds passes on heartbeat addresses of other entries.
 func (p *Process) AddSeeds(addresses []string) { p.loop.send(addSeeds{addresses}) }
 
 // Leave makes this entry hold nothing and tell the others that it stops.
 func (p *Process) Leave() { p.loop.send(leave{}) }
 
-// NeedsEndpoints reports whether news of endpoints matter at once: this entry
-// holds some, or knows none.
-func (p *Process) NeedsEndpoints() bool {
-	latest := p.loop.Latest()
-	return latest.Status.Endpoints > 0 || len(latest.Endpoints) == 0
-}
-
 // Run serves other entries until the context ends.
 func (p *Process) Run(ctx context.Context) error {
 	peerServer, err := p.servePeers()
@@ -151,3 +141,6 @@
 
 // Grace returns how long a planned stop may take.
 func (p *Process) Grace() time.Duration { return p.settings.Grace }
+
+// BeatAddress returns where this entry takes heartbeats.
+func (p *Process) BeatAddress() string { return p.settings.BeatAddress }
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -310,3 +310,8 @@
 	return best, found
 }
 
+// Peers returns how many other entries are heard.
+func (s *Service) Peers() int { return len(s.loop.Latest().View.Live) }
+
+// Holding returns how many endpoints this entry holds.
+func (s *Service) Holding() int { return s.loop.Latest().Status.Held }
--- /dev/null
+++ b/standin/fakeexecutor/executor.go
@@ -0,0 +1,329 @@
+// Package fakeexecutor is a stand-in of an executor of the users' platform:
+// the state machine of package leasedtest behind the platform's published
+// protocol, in real time, with switches for faults. It registers itself in a
+// store.
+package fakeexecutor
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/dispatch/leased/leasedtest"
+)
+
+// Register is where an executor writes what it says of itself.
+type Register interface {
+	Put(topic, key string, value []byte)
+}
+
+// Topic is where executors register.
+const Topic = "keyed.servers"
+
+// maxWait bounds how long an answer waits for an end.
+const maxWait = 2 * time.Second
+
+// Options describe an executor.
+type Options struct {
+	ID       string
+	Address  string
+	Service  string
+	Zone     string
+	Capacity leased.Demand
+	Labels   []string
+	Work     func(leased.TaskID) leasedtest.Work
+}
+
+// Faults are the switches of an executor.
+type Faults struct {
+	Silent bool // no call gets an answer, and none is executed
+	Mute   bool // calls are executed and get no answer
+}
+
+// Executor is the stand-in. It is an http.Handler, safe for concurrent use.
+type Executor struct {
+	opts    Options
+	mux     *http.ServeMux
+	mu      sync.Mutex
+	state   *leasedtest.Endpoint
+	began   time.Time
+	born    int64
+	seq     int
+	faults  Faults
+	changed chan struct{}
+}
+
+// New returns an executor that has just started.
+func New(opts Options) *Executor {
+	x := &Executor{opts: opts, mux: http.NewServeMux(), began: time.Now(), born: time.Now().UnixMilli(), changed: make(chan struct{})}
+	x.state = leasedtest.New(leased.EndpointID(opts.ID), opts.Capacity, opts.Work)
+	x.state.Restart(x.born)
+	x.mux.HandleFunc("POST /run-start", x.start)
+	x.mux.HandleFunc("POST /run-stop", x.stop)
+	x.mux.HandleFunc("POST /hold", x.hold)
+	x.mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
+	return x
+}
+
+// SetFaults sets the switches.
+func (x *Executor) SetFaults(f Faults) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.faults = f
+}
+
+// Change runs a function on the state, as a test that sets faults of it does.
+func (x *Executor) Change(do func(*leasedtest.Endpoint)) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	do(x.state)
+}
+
+// Restart begins a new incarnation under the same ID.
+func (x *Executor) Restart() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.began = time.Now()
+	x.born = time.Now().UnixMilli()
+	x.state.Restart(x.born)
+}
+
+func (x *Executor) clock() time.Duration { return time.Since(x.began) + time.Millisecond }
+
+type report struct {
+	Service    string   `json:"service"`
+	Address    string   `json:"address"`
+	Zone       string   `json:"zone"`
+	Version    string   `json:"version"`
+	Slots      int      `json:"slots"`
+	State      string   `json:"state"`
+	ColdLeftMS int      `json:"cold_left_ms"`
+	Capacity   capacity `json:"capacity"`
+	Labels     []string `json:"labels"`
+	ClockMS    int64    `json:"clock_ms"`
+	Seq        int      `json:"seq"`
+	Born       int64    `json:"born"`
+}
+
+type capacity struct {
+	CPU   int `json:"cpu"`
+	MemMB int `json:"mem_mb"`
+	GPU   int `json:"gpu"`
+}
+
+// Announce writes what the executor says of itself; state is ready or
+// draining.
+func (x *Executor) Announce(to Register, state string) error {
+	x.mu.Lock()
+	x.seq++
+	const slots = 8
+	data, err := json.Marshal(report{
+		Service: x.opts.Service, Address: x.opts.Address, Zone: x.opts.Zone, Version: "v1", Slots: slots, State: state,
+		Capacity: capacity{x.opts.Capacity.MilliCores, x.opts.Capacity.MemoryMiB, x.opts.Capacity.Accelerators},
+		Labels:   x.opts.Labels, ClockMS: x.clock().Milliseconds(), Seq: x.seq, Born: x.born,
+	})
+	x.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	to.Put(Topic, x.opts.ID, data)
+	return nil
+}
+
+// ServeHTTP implements http.Handler.
+func (x *Executor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x.mu.Lock()
+	f := x.faults
+	x.mu.Unlock()
+	if f.Silent {
+		<-r.Context().Done()
+		return
+	}
+	if meant := r.Header.Get("X-Target-Instance"); meant != "" && meant != x.opts.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	x.mux.ServeHTTP(w, r)
+	if f.Mute {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+type order struct {
+	Task         string `json:"task"`
+	RunID        int    `json:"run_id"`
+	Spec         string `json:"spec"`
+	UntilMS      int64  `json:"until_ms"`
+	FencingToken int64  `json:"fencing_token"`
+	Checkpoint   string `json:"checkpoint"`
+	LastSeen     int64  `json:"last_seen"`
+	WaitMS       int64  `json:"wait_ms"`
+}
+
+func decode(w http.ResponseWriter, r *http.Request) (order, leased.TaskID, bool) {
+	var o order
+	data, err := io.ReadAll(r.Body)
+	if err != nil || json.Unmarshal(data, &o) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return o, leased.TaskID{}, false
+	}
+	if o.Task == "" {
+		return o, leased.TaskID{}, true
+	}
+	id, ok := parseTask(o.Task)
+	if !ok {
+		w.WriteHeader(http.StatusBadRequest)
+	}
+	return o, id, ok
+}
+
+func parseTask(name string) (leased.TaskID, bool) {
+	parts := strings.Split(name, ".")
+	const fields = 4
+	if len(parts) != fields {
+		return leased.TaskID{}, false
+	}
+	id := leased.TaskID{Job: leased.JobID(parts[0])}
+	for i, into := range []*int{&id.Occurrence, &id.Step, &id.Index} {
+		n, err := strconv.Atoi(parts[i+1])
+		if err != nil {
+			return id, false
+		}
+		*into = n
+	}
+	return id, true
+}
+
+func taskName(id leased.TaskID) string {
+	return fmt.Sprintf("%s.%d.%d.%d", id.Job, id.Occurrence, id.Step, id.Index)
+}
+
+type answer struct {
+	ClockMS  int64   `json:"clock_ms"`
+	Reason   string  `json:"reason,omitempty"`
+	Born     int64   `json:"born,omitempty"`
+	Running  [][]any `json:"running,omitempty"`
+	Finished [][]any `json:"finished,omitempty"`
+}
+
+func write(w http.ResponseWriter, status int, body answer) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status = http.StatusInternalServerError
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data) // the caller may have gone
+}
+
+// settle lets the state catch up and wakes answers that wait for an end.
+func (x *Executor) settle() {
+	x.state.Advance(x.clock())
+	close(x.changed)
+	x.changed = make(chan struct{})
+	if next := x.state.Next(); next != leasedtest.Never {
+		time.AfterFunc(next-x.clock()+time.Millisecond, func() {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			if x.state.Advance(x.clock()) {
+				close(x.changed)
+				x.changed = make(chan struct{})
+			}
+		})
+	}
+}
+
+var startReasons = map[leased.StartResult]string{
+	leased.StartFenced: "fence", leased.StartOldRun: "old", leased.StartLate: "late", leased.StartNoRoom: "room",
+}
+
+func (x *Executor) start(w http.ResponseWriter, r *http.Request) {
+	o, id, ok := decode(w, r)
+	if !ok {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.state.Advance(x.clock())
+	result := x.state.Start(x.clock(), &leased.Start{
+		Task: id, Run: o.RunID, Until: time.Duration(o.UntilMS) * time.Millisecond, Token: o.FencingToken,
+	}).Result
+	x.settle()
+	body := answer{ClockMS: x.clock().Milliseconds(), Reason: startReasons[result]}
+	switch {
+	case result == leased.StartAccepted:
+		write(w, http.StatusOK, body)
+	case result == leased.StartUnhealthy:
+		write(w, http.StatusServiceUnavailable, body)
+	default:
+		write(w, http.StatusConflict, body)
+	}
+}
+
+func (x *Executor) stop(w http.ResponseWriter, r *http.Request) {
+	o, id, ok := decode(w, r)
+	if !ok {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	done := x.state.Stop(x.clock(), &leased.Stop{Task: id, Run: o.RunID, Token: o.FencingToken}).Answered
+	x.settle()
+	body := answer{ClockMS: x.clock().Milliseconds()}
+	if !done {
+		body.Reason = "fence"
+		write(w, http.StatusConflict, body)
+		return
+	}
+	write(w, http.StatusOK, body)
+}
+
+func (x *Executor) hold(w http.ResponseWriter, r *http.Request) {
+	o, _, ok := decode(w, r)
+	if !ok {
+		return
+	}
+	deadline := time.After(min(time.Duration(o.WaitMS)*time.Millisecond, maxWait))
+	x.mu.Lock()
+	x.state.Advance(x.clock())
+	result := x.state.Hold(x.clock(), &leased.Hold{
+		Until: time.Duration(o.UntilMS) * time.Millisecond, Token: o.FencingToken, LastSeen: o.LastSeen,
+	}).Result
+	x.settle()
+	for result == leased.HoldAnswered && o.WaitMS > 0 && !x.state.Ready() {
+		changed := x.changed
+		x.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline:
+			o.WaitMS = 0
+		case <-r.Context().Done():
+			return
+		}
+		x.mu.Lock()
+	}
+	defer x.mu.Unlock()
+	if result == leased.HoldFenced {
+		write(w, http.StatusConflict, answer{ClockMS: x.clock().Milliseconds(), Reason: "fence"})
+		return
+	}
+	write(w, http.StatusOK, x.list())
+}
+
+func (x *Executor) list() answer {
+	reply := x.state.List(x.clock(), 0)
+	body := answer{ClockMS: x.clock().Milliseconds(), Born: x.born}
+	for _, row := range reply.Running {
+		body.Running = append(body.Running, []any{taskName(row.Task), row.Run, row.Saved, row.Percent})
+	}
+	for _, row := range reply.Ended {
+		body.Finished = append(body.Finished, []any{row.Number, taskName(row.Task), row.Run, row.End.String(), row.Saved})
+	}
+	return body
+}
--- /dev/null
+++ b/standin/fakestore/store.go
@@ -0,0 +1,407 @@
+// Package fakestore is a stand-in of the users' platform's store: a log with
+// topics, conditional appends, producer epochs, keyed topics and groups, and
+// switches for faults. It speaks the platform's published protocol and keeps
+// everything in memory.
+package fakestore
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// keyedPrefix begins the names of topics that keep the newest record of a key.
+const keyedPrefix = "keyed."
+
+// Bounds, as the platform states them.
+const (
+	recordBytes  = 262_144
+	requestBytes = 2_097_152
+	pageItems    = 500
+	lengthBytes  = 4
+	offsetBytes  = 8
+	repeats      = 5 // appends of a producer that are answered again
+)
+
+// Faults are the switches of a store.
+type Faults struct {
+	Down   bool          // every call gets 503 and does nothing
+	Busy   bool          // every call gets 429 and does nothing
+	Delay  time.Duration // before each answer
+	Silent bool          // calls get no answer and do nothing
+	Lose   bool          // appends take effect and get no answer
+}
+
+// Store is the stand-in. It is an http.Handler, safe for concurrent use.
+type Store struct {
+	mu         sync.Mutex
+	partitions map[partitionKey]*partition
+	groups     map[string]*group
+	faults     Faults
+	changed    chan struct{} // closed at each append
+	calls      map[string]int
+	mux        *http.ServeMux
+	// ReadOnly topics are written by Put alone.
+	readOnly map[string]bool
+	now      func() time.Time
+}
+
+type partitionKey struct {
+	topic string
+	part  int
+}
+
+type partition struct {
+	first     int64
+	records   [][]byte
+	newest    map[string]item
+	producers map[string]*producer
+}
+
+type item struct {
+	value  []byte
+	offset int64
+}
+
+type producer struct {
+	epoch   int64
+	started bool // a record was appended in this epoch
+	seq     int64
+	last    []appendReply
+}
+
+// New returns an empty store. The system may not write to the topics named.
+func New(readOnly ...string) *Store {
+	s := &Store{
+		partitions: make(map[partitionKey]*partition), groups: make(map[string]*group), changed: make(chan struct{}),
+		calls: make(map[string]int), mux: http.NewServeMux(), readOnly: lo.SliceToMap(readOnly, func(t string) (string, bool) { return t, true }),
+		now: time.Now,
+	}
+	s.mux.HandleFunc("POST /log-append", s.append)
+	s.mux.HandleFunc("GET /log-read", s.read)
+	s.mux.HandleFunc("GET /log-newest", s.newest)
+	s.mux.HandleFunc("POST /log-trim", s.trim)
+	s.mux.HandleFunc("POST /log-join", s.join)
+	s.mux.HandleFunc("POST /log-leave", s.leave)
+	s.mux.HandleFunc("POST /log-commit", s.commit)
+	s.mux.HandleFunc("GET /log-owners", s.owners)
+	return s
+}
+
+// SetFaults sets the switches.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls returns how often each path was called.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return lo.Assign(s.calls)
+}
+
+// Put writes a record of a keyed topic as the operator or an executor does. An
+// empty value drops the key.
+func (s *Store) Put(topic, key string, value []byte) {
+	record := append([]byte{byte(len(key))}, key...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(s.partition(partitionKey{topic, 0}), true, [][]byte{append(record, value...)})
+}
+
+// Expire forgets all records of a topic; the newest of each key stays.
+func (s *Store) Expire(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, p := range s.partitions {
+		if key.topic == topic {
+			p.first += int64(len(p.records))
+			p.records = nil
+		}
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	f := s.faults
+	s.calls[r.URL.Path]++
+	s.mu.Unlock()
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	switch {
+	case f.Down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case f.Busy:
+		w.WriteHeader(http.StatusTooManyRequests)
+	case f.Silent:
+		<-r.Context().Done()
+	case f.Lose && r.URL.Path == "/log-append":
+		s.mux.ServeHTTP(discard{http.Header{}}, r)
+		panic(http.ErrAbortHandler)
+	default:
+		s.mux.ServeHTTP(w, r)
+	}
+}
+
+// discard swallows an answer.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d discard) WriteHeader(int)             {}
+
+func (s *Store) partition(key partitionKey) *partition {
+	p := s.partitions[key]
+	if p == nil {
+		p = &partition{newest: make(map[string]item), producers: make(map[string]*producer)}
+		s.partitions[key] = p
+	}
+	return p
+}
+
+func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
+
+func (s *Store) add(p *partition, keyed bool, records [][]byte) {
+	for _, r := range records {
+		if keyed {
+			p.keep(r)
+		}
+		p.records = append(p.records, r)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (p *partition) keep(record []byte) {
+	if len(record) == 0 || int(record[0]) > len(record)-1 {
+		return
+	}
+	key, value := string(record[1:1+record[0]]), record[1+record[0]:]
+	if len(value) == 0 {
+		delete(p.newest, key)
+		return
+	}
+	p.newest[key] = item{value, p.end()}
+}
+
+type appendReply struct {
+	Offset int64 `json:"offset"`
+	End    int64 `json:"end"`
+}
+
+type refusal struct {
+	Reason      string `json:"reason,omitempty"`
+	Expected    *int64 `json:"seq,omitempty"`
+	End         *int64 `json:"end,omitempty"`
+	FirstOffset *int64 `json:"first_offset,omitempty"`
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status = http.StatusInternalServerError
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data) // the caller may have gone
+}
+
+func keyOf(r *http.Request) partitionKey {
+	part, _ := strconv.Atoi(r.URL.Query().Get("part")) // without one: 0
+	return partitionKey{r.URL.Query().Get("topic"), part}
+}
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, requestBytes))
+	records, ok := split(body)
+	if err != nil || !ok {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	key := keyOf(r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.readOnly[key.topic] {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	p := s.partition(key)
+	query := r.URL.Query()
+	var author *producer
+	if name := query.Get("producer"); name != "" {
+		var done bool
+		if author, done = p.admit(w, name, query.Get("epoch"), query.Get("seq"), len(records)); done {
+			return
+		}
+	}
+	if at := query.Get("at"); at != "" && at != strconv.FormatInt(p.end(), 10) {
+		reply(w, http.StatusPreconditionFailed, refusal{End: lo.ToPtr(p.end())})
+		return
+	}
+	answer := appendReply{Offset: p.end(), End: p.end() + int64(len(records))}
+	s.add(p, strings.HasPrefix(key.topic, keyedPrefix), records)
+	if author != nil && len(records) > 0 {
+		author.appended(answer, query.Get("seq"))
+	}
+	reply(w, http.StatusOK, answer)
+}
+
+// admit checks the epoch and the sequence number of a producer. It returns
+// true if the call has been answered.
+func (p *partition) admit(w http.ResponseWriter, name, epochText, seqText string, records int) (*producer, bool) {
+	epoch, _ := strconv.ParseInt(epochText, 10, 64) // without one: 0
+	seq, _ := strconv.ParseInt(seqText, 10, 64)
+	author := p.producers[name]
+	if author == nil || epoch > author.epoch {
+		author = &producer{epoch: epoch}
+		p.producers[name] = author
+	}
+	if epoch < author.epoch {
+		reply(w, http.StatusConflict, refusal{Reason: "fenced"})
+		return nil, true
+	}
+	if records == 0 || !author.started {
+		return author, false
+	}
+	if back := author.seq - seq; back >= 0 && back < int64(len(author.last)) {
+		reply(w, http.StatusOK, author.last[int64(len(author.last))-1-back])
+		return nil, true
+	}
+	if seq != author.seq+1 {
+		reply(w, http.StatusConflict, refusal{Reason: "seq", Expected: lo.ToPtr(author.seq + 1)})
+		return nil, true
+	}
+	return author, false
+}
+
+func (a *producer) appended(answer appendReply, seqText string) {
+	a.seq, _ = strconv.ParseInt(seqText, 10, 64)
+	a.started = true
+	a.last = append(a.last, answer)
+	if len(a.last) > repeats {
+		a.last = a.last[1:]
+	}
+}
+
+func split(body []byte) ([][]byte, bool) {
+	var records [][]byte
+	for len(body) > 0 {
+		if len(body) < lengthBytes {
+			return nil, false
+		}
+		n := int(binary.BigEndian.Uint32(body))
+		body = body[lengthBytes:]
+		if n > len(body) || n > recordBytes {
+			return nil, false
+		}
+		records = append(records, slices.Clone(body[:n]))
+		body = body[n:]
+	}
+	return records, true
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	key := keyOf(r)
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	waitMS, _ := strconv.Atoi(r.URL.Query().Get("wait_ms")) // without one: 0
+	deadline := time.After(time.Duration(waitMS) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		p := s.partition(key)
+		changed := s.changed
+		if from < p.first {
+			defer s.mu.Unlock()
+			reply(w, http.StatusGone, refusal{FirstOffset: lo.ToPtr(p.first)})
+			return
+		}
+		if from < p.end() || waitMS == 0 {
+			data := p.encode(from)
+			s.mu.Unlock()
+			_, _ = w.Write(data) // the caller may have gone
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline:
+			waitMS = 0
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *partition) encode(from int64) []byte {
+	data := binary.BigEndian.AppendUint64(make([]byte, 0, 2*offsetBytes), uint64(p.end()))
+	data = binary.BigEndian.AppendUint64(data, uint64(p.first))
+	if from >= p.end() {
+		return data
+	}
+	for _, record := range p.records[from-p.first:] {
+		data = binary.BigEndian.AppendUint32(data, uint32(len(record)))
+		data = append(data, record...)
+	}
+	return data
+}
+
+type newestItem struct {
+	Key    string `json:"key"`
+	Value  string `json:"value"`
+	Offset int64  `json:"offset"`
+}
+
+type newestReply struct {
+	Items   []newestItem `json:"items"`
+	HasMore bool         `json:"has_more"`
+	End     int64        `json:"end"`
+}
+
+func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(keyOf(r))
+	after := r.URL.Query().Get("after")
+	keys := lo.Filter(lo.Keys(p.newest), func(k string, _ int) bool { return k > after })
+	slices.Sort(keys)
+	answer := newestReply{End: p.end(), HasMore: len(keys) > pageItems, Items: []newestItem{}}
+	for _, k := range keys[:min(len(keys), pageItems)] {
+		answer.Items = append(answer.Items, newestItem{k, base64.StdEncoding.EncodeToString(p.newest[k].value), p.newest[k].offset})
+	}
+	reply(w, http.StatusOK, answer)
+}
+
+func (s *Store) trim(w http.ResponseWriter, r *http.Request) {
+	before, err := strconv.ParseInt(r.URL.Query().Get("before_offset"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(keyOf(r))
+	n := min(max(before-p.first, 0), int64(len(p.records)))
+	p.first += n
+	p.records = p.records[n:]
+	w.WriteHeader(http.StatusOK)
+}
