--- a/cmd/lovage-fleet/main.go
+++ b/cmd/lovage-fleet/main.go
@@ -1,8 +1,8 @@
 // Command lovage-fleet runs one entry on the users' platform: the dispatcher
 // for leased endpoints behind the platform's adapter.
 //
-// The settings file is named by the environment variable LOVAGESPREAD_BOOT or
-// by -config. SIGTERM and SIGINT stop it gracefully; SIGHUP reads the settings
+// The settings file is named by -config or by the environment variable
+// platform.SettingsVariable. SIGTERM and SIGINT stop it gracefully; SIGHUP reads the settings
 // file again.
 //
 // Exit codes: 0 after a graceful stop, 1 after a failure while running, 2 for
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -192,20 +192,23 @@
 		holder, ok := holderFor(latest)
 		if ok {
 			job.Patience = time.Until(deadline)
-			outcome, final := s.offer(ctx, latest, holder, &job)
-			if final {
+			outcome, err := s.offer(ctx, latest, holder, &job)
+			if err == nil {
 				return honest(outcome, &job)
 			}
-			lost = time.Now()
+			if !errors.Is(err, errNotHolder) {
+				s.noteLost(holder, &job, err)
+				lost = time.Now()
+			}
 		}
 		if ctx.Err() != nil {
-			return s.abandoned(&job)
+			return s.abandoned()
 		}
-		if !ok && time.Since(later(began, lost)) > holderTime {
+		if time.Since(later(began, lost)) > holderTime {
 			return s.noHolder(&job)
 		}
 		if !pauseFor(ctx, holderPause) {
-			return s.abandoned(&job)
+			return s.abandoned()
 		}
 	}
 }
@@ -237,7 +240,7 @@
 	}
 }
 
-func (s *Service) abandoned(job *leased.Job) Outcome {
+func (s *Service) abandoned() Outcome {
 	return Outcome{Verdict: leased.Abandoned, Reason: "its caller has gone, or the deadline has passed"}
 }
 
@@ -248,28 +251,30 @@
 	return honest(o, job)
 }
 
-// offer hands a job to one holder. It returns false if another one is to be
-// looked for.
-func (s *Service) offer(ctx context.Context, latest *Snapshot, holder cells.Entry, job *leased.Job) (Outcome, bool) {
+// errNotHolder reports an entry that holds no cell: it has started nothing.
+var errNotHolder = errors.New("the entry holds no cell")
+
+// offer hands a job to one holder. After an error another one is to be looked
+// for.
+func (s *Service) offer(ctx context.Context, latest *Snapshot, holder cells.Entry, job *leased.Job) (Outcome, error) {
 	if holder.Incarnation == latest.View.Self.Incarnation {
 		a, ended := s.loop.runHere(ctx, *job)
 		if !ended {
-			return s.abandoned(job), true
+			return s.abandoned(), nil
 		}
-		return Outcome{Verdict: a.Verdict, Reason: a.Reason, RetryAfter: a.RetryAfter}, true
+		return Outcome{Verdict: a.Verdict, Reason: a.Reason, RetryAfter: a.RetryAfter}, nil
 	}
 	s.log.Info("forwarded", zap.String("job", string(job.ID)), zap.String("holder", holder.Name), zap.Bool("resubmitted", job.Resubmitted))
 	reply, err := s.peers.submit(ctx, holder, job)
 	if err != nil {
-		s.noteLost(holder, job, err)
-		return Outcome{}, false
+		return Outcome{}, err
 	}
 	if reply.Verdict == fleetpb.Verdict_NOT_HOLDER {
-		return Outcome{}, false
+		return Outcome{}, errNotHolder
 	}
 	return Outcome{
 		Verdict: leased.Verdict(reply.Verdict), Reason: reply.Reason, RetryAfter: microseconds(reply.RetryAfterUs),
-	}, true
+	}, nil
 }
 
 func (s *Service) noteLost(holder cells.Entry, job *leased.Job, err error) {
