Find lost runs again before starting them anew

Change: a borrower whose holder is lost asks the cell's next holder for the run, which gives it back or shows that it has ended; runs that nobody claims are stopped after 0.5 s, and their leases are not extended unless claimed runs share the endpoint; no task starts while an earlier run of it is still listed.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -33,7 +33,9 @@
 	tickets   map[Ticket]*job
 	waiting   map[*job]struct{} // jobs with tasks that wait for a place
 	runs      map[TaskID]*placed
+	adopting  []*job               // guests whose earlier runs are looked for
 	doneAlone map[TaskID]time.Time // ends of runs that nobody claimed
+	dropped   map[JobID]time.Time  // jobs that were withdrawn here
 	rooms     []Room
 	learned   map[string]*average // run time ÷ estimate, by queue
 	least     int                 // no waiting task asks for less, in thousandths of a core
@@ -58,6 +60,7 @@
 		waiting:   make(map[*job]struct{}),
 		runs:      make(map[TaskID]*placed),
 		doneAlone: make(map[TaskID]time.Time),
+		dropped:   make(map[JobID]time.Time),
 		learned:   make(map[string]*average),
 	}
 }
@@ -89,6 +92,7 @@
 	case *Tick:
 		c.tick()
 	}
+	c.resolveAdoptions()
 	c.place()
 	c.holdAll()
 	return &c.out
@@ -97,6 +101,10 @@
 // TickInterval is how often the core wants a Tick.
 const TickInterval = 20 * time.Millisecond
 
+// droppedTime is how long a withdrawn job is remembered: a caller sends it
+// again within this time.
+const droppedTime = 3 * time.Second
+
 func (c *Core) tick() {
 	for _, e := range c.order {
 		c.review(e)
@@ -108,6 +116,11 @@
 			delete(c.doneAlone, id)
 		}
 	}
+	for id, at := range c.dropped {
+		if c.now.Sub(at) > droppedTime {
+			delete(c.dropped, id)
+		}
+	}
 }
 
 // setEndpoints takes the announced endpoints. One that is announced no more is
--- a/dispatch/leased/faults_test.go
+++ b/dispatch/leased/faults_test.go
@@ -181,6 +181,47 @@
 	}
 }
 
+// A holder that dies has lent-out tasks of another one at work. Its successor
+// finds those runs: the borrower must get them back or wait for their end.
+func TestLentTasksSurviveTheLossOfTheirHolder(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.addEndpoints(0, 1)
+	w.addEndpoints(1, 3)
+	w.shareRooms()
+	w.run(200 * time.Millisecond)
+	w.submit(0, "j", 6, 27_000, 1500*time.Millisecond, 10*time.Second)
+	w.run(500 * time.Millisecond)
+	w.kill(1, 2, 100*time.Millisecond)
+	w.run(8 * time.Second)
+	w.wantNoDouble()
+	if a := w.answers["j"]; a.Verdict != leased.Completed || a.Took > 1600*time.Millisecond {
+		t.Errorf("answer %+v, want completed when the runs that were under way end", a)
+	}
+}
+
+// The successor holds other runs on the same endpoints, so it extends leases
+// there also for those that nobody claims.
+func TestUnclaimedRunsBesideClaimedOnesEndBeforeTheyAreStartedAgain(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t, seed, 3)
+		w.addEndpoints(0, 2)
+		w.addEndpoints(1, 4)
+		w.shareRooms()
+		w.run(200 * time.Millisecond)
+		for i := range 4 {
+			w.submit(0, leased.JobID(fmt.Sprintf("a%d", i)), 2, 27_000, 2*time.Second, 10*time.Second)
+		}
+		w.submit(1, "b", 4, 27_000, 2*time.Second, 10*time.Second)
+		w.run(time.Duration(300+seed*37) * time.Millisecond)
+		w.kill(1, 2, time.Duration(seed*30)*time.Millisecond)
+		job := w.submitted[w.tickets].job
+		job.Resubmitted = true
+		w.after(600*time.Millisecond, func() { w.submitAs(2, job, 2*time.Second) })
+		w.run(12 * time.Second)
+		w.wantNoDouble()
+	}
+}
+
 // TestNoTaskRunsTwiceUnderRandomFaults plays cuts, hangs, restarts, orders that
 // are carried out late, changes of holder and cancels, and checks that no task
 // ever has two runs at work.
@@ -191,6 +232,7 @@
 			w.addEndpoints(0, 5)
 			w.addEndpoints(1, 5)
 			w.lose = 0.03
+			w.shareRooms()
 			w.run(100 * time.Millisecond)
 			for core := range 2 {
 				w.steady(core, fmt.Sprintf("c%d-", core), 60*time.Millisecond, 8*time.Second, 3, 150*time.Millisecond, 2*time.Second)
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -17,7 +17,7 @@
 	noteAfter = 800 * time.Millisecond
 	// claimTime is how long a run found on an endpoint waits for the job that
 	// it belongs to.
-	claimTime = 900 * time.Millisecond
+	claimTime = 500 * time.Millisecond
 	// clockSlack covers the rate of an endpoint's clock (2% slow at most), the
 	// way of an order and the time that a stop takes.
 	clockSlack = 150 * time.Millisecond
@@ -57,7 +57,7 @@
 	case e.silent > 0:
 		c.hold(e, false, 0)
 	case len(e.runs) > 0:
-		c.hold(e, true, c.waitFor(e))
+		c.hold(e, e.claimed(), c.waitFor(e))
 	case e.lastSeen > e.noted && c.now.Sub(e.idleFrom) >= noteAfter:
 		c.hold(e, false, 0)
 	}
@@ -76,6 +76,17 @@
 	c.out.Holds = append(c.out.Holds, h)
 }
 
+// claimed reports whether some run belongs to a task. Leases of runs that
+// nobody has claimed are not extended: who lost them may count on their end.
+func (e *endpoint) claimed() bool {
+	for _, r := range e.runs {
+		if r.task != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // waitFor returns how long the next Hold may wait: until the first run is
 // overdue, so that a slow run is noticed.
 func (c *Core) waitFor(e *endpoint) time.Duration {
--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -74,8 +74,9 @@
 	Run      int    // number of this run
 	Saved    string // checkpoint to resume from
 	Patience time.Duration
-	// Adopt says that the run may already be under way on an endpoint that
-	// this core holds.
+	Cell     string // whose holder is asked
+	// Adopt says that an earlier run may be under way on an endpoint of the
+	// cell: it is taken over, or shown to have ended, and none is started.
 	Adopt bool
 }
 
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -25,6 +25,8 @@
 	notBefore time.Time  // an earlier run may go on until then
 	lostIn    string     // cell whose new holder may know an earlier run
 	holder    uint64     // of a lent task
+	lentTo    string     // cell of a lent task
+	sought    bool       // lent to find an earlier run, not to start one
 	lentAt    time.Time
 }
 
@@ -38,6 +40,7 @@
 	left    []int // tasks of each step that are not done
 	begun   bool  // a run was started
 	guest   bool
+	cell    string // where a guest's earlier run is looked for
 }
 
 func (j *job) task(id TaskID) *task {
@@ -94,7 +97,7 @@
 			*t = task{id: TaskID{Job: spec.ID, Step: s, Index: i}, job: j, step: step}
 			if spec.Resubmitted {
 				t.runs = resubmittedRuns
-				t.notBefore = c.now.Add(c.opts.MaxLease + clockSlack)
+				t.notBefore = c.now.Add(c.resubmitPause(spec.ID))
 			}
 		}
 	}
@@ -102,6 +105,15 @@
 	return j
 }
 
+// resubmitPause is how long runs of a resubmitted job may go on unseen: not at
+// all if the job was withdrawn here, since its runs here are known.
+func (c *Core) resubmitPause(id JobID) time.Duration {
+	if _, known := c.dropped[id]; known {
+		return 0
+	}
+	return c.opts.MaxLease + clockSlack
+}
+
 // claim gives a resubmitted job the runs that were found on the endpoints.
 func (c *Core) claim(j *job) {
 	for s := range j.tasks {
@@ -172,6 +184,9 @@
 		}
 	}
 	delete(c.waiting, j)
+	if !j.guest {
+		c.dropped[j.ID] = c.now
+	}
 	if j.guest {
 		delete(c.guests, j.tasks[0][0].id)
 		return
@@ -214,14 +229,23 @@
 	case EndDone:
 		c.done(t)
 		return
+	case EndNotRun:
+		if t.sought {
+			t.notBefore = time.Time{} // the earlier run has ended
+		}
 	case EndFailed:
 		t.failures++
 		if t.failures >= max(1, t.job.MaxAttempts) {
 			c.finish(t.job, Failed, "a task has failed as often as it may", 0)
 			return
 		}
+	case EndNoRoom:
+		if t.sought { // the holder could not be reached
+			t.lostIn = t.lentTo
+		}
 	case EndUnknown:
-		t.notBefore = c.now.Add(c.opts.MaxLease + clockSlack)
+		t.lostIn = t.lentTo
+		t.notBefore = c.now.Add(c.opts.MaxLease + clockSlack + claimTime)
 	}
 	c.wait(t.job)
 }
--- a/dispatch/leased/lend.go
+++ b/dispatch/leased/lend.go
@@ -1,6 +1,9 @@
 package leased
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // freshRoom is the age up to which an announced room counts.
 const freshRoom = 600 * time.Millisecond
@@ -23,7 +26,7 @@
 // lendBack asks the new holder of a cell for a task that ran there.
 func (c *Core) lendBack(t *task) bool {
 	for i := range c.rooms {
-		if c.rooms[i].Cell == t.lostIn {
+		if c.rooms[i].Cell == t.lostIn && c.rooms[i].Age <= freshRoom {
 			t.lostIn = ""
 			c.lendTo(t, &c.rooms[i], true)
 			return true
@@ -71,10 +74,12 @@
 	t.state = lentTask
 	t.holder = room.Holder
 	t.lentAt = c.now
+	t.lentTo = room.Cell
+	t.sought = adopt
 	t.job.begun = true
 	c.out.Lends = append(c.out.Lends, Lend{Holder: room.Holder, Cell: room.Cell, Guest: Guest{
 		Task: t.id, Service: t.job.Service, Queue: t.job.Queue, Spec: t.job.Spec, Step: step,
-		Run: t.runs, Saved: t.saved, Patience: t.job.expires.Sub(c.now), Adopt: adopt,
+		Run: t.runs, Saved: t.saved, Patience: t.job.expires.Sub(c.now), Cell: room.Cell, Adopt: adopt,
 	}})
 }
 
@@ -95,11 +100,7 @@
 
 // forgetRoom drops what a holder has announced until it announces again.
 func (c *Core) forgetRoom(holder uint64) {
-	for i := range c.rooms {
-		if c.rooms[i].Holder == holder {
-			c.rooms[i].Free = nil
-		}
-	}
+	c.rooms = slices.DeleteFunc(c.rooms, func(r Room) bool { return r.Holder == holder })
 }
 
 // submitGuest starts a task of another core's job, or answers that there is
@@ -108,25 +109,15 @@
 	g := &in.Guest
 	j := c.newGuest(g, in.Ticket)
 	t := &j.tasks[0][0]
-	if p := c.runs[t.id]; p != nil {
-		if p.run.task != nil || p.run.state != running {
-			c.endGuestNow(j, g.Run, EndNoRoom)
-			return
-		}
-		c.guests[t.id] = j
-		c.adopt(t, p.endpoint, p.run)
-		return
-	}
-	if _, done := c.doneAlone[t.id]; done && g.Adopt {
-		c.endGuestNow(j, g.Run, EndDone)
-		return
-	}
 	if g.Adopt {
-		c.endGuestNow(j, g.Run, EndNotRun)
+		j.cell = g.Cell
+		t.runs = g.Run
+		c.guests[t.id] = j
+		c.adopting = append(c.adopting, j)
 		return
 	}
 	e, fits := c.bestFor(t, nil)
-	if !fits || len(c.waiting) > 0 {
+	if !fits || len(c.waiting) > 0 || c.runs[t.id] != nil {
 		c.endGuestNow(j, g.Run, EndNoRoom)
 		return
 	}
@@ -135,6 +126,58 @@
 	c.start(t, e)
 }
 
+// resolveAdoptions looks for the earlier runs of guests.
+func (c *Core) resolveAdoptions() {
+	if len(c.adopting) == 0 {
+		return
+	}
+	c.adopting = slices.DeleteFunc(c.adopting, c.resolveAdoption)
+}
+
+// resolveAdoption returns true once a guest's earlier run is taken over, or is
+// known to have ended.
+func (c *Core) resolveAdoption(j *job) bool {
+	t := &j.tasks[0][0]
+	if t.state != waitingTask { // withdrawn meanwhile
+		return true
+	}
+	if p := c.runs[t.id]; p != nil {
+		if p.run.task == nil && p.run.state == running {
+			c.adopt(t, p.endpoint, p.run)
+			return true
+		}
+		return false // it is being stopped
+	}
+	if _, done := c.doneAlone[t.id]; done {
+		c.endGuestNow(j, t.runs, EndDone)
+		return true
+	}
+	if c.holdsAll(j.cell) {
+		c.endGuestNow(j, t.runs, EndNotRun)
+		return true
+	}
+	if c.now.Sub(j.arrived) > c.opts.MaxLease+clockSlack {
+		c.endGuestNow(j, t.runs, EndUnknown)
+		return true
+	}
+	return false
+}
+
+// holdsAll reports whether it is known what runs on all endpoints of a cell.
+func (c *Core) holdsAll(cell string) bool {
+	any := false
+	for _, e := range c.order {
+		if e.Cell != cell || e.dropped {
+			continue
+		}
+		if !e.held {
+			return false
+		}
+		any = true
+	}
+	return any
+}
+
 func (c *Core) newGuest(g *Guest, ticket Ticket) *job {
 	j := &job{
 		Job:     Job{ID: g.Task.Job, Spec: g.Spec, Service: g.Service, Queue: g.Queue, MaxAttempts: 1, Steps: []Step{g.Step}},
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -90,7 +90,7 @@
 		if t.lostIn != "" && c.lendBack(t) {
 			continue
 		}
-		if c.now.Before(t.notBefore) {
+		if c.runs[t.id] != nil || c.now.Before(t.notBefore) {
 			c.least = 0 // look again at each step
 			continue
 		}
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -45,6 +45,7 @@
 	double    []string
 	notes     map[string]int
 	started   map[leased.JobID]bool
+	lents     map[leased.TaskID]lent
 }
 
 type submission struct {
@@ -87,6 +88,7 @@
 		work: make(map[leased.JobID]leasedtest.Work), submitted: make(map[leased.Ticket]submission),
 		answers: make(map[leased.JobID]leased.Answer), answered: make(map[leased.JobID]time.Duration),
 		starts: make(map[leased.TaskID]int), insist: true, notes: make(map[string]int), started: make(map[leased.JobID]bool),
+		lents: make(map[leased.TaskID]lent),
 	}
 	for i := range cores {
 		w.cores = append(w.cores, w.newCore(i))
@@ -177,11 +179,113 @@
 			w.t.Errorf("%v: job %s was rejected, but a task of it has started", w.now, a.Job)
 		}
 	}
+	for _, l := range out.Lends {
+		w.lend(core, l)
+	}
+	for _, cancel := range out.LendCancels {
+		w.endLend(core, cancel.Task, leased.EndStopped, true)
+	}
+	for _, a := range out.GuestAnswers {
+		w.answerLend(a)
+	}
 	for _, n := range out.Notes {
 		w.notes[n.Event]++
 	}
 }
 
+// lent is a task that one core runs for another.
+type lent struct {
+	from, to int
+	run      int
+	ticket   leased.Ticket
+}
+
+func (w *world) lend(core int, l leased.Lend) {
+	to := int(l.Holder) - 1
+	w.tickets++
+	w.lents[l.Guest.Task] = lent{core, to, l.Guest.Run, w.tickets}
+	if w.dead[to] {
+		w.after(hop, func() { w.endLend(core, l.Guest.Task, leased.EndNoRoom, false) })
+		return
+	}
+	ticket := w.tickets
+	w.after(2*hop, func() { w.step(to, &leased.SubmitGuest{Ticket: ticket, Guest: l.Guest}) })
+}
+
+// endLend ends a lent task for the borrower, and for the lender if it is told.
+func (w *world) endLend(core int, task leased.TaskID, end leased.End, tell bool) {
+	l, ok := w.lents[task]
+	if !ok || l.from != core {
+		return
+	}
+	delete(w.lents, task)
+	if tell {
+		w.after(2*hop, func() { w.step(l.to, &leased.Cancel{Ticket: l.ticket}) })
+		return
+	}
+	w.step(core, &leased.LendReply{Task: task, Run: l.run, Result: end})
+}
+
+func (w *world) answerLend(a leased.GuestAnswer) {
+	l, ok := w.lents[a.Task]
+	if !ok || l.ticket != a.Ticket {
+		return
+	}
+	delete(w.lents, a.Task)
+	w.after(2*hop, func() { w.step(l.from, &leased.LendReply{Task: a.Task, Run: l.run, Result: a.Result}) })
+}
+
+// shareRooms lets the cores announce their free room to each other.
+func (w *world) shareRooms() {
+	w.every(leased.TickInterval, func() {
+		for i := range w.cores {
+			var rooms []leased.Room
+			for other, core := range w.cores {
+				if other == i || w.dead[other] {
+					continue
+				}
+				for _, cell := range w.cellsOf(other) {
+					rooms = append(rooms, leased.Room{Holder: uint64(other + 1), Cell: cell, Free: core.FreeRoom(cell, 1000)})
+				}
+			}
+			w.step(i, &leased.SetRooms{Rooms: rooms})
+		}
+	})
+}
+
+func (w *world) cellsOf(core int) []string {
+	seen := make(map[string]bool)
+	var list []string
+	for _, spec := range w.specs {
+		if w.owner[spec.ID] == core && !seen[spec.Cell] {
+			seen[spec.Cell] = true
+			list = append(list, spec.Cell)
+		}
+	}
+	return list
+}
+
+// kill ends a core; another one takes its endpoints over after some time.
+func (w *world) kill(core, successor int, after time.Duration) {
+	w.dead[core] = true
+	for task, l := range w.lents {
+		if l.to == core {
+			w.after(hop, func() { w.endLend(l.from, task, leased.EndUnknown, false) })
+		}
+		if l.from == core {
+			w.after(hop, func() { w.step(l.to, &leased.Cancel{Ticket: l.ticket}) })
+		}
+	}
+	w.after(after, func() {
+		for id, owner := range w.owner {
+			if owner == core {
+				w.owner[id] = successor
+			}
+		}
+		w.announce()
+	})
+}
+
 const callTimeout = 300 * time.Millisecond
 
 // order carries an order to an endpoint and its answer back. A lost order is
