Keep the queue in order instead of sorting it at each step

Cause: each step sorted all waiting jobs and scanned all endpoints several times: 2,000 jobs waiting and 350 endpoints cost some 50 us a placement. Change: two ordered lists, jobs that can be in time and the others; bounds of what is free and of what is asked for end a walk early; only endpoints that have changed are looked at for their Holds.

--- /dev/null
+++ b/dispatch/leased/bench_test.go
@@ -0,0 +1,77 @@
+package leased_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lovagespread.example/dispatch/leased"
+)
+
+// heldCore returns a core that holds endpoints on which nothing runs.
+func heldCore(b *testing.B, endpoints int) (*leased.Core, time.Time) {
+	b.Helper()
+	token := int64(0)
+	core := leased.New(leased.Options{
+		MaxLease: maxLease, NextToken: func(floor int64) int64 { token = max(token, floor) + 1; return token },
+		Yields: func(string) bool { return false },
+	})
+	now := simStart
+	list := make([]leased.Endpoint, endpoints)
+	for i := range list {
+		id := leased.EndpointID(fmt.Sprintf("e%03d", i))
+		list[i] = leased.Endpoint{ID: id, Address: string(id), Service: "s", FailureDomain: "a", Cell: "c",
+			Capacity: leased.Demand{MilliCores: 64_000, MemoryMiB: 128_000}}
+	}
+	holds := append([]leased.Hold(nil), core.Step(now, &leased.SetEndpoints{Endpoints: list}).Holds...)
+	for _, h := range holds {
+		core.Step(now, &leased.HoldReply{Endpoint: h.Endpoint, Sequence: h.Sequence, Clock: time.Second})
+	}
+	return core, now
+}
+
+// BenchmarkPlacement ends a task on an endpoint and places the next of 2,000
+// that wait: for a holder of one cell, and of a whole large site.
+func BenchmarkPlacement(b *testing.B) {
+	for _, endpoints := range []int{32, 350} {
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) { benchmarkPlacement(b, endpoints) })
+	}
+}
+
+func benchmarkPlacement(b *testing.B, endpoints int) {
+	core, now := heldCore(b, endpoints)
+	var running []leased.Start
+	holds := make(map[leased.EndpointID]uint64)
+	ends := make(map[leased.EndpointID]int64)
+	take := func(out *leased.Actions) {
+		running = append(running, out.Starts...)
+		for _, h := range out.Holds {
+			holds[h.Endpoint] = h.Sequence
+		}
+	}
+	submit := func(n int) {
+		take(core.Step(now, &leased.Submit{Ticket: leased.Ticket(n), Job: leased.Job{
+			ID: leased.JobID(fmt.Sprintf("j%08d", n)), Service: "s", Queue: "q", MaxAttempts: 2, Stretch: 1.6,
+			Slack: time.Hour, Patience: 24 * time.Hour,
+			Steps: []leased.Step{{Tasks: 1, Demand: leased.Demand{MilliCores: 27_000, MemoryMiB: 64}, Estimate: 60 * time.Millisecond}},
+		}}))
+	}
+	n := 0
+	for range 2*endpoints + 2000 {
+		n++
+		submit(n)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := 0; b.Loop(); i++ {
+		s := running[i]
+		ends[s.Endpoint]++
+		reply := leased.HoldReply{Endpoint: s.Endpoint, Sequence: holds[s.Endpoint], Clock: time.Second, More: true,
+			Ended: []leased.Ended{{Number: ends[s.Endpoint], Task: s.Task, Run: s.Run}}}
+		take(core.Step(now, &reply))
+		b.StopTimer()
+		n++
+		submit(n)
+		b.StartTimer()
+	}
+}
--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -31,7 +31,8 @@
 	jobs      map[JobID]*job
 	guests    map[TaskID]*job
 	tickets   map[Ticket]*job
-	waiting   map[*job]struct{} // jobs with tasks that wait for a place
+	waiting   queue   // jobs with tasks that wait for a place
+	seeking   []*task // whose earlier runs are to be asked for
 	runs      map[TaskID]*placed
 	adopting  []*job               // guests whose earlier runs are looked for
 	doneAlone map[TaskID]time.Time // ends of runs that nobody claimed
@@ -39,6 +40,8 @@
 	rooms     []Room
 	learned   map[string]*average // run time ÷ estimate, by queue
 	least     int                 // no waiting task asks for less, in thousandths of a core
+	bound     int                 // no usable endpoint has more free, in thousandths of a core
+	touched   []*endpoint         // whose Holds may be due
 	out       Actions
 }
 
@@ -57,7 +60,6 @@
 		jobs:      make(map[JobID]*job),
 		guests:    make(map[TaskID]*job),
 		tickets:   make(map[Ticket]*job),
-		waiting:   make(map[*job]struct{}),
 		runs:      make(map[TaskID]*placed),
 		doneAlone: make(map[TaskID]time.Time),
 		dropped:   make(map[JobID]time.Time),
@@ -93,8 +95,9 @@
 		c.tick()
 	}
 	c.resolveAdoptions()
+	c.raiseBound()
 	c.place()
-	c.holdAll()
+	c.holdTouched()
 	return &c.out
 }
 
@@ -108,6 +111,7 @@
 func (c *Core) tick() {
 	for _, e := range c.order {
 		c.review(e)
+		c.touch(e)
 	}
 	c.forgetDropped()
 	c.expire()
@@ -145,6 +149,7 @@
 
 func (c *Core) setEndpoint(spec Endpoint) {
 	e := c.endpoints[spec.ID]
+	defer func() { c.touch(c.endpoints[spec.ID]) }()
 	if e == nil {
 		e = &endpoint{Endpoint: spec, runs: make(map[TaskID]*run), idleFrom: c.now}
 		e.token = c.opts.NextToken(0)
@@ -208,7 +213,7 @@
 
 // Status counts what the core holds.
 func (c *Core) Status() Status {
-	s := Status{Endpoints: len(c.order), Jobs: len(c.jobs), Waiting: len(c.waiting), Running: len(c.runs)}
+	s := Status{Endpoints: len(c.order), Jobs: len(c.jobs), Waiting: c.waiting.len(), Running: len(c.runs)}
 	for _, e := range c.order {
 		if e.held {
 			s.Held++
--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -57,6 +57,7 @@
 	Endpoint
 	token    int64
 	held     bool // a look under the token has told what runs
+	touched  bool // its Hold may be due
 	dropped  bool // no longer announced: kept until nothing runs
 	runs     map[TaskID]*run
 	used     Demand
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -34,9 +34,30 @@
 	holdTimeout = 5 * time.Second
 )
 
-// holdAll sends the Holds that are due.
-func (c *Core) holdAll() {
-	for _, e := range c.order {
+// touch notes that something has changed at an endpoint.
+func (c *Core) touch(e *endpoint) {
+	if !e.touched {
+		e.touched = true
+		c.touched = append(c.touched, e)
+	}
+}
+
+// raiseBound lets the bound of what is free follow the endpoints that have
+// changed.
+func (c *Core) raiseBound() {
+	for _, e := range c.touched {
+		c.bound = max(c.bound, e.free().MilliCores)
+	}
+}
+
+// holdTouched sends the Holds that are due at endpoints that have changed.
+// Each Tick looks at all.
+func (c *Core) holdTouched() {
+	for _, e := range c.touched {
+		e.touched = false
+		if c.endpoints[e.ID] != e {
+			continue // forgotten meanwhile
+		}
 		if e.inFlight && c.now.Sub(e.holdSent) < holdTimeout {
 			continue
 		}
@@ -45,6 +66,7 @@
 		}
 		c.holdIfDue(e)
 	}
+	c.touched = c.touched[:0]
 }
 
 func (c *Core) holdIfDue(e *endpoint) {
@@ -110,6 +132,7 @@
 		return
 	}
 	e.inFlight = false
+	c.touch(e)
 	switch in.Result {
 	case HoldAnswered:
 		c.heldAnswered(e, in)
@@ -215,7 +238,7 @@
 	}
 	t.state = waitingTask
 	t.notBefore = c.now.Add(c.opts.MaxLease + clockSlack)
-	t.lostIn = e.Cell
+	c.seek(t, e.Cell)
 	c.wait(t.job)
 }
 
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -35,12 +35,15 @@
 	tickets []Ticket
 	arrived time.Time
 	expires time.Time // the caller's deadline
-	goal    time.Time // by when the answer should come
-	tasks   [][]task
-	left    []int // tasks of each step that are not done
-	begun   bool  // a run was started
-	guest   bool
-	cell    string // where a guest's earlier run is looked for
+	// latestStart is when the job must start to be answered in time.
+	latestStart time.Time
+	queued      bool // in the queue
+	isLate      bool // in the queue behind those that can be in time
+	tasks       [][]task
+	left        []int // tasks of each step that are not done
+	begun       bool  // a run was started
+	guest       bool
+	cell        string // where a guest's earlier run is looked for
 }
 
 func (j *job) task(id TaskID) *task {
@@ -85,7 +88,7 @@
 func (c *Core) newJob(spec Job, ticket Ticket) *job {
 	j := &job{Job: spec, tickets: []Ticket{ticket}, arrived: c.now, expires: c.now.Add(spec.Patience)}
 	chain := longestChain(spec.Steps, func(d time.Duration) time.Duration { return c.expect(spec.Queue, d) })
-	j.goal = c.now.Add(time.Duration(spec.Stretch*float64(chain)) + spec.Slack)
+	j.latestStart = c.now.Add(time.Duration((spec.Stretch-1)*float64(chain)) + spec.Slack)
 	j.tasks = make([][]task, len(spec.Steps))
 	j.left = make([]int, len(spec.Steps))
 	for s := range spec.Steps {
@@ -183,7 +186,7 @@
 			t.state = doneTask
 		}
 	}
-	delete(c.waiting, j)
+	c.waiting.remove(j)
 	if !j.guest {
 		c.dropped[j.ID] = c.now
 	}
@@ -241,10 +244,10 @@
 		}
 	case EndNoRoom:
 		if t.sought { // the holder could not be reached
-			t.lostIn = t.lentTo
+			c.seek(t, t.lentTo)
 		}
 	case EndUnknown:
-		t.lostIn = t.lentTo
+		c.seek(t, t.lentTo)
 		t.notBefore = c.now.Add(c.opts.MaxLease + clockSlack + claimTime)
 	}
 	c.wait(t.job)
@@ -268,8 +271,10 @@
 
 // wait puts a job on the queue.
 func (c *Core) wait(j *job) {
-	c.waiting[j] = struct{}{}
-	c.least = 0
+	c.waiting.add(j)
+	for s := range j.Steps {
+		c.least = min(c.least, j.Steps[s].Demand.MilliCores)
+	}
 }
 
 // settleWaiting takes a job without waiting tasks off the queue.
@@ -281,7 +286,7 @@
 			}
 		}
 	}
-	delete(c.waiting, j)
+	c.waiting.remove(j)
 }
 
 // expire ends jobs whose caller's deadline has passed, and rejects those that
@@ -299,7 +304,7 @@
 		if j.begun {
 			continue
 		}
-		if _, waits := c.waiting[j]; !waits {
+		if !j.queued {
 			continue
 		}
 		if c.now.Add(c.shortest(j)).After(j.expires) {
@@ -320,11 +325,12 @@
 // has been served by what is held.
 func (c *Core) retryAfter() time.Duration {
 	var work float64 // core-seconds
-	for j := range c.waiting {
+	c.waiting.walk(func(j *job) bool {
 		for s := range j.Steps {
 			work += float64(j.left[s]*j.Steps[s].Demand.MilliCores) / 1000 * c.expect(j.Queue, j.Steps[s].Estimate).Seconds()
 		}
-	}
+		return true
+	})
 	var cores float64
 	for _, e := range c.order {
 		if e.held && !e.dropped {
--- a/dispatch/leased/lend.go
+++ b/dispatch/leased/lend.go
@@ -23,6 +23,33 @@
 	return true
 }
 
+// seek notes that an earlier run of a task may go on in a cell.
+func (c *Core) seek(t *task, cell string) {
+	t.lostIn = cell
+	c.seeking = append(c.seeking, t)
+}
+
+// seekAll asks for the earlier runs of tasks where their cells have a holder.
+func (c *Core) seekAll() {
+	if len(c.seeking) == 0 {
+		return
+	}
+	c.seeking = slices.DeleteFunc(c.seeking, func(t *task) bool {
+		if t.state != waitingTask || t.lostIn == "" || c.runs[t.id] != nil {
+			return true
+		}
+		if !c.now.Before(t.notBefore) {
+			t.lostIn = ""
+			return true
+		}
+		if !c.lendBack(t) {
+			return false
+		}
+		c.settleWaiting(t.job)
+		return true
+	})
+}
+
 // lendBack asks the new holder of a cell for a task that ran there.
 func (c *Core) lendBack(t *task) bool {
 	for i := range c.rooms {
@@ -117,7 +144,7 @@
 		return
 	}
 	e, fits := c.bestFor(t, nil)
-	if !fits || len(c.waiting) > 0 || c.runs[t.id] != nil {
+	if !fits || c.waiting.len() > 0 || c.runs[t.id] != nil {
 		c.endGuestNow(j, g.Run, EndNoRoom)
 		return
 	}
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -1,9 +1,7 @@
 package leased
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"lovagespread.example/dispatch/outlier"
@@ -19,90 +17,70 @@
 
 // place starts waiting tasks where there is room, the most urgent job first.
 func (c *Core) place() {
-	largest := c.largestFree()
-	if len(c.waiting) == 0 || max(largest, c.largestRoom()) < c.least {
+	c.seekAll()
+	if c.waiting.len() == 0 {
 		return
 	}
-	queue := c.queue()
-	c.least = math.MaxInt
-	for _, j := range queue {
-		for s := range j.tasks {
-			if !j.ready(s) {
-				continue
-			}
-			c.placeStep(j, s, &largest)
+	if max(c.bound, c.largestRoom()) < c.least {
+		return
+	}
+	c.waiting.age(c.now)
+	least, whole := math.MaxInt, true
+	c.waiting.walk(func(j *job) bool {
+		if max(c.bound, c.largestRoom()) < c.least {
+			whole = false
+			return false
 		}
+		least = min(least, c.placeJob(j))
 		c.settleWaiting(j)
+		return true
+	})
+	if whole {
+		c.least = least
 	}
 }
 
-// queue returns the waiting jobs: those that can still reach their goal by the
-// time at which they must start, then the others by their arrival.
-func (c *Core) queue() []*job {
-	type entry struct {
-		job  *job
-		late bool
-		at   time.Time
-	}
-	list := make([]entry, 0, len(c.waiting))
-	for j := range c.waiting {
-		latest := j.goal.Add(-c.shortest(j))
-		late := !j.begun && c.now.After(latest)
-		at := latest
-		if late {
-			at = j.arrived
+// placeJob places what it can of a job and returns the least that one of its
+// tasks asks for.
+func (c *Core) placeJob(j *job) int {
+	least := math.MaxInt
+	for s := range j.tasks {
+		if j.ready(s) {
+			c.placeStep(j, s)
 		}
-		list = append(list, entry{j, late, at})
+		least = min(least, j.Steps[s].Demand.MilliCores)
 	}
-	slices.SortFunc(list, func(a, b entry) int {
-		if a.late != b.late {
-			if a.late {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.job.Priority, b.job.Priority), cmp.Compare(a.job.ID, b.job.ID))
-	})
-	jobs := make([]*job, len(list))
-	for i := range list {
-		jobs[i] = list[i].job
-	}
-	return jobs
+	return least
 }
 
 // largestFree returns the most that one endpoint has free.
 func (c *Core) largestFree() int {
 	most := 0
 	for _, e := range c.order {
-		if e.usable(c.now) {
-			most = max(most, e.free().MilliCores)
+		if free := e.Capacity.MilliCores - e.used.MilliCores; free > most && e.usable(c.now) {
+			most = free
 		}
 	}
 	return most
 }
 
-func (c *Core) placeStep(j *job, step int, largest *int) {
+func (c *Core) placeStep(j *job, step int) {
 	for i := range j.tasks[step] {
 		t := &j.tasks[step][i]
 		if t.state != waitingTask {
 			continue
 		}
-		if t.lostIn != "" && c.lendBack(t) {
-			continue
-		}
 		if c.runs[t.id] != nil || c.now.Before(t.notBefore) {
-			c.least = 0 // look again at each step
-			continue
+			continue // an earlier run may go on
 		}
-		if t.step.Demand.MilliCores <= *largest {
+		if t.step.Demand.MilliCores <= c.bound {
 			if e, fits := c.bestFor(t, nil); fits {
 				c.start(t, e)
-				*largest = c.largestFree()
 				continue
 			}
+			c.bound = c.largestFree()
 		}
 		if !c.lend(t) {
-			c.least = min(c.least, t.step.Demand.MilliCores)
 			return
 		}
 	}
@@ -126,10 +104,7 @@
 }
 
 func (c *Core) suits(t *task, e *endpoint) bool {
-	if e.Service != t.job.Service || !e.usable(c.now) || !t.step.Demand.Within(e.free()) || !e.hasLabel(t.step.Label) {
-		return false
-	}
-	if e.runs[t.id] != nil {
+	if !t.step.Demand.Within(e.free()) || e.Service != t.job.Service || !e.usable(c.now) || !e.hasLabel(t.step.Label) {
 		return false
 	}
 	if e.record.Standing() == outlier.Probation && len(e.runs) > 0 {
@@ -178,6 +153,7 @@
 	t.run = r
 	t.job.begun = true
 	e.add(r)
+	c.touch(e)
 	c.runs[t.id] = &placed{e, r}
 	c.sendStart(e, r)
 }
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -237,6 +237,7 @@
 		return
 	}
 	e.learnClock(c.now, in.Clock)
+	c.touch(e)
 	r := e.runs[in.Task]
 	if r == nil || r.number != in.Run || r.state == running {
 		return
