Start nothing while an earlier copy or a withdrawn run may be at work

Change: withdrawn lent tasks are started again only when their leases must have ended; such a refusal leads to a stop and a look; pings wait 0.9 s and a broken connection only shortens the silence that counts; jobs that the queue cannot serve before their caller leaves are rejected at once; a new entry listens longer among many.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -37,11 +37,13 @@
 	adopting  []*job               // guests whose earlier runs are looked for
 	doneAlone map[TaskID]time.Time // ends of runs that nobody claimed
 	dropped   map[JobID]time.Time  // jobs that were withdrawn here
+	withdrawn map[TaskID]time.Time // lent tasks that were withdrawn
 	rooms     []Room
 	learned   map[string]*average // run time ÷ estimate, by queue
 	least     int                 // no waiting task asks for less, in thousandths of a core
 	bound     int                 // no usable endpoint has more free, in thousandths of a core
 	touched   []*endpoint         // whose Holds may be due
+	queueTime time.Duration       // that what waits takes to be served
 	out       Actions
 }
 
@@ -63,6 +65,7 @@
 		runs:      make(map[TaskID]*placed),
 		doneAlone: make(map[TaskID]time.Time),
 		dropped:   make(map[JobID]time.Time),
+		withdrawn: make(map[TaskID]time.Time),
 		learned:   make(map[string]*average),
 	}
 }
@@ -114,6 +117,7 @@
 		c.touch(e)
 	}
 	c.forgetDropped()
+	c.measureQueue()
 	c.expire()
 	for id, at := range c.doneAlone {
 		if c.now.Sub(at) > claimTime {
@@ -125,6 +129,11 @@
 			delete(c.dropped, id)
 		}
 	}
+	for id, at := range c.withdrawn {
+		if c.now.Sub(at) > droppedTime {
+			delete(c.withdrawn, id)
+		}
+	}
 }
 
 // setEndpoints takes the announced endpoints. One that is announced no more is
--- a/dispatch/leased/faults_test.go
+++ b/dispatch/leased/faults_test.go
@@ -181,6 +181,45 @@
 	}
 }
 
+// A caller's connection breaks and the job comes back to the same holder while
+// a lent task of it is still being stopped elsewhere.
+func TestWithdrawnLentTaskIsNotStartedAgainAtOnce(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.addEndpoints(0, 1)
+	w.addEndpoints(1, 2)
+	w.shareRooms()
+	w.run(200 * time.Millisecond)
+	w.submit(0, "j", 5, 27_000, 700*time.Millisecond, 10*time.Second)
+	w.run(400 * time.Millisecond)
+	w.step(0, &leased.Cancel{Ticket: 1})
+	job := w.submitted[1].job
+	job.Resubmitted = true
+	w.submitAs(0, job, 700*time.Millisecond)
+	w.run(6 * time.Second)
+	w.wantNoDouble()
+	if a := w.answers["j"]; a.Verdict != leased.Completed {
+		t.Errorf("answer %+v, want completed", a)
+	}
+}
+
+// The first copy of a start is held up; the second one is refused for want of
+// room; then the first one is carried out.
+func TestRefusalOfASecondCopyIsNoProof(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 2)
+	w.run(100 * time.Millisecond)
+	w.lose = 1
+	w.submit(0, "j", 1, 27_000, 4*time.Second, 10*time.Second)
+	w.lose = 0
+	w.step(0, &leased.StartReply{Endpoint: "e00", Task: leased.TaskID{Job: "j"}, Run: 1, Result: leased.StartUnanswered})
+	w.step(0, &leased.StartReply{Endpoint: "e00", Task: leased.TaskID{Job: "j"}, Run: 1, Result: leased.StartNoRoom})
+	if n := w.cores[0].Status().Running; n != 1 {
+		t.Errorf("%d runs are known, want the one that may yet begin", n)
+	}
+	w.run(14 * time.Second)
+	w.wantNoDouble()
+}
+
 // A holder that dies has lent-out tasks of another one at work. Its successor
 // finds those runs: the borrower must get them back or wait for their end.
 func TestLentTasksSurviveTheLossOfTheirHolder(t *testing.T) {
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -78,6 +78,10 @@
 		c.finish(j, Rejected, reason, 0)
 		return
 	}
+	if wait := c.backlog(); c.now.Add(wait+c.shortest(j)).After(j.expires) && !in.Job.Resubmitted {
+		c.finish(j, Rejected, "the queue is longer than the caller waits", max(minRetryAfter, wait-spare(j, c)))
+		return
+	}
 	c.jobs[j.ID] = j
 	if in.Job.Resubmitted {
 		c.claim(j)
@@ -102,12 +106,22 @@
 				t.runs = resubmittedRuns
 				t.notBefore = c.now.Add(c.resubmitPause(spec.ID))
 			}
+			if at, lent := c.withdrawn[t.id]; lent {
+				t.notBefore = later(t.notBefore, at.Add(c.opts.MaxLease+clockSlack))
+			}
 		}
 	}
 	c.tickets[ticket] = j
 	return j
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // resubmitPause is how long runs of a resubmitted job may go on unseen: not at
 // all if the job was withdrawn here, since its runs here are known.
 func (c *Core) resubmitPause(id JobID) time.Duration {
@@ -182,6 +196,7 @@
 				c.disown(t, reason)
 			case lentTask:
 				c.out.LendCancels = append(c.out.LendCancels, LendCancel{Task: t.id})
+				c.withdrawn[t.id] = c.now
 			}
 			t.state = doneTask
 		}
@@ -318,12 +333,30 @@
 	return longestChain(j.Steps, func(d time.Duration) time.Duration { return c.expect(j.Queue, d) })
 }
 
+// spare is the time that a caller can wait beyond the run time of its job.
+func spare(j *job, c *Core) time.Duration { return j.expires.Sub(c.now) - c.shortest(j) }
+
+// backlog returns how long the queue takes to be served, as counted by the
+// latest Tick. It is 0 while nothing is held: then others may have room.
+func (c *Core) backlog() time.Duration { return c.queueTime }
+
+// measureQueue counts how long the queue takes to be served.
+func (c *Core) measureQueue() {
+	c.queueTime = 0
+	if c.waiting.len() > 0 {
+		c.queueTime = c.serviceTime()
+	}
+}
+
 // minRetryAfter is the least that a rejected caller is told to wait.
 const minRetryAfter = time.Second
 
 // retryAfter returns when a rejected caller may find room: when what waits now
 // has been served by what is held.
-func (c *Core) retryAfter() time.Duration {
+func (c *Core) retryAfter() time.Duration { return max(minRetryAfter, c.serviceTime()) }
+
+// serviceTime returns what waits divided by what is held.
+func (c *Core) serviceTime() time.Duration {
 	var work float64 // core-seconds
 	c.waiting.walk(func(j *job) bool {
 		for s := range j.Steps {
@@ -338,7 +371,7 @@
 		}
 	}
 	if cores == 0 {
-		return minRetryAfter
+		return 0
 	}
-	return max(minRetryAfter, time.Duration(work/cores*float64(time.Second)))
+	return time.Duration(work / cores * float64(time.Second))
 }
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -68,6 +68,7 @@
 	for _, r := range e.runs {
 		_, there := present[r.id]
 		if !there && (before(r.confirmed, e.holdSent) || before(r.stopped, e.holdSent)) {
+			c.out.Notes = append(c.out.Notes, e.note("run_vanished", "it is listed neither as running nor as ended"))
 			c.endRun(e, r, EndLapsed, "")
 		}
 	}
@@ -242,20 +243,20 @@
 	if r == nil || r.number != in.Run || r.state == running {
 		return
 	}
+	if r.tries > 1 && in.Result.refused() {
+		// An earlier copy of the order may be executed yet.
+		r.mute = true
+		c.look(e)
+		return
+	}
 	switch in.Result {
 	case StartAccepted:
 		c.confirm(r)
-	case StartOldRun:
-		if r.tries > 1 { // an earlier copy of the order may have run
-			c.confirm(r)
-			return
-		}
+	case StartOldRun, StartLate:
 		c.endRun(e, r, EndNotRun, "")
 	case StartNoRoom:
 		e.pausedTo = c.now.Add(roomTime)
 		c.endRun(e, r, EndNoRoom, "")
-	case StartLate:
-		c.endRun(e, r, EndNotRun, "")
 	case StartFenced:
 		c.endRun(e, r, EndNotRun, "")
 		c.fenced(e)
@@ -272,17 +273,27 @@
 	case StartInvalid:
 		c.endRun(e, r, EndFailed, "")
 	case StartNotSent:
-		if r.tries == 1 {
-			c.endRun(e, r, EndNotRun, "")
-		} else {
-			r.mute = true
-		}
+		c.endRun(e, r, EndNotRun, "")
 		c.pause(e)
 	case StartUnanswered:
 		c.startAgain(e, r)
 	}
 }
 
+// refused reports whether a result says that this copy of the order was not
+// executed, while nothing is said of earlier copies.
+func (r StartResult) refused() bool {
+	switch r {
+	case StartOldRun, StartLate, StartNoRoom, StartUnhealthy, StartNotSent, StartInvalid:
+		return true
+	}
+	return false
+}
+
+// look asks an endpoint what runs there as soon as its Hold in flight is
+// answered.
+func (c *Core) look(e *endpoint) { e.nextHold = time.Time{} }
+
 // startAgain repeats a Start that got no answer: with the same run number it
 // is the same run.
 func (c *Core) startAgain(e *endpoint, r *run) {
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -79,6 +79,10 @@
 type lendEnded struct{ reply *leased.LendReply }
 
 func (m lendEnded) handle(l *Loop) {
+	if r := m.reply; r.Result != leased.EndDone && r.Result != leased.EndNoRoom {
+		l.log.Warn("lend_ended", zap.String("job", string(r.Task.Job)), zap.Int("step", r.Task.Step), zap.Int("task", r.Task.Index),
+			zap.Int("run", r.Run), zap.String("end", r.Result.String()))
+	}
 	delete(l.lends, m.reply.Task)
 	l.step(m.reply)
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -20,8 +20,10 @@
 // Times of connections between entries.
 const (
 	peerDialTimeout = 250 * time.Millisecond
-	peerPingAfter   = 400 * time.Millisecond // without a frame
-	peerPingTimeout = 300 * time.Millisecond
+	// A busy entry on a small VM may answer late; heartbeats notice a dead one
+	// sooner than pings do.
+	peerPingAfter   = 700 * time.Millisecond // without a frame
+	peerPingTimeout = 900 * time.Millisecond
 	snapshotTimeout = 500 * time.Millisecond
 )
 
--- a/membership/cells/cells.go
+++ b/membership/cells/cells.go
@@ -31,8 +31,14 @@
 	missedBeats = 5
 	// minSilence bounds that from below: a busy entry may be late.
 	minSilence = 450 * time.Millisecond
-	// settleTime is how long a new entry listens before it holds anything.
-	settleTime = 350 * time.Millisecond
+	// suspectBeats and suspectSilence are the same for an entry to which a
+	// connection broke.
+	suspectBeats   = 2
+	suspectSilence = 250 * time.Millisecond
+	// settleTime is how long a new entry listens before it holds anything, for
+	// each settleEntries entries that it hears: more come more slowly.
+	settleTime    = 350 * time.Millisecond
+	settleEntries = 12
 	// forgetAfter is how long a silent entry counts among the known ones.
 	forgetAfter = 30 * time.Second
 	// foreignAfter is how long a failure domain must be without a live entry
@@ -108,7 +114,7 @@
 }
 
 // Suspect notes that the connection to an entry broke. It counts as silent
-// until its next heartbeat.
+// sooner, until its next heartbeat.
 func (r *Roster) Suspect(id Incarnation) {
 	if m := r.members[id]; m != nil {
 		m.suspect = true
@@ -123,7 +129,10 @@
 
 func (r *Roster) live(now time.Time, m *member) bool {
 	limit := max(minSilence, missedBeats*m.Interval)
-	return !m.suspect && now.Sub(m.heard) <= limit
+	if m.suspect {
+		limit = max(suspectSilence, suspectBeats*m.Interval)
+	}
+	return now.Sub(m.heard) <= limit
 }
 
 // View is an immutable picture of the entries.
@@ -141,7 +150,7 @@
 
 // View returns the picture at a time, and forgets entries silent for long.
 func (r *Roster) View(now time.Time) *View {
-	v := &View{Self: r.self, Settled: now.Sub(r.began) >= settleTime, empty: make(map[string]bool)}
+	v := &View{Self: r.self, empty: make(map[string]bool)}
 	lastHeard := make(map[string]time.Time)
 	known, near, nearLive, farLive := 1, 1, 1, 0
 	for id, m := range r.members {
@@ -169,6 +178,7 @@
 			farLive++
 		}
 	}
+	v.Settled = now.Sub(r.began) >= settleTime*time.Duration(1+len(v.Live)/settleEntries)
 	slices.SortFunc(v.Live, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
 	v.Isolated = 2*nearLive < near || 2*nearLive == near && farLive == 0 && known > 1
 	v.Majority = 2*(nearLive+farLive) > known
