Let the test of withdrawn lent tasks fail without its fix

Cause: in the test the withdrawal reached the lender at once, so the test passed on the code before. Change: the withdrawal takes 200 ms there.

--- a/dispatch/leased/faults_test.go
+++ b/dispatch/leased/faults_test.go
@@ -188,6 +188,7 @@
 	w.addEndpoints(0, 1)
 	w.addEndpoints(1, 2)
 	w.shareRooms()
+	w.slowCancel = 200 * time.Millisecond
 	w.run(200 * time.Millisecond)
 	w.submit(0, "j", 5, 27_000, 700*time.Millisecond, 10*time.Second)
 	w.run(400 * time.Millisecond)
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -46,6 +46,8 @@
 	notes     map[string]int
 	started   map[leased.JobID]bool
 	lents     map[leased.TaskID]lent
+	// slowCancel delays the withdrawal of a lent task.
+	slowCancel time.Duration
 }
 
 type submission struct {
@@ -220,7 +222,7 @@
 	}
 	delete(w.lents, task)
 	if tell {
-		w.after(2*hop, func() { w.step(l.to, &leased.Cancel{Ticket: l.ticket}) })
+		w.after(2*hop+w.slowCancel, func() { w.step(l.to, &leased.Cancel{Ticket: l.ticket}) })
 		return
 	}
 	w.step(core, &leased.LendReply{Task: task, Run: l.run, Result: end})
