Give the test of withdrawn lent tasks room elsewhere

Cause: without room at a third holder the second start was refused where the first one still ran, so the test passed without the fix. Change: another holder has room. Figures: fails without the fix (a task runs twice), passes with it.

--- a/dispatch/leased/faults_test.go
+++ b/dispatch/leased/faults_test.go
@@ -184,7 +184,7 @@
 // A caller's connection breaks and the job comes back to the same holder while
 // a lent task of it is still being stopped elsewhere.
 func TestWithdrawnLentTaskIsNotStartedAgainAtOnce(t *testing.T) {
-	w := newWorld(t, 1, 2)
+	w := newWorld(t, 1, 3)
 	w.addEndpoints(0, 1)
 	w.addEndpoints(1, 2)
 	w.shareRooms()
@@ -192,6 +192,8 @@
 	w.run(200 * time.Millisecond)
 	w.submit(0, "j", 5, 27_000, 700*time.Millisecond, 10*time.Second)
 	w.run(400 * time.Millisecond)
+	w.addEndpoints(2, 2) // room elsewhere
+	w.run(450 * time.Millisecond)
 	w.step(0, &leased.Cancel{Ticket: 1})
 	job := w.submitted[1].job
 	job.Resubmitted = true
