Let a new holder know all endpoints before it speaks for them

Planned stops also left other entries' jobs unfinished. Change: every entry reads the endpoints each second at least; a new holder says that a run has ended only after 0.7 s; a stop waits for the jobs and tasks of others too, within the grace. The test fails without the wait.

--- a/cmd/lovage-fleet/serve.go
+++ b/cmd/lovage-fleet/serve.go
@@ -26,6 +26,7 @@
 	leaveTime = 2400 * time.Millisecond
 	// stopReserve is kept of the grace for closing connections and the log.
 	stopReserve = 500 * time.Millisecond
+	stopLook    = 50 * time.Millisecond
 )
 
 // Bounds of callers' connections, until the configuration names others.
@@ -116,6 +117,9 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		log.Warn("stopped_with_open_requests", zap.Error(err))
 	}
+	for process.Service().Busy() > 0 && ctx.Err() == nil {
+		time.Sleep(stopLook)
+	}
 	// Nobody waits for the balancer's question.
 	_ = readiness.Close()
 	log.Info("ended", zap.Duration("took_ms", time.Since(began)))
--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -38,6 +39,7 @@
 	doneAlone map[TaskID]time.Time // ends of runs that nobody claimed
 	dropped   map[JobID]time.Time  // jobs that were withdrawn here
 	withdrawn map[TaskID]time.Time // lent tasks that were withdrawn
+	cellSince map[string]time.Time // since when the endpoints of a cell are held
 	rooms     []Room
 	learned   map[string]*average // run time ÷ estimate, by queue
 	least     int                 // no waiting task asks for less, in thousandths of a core
@@ -65,6 +67,7 @@
 		runs:      make(map[TaskID]*placed),
 		doneAlone: make(map[TaskID]time.Time),
 		dropped:   make(map[JobID]time.Time),
+		cellSince: make(map[string]time.Time),
 		withdrawn: make(map[TaskID]time.Time),
 		learned:   make(map[string]*average),
 	}
@@ -140,7 +143,12 @@
 // kept, without new work, until nothing runs there.
 func (c *Core) setEndpoints(list []Endpoint) {
 	announced := make(map[EndpointID]bool, len(list))
+	present := make(map[string]bool)
 	for _, spec := range list {
+		present[spec.Cell] = true
+		if c.cellSince[spec.Cell].IsZero() {
+			c.cellSince[spec.Cell] = c.now
+		}
 		announced[spec.ID] = true
 		c.setEndpoint(spec)
 	}
@@ -153,6 +161,7 @@
 			e.dropped = false
 		}
 	}
+	maps.DeleteFunc(c.cellSince, func(cell string, _ time.Time) bool { return !present[cell] })
 	c.forgetDropped()
 }
 
@@ -215,6 +224,7 @@
 	Held      int
 	Ejected   int
 	Jobs      int
+	Guests    int // tasks of other holders' jobs
 	Waiting   int // jobs with tasks without a place
 	Running   int
 	FreeCores float64
@@ -222,7 +232,7 @@
 
 // Status counts what the core holds.
 func (c *Core) Status() Status {
-	s := Status{Endpoints: len(c.order), Jobs: len(c.jobs), Waiting: c.waiting.len(), Running: len(c.runs)}
+	s := Status{Endpoints: len(c.order), Jobs: len(c.jobs), Guests: len(c.guests), Waiting: c.waiting.len(), Running: len(c.runs)}
 	for _, e := range c.order {
 		if e.held {
 			s.Held++
--- a/dispatch/leased/faults_test.go
+++ b/dispatch/leased/faults_test.go
@@ -241,6 +241,29 @@
 	}
 }
 
+// The successor of a lost holder reads of some endpoints only later. It must
+// not say of runs there that they have ended.
+func TestSuccessorWithAnOldListOfEndpointsFindsAllRuns(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.addEndpoints(0, 1)
+	w.addEndpoints(1, 3)
+	w.shareRooms()
+	w.run(200 * time.Millisecond)
+	w.submit(0, "j", 6, 27_000, 1500*time.Millisecond, 10*time.Second)
+	w.run(500 * time.Millisecond)
+	w.dead[1] = true
+	for task, l := range w.lents {
+		w.after(hop, func() { w.endLend(l.from, task, leased.EndUnknown, false) })
+	}
+	w.after(50*time.Millisecond, func() { w.owner["e01"] = 2; w.announce() })
+	w.after(350*time.Millisecond, func() { w.owner["e02"], w.owner["e03"] = 2, 2; w.announce() })
+	w.run(8 * time.Second)
+	w.wantNoDouble()
+	if a := w.answers["j"]; a.Verdict != leased.Completed {
+		t.Errorf("answer %+v, want completed", a)
+	}
+}
+
 // The successor holds other runs on the same endpoints, so it extends leases
 // there also for those that nobody claims.
 func TestUnclaimedRunsBesideClaimedOnesEndBeforeTheyAreStartedAgain(t *testing.T) {
--- a/dispatch/leased/lend.go
+++ b/dispatch/leased/lend.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// readTime is how long a new holder takes to learn of all endpoints of a cell.
+const readTime = 700 * time.Millisecond
+
 // freshRoom is the age up to which an announced room counts.
 const freshRoom = 600 * time.Millisecond
 
@@ -190,8 +193,13 @@
 	return false
 }
 
-// holdsAll reports whether it is known what runs on all endpoints of a cell.
+// holdsAll reports whether it is known what runs on all endpoints of a cell. A
+// new holder may have read of some endpoints only lately.
 func (c *Core) holdsAll(cell string) bool {
+	since, holds := c.cellSince[cell]
+	if !holds || c.now.Sub(since) < readTime {
+		return false
+	}
 	any := false
 	for _, e := range c.order {
 		if e.Cell != cell || e.dropped {
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -20,10 +20,12 @@
 	// holderInterval suits the time in which a leaving endpoint must get no
 	// new work.
 	holderInterval = 500 * time.Millisecond
-	otherInterval  = 2500 * time.Millisecond
-	entryInterval  = 10 * time.Second
-	announceRetry  = time.Second
-	announceTime   = 2 * time.Second // of one try
+	// otherInterval keeps what a new holder begins with fresh enough for the
+	// same.
+	otherInterval = time.Second
+	entryInterval = 10 * time.Second
+	announceRetry = time.Second
+	announceTime  = 2 * time.Second // of one try
 )
 
 // Sources are the platform's records of the operators' configuration, of the
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -318,5 +318,11 @@
 // Peers returns how many other entries are heard.
 func (s *Service) Peers() int { return len(s.loop.Latest().View.Live) }
 
+// Busy returns how many jobs and tasks of others this entry works for.
+func (s *Service) Busy() int {
+	status := s.loop.Latest().Status
+	return status.Jobs + status.Guests
+}
+
 // Holding returns how many endpoints this entry holds.
 func (s *Service) Holding() int { return s.loop.Latest().Status.Held }
