Let the test of an old list of endpoints fail without its fix

Cause: without room at the borrower the false end had no effect in the test. Change: the borrower has room.

--- a/dispatch/leased/faults_test.go
+++ b/dispatch/leased/faults_test.go
@@ -251,6 +251,7 @@
 	w.run(200 * time.Millisecond)
 	w.submit(0, "j", 6, 27_000, 1500*time.Millisecond, 10*time.Second)
 	w.run(500 * time.Millisecond)
+	w.addEndpoints(0, 2) // room for a second run
 	w.dead[1] = true
 	for task, l := range w.lents {
 		w.after(hop, func() { w.endLend(l.from, task, leased.EndUnknown, false) })
