Explain a job from the logs of several entries

Cause: when a caller complains, the on-call engineers have only logs; nothing put the lines of several VMs in order. Change: lovagectl trace JOB [LOG...] orders lines by cause and names the cause; each run's end is a log line (a warning if it brought no result); golden tests on lines recorded from an incident.

--- a/cmd/lovagectl/main.go
+++ b/cmd/lovagectl/main.go
@@ -42,6 +42,7 @@
 		{"restore", "FILE", "write a snapshot to a log that has forgotten the configuration", restore},
 		{"entries", "ADMIN...", "show the status of the entries at these admin addresses, host:port", entries},
 		{"explain", "ADMIN JOB", "show an entry's decisions about a job, by its label in the log", explain},
+		{"trace", "JOB [LOG...]", "explain what became of a job from logs of lovage-fleet (standard input without files)", traceJob},
 		{"stop", "ADMIN", "begin the planned stop of an entry", stopEntry},
 		{"version", "", "print the version of this program", version},
 	}
--- /dev/null
+++ b/cmd/lovagectl/trace.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"io"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"lovagespread.example/fleet/trace"
+)
+
+// traceJob explains what became of a job from logs of lovage-fleet, of files
+// or of standard input.
+func traceJob(in *invocation) error {
+	args, err := in.parse(1, -1)
+	if err != nil {
+		return err
+	}
+	job, files := args[0], args[1:]
+	var lines []trace.Line
+	if len(files) == 0 {
+		if lines, err = trace.Read("-", os.Stdin, job); err != nil {
+			return err
+		}
+	}
+	for _, name := range files {
+		more, err := traceFile(name, job)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	report := trace.Explain(job, lines)
+	if in.json {
+		return in.writeJSON(report)
+	}
+	return report.Write(in.stdout)
+}
+
+func traceFile(name, job string) ([]trace.Line, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "open the log")
+	}
+	defer func(c io.Closer) { _ = c.Close() }(file) // only read from
+	return trace.Read(name, file, job)
+}
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -173,11 +173,12 @@
 	Lends        []Lend
 	LendCancels  []LendCancel
 	Notes        []Note
+	Ends         []RunEnd
 }
 
 func (a *Actions) reset() {
 	*a = Actions{a.Starts[:0], a.Stops[:0], a.Holds[:0], a.Answers[:0], a.GuestAnswers[:0],
-		a.Lends[:0], a.LendCancels[:0], a.Notes[:0]}
+		a.Lends[:0], a.LendCancels[:0], a.Notes[:0], a.Ends[:0]}
 }
 
 // Start orders an endpoint to run a task.
@@ -263,6 +264,17 @@
 // LendCancel withdraws a lent task.
 type LendCancel struct{ Task TaskID }
 
+// RunEnd reports the end of a run that a task has waited for.
+type RunEnd struct {
+	Endpoint EndpointID
+	Task     TaskID
+	Run      int
+	End      End
+	Took     time.Duration
+	Expected time.Duration
+	Failures int // of the task before this run
+}
+
 // Note reports a change of what the core believes of an endpoint.
 type Note struct {
 	Event    string
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -125,7 +125,6 @@
 		return
 	}
 	r.confirmed = c.now
-	r.began = r.sent
 	if r.state == starting {
 		r.state = running
 	}
@@ -149,6 +148,9 @@
 	if t == nil {
 		return
 	}
+	c.out.Ends = append(c.out.Ends, RunEnd{
+		Endpoint: e.ID, Task: r.id, Run: r.number, End: end, Took: c.now.Sub(r.began), Expected: r.expects, Failures: t.failures,
+	})
 	c.learn(e, r, end)
 	if t.job.guest {
 		c.endGuest(t.job, r.number, end, saved)
@@ -312,6 +314,7 @@
 func (c *Core) sendStart(e *endpoint, r *run) {
 	r.tries++
 	r.sent = c.now
+	r.began = c.now
 	e.leaseSent = c.now
 	j := r.task.job
 	c.out.Starts = append(c.out.Starts, Start{
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -58,6 +58,19 @@
 	}()
 }
 
+// runEnded logs the end of a run, one that brings its task no result as a
+// failure.
+func (l *Loop) runEnded(e *leased.RunEnd) {
+	write := l.log.Info
+	if e.End != leased.EndDone {
+		write = l.log.Warn
+	}
+	l.metrics.ends.WithLabelValues(e.End.String()).Inc()
+	write("run_ended", zap.String("job", string(e.Task.Job)), zap.Int("step", e.Task.Step), zap.Int("task", e.Task.Index),
+		zap.Int("run", e.Run), zap.String("endpoint", string(e.Endpoint)), zap.String("end", e.End.String()),
+		zap.Duration("took_ms", e.Took), zap.Duration("expected_ms", e.Expected), zap.Int("failures", e.Failures))
+}
+
 // coreInput passes an input to the core.
 type coreInput struct{ input leased.Input }
 
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -259,6 +259,9 @@
 	for _, cancel := range out.LendCancels {
 		l.cancelLend(cancel.Task)
 	}
+	for i := range out.Ends {
+		l.runEnded(&out.Ends[i])
+	}
 	for i := range out.Notes {
 		l.note(&out.Notes[i])
 	}
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -19,6 +19,7 @@
 	starts         *prometheus.CounterVec   // by result
 	startSeconds   prometheus.Histogram
 	stops          prometheus.Counter
+	ends           *prometheus.CounterVec // of runs, by end
 	holds          *prometheus.CounterVec // by result
 	lends          *prometheus.CounterVec // by end
 	endpointEvents *prometheus.CounterVec // by event
@@ -47,6 +48,7 @@
 	m.jobs = counter("jobs_ended_total", "Jobs that ended at this holder.", "verdict")
 	m.starts = counter("starts_total", "Starts of tasks, by the endpoint's answer.", "result")
 	m.holds = counter("holds_total", "Looks at endpoints, by the answer.", "result")
+	m.ends = counter("runs_ended_total", "Runs that ended, by their end.", "end")
 	m.lends = counter("lends_total", "Tasks lent to other holders, by their end.", "end")
 	m.endpointEvents = counter("endpoint_events_total", "Changes of what is believed of endpoints.", "event")
 	m.stops = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "lovage", Name: "stops_total", Help: "Stops of tasks sent to endpoints."})
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -150,7 +150,7 @@
 	if ctx.Err() == nil {
 		p.report(suspectEntry{holder})
 	}
-	p.log.Warn("lend_failed", zap.String("job", string(order.Guest.Task.Job)), zap.Bool("sent", *sent), zap.Error(err))
+	p.log.Warn("lend_failed", zap.String("job", string(order.Guest.Task.Job)), zap.Int("task", order.Guest.Task.Index), zap.Int("run", order.Guest.Run), zap.Bool("sent", *sent), zap.Error(err))
 	if !*sent {
 		return leased.EndNoRoom, ""
 	}
--- /dev/null
+++ b/fleet/trace/trace.go
@@ -0,0 +1,277 @@
+// Package trace explains what became of a job from the log lines of several
+// entries. Lines are ordered by cause, not by clocks: those of VMs differ and
+// may jump.
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// maxLine bounds a log line.
+const maxLine = 1 << 20
+
+// Line is one log line about a job. Fields that an event lacks are zero.
+type Line struct {
+	Source   string    `json:"-"` // file, or the prefix of the line
+	Number   int       `json:"-"` // in its source
+	Event    string    `json:"event"`
+	Time     time.Time `json:"time"`
+	Job      string    `json:"job"`
+	Queue    string    `json:"queue"`
+	Step     int       `json:"step"`
+	Task     int       `json:"task"`
+	Run      int       `json:"run"`
+	Endpoint string    `json:"endpoint"`
+	Holder   string    `json:"holder"`
+	Cell     string    `json:"cell"`
+	Result   string    `json:"result"`
+	End      string    `json:"end"`
+	Reason   string    `json:"reason"`
+	Verdict  string    `json:"verdict"`
+	Error    string    `json:"error"`
+	Waited   float64   `json:"waited_ms"`
+	Took     float64   `json:"took_ms"`
+	Expected float64   `json:"expected_ms"`
+	Patience float64   `json:"patience_ms"`
+	Begun    bool      `json:"may_have_begun"`
+}
+
+// Read takes the lines about a job from a log. A line may have a prefix before
+// its JSON object; lines that are no JSON objects are passed over.
+func Read(source string, from io.Reader, job string) ([]Line, error) {
+	var lines []Line
+	scanner := bufio.NewScanner(from)
+	scanner.Buffer(nil, maxLine)
+	mark := []byte(`"job":"` + job + `"`)
+	for n := 1; scanner.Scan(); n++ {
+		text := scanner.Bytes()
+		start := bytes.IndexByte(text, '{')
+		if start < 0 || !bytes.Contains(text, mark) {
+			continue
+		}
+		line := Line{Source: source, Number: n}
+		if prefix := strings.Fields(string(text[:start])); len(prefix) > 0 {
+			line.Source = prefix[len(prefix)-1]
+		}
+		if json.Unmarshal(text[start:], &line) == nil && line.Job == job {
+			lines = append(lines, line)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, errors.Wrap(err, "read the log "+source)
+	}
+	return lines, nil
+}
+
+// stages orders events of different entries by what must come before what.
+var stages = map[string]int{
+	"received": 0, "forwarded": 1, "holder_lost": 2, "placed": 3, "lent": 3, "start_refused": 4, "stopped": 5,
+	"lend_failed": 6, "lend_ended": 6, "run_ended": 6, "answered": 9, "refused": 9,
+}
+
+// order sorts the lines of one task by run and stage, tasks by number, what
+// concerns the whole job before and after.
+func order(lines []Line) {
+	key := func(l *Line) int {
+		switch stage := stages[l.Event]; {
+		case stage <= 2:
+			return 0
+		case stage == 9:
+			return 2
+		}
+		return 1
+	}
+	slices.SortStableFunc(lines, func(a, b Line) int {
+		if c := cmp.Compare(key(&a), key(&b)); c != 0 {
+			return c
+		}
+		if key(&a) != 1 {
+			if a.Source == b.Source {
+				return cmp.Compare(a.Number, b.Number)
+			}
+			return cmp.Compare(stages[a.Event], stages[b.Event])
+		}
+		return cmp.Or(cmp.Compare(a.Step, b.Step), cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run), cmp.Compare(stages[a.Event], stages[b.Event]))
+	})
+}
+
+// Report is what the log tells of a job.
+type Report struct {
+	Job   string
+	Cause string
+	Lines []Line
+}
+
+// Explain orders the lines about a job and names the cause of its end.
+func Explain(job string, lines []Line) Report {
+	order(lines)
+	return Report{Job: job, Cause: cause(lines), Lines: lines}
+}
+
+func cause(lines []Line) string {
+	if len(lines) == 0 {
+		return "no line names this job: it never reached an entry, or its lines were left out of a full log budget"
+	}
+	answer := find(lines, "answered")
+	if answer == nil {
+		answer = find(lines, "refused")
+	}
+	if answer == nil {
+		return unanswered(lines)
+	}
+	switch answer.Verdict {
+	case "rejected":
+		return fmt.Sprintf("rejected after %.0f ms, nothing was run: %s", answer.Took, answer.Reason)
+	case "failed":
+		return "failed: " + answer.Reason + failures(lines)
+	case "abandoned":
+		return abandoned(lines, answer)
+	case "completed":
+		return slowness(lines, answer)
+	}
+	return "refused: " + answer.Reason
+}
+
+func find(lines []Line, event string) *Line {
+	for i := range lines {
+		if lines[i].Event == event {
+			return &lines[i]
+		}
+	}
+	return nil
+}
+
+func unanswered(lines []Line) string {
+	received := find(lines, "received")
+	if received == nil {
+		return "no entry has logged that it received the job, though others worked on it: the entry with the caller's connection was lost before its log was written"
+	}
+	return fmt.Sprintf("no answer: %s received the job and ended before it answered (killed, or without power)", received.Source)
+}
+
+func abandoned(lines []Line, answer *Line) string {
+	if lost := find(lines, "holder_lost"); lost != nil {
+		return fmt.Sprintf("abandoned after %.0f ms: its holder %s was lost while it ran; %s", answer.Took, lost.Holder, answer.Reason)
+	}
+	if received := find(lines, "received"); received != nil && answer.Took < received.Patience*0.95 {
+		return fmt.Sprintf("its caller left after %.0f of %.0f ms", answer.Took, received.Patience)
+	}
+	if find(lines, "placed") == nil && find(lines, "lent") == nil {
+		return fmt.Sprintf("abandoned after %.0f ms without a place: %s", answer.Took, answer.Reason)
+	}
+	return fmt.Sprintf("not done within the caller's deadline (%.0f ms)%s", answer.Took, worst(lines))
+}
+
+func failures(lines []Line) string {
+	var parts []string
+	for i := range lines {
+		if l := &lines[i]; l.Event == "run_ended" && l.End == "failed" {
+			parts = append(parts, fmt.Sprintf("run %d of task %d failed on %s after %.0f ms", l.Run, l.Task, l.Endpoint, l.Took))
+		}
+	}
+	if len(parts) == 0 {
+		return ""
+	}
+	return " (" + strings.Join(parts, "; ") + ")"
+}
+
+// Bounds of what counts as a cause of a late answer.
+const (
+	notable     = 50.0 // ms
+	slowFactor  = 1.8  // run time against expectation
+)
+
+func slowness(lines []Line, answer *Line) string {
+	text := fmt.Sprintf("completed in %.0f ms", answer.Took)
+	return text + worst(lines)
+}
+
+// worst names what cost most of the time.
+func worst(lines []Line) string {
+	var parts []string
+	if lost := find(lines, "holder_lost"); lost != nil {
+		parts = append(parts, "its holder "+lost.Holder+" was lost")
+	}
+	longest := 0.0
+	for i := range lines {
+		l := &lines[i]
+		switch {
+		case l.Event == "stopped" && l.Reason == "too little progress":
+			parts = append(parts, fmt.Sprintf("task %d made too little progress on %s and was moved", l.Task, l.Endpoint))
+		case l.Event == "run_ended" && (l.End == "lapsed" || l.End == "failed"):
+			parts = append(parts, fmt.Sprintf("run %d of task %d %s on %s", l.Run, l.Task, l.End, l.Endpoint))
+		case l.Event == "run_ended" && l.End == "done" && l.Expected > 0 && l.Took > slowFactor*l.Expected && l.Took > notable:
+			parts = append(parts, fmt.Sprintf("task %d took %.0f ms on %s, %.0f expected", l.Task, l.Took, l.Endpoint, l.Expected))
+		case l.Event == "lend_ended" || l.Event == "lend_failed":
+			parts = append(parts, fmt.Sprintf("lent task %d came back (%s)", l.Task, cmp.Or(l.End, "the connection broke")))
+		}
+		if l.Event == "placed" {
+			longest = max(longest, l.Waited)
+		}
+	}
+	if longest > notable {
+		parts = append(parts, fmt.Sprintf("a task waited %.0f ms for a place", longest))
+	}
+	if len(parts) == 0 {
+		return ""
+	}
+	return ": " + strings.Join(firstFew(parts), "; ")
+}
+
+// firstFew keeps the first few parts.
+func firstFew(parts []string) []string {
+	const most = 4
+	slices.Sort(parts)
+	parts = slices.Compact(parts)
+	return parts[:min(len(parts), most)]
+}
+
+// Write prints a report for people.
+func (r Report) Write(out io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "job %s: %s\n", r.Job, r.Cause)
+	for i := range r.Lines {
+		l := &r.Lines[i]
+		fmt.Fprintf(&b, "  %-16s %-14s %s\n", l.Source, l.Event, l.detail())
+	}
+	if _, err := io.WriteString(out, b.String()); err != nil {
+		return errors.Wrap(err, "write the report")
+	}
+	return nil
+}
+
+func (l *Line) detail() string {
+	switch l.Event {
+	case "received":
+		return fmt.Sprintf("queue %s, the caller waits %.0f ms", l.Queue, l.Patience)
+	case "forwarded":
+		return "to " + l.Holder
+	case "holder_lost":
+		return fmt.Sprintf("%s: %s", l.Holder, l.Error)
+	case "placed":
+		return fmt.Sprintf("task %d run %d on %s, waited %.0f ms, %.0f ms expected", l.Task, l.Run, l.Endpoint, l.Waited, l.Expected)
+	case "lent":
+		return fmt.Sprintf("task %d run %d to the holder of %s", l.Task, l.Run, l.Cell)
+	case "start_refused":
+		return fmt.Sprintf("task %d run %d on %s: %s", l.Task, l.Run, l.Endpoint, l.Result)
+	case "stopped":
+		return fmt.Sprintf("task %d run %d on %s: %s", l.Task, l.Run, l.Endpoint, l.Reason)
+	case "run_ended":
+		return fmt.Sprintf("task %d run %d on %s: %s after %.0f ms, %.0f expected", l.Task, l.Run, l.Endpoint, l.End, l.Took, l.Expected)
+	case "lend_ended", "lend_failed":
+		return fmt.Sprintf("task %d run %d: %s", l.Task, l.Run, cmp.Or(l.End, l.Error))
+	case "answered":
+		return fmt.Sprintf("%s after %.0f ms %s", l.Verdict, l.Took, l.Reason)
+	}
+	return l.Reason
+}
--- /dev/null
+++ b/fleet/trace/trace_test.go
@@ -0,0 +1,28 @@
+package trace
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestRecordedLogs explains recorded log lines. The input is a log as the
+// entries wrote it; the argument names the job.
+func TestRecordedLogs(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var job string
+			d.ScanArgs(t, "job", &job)
+			lines, err := Read("log", strings.NewReader(d.Input), job)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var out strings.Builder
+			if err := Explain(job, lines).Write(&out); err != nil {
+				t.Fatal(err)
+			}
+			return out.String()
+		})
+	})
+}
