--- a/dispatch/leased/faults_test.go
+++ b/dispatch/leased/faults_test.go
@@ -265,6 +265,35 @@
 	}
 }
 
+// A borrower that has lost a run asks the holder of the cell that it lent to,
+// so the run must be there, not in another cell of the same lender.
+func TestLentTaskRunsInTheCellThatWasAsked(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.addEndpoints(1, 2)
+	w.specs[0].Cell = "x"
+	w.announce()
+	w.run(100 * time.Millisecond)
+	guest := leased.Guest{
+		Task: leased.TaskID{Job: "j"}, Service: "s", Queue: "q", Run: 1, Patience: time.Second, Cell: "y",
+		Step: leased.Step{Tasks: 1, Demand: leased.Demand{MilliCores: 27_000}, Estimate: 60 * time.Millisecond},
+	}
+	for _, cell := range []string{"y", "x", "c1"} {
+		guest.Cell = cell
+		guest.Task.Index++
+		out := w.cores[1].Step(simStart.Add(w.now), &leased.SubmitGuest{Ticket: leased.Ticket(guest.Task.Index), Guest: guest})
+		want := map[string]leased.EndpointID{"x": "e00", "c1": "e01"}[cell]
+		if want == "" {
+			if len(out.Starts) != 0 || len(out.GuestAnswers) != 1 {
+				t.Errorf("cell %s: %d starts, want a refusal", cell, len(out.Starts))
+			}
+			continue
+		}
+		if len(out.Starts) != 1 || out.Starts[0].Endpoint != want {
+			t.Errorf("cell %s: starts %v, want one on %s", cell, out.Starts, want)
+		}
+	}
+}
+
 // The successor holds other runs on the same endpoints, so it extends leases
 // there also for those that nobody claims.
 func TestUnclaimedRunsBesideClaimedOnesEndBeforeTheyAreStartedAgain(t *testing.T) {
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -43,7 +43,7 @@
 	left        []int // tasks of each step that are not done
 	begun       bool  // a run was started
 	guest       bool
-	cell        string // where a guest's earlier run is looked for
+	cell        string // of a guest: the only one where it may run, so that its run can be found again
 }
 
 func (j *job) task(id TaskID) *task {
--- a/dispatch/leased/lend.go
+++ b/dispatch/leased/lend.go
@@ -140,7 +140,6 @@
 	j := c.newGuest(g, in.Ticket)
 	t := &j.tasks[0][0]
 	if g.Adopt {
-		j.cell = g.Cell
 		t.runs = g.Run
 		c.guests[t.id] = j
 		c.adopting = append(c.adopting, j)
@@ -217,7 +216,7 @@
 	j := &job{
 		Job:     Job{ID: g.Task.Job, Spec: g.Spec, Service: g.Service, Queue: g.Queue, MaxAttempts: 1, Steps: []Step{g.Step}},
 		tickets: []Ticket{ticket}, arrived: c.now, expires: c.now.Add(g.Patience), guest: true,
-		left: []int{1},
+		cell: g.Cell, left: []int{1},
 	}
 	j.tasks = [][]task{{{id: g.Task, job: j, step: &j.Steps[0], saved: g.Saved}}}
 	c.tickets[ticket] = j
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -107,6 +107,9 @@
 	if !t.step.Demand.Within(e.free()) || e.Service != t.job.Service || !e.usable(c.now) || !e.hasLabel(t.step.Label) {
 		return false
 	}
+	if t.job.cell != "" && e.Cell != t.job.cell {
+		return false
+	}
 	if e.record.Standing() == outlier.Probation && len(e.runs) > 0 {
 		return false
 	}
