Keep a fault soak of our own on the users' platform

Change: standin/usersplatform runs store and executors with fault switches and writes settings for entries on loopback addresses; lovage-load soak runs real entries, kills, stops, pauses and restarts them by signals, and breaks store, executors and connections in series that overlap, from a seed. It checks double runs, refusals, recovery, runs left behind and planned stops. make demo-fleet plays it calm; make test plays a short seed.

--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,13 @@
 BIN      := $(CURDIR)/.bin
 RACE     := $(if $(shell command -v $(or $(CC),gcc) 2>/dev/null),-race,)
 
-.PHONY: build demo soak test up format-check vet lint unit check-model generate tools
+.PHONY: build demo demo-fleet soak soak-fleet test up format-check vet lint unit check-model generate tools
 .PHONY: bench compare ablation check-broken faults
 
 build:
 	go build -o $(BIN)/ ./cmd/...
 
-test: format-check vet lint unit check-model
+test: format-check vet lint unit check-model soak-short
 
 format-check:
 	@unformatted=$$(gofmt -l $(MODULES)); \
@@ -77,3 +77,19 @@
 # Runs a whole deployment under many faults at once.
 soak:
 	@./scripts/soak.sh $(SERVICES)
+
+# Runs six entries on a stand-in of the users' platform for a few seconds.
+demo-fleet:
+	go build -o $(BIN)/ ./cmd/lovage-fleet ./cmd/lovage-load
+	$(BIN)/lovage-load soak -fleet $(BIN)/lovage-fleet -calm -seconds 5
+
+# The same under random faults; SEED and SEEDS choose which.
+soak-fleet:
+	go build -o $(BIN)/ ./cmd/lovage-fleet ./cmd/lovage-load
+	$(BIN)/lovage-load soak -fleet $(BIN)/lovage-fleet -seed $(or $(SEED),1) -seeds $(or $(SEEDS),3)
+
+# A short seeded soak, part of the tests.
+.PHONY: soak-short
+soak-short:
+	go build -o $(BIN)/ ./cmd/lovage-fleet ./cmd/lovage-load
+	$(BIN)/lovage-load soak -fleet $(BIN)/lovage-fleet -seed 2 -seconds 8
--- /dev/null
+++ b/experiment/soak/soak.go
@@ -0,0 +1,315 @@
+// Package soak runs real entries as processes of their own against a stand-in
+// of the users' platform, injects faults from outside them in series that
+// overlap, and checks the promises from what callers and executors see.
+//
+//	seed → a schedule of faults and jobs → violations
+//
+// Promises that are checked all the while: no task has two runs at work at a
+// time; what was refused as not run has not run; after the faults jobs are
+// served again; nothing runs on for long after the last caller has left;
+// planned stops end within their grace.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/dispatch/leased/leasedtest"
+	"lovagespread.example/standin/usersplatform"
+)
+
+// Options describe a soak.
+type Options struct {
+	Binary  string // lovage-fleet
+	Dir     string // for settings and logs
+	Seed    uint64
+	Length  time.Duration // of the faults
+	Domains int
+	Entries int  // of each failure domain
+	Network int  // see usersplatform.Options
+	Calm    bool // no faults
+}
+
+// Report is what a soak has seen.
+type Report struct {
+	Seed       uint64         `json:"seed"`
+	Jobs       int            `json:"jobs"`
+	Answers    map[string]int `json:"answers"`
+	Faults     map[string]int `json:"faults"`
+	After      float64        `json:"served_after_faults"` // share
+	Violations []string       `json:"violations"`
+}
+
+// Sizes and times of a soak.
+const (
+	executorsPerDomain = 4
+	jobInterval        = 25 * time.Millisecond
+	faultInterval      = 600 * time.Millisecond
+	checkInterval      = 5 * time.Millisecond
+	readyLimit         = 15 * time.Second
+	graceLimit         = 6500 * time.Millisecond
+	patience           = 3 * time.Second
+	// calmTime is how long the entries have to recover after the last fault
+	// before jobs must be served again.
+	calmTime  = 8 * time.Second
+	proofTime = 3 * time.Second
+	idleLimit = 4 * time.Second
+	minServed = 0.95 // of the jobs after the faults
+	mostKept  = 20   // violations
+)
+
+// Run plays one soak.
+func Run(ctx context.Context, opts Options) (*Report, error) {
+	d, err := usersplatform.Start(usersplatform.Options{
+		Dir: opts.Dir, Domains: opts.Domains, Entries: opts.Entries, Executors: executorsPerDomain, Network: opts.Network,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer d.Close()
+	s := &soak{
+		opts: opts, deployment: d, rng: rand.New(rand.NewPCG(opts.Seed, 7)), processes: make([]*process, len(d.Entries)),
+		report: &Report{Seed: opts.Seed, Answers: make(map[string]int), Faults: make(map[string]int)},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
+	}
+	defer s.killAll()
+	if err := s.startAll(ctx); err != nil {
+		return nil, err
+	}
+	return s.report, s.play(ctx)
+}
+
+type soak struct {
+	opts       Options
+	deployment *usersplatform.Deployment
+	rng        *rand.Rand // of the goroutine in play
+	client     *http.Client
+	processes  []*process
+	jobs       sync.WaitGroup
+	next       int
+
+	mu     sync.Mutex
+	report *Report
+}
+
+// process is an entry that this soak has started.
+type process struct {
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+func (s *soak) violate(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.report.Violations) < mostKept {
+		s.report.Violations = append(s.report.Violations, fmt.Sprintf(format, args...))
+	}
+}
+
+func (s *soak) startAll(ctx context.Context) error {
+	for i := range s.processes {
+		if err := s.start(i); err != nil {
+			return err
+		}
+	}
+	deadline := time.Now().Add(readyLimit)
+	for _, e := range s.deployment.Entries {
+		for !s.ready(ctx, e.Ready) {
+			if time.Now().After(deadline) {
+				return errors.Errorf("%s is not ready after %v: see its log in %s", e.Name, readyLimit, s.opts.Dir)
+			}
+			time.Sleep(checkInterval)
+		}
+	}
+	return nil
+}
+
+func (s *soak) ready(ctx context.Context, address string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (s *soak) start(i int) error {
+	e := s.deployment.Entries[i]
+	const permissions = 0o600
+	log, err := os.OpenFile(filepath.Join(s.opts.Dir, e.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, permissions)
+	if err != nil {
+		return errors.Wrap(err, "open the log of an entry")
+	}
+	defer log.Close()
+	cmd := exec.Command(s.opts.Binary, "-config", e.Settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, "start an entry")
+	}
+	p := &process{cmd: cmd, ended: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait() // the exit status of a killed process says nothing
+		close(p.ended)
+	}()
+	s.processes[i] = p
+	return nil
+}
+
+func (s *soak) killAll() {
+	for _, p := range s.processes {
+		if p == nil {
+			continue
+		}
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill() // it may have ended
+		<-p.ended
+	}
+}
+
+// play sends jobs throughout, faults for the length of the soak, and proves
+// afterwards that jobs are served again.
+func (s *soak) play(ctx context.Context) error {
+	watched, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	go s.watch(watched)
+	loaded, stopLoad := context.WithCancel(ctx)
+	loadEnded := make(chan struct{})
+	go func() { s.load(loaded, nil); close(loadEnded) }()
+	var faults sync.WaitGroup
+	for began := time.Now(); time.Since(began) < s.opts.Length && ctx.Err() == nil; {
+		if !s.opts.Calm {
+			s.fault(&faults)
+		}
+		time.Sleep(faultInterval/2 + time.Duration(s.rng.Int64N(int64(faultInterval))))
+	}
+	faults.Wait()
+	stopLoad()
+	<-loadEnded
+	if !s.opts.Calm {
+		time.Sleep(calmTime)
+	}
+	s.prove(ctx)
+	s.jobs.Wait()
+	s.checkIdle()
+	return ctx.Err()
+}
+
+// prove sends jobs after the faults and counts how many are served.
+func (s *soak) prove(ctx context.Context) {
+	proof, stop := context.WithTimeout(ctx, proofTime)
+	defer stop()
+	var served, all int
+	s.load(proof, func(a usersplatform.Answer) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		all++
+		if a.State == "completed" {
+			served++
+		}
+	})
+	s.jobs.Wait()
+	s.report.After = float64(served) / float64(max(all, 1))
+	if s.report.After < minServed {
+		s.violate("after the faults %d of %d jobs were served", served, all)
+	}
+}
+
+// load sends jobs until the context ends.
+func (s *soak) load(ctx context.Context, seen func(usersplatform.Answer)) {
+	rng := rand.New(rand.NewPCG(s.opts.Seed, uint64(s.next)+11))
+	for ctx.Err() == nil {
+		s.next++
+		id := leased.JobID(fmt.Sprintf("%08x%08x", uint32(s.opts.Seed), s.next))
+		entry := rng.IntN(len(s.deployment.Entries))
+		tasks := 1 + rng.IntN(5)
+		run := time.Duration(20+rng.IntN(200)) * time.Millisecond
+		leaves := rng.IntN(12) == 0
+		s.jobs.Go(func() { s.job(id, entry, tasks, run, leaves, seen) })
+		time.Sleep(jobInterval)
+	}
+}
+
+// job submits a job, again at another entry if its connection breaks, as
+// callers do.
+func (s *soak) job(id leased.JobID, entry, tasks int, run time.Duration, leaves bool, seen func(usersplatform.Answer)) {
+	wait := patience
+	if leaves {
+		wait = run / 2
+	}
+	const retransmit = 1300 * time.Millisecond
+	var a usersplatform.Answer
+	refusals, tries := 0, 0
+	for ; tries < 2; tries++ {
+		front := s.deployment.Entries[(entry+tries)%len(s.deployment.Entries)].Front
+		a = s.deployment.Submit(context.Background(), s.client, front, id, tasks, run, wait)
+		if a.Status == http.StatusServiceUnavailable {
+			refusals++
+		}
+		if a.Status != 0 && a.Status != http.StatusGatewayTimeout || leaves {
+			break
+		}
+		time.Sleep(retransmit)
+	}
+	if refusals == 1 && tries == 0 && s.deployment.Started(id) > 0 {
+		s.violate("job %s was refused as not run, but %d runs of it had begun", id, s.deployment.Started(id))
+	}
+	s.mu.Lock()
+	s.report.Jobs++
+	s.report.Answers[fmt.Sprintf("%d %s", a.Status, a.State)]++
+	s.mu.Unlock()
+	if seen != nil && !leaves {
+		seen(a)
+	}
+}
+
+// watch looks for tasks with two runs at work.
+func (s *soak) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		where := make(map[leased.TaskID]leased.EndpointID)
+		for _, x := range s.deployment.Executors {
+			x.Change(func(e *leasedtest.Endpoint) {
+				for _, r := range e.Running() {
+					if other, twice := where[r.Task]; twice {
+						s.violate("task %v runs on %s and %s", r.Task, other, e.ID)
+					}
+					where[r.Task] = e.ID
+				}
+			})
+		}
+		time.Sleep(checkInterval)
+	}
+}
+
+// checkIdle looks for runs that go on after the last caller has left.
+func (s *soak) checkIdle() {
+	deadline := time.Now().Add(idleLimit)
+	for {
+		running := 0
+		for _, x := range s.deployment.Executors {
+			x.Change(func(e *leasedtest.Endpoint) { running += len(e.Running()) })
+		}
+		if running == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			s.violate("%d tasks still run %v after the last caller has left", running, idleLimit)
+			return
+		}
+		time.Sleep(checkInterval)
+	}
+}
--- /dev/null
+++ b/standin/usersplatform/deployment.go
@@ -0,0 +1,274 @@
+// Package usersplatform runs a stand-in of the users' platform on this VM: a
+// store, executors, and settings files for entries, each entry on a loopback
+// address of its own. Its connections have fault switches that act from
+// outside the entries' processes.
+package usersplatform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/dispatch/leased/leasedtest"
+	"lovagespread.example/standin/fakeexecutor"
+	"lovagespread.example/standin/fakestore"
+	"lovagespread.example/standin/faultnet"
+)
+
+// What every deployment is like.
+const (
+	service    = "s"
+	host       = "h.example"
+	prefix     = "/q/"
+	coresEach  = 64_000 // thousandths, of an executor
+	memoryEach = 128 << 10
+	heartbeat  = 500 * time.Millisecond
+	firstPort  = 7720
+	frontPort  = 8161
+	readyPort  = 8167
+)
+
+// Options describe a deployment.
+type Options struct {
+	Dir       string // for settings files
+	Domains   int
+	Entries   int // of each domain
+	Executors int // of each domain
+	// Network is the third number of the entries' addresses, 127.0.N.x, so that
+	// deployments run beside each other.
+	Network int
+}
+
+// Entry is where an entry listens and what its settings file is.
+type Entry struct {
+	Name     string
+	Settings string // path
+	Front    string // host:port of callers
+	Ready    string // host:port
+}
+
+// Executor is an executor with its switches.
+type Executor struct {
+	*fakeexecutor.Executor
+	Network *faultnet.Listener
+}
+
+// Deployment is the stand-in. It is safe for concurrent use.
+type Deployment struct {
+	Store        *fakestore.Store
+	StoreNetwork *faultnet.Listener
+	Executors    []*Executor
+	Entries      []Entry
+
+	opts    Options
+	servers []*http.Server
+	stop    context.CancelFunc
+
+	mu      sync.Mutex
+	work    map[leased.JobID]time.Duration
+	started map[leased.JobID]int
+	version int
+}
+
+// Start runs a deployment until Close.
+func Start(opts Options) (*Deployment, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	d := &Deployment{
+		Store: fakestore.New("keyed.op", fakeexecutor.Topic), opts: opts, stop: stop,
+		work: make(map[leased.JobID]time.Duration), started: make(map[leased.JobID]int),
+	}
+	listener, err := d.serve(d.Store)
+	if err != nil {
+		return nil, err
+	}
+	d.StoreNetwork = listener
+	d.Configure()
+	for domain := range opts.Domains {
+		for n := range opts.Executors {
+			if err := d.addExecutor(ctx, domain, n); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for domain := range opts.Domains {
+		for n := range opts.Entries {
+			if err := d.addEntry(domain, n); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return d, nil
+}
+
+// Close ends the stand-ins.
+func (d *Deployment) Close() {
+	d.stop()
+	for _, s := range d.servers {
+		_ = s.Close() // nothing depends on an orderly end
+	}
+}
+
+func (d *Deployment) serve(handler http.Handler) (*faultnet.Listener, error) {
+	plain, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for a stand-in")
+	}
+	listener := faultnet.Wrap(plain)
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	d.servers = append(d.servers, s)
+	go func() { _ = s.Serve(listener) }() // ends with Close
+	return listener, nil
+}
+
+func domainName(n int) string { return string(rune('a' + n)) }
+
+func (d *Deployment) addExecutor(ctx context.Context, domain, n int) error {
+	x := &Executor{}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { x.ServeHTTP(w, r) })
+	listener, err := d.serve(handler)
+	if err != nil {
+		return err
+	}
+	x.Network = listener
+	x.Executor = fakeexecutor.New(fakeexecutor.Options{
+		ID: fmt.Sprintf("i-%s%02d", domainName(domain), n), Address: listener.Addr().String(), Service: service, Zone: domainName(domain),
+		Capacity: leased.Demand{MilliCores: coresEach, MemoryMiB: memoryEach}, Work: d.workOf,
+	})
+	d.Executors = append(d.Executors, x)
+	if err := x.Announce(d.Store, "ready"); err != nil {
+		return err
+	}
+	go d.heartbeat(ctx, x)
+	return nil
+}
+
+func (d *Deployment) heartbeat(ctx context.Context, x *Executor) {
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			// The record was encoded before in the same way.
+			_ = x.Announce(d.Store, "ready")
+		}
+	}
+}
+
+// workOf is asked when a task starts.
+func (d *Deployment) workOf(id leased.TaskID) leasedtest.Work {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.started[id.Job]++
+	run, known := d.work[id.Job]
+	if !known {
+		run = time.Second
+	}
+	return leasedtest.Work{Demand: leased.Demand{MilliCores: taskCores, MemoryMiB: 64}, Time: run}
+}
+
+// taskCores is what a task asks for, in thousandths of a core.
+const taskCores = 27_000
+
+// Started returns how many runs of a job have begun.
+func (d *Deployment) Started(id leased.JobID) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.started[id]
+}
+
+// Configure writes the next version of the configuration.
+func (d *Deployment) Configure() {
+	d.mu.Lock()
+	d.version += 3
+	version := d.version
+	d.mu.Unlock()
+	d.Store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":%q,"path_prefix":%q,"type":"unsafe",
+"timeout_ms":1500,"slo_ms":60,"service":%q,"max_attempts":3,"stretch":1.6}],"services":[{"name":%q,"admission_check":true}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, host, prefix, service, service))
+}
+
+func (d *Deployment) addEntry(domain, n int) error {
+	const hostsPerDomain = 32
+	ip := fmt.Sprintf("127.0.%d.%d", d.opts.Network, domain*hostsPerDomain+n+2)
+	e := Entry{
+		Name:     fmt.Sprintf("entry-%s-%d", domainName(domain), n),
+		Front:    fmt.Sprintf("%s:%d", ip, frontPort),
+		Ready:    fmt.Sprintf("%s:%d", ip, readyPort),
+		Settings: filepath.Join(d.opts.Dir, fmt.Sprintf("entry-%s-%d.toml", domainName(domain), n)),
+	}
+	text := fmt.Sprintf(`node_name = %q
+ip = %q
+zone = %q
+internal_ports = [%d, %d]
+seeds = ["127.0.%d.2:8166"]
+control_mode = "rpc"
+[listen]
+front = %q
+readiness = %q
+[limits]
+cpu_share = 0.4
+cores = 1
+[bounds]
+grace_s = 6
+max_hold_ms = 1000
+[platform]
+address = %q
+`, e.Name, ip, domainName(domain), firstPort, firstPort+15, d.opts.Network, e.Front, e.Ready, d.StoreNetwork.Addr())
+	const permissions = 0o600
+	if err := os.WriteFile(e.Settings, []byte(text), permissions); err != nil {
+		return errors.Wrap(err, "write the settings of an entry")
+	}
+	d.Entries = append(d.Entries, e)
+	return nil
+}
+
+// Answer is what a caller gets.
+type Answer struct {
+	Status int // 0: none
+	State  string
+	Took   time.Duration
+}
+
+// Submit hands a job of equal tasks to an entry and waits for its end.
+func (d *Deployment) Submit(ctx context.Context, client *http.Client, front string, id leased.JobID, tasks int, run, patience time.Duration) Answer {
+	d.mu.Lock()
+	d.work[id] = run
+	d.mu.Unlock()
+	body := fmt.Sprintf(`{"spec":"x","best_effort":true,"steps":[{"count":%d,"cpu":%d,"mem_mb":64,"estimate_ms":%d}]}`, tasks, taskCores, run.Milliseconds())
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	began := time.Now()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+prefix+string(id), strings.NewReader(body))
+	if err != nil {
+		return Answer{}
+	}
+	req.Host = host
+	req.Header.Set("X-Request-Deadline", fmt.Sprint(patience.Milliseconds()))
+	resp, err := client.Do(req)
+	if err != nil {
+		return Answer{Took: time.Since(began)}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return Answer{Took: time.Since(began)}
+	}
+	var state struct {
+		State string `json:"state"`
+	}
+	_ = json.Unmarshal(data, &state) // an answer without a state shows as an empty one
+	return Answer{Status: resp.StatusCode, State: state.State, Took: time.Since(began)}
+}
