Check all modules in make test

Cause: fleet and platform were missing from the list of modules that are formatted, vetted, linted and tested; an unused field had gone unnoticed. Change: both are in the list; the field is gone.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Two commands do all set-up: make demo, make test.
 
-MODULES  := catalog client cmd dispatch entry experiment membership peer logservice scenario standin
+MODULES  := catalog client cmd dispatch entry experiment fleet logservice membership peer platform scenario standin
 PACKAGES := $(MODULES:%=./%/...)
 BIN      := $(CURDIR)/.bin
 RACE     := $(if $(shell command -v $(or $(CC),gcc) 2>/dev/null),-race,)
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -25,7 +25,6 @@
 	peers    *peers
 	beats    *beats
 	metrics  *metrics
-	servers  []*http.Server
 }
 
 // New builds a process. It listens, but serves nobody before Run.
--- a/fleet/trace/trace.go
+++ b/fleet/trace/trace.go
@@ -187,8 +187,8 @@
 
 // Bounds of what counts as a cause of a late answer.
 const (
-	notable     = 50.0 // ms
-	slowFactor  = 1.8  // run time against expectation
+	notable    = 50.0 // ms
+	slowFactor = 1.8  // run time against expectation
 )
 
 func slowness(lines []Line, answer *Line) string {
