Blame an endpoint for slowness only where sibling tasks show it

Change: a run is compared with what other tasks of its step took or foretell; without any, an estimate may be twice too low; the newest go first from 200 ms of queue until 60 ms.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -249,17 +249,6 @@
 	return s
 }
 
-// Pending returns how many jobs of a queue have not begun.
-func (c *Core) Pending(queue string) int {
-	n := 0
-	for _, j := range c.jobs {
-		if j.Queue == queue && !j.begun {
-			n++
-		}
-	}
-	return n
-}
-
 // FreeRoom lists the free thousandths of a core of each endpoint of a cell
 // that takes new work, those with less than least left out.
 func (c *Core) FreeRoom(cell string, least int) []int {
--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -46,6 +46,7 @@
 	tries     int       // of the Start
 	seen      time.Time // claimless since
 	percent   int
+	listed    time.Time // when the percent was told
 	reason    string    // of the Stop
 	unknown   bool      // found on the endpoint: its demand is not known
 	stopped   time.Time // a Stop was answered; zero: not yet
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -16,10 +16,11 @@
 	job       *job
 	step      *Step
 	state     taskState
-	run       *run // of a placed task
-	failures  int  // runs that ended as failed
-	runs      int  // number of the newest run
-	moves     int  // runs stopped for want of progress
+	run       *run          // of a placed task
+	failures  int           // runs that ended as failed
+	runs      int           // number of the newest run
+	moves     int           // runs stopped for want of progress
+	took      time.Duration // of the run that was done
 	saved     string
 	avoid     EndpointID // where the last run did badly
 	notBefore time.Time  // an earlier run may go on until then
--- a/dispatch/leased/queue.go
+++ b/dispatch/leased/queue.go
@@ -35,8 +35,8 @@
 // Bounds of the time that the queue takes to be served between which the
 // order of fresh jobs changes.
 const (
-	overloadFrom  = 80 * time.Millisecond
-	overloadUntil = 30 * time.Millisecond
+	overloadFrom  = 200 * time.Millisecond
+	overloadUntil = 60 * time.Millisecond
 )
 
 // newQueue returns an empty queue. Fresh jobs go by the time at which they
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -17,7 +17,9 @@
 	// run time.
 	hangFactor = 2.5
 	hangMargin = 100 * time.Millisecond
-	maxMoves   = 3 // of one task
+	// estimateError is the factor by which an estimate may be too low.
+	estimateError = 2
+	maxMoves      = 3 // of one task
 	// startTries is how often a Start without an answer is sent.
 	startTries = 3
 	unwellTime = 200 * time.Millisecond // without new work, after a refusal
@@ -58,6 +60,7 @@
 			continue
 		}
 		r.percent = row.Percent
+		r.listed = c.now
 		if r.state == starting {
 			c.confirm(r)
 		}
@@ -80,7 +83,7 @@
 // found notes a run that this core has not started: of an earlier holder, or
 // ordered long ago and carried out late.
 func (c *Core) found(e *endpoint, row *Running) {
-	r := &run{id: row.Task, number: row.Run, state: running, sent: c.now, began: c.now, confirmed: c.now, seen: c.now, percent: row.Percent, unknown: true}
+	r := &run{id: row.Task, number: row.Run, state: running, sent: c.now, began: c.now, listed: c.now, confirmed: c.now, seen: c.now, percent: row.Percent, unknown: true}
 	e.add(r)
 	if c.runs[row.Task] != nil {
 		c.stop(e, r, "the task runs elsewhere")
@@ -164,6 +167,7 @@
 	switch end {
 	case EndDone:
 		took := c.now.Sub(r.began)
+		r.task.took = took
 		e.learnSpeed(took, r.expects)
 		e.record.Passed(c.now, c.peersOf(e), took, r.expects)
 		c.learnQueue(r.task.job.Queue, took, r.task.step.Estimate, e)
@@ -212,7 +216,7 @@
 		return
 	}
 	took := c.now.Sub(r.began)
-	expects := r.expects
+	expects := c.fairTime(e, r)
 	var slow bool
 	if r.percent <= 0 {
 		slow = took > time.Duration(hangFactor*float64(expects))+hangMargin
@@ -238,6 +242,38 @@
 	c.stop(e, r, "too little progress")
 }
 
+// fairTime returns how long a run may take before its endpoint is blamed:
+// estimates are often far off, so what the other tasks of its step show goes
+// before them.
+func (c *Core) fairTime(e *endpoint, r *run) time.Duration {
+	if shown, ok := siblingTime(r.task); ok {
+		return max(r.expects, shown)
+	}
+	if e.slowness() >= slowEndpoint {
+		return r.expects
+	}
+	return estimateError * r.expects
+}
+
+// siblingTime returns the shortest run time that other tasks of a step have
+// shown or foretell.
+func siblingTime(t *task) (time.Duration, bool) {
+	const enough = 20 // percent of progress
+	shortest := time.Duration(math.MaxInt64)
+	tasks := t.job.tasks[t.id.Step]
+	for i := range tasks {
+		other := &tasks[i]
+		switch {
+		case other == t:
+		case other.state == doneTask && other.took > 0:
+			shortest = min(shortest, other.took)
+		case other.state == placedTask && other.run.percent >= enough:
+			shortest = min(shortest, projected(other.run, other.run.listed.Sub(other.run.began)))
+		}
+	}
+	return shortest, shortest != math.MaxInt64
+}
+
 // projected returns the run time that a run's progress foretells.
 func projected(r *run, took time.Duration) time.Duration {
 	const whole, most = 100, 10
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -164,28 +164,30 @@
 // runHere runs a job on this entry's core until it ends. It returns false if
 // the context ended first; the job is withdrawn then.
 func (l *Loop) runHere(ctx context.Context, job leased.Job) (leased.Answer, bool) {
-	answer := make(chan leased.Answer, 1)
-	ticket := make(chan leased.Ticket, 1)
-	l.send(submitJob{job, answer, ticket})
-	select {
-	case a := <-answer:
-		return a, true
-	case <-ctx.Done():
-		l.send(withdraw{<-ticket})
-		return leased.Answer{}, false
-	}
+	return await(ctx, l, func(answer chan leased.Answer, ticket chan leased.Ticket) message {
+		return submitJob{job, answer, ticket}
+	})
 }
 
-// runGuest runs a task of another holder's job.
+// runGuest runs a task of another holder's job, in the same way.
 func (l *Loop) runGuest(ctx context.Context, guest leased.Guest) (leased.GuestAnswer, bool) {
-	answer := make(chan leased.GuestAnswer, 1)
+	return await(ctx, l, func(answer chan leased.GuestAnswer, ticket chan leased.Ticket) message {
+		return submitGuest{guest, answer, ticket}
+	})
+}
+
+// await sends an offer to the loop and waits for its answer. If the context
+// ends first, the offer is withdrawn.
+func await[A any](ctx context.Context, l *Loop, offer func(chan A, chan leased.Ticket) message) (A, bool) {
+	answer := make(chan A, 1)
 	ticket := make(chan leased.Ticket, 1)
-	l.send(submitGuest{guest, answer, ticket})
+	l.send(offer(answer, ticket))
 	select {
 	case a := <-answer:
 		return a, true
 	case <-ctx.Done():
 		l.send(withdraw{<-ticket})
-		return leased.GuestAnswer{}, false
+		var none A
+		return none, false
 	}
 }
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -16,10 +16,13 @@
 
 // Sizes and times of the loop.
 const (
-	queueLength  = 8192 // messages
-	idleTick     = 60 * time.Millisecond
-	freezeLimit  = 250 * time.Millisecond // by which the clocks may differ before it counts as a freeze
-	roomsMinFree = 1000                   // thousandths of a core; less is not announced
+	queueLength = 8192 // messages
+	idleTick    = 60 * time.Millisecond
+	// assignInterval is how often holdings are looked at without any news:
+	// failure domains become empty as time passes.
+	assignInterval = 250 * time.Millisecond
+	freezeLimit    = 250 * time.Millisecond // by which the clocks may differ before it counts as a freeze
+	roomsMinFree   = 1000                   // thousandths of a core; less is not announced
 )
 
 // Snapshot is an immutable picture of the control state.
@@ -49,21 +52,22 @@
 	clocks    clocks
 
 	// Owned by the goroutine in run.
-	core      *leased.Core
-	roster    *cells.Roster
-	view      *cells.View
-	directory Directory
-	dirty     bool // endpoints or holders may have changed
-	yielded   bool // fenced off while isolated: holds nothing until it hears others
-	held      map[leased.EndpointID]bool
-	cellsOf   map[string]int
-	rooms     map[cells.Cell]announced
-	maxToken  int64
-	nextTick  leased.Ticket
-	waiters   map[leased.Ticket]chan leased.Answer
-	guests    map[leased.Ticket]chan leased.GuestAnswer
-	lends     map[leased.TaskID]context.CancelFunc
-	stopping  bool
+	core       *leased.Core
+	roster     *cells.Roster
+	view       *cells.View
+	directory  Directory
+	dirty      bool // endpoints or holders may have changed
+	nextAssign time.Time
+	yielded    bool // fenced off while isolated: holds nothing until it hears others
+	held       map[leased.EndpointID]bool
+	cellsOf    map[string]int
+	rooms      map[cells.Cell]announced
+	maxToken   int64
+	nextTick   leased.Ticket
+	waiters    map[leased.Ticket]chan leased.Answer
+	guests     map[leased.Ticket]chan leased.GuestAnswer
+	lends      map[leased.TaskID]context.CancelFunc
+	stopping   bool
 }
 
 // announced is the free room of a cell as its holder has told.
@@ -147,12 +151,10 @@
 		l.yielded = false
 		l.dirty = true
 	}
-	if l.dirty || previous.Settled != l.view.Settled || previous.Isolated != l.view.Isolated || previous.Majority != l.view.Majority {
+	standing := previous.Settled != l.view.Settled || previous.Isolated != l.view.Isolated || previous.Majority != l.view.Majority
+	if l.dirty || standing || !now.Before(l.nextAssign) {
 		l.dirty = false
-		l.assign()
-		return
-	}
-	if len(l.view.Live) == 0 || now.UnixMilli()%500 < 60 { // domains become empty as time passes
+		l.nextAssign = now.Add(assignInterval)
 		l.assign()
 	}
 }
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -50,8 +50,7 @@
 }
 
 // Resolve returns the queue that a request's host and path belong to, and the
-// rest of the path. It returns false if there is none, and a nil error-free
-// configuration is signalled by Configured.
+// rest of the path. It returns false if there is none.
 func (s *Service) Resolve(host, path string) (Queue, string, bool) {
 	c := s.loop.Latest().Configuration
 	if c == nil {
@@ -97,7 +96,8 @@
 // Stopping reports whether this entry is about to exit.
 func (s *Service) Stopping() bool { return s.loop.Latest().Stopping }
 
-// Pending returns how many jobs of a queue wait here without having begun.
+// Pending returns how many jobs of a queue have callers that wait here. Some
+// may have begun at their holder, so it may be too high, never too low.
 func (s *Service) Pending(queue string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
