--- a/standin/fakeexecutor/executor.go
+++ b/standin/fakeexecutor/executor.go
@@ -228,14 +228,16 @@
 	close(x.changed)
 	x.changed = make(chan struct{})
 	if next := x.state.Next(); next != leasedtest.Never {
-		time.AfterFunc(next-x.clock()+time.Millisecond, func() {
-			x.mu.Lock()
-			defer x.mu.Unlock()
-			if x.state.Advance(x.clock()) {
-				close(x.changed)
-				x.changed = make(chan struct{})
-			}
-		})
+		time.AfterFunc(next-x.clock()+time.Millisecond, x.settleLater)
+	}
+}
+
+// settleLater lets the state catch up without a call.
+func (x *Executor) settleLater() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.state.Advance(x.clock()) {
+		x.settle()
 	}
 }
 
