Move the queue of a holder that stops; name cells with their division

Change: jobs that have not begun go back to their submitters, tasks of others wait at a new holder in the first class; a domain is divided by a power of two and a cell's name says by which.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -167,6 +167,7 @@
 	}
 	maps.DeleteFunc(c.cellSince, func(cell string, _ time.Time) bool { return !present[cell] })
 	c.forgetDropped()
+	c.giveUpQueue()
 }
 
 func (c *Core) setEndpoint(spec Endpoint) {
--- a/dispatch/leased/faults_test.go
+++ b/dispatch/leased/faults_test.go
@@ -294,6 +294,33 @@
 	}
 }
 
+// A holder that stops gives its cell to another one while its queue is long.
+// Jobs that have not begun go back to their submitters; tasks of the others
+// wait at the new holder, behind none of its own jobs.
+func TestQueueOfAHolderThatStopsMovesOn(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.addEndpoints(0, 2)
+	w.shareRooms()
+	w.run(200 * time.Millisecond)
+	w.submit(0, "begun", 8, 27_000, 300*time.Millisecond, 10*time.Second)
+	w.submit(0, "fresh", 2, 27_000, 300*time.Millisecond, 10*time.Second)
+	w.run(300 * time.Millisecond)
+	w.owner["e00"], w.owner["e01"] = 1, 1
+	w.announce()
+	if a := w.answers["fresh"]; a.Verdict != leased.Moved {
+		t.Errorf("a job that has not begun: %+v, want moved", a)
+	}
+	w.run(320 * time.Millisecond)
+	for i := range 8 {
+		w.submit(1, leased.JobID(fmt.Sprintf("new%d", i)), 2, 27_000, 300*time.Millisecond, 10*time.Second)
+	}
+	w.run(10 * time.Second)
+	if a := w.answers["begun"]; a.Verdict != leased.Completed || a.Took > 2200*time.Millisecond {
+		t.Errorf("a job that has begun: %+v, want completed within 2.2 s", a)
+	}
+	w.wantNoDouble()
+}
+
 // The successor holds other runs on the same endpoints, so it extends leases
 // there also for those that nobody claims.
 func TestUnclaimedRunsBesideClaimedOnesEndBeforeTheyAreStartedAgain(t *testing.T) {
--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -75,6 +75,9 @@
 	Saved    string // checkpoint to resume from
 	Patience time.Duration
 	Cell     string // whose holder is asked
+	// Wait says that the task's own core holds nothing any more: it waits here
+	// for a place instead of coming back.
+	Wait bool
 	// Adopt says that an earlier run may be under way on an endpoint of the
 	// cell: it is taken over, or shown to have ended, and none is started.
 	Adopt bool
--- a/dispatch/leased/lend.go
+++ b/dispatch/leased/lend.go
@@ -3,8 +3,45 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
+// homeless reports whether this core holds no cell, so that its queue cannot
+// be served here.
+func (c *Core) homeless() bool { return len(c.cellSince) == 0 }
+
+// giveUpQueue sends jobs that have not begun back to their submitters once no
+// cell is held any more.
+func (c *Core) giveUpQueue() {
+	if !c.homeless() || c.waiting.len() == 0 {
+		return
+	}
+	var moved []*job
+	c.waiting.walk(func(j *job) bool {
+		if !j.begun && !j.guest {
+			moved = append(moved, j)
+		}
+		return true
+	})
+	for _, j := range moved {
+		c.finish(j, Moved, "its holder holds nothing any more", 0)
+	}
+}
+
+// anyRoom returns the cell with most announced room, though it may have none.
+func (c *Core) anyRoom() *Room {
+	var best *Room
+	most := -1
+	for i := range c.rooms {
+		room := &c.rooms[i]
+		if total := lo.Sum(room.Free); room.Age <= freshRoom && total > most {
+			best, most = room, total
+		}
+	}
+	return best
+}
+
 // readTime is how long a new holder takes to learn of all endpoints of a cell.
 const readTime = 700 * time.Millisecond
 
@@ -18,6 +55,12 @@
 		return false
 	}
 	room, i := c.roomFor(t.step.Demand.MilliCores)
+	if room == nil && c.homeless() {
+		if room = c.anyRoom(); room != nil {
+			c.lendTo(t, room, false)
+			return true
+		}
+	}
 	if room == nil {
 		return false
 	}
@@ -109,7 +152,7 @@
 	c.begin(t.job)
 	c.out.Lends = append(c.out.Lends, Lend{Holder: room.Holder, Cell: room.Cell, Guest: Guest{
 		Task: t.id, Service: t.job.Service, Queue: t.job.Queue, Spec: t.job.Spec, Step: step,
-		Run: t.runs, Saved: t.saved, Patience: t.job.expires.Sub(c.now), Cell: room.Cell, Adopt: adopt,
+		Run: t.runs, Saved: t.saved, Patience: t.job.expires.Sub(c.now), Cell: room.Cell, Adopt: adopt, Wait: c.homeless() && !adopt,
 	}})
 }
 
@@ -146,6 +189,14 @@
 		return
 	}
 	e, fits := c.bestFor(t, nil)
+	if g.Wait && c.holdsAny(g.Cell) && c.runs[t.id] == nil && (!fits || c.waiting.len() > 0) {
+		c.guests[t.id] = j
+		t.runs = g.Run - 1
+		j.begun = true
+		j.latestStart = c.now
+		c.wait(j)
+		return
+	}
 	if !fits || c.waiting.len() > 0 || c.runs[t.id] != nil {
 		c.endGuestNow(j, g.Run, EndNoRoom)
 		return
@@ -192,6 +243,11 @@
 	return false
 }
 
+// holdsAny reports whether some endpoint of a cell is held.
+func (c *Core) holdsAny(cell string) bool {
+	return slices.ContainsFunc(c.order, func(e *endpoint) bool { return e.Cell == cell && e.held && !e.dropped })
+}
+
 // holdsAll reports whether it is known what runs on all endpoints of a cell. A
 // new holder may have read of some endpoints only lately.
 func (c *Core) holdsAll(cell string) bool {
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -228,11 +228,12 @@
 	Failed                   // a task failed too often
 	Rejected                 // no run was ever started
 	Abandoned                // the caller's deadline passed after a start
+	Moved                    // nothing was started, and this core holds nothing any more: offer it elsewhere
 )
 
 // String returns the word for the verdict in logs and metrics.
 func (v Verdict) String() string {
-	return [...]string{"completed", "failed", "rejected", "abandoned"}[v]
+	return [...]string{"completed", "failed", "rejected", "abandoned", "moved"}[v]
 }
 
 // Answer ends a ticket of a job.
--- a/fleet/beats.go
+++ b/fleet/beats.go
@@ -113,8 +113,8 @@
 func (l *Loop) holders() map[cells.Incarnation]bool {
 	holders := make(map[cells.Incarnation]bool)
 	for domain, n := range l.cellsOf {
-		for i := range n {
-			if e, ok := l.view.Holder(cells.Cell{FailureDomain: domain, Index: i}); ok {
+		for _, cell := range cells.All(domain, n) {
+			if e, ok := l.view.Holder(cell); ok {
 				holders[e.Incarnation] = true
 			}
 		}
@@ -126,8 +126,7 @@
 func (l *Loop) freeRooms() map[cells.Cell][]int {
 	rooms := make(map[cells.Cell][]int)
 	for domain, n := range l.cellsOf {
-		for i := range n {
-			cell := cells.Cell{FailureDomain: domain, Index: i}
+		for _, cell := range cells.All(domain, n) {
 			if l.view.Holds(cell) && !l.stopping {
 				rooms[cell] = l.core.FreeRoom(cell.String(), roomsMinFree)
 			}
@@ -206,7 +205,7 @@
 		Leaving: l.stopping, ConfigurationVersion: l.directory.Version, Token: l.maxToken,
 	}
 	for cell, free := range rooms {
-		room := &fleetpb.Room{FailureDomain: cell.FailureDomain, Cell: uint32(cell.Index)}
+		room := &fleetpb.Room{FailureDomain: cell.FailureDomain, Cell: uint32(cell.Index), Of: uint32(cell.Of)}
 		for _, f := range free {
 			room.Free = append(room.Free, uint32(f))
 		}
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -227,8 +227,7 @@
 
 func (l *Loop) yields(cell string) bool {
 	for domain, n := range l.cellsOf {
-		for i := range n {
-			c := cells.Cell{FailureDomain: domain, Index: i}
+		for _, c := range cells.All(domain, n) {
 			if c.String() == cell {
 				return !l.view.Insists(c)
 			}
@@ -328,7 +327,7 @@
 		for i, f := range r.Free {
 			free[i] = int(f)
 		}
-		cell := cells.Cell{FailureDomain: r.FailureDomain, Index: int(r.Cell)}
+		cell := cells.Cell{FailureDomain: r.FailureDomain, Index: int(r.Cell), Of: int(r.Of)}
 		l.rooms[cell] = announced{holder: cells.Incarnation(b.Incarnation), at: now, free: free}
 	}
 	l.setRooms(now)
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -18,7 +18,7 @@
 
 var _ fleetpb.Fleet = (*server)(nil)
 
-var verdicts = [...]fleetpb.Verdict{fleetpb.Verdict_COMPLETED, fleetpb.Verdict_FAILED, fleetpb.Verdict_REJECTED, fleetpb.Verdict_ABANDONED}
+var verdicts = [...]fleetpb.Verdict{fleetpb.Verdict_COMPLETED, fleetpb.Verdict_FAILED, fleetpb.Verdict_REJECTED, fleetpb.Verdict_ABANDONED, fleetpb.Verdict_NOT_HOLDER}
 
 // Submit implements fleetpb.Fleet.
 func (s *server) Submit(ctx context.Context, r *fleetpb.SubmitRequest) (*fleetpb.SubmitResponse, error) {
@@ -39,8 +39,8 @@
 
 func holdsAny(s *Snapshot) bool {
 	for domain, n := range s.CellsOf {
-		for i := range n {
-			if s.View.Holds(cells.Cell{FailureDomain: domain, Index: i}) {
+		for _, cell := range cells.All(domain, n) {
+			if s.View.Holds(cell) {
 				return true
 			}
 		}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -262,6 +262,9 @@
 		if !ended {
 			return s.abandoned(), nil
 		}
+		if a.Verdict == leased.Moved {
+			return Outcome{}, errNotHolder
+		}
 		return Outcome{Verdict: a.Verdict, Reason: a.Reason, RetryAfter: a.RetryAfter}, nil
 	}
 	s.log.Info("forwarded", zap.String("job", string(job.ID)), zap.String("holder", holder.Name), zap.Bool("resubmitted", job.Resubmitted))
@@ -304,8 +307,7 @@
 
 func bestHolder(s *Snapshot, domain string) (best cells.Entry, found bool) {
 	most := -1
-	for i := range s.CellsOf[domain] {
-		cell := cells.Cell{FailureDomain: domain, Index: i}
+	for _, cell := range cells.All(domain, s.CellsOf[domain]) {
 		e, ok := s.View.Holder(cell)
 		if !ok || s.Free[cell] <= most {
 			continue
--- a/fleet/service_test.go
+++ b/fleet/service_test.go
@@ -48,9 +48,9 @@
 	r.Hear(now, other)
 	view := r.View(now)
 	s := &Snapshot{View: view, CellsOf: map[string]int{"a": 4}, Free: map[cells.Cell]int{
-		{FailureDomain: "a", Index: 2}: 64_000, {FailureDomain: "a", Index: 0}: 1_000,
+		{FailureDomain: "a", Index: 2, Of: 4}: 64_000, {FailureDomain: "a", Index: 0, Of: 4}: 1_000,
 	}}
-	want, _ := view.Holder(cells.Cell{FailureDomain: "a", Index: 2})
+	want, _ := view.Holder(cells.Cell{FailureDomain: "a", Index: 2, Of: 4})
 	if got, ok := holderFor(s); !ok || got.Incarnation != want.Incarnation {
 		t.Errorf("picked %q, want %q", got.Name, want.Name)
 	}
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -17,6 +17,6 @@
 	Grace            time.Duration // of a planned stop
 }
 
-// DefaultEndpointsPerCell keeps a cell's work within a small VM: some 250
+// DefaultEndpointsPerCell keeps a cell's work within a small VM: some 400
 // starts a second.
-const DefaultEndpointsPerCell = 24
+const DefaultEndpointsPerCell = 32
--- a/membership/cells/cells.go
+++ b/membership/cells/cells.go
@@ -66,10 +66,22 @@
 type Cell struct {
 	FailureDomain string
 	Index         int
+	// Of is the number of cells that the domain is divided into. Cells of
+	// different divisions share no endpoints by name.
+	Of int
 }
 
 // String returns the cell as logs and messages write it.
-func (c Cell) String() string { return fmt.Sprintf("%s/%d", c.FailureDomain, c.Index) }
+func (c Cell) String() string { return fmt.Sprintf("%s/%d/%d", c.FailureDomain, c.Index, c.Of) }
+
+// All returns the cells of a failure domain.
+func All(domain string, of int) []Cell {
+	list := make([]Cell, of)
+	for i := range list {
+		list[i] = Cell{FailureDomain: domain, Index: i, Of: of}
+	}
+	return list
+}
 
 // Roster keeps the entries. It is not safe for concurrent use.
 type Roster struct {
@@ -315,14 +327,18 @@
 // Of returns the cell of an endpoint in a failure domain that is divided into
 // a number of cells.
 func Of(domain, endpoint string, cells int) Cell {
-	if cells <= 1 {
-		return Cell{FailureDomain: domain}
-	}
 	h := fnv.New32a()
 	h.Write([]byte(endpoint))
-	return Cell{FailureDomain: domain, Index: int(h.Sum32() % uint32(cells))}
+	return Cell{FailureDomain: domain, Index: int(h.Sum32() % uint32(cells)), Of: cells}
 }
 
 // Count returns into how many cells a failure domain with some endpoints is
-// divided.
-func Count(endpoints, perCell int) int { return max(1, (endpoints+perCell-1)/perCell) }
+// divided: a power of two, so that the number seldom changes and cells are
+// halved or joined when it does.
+func Count(endpoints, perCell int) int {
+	n := 1
+	for n*perCell < endpoints {
+		n *= 2
+	}
+	return n
+}
--- a/membership/cells/cells_test.go
+++ b/membership/cells/cells_test.go
@@ -41,7 +41,7 @@
 func TestAllEntriesPickTheSameHolder(t *testing.T) {
 	all := []Entry{a1, a2, a3, b1, b2}
 	for i := range 20 {
-		cell := Cell{"a", i}
+		cell := Cell{"a", i, 16}
 		want, _ := rosterOf(start, all[0], all...).View(start).Holder(cell)
 		for _, self := range all[1:] {
 			got, ok := rosterOf(start, self, all...).View(start).Holder(cell)
@@ -60,7 +60,7 @@
 	later := start.Add(600 * time.Millisecond)
 	hearAll(r, start, later, a1, b1)
 	for i := range 20 {
-		e, ok := r.View(later).Holder(Cell{"a", i})
+		e, ok := r.View(later).Holder(Cell{"a", i, 16})
 		if !ok || e.Name != "a1" {
 			t.Fatalf("cell %d is held by %q, want the only live entry", i, e.Name)
 		}
@@ -94,8 +94,8 @@
 	r := rosterOf(start, a1, a2, a3, b1, b2)
 	later := start.Add(2 * time.Second)
 	v := r.View(later)
-	if !v.Isolated || v.Insists(Cell{"a", 0}) {
-		t.Errorf("isolated %v, insists %v: want an isolated entry that gives way", v.Isolated, v.Insists(Cell{"a", 0}))
+	if !v.Isolated || v.Insists(Cell{"a", 0, 16}) {
+		t.Errorf("isolated %v, insists %v: want an isolated entry that gives way", v.Isolated, v.Insists(Cell{"a", 0, 16}))
 	}
 }
 
@@ -107,7 +107,7 @@
 	if v.Isolated {
 		t.Error("the failure domain counts as isolated though its entries hear each other")
 	}
-	if e, ok := v.Holder(Cell{"a", 0}); !ok || e.FailureDomain != "a" {
+	if e, ok := v.Holder(Cell{"a", 0, 16}); !ok || e.FailureDomain != "a" {
 		t.Errorf("its own cell is held by %q", e.Name)
 	}
 }
@@ -116,7 +116,7 @@
 	r := rosterOf(start, a1, a2, a3, b1, b2)
 	later := start.Add(2 * time.Second)
 	hearAll(r, start, later, a2, a3)
-	if e, ok := r.View(later).Holder(Cell{"b", 0}); !ok || e.FailureDomain != "a" {
+	if e, ok := r.View(later).Holder(Cell{"b", 0, 16}); !ok || e.FailureDomain != "a" {
 		t.Errorf("the cell of the empty domain is held by %q (%v), want an entry of a", e.Name, ok)
 	}
 }
@@ -125,7 +125,7 @@
 	r := rosterOf(start, b1, b2, a1, a2, a3)
 	later := start.Add(2 * time.Second)
 	hearAll(r, start, later, b2)
-	if e, ok := r.View(later).Holder(Cell{"a", 0}); ok {
+	if e, ok := r.View(later).Holder(Cell{"a", 0, 16}); ok {
 		t.Errorf("a minority lets %s hold the cells of the others", e.Name)
 	}
 }
@@ -134,7 +134,7 @@
 	r := rosterOf(start, a1, a2)
 	r.Leave()
 	for i := range 10 {
-		if e, _ := r.View(start).Holder(Cell{"a", i}); e.Name != "a2" {
+		if e, _ := r.View(start).Holder(Cell{"a", i, 16}); e.Name != "a2" {
 			t.Errorf("cell %d is held by %q, want a2", i, e.Name)
 		}
 	}
@@ -144,17 +144,17 @@
 	leaving := b1
 	leaving.Leaving = true
 	r := rosterOf(start, a1, a2, a3, leaving)
-	if e, ok := r.View(start).Holder(Cell{"b", 0}); !ok || e.FailureDomain != "a" {
+	if e, ok := r.View(start).Holder(Cell{"b", 0, 16}); !ok || e.FailureDomain != "a" {
 		t.Errorf("held by %q (%v), want an entry of a", e.Name, ok)
 	}
 }
 
 func TestNewEntryListensFirst(t *testing.T) {
 	r := New(a1, start)
-	if _, ok := r.View(start.Add(100 * time.Millisecond)).Holder(Cell{"a", 0}); ok {
+	if _, ok := r.View(start.Add(100 * time.Millisecond)).Holder(Cell{"a", 0, 16}); ok {
 		t.Error("a new entry holds a cell before it has listened")
 	}
-	if !r.View(start.Add(time.Second)).Holds(Cell{"a", 0}) {
+	if !r.View(start.Add(time.Second)).Holds(Cell{"a", 0, 16}) {
 		t.Error("the only entry does not hold its cell")
 	}
 }
@@ -174,7 +174,7 @@
 func TestWokenEntryListensFirst(t *testing.T) {
 	r := rosterOf(start, a1)
 	r.Woke(start)
-	if r.View(start.Add(beat)).Holds(Cell{"a", 0}) {
+	if r.View(start.Add(beat)).Holds(Cell{"a", 0, 16}) {
 		t.Error("an entry that stood still holds cells before it has listened")
 	}
 }
@@ -185,7 +185,7 @@
 	v := rosterOf(start, a1, small, large).View(start)
 	counts := make(map[string]int)
 	for i := range 14 {
-		e, _ := v.Holder(Cell{"a", i})
+		e, _ := v.Holder(Cell{"a", i, 16})
 		counts[e.Name]++
 	}
 	if counts["a2"] > 3 || counts["a3"] > 10 || counts["a1"] > 5 {
@@ -199,8 +199,8 @@
 	after := rosterOf(start, all[0], all[1:5]...).View(start)
 	moved := 0
 	for i := range 12 {
-		was, _ := before.Holder(Cell{"a", i})
-		is, _ := after.Holder(Cell{"a", i})
+		was, _ := before.Holder(Cell{"a", i, 16})
+		is, _ := after.Holder(Cell{"a", i, 16})
 		if was.Name != "a6" && was.Name != is.Name {
 			moved++
 		}
@@ -209,3 +209,14 @@
 		t.Errorf("%d of 12 cells moved between entries that stayed", moved)
 	}
 }
+
+func TestCellsOfDifferentDivisionsHaveDifferentNames(t *testing.T) {
+	if a, b := Of("a", "x", 2), Of("a", "x", 4); a.String() == b.String() {
+		t.Errorf("%s and %s are the same name for other sets of endpoints", a, b)
+	}
+	for endpoints, want := range map[int]int{0: 1, 20: 1, 32: 1, 33: 2, 88: 4, 117: 4} {
+		if got := Count(endpoints, 32); got != want {
+			t.Errorf("%d endpoints: %d cells, want %d", endpoints, got, want)
+		}
+	}
+}
