Keep cells off small VMs; do not break the connections of busy entries

Callers' entries asked holders that were just starting every 15 ms, and pings of 0.9 s broke the connections of busy ones. Change: an entry's fitness as a holder grows with the cube of its processor share; pings wait 2.5 s; pauses between looks for a holder double up to 120 ms. On sites with VMs of one size the holders are the same.

--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -20,10 +20,11 @@
 // Times of connections between entries.
 const (
 	peerDialTimeout = 250 * time.Millisecond
-	// A busy entry on a small VM may answer late; heartbeats notice a dead one
-	// sooner than pings do.
-	peerPingAfter   = 700 * time.Millisecond // without a frame
-	peerPingTimeout = 900 * time.Millisecond
+	// Heartbeats notice a dead entry; pings only a connection that has gone
+	// silent. A busy entry on a small VM may answer late, and breaking its
+	// connection would send all its jobs on their way again.
+	peerPingAfter   = time.Second // without a frame
+	peerPingTimeout = 2500 * time.Millisecond
 	snapshotTimeout = 500 * time.Millisecond
 )
 
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -16,7 +16,10 @@
 
 // Times of finding a holder.
 const (
-	holderPause = 15 * time.Millisecond // between two looks for a holder
+	// Pauses between two looks for a holder double between these bounds: a
+	// holder that is just starting has no time to turn everybody away.
+	holderPause    = 15 * time.Millisecond
+	maxHolderPause = 120 * time.Millisecond
 	// holderTime is how long a job waits for a holder before it is rejected:
 	// longer than it takes to notice that one is lost and to replace it.
 	holderTime         = 1100 * time.Millisecond
@@ -187,6 +190,7 @@
 	began := time.Now()
 	deadline := began.Add(job.Patience)
 	lost := time.Time{}
+	pause := holderPause
 	for {
 		latest := s.loop.Latest()
 		holder, ok := holderFor(latest)
@@ -207,9 +211,10 @@
 		if time.Since(later(began, lost)) > holderTime {
 			return s.noHolder(&job)
 		}
-		if !pauseFor(ctx, holderPause) {
+		if !pauseFor(ctx, pause) {
 			return s.abandoned()
 		}
+		pause = min(2*pause, maxHolderPause)
 	}
 }
 
--- a/membership/cells/cells.go
+++ b/membership/cells/cells.go
@@ -3,7 +3,7 @@
 //
 // A cell is a share of the endpoints of a failure domain. Among the live
 // entries of the domain, rendezvous hashing over incarnations picks the
-// holder, weighted by their processor shares. If none is left, the other
+// holder, far more often a large VM than a small one. If none is left, the other
 // domains' entries hold the cell, provided they hear most of all known
 // entries.
 //
@@ -295,13 +295,13 @@
 	if len(list) == 0 {
 		return nil
 	}
-	total := lo.SumBy(list, func(e Entry) float64 { return max(e.Weight, minWeight) })
+	total := lo.SumBy(list, fitness)
 	held := make(map[Incarnation]int)
 	holders := make([]Entry, n)
 	for i := range n {
 		cell := Cell{FailureDomain: domain, Index: i}
 		free := lo.Filter(list, func(e Entry, _ int) bool {
-			share := max(e.Weight, minWeight) / total * float64(i+1)
+			share := fitness(e) / total * float64(i+1)
 			return held[e.Incarnation] < int(math.Ceil(loadFactor*share))
 		})
 		holders[i] = lo.MaxBy(free, func(a, b Entry) bool { return score(cell, a) > score(cell, b) })
@@ -313,6 +313,13 @@
 // minWeight keeps an entry without a weight in the game.
 const minWeight = 0.01
 
+// fitness tells how well an entry suits as a holder. A cell is as much work on
+// a small VM as on a large one, so small ones hold far less than their share.
+func fitness(e Entry) float64 {
+	w := max(e.Weight, minWeight)
+	return w * w * w
+}
+
 func score(c Cell, e Entry) float64 {
 	h := fnv.New64a()
 	fmt.Fprintf(h, "%s/%d/%d", c.FailureDomain, c.Index, e.Incarnation)
@@ -321,7 +328,7 @@
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
 	u := (float64(x>>11) + 0.5) / (1 << 53)
-	return -max(e.Weight, minWeight) / math.Log(u)
+	return -fitness(e) / math.Log(u)
 }
 
 // Of returns the cell of an endpoint in a failure domain that is divided into
