Look at a cell's endpoints before saying that a run has ended

Change: such an answer is given only after every endpoint of the cell has answered a look that was sent after the question. Figures: the test fails before.

--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -58,9 +58,11 @@
 type endpoint struct {
 	Endpoint
 	token    int64
-	held     bool // a look under the token has told what runs
-	touched  bool // its Hold may be due
-	dropped  bool // no longer announced: kept until nothing runs
+	held     bool      // a look under the token has told what runs
+	touched  bool      // its Hold may be due
+	looked   time.Time // when the newest Hold that was answered was sent
+	wantLook bool      // a Hold that does not wait is due
+	dropped  bool      // no longer announced: kept until nothing runs
 	runs     map[TaskID]*run
 	used     Demand
 	orphans  int   // runs whose demand is not known
--- a/dispatch/leased/faults_test.go
+++ b/dispatch/leased/faults_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/dispatch/leased/leasedtest"
 )
 
 // steady submits a job each interval until a time.
@@ -294,6 +295,31 @@
 	}
 }
 
+// A holder that stood still while another one had its endpoints is asked for a
+// run of that other one. What it knew before is no answer.
+func TestHolderThatStoodStillLooksBeforeItAnswers(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.addEndpoints(0, 2)
+	w.run(2 * time.Second)
+	guest := leased.Guest{
+		Task: leased.TaskID{Job: "j"}, Service: "s", Queue: "q", Run: 2, Patience: time.Second, Cell: "c0", Adopt: true,
+		Step: leased.Step{Tasks: 1, Demand: leased.Demand{MilliCores: 27_000}, Estimate: 60 * time.Millisecond},
+	}
+	w.work["j"] = leasedtest.Work{Demand: guest.Step.Demand, Time: 400 * time.Millisecond}
+	w.tokens++
+	start := leased.Start{Endpoint: "e01", Task: guest.Task, Run: 1, Until: w.now + maxLease, Token: w.tokens}
+	if r := w.endpoints["e01"].Start(w.now, &start); r.Result != leased.StartAccepted {
+		t.Fatalf("the other holder's start: %v", r.Result)
+	}
+	out := w.cores[0].Step(simStart.Add(w.now), &leased.SubmitGuest{Ticket: 99, Guest: guest})
+	if len(out.GuestAnswers) != 0 {
+		t.Errorf("answered %v from memory, though the run goes on", out.GuestAnswers[0].Result)
+	}
+	if len(out.Holds) != 2 {
+		t.Errorf("%d looks at endpoints, want 2", len(out.Holds))
+	}
+}
+
 // A holder that stops gives its cell to another one while its queue is long.
 // Jobs that have not begun go back to their submitters; tasks of the others
 // wait at the new holder, behind none of its own jobs.
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -96,6 +96,9 @@
 		c.hold(e, false, 0)
 	case e.silent > 0:
 		c.hold(e, false, 0)
+	case e.wantLook:
+		e.wantLook = false
+		c.hold(e, e.claimed(), 0)
 	case len(e.runs) > 0:
 		c.hold(e, e.claimed(), c.waitFor(e))
 	case e.lastSeen > e.noted && c.now.Sub(e.idleFrom) >= noteAfter:
@@ -180,6 +183,7 @@
 	}
 	e.silent = 0
 	e.fences = 0
+	e.looked = e.holdSent
 	e.nextHold = time.Time{}
 	e.learnClock(c.now, in.Clock)
 	e.noted = max(e.noted, e.holdSeen)
--- a/dispatch/leased/lend.go
+++ b/dispatch/leased/lend.go
@@ -232,7 +232,7 @@
 		c.endGuestNow(j, t.runs, EndDone)
 		return true
 	}
-	if c.holdsAll(j.cell) {
+	if c.lookedSince(j.cell, j.arrived) {
 		c.endGuestNow(j, t.runs, EndNotRun)
 		return true
 	}
@@ -248,24 +248,31 @@
 	return slices.ContainsFunc(c.order, func(e *endpoint) bool { return e.Cell == cell && e.held && !e.dropped })
 }
 
-// holdsAll reports whether it is known what runs on all endpoints of a cell. A
-// new holder may have read of some endpoints only lately.
-func (c *Core) holdsAll(cell string) bool {
-	since, holds := c.cellSince[cell]
-	if !holds || c.now.Sub(since) < readTime {
+// lookedSince reports whether all endpoints of a cell have answered a look
+// that was sent after a time: then it is known what runs there. It asks those
+// that have not. A new holder may have read of some endpoints only lately.
+func (c *Core) lookedSince(cell string, since time.Time) bool {
+	held, holds := c.cellSince[cell]
+	if !holds || c.now.Sub(held) < readTime {
 		return false
 	}
-	any := false
+	known, all := false, true
 	for _, e := range c.order {
 		if e.Cell != cell || e.dropped {
 			continue
 		}
+		known = true
 		if !e.held {
-			return false
+			all = false
+			continue
+		}
+		if e.looked.Before(since) {
+			e.wantLook = true
+			c.touch(e)
+			all = false
 		}
-		any = true
 	}
-	return any
+	return known && all
 }
 
 func (c *Core) newGuest(g *Guest, ticket Ticket) *job {
