Start nothing right after the process stood still

Change: the boot clock is compared right before starts are sent; after a freeze they are taken back and nothing is started for 0.25 s.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -46,6 +46,7 @@
 	bound     int                 // no usable endpoint has more free, in thousandths of a core
 	touched   []*endpoint         // whose Holds may be due
 	queueTime time.Duration       // that what waits takes to be served
+	quietTill time.Time           // nothing is started before
 	// fixedOrder keeps the queue's order, for tests that compare orders.
 	fixedOrder bool
 	out        Actions
@@ -100,6 +101,8 @@
 		c.holdReply(in)
 	case *LendReply:
 		c.lendReply(in)
+	case *Pause:
+		c.quietTill = c.now.Add(in.For)
 	case *Tick:
 		c.tick()
 	}
--- a/dispatch/leased/faults_test.go
+++ b/dispatch/leased/faults_test.go
@@ -295,6 +295,24 @@
 	}
 }
 
+// A process that stood still finds requests that were withdrawn meanwhile: it
+// reads the withdrawals first.
+func TestNothingIsStartedRightAfterAFreeze(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 2)
+	w.run(100 * time.Millisecond)
+	w.step(0, &leased.Pause{For: 250 * time.Millisecond})
+	w.submit(0, "j", 2, 27_000, 60*time.Millisecond, 5*time.Second)
+	w.run(340 * time.Millisecond)
+	if w.started["j"] {
+		t.Error("a job was started right after the freeze")
+	}
+	w.run(600 * time.Millisecond)
+	if a := w.answers["j"]; a.Verdict != leased.Completed {
+		t.Errorf("answer %+v, want completed after the pause", a)
+	}
+}
+
 // A holder that stood still while another one had its endpoints is asked for a
 // run of that other one. What it knew before is no answer.
 func TestHolderThatStoodStillLooksBeforeItAnswers(t *testing.T) {
--- a/dispatch/leased/lend.go
+++ b/dispatch/leased/lend.go
@@ -189,6 +189,7 @@
 		return
 	}
 	e, fits := c.bestFor(t, nil)
+	fits = fits && !c.now.Before(c.quietTill)
 	if g.Wait && c.holdsAny(g.Cell) && c.runs[t.id] == nil && (!fits || c.waiting.len() > 0) {
 		c.guests[t.id] = j
 		t.runs = g.Run - 1
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -64,6 +64,10 @@
 	Saved  string
 }
 
+// Pause says that this process stood still. Nothing is started for a while:
+// what waits here may have been withdrawn meanwhile.
+type Pause struct{ For time.Duration }
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -76,6 +80,7 @@
 func (*StopReply) isInput()    {}
 func (*HoldReply) isInput()    {}
 func (*LendReply) isInput()    {}
+func (*Pause) isInput()        {}
 func (*Tick) isInput()         {}
 
 // StartResult is an endpoint's answer to a Start.
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -18,7 +18,7 @@
 // place starts waiting tasks where there is room, the most urgent job first.
 func (c *Core) place() {
 	c.seekAll()
-	if c.waiting.len() == 0 {
+	if c.waiting.len() == 0 || c.now.Before(c.quietTill) {
 		return
 	}
 	if max(c.bound, c.largestRoom()) < c.least {
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -18,6 +18,9 @@
 const (
 	queueLength = 8192 // messages
 	idleTick    = 60 * time.Millisecond
+	// wakePause is how long withdrawals that came during a freeze may take to
+	// be read.
+	wakePause = 250 * time.Millisecond
 	// assignInterval is how often holdings are looked at without any news:
 	// failure domains become empty as time passes.
 	assignInterval = 250 * time.Millisecond
@@ -127,17 +130,45 @@
 
 func (l *Loop) tick() {
 	now := time.Now()
-	if gap := l.clocks.gap(); gap > freezeLimit {
-		l.log.Warn("process_stood_still", zap.Duration("gap_ms", gap))
-		l.roster.Woke(now)
-		l.dirty = true
-	}
+	l.stoodStill()
 	l.refresh(now)
 	l.step(&leased.Tick{})
 	l.sendBeats(now)
 	l.publish()
 }
 
+// stoodStill finds out whether the process was frozen since the last look. If
+// so, what it knows of others is old and nothing is started for a while.
+func (l *Loop) stoodStill() bool {
+	gap := l.clocks.gap()
+	if gap <= freezeLimit {
+		return false
+	}
+	l.log.Warn("process_stood_still", zap.Duration("gap_ms", gap))
+	l.roster.Woke(time.Now())
+	l.dirty = true
+	l.send(coreInput{&leased.Pause{For: wakePause}})
+	return true
+}
+
+// startAll sends orders to start, unless the process has just stood still:
+// then they were decided on what may no longer hold.
+func (l *Loop) startAll(starts []leased.Start) {
+	if len(starts) == 0 {
+		return
+	}
+	if l.stoodStill() {
+		for i := range starts {
+			s := &starts[i]
+			l.send(coreInput{&leased.StartReply{Endpoint: s.Endpoint, Task: s.Task, Run: s.Run, Result: leased.StartNotSent}})
+		}
+		return
+	}
+	for i := range starts {
+		l.start(starts[i])
+	}
+}
+
 // refresh takes the newest view of the entries, and the endpoints that follow
 // from it.
 func (l *Loop) refresh(now time.Time) {
@@ -239,9 +270,7 @@
 // step feeds the core and carries out what it decides.
 func (l *Loop) step(in leased.Input) {
 	out := l.core.Step(time.Now(), in)
-	for i := range out.Starts {
-		l.start(out.Starts[i])
-	}
+	l.startAll(out.Starts)
 	for i := range out.Stops {
 		l.stop(out.Stops[i])
 	}
