Stop starts that were given up, before they are carried out

Cause: late-and-reborn: a start to an endpoint that had crashed got no answer and was given up; the endpoint started again and carried the order out up to 12 s later with its lease counted from then, while the task ran elsewhere. Change: as soon as the endpoint answers again such runs are stopped by number; an endpoint refuses a run that was stopped before it came.

--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -62,12 +62,15 @@
 	touched  bool      // its Hold may be due
 	looked   time.Time // when the newest Hold that was answered was sent
 	wantLook bool      // a Hold that does not wait is due
-	dropped  bool      // no longer announced: kept until nothing runs
-	runs     map[TaskID]*run
-	used     Demand
-	orphans  int   // runs whose demand is not known
-	lastSeen int64 // number of the newest end that was listed
-	noted    int64 // number that the newest answered Hold took note of
+	// unresolved are starts that were given up without an answer: they may be
+	// carried out yet, also by a later incarnation.
+	unresolved []unresolved
+	dropped    bool // no longer announced: kept until nothing runs
+	runs       map[TaskID]*run
+	used       Demand
+	orphans    int   // runs whose demand is not known
+	lastSeen   int64 // number of the newest end that was listed
+	noted      int64 // number that the newest answered Hold took note of
 
 	clock     time.Duration // of the endpoint at clockAt
 	clockAt   time.Time     // zero: unknown
--- a/dispatch/leased/faults_test.go
+++ b/dispatch/leased/faults_test.go
@@ -295,6 +295,31 @@
 	}
 }
 
+// A start to an endpoint that has crashed is given up; the endpoint starts
+// again and the order reaches it late. It must have been stopped by then.
+func TestStartThatWasGivenUpIsStoppedBeforeItIsCarriedOut(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 2)
+	w.run(100 * time.Millisecond)
+	w.cut["e00"], w.cut["e01"] = true, true
+	w.submit(0, "j", 1, 27_000, 60*time.Millisecond, 20*time.Second)
+	w.run(3 * time.Second)
+	for id, e := range w.endpoints {
+		e.Restart(5)
+		w.cut[id] = false
+	}
+	w.run(5 * time.Second)
+	for id, e := range w.endpoints {
+		late := leased.Start{Endpoint: id, Task: leased.TaskID{Job: "j"}, Run: 1, Until: w.now + maxLease, Token: 1 << 40}
+		if id != "e00" {
+			continue
+		}
+		if r := e.Start(w.now, &late); r.Result == leased.StartAccepted {
+			t.Errorf("the late order was carried out on %s", id)
+		}
+	}
+}
+
 // A process that stood still finds requests that were withdrawn meanwhile: it
 // reads the withdrawals first.
 func TestNothingIsStartedRightAfterAFreeze(t *testing.T) {
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -195,6 +195,7 @@
 		c.ended(e, &in.Ended[i])
 	}
 	c.listed(e, in.Running, in.More)
+	c.stopUnresolved(e)
 	for _, r := range e.runs {
 		if r.mute && r.state == starting {
 			c.stop(e, r, "its start got no answer")
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -144,8 +144,35 @@
 	}
 }
 
+// unresolved is a start that may be carried out late.
+type unresolved struct {
+	task TaskID
+	run  int
+	at   time.Time
+}
+
+// lateTime is how much later an order without an answer may be carried out.
+const lateTime = 13 * time.Second
+
+// stopUnresolved stops starts that were given up, before they are carried out.
+// An endpoint refuses a run that was stopped before it came.
+func (c *Core) stopUnresolved(e *endpoint) {
+	for _, u := range e.unresolved {
+		if c.now.Sub(u.at) > lateTime || c.runs[u.task] != nil && c.runs[u.task].endpoint == e {
+			continue
+		}
+		c.out.Stops = append(c.out.Stops, Stop{
+			Endpoint: e.ID, Address: e.Address, Task: u.task, Run: u.run, Token: e.token, Reason: "its start was given up without an answer",
+		})
+	}
+	e.unresolved = nil
+}
+
 // endRun removes a run and tells its task.
 func (c *Core) endRun(e *endpoint, r *run, end End, saved string) {
+	if r.confirmed.IsZero() && r.tries > 0 && end == EndLapsed {
+		e.unresolved = append(e.unresolved, unresolved{r.id, r.number, r.sent})
+	}
 	c.forgetRun(e, r)
 	t := r.task
 	if t == nil {
