Write the log in pieces that a pipe takes whole

Cause: while a double run was traced, most lines of the entries that mattered were missing: a flush of more than 8 KB in one write was cut in its middle by what reads it. Writes beyond 4096 bytes to a pipe are not atomic either, so lines of processes that share one can mix.

Change: flush whole lines in writes of 4096 bytes at most.

Test: TestWritesHoldWholeLinesThatAPipeTakesAtOnce.

--- a/fleet/eventlog/eventlog.go
+++ b/fleet/eventlog/eventlog.go
@@ -3,6 +3,7 @@
 package eventlog
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,9 @@
 	failuresPerSecond = 600
 	flushInterval     = 250 * time.Millisecond
 	maxBuffered       = 512 << 10 // bytes
+	// maxWrite is the size up to which a pipe takes a write whole, so that
+	// lines of processes that share one do not mix.
+	maxWrite = 4096
 )
 
 // Log is a logger with its writer.
@@ -162,10 +166,29 @@
 	if len(lines) == 0 {
 		return
 	}
-	// A log that cannot be written has no other place to say so.
-	if _, err := w.out.Write(lines); err != nil {
-		w.dropped.Add(1)
+	for len(lines) > 0 {
+		n := wholeLines(lines, maxWrite)
+		// A log that cannot be written has no other place to say so.
+		if _, err := w.out.Write(lines[:n]); err != nil {
+			w.dropped.Add(1)
+		}
+		lines = lines[n:]
+	}
+}
+
+// wholeLines returns the length of the lines at the start of data that fit into
+// a size, or of the first line if that alone is longer.
+func wholeLines(data []byte, size int) int {
+	if len(data) <= size {
+		return len(data)
+	}
+	if end := bytes.LastIndexByte(data[:size], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(data, '\n'); end >= 0 {
+		return end + 1
 	}
+	return len(data)
 }
 
 func (w *writer) close() {
--- /dev/null
+++ b/fleet/eventlog/eventlog_test.go
@@ -0,0 +1,43 @@
+package eventlog
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// chunks records each write.
+type chunks struct{ writes [][]byte }
+
+func (c *chunks) Write(data []byte) (int, error) {
+	c.writes = append(c.writes, bytes.Clone(data))
+	return len(data), nil
+}
+
+func TestWritesHoldWholeLinesThatAPipeTakesAtOnce(t *testing.T) {
+	out := &chunks{}
+	log := New(out, zapcore.InfoLevel)
+	const lines = 100
+	for range lines {
+		log.Info("placed", zap.String("reason", strings.Repeat("x", 200)))
+	}
+	long := strings.Repeat("y", 2*maxWrite)
+	log.Info("long", zap.String("reason", long))
+	log.Close()
+	total := 0
+	for i, w := range out.writes {
+		total += bytes.Count(w, []byte("\n"))
+		if w[len(w)-1] != '\n' {
+			t.Errorf("write %d ends within a line", i)
+		}
+		if len(w) > maxWrite && bytes.Count(w, []byte("\n")) > 1 {
+			t.Errorf("write %d has %d bytes in several lines, want %d at most", i, len(w), maxWrite)
+		}
+	}
+	if total != lines+1 {
+		t.Errorf("%d lines were written, want %d", total, lines+1)
+	}
+}
