Wait for withdrawn runs that another holder has taken; notice freezes first

Change: a withdrawn run that is lost to another holder is remembered as one that may go on, for a job that has come again and for one that comes yet. The loop looks for a freeze before each message, not only at ticks, and drops its holdings at once; requests read right after a freeze wait until withdrawals that stand behind them have been read.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -38,7 +38,7 @@
 	adopting  []*job               // guests whose earlier runs are looked for
 	doneAlone map[TaskID]time.Time // ends of runs that nobody claimed
 	dropped   map[JobID]time.Time  // jobs that were withdrawn here
-	withdrawn map[TaskID]time.Time // lent tasks that were withdrawn
+	withdrawn map[TaskID]time.Time // withdrawn tasks that may go on under other holders
 	cellSince map[string]time.Time // since when the endpoints of a cell are held
 	rooms     []Room
 	learned   map[string]*average // run time ÷ estimate, by queue
--- a/dispatch/leased/faults_test.go
+++ b/dispatch/leased/faults_test.go
@@ -206,6 +206,50 @@
 	}
 }
 
+// A withdrawn run whose order to stop is lost goes on under another holder.
+// The job comes again: its task must not start until that run has ended.
+func TestWithdrawnRunThatAnotherHolderTakesIsNotStartedAgainAtOnce(t *testing.T) {
+	for name, resubmitFirst := range map[string]bool{"resubmitted before": true, "resubmitted after": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1, 2)
+			w.addEndpoints(0, 2)
+			w.insist = false
+			w.run(100 * time.Millisecond)
+			ticket := w.submitAs(0, longJob("j"), 900*time.Millisecond)
+			w.run(200 * time.Millisecond)
+			w.lose = 1
+			w.step(0, &leased.Cancel{Ticket: ticket})
+			w.lose = 0
+			again := longJob("j")
+			again.Resubmitted = true
+			if resubmitFirst {
+				w.submitAs(0, again, 900*time.Millisecond)
+			}
+			w.run(220 * time.Millisecond)
+			w.addEndpoints(0, 1) // room for a second run
+			w.owner["e00"], w.owner["e01"] = 1, 1
+			w.announce()
+			w.run(400 * time.Millisecond)
+			if !resubmitFirst {
+				w.submitAs(0, again, 900*time.Millisecond)
+			}
+			w.run(8 * time.Second)
+			w.wantNoDouble()
+			if a := w.answers["j"]; a.Verdict != leased.Completed {
+				t.Errorf("answer %+v, want completed", a)
+			}
+		})
+	}
+}
+
+// longJob is a job of one task that takes a good part of a second.
+func longJob(id leased.JobID) leased.Job {
+	return leased.Job{
+		ID: id, Service: "s", Queue: "q", MaxAttempts: 2, Stretch: 1.6, Slack: 60 * time.Millisecond, Patience: 6 * time.Second,
+		Steps: []leased.Step{{Tasks: 1, Demand: leased.Demand{MilliCores: 27_000, MemoryMiB: 64}, Estimate: 900 * time.Millisecond}},
+	}
+}
+
 // The first copy of a start is held up; the second one is refused for want of
 // room; then the first one is carried out.
 func TestRefusalOfASecondCopyIsNoProof(t *testing.T) {
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -256,6 +256,7 @@
 	t := r.task
 	c.forgetRun(e, r)
 	if t == nil {
+		c.loseWithdrawn(r.id, e.Cell)
 		return
 	}
 	if t.job.guest {
@@ -268,6 +269,19 @@
 	c.wait(t.job)
 }
 
+// loseWithdrawn leaves a run to another holder whose job was withdrawn: its
+// order to stop may have been lost. If the job has come again, or comes again,
+// its task waits until that run has ended.
+func (c *Core) loseWithdrawn(id TaskID, cell string) {
+	c.withdrawn[id] = c.now
+	t := c.claimant(id)
+	if t == nil {
+		return
+	}
+	t.notBefore = later(t.notBefore, c.now.Add(c.opts.MaxLease+clockSlack))
+	c.seek(t, cell)
+}
+
 // reborn begins anew with another incarnation of the endpoint. Runs of the
 // earlier one are over, but a start may already have reached the new one: the
 // next list tells which.
--- a/fleet/clocks.go
+++ b/fleet/clocks.go
@@ -1,34 +1,72 @@
 package fleet
 
 import (
+	"sync"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 )
 
-// clocks finds out for how long the process stood still: the steady clock does
-// not count that time, the boot clock does.
-type clocks struct {
+// freezeLimit is by how much the clocks may differ before it counts as a
+// freeze: far more than the time between reading one and the other.
+const freezeLimit = 250 * time.Millisecond
+
+// freezeWatch finds out whether the process stood still: the steady clock does
+// not count that time, the boot clock does. It is safe for concurrent use.
+type freezeWatch struct {
+	read func() (steady time.Time, boot time.Duration)
+	log  *zap.Logger
+
+	mu     sync.Mutex
 	steady time.Time
 	boot   time.Duration
+	woke   time.Time
 }
 
-func startClocks() clocks { return clocks{steady: time.Now(), boot: bootTime()} }
+func newFreezeWatch(read func() (time.Time, time.Duration), log *zap.Logger) *freezeWatch {
+	w := &freezeWatch{read: read, log: log}
+	w.steady, w.boot = read()
+	return w
+}
 
-// gap returns for how long the process stood still since the last call.
-func (c *clocks) gap() time.Duration {
-	now := startClocks()
-	gap := now.boot - c.boot - now.steady.Sub(c.steady)
-	*c = now
-	return gap
+// look returns when the process last woke up from a freeze; zero: never.
+func (w *freezeWatch) look() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	steady, boot := w.read()
+	gap := boot - w.boot - steady.Sub(w.steady)
+	w.steady, w.boot = steady, boot
+	if gap > freezeLimit {
+		w.woke = steady
+		w.log.Warn("process_stood_still", zap.Duration("gap_ms", gap))
+	}
+	return w.woke
 }
 
-// bootTime returns the boot clock. It cannot fail for a clock that the kernel
-// knows; a kernel without it reports no freezes.
-func bootTime() time.Duration {
+// rest returns for how long from now what was read before a freeze may still
+// come in ahead of its withdrawal.
+func (w *freezeWatch) rest() time.Duration {
+	woke := w.look()
+	if woke.IsZero() {
+		return 0
+	}
+	return wakePause - w.steadySince(woke)
+}
+
+func (w *freezeWatch) steadySince(t time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.steady.Sub(t)
+}
+
+// readClocks returns the steady clock and the boot clock. Reading the latter
+// cannot fail for a clock that the kernel knows; a kernel without it reports
+// no freezes.
+func readClocks() (time.Time, time.Duration) {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return 0
+		return time.Now(), 0
 	}
-	return time.Duration(ts.Nano())
+	return time.Now(), time.Duration(ts.Nano())
 }
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -24,8 +24,7 @@
 	// assignInterval is how often holdings are looked at without any news:
 	// failure domains become empty as time passes.
 	assignInterval = 250 * time.Millisecond
-	freezeLimit    = 250 * time.Millisecond // by which the clocks may differ before it counts as a freeze
-	roomsMinFree   = 1000                   // thousandths of a core; less is not announced
+	roomsMinFree   = 1000 // thousandths of a core; less is not announced
 )
 
 // Snapshot is an immutable picture of the control state.
@@ -52,7 +51,7 @@
 	beats     *beats
 	in        chan message
 	snapshot  atomic.Pointer[Snapshot]
-	clocks    clocks
+	freezes   *freezeWatch
 
 	// Owned by the goroutine in run.
 	core       *leased.Core
@@ -71,6 +70,7 @@
 	guests     map[leased.Ticket]chan leased.GuestAnswer
 	lends      map[leased.TaskID]context.CancelFunc
 	stopping   bool
+	woke       time.Time // the latest end of a freeze that was dealt with
 }
 
 // announced is the free room of a cell as its holder has told.
@@ -80,9 +80,9 @@
 	free   []int
 }
 
-func newLoop(s Settings, self cells.Entry, endpoints Endpoints, log *zap.Logger, m *metrics, p *peers) *Loop {
+func newLoop(s Settings, self cells.Entry, endpoints Endpoints, log *zap.Logger, m *metrics, p *peers, f *freezeWatch) *Loop {
 	l := &Loop{
-		settings: s, log: log, metrics: m, endpoints: endpoints, peers: p,
+		settings: s, log: log, metrics: m, endpoints: endpoints, peers: p, freezes: f,
 		in:      make(chan message, queueLength),
 		roster:  cells.New(self, time.Now()),
 		held:    make(map[leased.EndpointID]bool),
@@ -104,7 +104,6 @@
 func (l *Loop) send(m message) { l.in <- m }
 
 func (l *Loop) run(ctx context.Context) {
-	l.clocks = startClocks()
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
 	for {
@@ -112,14 +111,22 @@
 		case <-ctx.Done():
 			return
 		case m := <-l.in:
-			m.handle(l)
+			l.take(m)
 		case <-timer.C:
+			l.noticeFreeze()
 			l.tick()
 			timer.Reset(l.untilTick())
 		}
 	}
 }
 
+// take handles a message. What it says may be from before a freeze, so that is
+// noticed first.
+func (l *Loop) take(m message) {
+	l.noticeFreeze()
+	m.handle(l)
+}
+
 func (l *Loop) untilTick() time.Duration {
 	s := l.core.Status()
 	if s.Jobs > 0 || s.Running > 0 {
@@ -130,34 +137,37 @@
 
 func (l *Loop) tick() {
 	now := time.Now()
-	l.stoodStill()
 	l.refresh(now)
 	l.step(&leased.Tick{})
 	l.sendBeats(now)
 	l.publish()
 }
 
-// stoodStill finds out whether the process was frozen since the last look. If
-// so, what it knows of others is old and nothing is started for a while.
-func (l *Loop) stoodStill() bool {
-	gap := l.clocks.gap()
-	if gap <= freezeLimit {
-		return false
+// noticeFreeze finds out whether the process stood still. If so, what it knows
+// of others is old: it holds nothing until it has heard them again, and starts
+// nothing for a while.
+func (l *Loop) noticeFreeze() {
+	if !l.justWoke() {
+		return
 	}
-	l.log.Warn("process_stood_still", zap.Duration("gap_ms", gap))
+	l.woke = l.freezes.look()
 	l.roster.Woke(time.Now())
+	l.step(&leased.Pause{For: wakePause})
 	l.dirty = true
-	l.send(coreInput{&leased.Pause{For: wakePause}})
-	return true
+	l.refresh(time.Now())
+	l.publish()
 }
 
+// justWoke reports a freeze that was not dealt with yet.
+func (l *Loop) justWoke() bool { return !l.freezes.look().Equal(l.woke) }
+
 // startAll sends orders to start, unless the process has just stood still:
 // then they were decided on what may no longer hold.
 func (l *Loop) startAll(starts []leased.Start) {
 	if len(starts) == 0 {
 		return
 	}
-	if l.stoodStill() {
+	if l.justWoke() {
 		for i := range starts {
 			s := &starts[i]
 			l.send(coreInput{&leased.StartReply{Endpoint: s.Endpoint, Task: s.Task, Run: s.Run, Result: leased.StartNotSent}})
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -44,7 +44,7 @@
 	}
 	p := &Process{settings: s, log: log.Logger, metrics: m}
 	p.peers = newPeers(self.Incarnation, log.Logger)
-	p.loop = newLoop(s, self, endpoints, log.Logger, m, p.peers)
+	p.loop = newLoop(s, self, endpoints, log.Logger, m, p.peers, newFreezeWatch(readClocks, log.Logger))
 	p.beats = newBeats(conn, s, log.Logger)
 	p.loop.beats = p.beats
 	p.peers.report = p.loop.send
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -191,6 +191,9 @@
 	deadline := began.Add(job.Patience)
 	lost := time.Time{}
 	pause := holderPause
+	if rest := s.loop.freezes.rest(); rest > 0 && !pauseFor(ctx, rest) {
+		return s.abandoned() // its caller left during the freeze
+	}
 	for {
 		latest := s.loop.Latest()
 		holder, ok := holderFor(latest)
