--- a/dispatch/leased/faults_test.go
+++ b/dispatch/leased/faults_test.go
@@ -458,8 +458,8 @@
 }
 
 // TestNoTaskRunsTwiceUnderRandomFaults plays cuts, hangs, restarts, orders that
-// are carried out late, changes of holder and cancels, and checks that no task
-// ever has two runs at work.
+// are carried out late, changes of holder, and jobs that are withdrawn and come
+// again, and checks that no task ever has two runs at work.
 func TestNoTaskRunsTwiceUnderRandomFaults(t *testing.T) {
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -486,7 +486,7 @@
 	for at := 500 * time.Millisecond; at < until; at += 400 * time.Millisecond {
 		id := w.specs[w.rng.IntN(len(w.specs))].ID
 		length := time.Duration(w.rng.Int64N(int64(2 * time.Second)))
-		kind := w.rng.IntN(4)
+		kind := w.rng.IntN(5)
 		w.at(at, func() { w.fault(kind, id, length) })
 	}
 }
@@ -505,5 +505,22 @@
 	case 3:
 		w.owner[id] = w.rng.IntN(2)
 		w.announce()
+	case 4:
+		w.withdrawOne(time.Duration(w.rng.Int64N(int64(200 * time.Millisecond))))
+	}
+}
+
+// withdrawOne withdraws the newest job without an answer; it comes again to the
+// same core after some time.
+func (w *world) withdrawOne(pause time.Duration) {
+	for ticket := w.tickets; ticket > 0; ticket-- {
+		s, known := w.submitted[ticket]
+		if _, answered := w.answers[s.job.ID]; !known || answered {
+			continue
+		}
+		w.step(s.core, &leased.Cancel{Ticket: ticket})
+		s.job.Resubmitted = true
+		w.after(pause, func() { w.submitAs(s.core, s.job, w.work[s.job.ID].Time) })
+		return
 	}
 }
