Notice a process that was stopped while its VM went on

The entry went on with requests and a queue from before, lent a task of a withdrawn job, and was stopped 50 ms later.

Change: the loop looks at its clocks at each message and tick; no look for as long as others wait before they take an entry for gone counts as a freeze, too.

Tests that fail without: TestStoppedProcessIsFoundByItsMissingLooks, TestEntryThatWakesUp... with a stopped process.

--- a/fleet/clocks.go
+++ b/fleet/clocks.go
@@ -12,8 +12,10 @@
 // freeze: far more than the time between reading one and the other.
 const freezeLimit = 250 * time.Millisecond
 
-// freezeWatch finds out whether the process stood still: the steady clock does
-// not count that time, the boot clock does. It is safe for concurrent use.
+// freezeWatch finds out whether the process stood still. Where the whole VM did,
+// the steady clock does not count that time and the boot clock does; where only
+// the process did, no look comes for long, though the loop looks at each tick.
+// It is safe for concurrent use.
 type freezeWatch struct {
 	read func() (steady time.Time, boot time.Duration)
 	log  *zap.Logger
@@ -22,6 +24,14 @@
 	steady time.Time
 	boot   time.Duration
 	woke   time.Time
+	limit  time.Duration // longest time between two looks; 0: any
+}
+
+// expect tells after how long without a look others take this process for gone.
+func (w *freezeWatch) expect(limit time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = limit
 }
 
 func newFreezeWatch(read func() (time.Time, time.Duration), log *zap.Logger) *freezeWatch {
@@ -35,11 +45,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	steady, boot := w.read()
-	gap := boot - w.boot - steady.Sub(w.steady)
+	passed := steady.Sub(w.steady)
+	gap := boot - w.boot - passed
 	w.steady, w.boot = steady, boot
-	if gap > freezeLimit {
+	if gap > freezeLimit || w.limit > 0 && passed > w.limit {
 		w.woke = steady
-		w.log.Warn("process_stood_still", zap.Duration("gap_ms", gap))
+		w.log.Warn("process_stood_still", zap.Duration("unseen_ms", gap), zap.Duration("since_last_look_ms", passed))
 	}
 	return w.woke
 }
--- a/fleet/clocks_test.go
+++ b/fleet/clocks_test.go
@@ -48,6 +48,23 @@
 	}
 }
 
+// A process that stands still while its VM goes on finds its clocks in step.
+func TestStoppedProcessIsFoundByItsMissingLooks(t *testing.T) {
+	clocks := &fakeClocks{steady: time.Now()}
+	w := newFreezeWatch(clocks.read, zap.NewNop())
+	w.expect(450 * time.Millisecond)
+	for range 10 {
+		clocks.pass(400 * time.Millisecond)
+		if woke := w.look(); !woke.IsZero() {
+			t.Fatalf("it looked often enough: woke at %v", woke)
+		}
+	}
+	clocks.pass(2 * time.Second)
+	if woke := w.look(); !woke.Equal(clocks.steady) {
+		t.Errorf("after it was stopped: woke at %v, want %v", woke, clocks.steady)
+	}
+}
+
 // recordedEndpoints notes the orders that it is given and answers none.
 type recordedEndpoints struct{ holds chan leased.Hold }
 
@@ -65,6 +82,14 @@
 // An entry that wakes up finds that another one has fenced it off. Its picture
 // of the entries is from before the freeze: it must not take the endpoint back.
 func TestEntryThatWakesUpDoesNotTakeEndpointsBack(t *testing.T) {
+	stop := func(c *fakeClocks) { c.pass(3 * time.Second) }
+	freeze := func(c *fakeClocks) { c.freeze(3 * time.Second) }
+	for name, sleep := range map[string]func(*fakeClocks){"process stopped": stop, "VM frozen": freeze} {
+		t.Run(name, func(t *testing.T) { testWakeUp(t, sleep) })
+	}
+}
+
+func testWakeUp(t *testing.T, sleep func(*fakeClocks)) {
 	clocks := &fakeClocks{steady: time.Now()}
 	self := cells.Entry{Name: "a1", FailureDomain: "a", Incarnation: 1, Weight: 1}
 	endpoints := recordedEndpoints{make(chan leased.Hold, 100)}
@@ -73,11 +98,16 @@
 		newMetrics(func() float64 { return 0 }), newPeers(self.Incarnation, log), newFreezeWatch(clocks.read, log))
 	l.roster = cells.New(self, time.Now().Add(-time.Minute))
 	l.take(setDirectory{Directory{Endpoints: []leased.Endpoint{{ID: "e1", Address: "e1", FailureDomain: "a"}}}})
+	l.beats = &beats{}
 	l.refresh(time.Now())
+	l.expectLooks()
 	first := <-endpoints.holds
-	clocks.freeze(3 * time.Second)
+	sleep(clocks)
 	l.take(coreInput{&leased.HoldReply{Endpoint: "e1", Sequence: first.Sequence, Result: leased.HoldFenced}})
 	l.take(coreInput{&leased.Tick{}})
+	if l.freezes.rest() <= 0 {
+		t.Error("callers' requests are not held back")
+	}
 	select {
 	case h := <-endpoints.holds:
 		t.Errorf("the endpoint was taken back with token %d", h.Token)
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -104,6 +104,8 @@
 func (l *Loop) send(m message) { l.in <- m }
 
 func (l *Loop) run(ctx context.Context) {
+	l.freezes.look()
+	l.expectLooks()
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
 	for {
@@ -158,6 +160,9 @@
 	l.publish()
 }
 
+// expectLooks sets how long the process may go without a look at its clocks.
+func (l *Loop) expectLooks() { l.freezes.expect(cells.Silence(l.interval())) }
+
 // justWoke reports a freeze that was not dealt with yet.
 func (l *Loop) justWoke() bool { return !l.freezes.look().Equal(l.woke) }
 
@@ -186,6 +191,7 @@
 	l.view = l.roster.View(now)
 	if !sameEntries(previous, l.view) {
 		l.dirty = true
+		l.expectLooks()
 		l.noteEntries(previous, l.view)
 	}
 	if l.yielded && !l.view.Isolated {
--- a/membership/cells/cells.go
+++ b/membership/cells/cells.go
@@ -141,13 +141,19 @@
 func (r *Roster) Woke(now time.Time) { r.began = now }
 
 func (r *Roster) live(now time.Time, m *member) bool {
-	limit := max(minSilence, missedBeats*m.Interval)
+	limit := Silence(m.Interval)
 	if m.suspect {
 		limit = max(suspectSilence, suspectBeats*m.Interval)
 	}
 	return now.Sub(m.heard) <= limit
 }
 
+// Silence returns how long an entry that sends heartbeats in an interval may be
+// silent before others take it for gone.
+func Silence(interval time.Duration) time.Duration {
+	return max(minSilence, missedBeats*interval)
+}
+
 // View is an immutable picture of the entries.
 type View struct {
 	Self    Entry
