Search for room side by side, and name a run's endpoint in the run

Change: the free cores of all endpoints stand in one slice; the first job of a class is cut off the list; runs know their endpoint, so their second record goes; runs missing from a list are found by the list's number. The benchmark submits in batches of 500: 2,000 jobs wait at least, so it is no easier.

--- a/dispatch/leased/bench_test.go
+++ b/dispatch/leased/bench_test.go
@@ -40,11 +40,18 @@
 
 func benchmarkPlacement(b *testing.B, endpoints int) {
 	core, now := heldCore(b, endpoints)
-	var running []leased.Start
+	var running []leased.Start // as many as fit
+	slot := 0                  // of the run that ended last, which the next one takes
 	holds := make(map[leased.EndpointID]uint64)
 	ends := make(map[leased.EndpointID]int64)
 	take := func(out *leased.Actions) {
-		running = append(running, out.Starts...)
+		for _, s := range out.Starts {
+			if len(running) < 2*endpoints {
+				running = append(running, s)
+				continue
+			}
+			running[slot] = s
+		}
 		for _, h := range out.Holds {
 			holds[h.Endpoint] = h.Sequence
 		}
@@ -56,6 +63,9 @@
 			Steps: []leased.Step{{Tasks: 1, Demand: leased.Demand{MilliCores: 27_000, MemoryMiB: 64}, Estimate: 60 * time.Millisecond}},
 		}}))
 	}
+	// Jobs are submitted in batches, as stopping the timer stops the world and
+	// empties caches: 2,000 wait at least.
+	const batch = 500
 	n := 0
 	for range 2*endpoints + 2000 {
 		n++
@@ -64,14 +74,19 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := 0; b.Loop(); i++ {
-		s := running[i]
+		if i%batch == 0 {
+			b.StopTimer()
+			for range batch {
+				n++
+				submit(n)
+			}
+			b.StartTimer()
+		}
+		slot = i % len(running)
+		s := &running[slot]
 		ends[s.Endpoint]++
 		reply := leased.HoldReply{Endpoint: s.Endpoint, Sequence: holds[s.Endpoint], Clock: time.Second, More: true,
 			Ended: []leased.Ended{{Number: ends[s.Endpoint], Task: s.Task, Run: s.Run}}}
 		take(core.Step(now, &reply))
-		b.StopTimer()
-		n++
-		submit(n)
-		b.StartTimer()
 	}
 }
--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -34,7 +34,8 @@
 	tickets   map[Ticket]*job
 	waiting   queue   // jobs with tasks that wait for a place
 	seeking   []*task // whose earlier runs are to be asked for
-	runs      map[TaskID]*placed
+	runs      map[TaskID]*run
+	room      *roomIndex
 	adopting  []*job               // guests whose earlier runs are looked for
 	doneAlone map[TaskID]time.Time // ends of runs that nobody claimed
 	dropped   map[JobID]time.Time  // jobs that were withdrawn here
@@ -52,12 +53,6 @@
 	out        Actions
 }
 
-// placed is where a run is.
-type placed struct {
-	endpoint *endpoint
-	run      *run
-}
-
 // New returns a core that holds nothing.
 func New(opts Options) *Core {
 	return &Core{
@@ -68,7 +63,8 @@
 		jobs:      make(map[JobID]*job),
 		guests:    make(map[TaskID]*job),
 		tickets:   make(map[Ticket]*job),
-		runs:      make(map[TaskID]*placed),
+		runs:      make(map[TaskID]*run),
+		room:      &roomIndex{},
 		doneAlone: make(map[TaskID]time.Time),
 		dropped:   make(map[JobID]time.Time),
 		cellSince: make(map[string]time.Time),
@@ -177,11 +173,12 @@
 	e := c.endpoints[spec.ID]
 	defer func() { c.touch(c.endpoints[spec.ID]) }()
 	if e == nil {
-		e = &endpoint{Endpoint: spec, runs: make(map[TaskID]*run), idleFrom: c.now}
+		e = &endpoint{Endpoint: spec, runs: make(map[TaskID]*run), idleFrom: c.now, room: c.room}
 		e.token = c.opts.NextToken(0)
 		c.endpoints[spec.ID] = e
 		c.order = append(c.order, e)
 		slices.SortFunc(c.order, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
+		c.room.rebuild(c.order)
 		c.peersOf(e).Endpoints++
 		c.out.Notes = append(c.out.Notes, e.note("endpoint_added", ""))
 		return
@@ -192,6 +189,7 @@
 	born := max(e.Born, spec.Born)
 	e.Endpoint = spec
 	e.Born = born
+	e.room.note(e)
 }
 
 // forgetDropped removes dropped endpoints on which nothing runs.
@@ -209,6 +207,7 @@
 		delete(c.endpoints, e.ID)
 		return true
 	})
+	c.room.rebuild(c.order)
 }
 
 func (c *Core) peersOf(e *endpoint) *outlier.Peers {
--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -36,6 +36,7 @@
 type run struct {
 	id        TaskID
 	number    int
+	at        *endpoint
 	task      *task // nil: nobody claims it
 	state     runState
 	demand    Demand
@@ -47,6 +48,7 @@
 	seen      time.Time // claimless since
 	percent   int
 	listed    time.Time // when the percent was told
+	listedBy  uint64    // sequence of the newest Hold whose answer lists it
 	reason    string    // of the Stop
 	unknown   bool      // found on the endpoint: its demand is not known
 	stopped   time.Time // a Stop was answered; zero: not yet
@@ -68,6 +70,8 @@
 	dropped    bool // no longer announced: kept until nothing runs
 	runs       map[TaskID]*run
 	used       Demand
+	room       *roomIndex
+	position   int   // in the room index
 	orphans    int   // runs whose demand is not known
 	lastSeen   int64 // number of the newest end that was listed
 	noted      int64 // number that the newest answered Hold took note of
@@ -179,6 +183,7 @@
 func (e *endpoint) add(r *run) {
 	e.runs[r.id] = r
 	e.used = e.used.plus(r.demand)
+	e.room.note(e)
 	if r.unknown {
 		e.orphans++
 	}
@@ -187,6 +192,7 @@
 func (e *endpoint) remove(r *run) {
 	delete(e.runs, r.id)
 	e.used = e.used.minus(r.demand)
+	e.room.note(e)
 	if r.unknown {
 		e.orphans--
 	}
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -335,8 +335,8 @@
 // stopReply notes that an endpoint has read a Stop. The end follows in its
 // list, unless the run never was there.
 func (c *Core) stopReply(in *StopReply) {
-	p := c.runs[in.Task]
-	if in.Answered && p != nil && p.run.number == in.Run && p.run.state == stopping {
-		p.run.stopped = c.now
+	r := c.runs[in.Task]
+	if in.Answered && r != nil && r.number == in.Run && r.state == stopping {
+		r.stopped = c.now
 	}
 }
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -139,8 +139,8 @@
 	for s := range j.tasks {
 		for i := range j.tasks[s] {
 			t := &j.tasks[s][i]
-			if p := c.runs[t.id]; p != nil && p.run.task == nil && p.run.state == running {
-				c.adopt(t, p.endpoint, p.run)
+			if r := c.runs[t.id]; r != nil && r.task == nil && r.state == running {
+				c.adopt(t, r.at, r)
 				continue
 			}
 			if _, done := c.doneAlone[t.id]; done {
@@ -218,13 +218,13 @@
 // disown stops the run of a task that is not wanted any more. The endpoint's
 // room stays taken until the end is listed.
 func (c *Core) disown(t *task, reason string) {
-	p := c.runs[t.id]
-	if p == nil || p.run.task != t {
+	r := c.runs[t.id]
+	if r == nil || r.task != t {
 		return
 	}
-	c.stop(p.endpoint, p.run, reason)
-	p.run.task = nil
-	p.run.seen = c.now
+	c.stop(r.at, r, reason)
+	r.task = nil
+	r.seen = c.now
 }
 
 // finish ends a job for all its tickets.
--- a/dispatch/leased/lend.go
+++ b/dispatch/leased/lend.go
@@ -222,9 +222,9 @@
 	if t.state != waitingTask { // withdrawn meanwhile
 		return true
 	}
-	if p := c.runs[t.id]; p != nil {
-		if p.run.task == nil && p.run.state == running {
-			c.adopt(t, p.endpoint, p.run)
+	if r := c.runs[t.id]; r != nil {
+		if r.task == nil && r.state == running {
+			c.adopt(t, r.at, r)
 			return true
 		}
 		return false // it is being stopped
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -56,8 +56,8 @@
 // largestFree returns the most that one endpoint has free.
 func (c *Core) largestFree() int {
 	most := 0
-	for _, e := range c.order {
-		if free := e.Capacity.MilliCores - e.used.MilliCores; free > most && e.usable(c.now) {
+	for i, free := range c.room.free {
+		if free > most && c.order[i].usable(c.now) {
 			most = free
 		}
 	}
@@ -91,7 +91,11 @@
 	var best *endpoint
 	var bestCost time.Duration
 	expects := c.expect(t.job.Queue, t.step.Estimate)
-	for _, e := range c.order {
+	for i, free := range c.room.free {
+		if free < t.step.Demand.MilliCores {
+			continue
+		}
+		e := c.order[i]
 		if e == not || !c.suits(t, e) {
 			continue
 		}
@@ -177,7 +181,7 @@
 func (c *Core) start(t *task, e *endpoint) {
 	t.runs++
 	r := &run{
-		id: t.id, number: t.runs, task: t, demand: t.step.Demand,
+		id: t.id, number: t.runs, at: e, task: t, demand: t.step.Demand,
 		expects: time.Duration(float64(c.expect(t.job.Queue, t.step.Estimate)) * e.slowness()),
 	}
 	t.state = placedTask
@@ -185,6 +189,6 @@
 	c.begin(t.job)
 	e.add(r)
 	c.touch(e)
-	c.runs[t.id] = &placed{e, r}
+	c.runs[t.id] = r
 	c.sendStart(e, r)
 }
--- a/dispatch/leased/queue.go
+++ b/dispatch/leased/queue.go
@@ -104,6 +104,11 @@
 	}
 	j.queued = false
 	list := q.lists[j.class]
+	if len(list) > 0 && list[0] == j { // most often: nothing has to move up
+		list[0] = nil
+		q.lists[j.class] = list[1:]
+		return
+	}
 	at, found := slices.BinarySearchFunc(list, j, q.orders[j.class])
 	if found {
 		q.lists[j.class] = slices.Delete(list, at, at+1)
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -45,11 +45,12 @@
 
 // listed compares what an endpoint says it runs with what is known.
 func (c *Core) listed(e *endpoint, list []Running, more bool) {
-	present := make(map[TaskID]int, len(list))
 	for i := range list {
 		row := &list[i]
-		present[row.Task] = row.Run
 		r := e.runs[row.Task]
+		if r != nil {
+			r.listedBy = e.sequence
+		}
 		if r == nil || r.number < row.Run {
 			if r == nil {
 				c.found(e, row)
@@ -69,8 +70,7 @@
 		return
 	}
 	for _, r := range e.runs {
-		_, there := present[r.id]
-		if !there && (before(r.confirmed, e.holdSent) || before(r.stopped, e.holdSent)) {
+		if r.listedBy != e.sequence && (before(r.confirmed, e.holdSent) || before(r.stopped, e.holdSent)) {
 			c.out.Notes = append(c.out.Notes, e.note("run_vanished", "it is listed neither as running nor as ended"))
 			c.endRun(e, r, EndLapsed, "")
 		}
@@ -83,13 +83,13 @@
 // found notes a run that this core has not started: of an earlier holder, or
 // ordered long ago and carried out late.
 func (c *Core) found(e *endpoint, row *Running) {
-	r := &run{id: row.Task, number: row.Run, state: running, sent: c.now, began: c.now, listed: c.now, confirmed: c.now, seen: c.now, percent: row.Percent, unknown: true}
+	r := &run{id: row.Task, number: row.Run, at: e, listedBy: e.sequence, state: running, sent: c.now, began: c.now, listed: c.now, confirmed: c.now, seen: c.now, percent: row.Percent, unknown: true}
 	e.add(r)
 	if c.runs[row.Task] != nil {
 		c.stop(e, r, "the task runs elsewhere")
 		return
 	}
-	c.runs[row.Task] = &placed{e, r}
+	c.runs[row.Task] = r
 	if t := c.claimant(row.Task); t != nil {
 		c.adopt(t, e, r)
 	}
@@ -136,7 +136,7 @@
 // forgetRun removes a run from all books.
 func (c *Core) forgetRun(e *endpoint, r *run) {
 	e.remove(r)
-	if p := c.runs[r.id]; p != nil && p.run == r {
+	if c.runs[r.id] == r {
 		delete(c.runs, r.id)
 	}
 	if len(e.runs) == 0 {
@@ -158,7 +158,7 @@
 // An endpoint refuses a run that was stopped before it came.
 func (c *Core) stopUnresolved(e *endpoint) {
 	for _, u := range e.unresolved {
-		if c.now.Sub(u.at) > lateTime || c.runs[u.task] != nil && c.runs[u.task].endpoint == e {
+		if c.now.Sub(u.at) > lateTime || c.runs[u.task] != nil && c.runs[u.task].at == e {
 			continue
 		}
 		c.out.Stops = append(c.out.Stops, Stop{
