--- a/Makefile
+++ b/Makefile
@@ -51,8 +51,9 @@
 
 # Needs protoc; the generated code is committed.
 generate: tools
-	cd peer && PATH=$(BIN):$$PATH protoc --go_out=paths=source_relative:. \
-		--twirp_out=paths=source_relative:. peerpb/peer.proto fleetpb/fleet.proto
+	cd peer && for file in peerpb/peer.proto fleetpb/fleet.proto; do \
+		PATH=$(BIN):$$PATH protoc --go_out=paths=source_relative:. \
+			--twirp_out=paths=source_relative:. $$file || exit 1; done
 
 # Benchmarks of the decisions and of one entry; ends with one JSON line.
 bench:
--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -97,6 +97,10 @@
 		c.holdReply(in)
 	case *LendReply:
 		c.lendReply(in)
+	case *Reported:
+		c.reported(in)
+	case *Learned:
+		c.taskLearned(in.Task)
 	case *Pause:
 		c.quietTill = c.now.Add(in.For)
 	case *Tick:
--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -71,10 +71,11 @@
 	runs       map[TaskID]*run
 	used       Demand
 	room       *roomIndex
-	position   int   // in the room index
-	orphans    int   // runs whose demand is not known
-	lastSeen   int64 // number of the newest end that was listed
-	noted      int64 // number that the newest answered Hold took note of
+	position   int                // in the room index
+	orphans    int                // runs whose demand is not known
+	lastSeen   int64              // number of the newest end that was listed
+	noted      int64              // number that the newest answered Hold took note of
+	unreported map[int64]struct{} // ends that must not be taken note of yet
 
 	clock     time.Duration // of the endpoint at clockAt
 	clockAt   time.Time     // zero: unknown
@@ -168,7 +169,7 @@
 		!now.Before(e.pausedTo) && e.record.Standing() != outlier.Ejected
 }
 
-func (e *endpoint) hasLabel(label string) bool {
+func (e *Endpoint) hasLabel(label string) bool {
 	if label == "" {
 		return true
 	}
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -101,7 +101,7 @@
 		c.hold(e, e.claimed(), 0)
 	case len(e.runs) > 0:
 		c.hold(e, e.claimed(), c.waitFor(e))
-	case e.lastSeen > e.noted && c.now.Sub(e.idleFrom) >= noteAfter:
+	case e.noteable() > e.noted && c.now.Sub(e.idleFrom) >= noteAfter:
 		c.hold(e, false, 0)
 	}
 }
@@ -111,8 +111,8 @@
 	e.inFlight = true
 	e.holdSent = c.now
 	e.holdWait = wait
-	e.holdSeen = e.lastSeen
-	h := Hold{Endpoint: e.ID, Address: e.Address, Sequence: e.sequence, Token: e.token, LastSeen: e.lastSeen, Wait: wait}
+	e.holdSeen = e.noteable()
+	h := Hold{Endpoint: e.ID, Address: e.Address, Sequence: e.sequence, Token: e.token, LastSeen: e.holdSeen, Wait: wait}
 	if extend {
 		h.Until = e.until(c.now, c.opts.MaxLease)
 		e.leaseSent = c.now
@@ -194,6 +194,9 @@
 	for i := range in.Ended {
 		c.ended(e, &in.Ended[i])
 	}
+	if len(e.unreported) > 0 {
+		e.nextHold = c.now.Add(reportPause)
+	}
 	c.listed(e, in.Running, in.More)
 	c.stopUnresolved(e)
 	for _, r := range e.runs {
@@ -245,7 +248,7 @@
 	for _, r := range e.runs {
 		c.loseRun(e, r)
 	}
-	e.lastSeen, e.noted = 0, 0
+	e.lastSeen, e.noted, e.unreported = 0, 0, nil
 }
 
 // tokenBits is the number of low bits of a token that tell holders apart.
@@ -291,7 +294,7 @@
 		e.Born = born
 	}
 	e.held = false
-	e.lastSeen, e.noted, e.holdSeen = 0, 0, 0
+	e.lastSeen, e.noted, e.holdSeen, e.unreported = 0, 0, 0, nil
 	e.clockAt = time.Time{}
 	e.nextHold = time.Time{}
 }
--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -62,6 +62,46 @@
 	// Resubmitted says that another holder had the job before: runs of it may
 	// be under way that this one cannot see.
 	Resubmitted bool
+	// Kept says that the job outlives its caller: it waits for room for as long
+	// as it takes, and ends of its runs are reported before endpoints may forget
+	// them.
+	Kept     bool
+	Waited   time.Duration  // since a kept job was accepted
+	Progress []TaskProgress // of a kept job, from before
+}
+
+// TaskProgress is what is known of a task from earlier runs.
+type TaskProgress struct {
+	Step, Index int
+	Done        bool
+	Failures    int    // runs that failed
+	Newest      int    // highest number of a run
+	Saved       string // newest checkpoint
+}
+
+// fits reports whether an endpoint without other work can run a task of the
+// step.
+func (s *Step) fits(e *Endpoint) bool {
+	return s.Demand.Within(e.Capacity) && e.hasLabel(s.Label)
+}
+
+// FitsNowhere reports whether no endpoint of the job's service can ever run one
+// of its steps. It is false while none of the service is known.
+func (j *Job) FitsNowhere(endpoints []Endpoint) bool {
+	for s := range j.Steps {
+		known, fits := false, false
+		for i := range endpoints {
+			if endpoints[i].Service != j.Service {
+				continue
+			}
+			known = true
+			fits = fits || j.Steps[s].fits(&endpoints[i])
+		}
+		if known && !fits {
+			return true
+		}
+	}
+	return false
 }
 
 // Guest is one task of a job whose queue is elsewhere.
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -76,6 +76,10 @@
 		return
 	}
 	j := c.newJob(in.Job, in.Ticket)
+	if in.Job.Kept {
+		c.submitKept(j)
+		return
+	}
 	if reason := c.impossible(&in.Job); reason != "" {
 		c.finish(j, Rejected, reason, 0)
 		return
@@ -91,10 +95,26 @@
 	c.wait(j)
 }
 
+// submitKept takes a job that waits for as long as it takes.
+func (c *Core) submitKept(j *job) {
+	c.jobs[j.ID] = j
+	c.restore(j)
+	if j.complete() {
+		c.finish(j, Completed, "", 0)
+		return
+	}
+	if j.Resubmitted {
+		c.claim(j)
+	}
+	if c.jobs[j.ID] == j {
+		c.wait(j)
+	}
+}
+
 func (c *Core) newJob(spec Job, ticket Ticket) *job {
 	j := &job{Job: spec, tickets: []Ticket{ticket}, arrived: c.now, expires: c.now.Add(spec.Patience)}
 	chain := longestChain(spec.Steps, func(d time.Duration) time.Duration { return c.expect(spec.Queue, d) })
-	j.goal = c.now.Add(time.Duration(spec.Stretch*float64(chain)) + spec.Slack)
+	j.goal = c.now.Add(time.Duration(spec.Stretch*float64(chain)) + spec.Slack - spec.Waited)
 	j.latestStart = j.goal.Add(-chain)
 	j.tasks = make([][]task, len(spec.Steps))
 	j.left = make([]int, len(spec.Steps))
@@ -139,6 +159,9 @@
 	for s := range j.tasks {
 		for i := range j.tasks[s] {
 			t := &j.tasks[s][i]
+			if t.state != waitingTask {
+				continue
+			}
 			if r := c.runs[t.id]; r != nil && r.task == nil && r.state == running {
 				c.adopt(t, r.at, r)
 				continue
@@ -160,7 +183,7 @@
 				continue
 			}
 			known = true
-			if j.Steps[s].Demand.Within(e.Capacity) && e.hasLabel(j.Steps[s].Label) {
+			if j.Steps[s].fits(&e.Endpoint) {
 				fits = true
 				break
 			}
@@ -311,6 +334,9 @@
 // have not begun and cannot end in time any more.
 func (c *Core) expire() {
 	for _, j := range c.jobs {
+		if j.Kept {
+			continue
+		}
 		if !c.now.Before(j.expires) {
 			verdict := Abandoned
 			if !j.begun {
@@ -365,6 +391,9 @@
 func (c *Core) serviceTime() time.Duration {
 	var work float64 // core-seconds
 	c.waiting.walk(func(j *job) bool {
+		if j.Kept && j.class == lateClass {
+			return true // those that can be in time go first
+		}
 		for s := range j.Steps {
 			work += float64(j.left[s]*j.Steps[s].Demand.MilliCores) / 1000 * c.expect(j.Queue, j.Steps[s].Estimate).Seconds()
 		}
--- /dev/null
+++ b/dispatch/leased/kept.go
@@ -0,0 +1,112 @@
+package leased
+
+import "time"
+
+// keptRuns is the number from which runs of kept jobs are counted: it tells a
+// new holder which ends it must report before an endpoint may forget them.
+const keptRuns = 1 << 20
+
+// reportPause is how long an endpoint with ends that are not reported yet is
+// left alone: it would list them again at once.
+const reportPause = 40 * time.Millisecond
+
+func isKept(run int) bool { return run >= keptRuns }
+
+// reportEnd has the end of a run of a kept job stored by the job's owner.
+func (c *Core) reportEnd(e *endpoint, end *Ended) {
+	if !isKept(end.Run) || end.End != EndDone && end.End != EndFailed {
+		return
+	}
+	if e.unreported == nil {
+		e.unreported = make(map[int64]struct{})
+	}
+	e.unreported[end.Number] = struct{}{}
+	c.out.Reports = append(c.out.Reports, Report{
+		Endpoint: e.ID, Born: e.Born, Number: end.Number, Task: end.Task, Run: end.Run, End: end.End, Saved: end.Saved,
+	})
+}
+
+// reportBegun tells the owner of a kept job that a task of it has started.
+func (c *Core) reportBegun(j *job) {
+	if j.Kept && !j.guest {
+		c.out.Reports = append(c.out.Reports, Report{Task: TaskID{Job: j.ID}, Begun: true})
+	}
+}
+
+// reported lets an endpoint forget an end.
+func (c *Core) reported(in *Reported) {
+	e := c.endpoints[in.Endpoint]
+	if e == nil || e.Born != in.Born {
+		return
+	}
+	delete(e.unreported, in.Number)
+	if len(e.unreported) == 0 && e.silent == 0 {
+		e.nextHold = time.Time{}
+		c.touch(e)
+	}
+}
+
+// noteable returns the number up to which ends may be taken note of.
+func (e *endpoint) noteable() int64 {
+	most := e.lastSeen
+	for number := range e.unreported {
+		most = min(most, number-1)
+	}
+	return most
+}
+
+// taskLearned ends a task that is done, as another holder has found. A run of it
+// here is in vain.
+func (c *Core) taskLearned(id TaskID) {
+	j := c.jobs[id.Job]
+	if j == nil || !j.Kept {
+		return
+	}
+	t := j.task(id)
+	if t == nil || t.state == doneTask {
+		return
+	}
+	switch t.state {
+	case placedTask:
+		c.disown(t, "the task is done elsewhere")
+	case lentTask:
+		c.out.LendCancels = append(c.out.LendCancels, LendCancel{Task: t.id})
+		c.withdrawn[t.id] = c.now
+	}
+	c.done(t)
+	if c.jobs[j.ID] == j {
+		c.settleWaiting(j)
+	}
+}
+
+// restore takes what earlier runs of a kept job have done.
+func (c *Core) restore(j *job) {
+	for s := range j.tasks {
+		for i := range j.tasks[s] {
+			j.tasks[s][i].runs += keptRuns
+		}
+	}
+	for _, p := range j.Progress {
+		t := j.task(TaskID{Job: j.ID, Step: p.Step, Index: p.Index})
+		if t == nil {
+			continue
+		}
+		t.runs = max(t.runs, p.Newest)
+		t.failures = p.Failures
+		t.saved = p.Saved
+		if p.Done {
+			t.state = doneTask
+			j.left[p.Step]--
+		}
+	}
+}
+
+// complete reports whether every task of a job is done.
+func (j *job) complete() bool {
+	for _, left := range j.left {
+		if left > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/dispatch/leased/leasedtest/endpoint.go
+++ b/dispatch/leased/leasedtest/endpoint.go
@@ -53,6 +53,7 @@
 	highest map[leased.TaskID]int // newest run that was stopped or has ended
 	ends    []leased.Ended
 	number  int64
+	started int
 }
 
 // New returns an endpoint that has just started.
@@ -77,6 +78,12 @@
 	e.number = 0
 }
 
+// Started returns how many runs have begun.
+func (e *Endpoint) Started() int { return e.started }
+
+// Ends lists the ends that were not taken note of.
+func (e *Endpoint) Ends() []leased.Ended { return slices.Clone(e.ends) }
+
 // Running lists the runs that are at work.
 func (e *Endpoint) Running() []Run {
 	var list []Run
@@ -178,6 +185,7 @@
 	if used.MilliCores+work.Demand.MilliCores > e.Capacity.MilliCores || used.MemoryMiB+work.Demand.MemoryMiB > e.Capacity.MemoryMiB {
 		return leased.StartNoRoom
 	}
+	e.started++
 	e.runs[o.Task] = &Run{Task: o.Task, Number: o.Run, Demand: work.Demand, Began: now, Ends: e.endTime(now, work), Fails: work.Fails || e.Fails}
 	return leased.StartAccepted
 }
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -64,6 +64,17 @@
 	Saved  string
 }
 
+// Reported says that the end with a number, which was reported, is stored: the
+// endpoint may forget it.
+type Reported struct {
+	Endpoint EndpointID
+	Born     int64 // incarnation of the endpoint
+	Number   int64
+}
+
+// Learned says that a task of a kept job is done, as another holder has found.
+type Learned struct{ Task TaskID }
+
 // Pause says that this process stood still. Nothing is started for a while:
 // what waits here may have been withdrawn meanwhile.
 type Pause struct{ For time.Duration }
@@ -80,6 +91,8 @@
 func (*StopReply) isInput()    {}
 func (*HoldReply) isInput()    {}
 func (*LendReply) isInput()    {}
+func (*Reported) isInput()     {}
+func (*Learned) isInput()      {}
 func (*Pause) isInput()        {}
 func (*Tick) isInput()         {}
 
@@ -179,11 +192,12 @@
 	LendCancels  []LendCancel
 	Notes        []Note
 	Ends         []RunEnd
+	Reports      []Report
 }
 
 func (a *Actions) reset() {
 	*a = Actions{a.Starts[:0], a.Stops[:0], a.Holds[:0], a.Answers[:0], a.GuestAnswers[:0],
-		a.Lends[:0], a.LendCancels[:0], a.Notes[:0], a.Ends[:0]}
+		a.Lends[:0], a.LendCancels[:0], a.Notes[:0], a.Ends[:0], a.Reports[:0]}
 }
 
 // Start orders an endpoint to run a task.
@@ -281,6 +295,19 @@
 	Failures int // of the task before this run
 }
 
+// Report tells the owner of a kept job of a run that has begun or ended. An end
+// is answered by Reported once it is stored.
+type Report struct {
+	Endpoint EndpointID
+	Born     int64 // incarnation of the endpoint
+	Number   int64 // of the end
+	Task     TaskID
+	Run      int
+	Begun    bool // else it has ended
+	End      End  // EndDone or EndFailed
+	Saved    string
+}
+
 // Note reports a change of what the core believes of an endpoint.
 type Note struct {
 	Event    string
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -131,6 +131,7 @@
 func (c *Core) begin(j *job) {
 	if !j.begun {
 		j.begun = true
+		c.reportBegun(j)
 		c.waiting.promote(j)
 	}
 }
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -33,6 +33,7 @@
 		return
 	}
 	e.lastSeen = end.Number
+	c.reportEnd(e, end)
 	r := e.runs[end.Task]
 	if r == nil || r.number != end.Run {
 		if end.End == EndDone {
@@ -331,6 +332,9 @@
 	case StartAccepted:
 		c.confirm(r)
 	case StartOldRun, StartLate:
+		if in.Result == StartOldRun && r.task != nil && r.task.job.Kept {
+			r.task.runs += resubmittedRuns // an earlier holder has gone further
+		}
 		c.endRun(e, r, EndNotRun, "")
 	case StartNoRoom:
 		e.pausedTo = c.now.Add(roomTime)
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -48,6 +48,10 @@
 	lents     map[leased.TaskID]lent
 	// slowCancel delays the withdrawal of a lent task.
 	slowCancel time.Duration
+	// silentOwner keeps reports of kept jobs without an answer.
+	silentOwner bool
+	reports     []leased.Report
+	holds       map[leased.EndpointID]int
 	// fast leaves out the search for tasks that run twice.
 	fast bool
 }
@@ -92,7 +96,7 @@
 		work: make(map[leased.JobID]leasedtest.Work), submitted: make(map[leased.Ticket]submission),
 		answers: make(map[leased.JobID]leased.Answer), answered: make(map[leased.JobID]time.Duration),
 		starts: make(map[leased.TaskID]int), insist: true, notes: make(map[string]int), started: make(map[leased.JobID]bool),
-		lents: make(map[leased.TaskID]lent),
+		lents: make(map[leased.TaskID]lent), holds: make(map[leased.EndpointID]int),
 	}
 	for i := range cores {
 		w.cores = append(w.cores, w.newCore(i))
@@ -174,6 +178,7 @@
 			&leased.StopReply{Endpoint: s.Endpoint, Task: s.Task, Run: s.Run})
 	}
 	for _, h := range out.Holds {
+		w.holds[h.Endpoint]++
 		w.hold(core, h)
 	}
 	for _, a := range out.Answers {
@@ -195,6 +200,19 @@
 	for _, n := range out.Notes {
 		w.notes[n.Event]++
 	}
+	w.reports = append(w.reports, out.Reports...)
+	if len(out.Reports) > 0 && !w.silentOwner {
+		w.after(2*hop, w.answerReports)
+	}
+}
+
+// answerReports says of all ends that were reported that they are stored.
+func (w *world) answerReports() {
+	for _, r := range w.reports {
+		for core := range w.cores {
+			w.step(core, &leased.Reported{Endpoint: r.Endpoint, Born: r.Born, Number: r.Number})
+		}
+	}
 }
 
 // lent is a task that one core runs for another.
--- a/fleet/docs_test.go
+++ b/fleet/docs_test.go
@@ -17,7 +17,7 @@
 	}
 	logged := regexp.MustCompile(`(?:\.(?:Info|Warn|Error)|write)\("([a-z_]+)"|\.note\("([a-z_]+)"`)
 	measured := regexp.MustCompile(`(?:counter|gauge)\("([a-z_]+)"|Name: "([a-z_]+)"`)
-	for _, pattern := range []string{"*.go", "follow/*.go", "../dispatch/leased/*.go", "../platform/*.go", "../cmd/lovage-fleet/*.go"} {
+	for _, pattern := range []string{"*.go", "follow/*.go", "keep/*.go", "../dispatch/leased/*.go", "../platform/*.go", "../cmd/lovage-fleet/*.go"} {
 		files, err := filepath.Glob(pattern)
 		if err != nil || len(files) == 0 {
 			t.Fatalf("%s: %d files, %v", pattern, len(files), err)
--- a/fleet/eventlog/eventlog.go
+++ b/fleet/eventlog/eventlog.go
@@ -82,7 +82,23 @@
 
 // With implements zapcore.Core.
 func (c *budgetCore) With(fields []zapcore.Field) zapcore.Core {
-	return &budgetCore{Core: c.Core.With(fields), budget: c.budget, dropped: c.dropped}
+	return &budgetCore{Core: c.Core.With(plain(fields)), budget: c.budget, dropped: c.dropped}
+}
+
+// Write implements zapcore.Core.
+func (c *budgetCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return c.Core.Write(e, plain(fields))
+}
+
+// plain writes errors as their message alone: stacks name places of the build
+// and take more room than the line.
+func plain(fields []zapcore.Field) []zapcore.Field {
+	for i := range fields {
+		if err, ok := fields[i].Interface.(error); ok && fields[i].Type == zapcore.ErrorType {
+			fields[i] = zap.String(fields[i].Key, err.Error())
+		}
+	}
+	return fields
 }
 
 // Check implements zapcore.Core.
--- a/fleet/eventlog/eventlog_test.go
+++ b/fleet/eventlog/eventlog_test.go
@@ -5,10 +5,22 @@
 	"strings"
 	"testing"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
 
+func TestErrorsAreWrittenWithoutStacks(t *testing.T) {
+	out := &chunks{}
+	log := New(out, zapcore.InfoLevel)
+	log.With(zap.Error(errors.New("first"))).Warn("lend_failed", zap.Error(errors.Wrap(errors.New("second"), "outer")))
+	log.Close()
+	line := string(bytes.Join(out.writes, nil))
+	if !strings.Contains(line, `"error":"outer: second"`) || !strings.Contains(line, `"first"`) || strings.Contains(line, "Verbose") {
+		t.Errorf("line %s", line)
+	}
+}
+
 // chunks records each write.
 type chunks struct{ writes [][]byte }
 
--- /dev/null
+++ b/fleet/keep/codec.go
@@ -0,0 +1,79 @@
+package keep
+
+import (
+	"github.com/go-faster/errors"
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
+
+	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/dispatch/stored"
+	"lovagespread.example/peer/fleetpb"
+)
+
+// JobCodec translates jobs to messages between entries and back.
+type JobCodec struct {
+	ToPB   func(*leased.Job) *fleetpb.SubmitRequest
+	FromPB func(*fleetpb.SubmitRequest) leased.Job
+}
+
+// ProgressToPB translates the progress of tasks.
+func ProgressToPB(list []leased.TaskProgress) []*fleetpb.TaskProgress {
+	return lo.Map(list, func(p leased.TaskProgress, _ int) *fleetpb.TaskProgress {
+		return &fleetpb.TaskProgress{
+			Step: uint32(p.Step), Index: uint32(p.Index), Done: p.Done, Failures: uint32(p.Failures), Newest: uint32(p.Newest), Saved: p.Saved,
+		}
+	})
+}
+
+// ProgressFromPB translates the progress of tasks.
+func ProgressFromPB(list []*fleetpb.TaskProgress) []leased.TaskProgress {
+	return lo.Map(list, func(p *fleetpb.TaskProgress, _ int) leased.TaskProgress {
+		return leased.TaskProgress{
+			Step: int(p.Step), Index: int(p.Index), Done: p.Done, Failures: int(p.Failures), Newest: int(p.Newest), Saved: p.Saved,
+		}
+	})
+}
+
+// encode writes a batch of events as one record.
+func (c *JobCodec) encode(events []stored.Event) ([]byte, error) {
+	record := &fleetpb.JobEvents{}
+	for i := range events {
+		e := &events[i]
+		event := &fleetpb.JobEvent{
+			Kind: uint32(e.Kind), Job: string(e.Job), State: uint32(e.State), Progress: ProgressToPB(e.Progress),
+			Occurrence: uint32(e.Task.Occurrence), Step: uint32(e.Task.Step), Index: uint32(e.Task.Index),
+			Run: uint32(e.Run), Done: e.Done, Saved: e.Saved,
+		}
+		if e.Spec != nil {
+			event.Spec = c.ToPB(e.Spec)
+		}
+		record.Events = append(record.Events, event)
+	}
+	data, err := proto.Marshal(record)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode events of kept jobs")
+	}
+	return data, nil
+}
+
+// decode reads a record.
+func (c *JobCodec) decode(data []byte) ([]stored.Event, error) {
+	record := &fleetpb.JobEvents{}
+	if err := proto.Unmarshal(data, record); err != nil {
+		return nil, errors.Wrap(err, "decode events of kept jobs")
+	}
+	events := make([]stored.Event, 0, len(record.Events))
+	for _, e := range record.Events {
+		event := stored.Event{
+			Kind: stored.EventKind(e.Kind), Job: leased.JobID(e.Job), State: stored.State(e.State), Progress: ProgressFromPB(e.Progress),
+			Run: int(e.Run), Done: e.Done, Saved: e.Saved,
+			Task: leased.TaskID{Job: leased.JobID(e.Job), Occurrence: int(e.Occurrence), Step: int(e.Step), Index: int(e.Index)},
+		}
+		if e.Spec != nil {
+			spec := c.FromPB(e.Spec)
+			event.Spec = &spec
+		}
+		events = append(events, event)
+	}
+	return events, nil
+}
--- /dev/null
+++ b/fleet/keep/keeptest/log.go
@@ -0,0 +1,117 @@
+// Package keeptest has a log of kept jobs in memory with switches for faults,
+// and the tests that every keep.Log must pass.
+package keeptest
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"lovagespread.example/fleet/keep"
+)
+
+// Log is a keep.Log in memory.
+type Log struct {
+	mu     sync.Mutex
+	shards map[int]*partition
+	faults Faults
+}
+
+// Faults are the switches of a Log.
+type Faults struct {
+	Refuse bool // appends do nothing
+	Lose   bool // appends are carried out and not answered
+}
+
+type partition struct {
+	epoch    int64
+	sequence int64
+	began    bool // a record was appended in the epoch
+	offset   int64
+	first    int64
+	records  [][]byte
+}
+
+var _ keep.Log = (*Log)(nil)
+
+// NewLog returns an empty log.
+func NewLog() *Log { return &Log{shards: make(map[int]*partition)} }
+
+// SetFaults sets the switches.
+func (l *Log) SetFaults(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+func (l *Log) partition(shard int) *partition {
+	if l.shards[shard] == nil {
+		l.shards[shard] = &partition{}
+	}
+	return l.shards[shard]
+}
+
+// Open implements keep.Log.
+func (l *Log) Open(_ context.Context, shard int, epoch int64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.partition(shard)
+	if epoch < p.epoch {
+		return &keep.FencedError{Epoch: epoch}
+	}
+	p.began = p.began && epoch == p.epoch
+	p.epoch = epoch
+	return nil
+}
+
+// Append implements keep.Log.
+func (l *Log) Append(_ context.Context, shard int, epoch, sequence int64, record []byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.partition(shard)
+	switch {
+	case epoch < p.epoch:
+		return 0, &keep.FencedError{Epoch: epoch}
+	case l.faults.Refuse:
+		return 0, &keep.NotDoneError{Cause: errors.New("switched off")}
+	case p.began && sequence == p.sequence:
+		return p.offset, nil
+	case p.began && sequence != p.sequence+1:
+		return 0, &keep.SequenceError{Expected: p.sequence + 1}
+	}
+	p.epoch, p.sequence, p.began = epoch, sequence, true
+	p.offset = p.first + int64(len(p.records))
+	p.records = append(p.records, slices.Clone(record))
+	if l.faults.Lose {
+		return 0, errors.New("no answer")
+	}
+	return p.offset, nil
+}
+
+// Read implements keep.Log.
+func (l *Log) Read(_ context.Context, shard int, from int64) ([][]byte, int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.partition(shard)
+	if from < p.first {
+		return nil, 0, &keep.GapError{First: p.first}
+	}
+	end := p.first + int64(len(p.records))
+	if from >= end {
+		return nil, end, nil
+	}
+	return slices.Clone(p.records[from-p.first:]), end, nil
+}
+
+// Trim implements keep.Log.
+func (l *Log) Trim(_ context.Context, shard int, before int64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.partition(shard)
+	n := min(max(before-p.first, 0), int64(len(p.records)))
+	p.first += n
+	p.records = p.records[n:]
+	return nil
+}
--- /dev/null
+++ b/fleet/keep/runner.go
@@ -0,0 +1,153 @@
+package keep
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/dispatch/stored"
+)
+
+// Times of a runner.
+const (
+	lookInterval = 100 * time.Millisecond // at who is to own the shard
+	// takePause is how long a runner waits after it could not take its shard
+	// over, or has been fenced off.
+	takePause   = 500 * time.Millisecond
+	inboxLength = 1024
+)
+
+// Environment is what a runner needs of its process. Its functions are safe for
+// concurrent use.
+type Environment struct {
+	Log   Log
+	Codec JobCodec
+	// Owns reports whether this process is to own a shard.
+	Owns func(shard int) bool
+	// Offer hands a job to a holder of endpoints until it has ended there, the
+	// holder is lost or the context ends.
+	Offer func(ctx context.Context, job leased.Job) stored.Outcome
+	// Learn passes on that a task is done.
+	Learn func(stored.Learned)
+	// AppendInterval is the least time between two appends of a shard.
+	AppendInterval time.Duration
+	Options        stored.Options
+	// Measure takes how long an append took and how it ended.
+	Measure func(result string, took time.Duration)
+	// Owned takes whether this process owns a shard now.
+	Owned  func(shard int, owned bool)
+	Logger *zap.Logger
+}
+
+// Results of appends, for Measure.
+const (
+	appendStored     = "stored"
+	appendRefused    = "refused"
+	appendFenced     = "fenced"
+	appendUnanswered = "unanswered"
+)
+
+// Runner owns one shard whenever its process is to. Create it with NewRunner.
+type Runner struct {
+	env   Environment
+	shard int
+	inbox chan request
+	epoch int64
+}
+
+// request is a question to the runner's goroutine.
+type request struct {
+	input func(stored.Ticket) stored.Input // nil: only look
+	look  func(*stored.Shard)
+	reply chan stored.Result
+}
+
+// NewRunner returns a runner of a shard.
+func NewRunner(env Environment, shard int) *Runner {
+	env.Logger = env.Logger.With(zap.Int("shard", shard))
+	return &Runner{env: env, shard: shard, inbox: make(chan request, inboxLength)}
+}
+
+// Run takes the shard over whenever it is to be owned here, until the context
+// ends.
+func (r *Runner) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !r.env.Owns(r.shard) {
+			r.turnAway(ctx, lookInterval)
+			continue
+		}
+		taken, err := r.take(ctx)
+		if err != nil {
+			r.env.Logger.Warn("shard_not_taken", zap.Error(err))
+			r.turnAway(ctx, takePause)
+			continue
+		}
+		if err := r.serve(ctx, taken); err != nil {
+			r.env.Logger.Warn("shard_lost", zap.Int64("epoch", taken.epoch), zap.Error(err))
+			r.turnAway(ctx, takePause)
+		}
+	}
+}
+
+// turnAway answers requests for some time: this process does not own the shard.
+func (r *Runner) turnAway(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case q := <-r.inbox:
+			q.reply <- stored.OtherOwner
+		}
+	}
+}
+
+// ask sends a request and waits for its answer.
+func (r *Runner) ask(ctx context.Context, q request) stored.Result {
+	q.reply = make(chan stored.Result, 1)
+	select {
+	case r.inbox <- q:
+	case <-ctx.Done():
+		return stored.OtherOwner
+	}
+	select {
+	case result := <-q.reply:
+		return result
+	case <-ctx.Done():
+		return stored.OtherOwner
+	}
+}
+
+// Accept stores a job.
+func (r *Runner) Accept(ctx context.Context, job leased.Job) stored.Result {
+	return r.ask(ctx, request{input: func(t stored.Ticket) stored.Input { return &stored.Accept{Ticket: t, Job: job} }})
+}
+
+// Cancel ends a job.
+func (r *Runner) Cancel(ctx context.Context, id leased.JobID) stored.Result {
+	return r.ask(ctx, request{input: func(t stored.Ticket) stored.Input { return &stored.Cancel{Ticket: t, Job: id} }})
+}
+
+// Report tells of runs.
+func (r *Runner) Report(ctx context.Context, from uint64, tasks []stored.TaskReport) stored.Result {
+	return r.ask(ctx, request{input: func(t stored.Ticket) stored.Input { return &stored.Report{Ticket: t, From: from, Tasks: tasks} }})
+}
+
+// State tells what has become of a job.
+func (r *Runner) State(ctx context.Context, id leased.JobID) (stored.State, stored.Result) {
+	var state stored.State
+	result := r.ask(ctx, request{look: func(s *stored.Shard) { state = s.State(id) }})
+	return state, result
+}
+
+// Pending counts the jobs that no task has started of, by queue.
+func (r *Runner) Pending(ctx context.Context) (map[string]int, stored.Result) {
+	var counts map[string]int
+	result := r.ask(ctx, request{look: func(s *stored.Shard) { counts = s.Pending() }})
+	return counts, result
+}
--- /dev/null
+++ b/fleet/keep/runner_test.go
@@ -0,0 +1,153 @@
+package keep_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/dispatch/stored"
+	"lovagespread.example/fleet/keep"
+	"lovagespread.example/fleet/keep/keeptest"
+	"lovagespread.example/peer/fleetpb"
+)
+
+func TestLogInMemory(t *testing.T) { keeptest.Contract(t, keeptest.NewLog()) }
+
+// codec keeps what the tests look at.
+var codec = keep.JobCodec{
+	ToPB: func(j *leased.Job) *fleetpb.SubmitRequest {
+		return &fleetpb.SubmitRequest{Id: string(j.ID), Queue: j.Queue, MaxAttempts: uint32(j.MaxAttempts), Steps: []*fleetpb.Step{{Tasks: uint32(j.Steps[0].Tasks)}}}
+	},
+	FromPB: func(r *fleetpb.SubmitRequest) leased.Job {
+		return leased.Job{ID: leased.JobID(r.Id), Queue: r.Queue, MaxAttempts: int(r.MaxAttempts), Steps: []leased.Step{{Tasks: int(r.Steps[0].Tasks)}}}
+	},
+}
+
+// owner is a runner with what it has offered.
+type owner struct {
+	*keep.Runner
+	owns atomic.Bool
+
+	mu     sync.Mutex
+	offers []leased.Job
+}
+
+func newOwner(t *testing.T, log keep.Log) *owner {
+	o := &owner{}
+	ctx, cancel := context.WithCancel(context.Background())
+	o.Runner = keep.NewRunner(keep.Environment{
+		Log: log, Codec: codec, Owns: func(int) bool { return o.owns.Load() }, Learn: func(stored.Learned) {},
+		Offer: func(ctx context.Context, job leased.Job) stored.Outcome {
+			o.mu.Lock()
+			o.offers = append(o.offers, job)
+			o.mu.Unlock()
+			<-ctx.Done()
+			return stored.Outcome{}
+		},
+		AppendInterval: time.Millisecond, Options: stored.Options{Retain: time.Minute, Rewrite: time.Minute}, Logger: zap.NewNop(),
+		Measure: func(string, time.Duration) {}, Owned: func(int, bool) {},
+	}, 0)
+	done := make(chan struct{})
+	go func() { defer close(done); o.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return o
+}
+
+func (o *owner) offered() []leased.Job {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]leased.Job(nil), o.offers...)
+}
+
+func job(n int) leased.Job {
+	return leased.Job{ID: leased.JobID(fmt.Sprintf("j%d", n)), Queue: "q", MaxAttempts: 2, Steps: []leased.Step{{Tasks: 1}}}
+}
+
+// accept tries until the runner owns its shard.
+func (o *owner) accept(t *testing.T, j leased.Job) {
+	t.Helper()
+	eventually(t, "accepted", func(ctx context.Context) bool { return o.Accept(ctx, j) == stored.Stored })
+}
+
+func eventually(t *testing.T, what string, ok func(context.Context) bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for !ok(ctx) {
+		if ctx.Err() != nil {
+			t.Fatalf("not %s within 10 s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (o *owner) wantState(t *testing.T, id leased.JobID, want stored.State) {
+	t.Helper()
+	eventually(t, want.String(), func(ctx context.Context) bool {
+		state, result := o.State(ctx, id)
+		return result == stored.Stored && state == want
+	})
+}
+
+func TestNextOwnerKnowsWhatTheOneBeforeHasStored(t *testing.T) {
+	log := keeptest.NewLog()
+	first, second := newOwner(t, log), newOwner(t, log)
+	first.owns.Store(true)
+	first.accept(t, job(1))
+	first.accept(t, job(2))
+	done := []stored.TaskReport{{Task: leased.TaskID{Job: "j2"}, Run: 1, Done: true}}
+	if r := first.Report(context.Background(), 1, done); r != stored.Stored {
+		t.Fatalf("report: %v", r)
+	}
+	second.owns.Store(true) // the first has not noticed
+	second.wantState(t, "j1", stored.Queued)
+	second.wantState(t, "j2", stored.Completed)
+	eventually(t, "offered by the next owner", func(context.Context) bool { return len(second.offered()) == 1 })
+	if j := second.offered()[0]; j.ID != "j1" || !j.Resubmitted {
+		t.Errorf("offered %+v", j)
+	}
+	first.owns.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if r := first.Accept(ctx, job(3)); r == stored.Stored {
+		t.Error("an owner that was fenced off has accepted a job")
+	}
+}
+
+func TestLostAnswerOfTheLogIsAskedForAgain(t *testing.T) {
+	log := keeptest.NewLog()
+	o := newOwner(t, log)
+	o.owns.Store(true)
+	o.accept(t, job(1))
+	log.SetFaults(keeptest.Faults{Lose: true})
+	answered := make(chan stored.Result, 1)
+	go func() { answered <- o.Accept(context.Background(), job(2)) }()
+	time.Sleep(100 * time.Millisecond)
+	log.SetFaults(keeptest.Faults{})
+	if r := <-answered; r != stored.Stored {
+		t.Errorf("answer %v, want stored", r)
+	}
+	if _, end, err := log.Read(context.Background(), 0, 0); err != nil || end != 2 {
+		t.Errorf("%d records, %v, want 2", end, err)
+	}
+}
+
+func TestJobIsRefusedWhileTheLogRefuses(t *testing.T) {
+	log := keeptest.NewLog()
+	o := newOwner(t, log)
+	o.owns.Store(true)
+	o.accept(t, job(1))
+	log.SetFaults(keeptest.Faults{Refuse: true})
+	if r := o.Accept(context.Background(), job(2)); r != stored.Refused {
+		t.Errorf("answer %v, want refused", r)
+	}
+	log.SetFaults(keeptest.Faults{})
+	o.wantState(t, "j2", stored.Unknown)
+	o.accept(t, job(3))
+}
--- /dev/null
+++ b/fleet/keep/take.go
@@ -0,0 +1,103 @@
+package keep
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"lovagespread.example/dispatch/stored"
+)
+
+// Bounds of taking a shard over.
+const (
+	openTimeout = time.Second
+	readTimeout = 2 * time.Second
+	openTries   = 16
+	// epochStep is by how much an epoch is raised first if it is too low;
+	// doubling passes an owner whose clock is ahead by hours.
+	epochStep = 1000
+)
+
+// taken is a shard that has just been taken over.
+type taken struct {
+	shard *stored.Shard
+	epoch int64
+}
+
+// take fences off the owner before and reads the shard.
+func (r *Runner) take(ctx context.Context) (*taken, error) {
+	began := time.Now()
+	epoch, err := r.open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	shard, records, err := r.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	known, open := shard.Len()
+	r.env.Logger.Info("shard_taken", zap.Int64("epoch", epoch), zap.Int("records", records), zap.Int("jobs", known),
+		zap.Int("open_jobs", open), zap.Duration("took_ms", time.Since(began)))
+	return &taken{shard, epoch}, nil
+}
+
+// open finds an epoch that is high enough.
+func (r *Runner) open(ctx context.Context) (int64, error) {
+	epoch := max(r.epoch+1, time.Now().UnixMilli())
+	for try := range openTries {
+		err := r.openAt(ctx, epoch)
+		if err == nil {
+			r.epoch = epoch
+			return epoch, nil
+		}
+		if _, fenced := errors.Into[*FencedError](err); !fenced {
+			return 0, errors.Wrap(err, "open the shard")
+		}
+		epoch += epochStep << try
+	}
+	return 0, errors.Wrap(&FencedError{Epoch: epoch}, "open the shard")
+}
+
+func (r *Runner) openAt(ctx context.Context, epoch int64) error {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	return r.env.Log.Open(ctx, r.shard, epoch)
+}
+
+// read replays all records. The end stands still: earlier owners are fenced.
+func (r *Runner) read(ctx context.Context) (*stored.Shard, int, error) {
+	shard := stored.New(r.env.Options)
+	next, end, count := int64(0), int64(1), 0
+	for next < end {
+		records, newEnd, err := r.readFrom(ctx, next)
+		if gap, ok := errors.Into[*GapError](err); ok && gap.First > next {
+			next = gap.First
+			continue
+		}
+		if err != nil {
+			return nil, 0, errors.Wrap(err, "read the shard")
+		}
+		end = newEnd
+		for _, data := range records {
+			events, err := r.env.Codec.decode(data)
+			if err != nil {
+				r.env.Logger.Error("record_unreadable", zap.Int64("offset", next), zap.Error(err))
+			}
+			shard.Replay(time.Now(), next, events)
+			next++
+			count++
+		}
+		if len(records) == 0 && next < end {
+			return nil, 0, errors.Errorf("read the shard: nothing at %d, though it ends at %d: read again", next, end)
+		}
+	}
+	return shard, count, nil
+}
+
+func (r *Runner) readFrom(ctx context.Context, from int64) ([][]byte, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return r.env.Log.Read(ctx, r.shard, from)
+}
--- /dev/null
+++ b/fleet/keptserver.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"context"
+
+	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/dispatch/stored"
+	"lovagespread.example/fleet/keep"
+	"lovagespread.example/peer/fleetpb"
+)
+
+// The calls about kept jobs. They are answered here alone, never passed on: the
+// asking entry finds the next owner.
+
+func (s *server) runner(id string) *keep.Runner {
+	if s.kept == nil {
+		return nil
+	}
+	return s.kept.runners[s.kept.shardOf(leased.JobID(id))]
+}
+
+func keptResponse(r stored.Result) *fleetpb.KeptResponse {
+	return &fleetpb.KeptResponse{Result: fleetpb.KeptResult(r)}
+}
+
+// Keep implements fleetpb.Fleet.
+func (s *server) Keep(ctx context.Context, r *fleetpb.SubmitRequest) (*fleetpb.KeptResponse, error) {
+	runner := s.runner(r.Id)
+	if runner == nil {
+		return keptResponse(stored.OtherOwner), nil
+	}
+	return keptResponse(runner.Accept(ctx, jobFromPB(r))), nil
+}
+
+// CancelKept implements fleetpb.Fleet.
+func (s *server) CancelKept(ctx context.Context, r *fleetpb.KeptRequest) (*fleetpb.KeptResponse, error) {
+	runner := s.runner(r.Id)
+	if runner == nil {
+		return keptResponse(stored.OtherOwner), nil
+	}
+	return keptResponse(runner.Cancel(ctx, leased.JobID(r.Id))), nil
+}
+
+// KeptState implements fleetpb.Fleet.
+func (s *server) KeptState(ctx context.Context, r *fleetpb.KeptRequest) (*fleetpb.KeptResponse, error) {
+	runner := s.runner(r.Id)
+	if runner == nil {
+		return keptResponse(stored.OtherOwner), nil
+	}
+	state, result := runner.State(ctx, leased.JobID(r.Id))
+	return &fleetpb.KeptResponse{Result: fleetpb.KeptResult(result), State: uint32(state)}, nil
+}
+
+// PendingKept implements fleetpb.Fleet.
+func (s *server) PendingKept(ctx context.Context, _ *fleetpb.PendingRequest) (*fleetpb.PendingResponse, error) {
+	reply := &fleetpb.PendingResponse{Jobs: make(map[string]uint32)}
+	if s.kept == nil {
+		return reply, nil
+	}
+	for queue, n := range s.kept.pendingHere(ctx) {
+		reply.Jobs[queue] = uint32(n)
+	}
+	return reply, nil
+}
+
+// Report implements fleetpb.Fleet.
+func (s *server) Report(ctx context.Context, r *fleetpb.ReportRequest) (*fleetpb.KeptResponse, error) {
+	if s.kept == nil || int(r.Shard) >= len(s.kept.runners) {
+		return keptResponse(stored.OtherOwner), nil
+	}
+	return keptResponse(s.kept.runners[r.Shard].Report(ctx, r.From, reportFromPB(r))), nil
+}
+
+// Learn implements fleetpb.Fleet.
+func (s *server) Learn(_ context.Context, r *fleetpb.LearnRequest) (*fleetpb.LearnResponse, error) {
+	task := leased.TaskID{Job: leased.JobID(r.Job), Occurrence: int(r.Occurrence), Step: int(r.Step), Index: int(r.Index)}
+	s.loop.send(coreInput{&leased.Learned{Task: task}})
+	return &fleetpb.LearnResponse{}, nil
+}
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -52,6 +52,7 @@
 	in        chan message
 	snapshot  atomic.Pointer[Snapshot]
 	freezes   *freezeWatch
+	reporter  *reporter // nil: kept jobs are not served
 
 	// Owned by the goroutine in run.
 	core       *leased.Core
@@ -311,6 +312,18 @@
 	for i := range out.Notes {
 		l.note(&out.Notes[i])
 	}
+	for i := range out.Reports {
+		l.report(out.Reports[i])
+	}
+}
+
+// report has the owner of a kept job told of a run.
+func (l *Loop) report(r leased.Report) {
+	if l.reporter == nil {
+		l.log.Error("report_impossible", zap.String("job", string(r.Task.Job)), zap.String("reason", "no log of jobs is set up here"))
+		return
+	}
+	l.reporter.add(r)
 }
 
 func (l *Loop) note(n *leased.Note) {
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -30,6 +30,9 @@
 	openJobs       prometheus.Gauge
 	entries        prometheus.Gauge
 	version        prometheus.Gauge
+	shards         prometheus.Gauge
+	appends        *prometheus.CounterVec // by result
+	appendSeconds  prometheus.Histogram
 }
 
 func newMetrics(dropped func() float64) *metrics {
@@ -56,7 +59,11 @@
 		Namespace: "lovage", Name: "answer_seconds", Help: "Time from a caller's request to its answer.", Buckets: durationBuckets}, []string{"queue"})
 	m.startSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: "lovage", Name: "start_seconds", Help: "Time until an endpoint answered a start.", Buckets: durationBuckets})
-	m.registry.MustRegister(m.stops, m.answerSeconds, m.startSeconds)
+	m.appendSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: "lovage", Name: "append_seconds", Help: "Time until the log answered an append of kept jobs.", Buckets: durationBuckets})
+	m.appends = counter("appends_total", "Appends of kept jobs to their log, by the answer.", "result")
+	m.shards = gauge("shards_owned", "Shards of kept jobs that this entry owns.")
+	m.registry.MustRegister(m.stops, m.answerSeconds, m.startSeconds, m.appendSeconds)
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "lovage", Name: "log_lines_dropped_total", Help: "Log lines left out to stay within the budget."}, dropped))
 	m.held = gauge("endpoints_held", "Endpoints that this entry holds.")
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -12,6 +12,7 @@
 
 	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/fleet/eventlog"
+	"lovagespread.example/fleet/keep"
 	"lovagespread.example/membership/cells"
 	"lovagespread.example/peer/fleetpb"
 )
@@ -25,10 +26,12 @@
 	peers    *peers
 	beats    *beats
 	metrics  *metrics
+	kept     *kept // nil: kept jobs are not served
 }
 
-// New builds a process. It listens, but serves nobody before Run.
-func New(s Settings, endpoints Endpoints, log *eventlog.Log) (*Process, error) {
+// New builds a process. It listens, but serves nobody before Run. Without a log
+// of jobs, those that outlive their callers are not served.
+func New(s Settings, endpoints Endpoints, jobLog keep.Log, log *eventlog.Log) (*Process, error) {
 	address, err := net.ResolveUDPAddr("udp4", s.BeatAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "heartbeat address: write it as host:port")
@@ -50,6 +53,11 @@
 	p.peers.report = p.loop.send
 	p.peers.latest = p.loop.Latest
 	p.service = newService(p.loop, p.peers, log.Logger, m)
+	if jobLog != nil && s.Kept.Shards > 0 {
+		p.kept = newKept(s.Kept, p.loop, p.peers, p.service, jobLog, log.Logger, m)
+		p.service.kept = p.kept
+		p.loop.reporter = newReporter(p.kept)
+	}
 	return p, nil
 }
 
@@ -86,6 +94,10 @@
 		defer metricsServer.Close()
 	}
 	go p.beats.receive(ctx, p.loop)
+	if p.kept != nil {
+		p.kept.run(ctx)
+		go p.loop.reporter.run(ctx)
+	}
 	p.loop.run(ctx)
 	return p.beats.conn.Close()
 }
@@ -99,7 +111,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	protocols.SetHTTP1(true)
 	s := &http.Server{
-		Handler:           fleetpb.NewFleetServer(&server{p.loop, p.peers}),
+		Handler:           fleetpb.NewFleetServer(&server{p.loop, p.peers, p.kept}),
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: peerPingAfter, PingTimeout: peerPingTimeout, MaxConcurrentStreams: maxPeerCalls},
 		ReadHeaderTimeout: peerDialTimeout * 4,
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -14,6 +14,7 @@
 type server struct {
 	loop  *Loop
 	peers *peers
+	kept  *kept // nil: kept jobs are not served
 }
 
 var _ fleetpb.Fleet = (*server)(nil)
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -37,6 +37,7 @@
 type Service struct {
 	loop    *Loop
 	peers   *peers
+	kept    *kept // nil: kept jobs are not served
 	log     *zap.Logger
 	metrics *metrics
 
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -15,8 +15,26 @@
 	// EndpointsPerCell bounds how many endpoints one entry holds for a cell.
 	EndpointsPerCell int
 	Grace            time.Duration // of a planned stop
+	Kept             KeptSettings
 }
 
+// KeptSettings are those of jobs that outlive their callers.
+type KeptSettings struct {
+	Shards          int           // partitions of the log; 0: such jobs are not served
+	WritesPerSecond float64       // of all entries together
+	Known           time.Duration // how long an ended job is known
+	LogKeeps        time.Duration // age at which the log drops records
+}
+
+// Bounds of the number of shards.
+const (
+	// WritesPerShard are the log's appends a second for which there is a shard:
+	// few shards store events soon, many spread the work of owners.
+	WritesPerShard = 100
+	MinShards      = 3
+	MaxShards      = 12
+)
+
 // DefaultEndpointsPerCell keeps a cell's work within a small VM: some 400
 // starts a second.
 const DefaultEndpointsPerCell = 32
--- a/membership/cells/cells.go
+++ b/membership/cells/cells.go
@@ -168,6 +168,7 @@
 
 	mu      sync.Mutex
 	holders map[string][]Entry // of the cells of a domain, as far as asked for
+	owners  []Entry            // of the shards of kept jobs, as far as asked for
 }
 
 // View returns the picture at a time, and forgets entries silent for long.
@@ -250,6 +251,23 @@
 	return holders[c.Index], true
 }
 
+// Owner returns the entry that is to own a shard of kept jobs, of any failure
+// domain, and whether there is one.
+func (v *View) Owner(shard, of int) (Entry, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.owners) != of {
+		v.owners = spread(shards, of, v.candidates())
+	}
+	if shard >= len(v.owners) {
+		return Entry{}, false
+	}
+	return v.owners[shard], true
+}
+
+// shards names what is spread by Owner in place of a failure domain.
+const shards = "shards of kept jobs"
+
 // eligible returns the entries among which the cells of a domain are shared.
 func (v *View) eligible(domain string) []Entry {
 	all := v.candidates()
--- a/peer/fleetpb/fleet.twirp.go
+++ b/peer/fleetpb/fleet.twirp.go
@@ -45,6 +45,25 @@
 	// Snapshot returns the configuration and the endpoints that the receiver
 	// knows, for an entry that cannot read them itself.
 	Snapshot(context.Context, *SnapshotRequest) (*SnapshotResponse, error)
+
+	// Keep stores a caller's job.
+	Keep(context.Context, *SubmitRequest) (*KeptResponse, error)
+
+	// CancelKept ends a stored job.
+	CancelKept(context.Context, *KeptRequest) (*KeptResponse, error)
+
+	// KeptState tells what has become of a stored job.
+	KeptState(context.Context, *KeptRequest) (*KeptResponse, error)
+
+	// PendingKept counts the jobs that no task has started of.
+	PendingKept(context.Context, *PendingRequest) (*PendingResponse, error)
+
+	// Report tells of runs of stored jobs that have begun or ended; ends are
+	// stored before the answer.
+	Report(context.Context, *ReportRequest) (*KeptResponse, error)
+
+	// Learn tells the holder of a stored job that a task of it is done.
+	Learn(context.Context, *LearnRequest) (*LearnResponse, error)
 }
 
 // =====================
@@ -53,7 +72,7 @@
 
 type fleetProtobufClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [9]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -81,10 +100,16 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "lovagespread.fleet", "Fleet")
-	urls := [3]string{
+	urls := [9]string{
 		serviceURL + "Submit",
 		serviceURL + "Lend",
 		serviceURL + "Snapshot",
+		serviceURL + "Keep",
+		serviceURL + "CancelKept",
+		serviceURL + "KeptState",
+		serviceURL + "PendingKept",
+		serviceURL + "Report",
+		serviceURL + "Learn",
 	}
 
 	return &fleetProtobufClient{
@@ -233,13 +258,289 @@
 	return out, nil
 }
 
+func (c *fleetProtobufClient) Keep(ctx context.Context, in *SubmitRequest) (*KeptResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagespread.fleet")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "Keep")
+	caller := c.callKeep
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SubmitRequest) (*KeptResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+					}
+					return c.callKeep(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*KeptResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetProtobufClient) callKeep(ctx context.Context, in *SubmitRequest) (*KeptResponse, error) {
+	out := new(KeptResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *fleetProtobufClient) CancelKept(ctx context.Context, in *KeptRequest) (*KeptResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagespread.fleet")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "CancelKept")
+	caller := c.callCancelKept
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *KeptRequest) (*KeptResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*KeptRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*KeptRequest) when calling interceptor")
+					}
+					return c.callCancelKept(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*KeptResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetProtobufClient) callCancelKept(ctx context.Context, in *KeptRequest) (*KeptResponse, error) {
+	out := new(KeptResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *fleetProtobufClient) KeptState(ctx context.Context, in *KeptRequest) (*KeptResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagespread.fleet")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "KeptState")
+	caller := c.callKeptState
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *KeptRequest) (*KeptResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*KeptRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*KeptRequest) when calling interceptor")
+					}
+					return c.callKeptState(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*KeptResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetProtobufClient) callKeptState(ctx context.Context, in *KeptRequest) (*KeptResponse, error) {
+	out := new(KeptResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *fleetProtobufClient) PendingKept(ctx context.Context, in *PendingRequest) (*PendingResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagespread.fleet")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "PendingKept")
+	caller := c.callPendingKept
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PendingRequest) (*PendingResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PendingRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PendingRequest) when calling interceptor")
+					}
+					return c.callPendingKept(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PendingResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PendingResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetProtobufClient) callPendingKept(ctx context.Context, in *PendingRequest) (*PendingResponse, error) {
+	out := new(PendingResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *fleetProtobufClient) Report(ctx context.Context, in *ReportRequest) (*KeptResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagespread.fleet")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "Report")
+	caller := c.callReport
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReportRequest) (*KeptResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReportRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReportRequest) when calling interceptor")
+					}
+					return c.callReport(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*KeptResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetProtobufClient) callReport(ctx context.Context, in *ReportRequest) (*KeptResponse, error) {
+	out := new(KeptResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *fleetProtobufClient) Learn(ctx context.Context, in *LearnRequest) (*LearnResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagespread.fleet")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "Learn")
+	caller := c.callLearn
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LearnRequest) (*LearnResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LearnRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LearnRequest) when calling interceptor")
+					}
+					return c.callLearn(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LearnResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LearnResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetProtobufClient) callLearn(ctx context.Context, in *LearnRequest) (*LearnResponse, error) {
+	out := new(LearnResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =================
 // Fleet JSON Client
 // =================
 
 type fleetJSONClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [9]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -267,10 +568,16 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "lovagespread.fleet", "Fleet")
-	urls := [3]string{
+	urls := [9]string{
 		serviceURL + "Submit",
 		serviceURL + "Lend",
 		serviceURL + "Snapshot",
+		serviceURL + "Keep",
+		serviceURL + "CancelKept",
+		serviceURL + "KeptState",
+		serviceURL + "PendingKept",
+		serviceURL + "Report",
+		serviceURL + "Learn",
 	}
 
 	return &fleetJSONClient{
@@ -399,140 +706,1514 @@
 			return nil, err
 		}
 	}
-	return caller(ctx, in)
-}
+	return caller(ctx, in)
+}
+
+func (c *fleetJSONClient) callSnapshot(ctx context.Context, in *SnapshotRequest) (*SnapshotResponse, error) {
+	out := new(SnapshotResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *fleetJSONClient) Keep(ctx context.Context, in *SubmitRequest) (*KeptResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagespread.fleet")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "Keep")
+	caller := c.callKeep
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SubmitRequest) (*KeptResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+					}
+					return c.callKeep(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*KeptResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetJSONClient) callKeep(ctx context.Context, in *SubmitRequest) (*KeptResponse, error) {
+	out := new(KeptResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *fleetJSONClient) CancelKept(ctx context.Context, in *KeptRequest) (*KeptResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagespread.fleet")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "CancelKept")
+	caller := c.callCancelKept
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *KeptRequest) (*KeptResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*KeptRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*KeptRequest) when calling interceptor")
+					}
+					return c.callCancelKept(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*KeptResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetJSONClient) callCancelKept(ctx context.Context, in *KeptRequest) (*KeptResponse, error) {
+	out := new(KeptResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *fleetJSONClient) KeptState(ctx context.Context, in *KeptRequest) (*KeptResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagespread.fleet")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "KeptState")
+	caller := c.callKeptState
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *KeptRequest) (*KeptResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*KeptRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*KeptRequest) when calling interceptor")
+					}
+					return c.callKeptState(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*KeptResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetJSONClient) callKeptState(ctx context.Context, in *KeptRequest) (*KeptResponse, error) {
+	out := new(KeptResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *fleetJSONClient) PendingKept(ctx context.Context, in *PendingRequest) (*PendingResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagespread.fleet")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "PendingKept")
+	caller := c.callPendingKept
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PendingRequest) (*PendingResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PendingRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PendingRequest) when calling interceptor")
+					}
+					return c.callPendingKept(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PendingResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PendingResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetJSONClient) callPendingKept(ctx context.Context, in *PendingRequest) (*PendingResponse, error) {
+	out := new(PendingResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *fleetJSONClient) Report(ctx context.Context, in *ReportRequest) (*KeptResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagespread.fleet")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "Report")
+	caller := c.callReport
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReportRequest) (*KeptResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReportRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReportRequest) when calling interceptor")
+					}
+					return c.callReport(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*KeptResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetJSONClient) callReport(ctx context.Context, in *ReportRequest) (*KeptResponse, error) {
+	out := new(KeptResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *fleetJSONClient) Learn(ctx context.Context, in *LearnRequest) (*LearnResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagespread.fleet")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "Learn")
+	caller := c.callLearn
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LearnRequest) (*LearnResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LearnRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LearnRequest) when calling interceptor")
+					}
+					return c.callLearn(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LearnResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LearnResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetJSONClient) callLearn(ctx context.Context, in *LearnRequest) (*LearnResponse, error) {
+	out := new(LearnResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ====================
+// Fleet Server Handler
+// ====================
+
+type fleetServer struct {
+	Fleet
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewFleetServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewFleetServer(svc Fleet, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &fleetServer{
+		Fleet:            svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *fleetServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *fleetServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// FleetPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const FleetPathPrefix = "/twirp/lovagespread.fleet.Fleet/"
+
+func (s *fleetServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "lovagespread.fleet")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "lovagespread.fleet.Fleet" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Submit":
+		s.serveSubmit(ctx, resp, req)
+		return
+	case "Lend":
+		s.serveLend(ctx, resp, req)
+		return
+	case "Snapshot":
+		s.serveSnapshot(ctx, resp, req)
+		return
+	case "Keep":
+		s.serveKeep(ctx, resp, req)
+		return
+	case "CancelKept":
+		s.serveCancelKept(ctx, resp, req)
+		return
+	case "KeptState":
+		s.serveKeptState(ctx, resp, req)
+		return
+	case "PendingKept":
+		s.servePendingKept(ctx, resp, req)
+		return
+	case "Report":
+		s.serveReport(ctx, resp, req)
+		return
+	case "Learn":
+		s.serveLearn(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *fleetServer) serveSubmit(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveSubmitJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveSubmitProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *fleetServer) serveSubmitJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Submit")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SubmitRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Fleet.Submit
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SubmitRequest) (*SubmitResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+					}
+					return s.Fleet.Submit(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SubmitResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SubmitResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SubmitResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SubmitResponse and nil error while calling Submit. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) serveSubmitProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Submit")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SubmitRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Fleet.Submit
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SubmitRequest) (*SubmitResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+					}
+					return s.Fleet.Submit(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SubmitResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SubmitResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SubmitResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SubmitResponse and nil error while calling Submit. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) serveLend(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveLendJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveLendProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *fleetServer) serveLendJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Lend")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(LendRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Fleet.Lend
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LendRequest) (*LendResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LendRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LendRequest) when calling interceptor")
+					}
+					return s.Fleet.Lend(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LendResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LendResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LendResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LendResponse and nil error while calling Lend. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) serveLendProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Lend")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(LendRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Fleet.Lend
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LendRequest) (*LendResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LendRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LendRequest) when calling interceptor")
+					}
+					return s.Fleet.Lend(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LendResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LendResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LendResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LendResponse and nil error while calling Lend. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) serveSnapshot(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveSnapshotJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveSnapshotProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *fleetServer) serveSnapshotJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Snapshot")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SnapshotRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Fleet.Snapshot
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SnapshotRequest) (*SnapshotResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SnapshotRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SnapshotRequest) when calling interceptor")
+					}
+					return s.Fleet.Snapshot(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SnapshotResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SnapshotResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SnapshotResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SnapshotResponse and nil error while calling Snapshot. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) serveSnapshotProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Snapshot")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SnapshotRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Fleet.Snapshot
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SnapshotRequest) (*SnapshotResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SnapshotRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SnapshotRequest) when calling interceptor")
+					}
+					return s.Fleet.Snapshot(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SnapshotResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SnapshotResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SnapshotResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SnapshotResponse and nil error while calling Snapshot. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) serveKeep(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveKeepJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveKeepProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *fleetServer) serveKeepJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Keep")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SubmitRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Fleet.Keep
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SubmitRequest) (*KeptResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+					}
+					return s.Fleet.Keep(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*KeptResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *KeptResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *KeptResponse and nil error while calling Keep. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) serveKeepProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Keep")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SubmitRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Fleet.Keep
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SubmitRequest) (*KeptResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+					}
+					return s.Fleet.Keep(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*KeptResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *KeptResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *KeptResponse and nil error while calling Keep. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) serveCancelKept(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveCancelKeptJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveCancelKeptProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *fleetServer) serveCancelKeptJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "CancelKept")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(KeptRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Fleet.CancelKept
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *KeptRequest) (*KeptResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*KeptRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*KeptRequest) when calling interceptor")
+					}
+					return s.Fleet.CancelKept(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*KeptResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *KeptResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *KeptResponse and nil error while calling CancelKept. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) serveCancelKeptProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "CancelKept")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(KeptRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Fleet.CancelKept
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *KeptRequest) (*KeptResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*KeptRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*KeptRequest) when calling interceptor")
+					}
+					return s.Fleet.CancelKept(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*KeptResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *KeptResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *KeptResponse and nil error while calling CancelKept. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) serveKeptState(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveKeptStateJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveKeptStateProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *fleetServer) serveKeptStateJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "KeptState")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(KeptRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Fleet.KeptState
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *KeptRequest) (*KeptResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*KeptRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*KeptRequest) when calling interceptor")
+					}
+					return s.Fleet.KeptState(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*KeptResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *KeptResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
 
-func (c *fleetJSONClient) callSnapshot(ctx context.Context, in *SnapshotRequest) (*SnapshotResponse, error) {
-	out := new(SnapshotResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
 	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *KeptResponse and nil error while calling KeptState. nil responses are not supported"))
+		return
 	}
 
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
-// ====================
-// Fleet Server Handler
-// ====================
-
-type fleetServer struct {
-	Fleet
-	interceptor      twirp.Interceptor
-	hooks            *twirp.ServerHooks
-	pathPrefix       string // prefix for routing
-	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
-	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
-}
-
-// NewFleetServer builds a TwirpServer that can be used as an http.Handler to handle
-// HTTP requests that are routed to the right method in the provided svc implementation.
-// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
-func NewFleetServer(svc Fleet, opts ...interface{}) TwirpServer {
-	serverOpts := newServerOpts(opts)
+	ctx = callResponsePrepared(ctx, s.hooks)
 
-	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
-	jsonSkipDefaults := false
-	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
-	jsonCamelCase := false
-	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
-	var pathPrefix string
-	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
-		pathPrefix = "/twirp" // default prefix
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
 	}
 
-	return &fleetServer{
-		Fleet:            svc,
-		hooks:            serverOpts.Hooks,
-		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
-		pathPrefix:       pathPrefix,
-		jsonSkipDefaults: jsonSkipDefaults,
-		jsonCamelCase:    jsonCamelCase,
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
 	}
+	callResponseSent(ctx, s.hooks)
 }
 
-// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
-// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func (s *fleetServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
-	writeError(ctx, resp, err, s.hooks)
-}
+func (s *fleetServer) serveKeptStateProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "KeptState")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
 
-// handleRequestBodyError is used to handle error when the twirp server cannot read request
-func (s *fleetServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
-	if context.Canceled == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	if context.DeadlineExceeded == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+	reqContent := new(KeptRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
-	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
-}
 
-// FleetPathPrefix is a convenience constant that may identify URL paths.
-// Should be used with caution, it only matches routes generated by Twirp Go clients,
-// with the default "/twirp" prefix and default CamelCase service and method names.
-// More info: https://twitchtv.github.io/twirp/docs/routing.html
-const FleetPathPrefix = "/twirp/lovagespread.fleet.Fleet/"
+	handler := s.Fleet.KeptState
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *KeptRequest) (*KeptResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*KeptRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*KeptRequest) when calling interceptor")
+					}
+					return s.Fleet.KeptState(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*KeptResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
 
-func (s *fleetServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
-	ctx := req.Context()
-	ctx = ctxsetters.WithPackageName(ctx, "lovagespread.fleet")
-	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
-	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+	// Call service method
+	var respContent *KeptResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
 
-	var err error
-	ctx, err = callRequestReceived(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
 		return
 	}
-
-	if req.Method != "POST" {
-		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *KeptResponse and nil error while calling KeptState. nil responses are not supported"))
 		return
 	}
 
-	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
-	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
-	if pkgService != "lovagespread.fleet.Fleet" {
-		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
-		return
-	}
-	if prefix != s.pathPrefix {
-		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
 		return
 	}
 
-	switch method {
-	case "Submit":
-		s.serveSubmit(ctx, resp, req)
-		return
-	case "Lend":
-		s.serveLend(ctx, resp, req)
-		return
-	case "Snapshot":
-		s.serveSnapshot(ctx, resp, req)
-		return
-	default:
-		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
-		return
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
 	}
+	callResponseSent(ctx, s.hooks)
 }
 
-func (s *fleetServer) serveSubmit(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *fleetServer) servePendingKept(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -540,9 +2221,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveSubmitJSON(ctx, resp, req)
+		s.servePendingKeptJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveSubmitProtobuf(ctx, resp, req)
+		s.servePendingKeptProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -550,9 +2231,9 @@
 	}
 }
 
-func (s *fleetServer) serveSubmitJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *fleetServer) servePendingKeptJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Submit")
+	ctx = ctxsetters.WithMethodName(ctx, "PendingKept")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -565,29 +2246,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(SubmitRequest)
+	reqContent := new(PendingRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Fleet.Submit
+	handler := s.Fleet.PendingKept
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SubmitRequest) (*SubmitResponse, error) {
+		handler = func(ctx context.Context, req *PendingRequest) (*PendingResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SubmitRequest)
+					typedReq, ok := req.(*PendingRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*PendingRequest) when calling interceptor")
 					}
-					return s.Fleet.Submit(ctx, typedReq)
+					return s.Fleet.PendingKept(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SubmitResponse)
+				typedResp, ok := resp.(*PendingResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SubmitResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*PendingResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -596,7 +2277,7 @@
 	}
 
 	// Call service method
-	var respContent *SubmitResponse
+	var respContent *PendingResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -607,7 +2288,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SubmitResponse and nil error while calling Submit. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PendingResponse and nil error while calling PendingKept. nil responses are not supported"))
 		return
 	}
 
@@ -633,9 +2314,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *fleetServer) serveSubmitProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *fleetServer) servePendingKeptProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Submit")
+	ctx = ctxsetters.WithMethodName(ctx, "PendingKept")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -647,28 +2328,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(SubmitRequest)
+	reqContent := new(PendingRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Fleet.Submit
+	handler := s.Fleet.PendingKept
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SubmitRequest) (*SubmitResponse, error) {
+		handler = func(ctx context.Context, req *PendingRequest) (*PendingResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SubmitRequest)
+					typedReq, ok := req.(*PendingRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*PendingRequest) when calling interceptor")
 					}
-					return s.Fleet.Submit(ctx, typedReq)
+					return s.Fleet.PendingKept(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SubmitResponse)
+				typedResp, ok := resp.(*PendingResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SubmitResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*PendingResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -677,7 +2358,7 @@
 	}
 
 	// Call service method
-	var respContent *SubmitResponse
+	var respContent *PendingResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -688,7 +2369,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SubmitResponse and nil error while calling Submit. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PendingResponse and nil error while calling PendingKept. nil responses are not supported"))
 		return
 	}
 
@@ -712,7 +2393,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *fleetServer) serveLend(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *fleetServer) serveReport(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -720,9 +2401,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveLendJSON(ctx, resp, req)
+		s.serveReportJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveLendProtobuf(ctx, resp, req)
+		s.serveReportProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -730,9 +2411,9 @@
 	}
 }
 
-func (s *fleetServer) serveLendJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *fleetServer) serveReportJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Lend")
+	ctx = ctxsetters.WithMethodName(ctx, "Report")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -745,29 +2426,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(LendRequest)
+	reqContent := new(ReportRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Fleet.Lend
+	handler := s.Fleet.Report
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *LendRequest) (*LendResponse, error) {
+		handler = func(ctx context.Context, req *ReportRequest) (*KeptResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LendRequest)
+					typedReq, ok := req.(*ReportRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LendRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReportRequest) when calling interceptor")
 					}
-					return s.Fleet.Lend(ctx, typedReq)
+					return s.Fleet.Report(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*LendResponse)
+				typedResp, ok := resp.(*KeptResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*LendResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -776,7 +2457,7 @@
 	}
 
 	// Call service method
-	var respContent *LendResponse
+	var respContent *KeptResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -787,7 +2468,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *LendResponse and nil error while calling Lend. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *KeptResponse and nil error while calling Report. nil responses are not supported"))
 		return
 	}
 
@@ -813,9 +2494,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *fleetServer) serveLendProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *fleetServer) serveReportProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Lend")
+	ctx = ctxsetters.WithMethodName(ctx, "Report")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -827,28 +2508,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(LendRequest)
+	reqContent := new(ReportRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Fleet.Lend
+	handler := s.Fleet.Report
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *LendRequest) (*LendResponse, error) {
+		handler = func(ctx context.Context, req *ReportRequest) (*KeptResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LendRequest)
+					typedReq, ok := req.(*ReportRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LendRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReportRequest) when calling interceptor")
 					}
-					return s.Fleet.Lend(ctx, typedReq)
+					return s.Fleet.Report(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*LendResponse)
+				typedResp, ok := resp.(*KeptResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*LendResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*KeptResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -857,7 +2538,7 @@
 	}
 
 	// Call service method
-	var respContent *LendResponse
+	var respContent *KeptResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -868,7 +2549,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *LendResponse and nil error while calling Lend. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *KeptResponse and nil error while calling Report. nil responses are not supported"))
 		return
 	}
 
@@ -892,7 +2573,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *fleetServer) serveSnapshot(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *fleetServer) serveLearn(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -900,9 +2581,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveSnapshotJSON(ctx, resp, req)
+		s.serveLearnJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveSnapshotProtobuf(ctx, resp, req)
+		s.serveLearnProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -910,9 +2591,9 @@
 	}
 }
 
-func (s *fleetServer) serveSnapshotJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *fleetServer) serveLearnJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Snapshot")
+	ctx = ctxsetters.WithMethodName(ctx, "Learn")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -925,29 +2606,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(SnapshotRequest)
+	reqContent := new(LearnRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Fleet.Snapshot
+	handler := s.Fleet.Learn
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SnapshotRequest) (*SnapshotResponse, error) {
+		handler = func(ctx context.Context, req *LearnRequest) (*LearnResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SnapshotRequest)
+					typedReq, ok := req.(*LearnRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SnapshotRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*LearnRequest) when calling interceptor")
 					}
-					return s.Fleet.Snapshot(ctx, typedReq)
+					return s.Fleet.Learn(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SnapshotResponse)
+				typedResp, ok := resp.(*LearnResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SnapshotResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*LearnResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -956,7 +2637,7 @@
 	}
 
 	// Call service method
-	var respContent *SnapshotResponse
+	var respContent *LearnResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -967,7 +2648,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SnapshotResponse and nil error while calling Snapshot. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LearnResponse and nil error while calling Learn. nil responses are not supported"))
 		return
 	}
 
@@ -993,9 +2674,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *fleetServer) serveSnapshotProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *fleetServer) serveLearnProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Snapshot")
+	ctx = ctxsetters.WithMethodName(ctx, "Learn")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1007,28 +2688,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(SnapshotRequest)
+	reqContent := new(LearnRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Fleet.Snapshot
+	handler := s.Fleet.Learn
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SnapshotRequest) (*SnapshotResponse, error) {
+		handler = func(ctx context.Context, req *LearnRequest) (*LearnResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SnapshotRequest)
+					typedReq, ok := req.(*LearnRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SnapshotRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*LearnRequest) when calling interceptor")
 					}
-					return s.Fleet.Snapshot(ctx, typedReq)
+					return s.Fleet.Learn(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SnapshotResponse)
+				typedResp, ok := resp.(*LearnResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SnapshotResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*LearnResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1037,7 +2718,7 @@
 	}
 
 	// Call service method
-	var respContent *SnapshotResponse
+	var respContent *LearnResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1048,7 +2729,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SnapshotResponse and nil error while calling Snapshot. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LearnResponse and nil error while calling Learn. nil responses are not supported"))
 		return
 	}
 
@@ -1653,72 +3334,108 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 1072 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x56, 0x4d, 0x6f, 0x1b, 0x37,
-	0x10, 0xed, 0x4a, 0xb2, 0xa4, 0x1d, 0x7d, 0x44, 0x65, 0xd3, 0x62, 0xeb, 0x7e, 0x44, 0x51, 0x52,
-	0x40, 0x28, 0x0a, 0x07, 0x48, 0xd0, 0xde, 0x9d, 0x48, 0x41, 0x53, 0x38, 0x76, 0x4a, 0xc7, 0x39,
-	0xf4, 0x22, 0x50, 0xbb, 0x23, 0x9b, 0xf5, 0xee, 0x72, 0x43, 0x52, 0xb2, 0x7d, 0x2e, 0x7a, 0x0a,
-	0xfa, 0x17, 0xfb, 0x43, 0x7a, 0x2a, 0x38, 0xdc, 0xad, 0xa5, 0x46, 0xd6, 0xc9, 0x9c, 0xc7, 0x31,
-	0x67, 0xe6, 0xcd, 0x9b, 0x59, 0xc1, 0x67, 0x8b, 0x14, 0xd1, 0x16, 0xf3, 0x27, 0xf4, 0xf7, 0xa0,
-	0xd0, 0xca, 0x2a, 0xc6, 0x52, 0xb5, 0x12, 0xe7, 0x68, 0x0a, 0x8d, 0x22, 0x39, 0xa0, 0x9b, 0xd1,
-	0x87, 0x1a, 0x34, 0x4e, 0x2d, 0x16, 0xec, 0x3e, 0xec, 0x59, 0x61, 0x2e, 0x4d, 0x14, 0x0c, 0x83,
-	0x71, 0x8f, 0x7b, 0x83, 0x3d, 0x80, 0x4e, 0x26, 0xd3, 0x54, 0xce, 0x62, 0xa5, 0xd1, 0x44, 0xb5,
-	0x61, 0x30, 0xae, 0x73, 0x20, 0xe8, 0x85, 0x43, 0xd8, 0x37, 0x00, 0x19, 0x66, 0x4a, 0xdf, 0xcc,
-	0x32, 0x39, 0x8f, 0xea, 0x74, 0x1f, 0x7a, 0xe4, 0xb5, 0x9c, 0xb3, 0x11, 0x74, 0x45, 0x1c, 0x63,
-	0x8a, 0x5a, 0x58, 0xa5, 0x4d, 0xd4, 0x20, 0x87, 0x0d, 0xcc, 0xc5, 0x40, 0x63, 0x65, 0x26, 0x2c,
-	0xce, 0x96, 0x26, 0xda, 0xf3, 0x31, 0x2a, 0xe8, 0xcc, 0xb8, 0xd4, 0xc4, 0xc2, 0xa2, 0x8e, 0x9a,
-	0xc3, 0xba, 0x4b, 0x8d, 0x0c, 0x87, 0xa6, 0x62, 0x8e, 0x69, 0xd4, 0x1a, 0x06, 0xe3, 0x90, 0x7b,
-	0x83, 0x31, 0x68, 0x68, 0x11, 0x5f, 0x46, 0x6d, 0x02, 0xe9, 0xcc, 0xc6, 0x30, 0xc8, 0xc4, 0xf5,
-	0xac, 0x40, 0x3d, 0xc3, 0x3c, 0x29, 0x94, 0xcc, 0x6d, 0x14, 0x52, 0x95, 0xfd, 0x4c, 0x5c, 0xbf,
-	0x41, 0x3d, 0x2d, 0xd1, 0xd1, 0xdf, 0x35, 0xe8, 0x9d, 0x2e, 0xe7, 0x99, 0xb4, 0x1c, 0xdf, 0x2f,
-	0xd1, 0x58, 0xf7, 0xde, 0x42, 0xab, 0x8c, 0x58, 0x69, 0x72, 0x3a, 0xb3, 0x3e, 0xd4, 0x64, 0x42,
-	0x5c, 0x84, 0xbc, 0x26, 0x13, 0xe7, 0x63, 0x0a, 0x8c, 0xa9, 0xfa, 0x90, 0xd3, 0x99, 0x45, 0xd0,
-	0x32, 0xa8, 0x57, 0x32, 0x46, 0xaa, 0x39, 0xe4, 0x95, 0xe9, 0xf2, 0x7e, 0xbf, 0xc4, 0x25, 0x52,
-	0xa1, 0x21, 0xf7, 0x06, 0xdb, 0x87, 0x76, 0xa1, 0xa5, 0xd2, 0xd2, 0xde, 0x44, 0x4d, 0xca, 0xed,
-	0x3f, 0x9b, 0x3d, 0x84, 0xae, 0xcb, 0x5f, 0x58, 0x8b, 0x59, 0x61, 0x0d, 0x15, 0xdc, 0xe3, 0x9d,
-	0x4c, 0x5c, 0x1f, 0x96, 0x10, 0x85, 0xb3, 0x1a, 0x6d, 0x7c, 0x41, 0x95, 0x07, 0xbc, 0x32, 0xd9,
-	0x97, 0xd0, 0x36, 0xa9, 0x88, 0x2f, 0x1d, 0xb5, 0x21, 0x51, 0xdb, 0x22, 0xfb, 0x8c, 0x88, 0x2f,
-	0x84, 0x95, 0x98, 0xc7, 0x44, 0x3c, 0x78, 0xe2, 0x2b, 0xe8, 0xcc, 0xb0, 0x03, 0xd8, 0x33, 0x16,
-	0x0b, 0x13, 0x75, 0x86, 0xf5, 0x71, 0xe7, 0x69, 0x74, 0xf0, 0xb1, 0x80, 0x0e, 0x9c, 0x78, 0xb8,
-	0x77, 0x63, 0x43, 0xe8, 0x68, 0x34, 0xc4, 0x9f, 0xc5, 0x24, 0xea, 0x0e, 0x83, 0x71, 0x9b, 0xaf,
-	0x43, 0xa3, 0x3f, 0x03, 0xe8, 0x57, 0x04, 0x9b, 0x42, 0xe5, 0x06, 0xd9, 0x8f, 0xd0, 0x5a, 0xa1,
-	0x4e, 0x64, 0x6c, 0x89, 0xe4, 0xfe, 0xd3, 0xaf, 0xb6, 0x85, 0x79, 0xe7, 0x5d, 0x78, 0xe5, 0xcb,
-	0xbe, 0x80, 0xa6, 0x46, 0x61, 0x54, 0x5e, 0x36, 0xa2, 0xb4, 0xd8, 0x63, 0xe8, 0x6b, 0xb4, 0xfa,
-	0x66, 0x46, 0x2a, 0x71, 0x75, 0x79, 0x51, 0x76, 0x09, 0x3d, 0x74, 0xe0, 0x99, 0x19, 0xfd, 0x51,
-	0x87, 0xce, 0x11, 0xe6, 0xc9, 0xae, 0x36, 0x0f, 0xa0, 0xfe, 0xbb, 0x9a, 0x97, 0xcf, 0xbb, 0x23,
-	0xfb, 0x16, 0x40, 0xc5, 0xf1, 0x52, 0x6b, 0xc7, 0x0f, 0xbd, 0xdb, 0xe3, 0x6b, 0x88, 0x23, 0xd4,
-	0x11, 0x31, 0xcb, 0x97, 0xd9, 0x1c, 0x35, 0x35, 0xbe, 0xc7, 0xc1, 0x41, 0xc7, 0x84, 0xb8, 0xde,
-	0xcb, 0x3c, 0xc1, 0x6b, 0xea, 0x7d, 0x8f, 0x7b, 0x63, 0x5d, 0x2b, 0xcd, 0x3b, 0xb4, 0xd2, 0x5a,
-	0xd7, 0x4a, 0xa5, 0xb7, 0xf6, 0x9a, 0xde, 0x7e, 0x80, 0x86, 0x8b, 0x43, 0x2d, 0xde, 0xd5, 0x29,
-	0xf2, 0x72, 0xa5, 0xe9, 0x65, 0x4e, 0x1d, 0xef, 0x71, 0x77, 0x74, 0x91, 0x8c, 0x58, 0x61, 0x12,
-	0x75, 0x7c, 0x24, 0x32, 0xfe, 0xaf, 0x90, 0xee, 0x47, 0x0a, 0x71, 0xa3, 0x99, 0xa8, 0xc2, 0x46,
-	0x3d, 0xea, 0xb5, 0x37, 0x5c, 0x82, 0x31, 0xa6, 0x69, 0xd4, 0xf7, 0x09, 0xba, 0xb3, 0xc3, 0xae,
-	0x84, 0xb4, 0xd1, 0x3d, 0x72, 0xa4, 0xf3, 0xe8, 0x27, 0xe8, 0xfa, 0x26, 0x94, 0x52, 0x18, 0x40,
-	0x1d, 0xf3, 0xa4, 0xdc, 0x40, 0xee, 0x78, 0x9b, 0x56, 0x6d, 0x2d, 0xad, 0xd1, 0xa7, 0x70, 0xef,
-	0x34, 0x17, 0x85, 0xb9, 0x50, 0xd5, 0x9c, 0x8e, 0x3e, 0x04, 0x30, 0xb8, 0xc5, 0xca, 0xf7, 0x9e,
-	0xc1, 0xe7, 0xb1, 0xca, 0x17, 0xf2, 0x7c, 0xa9, 0x85, 0x95, 0x2a, 0x9f, 0xad, 0x50, 0x1b, 0xa9,
-	0x72, 0x8a, 0xd0, 0xe0, 0xf7, 0x37, 0x2e, 0xdf, 0xf9, 0x3b, 0xf6, 0x18, 0x7a, 0x1b, 0x38, 0x85,
-	0xee, 0xf2, 0x4d, 0x90, 0x7d, 0x0d, 0x61, 0xb5, 0x4b, 0xbc, 0xc2, 0xba, 0xfc, 0x16, 0x18, 0xfd,
-	0x55, 0x87, 0xc6, 0x73, 0x14, 0xc4, 0x44, 0x2e, 0x32, 0xa4, 0x80, 0x21, 0xa7, 0xb3, 0x6b, 0xb7,
-	0x48, 0x12, 0x8d, 0xc6, 0x94, 0x55, 0x55, 0xa6, 0xab, 0x76, 0x8e, 0xa2, 0x7c, 0x30, 0xe4, 0xde,
-	0x60, 0xdf, 0x41, 0x7f, 0x21, 0x64, 0xba, 0xd4, 0x38, 0x4b, 0x54, 0x26, 0x64, 0x5e, 0x6e, 0x94,
-	0x5e, 0x89, 0x4e, 0x08, 0x74, 0xc3, 0x27, 0xf3, 0x58, 0xe8, 0xdc, 0x67, 0xbd, 0x47, 0x4a, 0x5e,
-	0x87, 0xdc, 0xc8, 0x5c, 0xa1, 0x3c, 0xbf, 0xb0, 0x24, 0xb3, 0x80, 0x97, 0x96, 0xeb, 0xb2, 0xcc,
-	0x2d, 0xea, 0x95, 0x48, 0x67, 0x59, 0xb5, 0x5e, 0xa0, 0x82, 0x5e, 0xd3, 0x76, 0x49, 0x51, 0xac,
-	0x64, 0x7e, 0x4e, 0x9a, 0x6b, 0xf3, 0xca, 0xbc, 0x9b, 0xe1, 0x70, 0x07, 0xc3, 0xee, 0x53, 0xa3,
-	0x2e, 0x31, 0x2f, 0x37, 0x8e, 0x37, 0xdc, 0xb2, 0xd1, 0x4a, 0x65, 0x3b, 0x97, 0x0d, 0x57, 0x2a,
-	0xe3, 0xde, 0xcd, 0xbd, 0x72, 0x99, 0xab, 0xab, 0x3c, 0xea, 0x0e, 0xeb, 0x8e, 0x2c, 0x32, 0x1c,
-	0x7a, 0x81, 0x69, 0xaa, 0x2a, 0x41, 0x92, 0x31, 0x42, 0x68, 0xb8, 0x7f, 0xdd, 0x42, 0x65, 0xb0,
-	0x8d, 0xca, 0x4a, 0xbf, 0x35, 0x62, 0xc2, 0xeb, 0xb7, 0x0f, 0x35, 0xb5, 0x28, 0x47, 0xba, 0xa6,
-	0x16, 0x7e, 0x63, 0xa0, 0xdb, 0x02, 0xee, 0x9b, 0x44, 0xe7, 0xef, 0x7f, 0x85, 0x56, 0xb9, 0xa7,
-	0x58, 0x0f, 0xc2, 0x17, 0x27, 0xaf, 0xdf, 0x1c, 0x4d, 0xdf, 0x4e, 0x27, 0x83, 0x4f, 0x18, 0x40,
-	0xf3, 0xe5, 0xe1, 0xab, 0xa3, 0xe9, 0x64, 0x10, 0xb0, 0x2e, 0xb4, 0xf9, 0xf4, 0x97, 0xe9, 0x0b,
-	0x77, 0x53, 0x73, 0x8e, 0x87, 0xcf, 0x0f, 0x8f, 0x27, 0x27, 0xc7, 0xd3, 0xc9, 0xa0, 0xce, 0xfa,
-	0x00, 0xc7, 0x27, 0x6f, 0x67, 0x3f, 0x9f, 0x1c, 0x4d, 0xa6, 0x7c, 0xd0, 0x78, 0xfa, 0x4f, 0x00,
-	0x7b, 0x2f, 0x5d, 0xed, 0xec, 0x04, 0x9a, 0x7e, 0x73, 0xb2, 0x87, 0x5b, 0xa7, 0x7b, 0xfd, 0xb3,
-	0xb5, 0x3f, 0xda, 0xe5, 0x52, 0x4e, 0xc7, 0x2b, 0x68, 0xb8, 0xe9, 0x63, 0x0f, 0xb6, 0xf9, 0xae,
-	0x2d, 0xc7, 0xfd, 0xe1, 0xdd, 0x0e, 0xe5, 0x53, 0x67, 0xd0, 0xae, 0x86, 0x8f, 0x3d, 0xda, 0x1a,
-	0x7a, 0x73, 0x5c, 0xf7, 0x1f, 0xef, 0x76, 0xf2, 0xcf, 0x3e, 0x7f, 0xf4, 0xdb, 0xc3, 0x0d, 0x37,
-	0xbc, 0x16, 0x59, 0x91, 0xe2, 0x93, 0x02, 0x51, 0x3f, 0x29, 0x7f, 0xe1, 0xcc, 0x9b, 0xf4, 0xe3,
-	0xe6, 0xd9, 0xbf, 0x01, 0x00, 0x00, 0xff, 0xff, 0x54, 0x2d, 0xa8, 0x1a, 0xf3, 0x08, 0x00, 0x00,
+	// 1635 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x58, 0xcd, 0x6e, 0x1b, 0xc9,
+	0x11, 0x0e, 0xff, 0x39, 0xc5, 0x1f, 0x31, 0x9d, 0x4d, 0x30, 0xd1, 0xee, 0xda, 0xf4, 0xd8, 0x01,
+	0x84, 0x45, 0x22, 0x03, 0xde, 0x9f, 0x04, 0x41, 0x2e, 0xb2, 0x44, 0xc7, 0x6b, 0xcb, 0xa2, 0xd3,
+	0x92, 0x1c, 0x20, 0x08, 0x40, 0x34, 0x39, 0x25, 0x69, 0xac, 0x99, 0xe9, 0xd9, 0x9e, 0x26, 0x2d,
+	0x9d, 0x83, 0x9c, 0x16, 0x7b, 0xcd, 0xc3, 0xe4, 0x96, 0x07, 0xc8, 0x23, 0xe4, 0x5d, 0x82, 0xae,
+	0xee, 0xa1, 0x86, 0x16, 0xc5, 0x28, 0x40, 0x72, 0x62, 0xd7, 0x37, 0xd5, 0xdd, 0x55, 0x5f, 0x55,
+	0x57, 0x15, 0x08, 0x3f, 0x39, 0x8b, 0x11, 0x75, 0x36, 0x7d, 0x4a, 0xbf, 0xbb, 0x99, 0x92, 0x5a,
+	0x32, 0x16, 0xcb, 0x85, 0x38, 0xc7, 0x3c, 0x53, 0x28, 0xc2, 0x5d, 0xfa, 0x12, 0x7c, 0x5f, 0x85,
+	0xfa, 0xb1, 0xc6, 0x8c, 0x7d, 0x02, 0x0d, 0x2d, 0xf2, 0xcb, 0xdc, 0xaf, 0x0c, 0x2b, 0x3b, 0x3d,
+	0x6e, 0x05, 0xf6, 0x10, 0x3a, 0x49, 0x14, 0xc7, 0xd1, 0x64, 0x26, 0x15, 0xe6, 0x7e, 0x75, 0x58,
+	0xd9, 0xa9, 0x71, 0x20, 0x68, 0xdf, 0x20, 0xec, 0x73, 0x80, 0x04, 0x13, 0xa9, 0xae, 0x27, 0x49,
+	0x34, 0xf5, 0x6b, 0xf4, 0xdd, 0xb3, 0xc8, 0x9b, 0x68, 0xca, 0x02, 0xe8, 0x8a, 0xd9, 0x0c, 0x63,
+	0x54, 0x42, 0x4b, 0x95, 0xfb, 0x75, 0x52, 0x58, 0xc1, 0xcc, 0x1d, 0x98, 0xeb, 0x28, 0x11, 0x1a,
+	0x27, 0xf3, 0xdc, 0x6f, 0xd8, 0x3b, 0x0a, 0xe8, 0x34, 0x37, 0xa6, 0x89, 0x33, 0x8d, 0xca, 0x6f,
+	0x0e, 0x6b, 0xc6, 0x34, 0x12, 0x0c, 0x1a, 0x8b, 0x29, 0xc6, 0x7e, 0x6b, 0x58, 0xd9, 0xf1, 0xb8,
+	0x15, 0x18, 0x83, 0xba, 0x12, 0xb3, 0x4b, 0xbf, 0x4d, 0x20, 0xad, 0xd9, 0x0e, 0x0c, 0x12, 0x71,
+	0x35, 0xc9, 0x50, 0x4d, 0x30, 0x0d, 0x33, 0x19, 0xa5, 0xda, 0xf7, 0xc8, 0xcb, 0x7e, 0x22, 0xae,
+	0xde, 0xa2, 0x1a, 0x39, 0x34, 0xf8, 0x67, 0x0d, 0x7a, 0xc7, 0xf3, 0x69, 0x12, 0x69, 0x8e, 0xdf,
+	0xcd, 0x31, 0xd7, 0xe6, 0xbc, 0x33, 0x25, 0x13, 0x62, 0xa5, 0xc9, 0x69, 0xcd, 0xfa, 0x50, 0x8d,
+	0x42, 0xe2, 0xc2, 0xe3, 0xd5, 0x28, 0x34, 0x3a, 0x79, 0x86, 0x33, 0xf2, 0xde, 0xe3, 0xb4, 0x66,
+	0x3e, 0xb4, 0x72, 0x54, 0x8b, 0x68, 0x86, 0xe4, 0xb3, 0xc7, 0x0b, 0xd1, 0xd8, 0xfd, 0xdd, 0x1c,
+	0xe7, 0x48, 0x8e, 0x7a, 0xdc, 0x0a, 0x6c, 0x1b, 0xda, 0x99, 0x8a, 0xa4, 0x8a, 0xf4, 0xb5, 0xdf,
+	0x24, 0xdb, 0x96, 0x32, 0x7b, 0x04, 0x5d, 0x63, 0xbf, 0xd0, 0x1a, 0x93, 0x4c, 0xe7, 0xe4, 0x70,
+	0x8f, 0x77, 0x12, 0x71, 0xb5, 0xe7, 0x20, 0xba, 0x4e, 0x2b, 0xd4, 0xb3, 0x0b, 0xf2, 0xbc, 0xc2,
+	0x0b, 0x91, 0xfd, 0x1c, 0xda, 0x79, 0x2c, 0x66, 0x97, 0x86, 0x5a, 0x8f, 0xa8, 0x6d, 0x91, 0x7c,
+	0x4a, 0xc4, 0x67, 0x42, 0x47, 0x98, 0xce, 0x88, 0x78, 0xb0, 0xc4, 0x17, 0xd0, 0x69, 0xce, 0x76,
+	0xa1, 0x91, 0x6b, 0xcc, 0x72, 0xbf, 0x33, 0xac, 0xed, 0x74, 0x9e, 0xf9, 0xbb, 0xb7, 0x13, 0x68,
+	0xd7, 0x24, 0x0f, 0xb7, 0x6a, 0x6c, 0x08, 0x1d, 0x85, 0x39, 0xf1, 0xa7, 0x31, 0xf4, 0xbb, 0xc3,
+	0xca, 0x4e, 0x9b, 0x97, 0x21, 0x43, 0xd5, 0x25, 0x66, 0xda, 0xef, 0xd1, 0x27, 0x5a, 0xb3, 0x4f,
+	0xc1, 0xfb, 0x20, 0x22, 0x8d, 0xa1, 0x31, 0xa2, 0x4f, 0x46, 0xb4, 0x2d, 0x70, 0x9a, 0xb3, 0xdf,
+	0x19, 0x5e, 0xe4, 0xb9, 0xc2, 0x3c, 0xf7, 0xb7, 0xc8, 0x8a, 0xe1, 0x3a, 0x2b, 0x4e, 0x44, 0x7e,
+	0xf9, 0xd6, 0xe9, 0xf1, 0xe5, 0x8e, 0xe0, 0x6f, 0x15, 0xe8, 0x96, 0x3f, 0x51, 0xa8, 0x34, 0x66,
+	0x2e, 0xc9, 0x69, 0x6d, 0x02, 0x12, 0xa5, 0x21, 0x5e, 0x51, 0x44, 0x7b, 0xdc, 0x0a, 0x46, 0x33,
+	0x94, 0x29, 0x52, 0x50, 0xdb, 0x9c, 0xd6, 0x26, 0x48, 0x67, 0x22, 0x8a, 0xe7, 0xe6, 0x29, 0xd4,
+	0x6d, 0x90, 0x0a, 0x99, 0xfd, 0x0c, 0x9a, 0x29, 0x7e, 0xc0, 0x5c, 0x53, 0x5c, 0x7b, 0xdc, 0x49,
+	0xe6, 0xf4, 0x5c, 0x2c, 0x30, 0xa4, 0xa8, 0x7a, 0xdc, 0x0a, 0xc1, 0xe7, 0xd0, 0x79, 0x8d, 0xd9,
+	0x32, 0xcb, 0x6c, 0x46, 0x55, 0x8a, 0x8c, 0x0a, 0xfe, 0x0c, 0x5d, 0xfb, 0x39, 0xcf, 0x64, 0x9a,
+	0x23, 0xfb, 0x06, 0x9a, 0x86, 0xc5, 0x58, 0x93, 0x4e, 0xff, 0xd9, 0x83, 0x75, 0x1c, 0xb8, 0x1d,
+	0xf3, 0x58, 0x73, 0xa7, 0x4d, 0x97, 0x6b, 0xa1, 0xb1, 0x70, 0x8d, 0x84, 0x60, 0x00, 0xfd, 0xb7,
+	0x98, 0x86, 0x51, 0x7a, 0xee, 0xee, 0x0f, 0x7e, 0xa8, 0xc0, 0xd6, 0x12, 0x72, 0x77, 0xee, 0x41,
+	0xfd, 0xbd, 0x9c, 0x9a, 0x7a, 0x60, 0x58, 0xff, 0xd5, 0xba, 0x1b, 0x3f, 0xda, 0xb2, 0xfb, 0x4a,
+	0x4e, 0xf3, 0x51, 0xaa, 0xd5, 0x35, 0xa7, 0xad, 0xdb, 0xbf, 0x06, 0x6f, 0x09, 0xb1, 0x01, 0xd4,
+	0x2e, 0xf1, 0xda, 0x39, 0x69, 0x96, 0xc6, 0xba, 0x85, 0x88, 0xe7, 0x4b, 0xeb, 0x48, 0xf8, 0x6d,
+	0xf5, 0x37, 0x95, 0xe0, 0xef, 0x15, 0x00, 0x13, 0x37, 0x8e, 0x99, 0x54, 0xda, 0x6c, 0x7d, 0x2f,
+	0xa7, 0xc5, 0xd6, 0xf7, 0x72, 0xca, 0x1e, 0x00, 0xc8, 0xd9, 0x6c, 0xae, 0x94, 0xc9, 0x54, 0xb7,
+	0xbf, 0x84, 0x2c, 0xe3, 0x5c, 0x5b, 0x17, 0xe7, 0x7a, 0x39, 0xce, 0x03, 0xa8, 0xa9, 0x79, 0xea,
+	0x82, 0x66, 0x96, 0x46, 0x6f, 0x8a, 0xe7, 0xf3, 0x94, 0x22, 0xd6, 0xe6, 0x56, 0x58, 0xe6, 0x43,
+	0xab, 0x94, 0x0f, 0xcb, 0xd8, 0xb6, 0xcb, 0xb1, 0x95, 0xd0, 0xb3, 0x76, 0x6f, 0xaa, 0x21, 0x66,
+	0xeb, 0x85, 0x50, 0xe1, 0x32, 0x32, 0x46, 0x60, 0x5f, 0x15, 0x45, 0xb8, 0x46, 0xa4, 0x3f, 0xb8,
+	0x2b, 0xd5, 0xdd, 0xf9, 0x56, 0x39, 0x78, 0x0f, 0xdd, 0x43, 0x14, 0x2a, 0x2d, 0xee, 0xfb, 0x3f,
+	0xd2, 0x15, 0x6c, 0x41, 0xcf, 0xdd, 0x65, 0x63, 0x1e, 0xec, 0x51, 0x8c, 0x47, 0x0b, 0x4c, 0x75,
+	0xce, 0xbe, 0x82, 0x26, 0xd2, 0xca, 0x65, 0xcd, 0x67, 0xeb, 0x1c, 0x28, 0xd4, 0xb9, 0xd3, 0x0d,
+	0xfe, 0x51, 0x85, 0x76, 0x01, 0x52, 0x85, 0x88, 0xd2, 0xb0, 0x78, 0xa1, 0x66, 0x5d, 0x38, 0x54,
+	0xbd, 0x71, 0xe8, 0xeb, 0x52, 0xc9, 0xed, 0x3c, 0x7b, 0xb4, 0xb6, 0x30, 0x95, 0xeb, 0xb8, 0xab,
+	0xca, 0xcb, 0xf7, 0x50, 0x2f, 0xbd, 0x87, 0x95, 0x1a, 0xd3, 0xf8, 0x6f, 0x6b, 0xcc, 0x47, 0xdc,
+	0x36, 0xef, 0xe4, 0xb6, 0xb5, 0x8e, 0xdb, 0xf6, 0x9a, 0x54, 0xf4, 0x6e, 0x52, 0xb1, 0x48, 0x3a,
+	0x58, 0x97, 0x74, 0x9d, 0x72, 0xd2, 0xfd, 0xb5, 0x02, 0xfd, 0xc2, 0x63, 0xf7, 0x80, 0xbf, 0x86,
+	0xd6, 0x02, 0x55, 0x18, 0xcd, 0x8a, 0xaa, 0xf1, 0xe9, 0x3a, 0xaf, 0xde, 0x59, 0x15, 0x5e, 0xe8,
+	0x9a, 0x42, 0xa6, 0x50, 0xe4, 0x32, 0x75, 0x7c, 0x3b, 0x89, 0x3d, 0x81, 0xbe, 0x42, 0xad, 0xae,
+	0x27, 0xd4, 0x7e, 0x4d, 0xad, 0xb6, 0xdd, 0xbe, 0x4b, 0xe8, 0x9e, 0x01, 0x4f, 0xf3, 0xe0, 0x2f,
+	0x35, 0xe8, 0x1c, 0x62, 0x1a, 0x6e, 0xca, 0xfd, 0xdb, 0xe1, 0x5c, 0xe5, 0xb0, 0x76, 0x8b, 0xc3,
+	0x87, 0xd0, 0x31, 0xbc, 0x4d, 0xd2, 0x79, 0x32, 0x45, 0xe5, 0xa2, 0x07, 0x06, 0x3a, 0x22, 0xe4,
+	0x86, 0xd0, 0x46, 0x99, 0xd0, 0x52, 0x13, 0x6e, 0xde, 0xd1, 0x84, 0x5b, 0xe5, 0x26, 0x5c, 0x34,
+	0xf2, 0x76, 0xa9, 0x91, 0xff, 0xd2, 0x85, 0xcf, 0xa3, 0x4c, 0xbb, 0xbb, 0x05, 0xda, 0xc0, 0xba,
+	0x10, 0xc2, 0x4a, 0x35, 0xb9, 0x1d, 0xae, 0x8f, 0x5b, 0x6f, 0xf7, 0x56, 0xeb, 0x35, 0x33, 0x4f,
+	0x28, 0x97, 0x9d, 0xd2, 0x0a, 0xc6, 0xc0, 0x19, 0xc6, 0x31, 0x75, 0x49, 0x8f, 0xd3, 0xda, 0x60,
+	0xa6, 0x5b, 0xfa, 0x5b, 0x36, 0x47, 0xcc, 0x3a, 0xf8, 0xc6, 0x54, 0x04, 0x13, 0x04, 0x97, 0x0a,
+	0x03, 0xa8, 0xe1, 0xf2, 0x4d, 0x99, 0xe5, 0x8d, 0x59, 0xd5, 0x72, 0x16, 0xfd, 0x18, 0xb6, 0x8e,
+	0x53, 0x91, 0xe5, 0x17, 0xb2, 0x78, 0x38, 0xc1, 0xf7, 0x15, 0x18, 0xdc, 0x60, 0xee, 0xbc, 0x2f,
+	0xe1, 0xa7, 0x33, 0x99, 0x9e, 0x45, 0xe7, 0x73, 0x25, 0x74, 0x24, 0xd3, 0xc9, 0x02, 0x55, 0x1e,
+	0xc9, 0x94, 0x6e, 0xa8, 0xf3, 0x4f, 0x56, 0x3e, 0xbe, 0xb3, 0xdf, 0xd8, 0x13, 0xe8, 0xad, 0xe0,
+	0x74, 0x75, 0x97, 0xaf, 0x82, 0xec, 0x33, 0xf0, 0x8a, 0x21, 0xcd, 0x66, 0x58, 0x97, 0xdf, 0x00,
+	0xc1, 0x0f, 0x35, 0xa8, 0x3f, 0x47, 0x41, 0x4c, 0xa4, 0x22, 0x41, 0x57, 0xe4, 0x68, 0x6d, 0xc2,
+	0x2d, 0xc2, 0x90, 0x9e, 0xb1, 0xf5, 0xaa, 0x10, 0x6d, 0x49, 0x17, 0xee, 0x40, 0x8f, 0x5b, 0x81,
+	0xfd, 0x02, 0xfa, 0xae, 0x7d, 0x4f, 0x42, 0x99, 0x88, 0x28, 0x75, 0xa3, 0x5a, 0xcf, 0xa1, 0x07,
+	0x04, 0x9a, 0xa9, 0x26, 0x4a, 0x67, 0x42, 0xa5, 0xd6, 0xea, 0x06, 0x65, 0x72, 0x19, 0x32, 0x4f,
+	0xe6, 0x03, 0x46, 0xe7, 0x17, 0x9a, 0xd2, 0xac, 0xc2, 0x9d, 0x64, 0xa2, 0x1c, 0xa5, 0x1a, 0xd5,
+	0x42, 0xc4, 0x93, 0xa4, 0x98, 0xdb, 0xa0, 0x80, 0xde, 0xd0, 0xd8, 0x16, 0xa3, 0x58, 0x44, 0xe9,
+	0x39, 0xe5, 0x5c, 0x9b, 0x17, 0xe2, 0xdd, 0x0c, 0x7b, 0x1b, 0x18, 0x36, 0x33, 0xbc, 0xbc, 0xc4,
+	0xd4, 0x8d, 0x72, 0x56, 0x30, 0x53, 0x9c, 0x92, 0x32, 0xd9, 0x38, 0xc5, 0x71, 0x29, 0x13, 0x6e,
+	0xd5, 0xcc, 0x29, 0x97, 0xa9, 0xfc, 0x90, 0xfa, 0xdd, 0x61, 0xcd, 0x90, 0x45, 0x82, 0x41, 0x2f,
+	0x30, 0x8e, 0x65, 0x91, 0x90, 0x24, 0x04, 0x08, 0x75, 0xb3, 0x75, 0x0d, 0x95, 0x95, 0x75, 0x54,
+	0x16, 0xf9, 0x6b, 0x3b, 0x90, 0xcd, 0xdf, 0x3e, 0x54, 0xe5, 0x99, 0x7b, 0xd2, 0x55, 0x79, 0x66,
+	0x2b, 0x06, 0x22, 0xb5, 0xc0, 0x1e, 0xa7, 0xf5, 0x17, 0xbf, 0x07, 0xb8, 0x99, 0x6e, 0x18, 0x40,
+	0xf3, 0xf8, 0x64, 0xcc, 0x47, 0x07, 0x83, 0x1f, 0xb1, 0x0e, 0xb4, 0xf8, 0xe8, 0xc5, 0xe9, 0xf1,
+	0xe8, 0x60, 0x50, 0x61, 0x5b, 0xd0, 0x39, 0x1a, 0x4f, 0x8e, 0x4f, 0xf7, 0x5f, 0x4e, 0x5e, 0x8d,
+	0x9f, 0x0f, 0xaa, 0x06, 0x18, 0x9f, 0xbc, 0x1c, 0xf1, 0xc9, 0xf8, 0x8f, 0x47, 0x23, 0x3e, 0xa8,
+	0x7d, 0xf1, 0x07, 0x68, 0xb9, 0x82, 0xc7, 0x7a, 0xe0, 0xed, 0x8f, 0xdf, 0xbc, 0x3d, 0x1c, 0x9d,
+	0xd0, 0x41, 0x00, 0xcd, 0x17, 0x7b, 0xdf, 0x1e, 0xd2, 0x39, 0x5d, 0x68, 0xf3, 0xd1, 0xab, 0xd1,
+	0xbe, 0xf9, 0x52, 0x35, 0x8a, 0x7b, 0xcf, 0xf7, 0x8e, 0x0e, 0xc6, 0x47, 0xa3, 0x83, 0x41, 0x8d,
+	0xf5, 0x01, 0x8e, 0xc6, 0x27, 0x93, 0x97, 0xe3, 0xc3, 0x83, 0x11, 0x1f, 0xd4, 0x9f, 0xfd, 0xab,
+	0x01, 0x8d, 0x17, 0x86, 0x44, 0x36, 0x86, 0xa6, 0x2d, 0xc1, 0xec, 0x3f, 0x37, 0xa4, 0xed, 0x60,
+	0x93, 0x8a, 0x7b, 0x66, 0xdf, 0x42, 0xdd, 0x3c, 0x63, 0xf6, 0x70, 0x9d, 0x6e, 0xa9, 0xca, 0x6e,
+	0x0f, 0xef, 0x56, 0x70, 0x47, 0x9d, 0x42, 0xbb, 0x78, 0xc5, 0xec, 0xf1, 0xda, 0xab, 0x57, 0xdf,
+	0xfd, 0xf6, 0x93, 0xcd, 0x4a, 0xee, 0xd8, 0xd7, 0x50, 0x7f, 0x8d, 0x98, 0xdd, 0xc7, 0xe1, 0xe1,
+	0x86, 0x99, 0xd5, 0x1e, 0x36, 0x06, 0xd8, 0x17, 0xe9, 0x0c, 0x63, 0x83, 0xae, 0x77, 0xba, 0x34,
+	0x34, 0xdf, 0xe3, 0xc0, 0x23, 0xf0, 0x8c, 0x7c, 0x4c, 0x5d, 0xfe, 0x7f, 0x70, 0xde, 0x3b, 0xe8,
+	0xb8, 0x91, 0x97, 0x2c, 0x0c, 0x36, 0xce, 0xc4, 0xf6, 0xd0, 0xc7, 0xf7, 0x98, 0x9b, 0xd9, 0x1b,
+	0x68, 0xba, 0x49, 0x77, 0x2d, 0x8f, 0x2b, 0xd3, 0xe4, 0x3d, 0xcc, 0x3c, 0x84, 0x06, 0xcd, 0x68,
+	0xec, 0x8e, 0xb4, 0xb8, 0x19, 0x15, 0xb7, 0x1f, 0x6d, 0xd0, 0xb0, 0xa7, 0x3d, 0x7f, 0xfc, 0xa7,
+	0x47, 0x2b, 0x3a, 0x78, 0x25, 0x92, 0x2c, 0xc6, 0xa7, 0x19, 0xa2, 0x7a, 0xea, 0xfe, 0x66, 0x98,
+	0x36, 0xe9, 0x1f, 0x86, 0x2f, 0xff, 0x1d, 0x00, 0x00, 0xff, 0xff, 0xd8, 0x6a, 0xc9, 0x00, 0x78,
+	0x10, 0x00, 0x00,
 }
--- a/standin/fakestore/store.go
+++ b/standin/fakestore/store.go
@@ -391,16 +391,23 @@
 	reply(w, http.StatusOK, answer)
 }
 
+// trimOrder is the body of an order to delete records.
+type trimOrder struct {
+	Topic  string `json:"topic"`
+	Part   int    `json:"part"`
+	Before int64  `json:"before_offset"`
+}
+
 func (s *Store) trim(w http.ResponseWriter, r *http.Request) {
-	before, err := strconv.ParseInt(r.URL.Query().Get("before_offset"), 10, 64)
-	if err != nil {
+	var order trimOrder
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.partition(keyOf(r))
-	n := min(max(before-p.first, 0), int64(len(p.records)))
+	p := s.partition(partitionKey{order.Topic, order.Part})
+	n := min(max(order.Before-p.first, 0), int64(len(p.records)))
 	p.first += n
 	p.records = p.records[n:]
 	w.WriteHeader(http.StatusOK)
