Remember ends of kept runs until every owner and holder knows them

The holder that saw the end had forgotten it when the job came again; a borrower's answer was lost with the withdrawn job; an end found after the job had come again was not given to it; a new owner's offer joined the older one without its progress; news of a task came to the owner before its offer was under way, or to the holder before the job.

Change: a core remembers done tasks of kept jobs while their ends are not reported and 5 s longer; borrowers answer with them; found ends, newer offers and news end tasks of a job that is there; resubmitted tasks wait half a second longer than leases, in which reports come in; news reach the offer through a channel that holds one a task. An owner that is replaced says that it is uncertain what became of open requests, so 504 is said of those alone.

Tests that fail without, in dispatch/leased/kept_test.go.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -38,6 +38,7 @@
 	room      *roomIndex
 	adopting  []*job               // guests whose earlier runs are looked for
 	doneAlone map[TaskID]time.Time // ends of runs that nobody claimed
+	keptDone  map[TaskID]time.Time // done tasks of kept jobs
 	dropped   map[JobID]time.Time  // jobs that were withdrawn here
 	withdrawn map[TaskID]time.Time // withdrawn tasks that may go on under other holders
 	cellSince map[string]time.Time // since when the endpoints of a cell are held
@@ -66,6 +67,7 @@
 		runs:      make(map[TaskID]*run),
 		room:      &roomIndex{},
 		doneAlone: make(map[TaskID]time.Time),
+		keptDone:  make(map[TaskID]time.Time),
 		dropped:   make(map[JobID]time.Time),
 		cellSince: make(map[string]time.Time),
 		withdrawn: make(map[TaskID]time.Time),
@@ -129,6 +131,7 @@
 	c.waiting.age(c.now)
 	c.measureQueue()
 	c.expire()
+	c.forgetKeptDone()
 	for id, at := range c.doneAlone {
 		if c.now.Sub(at) > claimTime {
 			delete(c.doneAlone, id)
--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -71,11 +71,11 @@
 	runs       map[TaskID]*run
 	used       Demand
 	room       *roomIndex
-	position   int                // in the room index
-	orphans    int                // runs whose demand is not known
-	lastSeen   int64              // number of the newest end that was listed
-	noted      int64              // number that the newest answered Hold took note of
-	unreported map[int64]struct{} // ends that must not be taken note of yet
+	position   int              // in the room index
+	orphans    int              // runs whose demand is not known
+	lastSeen   int64            // number of the newest end that was listed
+	noted      int64            // number that the newest answered Hold took note of
+	unreported map[int64]TaskID // ends that must not be taken note of yet
 
 	clock     time.Duration // of the endpoint at clockAt
 	clockAt   time.Time     // zero: unknown
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -73,6 +73,7 @@
 	if j := c.jobs[in.Job.ID]; j != nil {
 		j.tickets = append(j.tickets, in.Ticket)
 		c.tickets[in.Ticket] = j
+		c.learnProgress(&in.Job)
 		return
 	}
 	j := c.newJob(in.Job, in.Ticket)
@@ -127,7 +128,7 @@
 			*t = task{id: TaskID{Job: spec.ID, Step: s, Index: i}, job: j, step: step}
 			if spec.Resubmitted {
 				t.runs = resubmittedRuns
-				t.notBefore = c.now.Add(c.resubmitPause(spec.ID))
+				t.notBefore = c.now.Add(c.resubmitPause(&spec))
 			}
 			if at, lent := c.withdrawn[t.id]; lent {
 				t.notBefore = later(t.notBefore, at.Add(c.opts.MaxLease+clockSlack))
@@ -146,9 +147,13 @@
 }
 
 // resubmitPause is how long runs of a resubmitted job may go on unseen: not at
-// all if the job was withdrawn here, since its runs here are known.
-func (c *Core) resubmitPause(id JobID) time.Duration {
-	if _, known := c.dropped[id]; known {
+// all if the job was withdrawn here, since its runs here are known. Tasks of a
+// kept job wait until ends that others have seen are reported.
+func (c *Core) resubmitPause(j *Job) time.Duration {
+	if j.Kept {
+		return c.opts.MaxLease + clockSlack + reportTime
+	}
+	if _, known := c.dropped[j.ID]; known {
 		return 0
 	}
 	return c.opts.MaxLease + clockSlack
@@ -298,6 +303,9 @@
 	j := t.job
 	t.state = doneTask
 	j.left[t.id.Step]--
+	if j.Kept {
+		c.keptDone[t.id] = c.now
+	}
 	c.begin(j)
 	for _, left := range j.left {
 		if left > 0 {
--- a/dispatch/leased/kept.go
+++ b/dispatch/leased/kept.go
@@ -10,6 +10,10 @@
 // left alone: it would list them again at once.
 const reportPause = 40 * time.Millisecond
 
+// reportTime is how long the owner of a kept job takes to learn of an end from
+// any holder, also right after it has taken its shard over.
+const reportTime = 500 * time.Millisecond
+
 func isKept(run int) bool { return run >= keptRuns }
 
 // reportEnd has the end of a run of a kept job stored by the job's owner.
@@ -18,14 +22,37 @@
 		return
 	}
 	if e.unreported == nil {
-		e.unreported = make(map[int64]struct{})
+		e.unreported = make(map[int64]TaskID)
+	}
+	e.unreported[end.Number] = end.Task
+	if end.End == EndDone {
+		c.keptDone[end.Task] = c.now
 	}
-	e.unreported[end.Number] = struct{}{}
 	c.out.Reports = append(c.out.Reports, Report{
 		Endpoint: e.ID, Born: e.Born, Number: end.Number, Task: end.Task, Run: end.Run, End: end.End, Saved: end.Saved,
 	})
 }
 
+// keptDoneTime is how long a done task of a kept job is remembered after its end
+// was reported: offers that were made before may still be on their way.
+const keptDoneTime = 5 * time.Second
+
+// forgetKeptDone forgets done tasks whose ends were reported long ago.
+func (c *Core) forgetKeptDone() {
+	for _, e := range c.order {
+		for _, id := range e.unreported {
+			if _, known := c.keptDone[id]; known {
+				c.keptDone[id] = c.now
+			}
+		}
+	}
+	for id, at := range c.keptDone {
+		if c.now.Sub(at) > keptDoneTime {
+			delete(c.keptDone, id)
+		}
+	}
+}
+
 // reportBegun tells the owner of a kept job that a task of it has started.
 func (c *Core) reportBegun(j *job) {
 	if j.Kept && !j.guest {
@@ -55,11 +82,15 @@
 	return most
 }
 
-// taskLearned ends a task that is done, as another holder has found. A run of it
+// taskLearned ends a task of a kept job that is done, as another holder has found. A run of it
 // here is in vain.
 func (c *Core) taskLearned(id TaskID) {
 	j := c.jobs[id.Job]
-	if j == nil || !j.Kept {
+	if j == nil {
+		c.keptDone[id] = c.now // its job may be on its way here
+		return
+	}
+	if !j.Kept {
 		return
 	}
 	t := j.task(id)
@@ -79,6 +110,16 @@
 	}
 }
 
+// learnProgress takes what the owner of a kept job knows of one that is here
+// already.
+func (c *Core) learnProgress(job *Job) {
+	for _, p := range job.Progress {
+		if p.Done {
+			c.taskLearned(TaskID{Job: job.ID, Step: p.Step, Index: p.Index})
+		}
+	}
+}
+
 // restore takes what earlier runs of a kept job have done.
 func (c *Core) restore(j *job) {
 	for s := range j.tasks {
@@ -99,6 +140,20 @@
 			j.left[p.Step]--
 		}
 	}
+	c.restoreDone(j)
+}
+
+// restoreDone takes ends that this core has seen and the owner may not know yet.
+func (c *Core) restoreDone(j *job) {
+	for s := range j.tasks {
+		for i := range j.tasks[s] {
+			t := &j.tasks[s][i]
+			if _, done := c.keptDone[t.id]; done && t.state != doneTask {
+				t.state = doneTask
+				j.left[s]--
+			}
+		}
+	}
 }
 
 // complete reports whether every task of a job is done.
--- a/dispatch/leased/kept_test.go
+++ b/dispatch/leased/kept_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/dispatch/leased/leasedtest"
 )
 
 // keptJob is a job of equal tasks that outlives its caller.
@@ -64,6 +65,122 @@
 	}
 }
 
+// The owner dies before it has stored the end of a run. The next one offers the
+// job to the same holder, which knows that the task is done.
+func TestHolderRemembersEndsThatAreNotStoredYet(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 2)
+	w.silentOwner = true
+	w.run(100 * time.Millisecond)
+	ticket := w.submitAs(0, keptJob("j", 1, 50*time.Millisecond), 50*time.Millisecond)
+	job := keptJob("k", 2, 50*time.Millisecond)
+	job.Steps = append(job.Steps, leased.Step{Tasks: 1, After: []int{0}, Demand: job.Steps[0].Demand, Estimate: 2 * time.Second})
+	second := w.submitAs(0, job, 50*time.Millisecond)
+	w.work["k"] = leasedtest.Work{Demand: job.Steps[0].Demand, Time: 300 * time.Millisecond}
+	w.run(500 * time.Millisecond)
+	w.step(0, &leased.Cancel{Ticket: ticket})
+	w.step(0, &leased.Cancel{Ticket: second})
+	for _, again := range []leased.Job{keptJob("j", 1, 50*time.Millisecond), job} {
+		again.Resubmitted = true
+		w.submitAs(0, again, 300*time.Millisecond)
+	}
+	w.run(4 * time.Second)
+	for id, want := range map[leased.TaskID]int{{Job: "j"}: 1, {Job: "k"}: 1, {Job: "k", Index: 1}: 1} {
+		if n := w.starts[id]; n != want {
+			t.Errorf("task %v was started %d times, want %d", id, n, want)
+		}
+	}
+	for _, id := range []leased.JobID{"j", "k"} {
+		if a := w.answers[id]; a.Verdict != leased.Completed {
+			t.Errorf("job %s: %+v, want completed", id, a)
+		}
+	}
+}
+
+// A job comes again to a holder that has just taken an endpoint over. The
+// endpoint's list says a little later that the task is done.
+func TestEndThatIsFoundAfterItsJobCameAgain(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.addEndpoints(0, 1)
+	w.addEndpoints(1, 1)
+	w.silentOwner = true
+	w.run(100 * time.Millisecond)
+	w.submitAs(0, keptJob("j", 1, 100*time.Millisecond), 100*time.Millisecond)
+	w.run(300 * time.Millisecond)
+	w.dead[0] = true
+	again := keptJob("j", 1, 100*time.Millisecond)
+	again.Resubmitted = true
+	w.submitAs(1, again, 100*time.Millisecond)
+	w.run(350 * time.Millisecond)
+	w.owner["e00"] = 1
+	w.announce()
+	w.run(4 * time.Second)
+	if n := w.starts[leased.TaskID{Job: "j"}]; n != 1 {
+		t.Errorf("the task was started %d times, want once", n)
+	}
+	if a := w.answers["j"]; a.Verdict != leased.Completed || a.Took == 0 {
+		t.Errorf("answer %+v, want completed", a)
+	}
+}
+
+// An owner offers a job anew with what it has learned meanwhile.
+func TestNewerOfferOfAJobBringsItsProgress(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 1)
+	w.run(100 * time.Millisecond)
+	job := keptJob("j", 2, 200*time.Millisecond)
+	job.Resubmitted = true
+	w.submitAs(0, job, 200*time.Millisecond)
+	job.Progress = []leased.TaskProgress{{Index: 1, Done: true}}
+	w.submitAs(0, job, 200*time.Millisecond)
+	w.run(4 * time.Second)
+	if n := w.starts[leased.TaskID{Job: "j", Index: 1}]; n != 0 {
+		t.Errorf("the task that is done was started %d times", n)
+	}
+	if a := w.answers["j"]; a.Verdict != leased.Completed || a.Took == 0 {
+		t.Errorf("answer %+v, want completed", a)
+	}
+}
+
+func TestNewsThatComeBeforeTheirJobAreRemembered(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 1)
+	w.run(100 * time.Millisecond)
+	w.step(0, &leased.Learned{Task: leased.TaskID{Job: "j"}})
+	w.submitAs(0, keptJob("j", 2, 100*time.Millisecond), 100*time.Millisecond)
+	w.run(time.Second)
+	if n := w.starts[leased.TaskID{Job: "j"}]; n != 0 {
+		t.Errorf("the task that is done was started %d times", n)
+	}
+}
+
+// A task of a kept job has run at a borrower, which could not report its end
+// yet. The job comes again to the lender: the task must not start again.
+func TestLentEndsAreNotForgotten(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.addEndpoints(1, 2)
+	w.shareRooms()
+	w.silentOwner = true
+	w.run(100 * time.Millisecond)
+	job := keptJob("j", 3, 200*time.Millisecond)
+	job.Steps = append(job.Steps, leased.Step{Tasks: 1, After: []int{0}, Demand: job.Steps[0].Demand, Estimate: 2 * time.Second})
+	ticket := w.submitAs(0, job, 200*time.Millisecond)
+	w.run(400 * time.Millisecond) // the last step is at work
+	w.step(0, &leased.Cancel{Ticket: ticket})
+	again := job
+	again.Resubmitted = true
+	w.submitAs(0, again, 200*time.Millisecond)
+	w.run(6 * time.Second)
+	if a := w.answers["j"]; a.Verdict != leased.Completed || a.Took == 0 {
+		t.Errorf("answer %+v, want completed", a)
+	}
+	for index := range 3 {
+		if n := w.starts[leased.TaskID{Job: "j", Index: index}]; n != 1 {
+			t.Errorf("task %d was started %d times, want once", index, n)
+		}
+	}
+}
+
 func TestKeptJobGoesOnFromItsProgress(t *testing.T) {
 	w := newWorld(t, 1, 1)
 	w.addEndpoints(0, 2)
--- a/dispatch/leased/lend.go
+++ b/dispatch/leased/lend.go
@@ -188,6 +188,10 @@
 		c.adopting = append(c.adopting, j)
 		return
 	}
+	if _, done := c.keptDone[t.id]; done && isKept(g.Run) {
+		c.endGuestNow(j, g.Run, EndDone) // its lender has lost the answer
+		return
+	}
 	e, fits := c.bestFor(t, nil)
 	fits = fits && !c.now.Before(c.quietTill)
 	if g.Wait && c.holdsAny(g.Cell) && c.runs[t.id] == nil && (!fits || c.waiting.len() > 0) {
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -38,6 +38,9 @@
 	if r == nil || r.number != end.Run {
 		if end.End == EndDone {
 			c.doneAlone[end.Task] = c.now
+			if isKept(end.Run) {
+				c.taskLearned(end.Task)
+			}
 		}
 		return
 	}
--- a/dispatch/stored/apply.go
+++ b/dispatch/stored/apply.go
@@ -131,9 +131,6 @@
 	case JobCancelled, JobFailed:
 		s.out.Withdraws = append(s.out.Withdraws, j.id)
 	case TaskEnded:
-		if p.event.Done {
-			s.out.Learned = append(s.out.Learned, Learned{Task: p.event.Task, From: p.from})
-		}
 		if j.state.Ended() {
 			s.out.Withdraws = append(s.out.Withdraws, j.id)
 		}
@@ -168,8 +165,9 @@
 	if r.Begun || slices.Contains(t.failed, r.Run) {
 		return false
 	}
-	if r.Done {
+	if r.Done && !t.reported {
 		j.reportDone(t)
+		s.out.Learned = append(s.out.Learned, Learned{Task: r.Task, From: in.From})
 	}
 	event := Event{Kind: TaskEnded, Job: j.id, Task: r.Task, Run: r.Run, Done: r.Done, Saved: r.Saved}
 	if !s.join(&event, in.Ticket) {
--- a/dispatch/stored/entry.go
+++ b/dispatch/stored/entry.go
@@ -110,13 +110,14 @@
 	return Failed
 }
 
-// progress lists what is stored of the tasks.
-func (j *entry) progress() []leased.TaskProgress {
+// progress lists what is known of the tasks, or only what is stored of them.
+func (j *entry) progress(onlyStored bool) []leased.TaskProgress {
 	list := make([]leased.TaskProgress, 0, len(j.tasks))
 	for key, t := range j.tasks {
-		if t.done || len(t.failed) > 0 || t.newest > 0 {
+		done := t.done || t.reported && !onlyStored
+		if done || len(t.failed) > 0 || t.newest > 0 {
 			list = append(list, leased.TaskProgress{
-				Step: key.step, Index: key.index, Done: t.done, Failures: len(t.failed), Newest: t.newest, Saved: t.saved,
+				Step: key.step, Index: key.index, Done: done, Failures: len(t.failed), Newest: t.newest, Saved: t.saved,
 			})
 		}
 	}
@@ -135,6 +136,6 @@
 	job.Kept = true
 	job.Resubmitted = j.begun
 	job.Waited = now.Sub(j.accepted)
-	job.Progress = j.progress()
+	job.Progress = j.progress(false)
 	return job
 }
--- a/dispatch/stored/message.go
+++ b/dispatch/stored/message.go
@@ -93,7 +93,8 @@
 	Stored     Result = iota // accepted, cancelled or noted, and stored
 	Refused                  // it is not stored and never will be
 	NoSuchJob                // of Cancel and Report
-	OtherOwner               // this owner has been replaced: ask the new one
+	OtherOwner               // this is not the owner and has done nothing: ask the right one
+	Uncertain                // the owner has been replaced meanwhile: ask the new one
 )
 
 // Reply answers a request.
--- a/dispatch/stored/shard.go
+++ b/dispatch/stored/shard.go
@@ -212,7 +212,7 @@
 	event := Event{Kind: JobRewritten, Job: j.id, State: j.state}
 	if !j.state.Ended() {
 		event.Spec = j.spec
-		event.Progress = j.progress()
+		event.Progress = j.progress(true)
 	}
 	s.add(event, 0, 0)
 }
--- a/fleet/keep/runner.go
+++ b/fleet/keep/runner.go
@@ -27,10 +27,9 @@
 	// Owns reports whether this process is to own a shard.
 	Owns func(shard int) bool
 	// Offer hands a job to a holder of endpoints until it has ended there, the
-	// holder is lost or the context ends.
-	Offer func(ctx context.Context, job leased.Job) stored.Outcome
-	// Learn passes on that a task is done.
-	Learn func(stored.Learned)
+	// holder is lost or the context ends. News are tasks that are known to be
+	// done since the job was offered.
+	Offer func(ctx context.Context, job leased.Job, news <-chan stored.Learned) stored.Outcome
 	// AppendInterval is the least time between two appends of a shard.
 	AppendInterval time.Duration
 	Options        stored.Options
@@ -119,7 +118,7 @@
 	case result := <-q.reply:
 		return result
 	case <-ctx.Done():
-		return stored.OtherOwner
+		return stored.Uncertain
 	}
 }
 
--- a/fleet/keep/runner_test.go
+++ b/fleet/keep/runner_test.go
@@ -42,8 +42,8 @@
 	o := &owner{}
 	ctx, cancel := context.WithCancel(context.Background())
 	o.Runner = keep.NewRunner(keep.Environment{
-		Log: log, Codec: codec, Owns: func(int) bool { return o.owns.Load() }, Learn: func(stored.Learned) {},
-		Offer: func(ctx context.Context, job leased.Job) stored.Outcome {
+		Log: log, Codec: codec, Owns: func(int) bool { return o.owns.Load() },
+		Offer: func(ctx context.Context, job leased.Job, _ <-chan stored.Learned) stored.Outcome {
 			o.mu.Lock()
 			o.offers = append(o.offers, job)
 			o.mu.Unlock()
--- a/fleet/keep/serve.go
+++ b/fleet/keep/serve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"lovagespread.example/dispatch/leased"
@@ -35,8 +36,8 @@
 
 // offer is an offer under way.
 type offer struct {
-	attempt int
-	cancel  context.CancelFunc
+	cancel context.CancelFunc
+	news   chan stored.Learned // holds one of each task
 }
 
 // serve owns the shard until the context ends or another process is to own it.
@@ -75,10 +76,10 @@
 	}
 }
 
-// giveUp sends those who wait to the next owner.
+// giveUp sends those who wait to the next owner, which knows what was stored.
 func (s *serving) giveUp() {
 	for _, reply := range s.replies {
-		reply <- stored.OtherOwner
+		reply <- stored.Uncertain
 	}
 }
 
@@ -116,7 +117,7 @@
 		s.offer(&out.Offers[i])
 	}
 	for _, l := range out.Learned {
-		s.env.Learn(l)
+		s.learned(l)
 	}
 	for _, before := range out.Trims {
 		go s.trim(before)
@@ -206,17 +207,34 @@
 	}
 }
 
+// learned passes the news of a task on to the offer of its job, if there is one.
+func (s *serving) learned(l stored.Learned) {
+	s.env.Logger.Info("task_learned", zap.String("job", string(l.Task.Job)), zap.Int("step", l.Task.Step),
+		zap.Int("task", l.Task.Index), zap.Uint64("from", l.From))
+	o, ok := s.offers[l.Task.Job]
+	if !ok {
+		return
+	}
+	select {
+	case o.news <- l:
+	default: // each task is reported as done once
+		s.env.Logger.Error("news_dropped", zap.String("job", string(l.Task.Job)), zap.Int("task", l.Task.Index))
+	}
+}
+
 // offer hands a job to a holder in a goroutine of its own.
 func (s *serving) offer(o *stored.Offer) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	if old, ok := s.offers[o.Job.ID]; ok {
 		old.cancel()
 	}
-	s.offers[o.Job.ID] = offer{o.Attempt, cancel}
+	tasks := lo.SumBy(o.Job.Steps, func(step leased.Step) int { return step.Tasks })
+	news := make(chan stored.Learned, tasks)
+	s.offers[o.Job.ID] = offer{cancel, news}
 	attempt, job := o.Attempt, o.Job
 	go func() {
 		defer cancel()
-		outcome := s.env.Offer(ctx, job)
+		outcome := s.env.Offer(ctx, job, news)
 		if ctx.Err() != nil {
 			return
 		}
--- a/fleet/kept.go
+++ b/fleet/kept.go
@@ -46,16 +46,15 @@
 	runners  []*keep.Runner
 
 	mu      sync.Mutex
-	holders map[leased.JobID]cells.Entry // that jobs owned here were offered to
-	alone   time.Time                    // since when no majority is heard; zero: it is
+	alone   time.Time // since when no majority is heard; zero: it is
 	pending map[string]int
 	counted time.Time
 }
 
 func newKept(s KeptSettings, l *Loop, p *peers, service *Service, jobLog keep.Log, log *zap.Logger, m *metrics) *kept {
-	k := &kept{settings: s, loop: l, peers: p, service: service, log: log, holders: make(map[leased.JobID]cells.Entry)}
+	k := &kept{settings: s, loop: l, peers: p, service: service, log: log}
 	env := keep.Environment{
-		Log: jobLog, Owns: k.owns, Offer: k.offer, Learn: k.learn, Logger: log,
+		Log: jobLog, Owns: k.owns, Offer: k.offer, Logger: log,
 		Codec: keep.JobCodec{
 			ToPB:   func(j *leased.Job) *fleetpb.SubmitRequest { return jobToPB(j, 0) },
 			FromPB: jobFromPB,
@@ -113,15 +112,15 @@
 }
 
 // offer hands a job that is owned here to a holder of endpoints.
-func (k *kept) offer(ctx context.Context, job leased.Job) stored.Outcome {
-	defer k.forgetHolder(job.ID)
+func (k *kept) offer(ctx context.Context, job leased.Job, news <-chan stored.Learned) stored.Outcome {
 	job.Patience = endlessPatience
 	pause := holderPause
 	for ctx.Err() == nil {
 		latest := k.loop.Latest()
 		if holder, ok := holderFor(latest); ok {
-			k.noteHolder(job.ID, holder)
+			relay := k.relayNews(ctx, holder, news)
 			outcome, err := k.service.offer(ctx, latest, holder, &job)
+			job.Progress = append(job.Progress, relay.stop()...)
 			if err == nil {
 				return outcomeOf(&outcome)
 			}
@@ -136,46 +135,60 @@
 	return stored.Outcome{Lost: true, Begun: true}
 }
 
-func outcomeOf(o *Outcome) stored.Outcome {
-	lost := o.Verdict != leased.Completed && o.Verdict != leased.Failed
-	return stored.Outcome{Verdict: o.Verdict, Lost: lost, Begun: lost}
+// newsRelay tells the holder of a job of tasks that others have found to be
+// done.
+type newsRelay struct {
+	cancel context.CancelFunc
+	ended  chan struct{}
+	told   []leased.TaskProgress
 }
 
-func (k *kept) noteHolder(id leased.JobID, holder cells.Entry) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.holders[id] = holder
+func (k *kept) relayNews(ctx context.Context, holder cells.Entry, news <-chan stored.Learned) *newsRelay {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &newsRelay{cancel: cancel, ended: make(chan struct{})}
+	go func() {
+		defer close(r.ended)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case l := <-news:
+				r.told = append(r.told, leased.TaskProgress{Step: l.Task.Step, Index: l.Task.Index, Done: true})
+				if uint64(holder.Incarnation) != l.From {
+					k.learn(ctx, holder, l.Task)
+				}
+			}
+		}
+	}()
+	return r
 }
 
-// learn tells the holder of a job that a task is done, unless it said so
-// itself.
-func (k *kept) learn(l stored.Learned) {
-	k.mu.Lock()
-	holder, ok := k.holders[l.Task.Job]
-	k.mu.Unlock()
-	if !ok || uint64(holder.Incarnation) == l.From {
+// stop ends the relay and returns what it has told.
+func (r *newsRelay) stop() []leased.TaskProgress {
+	r.cancel()
+	<-r.ended
+	return r.told
+}
+
+// learn tells a holder that a task is done.
+func (k *kept) learn(ctx context.Context, holder cells.Entry, task leased.TaskID) {
+	if holder.Incarnation == k.peers.self {
+		k.loop.send(coreInput{&leased.Learned{Task: task}})
 		return
 	}
-	if holder.Incarnation == k.loop.Latest().View.Self.Incarnation {
-		k.loop.send(coreInput{&leased.Learned{Task: l.Task}})
-		return
+	ctx, cancel := context.WithTimeout(ctx, learnTime)
+	defer cancel()
+	_, err := k.peers.client(holder.Address).Learn(ctx, &fleetpb.LearnRequest{
+		Job: string(task.Job), Occurrence: uint32(task.Occurrence), Step: uint32(task.Step), Index: uint32(task.Index),
+	})
+	if err != nil { // the holder is told by its own endpoints, or replaced
+		k.log.Warn("learn_failed", zap.String("job", string(task.Job)), zap.String("holder", holder.Name), zap.Error(err))
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), learnTime)
-		defer cancel()
-		_, err := k.peers.client(holder.Address).Learn(ctx, &fleetpb.LearnRequest{
-			Job: string(l.Task.Job), Occurrence: uint32(l.Task.Occurrence), Step: uint32(l.Task.Step), Index: uint32(l.Task.Index),
-		})
-		if err != nil { // the holder is told by its own endpoints, or replaced
-			k.log.Warn("learn_failed", zap.String("job", string(l.Task.Job)), zap.String("holder", holder.Name), zap.Error(err))
-		}
-	}()
 }
 
-func (k *kept) forgetHolder(id leased.JobID) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	delete(k.holders, id)
+func outcomeOf(o *Outcome) stored.Outcome {
+	lost := o.Verdict != leased.Completed && o.Verdict != leased.Failed
+	return stored.Outcome{Verdict: o.Verdict, Lost: lost, Begun: lost}
 }
 
 // answer is what the owner of a shard has said.
@@ -206,8 +219,8 @@
 		default:
 			a = k.askThere(ctx, owner, there)
 		}
-		reached = reached || a.reached
-		if a.result != stored.OtherOwner {
+		reached = reached || a.reached || a.result == stored.Uncertain
+		if a.result != stored.OtherOwner && a.result != stored.Uncertain {
 			a.found, a.reached = true, true
 			return a
 		}
@@ -234,8 +247,7 @@
 // accept stores a job.
 func (k *kept) accept(ctx context.Context, job leased.Job) answer {
 	return k.ask(ctx, k.shardOf(job.ID), func(ctx context.Context, r *keep.Runner) answer {
-		result := r.Accept(ctx, job)
-		return answer{result: result, reached: result == stored.OtherOwner}
+		return answer{result: r.Accept(ctx, job)}
 	}, func(ctx context.Context, c fleetpb.Fleet) (*fleetpb.KeptResponse, error) {
 		return c.Keep(ctx, jobToPB(&job, uint64(k.peers.self)))
 	})
--- a/fleet/keptservice.go
+++ b/fleet/keptservice.go
@@ -60,6 +60,9 @@
 	defer cancel()
 	a := s.kept.accept(ctx, job)
 	outcome := KeptOutcome{Verdict: storeVerdict(&a), State: stored.Queued, Reason: "the log of jobs cannot be used for now", RetryAfter: keptRetryAfter}
+	if outcome.Verdict == KeptDone {
+		outcome.Reason = ""
+	}
 	took := time.Since(began)
 	s.metrics.answers.WithLabelValues(job.Queue, outcome.Verdict.String()).Inc()
 	s.metrics.answerSeconds.WithLabelValues(job.Queue).Observe(took.Seconds())
