Let owners of kept jobs be sure of their shards

Two sides of a cut took shards from each other in turns. Ends that a holder on the other side had seen were unknown when the job was offered anew (TWICE).

That a job is unknown is said only by an owner that has been sure for a second. While an entry is silent that has not said that it stops, resubmitted tasks wait for it, 8 s at most.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -39,6 +39,8 @@
 	adopting  []*job               // guests whose earlier runs are looked for
 	doneAlone map[TaskID]time.Time // ends of runs that nobody claimed
 	keptDone  map[TaskID]time.Time // done tasks of kept jobs
+	lacking   bool                 // some entries cannot be reached
+	reached   time.Time            // since when none is lacking
 	dropped   map[JobID]time.Time  // jobs that were withdrawn here
 	withdrawn map[TaskID]time.Time // withdrawn tasks that may go on under other holders
 	cellSince map[string]time.Time // since when the endpoints of a cell are held
@@ -85,6 +87,8 @@
 		c.setEndpoints(in.Endpoints)
 	case *SetRooms:
 		c.rooms = in.Rooms
+	case *SetReach:
+		c.setReach(in.Lacking)
 	case *Submit:
 		c.submit(in)
 	case *SubmitGuest:
--- a/dispatch/leased/kept.go
+++ b/dispatch/leased/kept.go
@@ -53,6 +53,27 @@
 	}
 }
 
+// cutTime is how long tasks of a kept job wait whose earlier runs may have ended
+// where nobody can ask: longer than most cuts of a network.
+const cutTime = 8 * time.Second
+
+// setReach notes whether some entries cannot be reached.
+func (c *Core) setReach(lacking bool) {
+	if c.lacking && !lacking {
+		c.reached = c.now
+	}
+	c.lacking = lacking
+}
+
+// mayHaveEnded reports whether an earlier run of a task may have ended where an
+// entry holds the endpoint that cannot be reached, or has just come back.
+func (c *Core) mayHaveEnded(t *task) bool {
+	if !t.job.Resubmitted || !t.job.Kept || c.now.Sub(t.job.arrived) > cutTime {
+		return false
+	}
+	return c.lacking || c.now.Sub(c.reached) < c.resubmitPause(&t.job.Job)
+}
+
 // reportBegun tells the owner of a kept job that a task of it has started.
 func (c *Core) reportBegun(j *job) {
 	if j.Kept && !j.guest {
--- a/dispatch/leased/kept_test.go
+++ b/dispatch/leased/kept_test.go
@@ -230,3 +230,46 @@
 		t.Errorf("answer %+v, want completed", a)
 	}
 }
+
+// While an entry cannot be reached, it may have seen ends that nobody else
+// knows of. Tasks of kept jobs that may have run there wait for its return.
+func TestTasksThatMayHaveEndedElsewhereWait(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 2)
+	w.run(100 * time.Millisecond)
+	w.step(0, &leased.SetReach{Lacking: true})
+	again := keptJob("j", 2, 50*time.Millisecond)
+	again.Resubmitted = true
+	w.submitAs(0, again, 50*time.Millisecond)
+	w.submitAs(0, keptJob("new", 1, 50*time.Millisecond), 50*time.Millisecond)
+	w.run(4 * time.Second)
+	if n := w.starts[leased.TaskID{Job: "j"}]; n != 0 {
+		t.Errorf("the task was started %d times while an entry is out of reach", n)
+	}
+	if a := w.answers["new"]; a.Verdict != leased.Completed || a.Took == 0 {
+		t.Errorf("a job without earlier runs: %+v, want completed", a)
+	}
+	w.step(0, &leased.SetReach{Lacking: false})
+	w.after(time.Second, func() { w.step(0, &leased.Learned{Task: leased.TaskID{Job: "j"}}) })
+	w.run(7 * time.Second)
+	if n := w.starts[leased.TaskID{Job: "j"}]; n != 0 {
+		t.Errorf("the task was started %d times, though its end was reported", n)
+	}
+	if a := w.answers["j"]; a.Verdict != leased.Completed || a.Took == 0 {
+		t.Errorf("answer %+v, want completed", a)
+	}
+}
+
+func TestTasksDoNotWaitForEverForAnEntryThatIsGone(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 2)
+	w.run(100 * time.Millisecond)
+	w.step(0, &leased.SetReach{Lacking: true})
+	again := keptJob("j", 2, 50*time.Millisecond)
+	again.Resubmitted = true
+	w.submitAs(0, again, 50*time.Millisecond)
+	w.run(10 * time.Second)
+	if a := w.answers["j"]; a.Verdict != leased.Completed || a.Took == 0 {
+		t.Errorf("answer %+v, want completed", a)
+	}
+}
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -11,6 +11,10 @@
 // SetRooms tells how much room the holders of other cells have announced.
 type SetRooms struct{ Rooms []Room }
 
+// SetReach tells whether some entries cannot be reached: ends that they have
+// seen may be unknown to everybody else.
+type SetReach struct{ Lacking bool }
+
 // Submit offers a job.
 type Submit struct {
 	Ticket Ticket
@@ -84,6 +88,7 @@
 
 func (*SetEndpoints) isInput() {}
 func (*SetRooms) isInput()     {}
+func (*SetReach) isInput()     {}
 func (*Submit) isInput()       {}
 func (*SubmitGuest) isInput()  {}
 func (*Cancel) isInput()       {}
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -73,6 +73,9 @@
 		if c.runs[t.id] != nil || c.now.Before(t.notBefore) {
 			continue // an earlier run may go on
 		}
+		if c.mayHaveEnded(t) {
+			continue
+		}
 		if t.step.Demand.MilliCores <= c.bound {
 			if e, fits := c.bestFor(t, nil); fits {
 				c.start(t, e)
--- a/fleet/keep/keeptest/log.go
+++ b/fleet/keep/keeptest/log.go
@@ -23,6 +23,7 @@
 type Faults struct {
 	Refuse bool // appends do nothing
 	Lose   bool // appends are carried out and not answered
+	Silent bool // nothing is carried out or answered
 }
 
 type partition struct {
@@ -57,6 +58,9 @@
 func (l *Log) Open(_ context.Context, shard int, epoch int64) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.faults.Silent {
+		return errors.New("no answer")
+	}
 	p := l.partition(shard)
 	if epoch < p.epoch {
 		return &keep.FencedError{Epoch: epoch}
@@ -72,6 +76,8 @@
 	defer l.mu.Unlock()
 	p := l.partition(shard)
 	switch {
+	case l.faults.Silent:
+		return 0, errors.New("no answer")
 	case epoch < p.epoch:
 		return 0, &keep.FencedError{Epoch: epoch}
 	case l.faults.Refuse:
--- a/fleet/keep/runner.go
+++ b/fleet/keep/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"lovagespread.example/dispatch/leased"
@@ -24,8 +25,12 @@
 type Environment struct {
 	Log   Log
 	Codec JobCodec
-	// Owns reports whether this process is to own a shard.
-	Owns func(shard int) bool
+	// Owns reports whether this process is to own a shard, and MayTake whether it
+	// may take it over now.
+	Owns    func(shard int) bool
+	MayTake func(shard int) bool
+	// Fenced takes that another process has taken a shard over.
+	Fenced func(shard int)
 	// Offer hands a job to a holder of endpoints until it has ended there, the
 	// holder is lost or the context ends. News are tasks that are known to be
 	// done since the job was offered.
@@ -59,7 +64,9 @@
 // request is a question to the runner's goroutine.
 type request struct {
 	input func(stored.Ticket) stored.Input // nil: only look
-	look  func(*stored.Shard)
+	// look returns false if its answer is to be given only by an owner that has
+	// surely not been replaced.
+	look  func(*stored.Shard) bool
 	reply chan stored.Result
 }
 
@@ -73,23 +80,31 @@
 // ends.
 func (r *Runner) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !r.env.Owns(r.shard) {
+		if !r.env.Owns(r.shard) || !r.env.MayTake(r.shard) {
 			r.turnAway(ctx, lookInterval)
 			continue
 		}
 		taken, err := r.take(ctx)
 		if err != nil {
 			r.env.Logger.Warn("shard_not_taken", zap.Error(err))
+			r.noteFenced(err)
 			r.turnAway(ctx, takePause)
 			continue
 		}
 		if err := r.serve(ctx, taken); err != nil {
 			r.env.Logger.Warn("shard_lost", zap.Int64("epoch", taken.epoch), zap.Error(err))
+			r.noteFenced(err)
 			r.turnAway(ctx, takePause)
 		}
 	}
 }
 
+func (r *Runner) noteFenced(err error) {
+	if _, fenced := errors.Into[*FencedError](err); fenced {
+		r.env.Fenced(r.shard)
+	}
+}
+
 // turnAway answers requests for some time: this process does not own the shard.
 func (r *Runner) turnAway(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -140,13 +155,19 @@
 // State tells what has become of a job.
 func (r *Runner) State(ctx context.Context, id leased.JobID) (stored.State, stored.Result) {
 	var state stored.State
-	result := r.ask(ctx, request{look: func(s *stored.Shard) { state = s.State(id) }})
+	result := r.ask(ctx, request{look: func(s *stored.Shard) bool {
+		state = s.State(id)
+		return state != stored.Unknown // a newer owner may know it
+	}})
 	return state, result
 }
 
 // Pending counts the jobs that no task has started of, by queue.
 func (r *Runner) Pending(ctx context.Context) (map[string]int, stored.Result) {
 	var counts map[string]int
-	result := r.ask(ctx, request{look: func(s *stored.Shard) { counts = s.Pending() }})
+	result := r.ask(ctx, request{look: func(s *stored.Shard) bool {
+		counts = s.Pending()
+		return false
+	}})
 	return counts, result
 }
--- a/fleet/keep/runner_test.go
+++ b/fleet/keep/runner_test.go
@@ -33,6 +33,7 @@
 type owner struct {
 	*keep.Runner
 	owns atomic.Bool
+	open atomic.Int64 // offers
 
 	mu     sync.Mutex
 	offers []leased.Job
@@ -42,11 +43,13 @@
 	o := &owner{}
 	ctx, cancel := context.WithCancel(context.Background())
 	o.Runner = keep.NewRunner(keep.Environment{
-		Log: log, Codec: codec, Owns: func(int) bool { return o.owns.Load() },
+		Log: log, Codec: codec, Owns: func(int) bool { return o.owns.Load() }, MayTake: func(int) bool { return true }, Fenced: func(int) {},
 		Offer: func(ctx context.Context, job leased.Job, _ <-chan stored.Learned) stored.Outcome {
 			o.mu.Lock()
 			o.offers = append(o.offers, job)
 			o.mu.Unlock()
+			o.open.Add(1)
+			defer o.open.Add(-1)
 			<-ctx.Done()
 			return stored.Outcome{}
 		},
@@ -151,3 +154,39 @@
 	o.wantState(t, "j2", stored.Unknown)
 	o.accept(t, job(3))
 }
+
+// An owner that another one has fenced off does not know it until it asks. It
+// must not say of a job that there is none.
+func TestReplacedOwnerDoesNotDenyJobs(t *testing.T) {
+	log := keeptest.NewLog()
+	first, second := newOwner(t, log), newOwner(t, log)
+	first.owns.Store(true)
+	first.accept(t, job(1))
+	second.owns.Store(true)
+	second.accept(t, job(2))
+	time.Sleep(1100 * time.Millisecond) // what the first knows is old now
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	first.owns.Store(false)
+	if state, result := first.State(ctx, "j2"); result == stored.Stored && state == stored.Unknown {
+		t.Error("the first owner says that there is no such job")
+	}
+	second.wantState(t, "j3", stored.Unknown)
+}
+
+// An owner without an answer of the log for long withdraws what it has offered,
+// and offers it anew later.
+func TestOffersEndWhileTheLogIsSilent(t *testing.T) {
+	log := keeptest.NewLog()
+	o := newOwner(t, log)
+	o.owns.Store(true)
+	o.accept(t, job(1))
+	eventually(t, "offered", func(context.Context) bool { return len(o.offered()) == 1 })
+	log.SetFaults(keeptest.Faults{Silent: true})
+	eventually(t, "withdrawn", func(context.Context) bool { return o.open.Load() == 0 })
+	log.SetFaults(keeptest.Faults{})
+	eventually(t, "offered again", func(context.Context) bool { return len(o.offered()) == 2 })
+	if j := o.offered()[1]; !j.Resubmitted {
+		t.Errorf("offered %+v, want one whose runs may go on", j)
+	}
+}
--- a/fleet/keep/serve.go
+++ b/fleet/keep/serve.go
@@ -30,14 +30,17 @@
 	ticket   stored.Ticket
 	replies  map[stored.Ticket]chan stored.Result
 	offers   map[leased.JobID]offer
+	lease    lease
+	looks    []request // that wait until the ownership is confirmed
 	sequence int64     // of the newest append that is on the log
 	nextTime time.Time // of an append
 }
 
 // offer is an offer under way.
 type offer struct {
-	cancel context.CancelFunc
-	news   chan stored.Learned // holds one of each task
+	attempt int
+	cancel  context.CancelFunc
+	news    chan stored.Learned // holds one of each task
 }
 
 // serve owns the shard until the context ends or another process is to own it.
@@ -48,6 +51,7 @@
 	s := &serving{
 		Runner: r, ctx: ctx, shard: t.shard, epoch: t.epoch, events: make(chan any, inboxLength),
 		replies: make(map[stored.Ticket]chan stored.Result), offers: make(map[leased.JobID]offer),
+		lease: lease{confirmed: t.at},
 	}
 	defer s.giveUp()
 	r.env.Owned(r.shard, true)
@@ -65,28 +69,51 @@
 			if err, failed := e.(error); failed {
 				return err
 			}
-			s.step(e.(stored.Input))
+			s.take(e)
 		case <-ticker.C:
 			if !r.env.Owns(r.shard) {
 				r.env.Logger.Info("shard_left", zap.Int64("epoch", s.epoch), zap.String("reason", "another entry is to own it, or this one stops"))
 				return nil
 			}
+			s.keepLease()
 			s.step(&stored.Tick{})
 		}
 	}
 }
 
+// look answers from the shard's state, at once if that is safe.
+func (s *serving) look(q request) {
+	if !q.look(s.shard) && time.Since(s.lease.confirmed) > freshTime {
+		s.looks = append(s.looks, q)
+		s.confirm()
+		return
+	}
+	q.reply <- stored.Stored
+}
+
 // giveUp sends those who wait to the next owner, which knows what was stored.
 func (s *serving) giveUp() {
 	for _, reply := range s.replies {
 		reply <- stored.Uncertain
 	}
+	for _, q := range s.looks {
+		q.reply <- stored.OtherOwner
+	}
+}
+
+// take handles an event.
+func (s *serving) take(event any) {
+	switch e := event.(type) {
+	case confirmed:
+		s.confirmedAt(e)
+	case stored.Input:
+		s.step(e)
+	}
 }
 
 func (s *serving) request(q request) {
 	if q.input == nil {
-		q.look(s.shard)
-		q.reply <- stored.Stored
+		s.look(q)
 		return
 	}
 	s.ticket++
@@ -147,9 +174,11 @@
 	sequence := s.sequence + 1
 	open := false // an earlier try may be carried out yet
 	for s.ctx.Err() == nil {
+		sent := time.Now()
 		offset, err := s.appendOnce(sequence, record)
 		if err == nil {
 			s.sequence = sequence
+			s.tell(confirmed{at: sent})
 			s.tell(&stored.Appended{Sequence: a.Sequence, Offset: offset})
 			return
 		}
@@ -212,7 +241,7 @@
 	s.env.Logger.Info("task_learned", zap.String("job", string(l.Task.Job)), zap.Int("step", l.Task.Step),
 		zap.Int("task", l.Task.Index), zap.Uint64("from", l.From))
 	o, ok := s.offers[l.Task.Job]
-	if !ok {
+	if !ok || o.news == nil {
 		return
 	}
 	select {
@@ -228,9 +257,13 @@
 	if old, ok := s.offers[o.Job.ID]; ok {
 		old.cancel()
 	}
+	if s.lease.suspended {
+		s.offers[o.Job.ID] = offer{attempt: o.Attempt, cancel: cancel}
+		return
+	}
 	tasks := lo.SumBy(o.Job.Steps, func(step leased.Step) int { return step.Tasks })
 	news := make(chan stored.Learned, tasks)
-	s.offers[o.Job.ID] = offer{cancel, news}
+	s.offers[o.Job.ID] = offer{o.Attempt, cancel, news}
 	attempt, job := o.Attempt, o.Job
 	go func() {
 		defer cancel()
@@ -248,7 +281,9 @@
 	defer cancel()
 	if err := s.env.Log.Trim(ctx, s.Runner.shard, before); err != nil {
 		s.env.Logger.Warn("trim_failed", zap.Int64("before", before), zap.Error(err)) // the next one trims more
+		return
 	}
+	s.env.Logger.Info("log_trimmed", zap.Int64("before", before))
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
--- a/fleet/keep/take.go
+++ b/fleet/keep/take.go
@@ -24,6 +24,7 @@
 type taken struct {
 	shard *stored.Shard
 	epoch int64
+	at    time.Time // before the epoch was set
 }
 
 // take fences off the owner before and reads the shard.
@@ -33,14 +34,14 @@
 	if err != nil {
 		return nil, err
 	}
-	shard, records, err := r.read(ctx)
+	shard, end, records, err := r.read(ctx)
 	if err != nil {
 		return nil, err
 	}
 	known, open := shard.Len()
-	r.env.Logger.Info("shard_taken", zap.Int64("epoch", epoch), zap.Int("records", records), zap.Int("jobs", known),
+	r.env.Logger.Info("shard_taken", zap.Int64("epoch", epoch), zap.Int64("end", end), zap.Int("records", records), zap.Int("jobs", known),
 		zap.Int("open_jobs", open), zap.Duration("took_ms", time.Since(began)))
-	return &taken{shard, epoch}, nil
+	return &taken{shard, epoch, began}, nil
 }
 
 // open finds an epoch that is high enough.
@@ -67,17 +68,18 @@
 }
 
 // read replays all records. The end stands still: earlier owners are fenced.
-func (r *Runner) read(ctx context.Context) (*stored.Shard, int, error) {
+func (r *Runner) read(ctx context.Context) (*stored.Shard, int64, int, error) {
 	shard := stored.New(r.env.Options)
 	next, end, count := int64(0), int64(1), 0
 	for next < end {
 		records, newEnd, err := r.readFrom(ctx, next)
 		if gap, ok := errors.Into[*GapError](err); ok && gap.First > next {
+			r.env.Logger.Info("log_begins_later", zap.Int64("first", gap.First))
 			next = gap.First
 			continue
 		}
 		if err != nil {
-			return nil, 0, errors.Wrap(err, "read the shard")
+			return nil, 0, 0, errors.Wrap(err, "read the shard")
 		}
 		end = newEnd
 		for _, data := range records {
@@ -90,10 +92,10 @@
 			count++
 		}
 		if len(records) == 0 && next < end {
-			return nil, 0, errors.Errorf("read the shard: nothing at %d, though it ends at %d: read again", next, end)
+			return nil, 0, 0, errors.Errorf("read the shard: nothing at %d, though it ends at %d: read again", next, end)
 		}
 	}
-	return shard, count, nil
+	return shard, end, count, nil
 }
 
 func (r *Runner) readFrom(ctx context.Context, from int64) ([][]byte, int64, error) {
--- a/fleet/kept.go
+++ b/fleet/kept.go
@@ -46,7 +46,8 @@
 	runners  []*keep.Runner
 
 	mu      sync.Mutex
-	alone   time.Time // since when no majority is heard; zero: it is
+	alone   time.Time    // since when no majority is heard; zero: it is
+	fenced  map[int]bool // shards that others have taken since then
 	pending map[string]int
 	counted time.Time
 }
@@ -54,7 +55,7 @@
 func newKept(s KeptSettings, l *Loop, p *peers, service *Service, jobLog keep.Log, log *zap.Logger, m *metrics) *kept {
 	k := &kept{settings: s, loop: l, peers: p, service: service, log: log}
 	env := keep.Environment{
-		Log: jobLog, Owns: k.owns, Offer: k.offer, Logger: log,
+		Log: jobLog, Owns: k.owns, MayTake: k.mayTake, Fenced: k.noteFenced, Offer: k.offer, Logger: log,
 		Codec: keep.JobCodec{
 			ToPB:   func(j *leased.Job) *fleetpb.SubmitRequest { return jobToPB(j, 0) },
 			FromPB: jobFromPB,
@@ -96,19 +97,32 @@
 func (k *kept) owns(shard int) bool {
 	latest := k.loop.Latest()
 	owner, ok := latest.View.Owner(shard, len(k.runners))
-	if !ok || owner.Incarnation != latest.View.Self.Incarnation || latest.Stopping {
-		return false
-	}
+	return ok && owner.Incarnation == latest.View.Self.Incarnation && !latest.Stopping
+}
+
+// mayTake reports whether this entry may take a shard over. One that does not
+// hear most others leaves it to them as long as they show that they live.
+func (k *kept) mayTake(shard int) bool {
+	majority := k.loop.Latest().View.Majority
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if latest.View.Majority {
-		k.alone = time.Time{}
+	if majority {
+		k.alone, k.fenced = time.Time{}, nil
 		return true
 	}
 	if k.alone.IsZero() {
-		k.alone = time.Now()
+		k.alone, k.fenced = time.Now(), make(map[int]bool)
+	}
+	return time.Since(k.alone) > aloneTime && !k.fenced[shard]
+}
+
+// noteFenced notes that another entry has taken a shard over.
+func (k *kept) noteFenced(shard int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.fenced != nil {
+		k.fenced[shard] = true
 	}
-	return time.Since(k.alone) > aloneTime
 }
 
 // offer hands a job that is owned here to a holder of endpoints.
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -199,6 +199,9 @@
 		l.yielded = false
 		l.dirty = true
 	}
+	if previous.Lacking != l.view.Lacking {
+		l.step(&leased.SetReach{Lacking: l.view.Lacking})
+	}
 	standing := previous.Settled != l.view.Settled || previous.Isolated != l.view.Isolated || previous.Majority != l.view.Majority
 	if l.dirty || standing || !now.Before(l.nextAssign) {
 		l.dirty = false
--- a/membership/cells/cells.go
+++ b/membership/cells/cells.go
@@ -164,7 +164,9 @@
 	Isolated bool
 	// Majority says that it hears most of all known entries.
 	Majority bool
-	empty    map[string]bool // domains without a live entry for long enough
+	// Lacking says that an entry is silent that has not said that it stops.
+	Lacking bool
+	empty   map[string]bool // domains without a live entry for long enough
 
 	mu      sync.Mutex
 	holders map[string][]Entry // of the cells of a domain, as far as asked for
@@ -192,6 +194,7 @@
 		}
 		lastHeard[m.FailureDomain] = heard
 		if !r.live(now, m) {
+			v.Lacking = true
 			continue
 		}
 		v.Live = append(v.Live, m.Entry)
