Read a log of jobs that begins later than at 0

The next owner was told where the log begins, compared that with an end that it did not know yet, and took the shard for empty.

Change: the end is unknown until a read has told it.

Test: TestNextOwnerReadsALogThatBeginsLater.

--- a/fleet/keep/runner_test.go
+++ b/fleet/keep/runner_test.go
@@ -190,3 +190,19 @@
 		t.Errorf("offered %+v, want one whose runs may go on", j)
 	}
 }
+
+func TestNextOwnerReadsALogThatBeginsLater(t *testing.T) {
+	log := keeptest.NewLog()
+	first := newOwner(t, log)
+	first.owns.Store(true)
+	for i := range 5 {
+		first.accept(t, job(i))
+	}
+	if err := log.Trim(context.Background(), 0, 3); err != nil {
+		t.Fatal(err)
+	}
+	second := newOwner(t, log)
+	second.owns.Store(true)
+	second.wantState(t, "j3", stored.Queued)
+	second.wantState(t, "j4", stored.Queued)
+}
--- a/fleet/keep/take.go
+++ b/fleet/keep/take.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -70,7 +71,8 @@
 // read replays all records. The end stands still: earlier owners are fenced.
 func (r *Runner) read(ctx context.Context) (*stored.Shard, int64, int, error) {
 	shard := stored.New(r.env.Options)
-	next, end, count := int64(0), int64(1), 0
+	next, count := int64(0), 0
+	end := int64(math.MaxInt64) // not told yet
 	for next < end {
 		records, newEnd, err := r.readFrom(ctx, next)
 		if gap, ok := errors.Into[*GapError](err); ok && gap.First > next {
