--- /dev/null
+++ b/fleet/directory.go
@@ -0,0 +1,31 @@
+package fleet
+
+import "go.uber.org/zap"
+
+// setDirectory takes newer news of configuration or endpoints.
+type setDirectory struct{ directory Directory }
+
+func (m setDirectory) handle(l *Loop) {
+	d := m.directory
+	if d.Configuration != nil && d.Version > l.directory.Version {
+		l.directory.Version = d.Version
+		l.directory.Configuration = d.Configuration
+		l.log.Info("configuration_in_force", zap.Uint64("version", d.Version), zap.Int("queues", len(d.Configuration.Queues)))
+	}
+	if d.Endpoints != nil {
+		l.directory.Endpoints = d.Endpoints
+		l.assign()
+	}
+	l.publish()
+}
+
+// peerDirectory takes what another entry has learned. Its endpoints count only
+// while this entry has read none itself.
+type peerDirectory struct{ directory Directory }
+
+func (m peerDirectory) handle(l *Loop) {
+	if len(l.directory.Endpoints) > 0 {
+		m.directory.Endpoints = nil
+	}
+	setDirectory(m).handle(l)
+}
--- a/fleet/clocks.go
+++ b/fleet/freeze.go
@@ -6,11 +6,20 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+
+	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/membership/cells"
 )
 
-// freezeLimit is by how much the clocks may differ before it counts as a
-// freeze: far more than the time between reading one and the other.
-const freezeLimit = 250 * time.Millisecond
+// Times of freezes.
+const (
+	// freezeLimit is by how much the clocks may differ before it counts as a
+	// freeze: far more than the time between reading one and the other.
+	freezeLimit = 250 * time.Millisecond
+	// wakePause is how long withdrawals that came during a freeze may take to
+	// be read.
+	wakePause = 250 * time.Millisecond
+)
 
 // freezeWatch finds out whether the process stood still. Where the whole VM did,
 // the steady clock does not count that time and the boot clock does; where only
@@ -81,3 +90,42 @@
 	}
 	return time.Now(), time.Duration(ts.Nano())
 }
+
+// noticeFreeze finds out whether the process stood still. If so, what it knows
+// of others is old: it holds nothing until it has heard them again, and starts
+// nothing for a while.
+func (l *Loop) noticeFreeze() {
+	if !l.justWoke() {
+		return
+	}
+	l.woke = l.freezes.look()
+	l.roster.Woke(time.Now())
+	l.step(&leased.Pause{For: wakePause})
+	l.dirty = true
+	l.refresh(time.Now())
+	l.publish()
+}
+
+// expectLooks sets how long the process may go without a look at its clocks.
+func (l *Loop) expectLooks() { l.freezes.expect(cells.Silence(l.interval())) }
+
+// justWoke reports a freeze that was not dealt with yet.
+func (l *Loop) justWoke() bool { return !l.freezes.look().Equal(l.woke) }
+
+// startAll sends orders to start, unless the process has just stood still:
+// then they were decided on what may no longer hold.
+func (l *Loop) startAll(starts []leased.Start) {
+	if len(starts) == 0 {
+		return
+	}
+	if l.justWoke() {
+		for i := range starts {
+			s := &starts[i]
+			l.send(coreInput{&leased.StartReply{Endpoint: s.Endpoint, Task: s.Task, Run: s.Run, Result: leased.StartNotSent}})
+		}
+		return
+	}
+	for i := range starts {
+		l.start(starts[i])
+	}
+}
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -11,16 +11,12 @@
 
 	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/membership/cells"
-	"lovagespread.example/peer/fleetpb"
 )
 
 // Sizes and times of the loop.
 const (
 	queueLength = 8192 // messages
 	idleTick    = 60 * time.Millisecond
-	// wakePause is how long withdrawals that came during a freeze may take to
-	// be read.
-	wakePause = 250 * time.Millisecond
 	// assignInterval is how often holdings are looked at without any news:
 	// failure domains become empty as time passes.
 	assignInterval = 250 * time.Millisecond
@@ -146,45 +142,6 @@
 	l.publish()
 }
 
-// noticeFreeze finds out whether the process stood still. If so, what it knows
-// of others is old: it holds nothing until it has heard them again, and starts
-// nothing for a while.
-func (l *Loop) noticeFreeze() {
-	if !l.justWoke() {
-		return
-	}
-	l.woke = l.freezes.look()
-	l.roster.Woke(time.Now())
-	l.step(&leased.Pause{For: wakePause})
-	l.dirty = true
-	l.refresh(time.Now())
-	l.publish()
-}
-
-// expectLooks sets how long the process may go without a look at its clocks.
-func (l *Loop) expectLooks() { l.freezes.expect(cells.Silence(l.interval())) }
-
-// justWoke reports a freeze that was not dealt with yet.
-func (l *Loop) justWoke() bool { return !l.freezes.look().Equal(l.woke) }
-
-// startAll sends orders to start, unless the process has just stood still:
-// then they were decided on what may no longer hold.
-func (l *Loop) startAll(starts []leased.Start) {
-	if len(starts) == 0 {
-		return
-	}
-	if l.justWoke() {
-		for i := range starts {
-			s := &starts[i]
-			l.send(coreInput{&leased.StartReply{Endpoint: s.Endpoint, Task: s.Task, Run: s.Run, Result: leased.StartNotSent}})
-		}
-		return
-	}
-	for i := range starts {
-		l.start(starts[i])
-	}
-}
-
 // refresh takes the newest view of the entries, and the endpoints that follow
 // from it.
 func (l *Loop) refresh(now time.Time) {
@@ -353,84 +310,6 @@
 	l.metrics.publish(s)
 }
 
-// rosterBeat takes a heartbeat of another entry.
-type rosterBeat struct{ beat *fleetpb.Beat }
-
-func (m rosterBeat) handle(l *Loop) {
-	now := time.Now()
-	b := m.beat
-	l.maxToken = max(l.maxToken, b.Token)
-	isNew := l.roster.Hear(now, entryOf(b))
-	l.beats.learn(b)
-	if len(b.Rooms) > 0 {
-		l.takeRooms(now, b)
-	}
-	if isNew || b.Leaving != leavingIn(l.view, b.Incarnation) {
-		l.refresh(now)
-		l.publish()
-	}
-	if b.Hello {
-		l.sendBeatTo(now, b.Beats, false)
-	}
-	if b.ConfigurationVersion > l.directory.Version {
-		l.peers.fetchFrom(b.Address)
-	}
-}
-
-func leavingIn(v *cells.View, id uint64) bool {
-	e, ok := v.Find(cells.Incarnation(id))
-	return ok && e.Leaving
-}
-
-func (l *Loop) takeRooms(now time.Time, b *fleetpb.Beat) {
-	for _, r := range b.Rooms {
-		free := make([]int, len(r.Free))
-		for i, f := range r.Free {
-			free[i] = int(f)
-		}
-		cell := cells.Cell{FailureDomain: r.FailureDomain, Index: int(r.Cell), Of: int(r.Of)}
-		l.rooms[cell] = announced{holder: cells.Incarnation(b.Incarnation), at: now, free: free}
-	}
-	l.setRooms(now)
-}
-
-func (l *Loop) setRooms(now time.Time) {
-	rooms := make([]leased.Room, 0, len(l.rooms))
-	for cell, a := range l.rooms {
-		rooms = append(rooms, leased.Room{Holder: uint64(a.holder), Cell: cell.String(), Age: now.Sub(a.at), Free: slices.Clone(a.free)})
-	}
-	slices.SortFunc(rooms, func(a, b leased.Room) int { return len(a.Cell) - len(b.Cell) })
-	l.step(&leased.SetRooms{Rooms: rooms})
-}
-
-// setDirectory takes newer news of configuration or endpoints.
-type setDirectory struct{ directory Directory }
-
-func (m setDirectory) handle(l *Loop) {
-	d := m.directory
-	if d.Configuration != nil && d.Version > l.directory.Version {
-		l.directory.Version = d.Version
-		l.directory.Configuration = d.Configuration
-		l.log.Info("configuration_in_force", zap.Uint64("version", d.Version), zap.Int("queues", len(d.Configuration.Queues)))
-	}
-	if d.Endpoints != nil {
-		l.directory.Endpoints = d.Endpoints
-		l.assign()
-	}
-	l.publish()
-}
-
-// peerDirectory takes what another entry has learned. Its endpoints count only
-// while this entry has read none itself.
-type peerDirectory struct{ directory Directory }
-
-func (m peerDirectory) handle(l *Loop) {
-	if len(l.directory.Endpoints) > 0 {
-		m.directory.Endpoints = nil
-	}
-	setDirectory(m).handle(l)
-}
-
 // suspectEntry notes that a call to an entry broke.
 type suspectEntry struct{ id cells.Incarnation }
 
