Take note of ends of withdrawn runs for jobs that have come again

The end was reported, but not given to the job that was here: the task was started again.

Change: the end of a kept run ends its task, whoever the run was started for.

Test: TestWithdrawnRunThatEndsAllTheSame.

--- a/dispatch/leased/kept.go
+++ b/dispatch/leased/kept.go
@@ -81,6 +81,13 @@
 	}
 }
 
+// learnEnd ends the task of a kept job whose run is done, whoever it ran for.
+func (c *Core) learnEnd(end *Ended) {
+	if isKept(end.Run) && end.End == EndDone {
+		c.taskLearned(end.Task)
+	}
+}
+
 // reported lets an endpoint forget an end.
 func (c *Core) reported(in *Reported) {
 	e := c.endpoints[in.Endpoint]
--- a/dispatch/leased/kept_test.go
+++ b/dispatch/leased/kept_test.go
@@ -142,6 +142,29 @@
 	}
 }
 
+// A run is withdrawn, but ends before the order to stop comes; its job has come
+// again meanwhile.
+func TestWithdrawnRunThatEndsAllTheSame(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.addEndpoints(0, 2)
+	w.run(100 * time.Millisecond)
+	ticket := w.submitAs(0, keptJob("j", 1, 200*time.Millisecond), 200*time.Millisecond)
+	w.run(200 * time.Millisecond)
+	w.lose = 1 // the order to stop
+	w.step(0, &leased.Cancel{Ticket: ticket})
+	w.lose = 0
+	again := keptJob("j", 1, 200*time.Millisecond)
+	again.Resubmitted = true
+	w.submitAs(0, again, 200*time.Millisecond)
+	w.run(4 * time.Second)
+	if n := w.starts[leased.TaskID{Job: "j"}]; n != 1 {
+		t.Errorf("the task was started %d times, want once", n)
+	}
+	if a := w.answers["j"]; a.Verdict != leased.Completed || a.Took == 0 {
+		t.Errorf("answer %+v, want completed", a)
+	}
+}
+
 func TestNewsThatComeBeforeTheirJobAreRemembered(t *testing.T) {
 	w := newWorld(t, 1, 1)
 	w.addEndpoints(0, 1)
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -38,13 +38,12 @@
 	if r == nil || r.number != end.Run {
 		if end.End == EndDone {
 			c.doneAlone[end.Task] = c.now
-			if isKept(end.Run) {
-				c.taskLearned(end.Task)
-			}
+			c.learnEnd(end)
 		}
 		return
 	}
 	c.endRun(e, r, end.End, end.Saved)
+	c.learnEnd(end) // the run may have been withdrawn, and its job have come again
 }
 
 // listed compares what an endpoint says it runs with what is known.
