--- a/Makefile
+++ b/Makefile
@@ -68,8 +68,13 @@
 	@go run ./cmd/lovage-load compare -set ablation
 
 # Runs a whole deployment on this VM; SERVICES names a services text of one's own.
+# ON=leased runs it on a stand-in of the users' platform.
 demo:
+ifeq ($(ON),leased)
+	@$(MAKE) demo-fleet
+else
 	@./scripts/demo.sh $(SERVICES)
+endif
 
 # Runs a whole deployment until it is interrupted.
 up:
--- a/cmd/lovage-fleet/serve.go
+++ b/cmd/lovage-fleet/serve.go
@@ -62,12 +62,16 @@
 	go func() { ended <- process.Run(ctx) }()
 	process.Learn(ctx, do.MustInvoke[*platform.Store](i).Sources(file))
 
+	changed := make(chan struct{}, 1)
+	go watchSettings(ctx, path, changed)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for {
 		select {
 		case err := <-ended:
 			return err
+		case <-changed:
+			reload(path, process, log.Logger)
 		case s := <-signals:
 			if s == syscall.SIGHUP {
 				reload(path, process, log.Logger)
--- a/dispatch/stored/apply.go
+++ b/dispatch/stored/apply.go
@@ -67,6 +67,9 @@
 	if j != nil && j.stored {
 		return // a repeat
 	}
+	if j == nil && e.Spec == nil {
+		return // nobody knows what to run
+	}
 	written := s.now
 	if j == nil { // replayed
 		j = newEntry(e.Spec, s.now)
@@ -92,7 +95,7 @@
 		return
 	}
 	if e.Spec == nil {
-		return
+		return // nobody knows what to run
 	}
 	j := newEntry(e.Spec, s.now)
 	j.stored, j.offset, j.writtenAt = true, offset, s.writtenBefore()
--- a/fleet/keep/codec.go
+++ b/fleet/keep/codec.go
@@ -71,9 +71,15 @@
 		}
 		if e.Spec != nil {
 			spec := c.FromPB(e.Spec)
+			if tasks := lo.SumBy(spec.Steps, func(s leased.Step) int { return s.Tasks }); tasks > maxTasks {
+				return nil, errors.Errorf("decode events of kept jobs: job %s has %d tasks, no job has over %d", spec.ID, tasks, maxTasks)
+			}
 			event.Spec = &spec
 		}
 		events = append(events, event)
 	}
 	return events, nil
 }
+
+// maxTasks is more than the callers' API takes: a record with more is not ours.
+const maxTasks = 20_000
