Hand stored jobs in during the fault soak

Cause: the soak played best-effort jobs only; what is promised of stored ones was checked on the stand-in without faults from outside.

Change: a stored job each 120 ms during the faults; after the calm time each accepted one must be known to every entry that answers, and ended, within 20 s; none that was refused may have run. A count of pending jobs asks the log for a confirmation only where some job is stored.

--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -7,7 +7,8 @@
 // Promises that are checked all the while: no task has two runs at work at a
 // time; what was refused as not run has not run; after the faults jobs are
 // served again; nothing runs on for long after the last caller has left;
-// planned stops end within their grace.
+// planned stops end within their grace; every stored job stays known and ends,
+// and none that was refused has run.
 package soak
 
 import (
@@ -45,6 +46,7 @@
 type Report struct {
 	Seed       uint64         `json:"seed"`
 	Jobs       int            `json:"jobs"`
+	Stored     int            `json:"stored"` // jobs that outlive their callers
 	Answers    map[string]int `json:"answers"`
 	Faults     map[string]int `json:"faults"`
 	After      float64        `json:"served_after_faults"` // share
@@ -99,8 +101,10 @@
 	jobs       sync.WaitGroup
 	next       int
 
-	mu     sync.Mutex
-	report *Report
+	mu       sync.Mutex
+	report   *Report
+	accepted []leased.JobID // jobs that were stored
+	refused  []leased.JobID // the same for those that were refused
 }
 
 // process is an entry that this soak has started.
@@ -190,6 +194,8 @@
 	loaded, stopLoad := context.WithCancel(ctx)
 	loadEnded := make(chan struct{})
 	go func() { s.load(loaded, nil); close(loadEnded) }()
+	storing := make(chan struct{})
+	go func() { s.storeJobs(loaded); close(storing) }()
 	var faults sync.WaitGroup
 	for began := time.Now(); time.Since(began) < s.opts.Length && ctx.Err() == nil; {
 		if !s.opts.Calm {
@@ -200,11 +206,13 @@
 	faults.Wait()
 	stopLoad()
 	<-loadEnded
+	<-storing
 	if !s.opts.Calm {
 		time.Sleep(calmTime)
 	}
 	s.prove(ctx)
 	s.jobs.Wait()
+	s.checkStored(ctx)
 	s.checkIdle()
 	return ctx.Err()
 }
--- /dev/null
+++ b/experiment/soak/stored.go
@@ -0,0 +1,91 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"lovagespread.example/dispatch/leased"
+)
+
+// Sizes and times of stored jobs.
+const (
+	storedInterval = 120 * time.Millisecond
+	// endLimit is how long after the faults and the calm time stored jobs may
+	// take to end.
+	endLimit = 20 * time.Second
+	askLimit = 3 * time.Second // for one answer
+)
+
+// storeJobs hands in jobs that outlive their callers until the context ends.
+func (s *soak) storeJobs(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.opts.Seed, 23))
+	for n := 0; ctx.Err() == nil; n++ {
+		id := leased.JobID(fmt.Sprintf("%08x%08x", uint32(s.opts.Seed), 1<<31+n))
+		entry := rng.IntN(len(s.deployment.Entries))
+		tasks := 1 + rng.IntN(3)
+		run := time.Duration(20+rng.IntN(300)) * time.Millisecond
+		s.jobs.Go(func() { s.storeJob(id, entry, tasks, run) })
+		time.Sleep(storedInterval)
+	}
+}
+
+// storeJob hands a job in once. What was refused must never run.
+func (s *soak) storeJob(id leased.JobID, entry, tasks int, run time.Duration) {
+	a := s.deployment.Keep(context.Background(), s.client, s.deployment.Entries[entry].Front, id, tasks, run, patience)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.report.Answers[fmt.Sprintf("store %d %s", a.Status, a.State)]++
+	switch a.Status {
+	case http.StatusOK:
+		s.accepted = append(s.accepted, id)
+	case http.StatusServiceUnavailable:
+		s.refused = append(s.refused, id)
+	}
+}
+
+// checkStored asks for all accepted jobs until they have ended, through every
+// entry in turn. None may be unknown to an entry that answers.
+func (s *soak) checkStored(ctx context.Context) {
+	deadline := time.Now().Add(endLimit)
+	for i, id := range s.accepted {
+		for {
+			front := s.deployment.Entries[i%len(s.deployment.Entries)].Front
+			a := s.deployment.State(ctx, s.client, front, id, askLimit)
+			if a.Status == http.StatusGone {
+				s.violate("stored job %s is unknown", id)
+				break
+			}
+			if a.State == "completed" {
+				break
+			}
+			if a.State == "failed" || a.State == "cancelled" {
+				s.violateUnlessFailed(id, a.State)
+				break
+			}
+			if time.Now().After(deadline) {
+				s.violate("stored job %s is %d %q %v after the faults", id, a.Status, a.State, endLimit)
+				break
+			}
+			i++
+			time.Sleep(checkInterval)
+		}
+	}
+	for _, id := range s.refused {
+		if n := s.deployment.Started(id); n > 0 {
+			s.violate("job %s was refused, but %d runs of it had begun", id, n)
+		}
+	}
+	s.report.Stored = len(s.accepted)
+}
+
+// violateUnlessFailed notes a stored job that did not end as completed. Runs
+// fail at executors that were made to; a job may fail by that.
+func (s *soak) violateUnlessFailed(id leased.JobID, state string) {
+	if state == "failed" && s.report.Faults["executor fails"] > 0 {
+		return
+	}
+	s.violate("stored job %s is %s", id, state)
+}
--- a/fleet/keep/runner.go
+++ b/fleet/keep/runner.go
@@ -167,7 +167,8 @@
 	var counts map[string]int
 	result := r.ask(ctx, request{look: func(s *stored.Shard) bool {
 		counts = s.Pending()
-		return false
+		known, _ := s.Len()
+		return known == 0 // where jobs are stored at all, a newer owner may know more
 	}})
 	return counts, result
 }
--- a/standin/usersplatform/deployment.go
+++ b/standin/usersplatform/deployment.go
@@ -224,8 +224,13 @@
 [bounds]
 grace_s = 6
 max_hold_ms = 1000
+status_s = 120
 [platform]
 address = %q
+form = "log"
+parts = 24
+writes_per_s = 600
+keep_s = 300
 `, e.Name, ip, domainName(domain), firstPort, firstPort+15, d.opts.Network, e.Front, e.Ready, d.StoreNetwork.Addr())
 	const permissions = 0o600
 	if err := os.WriteFile(e.Settings, []byte(text), permissions); err != nil {
@@ -244,14 +249,32 @@
 
 // Submit hands a job of equal tasks to an entry and waits for its end.
 func (d *Deployment) Submit(ctx context.Context, client *http.Client, front string, id leased.JobID, tasks int, run, patience time.Duration) Answer {
+	return d.call(ctx, client, http.MethodPost, front, id, d.body(id, true, tasks, run), patience)
+}
+
+// Keep hands a job in that outlives its caller.
+func (d *Deployment) Keep(ctx context.Context, client *http.Client, front string, id leased.JobID, tasks int, run, patience time.Duration) Answer {
+	return d.call(ctx, client, http.MethodPost, front, id, d.body(id, false, tasks, run), patience)
+}
+
+// State asks an entry for a stored job.
+func (d *Deployment) State(ctx context.Context, client *http.Client, front string, id leased.JobID, patience time.Duration) Answer {
+	return d.call(ctx, client, http.MethodGet, front, id, "", patience)
+}
+
+// body is that of a job of equal tasks.
+func (d *Deployment) body(id leased.JobID, bestEffort bool, tasks int, run time.Duration) string {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.work[id] = run
-	d.mu.Unlock()
-	body := fmt.Sprintf(`{"spec":"x","best_effort":true,"steps":[{"count":%d,"cpu":%d,"mem_mb":64,"estimate_ms":%d}]}`, tasks, taskCores, run.Milliseconds())
+	return fmt.Sprintf(`{"spec":"x","best_effort":%t,"steps":[{"count":%d,"cpu":%d,"mem_mb":64,"estimate_ms":%d}]}`, bestEffort, tasks, taskCores, run.Milliseconds())
+}
+
+func (d *Deployment) call(ctx context.Context, client *http.Client, method, front string, id leased.JobID, body string, patience time.Duration) Answer {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	began := time.Now()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+prefix+string(id), strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+prefix+string(id), strings.NewReader(body))
 	if err != nil {
 		return Answer{}
 	}
