--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -48,7 +48,8 @@
 	lents     map[leased.TaskID]lent
 	// slowCancel delays the withdrawal of a lent task.
 	slowCancel time.Duration
-	isolated   map[int]bool // cores that hear no others, nor are heard
+	widths     map[leased.JobID]int // tasks of jobs, for tests that compare sizes
+	isolated   map[int]bool         // cores that hear no others, nor are heard
 	// silentOwner keeps reports of kept jobs without an answer.
 	silentOwner bool
 	reports     []leased.Report
@@ -97,7 +98,7 @@
 		work: make(map[leased.JobID]leasedtest.Work), submitted: make(map[leased.Ticket]submission),
 		answers: make(map[leased.JobID]leased.Answer), answered: make(map[leased.JobID]time.Duration),
 		starts: make(map[leased.TaskID]int), insist: true, notes: make(map[string]int), started: make(map[leased.JobID]bool),
-		lents: make(map[leased.TaskID]lent), holds: make(map[leased.EndpointID]int), isolated: make(map[int]bool),
+		lents: make(map[leased.TaskID]lent), holds: make(map[leased.EndpointID]int), isolated: make(map[int]bool), widths: make(map[leased.JobID]int),
 	}
 	for i := range cores {
 		w.cores = append(w.cores, w.newCore(i))
