Tell endpoints that crashed from those that were cut off, in logs and metrics

A run that is lost with its endpoint now ends with endpoint_lost; once another incarnation answers, endpoint_crashed names each run that the crash was under, and whether it was alone. No decision has changed.

On the wire between entries endpoint_lost is sent as lapsed with a flag, for earlier versions; an end out of range, which had panicked in a log call, counts as unknown.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -210,7 +210,7 @@
 // held on which only runs of unknown demand are left.
 func (c *Core) removeDropped() {
 	c.endpointList = slices.DeleteFunc(c.endpointList, func(e *endpoint) bool {
-		removable := e.dropped && (len(e.runs) == 0 || !e.held && e.unknownDemands == len(e.runs))
+		removable := e.dropped && !e.awaitsEvidence(c.now) && (len(e.runs) == 0 || !e.held && e.unknownDemands == len(e.runs))
 		if !removable {
 			return false
 		}
--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -55,6 +55,7 @@
 	stopAnswered    time.Time     // when a Stop was answered; zero: not yet
 	slownessCounted bool          // the slow run was counted against its endpoint
 	startUnanswered bool          // no Start was answered, or an earlier copy of a refused one was not
+	restarted       bool          // another incarnation answers and has not listed the run
 }
 
 // endpoint is an endpoint that the core holds.
@@ -81,6 +82,8 @@
 	lastSeen         int64            // number of the newest ended run that was listed
 	acknowledged     int64            // LastSeen of the newest answered Hold
 	unreported       map[int64]TaskID // ended runs that must not be acknowledged yet
+	lostRuns         []lostRun        // until it is known whether the endpoint has crashed
+	lostAt           time.Time        // when the newest of them was lost
 
 	clock     time.Duration // reading of the endpoint's clock at clockAt
 	clockAt   time.Time     // zero: the clock is unknown
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -179,6 +179,7 @@
 	if in.IncarnationStart != 0 {
 		e.Born = in.IncarnationStart
 	}
+	e.lostRuns = nil // the endpoint was cut off
 	if e.unanswered > 1 {
 		c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_answers", ""))
 	}
@@ -256,6 +257,7 @@
 		c.loseRun(e, r)
 	}
 	e.lastSeen, e.acknowledged, e.unreported = 0, 0, nil
+	e.lostRuns = nil // the other holder sees what becomes of the endpoint
 }
 
 // tokenBits is the number of low bits of a token that identify the holder.
@@ -297,6 +299,7 @@
 // new one: the next list shows which.
 func (c *Core) endpointRestarted(e *endpoint, incarnationStart int64) {
 	c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_restarted", "another incarnation answers"))
+	c.endpointCrashed(e)
 	if incarnationStart != 0 {
 		e.Born = incarnationStart
 	}
@@ -321,10 +324,7 @@
 		}
 	}
 	if e.unanswered > 0 && len(e.runs) > 0 && c.now.Sub(e.leaseSent) > c.opts.MaxLease+clockSlack {
-		c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("leases_lapsed", "unresponsive for longer than the lease"))
-		for _, r := range e.runs {
-			c.endRun(e, r, EndLapsed, "")
-		}
+		c.loseRuns(e)
 	}
 	for _, r := range e.runs {
 		if r.task == nil && r.state != runStopping && c.now.Sub(r.unclaimedSince) > claimTimeout {
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -151,18 +151,19 @@
 
 // Ends of a run.
 const (
-	EndDone       End = iota
-	EndFailed         // by a fault of the task or of the endpoint; counts as an attempt
-	EndStopped        // by a Stop
-	EndLapsed         // the lease expired, or the run's group of tasks broke up
-	EndNoCapacity     // never started: not enough free capacity
-	EndNotRun         // never started, for another reason
-	EndUnknown        // the delegate was lost: the run may continue until its lease expires
+	EndDone         End = iota
+	EndFailed           // by a fault of the task or of the endpoint; counts as an attempt
+	EndStopped          // by a Stop
+	EndLapsed           // the lease expired, or the run's group of tasks broke up
+	EndNoCapacity       // never started: not enough free capacity
+	EndNotRun           // never started, for another reason
+	EndUnknown          // the delegate was lost: the run may continue until its lease expires
+	EndEndpointLost     // the endpoint crashed, or was cut off for longer than the lease
 )
 
 // String returns the name of the end in logs and metrics.
 func (e End) String() string {
-	return [...]string{"done", "failed", "stopped", "lapsed", "no_room", "not_run", "unknown"}[e]
+	return [...]string{"done", "failed", "stopped", "lapsed", "no_room", "not_run", "unknown", "endpoint_lost"}[e]
 }
 
 // ActiveRun is a run that an endpoint lists as active.
@@ -202,12 +203,13 @@
 	DelegateCancels  []DelegateCancel
 	EndpointEvents   []EndpointEvent
 	RunEnds          []RunEnd
+	Crashes          []Crash
 	Reports          []Report
 }
 
 func (a *Actions) reset() {
 	*a = Actions{a.Starts[:0], a.Stops[:0], a.Holds[:0], a.Answers[:0], a.DelegatedAnswers[:0],
-		a.Delegations[:0], a.DelegateCancels[:0], a.EndpointEvents[:0], a.RunEnds[:0], a.Reports[:0]}
+		a.Delegations[:0], a.DelegateCancels[:0], a.EndpointEvents[:0], a.RunEnds[:0], a.Crashes[:0], a.Reports[:0]}
 }
 
 // Start asks an endpoint to run a task.
@@ -306,6 +308,16 @@
 	Failures int // of the task before this run
 }
 
+// Crash reports that an endpoint has crashed under a run: it was lost with the
+// run, and another incarnation of it answers. It can follow the run's end by
+// seconds.
+type Crash struct {
+	Endpoint EndpointID
+	Task     TaskID
+	Run      int
+	Alone    bool // no other run was on the endpoint
+}
+
 // Report notifies the owner of a stored job of a run that has begun or ended.
 // Once an end is stored, it is answered by ReportStored.
 type Report struct {
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -37,6 +37,7 @@
 		r := e.runs[row.Task]
 		if r != nil {
 			r.listedBy = e.sequence
+			r.restarted = false
 		}
 		if r == nil || r.number < row.Run {
 			if r == nil {
@@ -57,14 +58,24 @@
 	if more {
 		return
 	}
+	alone := len(e.runs) == 1
 	for _, r := range e.runs {
 		if r.listedBy != e.sequence && (before(r.confirmed, e.holdSent) || before(r.stopAnswered, e.holdSent)) {
-			c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("run_vanished", "the run is listed neither as running nor as ended"))
-			c.endRun(e, r, EndLapsed, "")
+			c.endVanished(e, r, alone)
 		}
 	}
 }
 
+// endVanished ends a run that the endpoint no longer knows.
+func (c *Core) endVanished(e *endpoint, r *run, alone bool) {
+	c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("run_vanished", "the run is listed neither as running nor as ended"))
+	if r.restarted {
+		c.loseWithEndpoint(e, r, alone)
+		return
+	}
+	c.endRun(e, r, EndLapsed, "")
+}
+
 // before reports whether an event has happened, and before the given time.
 func before(happened, at time.Time) bool { return !happened.IsZero() && happened.Before(at) }
 
@@ -159,7 +170,7 @@
 
 // endRun removes a run and applies its end to its task.
 func (c *Core) endRun(e *endpoint, r *run, end End, checkpoint string) {
-	if r.confirmed.IsZero() && r.tries > 0 && end == EndLapsed {
+	if r.confirmed.IsZero() && r.tries > 0 && (end == EndLapsed || end == EndEndpointLost) {
 		e.unresolvedStarts = append(e.unresolvedStarts, unresolvedStart{r.id, r.number, r.sent})
 	}
 	c.forgetRun(e, r)
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -60,6 +60,7 @@
 	// skipDoubleRunCheck disables the check for tasks with two concurrent runs,
 	// to save time.
 	skipDoubleRunCheck bool
+	endpointFaults
 }
 
 type submission struct {
@@ -103,6 +104,7 @@
 		answers: make(map[leased.JobID]leased.Answer), answeredAt: make(map[leased.JobID]time.Duration),
 		startCounts: make(map[leased.TaskID]int), reclaimFenced: true, endpointEventCounts: make(map[string]int), startedJobs: make(map[leased.JobID]bool),
 		delegations: make(map[leased.TaskID]delegation), delegatedRuns: make(map[leased.TaskID]int), pollCounts: make(map[leased.EndpointID]int), isolated: make(map[int]bool), taskCounts: make(map[leased.JobID]int),
+		endpointFaults: newEndpointFaults(),
 	}
 	for i := range cores {
 		sim.cores = append(sim.cores, sim.newCore(i))
@@ -123,22 +125,29 @@
 // core.
 func (sim *simulation) addEndpoints(core, n int) {
 	for range n {
-		id := leased.EndpointID(fmt.Sprintf("e%02d", len(sim.specs)))
+		id := leased.EndpointID(fmt.Sprintf("e%02d", len(sim.endpoints)))
 		spec := leased.Endpoint{
 			ID: id, Address: string(id), Service: "s", FailureDomain: "a", Cell: fmt.Sprintf("c%d", core),
 			Capacity: leased.Demand{MilliCores: 64_000, MemoryMiB: 128_000},
 		}
-		sim.specs = append(sim.specs, spec)
-		sim.holderOf[id] = core
-		sim.endpoints[id] = leasedtest.New(id, spec.Capacity, func(task leased.TaskID) leasedtest.Work {
-			sim.startedJobs[task.Job] = true
-			sim.startCounts[task]++
-			return sim.work[task.Job]
-		})
+		sim.addEndpoint(core, spec)
 	}
 	sim.announce()
 }
 
+func (sim *simulation) addEndpoint(core int, spec leased.Endpoint) {
+	sim.specs = append(sim.specs, spec)
+	sim.holderOf[spec.ID] = core
+	sim.endpoints[spec.ID] = leasedtest.New(spec.ID, spec.Capacity, func(task leased.TaskID) leasedtest.Work {
+		sim.startedJobs[task.Job] = true
+		sim.startCounts[task]++
+		if sim.deadly[task] {
+			sim.after(crashDelay, func() { sim.crashEndpoint(spec.ID) })
+		}
+		return sim.work[task.Job]
+	})
+}
+
 func (sim *simulation) announce() {
 	for i := range sim.cores {
 		var list []leased.Endpoint
@@ -211,6 +220,7 @@
 	for _, e := range out.EndpointEvents {
 		sim.endpointEventCounts[e.Event]++
 	}
+	sim.crashes = append(sim.crashes, out.Crashes...)
 	sim.reports = append(sim.reports, out.Reports...)
 	if len(out.Reports) > 0 && !sim.unresponsiveOwner {
 		sim.after(2*networkDelay, sim.storeReports)
@@ -336,6 +346,10 @@
 		sim.after(timeout, func() { sim.step(core, noReply) })
 		return
 	}
+	if sim.replaced[id] {
+		sim.after(2*networkDelay, func() { sim.step(core, otherIncarnation(noReply)) })
+		return
+	}
 	if sim.rng.Float64() < sim.lossRate {
 		late := 2*time.Second + time.Duration(sim.rng.Int64N(int64(10*time.Second)))
 		sim.after(late, func() { handle(sim.endpoints[id]); sim.advanceEndpoint(id) })
@@ -355,6 +369,10 @@
 		sim.after(h.Wait+callTimeout, func() { sim.step(core, noReply) })
 		return
 	}
+	if sim.replaced[h.Endpoint] {
+		sim.after(2*networkDelay, func() { sim.step(core, otherIncarnation(noReply)) })
+		return
+	}
 	sim.after(networkDelay, func() {
 		e := sim.endpoints[h.Endpoint]
 		e.Advance(sim.now)
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -65,3 +65,26 @@
 		CallerTimeout: microseconds(r.PatienceUs), Adopt: r.Adopt, Cell: r.Cell, Wait: r.Wait,
 	}
 }
+
+// delegatedAnswerToPB sends EndEndpointLost as EndLapsed with a flag, because
+// earlier versions do not know it.
+func delegatedAnswerToPB(a *leased.DelegatedAnswer) *fleetpb.LendResponse {
+	r := &fleetpb.LendResponse{End: uint32(a.End), Saved: a.Checkpoint}
+	if a.End == leased.EndEndpointLost {
+		r.End, r.EndpointLost = uint32(leased.EndLapsed), true
+	}
+	return r
+}
+
+// delegatedEndFromPB returns EndUnknown for an end that no supported version
+// sends, because the run may be active.
+func delegatedEndFromPB(r *fleetpb.LendResponse) leased.End {
+	end := leased.End(r.End)
+	switch {
+	case uint64(r.End) > uint64(leased.EndEndpointLost):
+		return leased.EndUnknown
+	case end == leased.EndLapsed && r.EndpointLost:
+		return leased.EndEndpointLost
+	}
+	return end
+}
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -310,6 +311,9 @@
 	for i := range out.RunEnds {
 		l.runEnded(&out.RunEnds[i])
 	}
+	for i := range out.Crashes {
+		l.logCrash(&out.Crashes[i])
+	}
 	for i := range out.EndpointEvents {
 		l.logEndpointEvent(&out.EndpointEvents[i])
 	}
@@ -339,6 +343,13 @@
 	}
 }
 
+// logCrash logs and counts a run under which its endpoint has crashed.
+func (l *Loop) logCrash(crash *leased.Crash) {
+	l.log.Warn("endpoint_crashed", zap.String("job", string(crash.Task.Job)), zap.Int("step", crash.Task.Step), zap.Int("task", crash.Task.Index),
+		zap.Int("run", crash.Run), zap.String("endpoint", string(crash.Endpoint)), zap.Bool("alone", crash.Alone))
+	l.metrics.crashes.WithLabelValues(strconv.FormatBool(crash.Alone)).Inc()
+}
+
 func (l *Loop) publish() {
 	s := &Snapshot{
 		View: l.view, Configuration: l.directory.Configuration, Endpoints: l.directory.Endpoints,
--- a/fleet/malformed_test.go
+++ b/fleet/malformed_test.go
@@ -127,3 +127,23 @@
 		t.Errorf("panics of %d operations are counted, want 3", counted)
 	}
 }
+
+// The end of a delegated task that no supported version sends must not stop the
+// loop that handles it, and ends that earlier versions do not know stay readable
+// for them.
+func TestEndsOfDelegatedTasksOnTheWire(t *testing.T) {
+	for end := leased.EndDone; end <= leased.EndEndpointLost; end++ {
+		sent := delegatedAnswerToPB(&leased.DelegatedAnswer{End: end})
+		if got := delegatedEndFromPB(sent); got != end {
+			t.Errorf("end %v arrives as %v", end, got)
+		}
+		if sent.End > uint32(leased.EndUnknown) {
+			t.Errorf("end %v is sent as %d, which earlier versions do not know", end, sent.End)
+		}
+	}
+	for _, number := range []uint32{uint32(leased.EndEndpointLost) + 1, 200, 1 << 20} {
+		if got := delegatedEndFromPB(&fleetpb.LendResponse{End: number}); got != leased.EndUnknown {
+			t.Errorf("end %d arrives as %v, want unknown", number, got)
+		}
+	}
+}
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -118,7 +118,7 @@
 	traced, sent := traceSent(ctx)
 	reply, err := p.client(address).Lend(traced, delegatedTaskToPB(&request.Task, uint64(p.self)))
 	if err == nil {
-		return leased.End(reply.End), reply.Saved
+		return delegatedEndFromPB(reply), reply.Saved
 	}
 	if ctx.Err() == nil {
 		p.send(suspectEntry{holder})
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -76,7 +76,7 @@
 	if !ended {
 		return nil, ctx.Err()
 	}
-	return &fleetpb.LendResponse{End: uint32(answer.End), Saved: answer.Checkpoint}, nil
+	return delegatedAnswerToPB(&answer), nil
 }
 
 // Snapshot implements fleetpb.Fleet.
--- a/fleet/trace/trace.go
+++ b/fleet/trace/trace.go
@@ -44,6 +44,7 @@
 	Expected      float64   `json:"expected_ms"`
 	CallerTimeout float64   `json:"patience_ms"`
 	Begun         bool      `json:"may_have_begun"`
+	Alone         bool      `json:"alone"`
 }
 
 // Read returns the lines about a job in a log. A line may have a prefix before
@@ -76,7 +77,7 @@
 // stages orders events of different entries causally.
 var stages = map[string]int{
 	"received": 0, "forwarded": 1, "holder_lost": 2, "placed": 3, "lent": 3, "start_refused": 4, "stopped": 5,
-	"lend_failed": 6, "lend_ended": 6, "run_ended": 6, "answered": 9, "refused": 9,
+	"lend_failed": 6, "lend_ended": 6, "run_ended": 6, "endpoint_crashed": 7, "answered": 9, "refused": 9,
 }
 
 // sortLines sorts lines by task, and those of a task by run and stage. Lines
@@ -208,7 +209,7 @@
 		switch {
 		case l.Event == "stopped" && l.Reason == "too little progress":
 			parts = append(parts, fmt.Sprintf("task %d made too little progress on %s and was moved", l.Task, l.Endpoint))
-		case l.Event == "run_ended" && (l.End == "lapsed" || l.End == "failed"):
+		case l.Event == "run_ended" && (l.End == "lapsed" || l.End == "failed" || l.End == "endpoint_lost"):
 			parts = append(parts, fmt.Sprintf("run %d of task %d %s on %s", l.Run, l.Task, l.End, l.Endpoint))
 		case l.Event == "run_ended" && l.End == "done" && l.Expected > 0 && l.Took > slowFactor*l.Expected && l.Took > minDelayMS:
 			parts = append(parts, fmt.Sprintf("task %d took %.0f ms on %s, %.0f expected", l.Task, l.Took, l.Endpoint, l.Expected))
@@ -268,6 +269,8 @@
 		return fmt.Sprintf("task %d run %d on %s: %s", l.Task, l.Run, l.Endpoint, l.Reason)
 	case "run_ended":
 		return fmt.Sprintf("task %d run %d on %s: %s after %.0f ms, %.0f expected", l.Task, l.Run, l.Endpoint, l.End, l.Took, l.Expected)
+	case "endpoint_crashed":
+		return fmt.Sprintf("%s crashed under task %d run %d%s", l.Endpoint, l.Task, l.Run, alone(l))
 	case "lend_ended", "lend_failed":
 		return fmt.Sprintf("task %d run %d: %s", l.Task, l.Run, cmp.Or(l.End, l.Error))
 	case "answered":
@@ -275,3 +278,10 @@
 	}
 	return l.Reason
 }
+
+func alone(l *Line) string {
+	if l.Alone {
+		return ", which ran there alone"
+	}
+	return ""
+}
