Show that a task that crashes its endpoints is started without end

The test plays four such tasks among harmless jobs, stored and best-effort, on endpoints that return under the same or another ID, with eight seeds.

--- a/dispatch/leased/crash_test.go
+++ b/dispatch/leased/crash_test.go
@@ -1,6 +1,7 @@
 package leased_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,3 +69,66 @@
 		t.Errorf("crashes %+v, want one under a run that was alone", sim.crashes)
 	}
 }
+
+// maxStartsOfDeadlyTask is the bound of the users' rules: two more starts after
+// three endpoints have crashed under a task.
+const maxStartsOfDeadlyTask = 5
+
+// submitHarmless submits one-task jobs of 200 ms in a steady stream, and returns
+// how many.
+func (sim *simulation) submitHarmless(core int, stored bool, interval, until time.Duration) int {
+	n := 0
+	for at := sim.now; at < until; at += interval {
+		id := leased.JobID(fmt.Sprintf("harmless%04d", n))
+		n++
+		sim.at(at, func() {
+			job := storedJob(id, 1, 200*time.Millisecond)
+			if !stored {
+				job.Stored, job.CallerTimeout = false, 20*time.Second
+			}
+			sim.submitJob(core, job, 200*time.Millisecond)
+		})
+	}
+	return n
+}
+
+// Guards against a task that crashes endpoint after endpoint: it was started
+// without end, and took the harmless tasks beside it down each time.
+func TestTaskThatCrashesItsEndpointsIsGivenUp(t *testing.T) {
+	for _, stored := range []bool{true, false} {
+		for _, returnsAs := range []returnAs{sameID, newID} {
+			for seed := range uint64(8) {
+				t.Run(fmt.Sprintf("stored=%t/id=%d/seed=%d", stored, returnsAs, seed), func(t *testing.T) {
+					sim := newSimulation(t, seed, 1)
+					sim.returnsAs = returnsAs
+					sim.downTime = 2500*time.Millisecond + time.Duration(sim.rng.IntN(1000))*time.Millisecond
+					sim.addEndpoints(0, 12)
+					sim.runUntil(100 * time.Millisecond)
+					harmless := sim.submitHarmless(0, stored, 25*time.Millisecond, 12*time.Second)
+					const deadlyJobs = 4
+					for i := range deadlyJobs {
+						job := storedJob(leased.JobID(fmt.Sprintf("deadly%d", i)), 8, 60*time.Millisecond)
+						if !stored {
+							job.Stored, job.CallerTimeout = false, 30*time.Second
+						}
+						sim.deadly[leased.TaskID{Job: job.ID, Index: sim.rng.IntN(8)}] = true
+						sim.at(time.Second+time.Duration(sim.rng.IntN(6000))*time.Millisecond, func() { sim.submitJob(0, job, 60*time.Millisecond) })
+					}
+					sim.runUntil(40 * time.Second)
+					for task := range sim.deadly {
+						if n := sim.startCounts[task]; n > maxStartsOfDeadlyTask {
+							t.Errorf("deadly task %v was started %d times, want at most %d", task, n, maxStartsOfDeadlyTask)
+						}
+						if a, answered := sim.answers[task.Job]; !answered || a.Verdict != leased.Failed {
+							t.Errorf("job of deadly task %v: answered %t, %+v, want failed", task, answered, a)
+						}
+					}
+					if got := sim.countVerdicts()[leased.Completed]; got != harmless {
+						t.Errorf("%d of %d harmless jobs completed: %v", got, harmless, sim.countVerdicts())
+					}
+					sim.wantNoDoubleRuns()
+				})
+			}
+		}
+	}
+}
