Give up a task that crashes the endpoints that run it

Callers saw: with stored jobs, one job in ten of a queue took the whole site down.

Cause: an expired lease proves that a run is over, and the task was started again at once, anywhere, any number of times. Only runs that an endpoint lists as failed used up an attempt; those that end with their endpoint did not.

The tasks had one start after the other at one holder, with rising run numbers, before any entry was killed.

Why the fix works: a crash is attributed to the runs that were lost with the endpoint once another incarnation answers (or it is gone for 15 s), and is reported to the job's owner, which stores it on the log. Two crashes, one of them under the task alone, end the job as failed, and three do in any case. Suspects avoid each other and other tasks, so that the second crash tells the cause from its victims.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -36,6 +36,7 @@
 	lostRuns          []*task // whose earlier runs may be active under another holder
 	runs              map[TaskID]*run
 	freeIndex         *freeIndex
+	suspended         []suspendedTask
 	adopting          []*job               // delegated tasks whose earlier runs are searched for
 	doneUnclaimed     map[TaskID]time.Time // when a run that no job claimed was listed as done
 	storedDone        map[TaskID]time.Time // done tasks of stored jobs
@@ -134,6 +135,7 @@
 		c.markDirty(e)
 	}
 	c.removeDropped()
+	c.resumeSuspended()
 	c.waiting.demoteLate(c.now)
 	c.measureServiceTime()
 	c.expireJobs()
@@ -210,7 +212,7 @@
 // held on which only runs of unknown demand are left.
 func (c *Core) removeDropped() {
 	c.endpointList = slices.DeleteFunc(c.endpointList, func(e *endpoint) bool {
-		removable := e.dropped && !e.awaitsEvidence(c.now) && (len(e.runs) == 0 || !e.held && e.unknownDemands == len(e.runs))
+		removable := e.dropped && len(e.lostRuns) == 0 && (len(e.runs) == 0 || !e.held && e.unknownDemands == len(e.runs))
 		if !removable {
 			return false
 		}
@@ -271,11 +273,11 @@
 }
 
 // FreeCapacity lists the free millicores of the endpoints of a cell that accept
-// new tasks and have at least minMilliCores free.
+// new tasks, run no suspect and have at least minMilliCores free.
 func (c *Core) FreeCapacity(cell string, minMilliCores int) []int {
 	var free []int
 	for _, e := range c.endpointList {
-		if e.Cell != cell || !e.usable(c.now) || e.record.Health() != outlier.Healthy {
+		if e.Cell != cell || !e.usable(c.now) || e.suspects > 0 || e.record.Health() != outlier.Healthy {
 			continue
 		}
 		if f := e.free().MilliCores; f >= minMilliCores {
--- a/dispatch/leased/crash.go
+++ b/dispatch/leased/crash.go
@@ -1,10 +1,19 @@
 package leased
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// crashEvidenceTimeout is how long an endpoint that was lost with its runs is
-// watched for another incarnation. An endpoint that has crashed is back earlier.
-const crashEvidenceTimeout = 5 * time.Second
+// Times for learning why an endpoint was lost.
+const (
+	// crashWatch is how long an endpoint that was lost with its runs is watched
+	// for another incarnation, which shows that it has crashed.
+	crashWatch = 15 * time.Second
+	// suspension is how long a task under which endpoints were lost waits to learn
+	// whether they have crashed. Most endpoints are back earlier.
+	suspension = 4 * time.Second
+)
 
 // lostRun is a run whose endpoint did not answer for longer than the lease. The
 // endpoint has crashed, or it was cut off and has ended the run itself.
@@ -14,6 +23,12 @@
 	alone bool // no other run was on the endpoint
 }
 
+// suspendedTask is a task that is not started before a time.
+type suspendedTask struct {
+	task  *task
+	until time.Time
+}
+
 // loseRuns ends the runs of an endpoint that has not answered for longer than
 // their lease.
 func (c *Core) loseRuns(e *endpoint) {
@@ -49,15 +64,119 @@
 	}
 }
 
-// crashed records that an endpoint has crashed under a run.
+// crashed records that an endpoint has crashed under a run, and gives the task up
+// if it is the cause.
 func (c *Core) crashed(e *endpoint, lost lostRun) {
 	if e.Leaving {
+		c.clearLoss(lost)
 		return
 	}
 	c.out.Crashes = append(c.out.Crashes, Crash{Endpoint: e.ID, Task: lost.task, Run: lost.run, Alone: lost.alone})
+	if isStoredRun(lost.run) {
+		c.out.Reports = append(c.out.Reports, Report{
+			Endpoint: e.ID, IncarnationStart: e.Born, Task: lost.task, Run: lost.run, End: EndEndpointLost, Alone: lost.alone,
+		})
+	}
+	t := c.openTask(lost.task)
+	if t == nil {
+		return
+	}
+	t.losses = max(0, t.losses-1)
+	t.crashes.Add(lost.alone)
+	if t.crashes.Guilty() {
+		c.finish(t.job, Failed, "one of its tasks crashes the endpoints that run it", 0)
+		return
+	}
+	c.resumeIfCleared(t)
+}
+
+// endpointReturned clears the runs that were lost with an endpoint that was cut
+// off and has not crashed.
+func (c *Core) endpointReturned(e *endpoint) {
+	for _, lost := range e.lostRuns {
+		c.clearLoss(lost)
+	}
+	e.lostRuns = nil
+}
+
+func (c *Core) clearLoss(lost lostRun) {
+	if t := c.openTask(lost.task); t != nil {
+		t.losses = max(0, t.losses-1)
+		c.resumeIfCleared(t)
+	}
+}
+
+// openTask returns a task of an open job that is not done, or nil.
+func (c *Core) openTask(id TaskID) *task {
+	j := c.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	t := j.task(id)
+	if t == nil || t.state == doneTask {
+		return nil
+	}
+	return t
+}
+
+// endpointLost decides when a task whose endpoint was lost is started again. If
+// it may have crashed several endpoints, it waits until that is known. A job that
+// has no time to wait fails.
+func (c *Core) endpointLost(t *task) {
+	t.losses++
+	j := t.job
+	if !t.crashes.MayBeGuilty(t.losses) {
+		c.enqueue(j)
+		return
+	}
+	if !j.Stored && c.now.Add(suspension+c.expectedRunTime(j)).After(j.expires) {
+		c.finish(j, Failed, "several endpoints were lost with one of its tasks", 0)
+		return
+	}
+	t.state = suspended
+	c.suspended = append(c.suspended, suspendedTask{t, c.now.Add(suspension)})
+}
+
+// resumeIfCleared starts a suspended task again unless it may have crashed
+// several endpoints.
+func (c *Core) resumeIfCleared(t *task) {
+	if t.state == suspended && !t.crashes.MayBeGuilty(t.losses) {
+		c.resume(t)
+	}
+}
+
+func (c *Core) resume(t *task) {
+	t.state = waitingTask
+	c.enqueue(t.job)
+}
+
+// resumeSuspended starts the tasks again whose suspension is over.
+func (c *Core) resumeSuspended() {
+	c.suspended = slices.DeleteFunc(c.suspended, func(s suspendedTask) bool {
+		if s.task.state != suspended {
+			return true
+		}
+		if c.now.Before(s.until) {
+			return false
+		}
+		c.resume(s.task)
+		return true
+	})
+}
+
+// endWatch ends the watch for another incarnation of a lost endpoint. One that is
+// no longer announced by then is gone.
+func (c *Core) endWatch(e *endpoint) {
+	if len(e.lostRuns) == 0 || c.now.Sub(e.lostAt) < crashWatch {
+		return
+	}
+	if e.dropped {
+		c.endpointCrashed(e)
+	}
+	e.lostRuns = nil
 }
 
-// awaitsEvidence reports whether an endpoint is watched for another incarnation.
-func (e *endpoint) awaitsEvidence(now time.Time) bool {
-	return len(e.lostRuns) > 0 && now.Sub(e.lostAt) < crashEvidenceTimeout
+// suspect reports whether an endpoint was lost, or has crashed, under a task.
+func (t *task) suspect() bool {
+	return t.losses > 0 || t.crashes.Crashes > 0 || t.job.suspect
 }
--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -180,7 +180,7 @@
 	c.markBegun(t.job)
 	c.out.Delegations = append(c.out.Delegations, Delegate{Holder: cell.Holder, Cell: cell.Cell, Task: DelegatedTask{
 		ID: t.id, Service: t.job.Service, Queue: t.job.Queue, Spec: t.job.Spec, Step: step,
-		Run: t.runs, Checkpoint: t.checkpoint, CallerTimeout: t.job.expires.Sub(c.now), Cell: cell.Cell, Adopt: adopt, Wait: c.HoldsNoCell() && !adopt,
+		Run: t.runs, Checkpoint: t.checkpoint, CallerTimeout: t.job.expires.Sub(c.now), Cell: cell.Cell, Adopt: adopt, Wait: c.HoldsNoCell() && !adopt, Suspect: t.suspect(),
 	}})
 }
 
@@ -313,7 +313,7 @@
 func (c *Core) newDelegated(d *DelegatedTask, ticket Ticket) *job {
 	j := &job{
 		Job:     Job{ID: d.ID.Job, Spec: d.Spec, Service: d.Service, Queue: d.Queue, MaxAttempts: 1, Steps: []Step{d.Step}},
-		tickets: []Ticket{ticket}, arrived: c.now, expires: c.now.Add(d.CallerTimeout), delegated: true,
+		tickets: []Ticket{ticket}, arrived: c.now, expires: c.now.Add(d.CallerTimeout), delegated: true, suspect: d.Suspect,
 		cell: d.Cell, remaining: []int{1},
 	}
 	j.tasks = [][]task{{{id: d.ID, job: j, step: &j.Steps[0], checkpoint: d.Checkpoint}}}
--- a/dispatch/leased/doc.go
+++ b/dispatch/leased/doc.go
@@ -29,4 +29,7 @@
 //     has listed what runs there. Runs that no job claims are stopped.
 //   - When the last ticket of a job is cancelled, all its runs are stopped.
 //   - A job is answered Rejected only if none of its runs was ever started.
+//   - A task under which endpoints crash is started at most a few times
+//     (crash.go, package dispatch/blame), because each start may destroy an
+//     endpoint and the runs on it.
 package leased
--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -54,6 +54,7 @@
 	demandUnknown   bool          // the run was found on the endpoint
 	stopAnswered    time.Time     // when a Stop was answered; zero: not yet
 	slownessCounted bool          // the slow run was counted against its endpoint
+	suspect         bool          // of a task that may have crashed an endpoint
 	startUnanswered bool          // no Start was answered, or an earlier copy of a refused one was not
 	restarted       bool          // another incarnation answers and has not listed the run
 }
@@ -79,6 +80,7 @@
 	freeIndex        *freeIndex
 	position         int              // in the freeIndex
 	unknownDemands   int              // number of runs with unknown demand
+	suspects         int              // number of runs that are suspect
 	lastSeen         int64            // number of the newest ended run that was listed
 	acknowledged     int64            // LastSeen of the newest answered Hold
 	unreported       map[int64]TaskID // ended runs that must not be acknowledged yet
@@ -215,6 +217,9 @@
 	if r.demandUnknown {
 		e.unknownDemands++
 	}
+	if r.suspect {
+		e.suspects++
+	}
 }
 
 func (e *endpoint) remove(r *run) {
@@ -224,6 +229,9 @@
 	if r.demandUnknown {
 		e.unknownDemands--
 	}
+	if r.suspect {
+		e.suspects--
+	}
 }
 
 func (e *endpoint) note(event, reason string) EndpointEvent {
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -179,7 +179,7 @@
 	if in.IncarnationStart != 0 {
 		e.Born = in.IncarnationStart
 	}
-	e.lostRuns = nil // the endpoint was cut off
+	c.endpointReturned(e)
 	if e.unanswered > 1 {
 		c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_answers", ""))
 	}
@@ -316,6 +316,7 @@
 // leases have expired, and stops unclaimed runs.
 func (c *Core) review(e *endpoint) {
 	e.decaySlowness(TickInterval)
+	c.endWatch(e)
 	if e.record.ReviewDue(c.now) {
 		before := e.record.Health()
 		e.record.Review(c.peersOf(e))
--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -1,6 +1,10 @@
 package leased
 
-import "time"
+import (
+	"time"
+
+	"lovagespread.example/dispatch/blame"
+)
 
 // JobID is the identifier that a caller has chosen for a job.
 type JobID string
@@ -73,7 +77,8 @@
 type TaskProgress struct {
 	Step, Index int
 	Done        bool
-	Failures    int    // runs that failed
+	Failures    int // runs that failed
+	Crashes     blame.Record
 	LastRun     int    // highest run number
 	Checkpoint  string // newest checkpoint
 }
@@ -115,7 +120,8 @@
 	Cell          string // to whose holder the task is delegated
 	// Wait reports that the delegator holds no cell any more: the task waits
 	// here for a free endpoint instead of being returned.
-	Wait bool
+	Wait    bool
+	Suspect bool // an endpoint was lost, or has crashed, under an earlier run
 	// Adopt reports that an earlier run may be active on an endpoint of the
 	// cell. That run is adopted or shown to have ended; none is started.
 	Adopt bool
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -1,6 +1,10 @@
 package leased
 
-import "time"
+import (
+	"time"
+
+	"lovagespread.example/dispatch/blame"
+)
 
 type taskState uint8
 
@@ -8,6 +12,7 @@
 	waitingTask taskState = iota
 	placedTask
 	delegatedTask
+	suspended // waits to learn whether it has crashed its endpoints
 	doneTask
 )
 
@@ -18,6 +23,8 @@
 	state         taskState
 	run           *run          // of a placed task
 	failures      int           // number of failed runs
+	crashes       blame.Record  // of endpoints that ran the task
+	losses        int           // endpoints that were lost with the task, and may have crashed
 	runs          int           // number of the newest run
 	moves         int           // runs stopped because of too little progress
 	took          time.Duration // run time of the run that completed the task
@@ -47,6 +54,7 @@
 	begun       bool      // a run was started
 	failed      bool      // a run has failed
 	delegated   bool      // one task of another holder's job
+	suspect     bool      // of a delegated task: an endpoint was lost with it before
 	cell        string    // of a delegated task: the only cell where it may run, so that its run can be found again
 }
 
@@ -301,6 +309,9 @@
 		if t.searching { // the delegate could not be reached
 			c.addLostRun(t, t.delegatedCell)
 		}
+	case EndEndpointLost:
+		c.endpointLost(t)
+		return
 	case EndUnknown:
 		c.addLostRun(t, t.delegatedCell)
 		t.notBefore = c.now.Add(c.opts.MaxLease + clockSlack + claimTimeout)
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -323,11 +323,12 @@
 type Report struct {
 	Endpoint         EndpointID
 	IncarnationStart int64 // of the endpoint
-	Number           int64 // of the ended run
+	Number           int64 // of the ended run; 0: the endpoint does not list it
 	Task             TaskID
 	Run              int
 	Begun            bool // false: the run has ended
-	End              End  // EndDone or EndFailed
+	End              End  // EndDone, EndFailed, or EndEndpointLost if its endpoint has crashed
+	Alone            bool // no other run was on the endpoint that has crashed
 	Checkpoint       string
 }
 
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -11,6 +11,7 @@
 const (
 	degradedCost       = 300 * time.Millisecond // for an endpoint that has just failed
 	probationCost      = 200 * time.Millisecond // for an endpoint on probation
+	suspectCost        = 300 * time.Millisecond // for a suspect beside other tasks
 	unusedCapacityCost = 20 * time.Millisecond  // times the share of the endpoint left free
 	remoteRackFactor   = 3                      // run time factor on a rack without the data
 )
@@ -150,6 +151,9 @@
 	if e.record.Health() == outlier.Probation && len(e.runs) > 0 {
 		return false
 	}
+	if e.suspects > 0 && t.suspect() {
+		return false
+	}
 	return t.step.MaxPerEndpoint == 0 || e.runsOfStep(t.id) < t.step.MaxPerEndpoint
 }
 
@@ -178,6 +182,9 @@
 	if t.avoid == e.ID {
 		cost += degradedCost
 	}
+	if e.suspects > 0 || len(e.runs) > 0 && t.suspect() {
+		cost += suspectCost
+	}
 	left := float64(e.free().MilliCores-t.step.Demand.MilliCores) / float64(max(1, e.Capacity.MilliCores))
 	return cost + e.Cold + time.Duration(left*float64(unusedCapacityCost))
 }
@@ -186,7 +193,7 @@
 func (c *Core) start(t *task, e *endpoint) {
 	t.runs++
 	r := &run{
-		id: t.id, number: t.runs, endpoint: e, task: t, demand: t.step.Demand,
+		id: t.id, number: t.runs, endpoint: e, task: t, demand: t.step.Demand, suspect: t.suspect(),
 		expected: time.Duration(float64(c.expectedTime(t.job.Queue, t.step.Estimate)) * e.slowness()),
 	}
 	t.state = placedTask
--- a/dispatch/leased/stored.go
+++ b/dispatch/leased/stored.go
@@ -169,6 +169,7 @@
 		}
 		t.runs = max(t.runs, p.LastRun)
 		t.failures = p.Failures
+		t.crashes = p.Crashes
 		t.checkpoint = p.Checkpoint
 		if p.Done {
 			t.state = doneTask
--- a/dispatch/stored/apply.go
+++ b/dispatch/stored/apply.go
@@ -48,6 +48,10 @@
 		if j != nil && !j.state.Ended() && j.applyTaskEnded(e) {
 			j.markEnded(j.finalState(), s.now)
 		}
+	case TaskCrashed:
+		if j != nil && !j.state.Ended() && j.applyTaskCrashed(e) {
+			j.markEnded(Failed, s.now)
+		}
 	case JobCancelled:
 		if j != nil && !j.state.Ended() {
 			j.markEnded(Cancelled, s.now)
@@ -112,7 +116,7 @@
 	if t == nil {
 		return
 	}
-	t.checkpoint, t.lastRun = p.Checkpoint, p.LastRun
+	t.checkpoint, t.lastRun, t.crashes = p.Checkpoint, p.LastRun, p.Crashes
 	for n := range p.Failures {
 		t.failedRuns = append(t.failedRuns, -1-n) // a snapshot has no run numbers
 	}
@@ -134,7 +138,7 @@
 		s.offer(j)
 	case JobCancelled, JobFailed:
 		s.out.Withdrawals = append(s.out.Withdrawals, j.id)
-	case TaskEnded:
+	case TaskEnded, TaskCrashed:
 		if j.state.Ended() {
 			s.out.Withdrawals = append(s.out.Withdrawals, j.id)
 		}
@@ -168,6 +172,9 @@
 	}
 	t.lastRun = max(t.lastRun, r.Run)
 	j.state = Running
+	if r.Crashed {
+		return s.handleCrashReport(in, r, t)
+	}
 	if r.Begun || slices.Contains(t.failedRuns, r.Run) {
 		return false
 	}
@@ -181,3 +188,16 @@
 	}
 	return true
 }
+
+// handleCrashReport handles a report that an endpoint has crashed under a run. It
+// returns true if the report has to wait until that is stored.
+func (s *Shard) handleCrashReport(in *Report, r *TaskReport, t *taskState) bool {
+	if slices.Contains(t.crashedRuns, r.Run) {
+		return false
+	}
+	event := Event{Kind: TaskCrashed, Job: r.Task.Job, Task: r.Task, Run: r.Run, Alone: r.Alone}
+	if !s.joinPending(&event, in.Ticket) {
+		s.enqueue(event, in.Ticket, in.From)
+	}
+	return true
+}
--- a/dispatch/stored/crash_test.go
+++ b/dispatch/stored/crash_test.go
@@ -31,6 +31,8 @@
 	failed       map[leased.TaskID]bool // whether the last run has failed
 	knownDone    map[leased.TaskID]bool // tasks that the holder of an offer knows to be done
 	jobs         map[leased.JobID]leased.Job
+	failures     map[leased.TaskID]int // runs that have failed
+	endpointCrashes
 }
 
 func newCrashSim(t *testing.T, seed uint64) *crashSim {
@@ -39,6 +41,7 @@
 		stored: make(map[leased.JobID]bool), refused: make(map[leased.JobID]bool), cancelled: make(map[leased.JobID]bool),
 		listed: make(map[leased.TaskID]int), acknowledged: make(map[leased.TaskID]bool), offers: make(map[leased.JobID]*Offer),
 		lastRun: make(map[leased.TaskID]int), failed: make(map[leased.TaskID]bool), knownDone: make(map[leased.TaskID]bool), jobs: make(map[leased.JobID]leased.Job),
+		failures: make(map[leased.TaskID]int), endpointCrashes: newEndpointCrashes(),
 	}
 	return sim
 }
@@ -93,6 +96,7 @@
 		sim.runTask()
 	case 7:
 		sim.reportEnds()
+		sim.reportCrashes()
 	case 8:
 		sim.step(&Tick{})
 	case 9:
@@ -174,9 +178,16 @@
 				sim.t.Fatalf("task %v is to run again, though its end was stored", task)
 			}
 			sim.lastRun[task]++
+			if sim.rng.IntN(8) == 0 {
+				sim.crashEndpoint(task)
+				return
+			}
 			sim.listed[task] = sim.lastRun[task]
 			sim.failed[task] = sim.rng.IntN(10) == 0
 			sim.knownDone[task] = !sim.failed[task]
+			if sim.failed[task] {
+				sim.failures[task]++
+			}
 			return
 		}
 	}
@@ -232,6 +243,7 @@
 			sim.t.Fatalf("job %s was cancelled and is %v", id, s)
 		}
 	}
+	sim.checkCrashes()
 	for id, job := range sim.jobs {
 		if sim.shard.State(id) == Completed {
 			sim.checkCompleted(id, &job)
--- a/dispatch/stored/doc.go
+++ b/dispatch/stored/doc.go
@@ -25,4 +25,6 @@
 //   - A job is shown as completed once all its tasks are reported as done: each
 //     end is then on the log, or listed by its endpoint until it is. A job is
 //     shown as failed or cancelled only once that is stored.
+//   - The count of endpoints that crashed under a task is on the log, so that no
+//     change of owner or holder grants the task further crashes.
 package stored
--- a/dispatch/stored/event.go
+++ b/dispatch/stored/event.go
@@ -12,6 +12,7 @@
 	JobCancelled                  // by its caller
 	JobFailed                     // a task has used up its attempts
 	JobSnapshot                   // the whole state of a job; replaces its earlier events
+	TaskCrashed                   // an endpoint has crashed under a run; with Task, Run and Alone
 )
 
 // Event is a change to a job as it is stored on the log.
@@ -27,6 +28,7 @@
 	Task       leased.TaskID
 	Run        int
 	Done       bool   // the run has succeeded; false: it has failed
+	Alone      bool   // the endpoint that has crashed ran nothing else
 	Checkpoint string // newest checkpoint
 }
 
--- a/dispatch/stored/job.go
+++ b/dispatch/stored/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lovagespread.example/dispatch/blame"
 	"lovagespread.example/dispatch/leased"
 )
 
@@ -36,7 +37,9 @@
 	done         bool
 	reportedDone bool  // possibly not stored yet
 	failedRuns   []int // their numbers
-	lastRun      int   // highest known run number, possibly not stored yet
+	crashedRuns  []int // numbers of those under which an endpoint has crashed
+	crashes      blame.Record
+	lastRun      int // highest known run number, possibly not stored yet
 	checkpoint   string
 }
 
@@ -105,6 +108,19 @@
 	return len(t.failedRuns) >= max(1, j.spec.MaxAttempts)
 }
 
+// applyTaskCrashed applies the crash of an endpoint under a run. It returns true
+// if the job has ended with it.
+func (j *jobState) applyTaskCrashed(e *Event) bool {
+	t := j.task(e.Task)
+	if t == nil || t.done || slices.Contains(t.crashedRuns, e.Run) {
+		return false
+	}
+	t.lastRun = max(t.lastRun, e.Run)
+	t.crashedRuns = append(t.crashedRuns, e.Run)
+	t.crashes.Add(e.Alone)
+	return t.crashes.Guilty()
+}
+
 // finalState returns the state of a job that has ended with one of its runs.
 func (j *jobState) finalState() State {
 	if j.unfinished == 0 {
@@ -121,7 +137,7 @@
 		done := t.done || t.reportedDone && !onlyStored
 		if done || len(t.failedRuns) > 0 || t.lastRun > 0 {
 			list = append(list, leased.TaskProgress{
-				Step: key.step, Index: key.index, Done: done, Failures: len(t.failedRuns), LastRun: t.lastRun, Checkpoint: t.checkpoint,
+				Step: key.step, Index: key.index, Done: done, Failures: len(t.failedRuns), Crashes: t.crashes, LastRun: t.lastRun, Checkpoint: t.checkpoint,
 			})
 		}
 	}
--- a/fleet/keep/codec.go
+++ b/fleet/keep/codec.go
@@ -5,6 +5,7 @@
 	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
+	"lovagespread.example/dispatch/blame"
 	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/dispatch/stored"
 	"lovagespread.example/peer/fleetpb"
@@ -21,6 +22,7 @@
 	return lo.Map(list, func(p leased.TaskProgress, _ int) *fleetpb.TaskProgress {
 		return &fleetpb.TaskProgress{
 			Step: uint32(p.Step), Index: uint32(p.Index), Done: p.Done, Failures: uint32(p.Failures), Newest: uint32(p.LastRun), Saved: p.Checkpoint,
+			Crashes: uint32(p.Crashes.Crashes), CrashesAlone: uint32(p.Crashes.Alone),
 		}
 	})
 }
@@ -30,6 +32,7 @@
 	return lo.Map(list, func(p *fleetpb.TaskProgress, _ int) leased.TaskProgress {
 		return leased.TaskProgress{
 			Step: int(p.Step), Index: int(p.Index), Done: p.Done, Failures: int(p.Failures), LastRun: int(p.Newest), Checkpoint: p.Saved,
+			Crashes: blame.Record{Crashes: int(p.Crashes), Alone: int(p.CrashesAlone)},
 		}
 	})
 }
@@ -42,7 +45,7 @@
 		event := &fleetpb.JobEvent{
 			Kind: uint32(e.Kind), Job: string(e.Job), State: uint32(e.State), Progress: ProgressToPB(e.Progress),
 			Occurrence: uint32(e.Task.Occurrence), Step: uint32(e.Task.Step), Index: uint32(e.Task.Index),
-			Run: uint32(e.Run), Done: e.Done, Saved: e.Checkpoint,
+			Run: uint32(e.Run), Done: e.Done, Alone: e.Alone, Saved: e.Checkpoint,
 		}
 		if e.Spec != nil {
 			event.Spec = c.ToPB(e.Spec)
@@ -66,7 +69,7 @@
 	for _, e := range record.Events {
 		event := stored.Event{
 			Kind: stored.EventKind(e.Kind), Job: leased.JobID(e.Job), State: stored.State(e.State), Progress: ProgressFromPB(e.Progress),
-			Run: int(e.Run), Done: e.Done, Checkpoint: e.Saved,
+			Run: int(e.Run), Done: e.Done, Alone: e.Alone, Checkpoint: e.Saved,
 			Task: leased.TaskID{Job: leased.JobID(e.Job), Occurrence: int(e.Occurrence), Step: int(e.Step), Index: int(e.Index)},
 		}
 		if e.Spec != nil {
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -74,9 +74,7 @@
 // deliver sends reports to the owner of a shard until one has answered. It then
 // acknowledges the reported ends, so that the endpoints may forget them.
 func (r *reporter) deliver(ctx context.Context, shard int, list []leased.Report) {
-	tasks := lo.Map(list, func(p leased.Report, _ int) stored.TaskReport {
-		return stored.TaskReport{Task: p.Task, Run: p.Run, Begun: p.Begun, Done: p.End == leased.EndDone, Checkpoint: p.Checkpoint}
-	})
+	tasks := lo.Map(list, func(p leased.Report, _ int) stored.TaskReport { return taskReport(&p) })
 	for ctx.Err() == nil {
 		if a := r.storedJobs.report(ctx, shard, tasks); a.answered {
 			break
@@ -85,17 +83,26 @@
 		pauseFor(ctx, reportRetryInterval)
 	}
 	for i := range list {
-		if p := &list[i]; !p.Begun {
+		if p := &list[i]; p.Number > 0 {
 			r.storedJobs.loop.send(coreInput{&leased.ReportStored{Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number}})
 		}
 	}
 }
 
+// taskReport converts a report for the owner of the job. A crash is reported as a
+// start as well, which is all that owners of earlier versions make of it.
+func taskReport(p *leased.Report) stored.TaskReport {
+	crashed := p.End == leased.EndEndpointLost
+	return stored.TaskReport{
+		Task: p.Task, Run: p.Run, Begun: p.Begun || crashed, Done: p.End == leased.EndDone, Crashed: crashed, Alone: p.Alone, Checkpoint: p.Checkpoint,
+	}
+}
+
 func reportToPB(from uint64, shard int, tasks []stored.TaskReport) *fleetpb.ReportRequest {
 	return &fleetpb.ReportRequest{From: from, Shard: uint32(shard), Tasks: lo.Map(tasks, func(t stored.TaskReport, _ int) *fleetpb.TaskReport {
 		return &fleetpb.TaskReport{
 			Job: string(t.Task.Job), Occurrence: uint32(t.Task.Occurrence), Step: uint32(t.Task.Step), Index: uint32(t.Task.Index),
-			Run: uint32(t.Run), Begun: t.Begun, Done: t.Done, Saved: t.Checkpoint,
+			Run: uint32(t.Run), Begun: t.Begun, Done: t.Done, Crashed: t.Crashed, Alone: t.Alone, Saved: t.Checkpoint,
 		}
 	})}
 }
@@ -104,7 +111,7 @@
 	return lo.Map(r.Tasks, func(t *fleetpb.TaskReport, _ int) stored.TaskReport {
 		return stored.TaskReport{
 			Task: leased.TaskID{Job: leased.JobID(t.Job), Occurrence: int(t.Occurrence), Step: int(t.Step), Index: int(t.Index)},
-			Run:  int(t.Run), Begun: t.Begun, Done: t.Done, Checkpoint: t.Saved,
+			Run:  int(t.Run), Begun: t.Begun, Done: t.Done, Crashed: t.Crashed, Alone: t.Alone, Checkpoint: t.Saved,
 		}
 	})
 }
