Do not reject a job for the size of one holder's endpoints

Callers saw: a job rejected with 'no endpoint is large enough' though other holders had endpoints for it. Each holder judged by its own endpoints; with capacity that shrinks for a while (rule LIMIT) all of one holder's may be too small. Now the entry that receives the job judges by all endpoints, and a holder that knows of others queues the job, so that its tasks are delegated. Such a caller may retry after 10 s instead of a minute, because capacity may grow again.

--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -98,7 +98,9 @@
 				continue
 			}
 			known = true
-			fits = fits || j.Steps[s].fits(&endpoints[i])
+			if fits = j.Steps[s].fits(&endpoints[i]); fits {
+				break
+			}
 		}
 		if known && !fits {
 			return true
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -190,9 +190,12 @@
 	}
 }
 
-// unschedulableReason returns why no endpoint can ever run a job, or "" if one
-// may.
+// unschedulableReason returns why no endpoint can run a job, or "" if one may.
+// Those of other holders may, as far as this core knows.
 func (c *Core) unschedulableReason(j *Job) string {
+	if len(c.announced) > 0 {
+		return ""
+	}
 	known := false
 	for s := range j.Steps {
 		fits := false
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -155,7 +155,10 @@
 	sub := &submission{queue: job.Queue, receivedAt: time.Now(), cancel: cancel}
 	s.track(job.ID, sub)
 	defer s.untrack(job.ID, sub)
-	outcome := s.runAtHolder(ctx, job)
+	outcome := Outcome{Verdict: leased.Rejected, Reason: unschedulableReason, RetryAfter: unschedulableRetryAfter}
+	if !job.Unschedulable(s.loop.Latest().Endpoints) {
+		outcome = s.runAtHolder(ctx, job)
+	}
 	if s.wasCancelled(sub) {
 		outcome = Outcome{Verdict: leased.Abandoned, Reason: ReasonCancelled}
 	}
--- a/fleet/service_test.go
+++ b/fleet/service_test.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/membership/cells"
 )
@@ -75,3 +78,17 @@
 		}
 	}
 }
+
+// A job that fits no endpoint of any holder is rejected at once.
+func TestJobLargerThanAllEndpointsIsRejectedAtOnce(t *testing.T) {
+	l := testLoop(t, nil)
+	l.snapshot.Store(&Snapshot{Endpoints: []leased.Endpoint{
+		{Service: "s", Capacity: leased.Demand{MilliCores: 20_000, MemoryMiB: 1000}},
+		{Service: "other", Capacity: leased.Demand{MilliCores: 90_000, MemoryMiB: 1000}},
+	}})
+	s := newService(l, l.peers, zap.NewNop(), l.metrics)
+	job := leased.Job{ID: "j", Service: "s", CallerTimeout: time.Hour, Steps: []leased.Step{{Tasks: 1, Demand: leased.Demand{MilliCores: 27_000}}}}
+	if got := s.Submit(context.Background(), job); got.Verdict != leased.Rejected || got.RetryAfter == 0 {
+		t.Errorf("%+v, want rejected with a time to retry", got)
+	}
+}
--- a/fleet/storedservice.go
+++ b/fleet/storedservice.go
@@ -41,9 +41,12 @@
 
 const noOwnerReason = "the shard of the job has no owner at the moment"
 
-// unschedulableRetryAfter is when a caller may retry a job that fits no endpoint.
-// It is long because only a change of the deployment adds larger endpoints.
-const unschedulableRetryAfter = time.Minute
+// The rejection of a job that fits no endpoint. The time to retry is long for a
+// change of the deployment, but endpoints that have shrunk may grow again.
+const (
+	unschedulableReason     = "no endpoint of the service is large enough and has the label"
+	unschedulableRetryAfter = 10 * time.Second
+)
 
 // StoresJobs reports whether stored jobs are served.
 func (s *Service) StoresJobs() bool { return s.storedJobs != nil }
@@ -53,7 +56,7 @@
 func (s *Service) Store(ctx context.Context, job leased.Job) StoredOutcome {
 	began := time.Now()
 	if job.Unschedulable(s.loop.Latest().Endpoints) {
-		outcome := StoredOutcome{Verdict: StoredRefused, Reason: "no endpoint of the service is large enough and has the label", RetryAfter: unschedulableRetryAfter}
+		outcome := StoredOutcome{Verdict: StoredRefused, Reason: unschedulableReason, RetryAfter: unschedulableRetryAfter}
 		s.logStored(&job, &outcome, 0)
 		return outcome
 	}
