Do not refuse a stored job after the endpoints have shrunk

A caller whose reply was lost submits the job again. Now the owner is asked first; without an answer the outcome is uncertain. TestStoredJobIsNotRefusedAfterEndpointsHaveShrunk failed before (503 at both entries while the job ran). Found while looking at capacity that shrinks.

--- a/fleet/storedservice.go
+++ b/fleet/storedservice.go
@@ -55,13 +55,13 @@
 // stored.
 func (s *Service) Store(ctx context.Context, job leased.Job) StoredOutcome {
 	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, job.CallerTimeout)
+	defer cancel()
 	if job.Unschedulable(s.loop.Latest().Endpoints) {
-		outcome := StoredOutcome{Verdict: StoredRefused, Reason: unschedulableReason, RetryAfter: unschedulableRetryAfter}
-		s.logStored(&job, &outcome, 0)
+		outcome := s.refuseUnlessStored(ctx, job.ID)
+		s.logStored(&job, &outcome, time.Since(began))
 		return outcome
 	}
-	ctx, cancel := context.WithTimeout(ctx, job.CallerTimeout)
-	defer cancel()
 	a := s.storedJobs.accept(ctx, job)
 	outcome := StoredOutcome{Verdict: storeVerdict(&a), State: stored.Queued, Reason: "the log of stored jobs is unavailable", RetryAfter: storedRetryAfter}
 	if outcome.Verdict == StoredDone {
@@ -74,6 +74,19 @@
 	return outcome
 }
 
+// refuseUnlessStored refuses a job that fits no endpoint, unless it was stored
+// while one was large enough: then it will run.
+func (s *Service) refuseUnlessStored(ctx context.Context, id leased.JobID) StoredOutcome {
+	a := s.storedJobs.state(ctx, id)
+	switch {
+	case !a.answered:
+		return StoredOutcome{Verdict: StoredUncertain, Reason: noOwnerReason, RetryAfter: storedRetryAfter}
+	case a.result == stored.Stored && a.state != stored.Unknown:
+		return StoredOutcome{Verdict: StoredDone, State: a.state}
+	}
+	return StoredOutcome{Verdict: StoredRefused, Reason: unschedulableReason, RetryAfter: unschedulableRetryAfter}
+}
+
 func (s *Service) logStored(job *leased.Job, outcome *StoredOutcome, took time.Duration) {
 	write := s.log.Info
 	if outcome.Verdict != StoredDone {
--- a/standin/fakeexecutor/executor.go
+++ b/standin/fakeexecutor/executor.go
@@ -119,6 +119,15 @@
 	GPU   int `json:"gpu"`
 }
 
+// SetCapacity changes the capacity. Announce shows it to others. Runs that do not
+// fit any more go on.
+func (x *Executor) SetCapacity(c leased.Demand) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.opts.Capacity = c
+	x.state.Capacity = c
+}
+
 // Announce writes the registration of the executor to a registry. state is
 // "ready" or "draining".
 func (x *Executor) Announce(registry Registry, state string) error {
