Test that starts stay within a capacity that shrinks and grows

Rule LIMIT, on endpoints that do not guard their capacity: random capacities that holders learn of up to a second late, with delegated tasks, lost calls, callers that disconnect and a holder that is replaced.

--- a/dispatch/leased/leasedtest/endpoint.go
+++ b/dispatch/leased/leasedtest/endpoint.go
@@ -46,6 +46,7 @@
 	Hangs     bool // new runs hang
 	Fails     bool // new runs fail
 	Unhealthy bool // refuses new runs
+	Unguarded bool // starts runs beyond its capacity
 
 	incarnationStart int64
 	token            int64
@@ -184,7 +185,8 @@
 	}
 	work := e.Work(request.Task)
 	used := e.used()
-	if used.MilliCores+work.Demand.MilliCores > e.Capacity.MilliCores || used.MemoryMiB+work.Demand.MemoryMiB > e.Capacity.MemoryMiB {
+	fits := used.MilliCores+work.Demand.MilliCores <= e.Capacity.MilliCores && used.MemoryMiB+work.Demand.MemoryMiB <= e.Capacity.MemoryMiB
+	if !fits && !e.Unguarded {
 		return leased.StartNoCapacity
 	}
 	e.startCount++
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -61,6 +61,7 @@
 	// to save time.
 	skipDoubleRunCheck bool
 	endpointFaults
+	capacities *capacityHistory // nil: not checked
 }
 
 type submission struct {
@@ -141,6 +142,7 @@
 	sim.endpoints[spec.ID] = leasedtest.New(spec.ID, spec.Capacity, func(task leased.TaskID) leasedtest.Work {
 		sim.startedJobs[task.Job] = true
 		sim.startCounts[task]++
+		sim.capacities.check(sim, spec.ID, task)
 		if sim.deadly[task] {
 			sim.after(crashDelay, func() { sim.crashEndpoint(spec.ID) })
 		}
