--- a/dispatch/leased/crash.go
+++ b/dispatch/leased/crash.go
@@ -23,6 +23,17 @@
 	alone bool // no other run was on the endpoint
 }
 
+// reportLoss reports the loss of a run of a stored job to the job's owner, which
+// may know of other endpoints that were lost with the task.
+func (c *Core) reportLoss(e *endpoint, lost lostRun, cause LossCause) {
+	if !isStoredRun(lost.run) {
+		return
+	}
+	c.out.Reports = append(c.out.Reports, Report{
+		Endpoint: e.ID, IncarnationStart: e.Born, Task: lost.task, Run: lost.run, End: EndEndpointLost, Loss: Loss{Cause: cause, Alone: lost.alone},
+	})
+}
+
 // suspendedTask is a task that is not started before a time.
 type suspendedTask struct {
 	task  *task
@@ -50,6 +61,7 @@
 		return
 	}
 	e.lostRuns = append(e.lostRuns, lost)
+	c.reportLoss(e, lost, LossUnexplained)
 }
 
 // endpointCrashed attributes the crash of an endpoint to the runs that were lost
@@ -68,15 +80,11 @@
 // if it is the cause.
 func (c *Core) crashed(e *endpoint, lost lostRun) {
 	if e.Leaving {
-		c.clearLoss(lost)
+		c.clearLoss(e, lost)
 		return
 	}
 	c.out.Crashes = append(c.out.Crashes, Crash{Endpoint: e.ID, Task: lost.task, Run: lost.run, Alone: lost.alone})
-	if isStoredRun(lost.run) {
-		c.out.Reports = append(c.out.Reports, Report{
-			Endpoint: e.ID, IncarnationStart: e.Born, Task: lost.task, Run: lost.run, End: EndEndpointLost, Alone: lost.alone,
-		})
-	}
+	c.reportLoss(e, lost, LossByCrash)
 	t := c.openTask(lost.task)
 	if t == nil {
 		return
@@ -94,12 +102,13 @@
 // off and has not crashed.
 func (c *Core) endpointReturned(e *endpoint) {
 	for _, lost := range e.lostRuns {
-		c.clearLoss(lost)
+		c.clearLoss(e, lost)
 	}
 	e.lostRuns = nil
 }
 
-func (c *Core) clearLoss(lost lostRun) {
+func (c *Core) clearLoss(e *endpoint, lost lostRun) {
+	c.reportLoss(e, lost, LossByCut)
 	if t := c.openTask(lost.task); t != nil {
 		t.losses = max(0, t.losses-1)
 		c.resumeIfCleared(t)
@@ -133,6 +142,11 @@
 		c.finish(j, Failed, "several endpoints were lost with one of its tasks", 0)
 		return
 	}
+	c.suspend(t)
+}
+
+// suspend lets a task wait until it is known why its endpoints were lost.
+func (c *Core) suspend(t *task) {
 	t.state = suspended
 	c.suspended = append(c.suspended, suspendedTask{t, c.now.Add(suspension)})
 }
--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -77,10 +77,11 @@
 type TaskProgress struct {
 	Step, Index int
 	Done        bool
-	Failures    int // runs that failed
-	Crashes     blame.Record
-	LastRun     int    // highest run number
-	Checkpoint  string // newest checkpoint
+	Failures    int          // runs that failed
+	Crashes     blame.Record // of endpoints that ran the task
+	Losses      int          // endpoints that were lost with the task for a reason that is not known
+	LastRun     int          // highest run number
+	Checkpoint  string       // newest checkpoint
 }
 
 // fits reports whether an idle endpoint can run a task of the step.
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -327,11 +327,27 @@
 	Task             TaskID
 	Run              int
 	Begun            bool // false: the run has ended
-	End              End  // EndDone, EndFailed, or EndEndpointLost if its endpoint has crashed
-	Alone            bool // no other run was on the endpoint that has crashed
+	End              End  // EndDone, EndFailed or EndEndpointLost
+	Loss             Loss // of a run that ended with EndEndpointLost
 	Checkpoint       string
 }
 
+// Loss is what is known about the loss of an endpoint under a run.
+type Loss struct {
+	Cause LossCause
+	Alone bool // no other run was on the endpoint
+}
+
+// LossCause is why an endpoint was lost.
+type LossCause uint8
+
+// Causes of a loss.
+const (
+	LossUnexplained LossCause = iota // the cause is not known yet, or never will be
+	LossByCrash
+	LossByCut // the endpoint was cut off, or had announced its end
+)
+
 // EndpointEvent reports a change of the state of an endpoint, for the log.
 type EndpointEvent struct {
 	Event    string
--- /dev/null
+++ b/dispatch/leased/owner_test.go
@@ -0,0 +1,238 @@
+package leased_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/dispatch/stored"
+)
+
+// owner is the owner of the stored jobs of a simulation: a shard with its log,
+// which offers jobs to cores and receives the reports of all of them.
+type owner struct {
+	sim        *simulation
+	shard      *stored.Shard
+	log        [][]stored.Event
+	lastTicket stored.Ticket
+	unstored   map[stored.Ticket]sentReport
+	offers     map[leased.JobID]activeOffer
+}
+
+type sentReport struct {
+	core   int
+	report leased.Report
+}
+
+type activeOffer struct {
+	attempt int
+	core    int
+	ticket  leased.Ticket
+}
+
+// Times of the owner in a simulation.
+const (
+	appendTime    = 5 * time.Millisecond
+	lostHolderFor = 400 * time.Millisecond // until the owner notices the loss of a core
+	// resubmitInterval is how long a caller waits for the acceptance of a job.
+	resubmitInterval = 200 * time.Millisecond
+)
+
+func (sim *simulation) addOwner() *owner {
+	sim.owner = &owner{sim: sim, unstored: make(map[stored.Ticket]sentReport), offers: make(map[leased.JobID]activeOffer)}
+	sim.owner.shard = newShard()
+	sim.every(50*time.Millisecond, func() { sim.owner.step(&stored.Tick{}) })
+	return sim.owner
+}
+
+func newShard() *stored.Shard {
+	return stored.New(stored.Options{Retain: time.Hour, SnapshotAge: time.Hour})
+}
+
+func (o *owner) step(in stored.Input) { o.perform(o.shard.Step(simStart.Add(o.sim.now), in)) }
+
+func (o *owner) perform(out *stored.Actions) {
+	for _, a := range out.Appends {
+		shard, events := o.shard, slices.Clone(a.Events)
+		o.sim.after(appendTime, func() { o.appended(shard, a.Sequence, events) })
+	}
+	for _, r := range slices.Clone(out.Replies) {
+		if sent, ok := o.unstored[r.Ticket]; ok && r.Result == stored.Stored {
+			delete(o.unstored, r.Ticket)
+			p := sent.report
+			o.sim.after(networkDelay, func() {
+				o.sim.step(sent.core, &leased.ReportStored{Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number})
+			})
+		}
+	}
+	for _, id := range slices.Clone(out.Withdrawals) {
+		o.withdraw(id)
+	}
+	for _, offer := range slices.Clone(out.Offers) {
+		o.offer(offer)
+	}
+}
+
+// appended stores a batch, unless its owner was replaced in the meantime.
+func (o *owner) appended(shard *stored.Shard, sequence uint64, events []stored.Event) {
+	if shard != o.shard {
+		return
+	}
+	o.log = append(o.log, events)
+	o.step(&stored.Appended{Sequence: sequence, Offset: int64(len(o.log) - 1)})
+}
+
+func (o *owner) offer(offer stored.Offer) {
+	var live []int
+	for core := range o.sim.cores {
+		if !o.sim.crashed[core] && len(o.sim.cellsOf(core)) > 0 {
+			live = append(live, core)
+		}
+	}
+	core := live[o.sim.rng.IntN(len(live))]
+	o.sim.lastTicket++
+	ticket := o.sim.lastTicket
+	o.offers[offer.Job.ID] = activeOffer{offer.Attempt, core, ticket}
+	job := offer.Job
+	job.CallerTimeout = time.Hour
+	o.sim.after(networkDelay, func() { o.sim.step(core, &leased.Submit{Ticket: ticket, Job: job}) })
+}
+
+func (o *owner) withdraw(id leased.JobID) {
+	if a, ok := o.offers[id]; ok {
+		delete(o.offers, id)
+		o.sim.after(networkDelay, func() { o.sim.step(a.core, &leased.Cancel{Ticket: a.ticket}) })
+	}
+}
+
+// answered handles the answer of a core to an offer.
+func (o *owner) answered(a leased.Answer) {
+	active, ok := o.offers[a.Job]
+	if !ok || active.ticket != a.Ticket {
+		return
+	}
+	delete(o.offers, a.Job)
+	lost := a.Verdict != leased.Completed && a.Verdict != leased.Failed
+	o.sim.after(networkDelay, func() {
+		o.step(&stored.Outcome{Job: a.Job, Attempt: active.attempt, Verdict: a.Verdict, Lost: lost, Begun: lost})
+	})
+}
+
+// report handles a report of a core, which repeats it until it is stored.
+func (o *owner) report(core int, r leased.Report) {
+	o.lastTicket++
+	ticket := o.lastTicket
+	o.unstored[ticket] = sentReport{core, r}
+	o.sim.after(networkDelay, func() { o.deliver(ticket) })
+}
+
+func (o *owner) deliver(ticket stored.Ticket) {
+	sent, waiting := o.unstored[ticket]
+	if !waiting || o.sim.crashed[sent.core] {
+		return
+	}
+	r := sent.report
+	lost := r.End == leased.EndEndpointLost
+	o.step(&stored.Report{Ticket: ticket, From: uint64(sent.core + 1), Tasks: []stored.TaskReport{{
+		Task: r.Task, Run: r.Run, Begun: r.Begun || lost, Done: r.End == leased.EndDone, Lost: lost, Loss: r.Loss,
+	}}})
+	o.sim.after(500*time.Millisecond, func() { o.deliver(ticket) })
+}
+
+// coreCrashed ends the offers to a core that has crashed.
+func (o *owner) coreCrashed(core int) {
+	o.sim.after(lostHolderFor, func() {
+		for id, a := range o.offers {
+			if a.core == core {
+				delete(o.offers, id)
+				o.step(&stored.Outcome{Job: id, Attempt: a.attempt, Lost: true, Begun: true})
+			}
+		}
+	})
+}
+
+// replace replaces the owner with one that replays the log.
+func (o *owner) replace() {
+	for id := range o.offers {
+		o.withdraw(id)
+	}
+	o.shard = newShard()
+	now := simStart.Add(o.sim.now)
+	for offset, events := range o.log {
+		o.shard.Replay(now, int64(offset), events)
+	}
+	o.perform(o.shard.FinishReplay(now))
+}
+
+// Guards against a count of crashes that is lost on its way: tasks are delegated,
+// holders crash with what they know, the owner is replaced, calls are lost, and
+// endpoints return under the same or another ID.
+func TestDeadlyTasksOfStoredJobsAreGivenUpWhateverIsLost(t *testing.T) {
+	seeds := []uint64{35, 78, 218, 232, 246, 265} // six starts while the owner knew of crashes only
+	for seed := range uint64(20) {
+		seeds = append(seeds, seed)
+	}
+	crashesByTask := make(map[int]int)
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 3)
+			sim.returnsAs = returnAs(seed % 2)
+			sim.downTime = 2500*time.Millisecond + time.Duration(sim.rng.IntN(1000))*time.Millisecond
+			sim.lossRate = 0.01 * float64(sim.rng.IntN(3))
+			for core := range sim.cores {
+				sim.addEndpoints(core, 8)
+			}
+			o := sim.addOwner()
+			sim.shareFreeCapacity()
+			sim.runUntil(100 * time.Millisecond)
+			const load = 10 * time.Second
+			var harmless []leased.JobID
+			for at := sim.now; at < load; at += 40 * time.Millisecond {
+				id := leased.JobID(fmt.Sprintf("harmless%04d", len(harmless)))
+				harmless = append(harmless, id)
+				sim.acceptAt(at, storedJob(id, 1+sim.rng.IntN(3), 200*time.Millisecond), 200*time.Millisecond)
+			}
+			const deadlyJobs = 5
+			for i := range deadlyJobs {
+				job := storedJob(leased.JobID(fmt.Sprintf("deadly%d", i)), 4, 60*time.Millisecond)
+				sim.deadly[leased.TaskID{Job: job.ID, Index: sim.rng.IntN(4)}] = true
+				sim.acceptAt(time.Duration(sim.rng.Int64N(int64(load))), job, 60*time.Millisecond)
+			}
+			crashAt := time.Duration(2000+sim.rng.IntN(8000)) * time.Millisecond
+			sim.at(crashAt, func() { sim.crash(2, sim.rng.IntN(2), 800*time.Millisecond); o.coreCrashed(2) })
+			sim.at(time.Duration(2000+sim.rng.IntN(8000))*time.Millisecond, o.replace)
+			sim.runUntil(load + 30*time.Second)
+			for task := range sim.deadly {
+				n := sim.startCounts[task]
+				crashesByTask[n]++
+				if n > maxStartsOfDeadlyTask {
+					t.Errorf("deadly task %v was started %d times, want at most %d", task, n, maxStartsOfDeadlyTask)
+				}
+				if s := o.shard.State(task.Job); s != stored.Failed {
+					t.Errorf("job of deadly task %v is %v, want failed", task, s)
+				}
+			}
+			for _, id := range harmless {
+				if s := o.shard.State(id); s != stored.Completed {
+					t.Errorf("harmless job %s is %v, want completed", id, s)
+				}
+			}
+			sim.wantNoDoubleRuns()
+		})
+	}
+	t.Logf("deadly tasks by number of starts: %v", crashesByTask)
+}
+
+// acceptAt hands a stored job to the owner at a time, and again while the owner
+// does not know it.
+func (sim *simulation) acceptAt(at time.Duration, job leased.Job, runTime time.Duration) {
+	sim.work[job.ID] = workOf(runTime)
+	sim.at(at, func() {
+		if sim.owner.shard.State(job.ID) == stored.Unknown {
+			sim.owner.step(&stored.Accept{Job: job})
+			sim.acceptAt(sim.now+resubmitInterval, job, runTime)
+		}
+	})
+}
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -62,6 +62,7 @@
 	skipDoubleRunCheck bool
 	endpointFaults
 	capacities *capacityHistory // nil: not checked
+	owner      *owner           // of stored jobs; nil: reports are acknowledged, and nothing else
 }
 
 type submission struct {
@@ -206,6 +207,9 @@
 	for _, a := range out.Answers {
 		sim.answers[a.Job] = a
 		sim.answeredAt[a.Job] = sim.now
+		if sim.owner != nil {
+			sim.owner.answered(a)
+		}
 		if a.Verdict == leased.Rejected && sim.startedJobs[a.Job] {
 			sim.t.Errorf("%v: job %s was rejected, but one of its tasks was started", sim.now, a.Job)
 		}
@@ -223,6 +227,12 @@
 		sim.endpointEventCounts[e.Event]++
 	}
 	sim.crashes = append(sim.crashes, out.Crashes...)
+	if sim.owner != nil {
+		for _, r := range out.Reports {
+			sim.owner.report(core, r)
+		}
+		return
+	}
 	sim.reports = append(sim.reports, out.Reports...)
 	if len(out.Reports) > 0 && !sim.unresponsiveOwner {
 		sim.after(2*networkDelay, sim.storeReports)
--- a/dispatch/leased/stored.go
+++ b/dispatch/leased/stored.go
@@ -169,11 +169,14 @@
 		}
 		t.runs = max(t.runs, p.LastRun)
 		t.failures = p.Failures
-		t.crashes = p.Crashes
+		t.crashes, t.losses = p.Crashes, p.Losses
 		t.checkpoint = p.Checkpoint
-		if p.Done {
+		switch {
+		case p.Done:
 			t.state = doneTask
 			j.remaining[p.Step]--
+		case t.crashes.MayBeGuilty(t.losses):
+			c.suspend(t)
 		}
 	}
 	c.restoreDone(j)
--- a/dispatch/stored/apply.go
+++ b/dispatch/stored/apply.go
@@ -48,8 +48,8 @@
 		if j != nil && !j.state.Ended() && j.applyTaskEnded(e) {
 			j.markEnded(j.finalState(), s.now)
 		}
-	case TaskCrashed:
-		if j != nil && !j.state.Ended() && j.applyTaskCrashed(e) {
+	case TaskLost:
+		if j != nil && !j.state.Ended() && j.applyTaskLost(e) {
 			j.markEnded(Failed, s.now)
 		}
 	case JobCancelled:
@@ -116,7 +116,7 @@
 	if t == nil {
 		return
 	}
-	t.checkpoint, t.lastRun, t.crashes = p.Checkpoint, p.LastRun, p.Crashes
+	t.checkpoint, t.lastRun, t.crashes, t.losses = p.Checkpoint, p.LastRun, p.Crashes, p.Losses
 	for n := range p.Failures {
 		t.failedRuns = append(t.failedRuns, -1-n) // a snapshot has no run numbers
 	}
@@ -138,7 +138,7 @@
 		s.offer(j)
 	case JobCancelled, JobFailed:
 		s.out.Withdrawals = append(s.out.Withdrawals, j.id)
-	case TaskEnded, TaskCrashed:
+	case TaskEnded, TaskLost:
 		if j.state.Ended() {
 			s.out.Withdrawals = append(s.out.Withdrawals, j.id)
 		}
@@ -172,8 +172,8 @@
 	}
 	t.lastRun = max(t.lastRun, r.Run)
 	j.state = Running
-	if r.Crashed {
-		return s.handleCrashReport(in, r, t)
+	if r.Lost {
+		return s.handleLossReport(in, r, t)
 	}
 	if r.Begun || slices.Contains(t.failedRuns, r.Run) {
 		return false
@@ -189,13 +189,13 @@
 	return true
 }
 
-// handleCrashReport handles a report that an endpoint has crashed under a run. It
+// handleLossReport handles a report that an endpoint was lost with a run. It
 // returns true if the report has to wait until that is stored.
-func (s *Shard) handleCrashReport(in *Report, r *TaskReport, t *taskState) bool {
-	if slices.Contains(t.crashedRuns, r.Run) {
+func (s *Shard) handleLossReport(in *Report, r *TaskReport, t *taskState) bool {
+	if !t.explains(r.Run, r.Loss.Cause) {
 		return false
 	}
-	event := Event{Kind: TaskCrashed, Job: r.Task.Job, Task: r.Task, Run: r.Run, Alone: r.Alone}
+	event := Event{Kind: TaskLost, Job: r.Task.Job, Task: r.Task, Run: r.Run, Loss: r.Loss}
 	if !s.joinPending(&event, in.Ticket) {
 		s.enqueue(event, in.Ticket, in.From)
 	}
--- a/dispatch/stored/batch.go
+++ b/dispatch/stored/batch.go
@@ -34,7 +34,7 @@
 	for _, list := range [][]pendingEvent{s.inFlight, s.waiting} {
 		for i := range list {
 			p := &list[i]
-			if p.event.Kind != e.Kind || p.event.Job != e.Job || p.event.Task != e.Task || p.event.Run != e.Run {
+			if p.event.Kind != e.Kind || p.event.Job != e.Job || p.event.Task != e.Task || p.event.Run != e.Run || p.event.Loss != e.Loss {
 				continue
 			}
 			if t != 0 {
--- a/dispatch/stored/blame_test.go
+++ b/dispatch/stored/blame_test.go
@@ -8,45 +8,64 @@
 	"lovagespread.example/dispatch/leased"
 )
 
-// crashedRun is a run under which an endpoint has crashed.
-type crashedRun struct {
+// lostRun is a run whose endpoint was lost.
+type lostRun struct {
 	task leased.TaskID
 	run  int
 }
 
-// endpointCrashes are the crashes of endpoints in a crashSim.
-type endpointCrashes struct {
-	unreported map[crashedRun]bool            // whether the run was alone
+// endpointLosses are the losses of endpoints in a crashSim.
+type endpointLosses struct {
+	unreported map[lostRun][]leased.Loss      // in the order in which they become known
 	occurred   map[leased.TaskID]blame.Record // all crashes
 	confirmed  map[leased.TaskID]blame.Record // those whose reports were acknowledged
 }
 
-func newEndpointCrashes() endpointCrashes {
-	return endpointCrashes{
-		unreported: make(map[crashedRun]bool), occurred: make(map[leased.TaskID]blame.Record), confirmed: make(map[leased.TaskID]blame.Record),
+func newEndpointLosses() endpointLosses {
+	return endpointLosses{
+		unreported: make(map[lostRun][]leased.Loss), occurred: make(map[leased.TaskID]blame.Record), confirmed: make(map[leased.TaskID]blame.Record),
 	}
 }
 
-// crashEndpoint crashes the endpoint of the last run of a task.
-func (sim *crashSim) crashEndpoint(task leased.TaskID) {
+// loseEndpoint loses the endpoint of the last run of a task. The cause is known
+// at once, later or never.
+func (sim *crashSim) loseEndpoint(task leased.TaskID) {
 	alone := sim.rng.IntN(2) == 0
-	sim.unreported[crashedRun{task, sim.lastRun[task]}] = alone
-	r := sim.occurred[task]
-	r.Add(alone)
-	sim.occurred[task] = r
+	var known []leased.Loss
+	if sim.rng.IntN(2) == 0 {
+		known = append(known, leased.Loss{Cause: leased.LossUnexplained, Alone: alone})
+	}
+	switch sim.rng.IntN(4) {
+	case 0:
+		known = append(known, leased.Loss{Cause: leased.LossByCut, Alone: alone})
+	case 1, 2:
+		known = append(known, leased.Loss{Cause: leased.LossByCrash, Alone: alone})
+		r := sim.occurred[task]
+		r.Add(alone)
+		sim.occurred[task] = r
+	}
+	sim.unreported[lostRun{task, sim.lastRun[task]}] = known
 }
 
-func (sim *crashSim) reportCrashes() {
-	for crashed, alone := range sim.unreported {
-		report := TaskReport{Task: crashed.task, Run: crashed.run, Begun: true, Crashed: true, Alone: alone}
+// reportLosses reports what is known next about each lost run, until that is
+// acknowledged.
+func (sim *crashSim) reportLosses() {
+	for lost, known := range sim.unreported {
+		if len(known) == 0 {
+			continue
+		}
+		loss := known[0]
+		report := TaskReport{Task: lost.task, Run: lost.run, Begun: true, Lost: true, Loss: loss}
 		sim.request(func(t Ticket) Input { return &Report{Ticket: t, Tasks: []TaskReport{report}} }, func(result Result) {
-			if _, waiting := sim.unreported[crashed]; result != Stored || !waiting {
+			if rest := sim.unreported[lost]; result != Stored || len(rest) == 0 || rest[0] != loss {
 				return
 			}
-			delete(sim.unreported, crashed)
-			r := sim.confirmed[crashed.task]
-			r.Add(alone)
-			sim.confirmed[crashed.task] = r
+			sim.unreported[lost] = sim.unreported[lost][1:]
+			if loss.Cause == leased.LossByCrash {
+				r := sim.confirmed[lost.task]
+				r.Add(loss.Alone)
+				sim.confirmed[lost.task] = r
+			}
 		})
 	}
 }
@@ -86,14 +105,40 @@
 }
 
 func crashReport(t Ticket, id leased.JobID, run int, alone bool) *Report {
-	return &Report{Ticket: t, Tasks: []TaskReport{{Task: taskOf(id, 0), Run: run, Begun: true, Crashed: true, Alone: alone}}}
+	return &Report{Ticket: t, Tasks: []TaskReport{{Task: taskOf(id, 0), Run: run, Begun: true, Lost: true, Loss: leased.Loss{Cause: leased.LossByCrash, Alone: alone}}}}
+}
+
+// A loss counts as unexplained until its cause is reported, once.
+func TestLossesAreOfferedUntilTheyAreExplained(t *testing.T) {
+	for _, c := range []struct {
+		causes      []leased.LossCause
+		wantLosses  int
+		wantCrashes int
+	}{
+		{[]leased.LossCause{leased.LossUnexplained}, 1, 0},
+		{[]leased.LossCause{leased.LossUnexplained, leased.LossUnexplained}, 1, 0},
+		{[]leased.LossCause{leased.LossUnexplained, leased.LossByCut}, 0, 0},
+		{[]leased.LossCause{leased.LossUnexplained, leased.LossByCrash, leased.LossByCrash}, 0, 1},
+		{[]leased.LossCause{leased.LossByCrash, leased.LossUnexplained}, 0, 1},
+		{[]leased.LossCause{leased.LossByCut, leased.LossByCrash}, 0, 0},
+	} {
+		s := New(testOptions())
+		s.Replay(start, 0, []Event{{Kind: JobAccepted, Job: "a", Spec: specOf(testJob("a", 1))}})
+		for i, cause := range c.causes {
+			s.Replay(start, int64(i+1), []Event{{Kind: TaskLost, Job: "a", Task: taskOf("a", 0), Run: 1, Loss: leased.Loss{Cause: cause}}})
+		}
+		progress := s.FinishReplay(start).Offers[0].Job.Progress[0]
+		if progress.Losses != c.wantLosses || progress.Crashes.Crashes != c.wantCrashes {
+			t.Errorf("causes %v: %d losses, %d crashes, want %d, %d", c.causes, progress.Losses, progress.Crashes.Crashes, c.wantLosses, c.wantCrashes)
+		}
+	}
 }
 
 // Guards against a count of crashes that is forgotten when the owner of a job
 // changes: its task would crash two more endpoints with each owner.
 func TestCrashesSurviveTheirOwner(t *testing.T) {
 	accepted := []Event{{Kind: JobAccepted, Job: "a", Spec: specOf(testJob("a", 2))}}
-	crash := []Event{{Kind: TaskCrashed, Job: "a", Task: taskOf("a", 0), Run: 1}}
+	crash := []Event{{Kind: TaskLost, Job: "a", Task: taskOf("a", 0), Run: 1, Loss: leased.Loss{Cause: leased.LossByCrash}}}
 	logs := map[string][][]Event{
 		"as an event": {accepted, crash},
 		"in a snapshot": {{{Kind: JobSnapshot, Job: "a", State: Running, Spec: specOf(testJob("a", 2)),
--- a/dispatch/stored/crash_test.go
+++ b/dispatch/stored/crash_test.go
@@ -32,7 +32,7 @@
 	knownDone    map[leased.TaskID]bool // tasks that the holder of an offer knows to be done
 	jobs         map[leased.JobID]leased.Job
 	failures     map[leased.TaskID]int // runs that have failed
-	endpointCrashes
+	endpointLosses
 }
 
 func newCrashSim(t *testing.T, seed uint64) *crashSim {
@@ -41,7 +41,7 @@
 		stored: make(map[leased.JobID]bool), refused: make(map[leased.JobID]bool), cancelled: make(map[leased.JobID]bool),
 		listed: make(map[leased.TaskID]int), acknowledged: make(map[leased.TaskID]bool), offers: make(map[leased.JobID]*Offer),
 		lastRun: make(map[leased.TaskID]int), failed: make(map[leased.TaskID]bool), knownDone: make(map[leased.TaskID]bool), jobs: make(map[leased.JobID]leased.Job),
-		failures: make(map[leased.TaskID]int), endpointCrashes: newEndpointCrashes(),
+		failures: make(map[leased.TaskID]int), endpointLosses: newEndpointLosses(),
 	}
 	return sim
 }
@@ -96,7 +96,7 @@
 		sim.runTask()
 	case 7:
 		sim.reportEnds()
-		sim.reportCrashes()
+		sim.reportLosses()
 	case 8:
 		sim.step(&Tick{})
 	case 9:
@@ -179,7 +179,7 @@
 			}
 			sim.lastRun[task]++
 			if sim.rng.IntN(8) == 0 {
-				sim.crashEndpoint(task)
+				sim.loseEndpoint(task)
 				return
 			}
 			sim.listed[task] = sim.lastRun[task]
--- a/dispatch/stored/event.go
+++ b/dispatch/stored/event.go
@@ -12,7 +12,7 @@
 	JobCancelled                  // by its caller
 	JobFailed                     // a task has used up its attempts
 	JobSnapshot                   // the whole state of a job; replaces its earlier events
-	TaskCrashed                   // an endpoint has crashed under a run; with Task, Run and Alone
+	TaskLost                      // an endpoint was lost with a run; with Task, Run and Loss
 )
 
 // Event is a change to a job as it is stored on the log.
@@ -27,8 +27,8 @@
 	State      State // in a JobSnapshot
 	Task       leased.TaskID
 	Run        int
-	Done       bool   // the run has succeeded; false: it has failed
-	Alone      bool   // the endpoint that has crashed ran nothing else
+	Done       bool // the run has succeeded; false: it has failed
+	Loss       leased.Loss
 	Checkpoint string // newest checkpoint
 }
 
--- a/dispatch/stored/job.go
+++ b/dispatch/stored/job.go
@@ -35,11 +35,12 @@
 // on the log.
 type taskState struct {
 	done         bool
-	reportedDone bool  // possibly not stored yet
-	failedRuns   []int // their numbers
-	crashedRuns  []int // numbers of those under which an endpoint has crashed
-	crashes      blame.Record
-	lastRun      int // highest known run number, possibly not stored yet
+	reportedDone bool                     // possibly not stored yet
+	failedRuns   []int                    // their numbers
+	lostRuns     map[int]leased.LossCause // by number; nil: none
+	crashes      blame.Record             // of endpoints that ran the task
+	losses       int                      // of unknown cause
+	lastRun      int                      // highest known run number, possibly not stored yet
 	checkpoint   string
 }
 
@@ -108,19 +109,36 @@
 	return len(t.failedRuns) >= max(1, j.spec.MaxAttempts)
 }
 
-// applyTaskCrashed applies the crash of an endpoint under a run. It returns true
-// if the job has ended with it.
-func (j *jobState) applyTaskCrashed(e *Event) bool {
+// applyTaskLost applies the loss of an endpoint with a run, or its cause. It
+// returns true if the job has ended with it.
+func (j *jobState) applyTaskLost(e *Event) bool {
 	t := j.task(e.Task)
-	if t == nil || t.done || slices.Contains(t.crashedRuns, e.Run) {
+	if t == nil || t.done || !t.explains(e.Run, e.Loss.Cause) {
 		return false
 	}
 	t.lastRun = max(t.lastRun, e.Run)
-	t.crashedRuns = append(t.crashedRuns, e.Run)
-	t.crashes.Add(e.Alone)
+	if _, known := t.lostRuns[e.Run]; known {
+		t.losses--
+	}
+	if t.lostRuns == nil {
+		t.lostRuns = make(map[int]leased.LossCause)
+	}
+	t.lostRuns[e.Run] = e.Loss.Cause
+	switch e.Loss.Cause {
+	case leased.LossUnexplained:
+		t.losses++
+	case leased.LossByCrash:
+		t.crashes.Add(e.Loss.Alone)
+	}
 	return t.crashes.Guilty()
 }
 
+// explains reports whether the cause of the loss of a run is news.
+func (t *taskState) explains(run int, cause leased.LossCause) bool {
+	before, known := t.lostRuns[run]
+	return !known || before == leased.LossUnexplained && cause != leased.LossUnexplained
+}
+
 // finalState returns the state of a job that has ended with one of its runs.
 func (j *jobState) finalState() State {
 	if j.unfinished == 0 {
@@ -137,7 +155,7 @@
 		done := t.done || t.reportedDone && !onlyStored
 		if done || len(t.failedRuns) > 0 || t.lastRun > 0 {
 			list = append(list, leased.TaskProgress{
-				Step: key.step, Index: key.index, Done: done, Failures: len(t.failedRuns), Crashes: t.crashes, LastRun: t.lastRun, Checkpoint: t.checkpoint,
+				Step: key.step, Index: key.index, Done: done, Failures: len(t.failedRuns), Crashes: t.crashes, Losses: t.losses, LastRun: t.lastRun, Checkpoint: t.checkpoint,
 			})
 		}
 	}
--- a/dispatch/stored/message.go
+++ b/dispatch/stored/message.go
@@ -34,8 +34,8 @@
 	Run        int
 	Begun      bool // the run has started; false: it has ended
 	Done       bool // of a run that has ended: it has succeeded; false: it has failed
-	Crashed    bool // the run's endpoint has crashed
-	Alone      bool // no other run was on the endpoint that has crashed
+	Lost       bool // the run's endpoint was lost, as Loss says
+	Loss       leased.Loss
 	Checkpoint string
 }
 
--- a/fleet/keep/codec.go
+++ b/fleet/keep/codec.go
@@ -22,7 +22,7 @@
 	return lo.Map(list, func(p leased.TaskProgress, _ int) *fleetpb.TaskProgress {
 		return &fleetpb.TaskProgress{
 			Step: uint32(p.Step), Index: uint32(p.Index), Done: p.Done, Failures: uint32(p.Failures), Newest: uint32(p.LastRun), Saved: p.Checkpoint,
-			Crashes: uint32(p.Crashes.Crashes), CrashesAlone: uint32(p.Crashes.Alone),
+			Crashes: uint32(p.Crashes.Crashes), CrashesAlone: uint32(p.Crashes.Alone), Losses: uint32(p.Losses),
 		}
 	})
 }
@@ -32,11 +32,26 @@
 	return lo.Map(list, func(p *fleetpb.TaskProgress, _ int) leased.TaskProgress {
 		return leased.TaskProgress{
 			Step: int(p.Step), Index: int(p.Index), Done: p.Done, Failures: int(p.Failures), LastRun: int(p.Newest), Checkpoint: p.Saved,
-			Crashes: blame.Record{Crashes: int(p.Crashes), Alone: int(p.CrashesAlone)},
+			Crashes: blame.Record{Crashes: int(p.Crashes), Alone: int(p.CrashesAlone)}, Losses: int(p.Losses),
 		}
 	})
 }
 
+// LossToPB converts the loss of an endpoint to a message.
+func LossToPB(l leased.Loss) *fleetpb.Loss {
+	return &fleetpb.Loss{Cause: uint32(l.Cause), Alone: l.Alone}
+}
+
+// LossFromPB converts a message to the loss of an endpoint. A cause that this
+// version does not know explains nothing.
+func LossFromPB(l *fleetpb.Loss) leased.Loss {
+	loss := leased.Loss{Cause: leased.LossUnexplained, Alone: l.Alone}
+	if l.Cause <= uint32(leased.LossByCut) {
+		loss.Cause = leased.LossCause(l.Cause)
+	}
+	return loss
+}
+
 // encode encodes a batch of events as one record.
 func (c *JobCodec) encode(events []stored.Event) ([]byte, error) {
 	record := &fleetpb.JobEvents{}
@@ -45,7 +60,10 @@
 		event := &fleetpb.JobEvent{
 			Kind: uint32(e.Kind), Job: string(e.Job), State: uint32(e.State), Progress: ProgressToPB(e.Progress),
 			Occurrence: uint32(e.Task.Occurrence), Step: uint32(e.Task.Step), Index: uint32(e.Task.Index),
-			Run: uint32(e.Run), Done: e.Done, Alone: e.Alone, Saved: e.Checkpoint,
+			Run: uint32(e.Run), Done: e.Done, Saved: e.Checkpoint,
+		}
+		if e.Kind == stored.TaskLost {
+			event.Loss = LossToPB(e.Loss)
 		}
 		if e.Spec != nil {
 			event.Spec = c.ToPB(e.Spec)
@@ -69,9 +87,12 @@
 	for _, e := range record.Events {
 		event := stored.Event{
 			Kind: stored.EventKind(e.Kind), Job: leased.JobID(e.Job), State: stored.State(e.State), Progress: ProgressFromPB(e.Progress),
-			Run: int(e.Run), Done: e.Done, Alone: e.Alone, Checkpoint: e.Saved,
+			Run: int(e.Run), Done: e.Done, Checkpoint: e.Saved,
 			Task: leased.TaskID{Job: leased.JobID(e.Job), Occurrence: int(e.Occurrence), Step: int(e.Step), Index: int(e.Index)},
 		}
+		if e.Loss != nil {
+			event.Loss = LossFromPB(e.Loss)
+		}
 		if e.Spec != nil {
 			spec := c.FromPB(e.Spec)
 			if tasks := lo.SumBy(spec.Steps, func(s leased.Step) int { return s.Tasks }); tasks > maxTasksPerJob {
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -9,6 +9,7 @@
 
 	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/dispatch/stored"
+	"lovagespread.example/fleet/keep"
 	"lovagespread.example/peer/fleetpb"
 )
 
@@ -89,29 +90,37 @@
 	}
 }
 
-// taskReport converts a report for the owner of the job. A crash is reported as a
+// taskReport converts a report for the owner of the job. A loss is reported as a
 // start as well, which is all that owners of earlier versions make of it.
 func taskReport(p *leased.Report) stored.TaskReport {
-	crashed := p.End == leased.EndEndpointLost
+	lost := p.End == leased.EndEndpointLost
 	return stored.TaskReport{
-		Task: p.Task, Run: p.Run, Begun: p.Begun || crashed, Done: p.End == leased.EndDone, Crashed: crashed, Alone: p.Alone, Checkpoint: p.Checkpoint,
+		Task: p.Task, Run: p.Run, Begun: p.Begun || lost, Done: p.End == leased.EndDone, Lost: lost, Loss: p.Loss, Checkpoint: p.Checkpoint,
 	}
 }
 
 func reportToPB(from uint64, shard int, tasks []stored.TaskReport) *fleetpb.ReportRequest {
 	return &fleetpb.ReportRequest{From: from, Shard: uint32(shard), Tasks: lo.Map(tasks, func(t stored.TaskReport, _ int) *fleetpb.TaskReport {
-		return &fleetpb.TaskReport{
+		report := &fleetpb.TaskReport{
 			Job: string(t.Task.Job), Occurrence: uint32(t.Task.Occurrence), Step: uint32(t.Task.Step), Index: uint32(t.Task.Index),
-			Run: uint32(t.Run), Begun: t.Begun, Done: t.Done, Crashed: t.Crashed, Alone: t.Alone, Saved: t.Checkpoint,
+			Run: uint32(t.Run), Begun: t.Begun, Done: t.Done, Saved: t.Checkpoint,
 		}
+		if t.Lost {
+			report.Loss = keep.LossToPB(t.Loss)
+		}
+		return report
 	})}
 }
 
 func reportFromPB(r *fleetpb.ReportRequest) []stored.TaskReport {
 	return lo.Map(r.Tasks, func(t *fleetpb.TaskReport, _ int) stored.TaskReport {
-		return stored.TaskReport{
+		report := stored.TaskReport{
 			Task: leased.TaskID{Job: leased.JobID(t.Job), Occurrence: int(t.Occurrence), Step: int(t.Step), Index: int(t.Index)},
-			Run:  int(t.Run), Begun: t.Begun, Done: t.Done, Crashed: t.Crashed, Alone: t.Alone, Checkpoint: t.Saved,
+			Run:  int(t.Run), Begun: t.Begun, Done: t.Done, Checkpoint: t.Saved,
+		}
+		if t.Loss != nil {
+			report.Lost, report.Loss = true, keep.LossFromPB(t.Loss)
 		}
+		return report
 	})
 }
