Do not fail a job because endpoints were lost under it without a crash

Two endpoints that had gone mute were lost with one of its tasks, and its caller would not have waited until the cause was known, so the job was failed on suspicion. TestLossOfSeveralEndpointsWithoutCrashFailsNoJob failed before.

--- a/dispatch/leased/crash.go
+++ b/dispatch/leased/crash.go
@@ -129,20 +129,17 @@
 }
 
 // endpointLost decides when a task whose endpoint was lost is started again. If
-// it may have crashed several endpoints, it waits until that is known. A job that
-// has no time to wait fails.
+// it may have crashed several endpoints, it waits until that is known, unless its
+// caller would not wait so long: more often the endpoints are cut off or hang.
 func (c *Core) endpointLost(t *task) {
 	t.losses++
 	j := t.job
-	if !t.crashes.MayBeGuilty(t.losses) {
-		c.enqueue(j)
+	hasTime := j.Stored || c.now.Add(suspension+c.expectedRunTime(j)).Before(j.expires)
+	if hasTime && t.crashes.MayBeGuilty(t.losses) {
+		c.suspend(t)
 		return
 	}
-	if !j.Stored && c.now.Add(suspension+c.expectedRunTime(j)).After(j.expires) {
-		c.finish(j, Failed, "several endpoints were lost with one of its tasks", 0)
-		return
-	}
-	c.suspend(t)
+	c.enqueue(j)
 }
 
 // suspend lets a task wait until it is known why its endpoints were lost.
--- a/dispatch/leased/crash_test.go
+++ b/dispatch/leased/crash_test.go
@@ -132,3 +132,46 @@
 		}
 	}
 }
+
+// Guards against a job that is shown as failed though none of its tasks is the
+// cause: endpoints were cut off or hung under one of them, one after the other.
+func TestLossOfSeveralEndpointsWithoutCrashFailsNoJob(t *testing.T) {
+	for _, stored := range []bool{true, false} {
+		for _, callerTimeout := range []time.Duration{3 * time.Second, 20 * time.Second} {
+			t.Run(fmt.Sprintf("stored=%t/%v", stored, callerTimeout), func(t *testing.T) {
+				sim := newSimulation(t, 1, 1)
+				sim.addEndpoints(0, 6)
+				sim.runUntil(100 * time.Millisecond)
+				job := storedJob("j", 1, 300*time.Millisecond)
+				job.Stored, job.CallerTimeout = stored, callerTimeout
+				sim.submitJob(0, job, 300*time.Millisecond)
+				const losses = 2
+				for range losses {
+					sim.runUntil(sim.now + 50*time.Millisecond) // until it runs
+					sim.cutEndpointsOf("j", 6*time.Second)
+					sim.runUntil(sim.now + 1250*time.Millisecond)
+				}
+				sim.runUntil(20 * time.Second)
+				if a := sim.answers["j"]; a.Verdict == leased.Failed || len(sim.crashes) > 0 {
+					t.Errorf("answer %+v, %d crashes, want no failure and no crash", a, len(sim.crashes))
+				}
+				if stored && sim.answers["j"].Took == 0 {
+					t.Error("the stored job has not ended")
+				}
+				sim.wantNoDoubleRuns()
+			})
+		}
+	}
+}
+
+// cutEndpointsOf cuts off the endpoints that run a job for some time.
+func (sim *simulation) cutEndpointsOf(job leased.JobID, length time.Duration) {
+	for id, e := range sim.endpoints {
+		for _, r := range e.Running() {
+			if r.Task.Job == job {
+				sim.unreachable[id] = true
+				sim.after(length, func() { sim.unreachable[id] = false })
+			}
+		}
+	}
+}
