Run tasks that may have crashed an endpoint alone and after others

Cause: a task that was lost with its endpoint belonged to a job that had begun, so it went before all others, and found no idle endpoint under load. Its second crash took down harmless tasks beside it, and proved nothing (not alone), so that a third was needed.

Now such a job goes behind those that can still be answered in time, and its task waits for an idle endpoint, here or announced as large as an idle one elsewhere. While less than half of the capacity is used it shares one after 1.5 s, because long tasks may leave none idle.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -37,6 +37,7 @@
 	runs              map[TaskID]*run
 	freeIndex         *freeIndex
 	suspended         []suspendedTask
+	loadedAt          time.Time            // when less than half of the usable capacity was last idle
 	adopting          []*job               // delegated tasks whose earlier runs are searched for
 	doneUnclaimed     map[TaskID]time.Time // when a run that no job claimed was listed as done
 	storedDone        map[TaskID]time.Time // done tasks of stored jobs
@@ -136,6 +137,7 @@
 	}
 	c.removeDropped()
 	c.resumeSuspended()
+	c.measureLoad()
 	c.waiting.demoteLate(c.now)
 	c.measureServiceTime()
 	c.expireJobs()
--- a/dispatch/leased/crash.go
+++ b/dispatch/leased/crash.go
@@ -133,7 +133,9 @@
 // caller would not wait so long: more often the endpoints are cut off or hang.
 func (c *Core) endpointLost(t *task) {
 	t.losses++
+	t.lostAt = c.now
 	j := t.job
+	j.failed = true // other jobs go first
 	hasTime := j.Stored || c.now.Add(suspension+c.expectedRunTime(j)).Before(j.expires)
 	if hasTime && t.crashes.MayBeGuilty(t.losses) {
 		c.suspend(t)
--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -82,6 +82,9 @@
 		return false
 	}
 	cell, i := c.bestAnnounced(t.step.Demand.MilliCores)
+	if t.suspect() {
+		cell, i = c.idleAnnounced(t)
+	}
 	if cell == nil && c.HoldsNoCell() {
 		if cell = c.cellWithMostFree(); cell != nil {
 			c.delegateTo(t, cell, false)
@@ -316,7 +319,7 @@
 		tickets: []Ticket{ticket}, arrived: c.now, expires: c.now.Add(d.CallerTimeout), delegated: true, suspect: d.Suspect,
 		cell: d.Cell, remaining: []int{1},
 	}
-	j.tasks = [][]task{{{id: d.ID, job: j, step: &j.Steps[0], checkpoint: d.Checkpoint}}}
+	j.tasks = [][]task{{{id: d.ID, job: j, step: &j.Steps[0], checkpoint: d.Checkpoint, lostAt: c.now}}}
 	c.tickets[ticket] = j
 	return j
 }
--- /dev/null
+++ b/dispatch/leased/isolate_test.go
@@ -0,0 +1,74 @@
+package leased_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lovagespread.example/dispatch/leased"
+)
+
+// Guards against a deadly task that takes down harmless tasks with each endpoint
+// that it crashes: under load only its first crash may, because then nobody
+// suspects it.
+func TestSuspectCrashesEndpointsAlone(t *testing.T) {
+	later, beside := 0, 0
+	for seed := range uint64(10) {
+		sim := newSimulation(t, seed, 1)
+		sim.returnsAs = newID
+		sim.addEndpoints(0, 16)
+		sim.runUntil(100 * time.Millisecond)
+		sim.submitHarmless(0, true, 15*time.Millisecond, 12*time.Second) // about half of the capacity
+		const deadlyJobs = 6
+		for i := range deadlyJobs {
+			job := storedJob(leased.JobID(fmt.Sprintf("deadly%d", i)), 2, 60*time.Millisecond)
+			sim.deadly[leased.TaskID{Job: job.ID}] = true
+			sim.at(time.Second+time.Duration(sim.rng.IntN(5000))*time.Millisecond, func() { sim.submitJob(0, job, 60*time.Millisecond) })
+		}
+		sim.runUntil(25 * time.Second)
+		for _, crash := range sim.crashes {
+			if !sim.deadly[crash.Task] || crash.Run == 1<<20+1 {
+				continue
+			}
+			later++
+			if !crash.Alone {
+				beside++
+			}
+		}
+	}
+	if later < 50 || 10*beside > later {
+		t.Errorf("%d of %d later crashes took down other tasks, want at most a tenth of 50 or more", beside, later)
+	}
+}
+
+// Guards against a task that never starts again after its endpoint has crashed,
+// because every other endpoint runs a long task and so is never idle.
+func TestSuspectStartsBesideLongTasks(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addEndpoints(0, 4)
+	sim.runUntil(100 * time.Millisecond)
+	for i := range 4 {
+		job := storedJob(leased.JobID(fmt.Sprintf("long%d", i)), 1, time.Hour)
+		job.Steps[0].Demand.MilliCores = 8_000
+		job.Steps[0].MaxPerEndpoint = 1
+		sim.submitJob(0, job, time.Hour)
+		sim.runUntil(sim.now + 20*time.Millisecond)
+	}
+	sim.submitJob(0, storedJob("j", 1, 20*time.Second), 20*time.Second)
+	sim.runUntil(sim.now + 200*time.Millisecond)
+	crashedAt := sim.now
+	for id, e := range sim.endpoints {
+		for _, r := range e.Running() {
+			if r.Task.Job == "j" {
+				sim.downTime = time.Hour
+				sim.crashEndpoint(id)
+			}
+		}
+	}
+	for sim.startCounts[leased.TaskID{Job: "j"}] < 2 && sim.now < crashedAt+10*time.Second {
+		sim.runUntil(sim.now + 20*time.Millisecond)
+	}
+	if took := sim.now - crashedAt; took > 3*time.Second {
+		t.Errorf("the task started again after %v, want at most 3 s", took)
+	}
+}
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -25,6 +25,7 @@
 	failures      int           // number of failed runs
 	crashes       blame.Record  // of endpoints that ran the task
 	losses        int           // endpoints that were lost with the task, and may have crashed
+	lostAt        time.Time     // when the last of them was lost
 	runs          int           // number of the newest run
 	moves         int           // runs stopped because of too little progress
 	took          time.Duration // run time of the run that completed the task
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -11,7 +11,7 @@
 const (
 	degradedCost       = 300 * time.Millisecond // for an endpoint that has just failed
 	probationCost      = 200 * time.Millisecond // for an endpoint on probation
-	suspectCost        = 300 * time.Millisecond // for a suspect beside other tasks
+	suspectCost        = 300 * time.Millisecond // for an endpoint that runs a suspect
 	unusedCapacityCost = 20 * time.Millisecond  // times the share of the endpoint left free
 	remoteRackFactor   = 3                      // run time factor on a rack without the data
 )
@@ -151,7 +151,7 @@
 	if e.record.Health() == outlier.Probation && len(e.runs) > 0 {
 		return false
 	}
-	if e.suspects > 0 && t.suspect() {
+	if !c.mayRunBeside(t, e) {
 		return false
 	}
 	return t.step.MaxPerEndpoint == 0 || e.runsOfStep(t.id) < t.step.MaxPerEndpoint
@@ -182,7 +182,7 @@
 	if t.avoid == e.ID {
 		cost += degradedCost
 	}
-	if e.suspects > 0 || len(e.runs) > 0 && t.suspect() {
+	if e.suspects > 0 {
 		cost += suspectCost
 	}
 	left := float64(e.free().MilliCores-t.step.Demand.MilliCores) / float64(max(1, e.Capacity.MilliCores))
