Let a replaced owner take no note of jobs that only the next owner knows

A task was done at 20.688 s and started again at 35.957 s.

Cause: at 20.53 s another entry took the shard over and accepted the job; the old owner noticed at 20.81 s. In between it got the report that the task was done, did not know the job, had nothing to store, and so answered at once, without a call to the log that would have shown that it was fenced off. The endpoint was told to forget the end, and no owner ever learned of it. In the same way a replaced owner denied a job to a caller that cancelled it, and the job ran on.

A shard that does not know a job now says so, and its runner holds that answer back until the log has confirmed the ownership by a call sent after the request came; a replaced owner answers that another one is to be asked. TestReplacedOwnerDoesNotTakeNoteOfOthersJobs failed before, for reports and for cancellations.

--- a/dispatch/stored/apply.go
+++ b/dispatch/stored/apply.go
@@ -148,13 +148,19 @@
 // handleReport handles a report of runs. Ends of runs are stored before the
 // report is acknowledged.
 func (s *Shard) handleReport(in *Report) {
-	mustWait := false
+	mustWait, unknown := false, false
 	for i := range in.Tasks {
+		j := s.jobs[in.Tasks[i].Task.Job]
+		unknown = unknown || j == nil || !j.stored
 		if s.handleTaskReport(in, &in.Tasks[i]) {
 			mustWait = true
 		}
 	}
-	if !mustWait {
+	switch {
+	case mustWait:
+	case unknown:
+		s.reply(in.Ticket, NoSuchJob)
+	default:
 		s.reply(in.Ticket, Stored)
 	}
 }
--- a/dispatch/stored/message.go
+++ b/dispatch/stored/message.go
@@ -96,7 +96,7 @@
 const (
 	Stored     Result = iota // the job, cancellation or report is stored
 	Refused                  // it is not stored and never will be
-	NoSuchJob                // for Cancel and Report
+	NoSuchJob                // for Cancel and Report; the caller of Step makes sure that no other owner knows the job
 	OtherOwner               // this entry is not the owner and has done nothing: ask the owner
 	Uncertain                // the owner was replaced during the request: ask the new owner
 )
--- a/fleet/keep/lease.go
+++ b/fleet/keep/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -36,6 +37,13 @@
 	suspended   bool      // offers are withdrawn until the next reply
 }
 
+// heldReply is the reply to a request that waits for a confirmation.
+type heldReply struct {
+	to     chan stored.Result
+	result stored.Result
+	since  time.Time
+}
+
 // confirmation is the result of a call to the log.
 type confirmation struct {
 	sentAt    time.Time // zero: the call was not answered
@@ -45,10 +53,11 @@
 // checkLease requests a confirmation if one is due. It withdraws the offers if
 // there was none for too long: another owner may have offered the same jobs.
 func (s *ownedShard) checkLease() {
-	if len(s.offers)+len(s.pendingQueries) == 0 {
+	waiting := len(s.pendingQueries) + len(s.heldReplies)
+	if len(s.offers)+waiting == 0 {
 		return
 	}
-	if len(s.pendingQueries) > 0 {
+	if waiting > 0 {
 		s.requestConfirmation()
 	}
 	age := time.Since(s.lease.confirmedAt)
@@ -99,6 +108,7 @@
 		s.lease.confirmedAt = c.sentAt
 	}
 	s.resumeOffers()
+	s.sendHeldReplies(c.sentAt)
 	for _, req := range s.pendingQueries {
 		req.query(s.shard)
 		req.reply <- stored.Stored
@@ -106,6 +116,21 @@
 	s.pendingQueries = nil
 }
 
+// sendHeldReplies sends the replies to requests that arrived before the ownership
+// was confirmed.
+func (s *ownedShard) sendHeldReplies(confirmedAt time.Time) {
+	s.heldReplies = slices.DeleteFunc(s.heldReplies, func(held heldReply) bool {
+		if confirmedAt.Before(held.since) {
+			return false
+		}
+		held.to <- held.result
+		return true
+	})
+	if len(s.heldReplies) > 0 {
+		s.requestConfirmation()
+	}
+}
+
 // suspendOffers withdraws all offers.
 func (s *ownedShard) suspendOffers() {
 	s.env.Logger.Warn("offers_suspended", zap.Int64("epoch", s.epoch), zap.Int("jobs", len(s.offers)),
--- a/fleet/keep/runner_test.go
+++ b/fleet/keep/runner_test.go
@@ -209,3 +209,49 @@
 	second.wantState(t, "j3", stored.Queued)
 	second.wantState(t, "j4", stored.Queued)
 }
+
+// Guards against a task that runs twice, or a job that runs on after it was
+// cancelled: an owner that was replaced, and has not noticed, was told of a job
+// that only the next owner knows, and answered as if nothing needed to be stored.
+func TestReplacedOwnerDoesNotTakeNoteOfOthersJobs(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	requests := map[string]func(*testOwner) stored.Result{
+		"report": func(o *testOwner) stored.Result {
+			return o.Report(ctx, 1, []stored.TaskReport{{Task: leased.TaskID{Job: "j2"}, Run: 1, Done: true}})
+		},
+		"cancel": func(o *testOwner) stored.Result { return o.Cancel(ctx, "j2") },
+	}
+	for name, request := range requests {
+		t.Run(name, func(t *testing.T) {
+			log := keeptest.NewLog()
+			first, second := newTestOwner(t, log), newTestOwner(t, log)
+			first.shouldOwn.Store(true)
+			first.accept(t, job(1))
+			second.shouldOwn.Store(true)
+			second.accept(t, job(2))
+			if r := request(first); r != stored.OtherOwner && r != stored.Uncertain {
+				t.Errorf("the replaced owner answers %v, want other_owner or uncertain", r)
+			}
+			first.shouldOwn.Store(false)
+			if r := request(second); r != stored.Stored {
+				t.Errorf("the owner answers %v, want stored", r)
+			}
+		})
+	}
+}
+
+// An owner that is asked about a job that does not exist says so once it is sure.
+func TestOwnerAnswersAboutJobsThatDoNotExist(t *testing.T) {
+	o := newTestOwner(t, keeptest.NewLog())
+	o.shouldOwn.Store(true)
+	o.accept(t, job(1))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if r := o.Cancel(ctx, "none"); r != stored.NoSuchJob {
+		t.Errorf("cancel: %v, want no such job", r)
+	}
+	if r := o.Report(ctx, 1, []stored.TaskReport{{Task: leased.TaskID{Job: "none"}, Run: 1, Done: true}}); r != stored.NoSuchJob {
+		t.Errorf("report: %v, want no such job", r)
+	}
+}
--- a/fleet/keep/serve.go
+++ b/fleet/keep/serve.go
@@ -31,9 +31,10 @@
 	replies        map[stored.Ticket]chan stored.Result
 	offers         map[leased.JobID]activeOffer
 	lease          lease
-	pendingQueries []request // they wait until the ownership is confirmed
-	sequence       int64     // of the last append that is on the log
-	nextAppend     time.Time // earliest time of the next append
+	pendingQueries []request   // they wait until the ownership is confirmed
+	heldReplies    []heldReply // they wait until the ownership is confirmed
+	sequence       int64       // of the last append that is on the log
+	nextAppend     time.Time   // earliest time of the next append
 }
 
 // activeOffer is an offer that has not ended.
@@ -101,6 +102,9 @@
 	for _, req := range s.pendingQueries {
 		req.reply <- stored.OtherOwner
 	}
+	for _, held := range s.heldReplies {
+		held.to <- stored.OtherOwner
+	}
 }
 
 // handleEvent handles a confirmation or an input of the shard.
@@ -133,7 +137,7 @@
 	for _, r := range out.Replies {
 		if reply := s.replies[r.Ticket]; reply != nil {
 			delete(s.replies, r.Ticket)
-			reply <- r.Result
+			s.reply(reply, r.Result)
 		}
 	}
 	for _, id := range out.Withdrawals {
@@ -153,6 +157,17 @@
 	}
 }
 
+// reply answers a request. A result that rests on what the shard does not know is
+// held back until the ownership is confirmed: a newer owner may know it.
+func (s *ownedShard) reply(to chan stored.Result, result stored.Result) {
+	if result != stored.NoSuchJob {
+		to <- result
+		return
+	}
+	s.heldReplies = append(s.heldReplies, heldReply{to, result, time.Now()})
+	s.requestConfirmation()
+}
+
 // reserveAppend returns the time at which the next append may be sent.
 func (s *ownedShard) reserveAppend() time.Time {
 	at := time.Now()
