--- a/dispatch/leased/leasedtest/endpoint.go
+++ b/dispatch/leased/leasedtest/endpoint.go
@@ -31,6 +31,9 @@
 	Demand leased.Demand
 	Time   time.Duration // on an endpoint of speed 1
 	Fails  bool
+	// Crashes reports that the task crashes the endpoint. Whoever drives the
+	// endpoint has to carry that out.
+	Crashes bool
 }
 
 // Endpoint is the state of one endpoint. Times are on its own clock.
--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -8,7 +8,7 @@
 // was refused as not run has not run; jobs are served again after the faults;
 // no task runs for long after the last caller has disconnected; planned stops
 // end within the grace period; every stored job stays known and ends, and no
-// refused one has run.
+// refused one has run; a task that crashes its executors is given up.
 package soak
 
 import (
@@ -50,6 +50,7 @@
 	Answers           map[string]int `json:"answers"`
 	Faults            map[string]int `json:"faults"`
 	ServedAfterFaults float64        `json:"served_after_faults"` // share of the jobs after the faults
+	DeadlyStarts      map[int]int    `json:"deadly_starts"`       // tasks that crash their executors, by number of starts
 	Violations        []string       `json:"violations"`
 }
 
@@ -82,7 +83,7 @@
 	defer d.Close()
 	s := &soak{
 		opts: opts, deployment: d, rng: rand.New(rand.NewPCG(opts.Seed, 7)), processes: make([]*process, len(d.Entries)),
-		report: &Report{Seed: opts.Seed, Answers: make(map[string]int), Faults: make(map[string]int)},
+		report: &Report{Seed: opts.Seed, Answers: make(map[string]int), Faults: make(map[string]int), DeadlyStarts: make(map[int]int)},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
 	}
 	defer s.killAll()
--- a/standin/fakeexecutor/executor.go
+++ b/standin/fakeexecutor/executor.go
@@ -57,13 +57,14 @@
 	incarnationStart int64
 	seq              int
 	faults           Faults
+	down             bool // after a crash
 	changed          chan struct{}
 }
 
 // New returns an executor that has just started.
 func New(opts Options) *Executor {
 	x := &Executor{opts: opts, mux: http.NewServeMux(), startTime: time.Now(), incarnationStart: time.Now().UnixMilli(), changed: make(chan struct{})}
-	x.state = leasedtest.New(leased.EndpointID(opts.ID), opts.Capacity, opts.Work)
+	x.state = leasedtest.New(leased.EndpointID(opts.ID), opts.Capacity, x.work)
 	x.state.Restart(x.incarnationStart)
 	x.mux.HandleFunc("POST /run-start", x.start)
 	x.mux.HandleFunc("POST /run-stop", x.stop)
@@ -87,10 +88,48 @@
 	f(x.state)
 }
 
+// Times of a crash that a task causes.
+const (
+	crashDelay = 10 * time.Millisecond // after the start
+	downTime   = 1500 * time.Millisecond
+)
+
+// work returns the work of a task that is being started, and schedules the crash
+// that it causes.
+func (x *Executor) work(id leased.TaskID) leasedtest.Work {
+	work := x.opts.Work(id)
+	if work.Crashes {
+		time.AfterFunc(crashDelay, func() { x.Crash(downTime) })
+	}
+	return work
+}
+
+// Crash ends everything that runs. The executor neither registers nor answers
+// until a new incarnation begins after some time.
+func (x *Executor) Crash(downFor time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.down {
+		return
+	}
+	x.down = true
+	x.restart()
+	time.AfterFunc(downFor, func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.down = false
+		x.restart()
+	})
+}
+
 // Restart begins a new incarnation under the same ID.
 func (x *Executor) Restart() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.restart()
+}
+
+func (x *Executor) restart() {
 	x.startTime = time.Now()
 	x.incarnationStart = time.Now().UnixMilli()
 	x.state.Restart(x.incarnationStart)
@@ -128,10 +167,14 @@
 	x.state.Capacity = c
 }
 
-// Announce writes the registration of the executor to a registry. state is
-// "ready" or "draining".
+// Announce writes the registration of the executor to a registry, unless it is
+// down. state is "ready" or "draining".
 func (x *Executor) Announce(registry Registry, state string) error {
 	x.mu.Lock()
+	if x.down {
+		x.mu.Unlock()
+		return nil
+	}
 	x.seq++
 	const slots = 8
 	data, err := json.Marshal(registration{
@@ -150,8 +193,11 @@
 // ServeHTTP implements http.Handler.
 func (x *Executor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x.mu.Lock()
-	f := x.faults
+	f, down := x.faults, x.down
 	x.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
 	if f.Hang {
 		<-r.Context().Done()
 		return
--- a/standin/fakeexecutor/executor_test.go
+++ b/standin/fakeexecutor/executor_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -38,3 +40,47 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestTaskCrashesExecutor checks that a task can crash its executor, which is
+// back as another incarnation without any run.
+func TestTaskCrashesExecutor(t *testing.T) {
+	x := fakeexecutor.New(fakeexecutor.Options{
+		ID: "x", Capacity: leased.Demand{MilliCores: 64_000, MemoryMiB: 64_000},
+		Work: func(leased.TaskID) leasedtest.Work { return leasedtest.Work{Time: time.Minute, Crashes: true} },
+	})
+	server := httptest.NewServer(x)
+	defer server.Close()
+	call := func(path, body string) (int, string) {
+		resp, err := http.Post(server.URL+path, "application/json", strings.NewReader(body))
+		if err != nil {
+			return 0, ""
+		}
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return 0, ""
+		}
+		return resp.StatusCode, string(data)
+	}
+	const hold = `{"fencing_token":1}`
+	if status, text := call("/run-start", `{"task":"j.0.0.0","run_id":1,"until_ms":60000,"fencing_token":1}`); status != 200 {
+		t.Fatalf("start: %d %s", status, text)
+	}
+	deadline := time.Now().Add(10 * time.Second)
+	waitFor := func(want int) string {
+		for {
+			status, text := call("/hold", hold)
+			if status == want {
+				return text
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("hold answers %d, want %d", status, want)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	waitFor(0)
+	if text := waitFor(200); strings.Contains(text, "running") || strings.Contains(text, "finished") {
+		t.Errorf("after the crash: %s, want no run", text)
+	}
+}
--- a/standin/usersplatform/deployment.go
+++ b/standin/usersplatform/deployment.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -79,6 +80,7 @@
 	mu          sync.Mutex
 	runTimes    map[leased.JobID]time.Duration
 	startedRuns map[leased.JobID]int
+	deadly      map[leased.TaskID]int // tasks that crash their executors, and how often they have started
 	version     int
 }
 
@@ -87,7 +89,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Deployment{
 		Store: fakestore.New("keyed.op", fakeexecutor.Topic), opts: opts, cancel: cancel,
-		runTimes: make(map[leased.JobID]time.Duration), startedRuns: make(map[leased.JobID]int),
+		runTimes: make(map[leased.JobID]time.Duration), startedRuns: make(map[leased.JobID]int), deadly: make(map[leased.TaskID]int),
 	}
 	listener, err := d.serve(d.Store)
 	if err != nil {
@@ -179,7 +181,25 @@
 	if !known {
 		runTime = time.Second
 	}
-	return leasedtest.Work{Demand: leased.Demand{MilliCores: taskMilliCores, MemoryMiB: 64}, Time: runTime}
+	starts, deadly := d.deadly[id]
+	if deadly {
+		d.deadly[id] = starts + 1
+	}
+	return leasedtest.Work{Demand: leased.Demand{MilliCores: taskMilliCores, MemoryMiB: 64}, Time: runTime, Crashes: deadly}
+}
+
+// MakeDeadly makes a task crash each executor that starts it.
+func (d *Deployment) MakeDeadly(id leased.TaskID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.deadly[id] = 0
+}
+
+// DeadlyStarts returns how often each deadly task has started.
+func (d *Deployment) DeadlyStarts() map[leased.TaskID]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.deadly)
 }
 
 // taskMilliCores is the demand of a task, in thousandths of a core.
