--- a/dispatch/leased/crash.go
+++ b/dispatch/leased/crash.go
@@ -20,7 +20,8 @@
 type lostRun struct {
 	task  TaskID
 	run   int
-	alone bool // no other run was on the endpoint
+	queue string // empty: no job claimed the run
+	alone bool   // no other run was on the endpoint
 }
 
 // reportLoss reports the loss of a run of a stored job to the job's owner, which
@@ -54,6 +55,9 @@
 // loseWithEndpoint ends a run that was lost with its endpoint.
 func (c *Core) loseWithEndpoint(e *endpoint, r *run, alone bool) {
 	lost := lostRun{task: r.id, run: r.number, alone: alone}
+	if r.task != nil {
+		lost.queue = r.task.job.Queue
+	}
 	restarted := r.restarted
 	c.endRun(e, r, EndEndpointLost, "")
 	if restarted {
@@ -83,7 +87,7 @@
 		c.clearLoss(e, lost)
 		return
 	}
-	c.out.Crashes = append(c.out.Crashes, Crash{Endpoint: e.ID, Task: lost.task, Run: lost.run, Alone: lost.alone})
+	c.out.Crashes = append(c.out.Crashes, Crash{Endpoint: e.ID, Task: lost.task, Run: lost.run, Queue: lost.queue, Alone: lost.alone})
 	c.reportLoss(e, lost, LossByCrash)
 	t := c.openTask(lost.task)
 	if t == nil {
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -315,7 +315,8 @@
 	Endpoint EndpointID
 	Task     TaskID
 	Run      int
-	Alone    bool // no other run was on the endpoint
+	Queue    string // empty: no job claimed the run
+	Alone    bool   // no other run was on the endpoint
 }
 
 // Report notifies the owner of a stored job of a run that has begun or ended.
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -346,8 +346,8 @@
 // logCrash logs and counts a run under which its endpoint has crashed.
 func (l *Loop) logCrash(crash *leased.Crash) {
 	l.log.Warn("endpoint_crashed", zap.String("job", string(crash.Task.Job)), zap.Int("step", crash.Task.Step), zap.Int("task", crash.Task.Index),
-		zap.Int("run", crash.Run), zap.String("endpoint", string(crash.Endpoint)), zap.Bool("alone", crash.Alone))
-	l.metrics.crashes.WithLabelValues(strconv.FormatBool(crash.Alone)).Inc()
+		zap.Int("run", crash.Run), zap.String("endpoint", string(crash.Endpoint)), zap.String("queue", crash.Queue), zap.Bool("alone", crash.Alone))
+	l.metrics.crashes.WithLabelValues(crash.Queue, strconv.FormatBool(crash.Alone)).Inc()
 }
 
 func (l *Loop) publish() {
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -21,7 +21,7 @@
 	startSeconds         prometheus.Histogram
 	stops                prometheus.Counter
 	runEnds              *prometheus.CounterVec // of runs, by end
-	crashes              *prometheus.CounterVec // of endpoints under a run, by whether it was alone
+	crashes              *prometheus.CounterVec // of endpoints under a run, by queue and whether the run was alone
 	holds                *prometheus.CounterVec // by result
 	delegations          *prometheus.CounterVec // by end
 	endpointEvents       *prometheus.CounterVec // by event
@@ -55,7 +55,7 @@
 	m.starts = counter("starts_total", "Starts of tasks, by the endpoint's reply.", "result")
 	m.holds = counter("holds_total", "Holds sent to endpoints, by the endpoint's reply.", "result")
 	m.runEnds = counter("runs_ended_total", "Runs that ended, by how they ended.", "end")
-	m.crashes = counter("endpoint_crashes_total", "Runs under which their endpoint has crashed.", "alone")
+	m.crashes = counter("endpoint_crashes_total", "Runs under which their endpoint has crashed.", "queue", "alone")
 	m.delegations = counter("lends_total", "Tasks delegated to other holders, by how they ended.", "end")
 	m.endpointEvents = counter("endpoint_events_total", "Changes of the assumed state of endpoints, by event.", "event")
 	m.stops = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "lovage", Name: "stops_total", Help: "Stops of tasks sent to endpoints."})
--- a/fleet/trace/trace.go
+++ b/fleet/trace/trace.go
@@ -176,8 +176,11 @@
 func failedRuns(lines []Line) string {
 	var parts []string
 	for i := range lines {
-		if l := &lines[i]; l.Event == "run_ended" && l.End == "failed" {
+		switch l := &lines[i]; {
+		case l.Event == "run_ended" && l.End == "failed":
 			parts = append(parts, fmt.Sprintf("run %d of task %d failed on %s after %.0f ms", l.Run, l.Task, l.Endpoint, l.Took))
+		case l.Event == "endpoint_crashed":
+			parts = append(parts, crash(l))
 		}
 	}
 	if len(parts) == 0 {
@@ -213,6 +216,8 @@
 			parts = append(parts, fmt.Sprintf("run %d of task %d %s on %s", l.Run, l.Task, l.End, l.Endpoint))
 		case l.Event == "run_ended" && l.End == "done" && l.Expected > 0 && l.Took > slowFactor*l.Expected && l.Took > minDelayMS:
 			parts = append(parts, fmt.Sprintf("task %d took %.0f ms on %s, %.0f expected", l.Task, l.Took, l.Endpoint, l.Expected))
+		case l.Event == "endpoint_crashed":
+			parts = append(parts, crash(l))
 		case l.Event == "lend_ended" || l.Event == "lend_failed":
 			parts = append(parts, fmt.Sprintf("lent task %d was returned (%s)", l.Task, cmp.Or(l.End, "the connection broke")))
 		}
@@ -270,7 +275,7 @@
 	case "run_ended":
 		return fmt.Sprintf("task %d run %d on %s: %s after %.0f ms, %.0f expected", l.Task, l.Run, l.Endpoint, l.End, l.Took, l.Expected)
 	case "endpoint_crashed":
-		return fmt.Sprintf("%s crashed under task %d run %d%s", l.Endpoint, l.Task, l.Run, alone(l))
+		return crash(l)
 	case "lend_ended", "lend_failed":
 		return fmt.Sprintf("task %d run %d: %s", l.Task, l.Run, cmp.Or(l.End, l.Error))
 	case "answered":
@@ -279,9 +284,11 @@
 	return l.Reason
 }
 
-func alone(l *Line) string {
+// crash describes the crash of an endpoint under a run.
+func crash(l *Line) string {
+	text := fmt.Sprintf("%s crashed under run %d of task %d", l.Endpoint, l.Run, l.Task)
 	if l.Alone {
-		return ", which ran there alone"
+		text += ", which was alone there"
 	}
-	return ""
+	return text
 }
