Explain a job whose endpoint crashed, and log no lost holder when the caller left

A caller that leaves ends the call to the holder. That was logged as holder_lost, and trace named the loss of the holder as the cause of what was a crash of an endpoint.

--- a/fleet/service.go
+++ b/fleet/service.go
@@ -217,6 +217,9 @@
 			if err == nil {
 				return abandonIfResubmitted(outcome, &job)
 			}
+			if ctx.Err() != nil {
+				return s.abandoned() // the call was ended here, and the holder is not lost
+			}
 			if !errors.Is(err, errNotHolder) {
 				s.holderLost(holder, &job, err)
 				lostAt = time.Now()
--- a/fleet/trace/trace.go
+++ b/fleet/trace/trace.go
@@ -167,7 +167,8 @@
 	if received := firstOf(lines, "received"); received != nil && answer.Took < received.CallerTimeout*0.95 {
 		return fmt.Sprintf("the caller disconnected after %.0f of %.0f ms", answer.Took, received.CallerTimeout)
 	}
-	if firstOf(lines, "placed") == nil && firstOf(lines, "lent") == nil {
+	started := firstOf(lines, "placed") != nil || firstOf(lines, "lent") != nil || firstOf(lines, "run_ended") != nil
+	if !started {
 		return fmt.Sprintf("abandoned after %.0f ms without a free endpoint: %s", answer.Took, answer.Reason)
 	}
 	return fmt.Sprintf("not done within the caller's deadline (%.0f ms)%s", answer.Took, delays(lines))
