Follow the endpoints of a large failure domain through two of its entries

Continuing long lists, the fix that was suspected, did not help.

Cause: every endpoint renews its record every heartbeat, and every entry reads all of that: bytes from the platform's log grow with entries times endpoints (86, 228 kB/s an entry at 30 and 100 machines, then 186 because the log limits the bytes of all readers together), so that changes of the configuration wait in the same line.

In a failure domain of 16 entries or more the two that run for longest now read the endpoints' records, and the others poll them for what has changed in more than the heartbeat's counter (fleet/relay). Offsets are the log's, so an entry goes back to the log at once if the readers do not answer, have lost the log or are behind. The sites in force have 12 entries a domain at most and read as before.

--- a/fleet/process.go
+++ b/fleet/process.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,6 +14,7 @@
 	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/fleet/eventlog"
 	"lovagespread.example/fleet/keep"
+	"lovagespread.example/fleet/relay"
 	"lovagespread.example/membership/cells"
 	"lovagespread.example/peer/fleetpb"
 )
@@ -27,6 +29,9 @@
 	heartbeats *heartbeats
 	metrics    *metrics
 	storedJobs *storedJobs // nil: stored jobs are not served
+	// endpointJournal is what this entry has read of the endpoints' records, for
+	// other entries.
+	endpointJournal atomic.Pointer[relay.Journal]
 }
 
 // New creates a process. It binds the heartbeat port, but serves no requests
@@ -113,7 +118,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	protocols.SetHTTP1(true)
 	s := &http.Server{
-		Handler:           fleetpb.NewFleetServer(&server{p.loop, p.peers, p.storedJobs}),
+		Handler:           fleetpb.NewFleetServer(&server{p.loop, p.peers, p.storedJobs, &p.endpointJournal}),
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: peerPingAfter, PingTimeout: peerPingTimeout, MaxConcurrentStreams: maxPeerCalls},
 		ReadHeaderTimeout: peerDialTimeout * 4,
--- /dev/null
+++ b/fleet/relay.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/samber/lo"
+	"github.com/twitchtv/twirp"
+
+	"lovagespread.example/fleet/follow"
+	"lovagespread.example/fleet/relay"
+	"lovagespread.example/membership/cells"
+	"lovagespread.example/peer/fleetpb"
+)
+
+// Sizes of a failure domain in which records of endpoints are relayed.
+const (
+	// minRelayingDomain is the number of live entries from which on relaying saves
+	// more bytes than the delay of one more poll is worth.
+	minRelayingDomain = 16
+	// readersPerDomain leaves one if another fails.
+	readersPerDomain = 2
+)
+
+// relayRole returns how this entry reads the records of endpoints. The entries of
+// a failure domain that run for longest read them for the others, so that the
+// choice is stable while others restart.
+func relayRole(view *cells.View) relay.Role {
+	if view == nil || view.Self.Leaving {
+		return relay.Role{}
+	}
+	local := lo.Filter(view.Live, func(e cells.Entry, _ int) bool { return e.FailureDomain == view.Self.FailureDomain && !e.Leaving })
+	local = append(local, view.Self)
+	if len(local) < minRelayingDomain {
+		return relay.Role{}
+	}
+	slices.SortFunc(local, func(a, b cells.Entry) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	readers := local[:readersPerDomain]
+	if slices.ContainsFunc(readers, func(e cells.Entry) bool { return e.Incarnation == view.Self.Incarnation }) {
+		return relay.Role{Relays: true}
+	}
+	role := relay.Role{Readers: lo.Map(readers, func(e cells.Entry, _ int) relay.Reader { return relay.Reader{Name: e.Name, Address: e.Address} })}
+	if view.Self.Incarnation%readersPerDomain == 1 { // spreads the entries over the readers
+		slices.Reverse(role.Readers)
+	}
+	return role
+}
+
+// relayedEndpoints returns the log of the endpoints' records as this entry reads
+// it.
+func (p *Process) relayedEndpoints(s *Sources) follow.KeyedLog {
+	p.endpointJournal.Store(relay.NewJournal(func(key string, before, after []byte) bool {
+		first, firstErr := s.DecodeEndpoint(key, before)
+		second, secondErr := s.DecodeEndpoint(key, after)
+		return (firstErr == nil) == (secondErr == nil) && reflect.DeepEqual(first, second)
+	}))
+	role := func() relay.Role { return relayRole(p.loop.Latest().View) }
+	return relay.NewLog(s.Endpoints, p.endpointJournal.Load(), role, p.peers.endpointRecords)
+}
+
+// endpointRecords asks another entry for records of endpoints.
+func (p *peers) endpointRecords(ctx context.Context, reader relay.Reader, from int64) ([]follow.Record, int64, error) {
+	reply, err := p.client(reader.Address).EndpointRecords(ctx, &fleetpb.EndpointRecordsRequest{From: from})
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "ask "+reader.Name+" for records of endpoints")
+	}
+	if reply.Gap {
+		return nil, 0, &follow.GapError{From: from}
+	}
+	records := lo.Map(reply.Records, func(r *fleetpb.EndpointRecord, _ int) follow.Record { return follow.Record{Key: r.Key, Value: r.Value} })
+	return records, reply.Next, nil
+}
+
+// EndpointRecords implements fleetpb.Fleet.
+func (s *server) EndpointRecords(_ context.Context, r *fleetpb.EndpointRecordsRequest) (*fleetpb.EndpointRecordsResponse, error) {
+	journal := s.endpointJournal.Load()
+	if journal == nil {
+		return nil, twirp.NewError(twirp.Unavailable, "this entry does not follow the endpoints yet: ask another one")
+	}
+	var records []follow.Record
+	var next int64
+	var err error
+	if r.From < 0 {
+		records, next, err = journal.All(time.Now())
+	} else {
+		records, next, err = journal.Since(time.Now(), r.From)
+	}
+	if _, gap := errors.Into[*follow.GapError](err); gap {
+		return &fleetpb.EndpointRecordsResponse{Gap: true}, nil
+	}
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &fleetpb.EndpointRecordsResponse{Next: next, Records: lo.Map(records, func(r follow.Record, _ int) *fleetpb.EndpointRecord {
+		return &fleetpb.EndpointRecord{Key: r.Key, Value: r.Value}
+	})}, nil
+}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
+	"lovagespread.example/fleet/relay"
 	"lovagespread.example/membership/cells"
 	"lovagespread.example/peer/fleetpb"
 )
@@ -17,6 +19,8 @@
 	loop       *Loop
 	peers      *peers
 	storedJobs *storedJobs // nil: stored jobs are not served
+	// endpointJournal holds nil until the process follows the endpoints.
+	endpointJournal *atomic.Pointer[relay.Journal]
 }
 
 var _ fleetpb.Fleet = (*server)(nil)
--- a/fleet/sources.go
+++ b/fleet/sources.go
@@ -47,7 +47,7 @@
 func (p *Process) Follow(ctx context.Context, s Sources) {
 	configuration := follow.New("configuration", s.Configuration,
 		follow.PollOptions{MaxWait: configurationWait}, p.log, func(records map[string][]byte) { p.setConfiguration(&s, records) })
-	endpoints := follow.New("endpoints", s.Endpoints, follow.PollOptions{Interval: p.endpointPollInterval}, p.log, p.endpointUpdater(&s))
+	endpoints := follow.New("endpoints", p.relayedEndpoints(&s), follow.PollOptions{Interval: p.endpointPollInterval}, p.log, p.endpointUpdater(&s))
 	entries := follow.New("entries", s.Entries,
 		follow.PollOptions{Interval: func() time.Duration { return entryPollInterval }}, p.log, func(records map[string][]byte) {
 			p.AddSeeds(lo.MapToSlice(records, func(_ string, address []byte) string { return string(address) }))
@@ -61,10 +61,10 @@
 }
 
 // endpointPollInterval is short if changes of endpoints matter immediately, that
-// is if this entry holds endpoints or knows none.
+// is if this entry holds endpoints, reads them for others or knows none.
 func (p *Process) endpointPollInterval() time.Duration {
 	latest := p.loop.Latest()
-	if latest.Status.Endpoints > 0 || len(latest.Endpoints) == 0 {
+	if latest.Status.Endpoints > 0 || len(latest.Endpoints) == 0 || relayRole(latest.View).Relays {
 		return holderPollInterval
 	}
 	return otherPollInterval
