Count the pending jobs of owners that do not answer for a moment

A query that was given up no longer reads its result while the shard may be writing it. The counting moved out of storedjobs.go.

--- a/fleet/keep/runner.go
+++ b/fleet/keep/runner.go
@@ -162,6 +162,9 @@
 		state = s.State(id)
 		return state != stored.Unknown // a newer owner may know it
 	}})
+	if result != stored.Stored {
+		return stored.Unknown, result // the query may still be under way
+	}
 	return state, result
 }
 
@@ -173,5 +176,8 @@
 		known, _ := s.Len()
 		return known == 0 // otherwise a newer owner may know other jobs
 	}})
+	if result != stored.Stored {
+		return nil, result // the query may still be under way
+	}
 	return counts, result
 }
--- a/fleet/storedjobs.go
+++ b/fleet/storedjobs.go
@@ -32,10 +32,7 @@
 	// storedJobTimeout is the time limit of a stored job at a holder. It is in
 	// effect unlimited, because a stored job waits for as long as it takes.
 	storedJobTimeout = 24 * time.Hour
-	// maxPendingAge is the maximum age of the count of pending jobs.
-	maxPendingAge   = 700 * time.Millisecond
-	pendingTimeout  = 500 * time.Millisecond // for the reply of one owner
-	doneTaskTimeout = time.Second
+	doneTaskTimeout  = time.Second
 )
 
 // storedJobs serves stored jobs: it sends requests to the owners of their
@@ -48,12 +45,11 @@
 	service  *Service
 	log      *zap.Logger
 	runners  []*keep.Runner
+	pending  pendingCounter
 
 	mu            sync.Mutex
 	minoritySince time.Time    // since when this entry has no majority; zero: it has one
 	fenced        map[int]bool // shards that other entries have taken over since then
-	pending       map[string]int
-	pendingAt     time.Time
 }
 
 func newStoredJobs(s StoredSettings, l *Loop, p *peers, service *Service, jobLog keep.Log, log *zap.Logger, m *metrics) *storedJobs {
@@ -302,68 +298,3 @@
 		return c.Report(ctx, reportToPB(self, shard, tasks))
 	})
 }
-
-// pendingJobs returns the number of stored jobs of a queue of which no task has
-// started. The count may be as old as maxPendingAge, and lacks the jobs of owners
-// that do not answer.
-func (sj *storedJobs) pendingJobs(ctx context.Context, queue string) int {
-	sj.mu.Lock()
-	counts, fresh := sj.pending, time.Since(sj.pendingAt) < maxPendingAge
-	sj.mu.Unlock()
-	if !fresh {
-		counts = sj.countPending(ctx)
-		sj.mu.Lock()
-		sj.pending, sj.pendingAt = counts, time.Now()
-		sj.mu.Unlock()
-	}
-	return counts[queue]
-}
-
-// countPending counts the pending jobs of all owners, by queue.
-func (sj *storedJobs) countPending(ctx context.Context) map[string]int {
-	ctx, cancel := context.WithTimeout(ctx, pendingTimeout)
-	defer cancel()
-	counts := sj.countPendingLocally(ctx)
-	view := sj.loop.Latest().View
-	others := make(map[cells.Incarnation]cells.Entry)
-	for shard := range sj.runners {
-		if owner, ok := view.Owner(shard, len(sj.runners)); ok && owner.Incarnation != view.Self.Incarnation {
-			others[owner.Incarnation] = owner
-		}
-	}
-	replies := make(chan map[string]uint32, len(others))
-	for _, owner := range others {
-		go func() {
-			reply, err := sj.peers.client(owner.Address).PendingKept(ctx, &fleetpb.PendingRequest{})
-			if err != nil {
-				sj.log.Warn("pending_unknown", zap.String("owner", owner.Name), zap.Error(err))
-			}
-			replies <- reply.GetJobs()
-		}()
-	}
-	for range others {
-		for queue, n := range <-replies {
-			counts[queue] += int(n)
-		}
-	}
-	return counts
-}
-
-// countPendingLocally counts the pending jobs of the shards that this entry
-// owns, by queue.
-func (sj *storedJobs) countPendingLocally(ctx context.Context) map[string]int {
-	sum := make(map[string]int)
-	for shard, r := range sj.runners {
-		if !sj.owns(shard) {
-			continue
-		}
-		counts, result := r.Pending(ctx)
-		if result != stored.Stored {
-			continue // the next owner counts these jobs
-		}
-		for queue, n := range counts {
-			sum[queue] += n
-		}
-	}
-	return sum
-}
