--- /dev/null
+++ b/dispatch/leased/deadlines.go
@@ -0,0 +1,102 @@
+package leased
+
+import "time"
+
+// expireJobs ends jobs whose caller's deadline has passed and rejects those that
+// have not begun and can no longer finish in time.
+func (c *Core) expireJobs() {
+	for _, j := range c.jobs {
+		if j.Stored {
+			continue
+		}
+		if !c.now.Before(j.expires) {
+			verdict := Abandoned
+			if !j.begun {
+				verdict = Rejected
+			}
+			c.finish(j, verdict, "the caller's deadline has passed", c.retryAfter())
+			continue
+		}
+		if j.begun {
+			continue
+		}
+		if !j.queued {
+			continue
+		}
+		if c.now.Add(c.expectedRunTime(j)).After(j.expires) {
+			c.finish(j, Rejected, "no free capacity before the caller's deadline", c.retryAfter())
+		}
+	}
+}
+
+// expectedRunTime returns the expected run time of a job on an idle system.
+func (c *Core) expectedRunTime(j *job) time.Duration {
+	return criticalPath(j.Steps, func(d time.Duration) time.Duration { return c.expectedTime(j.Queue, d) })
+}
+
+// spareTime returns how long a job can wait before its expected run time exceeds
+// the caller's deadline.
+func spareTime(j *job, c *Core) time.Duration { return j.expires.Sub(c.now) - c.expectedRunTime(j) }
+
+// expectedWait returns how long a new job is expected to wait: the time to serve
+// the queue, as measured by the latest Tick, unless the newest job goes first. It
+// is 0 while no endpoint is held, because other holders may have free capacity.
+func (c *Core) expectedWait() time.Duration {
+	if c.waiting.newestFirst {
+		return 0
+	}
+	return c.queueServiceTime
+}
+
+// measureServiceTime measures how long it takes to serve the queue.
+func (c *Core) measureServiceTime() {
+	c.queueServiceTime = 0
+	if c.waiting.len() > 0 {
+		c.queueServiceTime = c.serviceTime()
+	}
+	if !c.fixedOrder {
+		c.waiting.adaptOrder(c.queueServiceTime)
+	}
+}
+
+// minRetryAfter is the shortest time after which a rejected caller may retry.
+const minRetryAfter = time.Second
+
+// retryAfter returns how long a rejected caller should wait before it retries:
+// until the held endpoints have served the queue.
+func (c *Core) retryAfter() time.Duration { return max(minRetryAfter, c.serviceTime()) }
+
+// takeoverTime is how long an endpoint that was just assigned may take to answer
+// its first Hold.
+const takeoverTime = 500 * time.Millisecond
+
+// countsAsCapacity reports whether an endpoint is expected to serve the queue: it
+// is held, or is about to be.
+func (c *Core) countsAsCapacity(e *endpoint) bool {
+	return !e.dropped && (e.held || c.now.Sub(e.addedAt) < takeoverTime)
+}
+
+// serviceTime returns the work of the queued jobs divided by the capacity of the
+// endpoints that are expected to serve them.
+func (c *Core) serviceTime() time.Duration {
+	var work float64 // core-seconds
+	c.waiting.walk(func(j *job) bool {
+		if j.Stored && j.class == lateClass {
+			return true // jobs that can be answered in time go first
+		}
+		for s := range j.Steps {
+			work += float64(j.remaining[s]*j.Steps[s].Demand.MilliCores) / 1000 * c.expectedTime(j.Queue, j.Steps[s].Estimate).Seconds()
+		}
+		return true
+	})
+	var cores float64
+	for _, e := range c.endpointList {
+		if c.countsAsCapacity(e) {
+			cores += float64(e.Capacity.MilliCores) / 1000
+		}
+	}
+	if cores == 0 {
+		return 0
+	}
+	return time.Duration(work / cores * float64(time.Second))
+}
