Do not reject a job that was submitted before

The invariant of the package forbids it. The entries already turn such an answer into an abandonment, so no caller saw it; but the core's answer was untrue, and its time to retry was lost work. The core now abandons such a job itself.

--- a/dispatch/leased/holders_test.go
+++ b/dispatch/leased/holders_test.go
@@ -224,3 +224,25 @@
 		t.Errorf("answer %+v, want completed", a)
 	}
 }
+
+// Guards against a job that is reported as not run although an earlier submission
+// of it has started a task.
+func TestResubmittedJobIsNotRejected(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addEndpoints(0, 1)
+	sim.runUntil(100 * time.Millisecond)
+	sim.submit(0, "other", 2, 27_000, 10*time.Second, 20*time.Second) // takes the whole endpoint
+	sim.runUntil(200 * time.Millisecond)
+	for name, milliCores := range map[leased.JobID]int{"waits": 27_000, "too large": 90_000} {
+		job := singleTaskJob(name)
+		job.Resubmitted, job.CallerTimeout = true, time.Second
+		job.Steps[0].Demand.MilliCores = milliCores
+		sim.submitJob(0, job, 100*time.Millisecond)
+	}
+	sim.runUntil(3 * time.Second)
+	for _, name := range []leased.JobID{"waits", "too large"} {
+		if a, answered := sim.answers[name]; !answered || a.Verdict != leased.Abandoned {
+			t.Errorf("job %q: answered %t, %+v, want abandoned", name, answered, a)
+		}
+	}
+}
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -272,8 +272,12 @@
 	r.unclaimedSince = c.now
 }
 
-// finish answers all tickets of a job and removes it.
+// finish answers all tickets of a job and removes it. A job that was submitted
+// before may have run under another holder, so it is never rejected.
 func (c *Core) finish(j *job, verdict Verdict, reason string, retryAfter time.Duration) {
+	if verdict == Rejected && j.Resubmitted {
+		verdict, retryAfter = Abandoned, 0
+	}
 	for _, t := range j.tickets {
 		delete(c.tickets, t)
 		c.out.Answers = append(c.out.Answers, Answer{
