Send lists of endpoints' records packed, from the largest VMs of a domain

But a reader had up to 454 MB and sent 2.4 MB/s: at a start each of 60 entries asked for a list of 3,000 records at once.

A list is now compressed once and sent to all that ask within 5 s, who ask for the changes since; and the largest VMs of a domain are the readers.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -1,8 +1,11 @@
 package fleet
 
 import (
+	"bytes"
 	"cmp"
+	"compress/gzip"
 	"context"
+	"io"
 	"reflect"
 	"slices"
 	"time"
@@ -10,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/samber/lo"
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	"lovagespread.example/fleet/follow"
 	"lovagespread.example/fleet/relay"
@@ -26,9 +30,9 @@
 	readersPerDomain = 2
 )
 
-// relayRole returns how this entry reads the records of endpoints. The entries of
-// a failure domain that run for longest read them for the others, so that the
-// choice is stable while others restart.
+// relayRole returns how this entry reads the records of endpoints. The largest VMs
+// of a failure domain read them for the others; of equal ones those that run for
+// longest, so that the choice is stable while others restart.
 func relayRole(view *cells.View) relay.Role {
 	if view == nil || view.Self.Leaving {
 		return relay.Role{}
@@ -38,7 +42,9 @@
 	if len(local) < minRelayingDomain {
 		return relay.Role{}
 	}
-	slices.SortFunc(local, func(a, b cells.Entry) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	slices.SortFunc(local, func(a, b cells.Entry) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
 	readers := local[:readersPerDomain]
 	if slices.ContainsFunc(readers, func(e cells.Entry) bool { return e.Incarnation == view.Self.Incarnation }) {
 		return relay.Role{Relays: true}
@@ -71,7 +77,12 @@
 	if reply.Gap {
 		return nil, 0, &follow.GapError{From: from}
 	}
-	records := lo.Map(reply.Records, func(r *fleetpb.EndpointRecord, _ int) follow.Record { return follow.Record{Key: r.Key, Value: r.Value} })
+	records := recordsFromPB(reply.Records)
+	if from < 0 {
+		if records, err = unpackRecords(reply.List); err != nil {
+			return nil, 0, err
+		}
+	}
 	return records, reply.Next, nil
 }
 
@@ -81,21 +92,68 @@
 	if journal == nil {
 		return nil, twirp.NewError(twirp.Unavailable, "this entry does not follow the endpoints yet: ask another one")
 	}
-	var records []follow.Record
-	var next int64
-	var err error
-	if r.From < 0 {
-		records, next, err = journal.All(time.Now())
-	} else {
-		records, next, err = journal.Since(time.Now(), r.From)
-	}
+	reply, err := endpointRecordsSince(journal, r.From)
 	if _, gap := errors.Into[*follow.GapError](err); gap {
 		return &fleetpb.EndpointRecordsResponse{Gap: true}, nil
 	}
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
-	return &fleetpb.EndpointRecordsResponse{Next: next, Records: lo.Map(records, func(r follow.Record, _ int) *fleetpb.EndpointRecord {
+	return reply, nil
+}
+
+func endpointRecordsSince(journal *relay.Journal, from int64) (*fleetpb.EndpointRecordsResponse, error) {
+	if from < 0 {
+		list, next, err := journal.Packed(time.Now(), packRecords)
+		return &fleetpb.EndpointRecordsResponse{Next: next, List: list}, err
+	}
+	records, next, err := journal.Since(time.Now(), from)
+	return &fleetpb.EndpointRecordsResponse{Next: next, Records: recordsToPB(records)}, err
+}
+
+func recordsToPB(records []follow.Record) []*fleetpb.EndpointRecord {
+	return lo.Map(records, func(r follow.Record, _ int) *fleetpb.EndpointRecord {
 		return &fleetpb.EndpointRecord{Key: r.Key, Value: r.Value}
-	})}, nil
+	})
+}
+
+func recordsFromPB(records []*fleetpb.EndpointRecord) []follow.Record {
+	return lo.Map(records, func(r *fleetpb.EndpointRecord, _ int) follow.Record { return follow.Record{Key: r.Key, Value: r.Value} })
+}
+
+// packRecords compresses records, which are alike: some six bytes become one.
+func packRecords(records []follow.Record) ([]byte, error) {
+	data, err := proto.Marshal(&fleetpb.EndpointRecordList{Records: recordsToPB(records)})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode records of endpoints")
+	}
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	if _, err := w.Write(data); err != nil {
+		return nil, errors.Wrap(err, "compress records of endpoints")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress records of endpoints")
+	}
+	return packed.Bytes(), nil
+}
+
+// maxUnpackedBytes bounds the memory that a list of another entry may take: some
+// 100,000 endpoints.
+const maxUnpackedBytes = 48 << 20
+
+func unpackRecords(packed []byte) ([]follow.Record, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress records of endpoints")
+	}
+	data, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress records of endpoints")
+	}
+	list := &fleetpb.EndpointRecordList{}
+	if err := proto.Unmarshal(data, list); err != nil {
+		return nil, errors.Wrap(err, "decode records of endpoints")
+	}
+	return recordsFromPB(list.Records), nil
 }
--- a/fleet/relay/journal.go
+++ b/fleet/relay/journal.go
@@ -25,8 +25,21 @@
 	first   int64    // changes from this offset on are retained
 	next    int64    // offset up to which the log was read
 	readAt  time.Time
+	packed  *packedList
 }
 
+// packedList is an encoded list of all records. It serves many entries that start
+// at once.
+type packedList struct {
+	data []byte
+	next int64 // offset to continue from
+	at   time.Time
+}
+
+// listReuse is the age up to which a packed list is sent again. The entries that
+// get it ask for the changes since.
+const listReuse = 5 * time.Second
+
 // change is a record that has changed, at or before an offset of the log.
 type change struct {
 	before int64 // the record's offset is lower
@@ -49,7 +62,7 @@
 			j.values[r.Key] = r.Value
 		}
 	}
-	j.changes, j.first, j.next = nil, next, next
+	j.changes, j.packed, j.first, j.next = nil, nil, next, next
 }
 
 // Continues reports whether the copy is complete up to an offset, so that the
@@ -87,7 +100,7 @@
 func (j *Journal) Invalidate() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.valid, j.values, j.changes = false, nil, nil
+	j.valid, j.values, j.changes, j.packed = false, nil, nil, nil
 }
 
 // Since returns the changes since an offset and the offset to continue from.
@@ -116,18 +129,27 @@
 	return records, j.next, nil
 }
 
-// All returns all records and the offset to continue from.
-func (j *Journal) All(now time.Time) ([]follow.Record, int64, error) {
+// Packed returns all records as packed by the function pack, and the offset to
+// continue from.
+func (j *Journal) Packed(now time.Time, pack func([]follow.Record) ([]byte, error)) ([]byte, int64, error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if err := j.usable(now); err != nil {
 		return nil, 0, err
 	}
+	if p := j.packed; p != nil && p.next >= j.first && now.Sub(p.at) < listReuse {
+		return p.data, p.next, nil
+	}
 	records := make([]follow.Record, 0, len(j.values))
 	for key, value := range j.values {
 		records = append(records, follow.Record{Key: key, Value: value})
 	}
-	return records, j.next, nil
+	data, err := pack(records)
+	if err != nil {
+		return nil, 0, err
+	}
+	j.packed = &packedList{data, j.next, now}
+	return data, j.next, nil
 }
 
 func (j *Journal) usable(now time.Time) error {
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -30,7 +31,7 @@
 
 func TestJournalReturnsOnlyChanges(t *testing.T) {
 	j := relay.NewJournal(sameValue)
-	if _, _, err := j.All(start); err == nil {
+	if _, _, err := j.Packed(start, pack); err == nil {
 		t.Error("a journal that was never listed answers")
 	}
 	j.List(start, []follow.Record{record("a", "1/1"), record("b", "1/1")}, 10)
@@ -55,9 +56,28 @@
 	if _, _, err := j.Since(start.Add(time.Minute), 16); err == nil {
 		t.Error("a journal answers though the log was not reached for a minute")
 	}
-	if records, next, err := j.All(start); err != nil || len(records) != 2 || next != 16 {
+	list, next, err := j.Packed(start, pack)
+	if records := unpack(list); err != nil || len(records) != 2 || next != 16 {
 		t.Errorf("all: %v, next %d, %v, want a and b", records, next, err)
 	}
+	j.Append(start, []follow.Record{record("e", "1/1")}, 17)
+	if _, next, err := j.Packed(start.Add(time.Second), pack); err != nil || next != 16 {
+		t.Errorf("a list that was packed a second ago: next %d, %v, want it again", next, err)
+	}
+	j.Append(start.Add(6*time.Second), nil, 18)
+	if _, next, err := j.Packed(start.Add(6*time.Second), pack); err != nil || next != 18 {
+		t.Errorf("a list that was packed 6 s ago: next %d, %v, want a new one", next, err)
+	}
+}
+
+// pack and unpack encode lists as JSON.
+func pack(records []follow.Record) ([]byte, error) { return json.Marshal(records) }
+
+func unpack(data []byte) (records []follow.Record) {
+	if json.Unmarshal(data, &records) != nil {
+		return nil
+	}
+	return records
 }
 
 func isGap(err error) bool {
@@ -158,7 +178,8 @@
 						return nil, 0, errors.New("down")
 					}
 					if from < 0 {
-						return asked.journal.All(time.Now())
+						list, next, err := asked.journal.Packed(time.Now(), pack)
+						return unpack(list), next, err
 					}
 					return asked.journal.Since(time.Now(), from)
 				}
@@ -235,7 +256,8 @@
 	before := log.reads
 	ask := func(_ context.Context, _ relay.Reader, from int64) ([]follow.Record, int64, error) {
 		if from < 0 {
-			return reader.journal.All(time.Now())
+			list, next, err := reader.journal.Packed(time.Now(), pack)
+			return unpack(list), next, err
 		}
 		return reader.journal.Since(time.Now(), from)
 	}
