Move suspension and isolation of tasks to files of their own; suspend each time for the whole wait

What was moved is unchanged but for this: a task that was suspended, cleared and suspended again within 4 s was resumed by the end of its first suspension. The end now belongs to the task. Seen while reading; no test shows it.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -36,7 +36,7 @@
 	lostRuns          []*task // whose earlier runs may be active under another holder
 	runs              map[TaskID]*run
 	freeIndex         *freeIndex
-	suspended         []suspendedTask
+	suspended         []*task
 	loadedAt          time.Time            // when less than half of the usable capacity was last idle
 	adopting          []*job               // delegated tasks whose earlier runs are searched for
 	doneUnclaimed     map[TaskID]time.Time // when a run that no job claimed was listed as done
--- a/dispatch/leased/crash.go
+++ b/dispatch/leased/crash.go
@@ -1,19 +1,10 @@
 package leased
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
-// Times for learning why an endpoint was lost.
-const (
-	// crashWatch is how long an endpoint that was lost with its runs is watched
-	// for another incarnation, which shows that it has crashed.
-	crashWatch = 15 * time.Second
-	// suspension is how long a task under which endpoints were lost waits to learn
-	// whether they have crashed. Most endpoints are back earlier.
-	suspension = 4 * time.Second
-)
+// crashWatch is how long an endpoint that was lost with its runs is watched for
+// another incarnation, which shows that it has crashed.
+const crashWatch = 15 * time.Second
 
 // lostRun is a run whose endpoint did not answer for longer than the lease. The
 // endpoint has crashed, or it was cut off and has ended the run itself.
@@ -24,23 +15,6 @@
 	alone bool   // no other run was on the endpoint
 }
 
-// reportLoss reports the loss of a run of a stored job to the job's owner, which
-// may know of other endpoints that were lost with the task.
-func (c *Core) reportLoss(e *endpoint, lost lostRun, cause LossCause) {
-	if !isStoredRun(lost.run) {
-		return
-	}
-	c.out.Reports = append(c.out.Reports, Report{
-		Endpoint: e.ID, IncarnationStart: e.Born, Task: lost.task, Run: lost.run, End: EndEndpointLost, Loss: Loss{Cause: cause, Alone: lost.alone},
-	})
-}
-
-// suspendedTask is a task that is not started before a time.
-type suspendedTask struct {
-	task  *task
-	until time.Time
-}
-
 // loseRuns ends the runs of an endpoint that has not answered for longer than
 // their lease.
 func (c *Core) loseRuns(e *endpoint) {
@@ -132,55 +106,6 @@
 	return t
 }
 
-// endpointLost decides when a task whose endpoint was lost is started again. If
-// it may have crashed several endpoints, it waits until that is known, unless its
-// caller would not wait so long: more often the endpoints are cut off or hang.
-func (c *Core) endpointLost(t *task) {
-	t.losses++
-	t.lostAt = c.now
-	j := t.job
-	j.failed = true // other jobs go first
-	hasTime := j.Stored || c.now.Add(suspension+c.expectedRunTime(j)).Before(j.expires)
-	if hasTime && t.crashes.MayBeGuilty(t.losses) {
-		c.suspend(t)
-		return
-	}
-	c.enqueue(j)
-}
-
-// suspend lets a task wait until it is known why its endpoints were lost.
-func (c *Core) suspend(t *task) {
-	t.state = suspended
-	c.suspended = append(c.suspended, suspendedTask{t, c.now.Add(suspension)})
-}
-
-// resumeIfCleared starts a suspended task again unless it may have crashed
-// several endpoints.
-func (c *Core) resumeIfCleared(t *task) {
-	if t.state == suspended && !t.crashes.MayBeGuilty(t.losses) {
-		c.resume(t)
-	}
-}
-
-func (c *Core) resume(t *task) {
-	t.state = waitingTask
-	c.enqueue(t.job)
-}
-
-// resumeSuspended starts the tasks again whose suspension is over.
-func (c *Core) resumeSuspended() {
-	c.suspended = slices.DeleteFunc(c.suspended, func(s suspendedTask) bool {
-		if s.task.state != suspended {
-			return true
-		}
-		if c.now.Before(s.until) {
-			return false
-		}
-		c.resume(s.task)
-		return true
-	})
-}
-
 // endWatch ends the watch for another incarnation of a lost endpoint. One that is
 // no longer announced by then is gone.
 func (c *Core) endWatch(e *endpoint) {
@@ -193,7 +118,13 @@
 	e.lostRuns = nil
 }
 
-// suspect reports whether an endpoint was lost, or has crashed, under a task.
-func (t *task) suspect() bool {
-	return t.losses > 0 || t.crashes.Crashes > 0 || t.job.suspect
+// reportLoss reports the loss of a run of a stored job to the job's owner, which
+// may know of other endpoints that were lost with the task.
+func (c *Core) reportLoss(e *endpoint, lost lostRun, cause LossCause) {
+	if !isStoredRun(lost.run) {
+		return
+	}
+	c.out.Reports = append(c.out.Reports, Report{
+		Endpoint: e.ID, IncarnationStart: e.Born, Task: lost.task, Run: lost.run, End: EndEndpointLost, Loss: Loss{Cause: cause, Alone: lost.alone},
+	})
 }
--- a/dispatch/leased/isolate.go
+++ b/dispatch/leased/isolate.go
@@ -6,6 +6,11 @@
 // endpoints are not even half used: all of them run long tasks.
 const isolationWait = 1500 * time.Millisecond
 
+// suspect reports whether an endpoint was lost, or has crashed, under a task.
+func (t *task) suspect() bool {
+	return t.losses > 0 || t.crashes.Crashes > 0 || t.job.suspect
+}
+
 // mayRunBeside reports whether a task may run beside the runs of an endpoint. A
 // suspect runs alone, so that it takes down no other task and a further crash
 // shows whether it is the cause. Under load it waits until an endpoint is idle.
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -17,27 +17,28 @@
 )
 
 type task struct {
-	id            TaskID
-	job           *job
-	step          *Step
-	state         taskState
-	run           *run          // of a placed task
-	failures      int           // number of failed runs
-	crashes       blame.Record  // of endpoints that ran the task
-	losses        int           // endpoints that were lost with the task, and may have crashed
-	lostAt        time.Time     // when the last of them was lost
-	runs          int           // number of the newest run
-	moves         int           // runs stopped because of too little progress
-	took          time.Duration // run time of the run that completed the task
-	checkpoint    string
-	avoid         EndpointID   // endpoint where the last run failed or was too slow
-	failedOn      []EndpointID // endpoints where runs failed
-	notBefore     time.Time    // an earlier run may be active until then
-	lostCell      string       // cell whose new holder may have an earlier run
-	delegate      uint64       // holder that runs a delegated task
-	delegatedCell string       // cell of a delegated task
-	searching     bool         // delegated to find an earlier run, not to start one
-	delegatedAt   time.Time
+	id             TaskID
+	job            *job
+	step           *Step
+	state          taskState
+	run            *run         // of a placed task
+	failures       int          // number of failed runs
+	crashes        blame.Record // of endpoints that ran the task
+	losses         int          // endpoints that were lost with the task, and may have crashed
+	lostAt         time.Time    // when the last of them was lost
+	suspendedUntil time.Time
+	runs           int           // number of the newest run
+	moves          int           // runs stopped because of too little progress
+	took           time.Duration // run time of the run that completed the task
+	checkpoint     string
+	avoid          EndpointID   // endpoint where the last run failed or was too slow
+	failedOn       []EndpointID // endpoints where runs failed
+	notBefore      time.Time    // an earlier run may be active until then
+	lostCell       string       // cell whose new holder may have an earlier run
+	delegate       uint64       // holder that runs a delegated task
+	delegatedCell  string       // cell of a delegated task
+	searching      bool         // delegated to find an earlier run, not to start one
+	delegatedAt    time.Time
 }
 
 type job struct {
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -11,7 +11,7 @@
 const (
 	degradedCost       = 300 * time.Millisecond // for an endpoint that has just failed
 	probationCost      = 200 * time.Millisecond // for an endpoint on probation
-	suspectCost        = 300 * time.Millisecond // for an endpoint that runs a suspect
+	suspectCost        = 300 * time.Millisecond // for an endpoint that runs a suspect (isolate.go)
 	unusedCapacityCost = 20 * time.Millisecond  // times the share of the endpoint left free
 	remoteRackFactor   = 3                      // run time factor on a rack without the data
 )
--- a/dispatch/stored/event.go
+++ b/dispatch/stored/event.go
@@ -27,9 +27,9 @@
 	State      State // in a JobSnapshot
 	Task       leased.TaskID
 	Run        int
-	Done       bool // the run has succeeded; false: it has failed
-	Loss       leased.Loss
-	Checkpoint string // newest checkpoint
+	Done       bool        // the run has succeeded; false: it has failed
+	Loss       leased.Loss // in a TaskLost
+	Checkpoint string      // newest checkpoint
 }
 
 // State is the state of a job as callers see it.
--- a/dispatch/stored/message.go
+++ b/dispatch/stored/message.go
@@ -94,11 +94,13 @@
 
 // Results of a request.
 const (
-	Stored     Result = iota // the job, cancellation or report is stored
-	Refused                  // it is not stored and never will be
-	NoSuchJob                // for Cancel and Report; the caller of Step makes sure that no other owner knows the job
-	OtherOwner               // this entry is not the owner and has done nothing: ask the owner
-	Uncertain                // the owner was replaced during the request: ask the new owner
+	Stored  Result = iota // the job, cancellation or report is stored
+	Refused               // it is not stored and never will be
+	// NoSuchJob answers Cancel and Report. A newer owner may know the job: whoever
+	// drives the shard must make sure that there is none.
+	NoSuchJob
+	OtherOwner // this entry is not the owner and has done nothing: ask the owner
+	Uncertain  // the owner was replaced during the request: ask the new owner
 )
 
 // Reply answers a request.
