A start that was never confirmed does not show a task alone on a crashed endpoint

An executor crashed under it beside another task; its next start went to an executor that a deadly task had just taken down again and was not answered three times. That endpoint's crash counted as one that the task was alone in, which made two.

Such a loss still counts as a crash under the task, because the task may have caused it before it could be confirmed, but not as one that it was alone in. TestStartThatNeverArrivedProvesNothing failed before.

--- a/dispatch/leased/crash.go
+++ b/dispatch/leased/crash.go
@@ -26,9 +26,11 @@
 	}
 }
 
-// loseWithEndpoint ends a run that was lost with its endpoint.
+// loseWithEndpoint ends a run that was lost with its endpoint. A run whose start
+// was never confirmed was not alone for sure: the endpoint may have been down
+// before, under other runs.
 func (c *Core) loseWithEndpoint(e *endpoint, r *run, alone bool) {
-	lost := lostRun{task: r.id, run: r.number, alone: alone}
+	lost := lostRun{task: r.id, run: r.number, alone: alone && !r.confirmed.IsZero()}
 	if r.task != nil {
 		lost.queue = r.task.job.Queue
 	}
--- a/dispatch/leased/crash_test.go
+++ b/dispatch/leased/crash_test.go
@@ -175,3 +175,30 @@
 		}
 	}
 }
+
+// Guards against a harmless task that is given up: an endpoint crashed beside
+// another task, and the next one was down already when its start was sent, so that
+// it seemed to have crashed under that task alone.
+func TestStartThatNeverArrivedProvesNothing(t *testing.T) {
+	for _, returnsAs := range []returnAs{sameID, newID} {
+		sim := newSimulation(t, 1, 1)
+		sim.returnsAs = returnsAs
+		sim.downTime = 2500 * time.Millisecond
+		sim.addEndpoints(0, 2)
+		sim.runUntil(100 * time.Millisecond)
+		sim.submitJob(0, storedJob("j", 2, 400*time.Millisecond), 400*time.Millisecond)
+		sim.runUntil(200 * time.Millisecond)
+		used, idle := leased.EndpointID("e00"), leased.EndpointID("e01")
+		if len(sim.endpoints[used].Running()) == 0 {
+			used, idle = idle, used
+		}
+		sim.crashEndpoint(used)
+		sim.runUntil(time.Second)
+		sim.crashEndpoint(idle) // an idle endpoint is not polled, so nobody notices
+		sim.runUntil(20 * time.Second)
+		if a, answered := sim.answers["j"]; !answered || a.Verdict != leased.Completed {
+			t.Errorf("answered %t: %+v, want completed", answered, a)
+		}
+		sim.wantNoDoubleRuns()
+	}
+}
