A repeated start that is fenced off does not prove that the first copy failed

One entry started a task at 44.761 s and again elsewhere at 44.797 s, 36 ms later, just after all entries had lost power, while endpoints changed hands.

Cause: a start without a reply is repeated after 30 ms or more. If another holder has taken the endpoint over by then, the repetition is refused because of its token, and the core took that as proof that nothing had started. It knew better of all other refusals (refused()), not of this one. The fault is as old as repeated starts.

Such a run is now lost to the other holder like all others on the endpoint: its task waits until its lease has expired, or until that holder knows how it ended. TestFencedRetryDoesNotProveStartFailed failed before.

--- a/dispatch/leased/holders_test.go
+++ b/dispatch/leased/holders_test.go
@@ -246,3 +246,48 @@
 		}
 	}
 }
+
+// Guards against a task that runs twice: the reply to its start was late, another
+// holder took the endpoint over, and the repeated start was refused because of the
+// token. The first copy may have been executed.
+func TestFencedRetryDoesNotProveStartFailed(t *testing.T) {
+	now := simStart
+	token := int64(0)
+	core := leased.New(leased.Options{
+		MaxLease:  maxLease,
+		NextToken: func(floor int64) int64 { token = max(token, floor) + 1; return token },
+		Yields:    func(string) bool { return false },
+	})
+	step := func(in leased.Input) *leased.Actions { return core.Step(now, in) }
+	capacity := leased.Demand{MilliCores: 64_000, MemoryMiB: 128_000}
+	list := []leased.Endpoint{{ID: "e0", Service: "s", Cell: "c", Capacity: capacity}, {ID: "e1", Service: "s", Cell: "c", Capacity: capacity}}
+	holds := append([]leased.Hold(nil), step(&leased.SetEndpoints{Endpoints: list}).Holds...)
+	for _, h := range holds {
+		step(&leased.HoldReply{Endpoint: h.Endpoint, Sequence: h.Sequence, Clock: time.Second, IncarnationStart: 1})
+	}
+	job := singleTaskJob("j")
+	job.CallerTimeout = 10 * time.Second
+	starts := append([]leased.Start(nil), step(&leased.Submit{Ticket: 1, Job: job}).Starts...)
+	if len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+	first := starts[0]
+	now = now.Add(30 * time.Millisecond)
+	again := append([]leased.Start(nil), step(&leased.StartReply{Endpoint: first.Endpoint, Task: first.Task, Run: first.Run, Result: leased.StartUnanswered}).Starts...)
+	if len(again) != 1 || again[0].Endpoint != first.Endpoint || again[0].Run != first.Run {
+		t.Fatalf("starts %+v, want the same one again", again)
+	}
+	now = now.Add(5 * time.Millisecond)
+	after := step(&leased.StartReply{Endpoint: first.Endpoint, Task: first.Task, Run: first.Run, Result: leased.StartFenced})
+	if len(after.Starts) != 0 {
+		t.Errorf("started again at once: %+v, though the first copy may run", after.Starts)
+	}
+	now = now.Add(maxLease)
+	if more := step(&leased.Tick{}); len(more.Starts) != 0 {
+		t.Errorf("started again before its lease has expired: %+v", more.Starts)
+	}
+	now = now.Add(500 * time.Millisecond)
+	if more := step(&leased.Tick{}); len(more.Starts) != 1 {
+		t.Errorf("%d starts after its lease has expired, want 1", len(more.Starts))
+	}
+}
--- a/dispatch/leased/starts.go
+++ b/dispatch/leased/starts.go
@@ -41,7 +41,9 @@
 		e.pausedUntil = c.now.Add(noCapacityPause)
 		c.endRun(e, r, EndNoCapacity, "")
 	case StartFenced:
-		c.endRun(e, r, EndNotRun, "")
+		if r.tries == 1 { // otherwise an earlier copy may have been executed
+			c.endRun(e, r, EndNotRun, "")
+		}
 		c.fenced(e)
 	case StartUnhealthy:
 		before := e.record.Health()
