Start suspects of an overloaded holder at others that have room

Cause: their holder was overloaded, so that none of its endpoints became idle, and of the others' announced ones only those as large as its own largest counted as idle (sizes differ by half). Now a free capacity counts as idle if it is the whole capacity of any endpoint held here, and a suspect that has waited 1.5 s may run beside others at a holder that has room for it twice over.

TestSuspectOfOverloadedHolderStartsElsewhere failed before.

--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -83,7 +83,7 @@
 	}
 	cell, i := c.bestAnnounced(t.step.Demand.MilliCores)
 	if t.suspect() {
-		cell, i = c.idleAnnounced(t)
+		cell, i = c.announcedForSuspect(t)
 	}
 	if cell == nil && c.HoldsNoCell() {
 		if cell = c.cellWithMostFree(); cell != nil {
@@ -183,7 +183,7 @@
 	c.markBegun(t.job)
 	c.out.Delegations = append(c.out.Delegations, Delegate{Holder: cell.Holder, Cell: cell.Cell, Task: DelegatedTask{
 		ID: t.id, Service: t.job.Service, Queue: t.job.Queue, Spec: t.job.Spec, Step: step,
-		Run: t.runs, Checkpoint: t.checkpoint, CallerTimeout: t.job.expires.Sub(c.now), Cell: cell.Cell, Adopt: adopt, Wait: c.HoldsNoCell() && !adopt, Suspect: t.suspect(),
+		Run: t.runs, Checkpoint: t.checkpoint, CallerTimeout: t.job.expires.Sub(c.now), Cell: cell.Cell, Adopt: adopt, Wait: c.HoldsNoCell() && !adopt, Suspect: t.suspect() && !c.sharesElsewhere(t),
 	}})
 }
 
--- a/dispatch/leased/isolate.go
+++ b/dispatch/leased/isolate.go
@@ -35,24 +35,42 @@
 	}
 }
 
-// idleAnnounced returns the most free endpoint that another holder has announced
-// if it is as large as an idle one here, or nil.
-func (c *Core) idleAnnounced(t *task) (*announcement, int) {
-	largest := t.step.Demand.MilliCores
-	for _, e := range c.endpointList {
-		if e.Service == t.job.Service {
-			largest = max(largest, e.Capacity.MilliCores)
-		}
-	}
+// announcedForSuspect returns an endpoint that another holder has announced for a
+// suspect: one that looks idle or, once the suspect has waited, one with room for
+// it twice over. It returns nil if there is none.
+func (c *Core) announcedForSuspect(t *task) (*announcement, int) {
+	demand := t.step.Demand.MilliCores
+	mayShare := c.sharesElsewhere(t)
 	var best *announcement
 	at := -1
 	for n := range c.announced {
 		cell := &c.announced[n]
 		for i, free := range cell.Free {
-			if free >= largest && (best == nil || free > best.Free[at]) {
+			suits := free >= demand && c.isCapacity(t, free) || mayShare && free >= 2*demand
+			if suits && (best == nil || free > best.Free[at]) {
 				best, at = cell, i
 			}
 		}
 	}
 	return best, at
 }
+
+// sharesElsewhere reports whether a suspect has waited so long for an idle
+// endpoint that it may run beside others at another holder, which has more room.
+func (c *Core) sharesElsewhere(t *task) bool {
+	return t.suspect() && c.now.Sub(t.lostAt) > isolationWait
+}
+
+// isCapacity reports whether a free capacity is the whole capacity of an endpoint,
+// as far as those held here tell.
+func (c *Core) isCapacity(t *task, milliCores int) bool {
+	if c.HoldsNoCell() {
+		return true
+	}
+	for _, e := range c.endpointList {
+		if e.Service == t.job.Service && e.Capacity.MilliCores == milliCores {
+			return true
+		}
+	}
+	return false
+}
--- a/dispatch/leased/isolate_test.go
+++ b/dispatch/leased/isolate_test.go
@@ -72,3 +72,49 @@
 		t.Errorf("the task started again after %v, want at most 3 s", took)
 	}
 }
+
+// Guards against a task that never starts again after its endpoint has crashed,
+// because its holder is overloaded while other holders have room.
+func TestSuspectOfOverloadedHolderStartsElsewhere(t *testing.T) {
+	for _, milliCores := range []int{64_000, 50_000} { // the other holder's endpoints may be of another size
+		sim := newSimulation(t, 1, 2)
+		sim.addEndpoints(0, 3)
+		sim.addEndpoints(1, 3)
+		sim.shareFreeCapacity()
+		sim.runUntil(100 * time.Millisecond)
+		for _, id := range []leased.EndpointID{"e03", "e04", "e05"} {
+			sim.setCapacity(id, milliCores)
+		}
+		for i := range 3 { // long tasks, so that no endpoint of the other holder is idle
+			job := storedJob(leased.JobID(fmt.Sprintf("long%d", i)), 1, time.Hour)
+			job.Steps[0].Demand.MilliCores = 2_000
+			job.Steps[0].MaxPerEndpoint = 1
+			sim.submitJob(1, job, time.Hour)
+			sim.runUntil(sim.now + 20*time.Millisecond)
+		}
+		job := storedJob("j", 1, 20*time.Second)
+		job.Steps[0].Demand.MilliCores = 20_000
+		sim.submitJob(0, job, 20*time.Second)
+		for i := range 3 { // the rest of the overloaded holder is full of long tasks
+			job := storedJob(leased.JobID(fmt.Sprintf("full%d", i)), 1, time.Hour)
+			job.Steps[0].Demand.MilliCores = 36_000
+			sim.submitJob(0, job, time.Hour)
+		}
+		sim.runUntil(sim.now + 300*time.Millisecond)
+		crashedAt := sim.now
+		for id, e := range sim.endpoints {
+			for _, r := range e.Running() {
+				if r.Task.Job == "j" {
+					sim.downTime = time.Hour
+					sim.crashEndpoint(id)
+				}
+			}
+		}
+		for sim.startCounts[leased.TaskID{Job: "j"}] < 2 && sim.now < crashedAt+10*time.Second {
+			sim.runUntil(sim.now + 20*time.Millisecond)
+		}
+		if took := sim.now - crashedAt; took > 3*time.Second {
+			t.Errorf("capacity %d: the task started again after %v, want at most 3 s", milliCores, took)
+		}
+	}
+}
