Mend what a newcomer stumbles on in this change

Cause, seen while reading the whole change again: a function with a mutex and a map as parameters kept counts of pending jobs; replies that wait for a confirmation were called held, which here means leased endpoints; crashed was a verb and a state; some comments were colloquial; two test files held their harness as well.

No decision, no check and no bound has changed.

--- a/dispatch/leased/crash.go
+++ b/dispatch/leased/crash.go
@@ -37,7 +37,7 @@
 	restarted := r.restarted
 	c.endRun(e, r, EndEndpointLost, "")
 	if restarted {
-		c.crashed(e, lost)
+		c.recordCrash(e, lost)
 		return
 	}
 	e.lostRuns = append(e.lostRuns, lost)
@@ -48,7 +48,7 @@
 // with it. An endpoint that has announced its end ends its runs without a crash.
 func (c *Core) endpointCrashed(e *endpoint) {
 	for _, lost := range e.lostRuns {
-		c.crashed(e, lost)
+		c.recordCrash(e, lost)
 	}
 	e.lostRuns = nil
 	for _, r := range e.runs {
@@ -56,9 +56,9 @@
 	}
 }
 
-// crashed records that an endpoint has crashed under a run, and gives the task up
+// recordCrash records that an endpoint has crashed under a run, and gives the task up
 // if it is the cause.
-func (c *Core) crashed(e *endpoint, lost lostRun) {
+func (c *Core) recordCrash(e *endpoint, lost lostRun) {
 	if e.Leaving {
 		c.clearLoss(e, lost)
 		return
--- a/dispatch/leased/crash_test.go
+++ b/dispatch/leased/crash_test.go
@@ -194,7 +194,7 @@
 		}
 		sim.crashEndpoint(used)
 		sim.runUntil(time.Second)
-		sim.crashEndpoint(idle) // an idle endpoint is not polled, so nobody notices
+		sim.crashEndpoint(idle) // an idle endpoint is not polled: its loss is not detected
 		sim.runUntil(20 * time.Second)
 		if a, answered := sim.answers["j"]; !answered || a.Verdict != leased.Completed {
 			t.Errorf("answered %t: %+v, want completed", answered, a)
--- a/dispatch/leased/isolate_test.go
+++ b/dispatch/leased/isolate_test.go
@@ -9,8 +9,8 @@
 )
 
 // Guards against a deadly task that takes down harmless tasks with each endpoint
-// that it crashes: under load only its first crash may, because then nobody
-// suspects it.
+// that it crashes: under load only its first crash may, because the task is not a
+// suspect before.
 func TestSuspectCrashesEndpointsAlone(t *testing.T) {
 	later, beside := 0, 0
 	for seed := range uint64(10) {
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -54,7 +54,7 @@
 	tasks       [][]task  // by step
 	remaining   []int     // tasks of each step that are not done
 	begun       bool      // a run was started
-	failed      bool      // a run has failed
+	failed      bool      // a run has failed, or was lost with its endpoint
 	delegated   bool      // one task of another holder's job
 	suspect     bool      // of a delegated task: an endpoint was lost with it before
 	cell        string    // of a delegated task: the only cell where it may run, so that its run can be found again
--- a/dispatch/leased/leasedtest/endpoint.go
+++ b/dispatch/leased/leasedtest/endpoint.go
@@ -31,8 +31,8 @@
 	Demand leased.Demand
 	Time   time.Duration // on an endpoint of speed 1
 	Fails  bool
-	// Crashes reports that the task crashes the endpoint. Whoever drives the
-	// endpoint has to carry that out.
+	// Crashes marks a task that crashes the endpoint. The caller of Start performs
+	// the crash, because the endpoint has no timer.
 	Crashes bool
 }
 
--- a/dispatch/leased/queue.go
+++ b/dispatch/leased/queue.go
@@ -11,8 +11,8 @@
 
 const (
 	// begunClass contains jobs of which a task was started: the capacity that
-	// they use is wasted until their last task is started. Jobs with a failed
-	// run that can no longer be answered in time belong to lateClass instead,
+	// they use is wasted until their last task is started. Jobs with a failed or
+	// lost run that can no longer be answered in time belong to lateClass instead,
 	// because they may never succeed.
 	begunClass class = iota
 	// freshClass contains jobs that can still be answered in time.
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -70,12 +70,6 @@
 	job  leased.Job
 }
 
-type pendingPoll struct {
-	core     int
-	sequence uint64
-	until    time.Duration
-}
-
 type event struct {
 	at       time.Duration
 	sequence int
@@ -85,11 +79,15 @@
 type eventQueue []event
 
 func (e eventQueue) Len() int { return len(e) }
+
 func (e eventQueue) Less(i, j int) bool {
 	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
 }
+
 func (e eventQueue) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *eventQueue) Push(x any)   { *e = append(*e, x.(event)) }
+
+func (e *eventQueue) Push(x any) { *e = append(*e, x.(event)) }
+
 func (e *eventQueue) Pop() any {
 	old := *e
 	x := old[len(old)-1]
@@ -248,185 +246,6 @@
 	}
 }
 
-// delegation is a task that one core runs for another.
-type delegation struct {
-	from, to int
-	run      int
-	ticket   leased.Ticket
-}
-
-func (sim *simulation) delegate(core int, delegated leased.Delegate) {
-	to := int(delegated.Holder) - 1
-	sim.lastTicket++
-	sim.delegatedRuns[delegated.Task.ID]++
-	sim.delegations[delegated.Task.ID] = delegation{core, to, delegated.Task.Run, sim.lastTicket}
-	if sim.crashed[to] {
-		sim.after(networkDelay, func() { sim.endDelegation(core, delegated.Task.ID, leased.EndNoCapacity, false) })
-		return
-	}
-	ticket := sim.lastTicket
-	sim.after(2*networkDelay, func() { sim.step(to, &leased.SubmitDelegated{Ticket: ticket, Task: delegated.Task}) })
-}
-
-// endDelegation ends the delegation of a task by core. If cancel is set, it
-// cancels the task at the delegate; otherwise it gives the result to core.
-func (sim *simulation) endDelegation(core int, task leased.TaskID, end leased.End, cancel bool) {
-	d, ok := sim.delegations[task]
-	if !ok || d.from != core {
-		return
-	}
-	delete(sim.delegations, task)
-	if cancel {
-		sim.after(2*networkDelay+sim.cancelDelay, func() { sim.step(d.to, &leased.Cancel{Ticket: d.ticket}) })
-		return
-	}
-	sim.step(core, &leased.DelegateReply{Task: task, Run: d.run, End: end})
-}
-
-func (sim *simulation) answerDelegation(a leased.DelegatedAnswer) {
-	d, ok := sim.delegations[a.Task]
-	if !ok || d.ticket != a.Ticket {
-		return
-	}
-	delete(sim.delegations, a.Task)
-	sim.after(2*networkDelay, func() { sim.step(d.from, &leased.DelegateReply{Task: a.Task, Run: d.run, End: a.End}) })
-}
-
-// shareFreeCapacity makes the cores announce their free capacity to each other.
-func (sim *simulation) shareFreeCapacity() {
-	sim.every(leased.TickInterval, func() {
-		for i := range sim.cores {
-			var free []leased.FreeCapacity
-			for other, core := range sim.cores {
-				if other == i || sim.crashed[other] || sim.isolated[i] != sim.isolated[other] {
-					continue
-				}
-				for _, cell := range sim.cellsOf(other) {
-					free = append(free, leased.FreeCapacity{Holder: uint64(other + 1), Cell: cell, Free: core.FreeCapacity(cell, 1000)})
-				}
-			}
-			sim.step(i, &leased.AnnounceFreeCapacity{Announced: free})
-		}
-	})
-}
-
-func (sim *simulation) cellsOf(core int) []string {
-	seen := make(map[string]bool)
-	var list []string
-	for _, spec := range sim.specs {
-		if sim.holderOf[spec.ID] == core && !seen[spec.Cell] {
-			seen[spec.Cell] = true
-			list = append(list, spec.Cell)
-		}
-	}
-	return list
-}
-
-// crash stops a core. Its endpoints are announced to newHolder after
-// takeoverDelay.
-func (sim *simulation) crash(core, newHolder int, takeoverDelay time.Duration) {
-	sim.crashed[core] = true
-	for task, d := range sim.delegations {
-		if d.to == core {
-			sim.after(networkDelay, func() { sim.endDelegation(d.from, task, leased.EndUnknown, false) })
-		}
-		if d.from == core {
-			sim.after(networkDelay, func() { sim.step(d.to, &leased.Cancel{Ticket: d.ticket}) })
-		}
-	}
-	sim.after(takeoverDelay, func() {
-		for id, holder := range sim.holderOf {
-			if holder == core {
-				sim.holderOf[id] = newHolder
-			}
-		}
-		sim.announce()
-	})
-}
-
-// Timeouts of calls to endpoints.
-const (
-	callTimeout  = 120 * time.Millisecond
-	startTimeout = 30 * time.Millisecond // of the first attempt
-)
-
-// request delivers a request to an endpoint and the reply to the core. A lost
-// request is executed seconds later and not answered: the core gets noReply
-// after the timeout.
-func (sim *simulation) request(core int, id leased.EndpointID, handle func(*leasedtest.Endpoint) leased.Input, noReply leased.Input, timeout time.Duration) {
-	if sim.unreachable[id] {
-		sim.after(timeout, func() { sim.step(core, noReply) })
-		return
-	}
-	if sim.replaced[id] {
-		sim.after(2*networkDelay, func() { sim.step(core, otherIncarnation(noReply)) })
-		return
-	}
-	if sim.rng.Float64() < sim.lossRate {
-		late := 2*time.Second + time.Duration(sim.rng.Int64N(int64(10*time.Second)))
-		sim.after(late, func() { handle(sim.endpoints[id]); sim.advanceEndpoint(id) })
-		sim.after(timeout, func() { sim.step(core, noReply) })
-		return
-	}
-	sim.after(networkDelay, func() {
-		reply := handle(sim.endpoints[id])
-		sim.advanceEndpoint(id)
-		sim.after(networkDelay, func() { sim.step(core, reply) })
-	})
-}
-
-func (sim *simulation) poll(core int, h leased.Hold) {
-	noReply := &leased.HoldReply{Endpoint: h.Endpoint, Sequence: h.Sequence, Result: leased.HoldUnanswered}
-	if sim.unreachable[h.Endpoint] || sim.rng.Float64() < sim.lossRate {
-		sim.after(h.Wait+callTimeout, func() { sim.step(core, noReply) })
-		return
-	}
-	if sim.replaced[h.Endpoint] {
-		sim.after(2*networkDelay, func() { sim.step(core, otherIncarnation(noReply)) })
-		return
-	}
-	sim.after(networkDelay, func() {
-		e := sim.endpoints[h.Endpoint]
-		e.Advance(sim.now)
-		reply := e.Hold(sim.now, &h)
-		sim.advanceEndpoint(h.Endpoint)
-		if reply.Result != leased.HoldAnswered || e.HasUnacknowledged() || h.Wait == 0 {
-			sim.after(networkDelay, func() { sim.step(core, &reply) })
-			return
-		}
-		p := pendingPoll{core, h.Sequence, sim.now + h.Wait}
-		sim.pendingPolls[h.Endpoint] = append(sim.pendingPolls[h.Endpoint], p)
-		sim.at(p.until, func() { sim.advanceEndpoint(h.Endpoint) })
-	})
-}
-
-// advanceEndpoint advances an endpoint to the current time and answers the polls
-// that are due.
-func (sim *simulation) advanceEndpoint(id leased.EndpointID) {
-	e := sim.endpoints[id]
-	e.Advance(sim.now)
-	sim.checkDoubleRuns()
-	pending := sim.pendingPolls[id]
-	sim.pendingPolls[id] = nil
-	for _, p := range pending {
-		if !e.HasUnacknowledged() && sim.now < p.until {
-			sim.pendingPolls[id] = append(sim.pendingPolls[id], p)
-			continue
-		}
-		reply := e.List(sim.now, p.sequence)
-		if sim.unreachable[id] {
-			noReply := &leased.HoldReply{Endpoint: id, Sequence: p.sequence, Result: leased.HoldUnanswered}
-			sim.after(callTimeout, func() { sim.step(p.core, noReply) })
-			continue
-		}
-		sim.after(networkDelay, func() { sim.step(p.core, &reply) })
-	}
-	if next := e.NextEvent(); next != leasedtest.Never && sim.wakeups[id] != next {
-		sim.wakeups[id] = next
-		sim.at(max(next, sim.now), func() { sim.advanceEndpoint(id) })
-	}
-}
-
 // checkDoubleRuns records tasks that have two concurrent runs.
 func (sim *simulation) checkDoubleRuns() {
 	if sim.skipDoubleRunCheck {
--- a/dispatch/leased/suspend.go
+++ b/dispatch/leased/suspend.go
@@ -16,7 +16,7 @@
 	t.losses++
 	t.lostAt = c.now
 	j := t.job
-	j.failed = true // other jobs go first
+	j.failed = true
 	hasTime := j.Stored || c.now.Add(suspension+c.expectedRunTime(j)).Before(j.expires)
 	if hasTime && t.crashes.MayBeGuilty(t.losses) {
 		c.suspend(t)
--- a/dispatch/stored/message.go
+++ b/dispatch/stored/message.go
@@ -96,8 +96,8 @@
 const (
 	Stored  Result = iota // the job, cancellation or report is stored
 	Refused               // it is not stored and never will be
-	// NoSuchJob answers Cancel and Report. A newer owner may know the job: whoever
-	// drives the shard must make sure that there is none.
+	// NoSuchJob answers Cancel and Report. It is valid only if the shard has no
+	// newer owner, which the caller of Step must check.
 	NoSuchJob
 	OtherOwner // this entry is not the owner and has done nothing: ask the owner
 	Uncertain  // the owner was replaced during the request: ask the new owner
--- a/fleet/keep/lease.go
+++ b/fleet/keep/lease.go
@@ -37,8 +37,8 @@
 	suspended   bool      // offers are withdrawn until the next reply
 }
 
-// heldReply is the reply to a request that waits for a confirmation.
-type heldReply struct {
+// unconfirmedReply is the reply to a request that waits for a confirmation.
+type unconfirmedReply struct {
 	to     chan stored.Result
 	result stored.Result
 	since  time.Time
@@ -53,7 +53,7 @@
 // checkLease requests a confirmation if one is due. It withdraws the offers if
 // there was none for too long: another owner may have offered the same jobs.
 func (s *ownedShard) checkLease() {
-	waiting := len(s.pendingQueries) + len(s.heldReplies)
+	waiting := len(s.pendingQueries) + len(s.unconfirmedReplies)
 	if len(s.offers)+waiting == 0 {
 		return
 	}
@@ -108,7 +108,7 @@
 		s.lease.confirmedAt = c.sentAt
 	}
 	s.resumeOffers()
-	s.sendHeldReplies(c.sentAt)
+	s.sendUnconfirmedReplies(c.sentAt)
 	for _, req := range s.pendingQueries {
 		req.query(s.shard)
 		req.reply <- stored.Stored
@@ -116,17 +116,17 @@
 	s.pendingQueries = nil
 }
 
-// sendHeldReplies sends the replies to requests that arrived before the ownership
+// sendUnconfirmedReplies sends the replies to requests that arrived before the ownership
 // was confirmed.
-func (s *ownedShard) sendHeldReplies(confirmedAt time.Time) {
-	s.heldReplies = slices.DeleteFunc(s.heldReplies, func(held heldReply) bool {
-		if confirmedAt.Before(held.since) {
+func (s *ownedShard) sendUnconfirmedReplies(confirmedAt time.Time) {
+	s.unconfirmedReplies = slices.DeleteFunc(s.unconfirmedReplies, func(r unconfirmedReply) bool {
+		if confirmedAt.Before(r.since) {
 			return false
 		}
-		held.to <- held.result
+		r.to <- r.result
 		return true
 	})
-	if len(s.heldReplies) > 0 {
+	if len(s.unconfirmedReplies) > 0 {
 		s.requestConfirmation()
 	}
 }
--- a/fleet/keep/serve.go
+++ b/fleet/keep/serve.go
@@ -23,18 +23,18 @@
 // uses it, except for appendBatch.
 type ownedShard struct {
 	*Runner
-	ctx            context.Context
-	shard          *stored.Shard
-	epoch          int64
-	events         chan any // confirmation, stored.Input, or an error that ends the ownership
-	ticket         stored.Ticket
-	replies        map[stored.Ticket]chan stored.Result
-	offers         map[leased.JobID]activeOffer
-	lease          lease
-	pendingQueries []request   // they wait until the ownership is confirmed
-	heldReplies    []heldReply // they wait until the ownership is confirmed
-	sequence       int64       // of the last append that is on the log
-	nextAppend     time.Time   // earliest time of the next append
+	ctx                context.Context
+	shard              *stored.Shard
+	epoch              int64
+	events             chan any // confirmation, stored.Input, or an error that ends the ownership
+	ticket             stored.Ticket
+	replies            map[stored.Ticket]chan stored.Result
+	offers             map[leased.JobID]activeOffer
+	lease              lease
+	pendingQueries     []request          // they wait until the ownership is confirmed
+	unconfirmedReplies []unconfirmedReply // they wait until the ownership is confirmed
+	sequence           int64              // of the last append that is on the log
+	nextAppend         time.Time          // earliest time of the next append
 }
 
 // activeOffer is an offer that has not ended.
@@ -102,8 +102,8 @@
 	for _, req := range s.pendingQueries {
 		req.reply <- stored.OtherOwner
 	}
-	for _, held := range s.heldReplies {
-		held.to <- stored.OtherOwner
+	for _, r := range s.unconfirmedReplies {
+		r.to <- stored.OtherOwner
 	}
 }
 
@@ -164,7 +164,7 @@
 		to <- result
 		return
 	}
-	s.heldReplies = append(s.heldReplies, heldReply{to, result, time.Now()})
+	s.unconfirmedReplies = append(s.unconfirmedReplies, unconfirmedReply{to, result, time.Now()})
 	s.requestConfirmation()
 }
 
--- a/fleet/pendingjobs.go
+++ b/fleet/pendingjobs.go
@@ -32,28 +32,37 @@
 	at   time.Time
 }
 
-// pendingCounter remembers what shards and owners have counted, because one that
-// does not answer for a moment still has its jobs. It is safe for concurrent use.
+// pendingCounter remembers the latest counts. It is safe for concurrent use.
 type pendingCounter struct {
-	mu       sync.Mutex
-	total    pendingCount
-	byShard  map[int]pendingCount
-	byOwners map[cells.Incarnation]pendingCount
+	mu      sync.Mutex
+	total   pendingCount
+	byShard latestCounts[int]
+	byOwner latestCounts[cells.Incarnation]
 }
 
-// remember stores the count of a source if it has answered, and returns the count
-// to be used for it.
-func remember[K comparable](mu *sync.Mutex, counts *map[K]pendingCount, key K, jobs map[string]int, answered bool, now time.Time) map[string]int {
-	mu.Lock()
-	defer mu.Unlock()
-	if answered {
-		if *counts == nil {
-			*counts = make(map[K]pendingCount)
-		}
-		(*counts)[key] = pendingCount{jobs, now}
-		return jobs
+// latestCounts holds the latest count of each shard or owner, because one that
+// does not answer for a moment still has its jobs. It is safe for concurrent use.
+type latestCounts[K comparable] struct {
+	mu     sync.Mutex
+	counts map[K]pendingCount
+}
+
+// answered stores the count of a source.
+func (l *latestCounts[K]) answered(key K, jobs map[string]int, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.counts == nil {
+		l.counts = make(map[K]pendingCount)
 	}
-	last, known := (*counts)[key]
+	l.counts[key] = pendingCount{jobs, now}
+}
+
+// latest returns the count of a source that has not answered: the one before, or
+// nil if that is older than maxPendingReuse.
+func (l *latestCounts[K]) latest(key K, now time.Time) map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last, known := l.counts[key]
 	if !known || now.Sub(last.at) > maxPendingReuse {
 		return nil
 	}
@@ -111,12 +120,14 @@
 	reply, err := sj.peers.client(owner.Address).PendingKept(ctx, &fleetpb.PendingRequest{})
 	if err != nil {
 		sj.log.Warn("pending_unknown", zap.String("owner", owner.Name), zap.Error(err))
+		return sj.pending.byOwner.latest(owner.Incarnation, time.Now())
 	}
 	jobs := make(map[string]int, len(reply.GetJobs()))
 	for queue, n := range reply.GetJobs() {
 		jobs[queue] = int(n)
 	}
-	return remember(&sj.pending.mu, &sj.pending.byOwners, owner.Incarnation, jobs, err == nil, time.Now())
+	sj.pending.byOwner.answered(owner.Incarnation, jobs, time.Now())
+	return jobs
 }
 
 // countPendingLocally counts the pending jobs of the shards that this entry
@@ -142,7 +153,11 @@
 // countPendingOf asks a shard of this entry for its count.
 func (sj *storedJobs) countPendingOf(ctx context.Context, shard int, r *keep.Runner) map[string]int {
 	jobs, result := r.Pending(ctx)
-	return remember(&sj.pending.mu, &sj.pending.byShard, shard, jobs, result == stored.Stored, time.Now())
+	if result != stored.Stored {
+		return sj.pending.byShard.latest(shard, time.Now())
+	}
+	sj.pending.byShard.answered(shard, jobs, time.Now())
+	return jobs
 }
 
 func addCounts(sum, counts map[string]int) {
--- a/fleet/pendingjobs_test.go
+++ b/fleet/pendingjobs_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"sync"
 	"testing"
 	"time"
 )
@@ -9,11 +8,14 @@
 // Guards against a count that leaves out the jobs of an owner that does not answer
 // for a moment, because the store turns it away.
 func TestCountOfPendingJobsOutlivesASilentOwner(t *testing.T) {
-	var mu sync.Mutex
-	var counts map[string]pendingCount
-	now := time.Unix(1_800_000_000, 0)
+	var counts latestCounts[string]
+	start := time.Unix(1_800_000_000, 0)
 	ask := func(after time.Duration, jobs int, answered bool) int {
-		return remember(&mu, &counts, "owner", map[string]int{"q": jobs}, answered, now.Add(after))["q"]
+		now := start.Add(after)
+		if answered {
+			counts.answered("owner", map[string]int{"q": jobs}, now)
+		}
+		return counts.latest("owner", now)["q"]
 	}
 	if n := ask(0, 0, false); n != 0 {
 		t.Errorf("an owner that never answered counts %d jobs", n)
