Show two runs of one task after its job is submitted again

submitJob of the tests' simulation returned the ticket of a delegation if the submission caused one; it returns that of the job now.

--- /dev/null
+++ b/dispatch/leased/restart_test.go
@@ -0,0 +1,67 @@
+package leased_test
+
+import (
+	"testing"
+	"time"
+
+	"lovagespread.example/dispatch/leased"
+)
+
+// resubmitted returns a job as its caller's entry submits it again after the loss of
+// a holder.
+func resubmitted(job leased.Job) leased.Job {
+	job.Resubmitted = true
+	return job
+}
+
+// Guards against a task that runs twice after connections were reset: its delegate's
+// answer was lost, then its job was cancelled and submitted again to the same holder.
+// The run at the delegate may be active although the job was cancelled here.
+func TestLostDelegationOutlivesCancelledJob(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.addEndpoints(0, 1)
+	sim.addEndpoints(1, 2)
+	sim.shareFreeCapacity()
+	sim.runUntil(200 * time.Millisecond)
+	other := singleTaskJob("other")
+	other.Steps[0].Demand.MilliCores = 60_000 // the holder has no other capacity of its own
+	sim.submitJob(0, other, 700*time.Millisecond)
+	job := singleTaskJob("j")
+	ticket := sim.submitJob(0, job, 2*time.Second)
+	sim.runUntil(300 * time.Millisecond)
+	task := leased.TaskID{Job: "j"}
+	delegated, ok := sim.delegations[task]
+	if !ok {
+		t.Fatal("the task was not delegated")
+	}
+	sim.isolated[1] = true // announces nothing, so that it cannot be asked for the run
+	sim.runUntil(time.Second)
+	sim.endDelegation(0, task, leased.EndUnknown, false)
+	sim.step(0, &leased.Cancel{Ticket: ticket})
+	sim.after(40*time.Millisecond, func() { sim.step(1, &leased.Cancel{Ticket: delegated.ticket}) })
+	sim.submitJob(0, resubmitted(job), 900*time.Millisecond)
+	sim.runUntil(8 * time.Second)
+	sim.wantNoDoubleRuns()
+	if a := sim.answers["j"]; a.Verdict != leased.Completed {
+		t.Errorf("answer %+v, want completed", a)
+	}
+}
+
+// Guards against a task that runs twice because its job was cancelled here once: since
+// then it was submitted to another holder, which has started it and was lost.
+func TestCancelledJobThatRanElsewhereSince(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.addEndpoints(0, 2)
+	sim.addEndpoints(1, 2)
+	sim.runUntil(200 * time.Millisecond)
+	job := singleTaskJob("j")
+	ticket := sim.submitJob(0, job, 900*time.Millisecond)
+	sim.runUntil(300 * time.Millisecond)
+	sim.step(0, &leased.Cancel{Ticket: ticket})
+	second := sim.submitJob(1, resubmitted(job), 900*time.Millisecond)
+	sim.runUntil(1700 * time.Millisecond)
+	sim.after(40*time.Millisecond, func() { sim.step(1, &leased.Cancel{Ticket: second}) })
+	sim.submitJob(0, resubmitted(job), 900*time.Millisecond)
+	sim.runUntil(8 * time.Second)
+	sim.wantNoDoubleRuns()
+}
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -310,9 +310,10 @@
 func (sim *simulation) submitJob(core int, job leased.Job, runTime time.Duration) leased.Ticket {
 	sim.work[job.ID] = leasedtest.Work{Demand: job.Steps[0].Demand, Time: runTime}
 	sim.lastTicket++
-	sim.submissions[sim.lastTicket] = submission{core, job}
-	sim.step(core, &leased.Submit{Ticket: sim.lastTicket, Job: job})
-	return sim.lastTicket
+	ticket := sim.lastTicket // a delegation in the step takes further ones
+	sim.submissions[ticket] = submission{core, job}
+	sim.step(core, &leased.Submit{Ticket: ticket, Job: job})
+	return ticket
 }
 
 func (sim *simulation) countVerdicts() map[leased.Verdict]int {
