Remember runs that may be active beyond the job of their task

Cause: a holder that had cancelled a job took that for proof that it knows all of the job's runs, and started it at once when it came back within 3 s. It does not know them if (a) the answer of a delegate was lost before: that the run may be active was noted in the task and was forgotten with the job; or (b) another holder had the job since. The class: evidence about one thing (this holder's submission) used for another (the task), and doubt that is kept with an object that ends earlier.

Change: runs that may be active without being listed are kept by task in the core, with the time at which they are over and the cell where they are, until that time. Nothing else allows a start. A new holder's answer that it has no such run settles only a run of its own cell. A resubmitted job starts without a pause only if its entry says that this holder is the only one that had it. Each start and delegation carries the evidence on which earlier runs count as over.

Why it works: the doubt lives as long as the run can, whatever becomes of the job, and is shared by all submissions of it.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -60,8 +60,7 @@
 	storedDone        map[TaskID]time.Time // done tasks of stored jobs
 	someUnreachable   bool                 // some entries cannot be reached
 	reachableSince    time.Time            // when all entries became reachable
-	cancelledJobs     map[JobID]time.Time  // jobs that were cancelled here
-	cancelledTasks    map[TaskID]time.Time // cancelled tasks that may still run under other holders
+	unseen            unseenRuns
 	cellHeldSince     map[string]time.Time // when the endpoints of a cell were first announced
 	firstHeldAt       time.Time            // when this core last got a cell while it held none
 	announced         []announcement       // of other cells; none is older than maxCapacityAge at a Tick
@@ -87,24 +86,23 @@
 // New returns a core without endpoints.
 func New(opts Options) *Core {
 	c := &Core{
-		opts:           opts,
-		waiting:        newQueue(),
-		endpoints:      make(map[EndpointID]*endpoint),
-		peers:          make(map[string]*outlier.Peers),
-		jobs:           make(map[JobID]*job),
-		delegated:      make(map[TaskID]*job),
-		tickets:        make(map[Ticket]*job),
-		runs:           make(map[TaskID]*run),
-		freeIndex:      &freeIndex{},
-		doneUnclaimed:  make(map[TaskID]time.Time),
-		storedDone:     make(map[TaskID]time.Time),
-		cancelledJobs:  make(map[JobID]time.Time),
-		cellHeldSince:  make(map[string]time.Time),
-		cancelledTasks: make(map[TaskID]time.Time),
-		runTimeRatios:  make(map[string]*average),
-		evacuations:    evacuation.New(evacuationRamps),
-		unequal:        newUnequal(),
-		admission:      newAdmissionControl(),
+		opts:          opts,
+		waiting:       newQueue(),
+		endpoints:     make(map[EndpointID]*endpoint),
+		peers:         make(map[string]*outlier.Peers),
+		jobs:          make(map[JobID]*job),
+		delegated:     make(map[TaskID]*job),
+		tickets:       make(map[Ticket]*job),
+		runs:          make(map[TaskID]*run),
+		freeIndex:     &freeIndex{},
+		doneUnclaimed: make(map[TaskID]time.Time),
+		storedDone:    make(map[TaskID]time.Time),
+		unseen:        make(unseenRuns),
+		cellHeldSince: make(map[string]time.Time),
+		runTimeRatios: make(map[string]*average),
+		evacuations:   evacuation.New(evacuationRamps),
+		unequal:       newUnequal(),
+		admission:     newAdmissionControl(),
 	}
 	c.applyPolicy(opts.Policy)
 	return c
@@ -158,10 +156,6 @@
 // TickInterval is the interval at which the core needs a Tick.
 const TickInterval = 20 * time.Millisecond
 
-// cancelledRetention is how long a cancelled job is remembered. A caller that
-// submits it again does so within this time.
-const cancelledRetention = 3 * time.Second
-
 func (c *Core) tick() {
 	for _, e := range c.endpointList {
 		c.review(e)
@@ -188,16 +182,7 @@
 			delete(c.doneUnclaimed, id)
 		}
 	}
-	for id, at := range c.cancelledJobs {
-		if c.now.Sub(at) > cancelledRetention {
-			delete(c.cancelledJobs, id)
-		}
-	}
-	for id, at := range c.cancelledTasks {
-		if c.now.Sub(at) > cancelledRetention {
-			delete(c.cancelledTasks, id)
-		}
-	}
+	c.unseen.expire(c.now)
 }
 
 // setEndpoints applies the announced endpoints. An endpoint that is no longer
@@ -267,6 +252,7 @@
 			return false
 		}
 		for r := range e.runs.all() {
+			c.unseen.add(r.id, c.now.Add(c.ownRunTimeout()), e.Cell)
 			c.forgetRun(e, r)
 		}
 		e.record.RemoveFrom(c.peersOf(e))
--- a/dispatch/leased/crash.go
+++ b/dispatch/leased/crash.go
@@ -35,7 +35,7 @@
 		lost.queue = r.task.job.Queue
 	}
 	restarted := r.restarted
-	c.endRun(e, r, EndEndpointLost, "")
+	c.endRun(e, r, EndEndpointLost, EvidenceLeaseExpired, "")
 	if restarted {
 		c.recordCrash(e, lost)
 		return
--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -130,7 +130,7 @@
 		if t.state != waitingTask || t.lostCell == "" || c.runs[t.id] != nil {
 			return true
 		}
-		if !c.now.Before(t.notBefore) {
+		if !c.unseen.possible(t.id, c.now) {
 			t.lostCell = ""
 			return true
 		}
@@ -196,7 +196,7 @@
 	t.delegatedCell = cell.Cell
 	t.searching = adopt
 	c.markBegun(t.job)
-	c.out.Delegations = append(c.out.Delegations, Delegate{Holder: cell.Holder, Cell: cell.Cell, Task: DelegatedTask{
+	c.out.Delegations = append(c.out.Delegations, Delegate{Holder: cell.Holder, Cell: cell.Cell, Evidence: t.evidence, Task: DelegatedTask{
 		ID: t.id, Service: t.job.Service, Queue: t.job.Queue, Spec: t.job.Spec, Step: step,
 		Run: t.runs, Checkpoint: t.checkpoint, CallerTimeout: t.job.expires.Sub(c.now), Cell: cell.Cell, Adopt: adopt, Wait: c.cannotServe() && !adopt, Suspect: t.suspect() && !c.sharesElsewhere(t),
 	}})
@@ -214,6 +214,7 @@
 	if in.End == EndNoCapacity {
 		c.forgetAnnounced(t.delegate)
 	}
+	t.evidence = EvidenceDelegate
 	c.taskRunEnded(t, in.End, in.Checkpoint)
 }
 
@@ -249,7 +250,7 @@
 		c.enqueue(j)
 		return
 	}
-	if !fits || c.waiting.len() > 0 || c.runs[t.id] != nil {
+	if !fits || c.waiting.len() > 0 || c.runs[t.id] != nil || c.unseen.possible(t.id, c.now) {
 		c.answerDelegatedNow(j, d.Run, EndNoCapacity)
 		return
 	}
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -267,31 +267,21 @@
 func (c *Core) loseRun(e *endpoint, r *run) {
 	t := r.task
 	c.forgetRun(e, r)
-	if t == nil {
-		c.loseCancelledRun(r.id, e.Cell)
-		return
-	}
-	if t.job.delegated {
+	c.unseen.add(r.id, c.now.Add(c.ownRunTimeout()), e.Cell)
+	switch {
+	case t == nil:
+		// The request to stop it may have been lost, and its job submitted again.
+		if waiting := c.claimant(r.id); waiting != nil {
+			c.addLostRun(waiting, e.Cell)
+		}
+	case t.job.delegated:
 		c.answerDelegated(t.job, r.number, EndUnknown, "")
-		return
-	}
-	t.state = waitingTask
-	t.notBefore = c.now.Add(c.opts.MaxLease + clockSlack)
-	c.addLostRun(t, e.Cell)
-	c.enqueue(t.job)
-}
-
-// loseCancelledRun releases a run whose job was cancelled to another holder. The
-// request to stop it may have been lost. If the job has been submitted again,
-// or is later, its task waits until that run has ended.
-func (c *Core) loseCancelledRun(id TaskID, cell string) {
-	c.cancelledTasks[id] = c.now
-	t := c.claimant(id)
-	if t == nil {
-		return
+	default:
+		t.state = waitingTask
+		t.evidence = EvidenceElapsed
+		c.addLostRun(t, e.Cell)
+		c.enqueue(t.job)
 	}
-	t.notBefore = later(t.notBefore, c.now.Add(c.opts.MaxLease+clockSlack))
-	c.addLostRun(t, cell)
 }
 
 // endpointRestarted resets the state of an endpoint for another incarnation.
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -35,7 +35,7 @@
 	checkpoint     string
 	avoid          EndpointID   // endpoint where the last run failed or was too slow
 	failedOn       []EndpointID // endpoints where runs failed
-	notBefore      time.Time    // an earlier run may be active until then
+	evidence       Evidence     // why no earlier run is active
 	lostCell       string       // cell whose new holder may have an earlier run
 	delegate       uint64       // holder that runs a delegated task
 	delegatedCell  string       // cell of a delegated task
@@ -147,10 +147,12 @@
 			*t = task{id: TaskID{Job: spec.ID, Step: s, Index: i}, job: j, step: step}
 			if spec.Resubmitted {
 				t.runs = resubmittedRunOffset
-				t.notBefore = c.now.Add(c.resubmitPause(&spec))
 			}
-			if cancelledAt, cancelled := c.cancelledTasks[t.id]; cancelled {
-				t.notBefore = later(t.notBefore, cancelledAt.Add(c.opts.MaxLease+clockSlack))
+			if pause := c.resubmitPause(&spec); pause > 0 {
+				c.unseen.add(t.id, c.now.Add(pause), "")
+			}
+			if c.unseen.possible(t.id, c.now) {
+				t.evidence = EvidenceElapsed
 			}
 		}
 	}
@@ -165,18 +167,18 @@
 	return a
 }
 
-// resubmitPause returns how long runs of a resubmitted job may be active
-// without being seen: 0 if the job was cancelled here, because its runs here are
-// known. Tasks of a stored job also wait until the ends that others have seen
-// are reported.
+// resubmitPause returns how long runs of a submitted job may be active without being
+// seen: those under holders that had the job before. What is known here of runs that
+// this holder has started is among its runs and unseen runs. Tasks of a stored job also
+// wait until the ends that others have seen are reported.
 func (c *Core) resubmitPause(j *Job) time.Duration {
-	if j.Stored {
-		return c.opts.MaxLease + clockSlack + reportDelay
-	}
-	if _, known := c.cancelledJobs[j.ID]; known {
+	switch {
+	case !j.Resubmitted || j.OnlyHolder:
 		return 0
+	case j.Stored:
+		return c.remoteRunTimeout() + reportDelay
 	}
-	return c.opts.MaxLease + clockSlack
+	return c.remoteRunTimeout()
 }
 
 // claimRuns assigns the runs that were found on the endpoints to a resubmitted
@@ -251,16 +253,12 @@
 			case placedTask:
 				c.revokeRun(t, reason)
 			case delegatedTask:
-				c.out.DelegateCancels = append(c.out.DelegateCancels, DelegateCancel{Task: t.id})
-				c.cancelledTasks[t.id] = c.now
+				c.withdraw(t)
 			}
 			t.state = doneTask
 		}
 	}
 	c.waiting.remove(j)
-	if !j.delegated && !j.Resubmitted { // runs of a resubmitted job may be unknown here
-		c.cancelledJobs[j.ID] = c.now
-	}
 	if j.delegated {
 		delete(c.delegated, j.tasks[0][0].id)
 		return
@@ -280,6 +278,13 @@
 	r.unclaimedSince = c.now
 }
 
+// withdraw cancels a delegated task. The delegate does not confirm it.
+func (c *Core) withdraw(t *task) {
+	c.out.DelegateCancels = append(c.out.DelegateCancels, DelegateCancel{Task: t.id})
+	t.evidence = EvidenceElapsed
+	c.unseen.add(t.id, c.now.Add(c.remoteRunTimeout()), t.delegatedCell)
+}
+
 // finish answers all tickets of a job and removes it. A job that was submitted
 // before may have run under another holder, so it is never rejected.
 func (c *Core) finish(j *job, verdict Verdict, reason string, retryAfter time.Duration) {
@@ -309,7 +314,7 @@
 		return
 	case EndNotRun:
 		if t.searching {
-			t.notBefore = time.Time{} // the earlier run has ended
+			c.unseen.overIn(t.id, t.delegatedCell)
 		}
 	case EndFailed:
 		t.failures++
@@ -330,7 +335,8 @@
 		return
 	case EndUnknown:
 		c.addLostRun(t, t.delegatedCell)
-		t.notBefore = c.now.Add(c.opts.MaxLease + clockSlack + claimTimeout)
+		t.evidence = EvidenceElapsed
+		c.unseen.add(t.id, c.now.Add(c.remoteRunTimeout()), t.delegatedCell)
 	}
 	c.enqueue(t.job)
 }
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -253,6 +253,7 @@
 	Waited   time.Duration // by the job, until now
 	Free     Demand        // on the endpoint, before the start
 	Expected time.Duration // run time on the endpoint
+	Evidence Evidence      // that no earlier run is active
 }
 
 // Stop asks an endpoint to end a run.
@@ -316,9 +317,10 @@
 
 // Delegate asks the holder of another cell to run a task.
 type Delegate struct {
-	Holder uint64
-	Cell   string
-	Task   DelegatedTask
+	Holder   uint64
+	Cell     string
+	Task     DelegatedTask
+	Evidence Evidence // that no earlier run is active; of a search for one it tells nothing
 }
 
 // DelegateCancel cancels a delegated task.
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -68,7 +68,7 @@
 
 // mayStart reports whether a task waits and no earlier run of it may be active.
 func (c *Core) mayStart(t *task) bool {
-	if t.state != waitingTask || c.runs[t.id] != nil || c.now.Before(t.notBefore) {
+	if t.state != waitingTask || c.runs[t.id] != nil || c.unseen.possible(t.id, c.now) {
 		return false
 	}
 	return !c.mayHaveEnded(t)
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -26,7 +26,7 @@
 		}
 		return
 	}
-	c.endRun(e, r, end.End, end.Checkpoint)
+	c.endRun(e, r, end.End, EvidenceListed, end.Checkpoint)
 	c.applyStoredEnd(end) // the run may have been cancelled and its job submitted again
 }
 
@@ -73,7 +73,7 @@
 		c.loseWithEndpoint(e, r, alone)
 		return
 	}
-	c.endRun(e, r, EndLapsed, "")
+	c.endRun(e, r, EndLapsed, EvidenceVanished, "")
 }
 
 // before reports whether an event has happened, and before the given time.
@@ -169,7 +169,7 @@
 }
 
 // endRun removes a run and applies its end to its task.
-func (c *Core) endRun(e *endpoint, r *run, end End, checkpoint string) {
+func (c *Core) endRun(e *endpoint, r *run, end End, evidence Evidence, checkpoint string) {
 	if r.confirmed.IsZero() && r.tries > 0 && (end == EndLapsed || end == EndEndpointLost) {
 		e.unresolvedStarts = append(e.unresolvedStarts, unresolvedStart{r.id, r.number, r.sent})
 	}
@@ -178,6 +178,7 @@
 	if t == nil {
 		return
 	}
+	t.evidence = evidence
 	c.out.RunEnds = append(c.out.RunEnds, RunEnd{
 		Endpoint: e.ID, Task: r.id, Run: r.number, End: end, Took: e.age(r, c.now), Expected: r.expected, Failures: t.failures,
 	})
--- a/dispatch/leased/starts.go
+++ b/dispatch/leased/starts.go
@@ -36,13 +36,13 @@
 		if in.Result == StartOldRun && r.task != nil && r.task.job.Stored {
 			r.task.runs += resubmittedRunOffset // an earlier holder has used higher run numbers
 		}
-		c.endRun(e, r, EndNotRun, "")
+		c.endRun(e, r, EndNotRun, EvidenceRefused, "")
 	case StartNoCapacity:
 		e.pausedUntil = c.now.Add(noCapacityPause)
-		c.endRun(e, r, EndNoCapacity, "")
+		c.endRun(e, r, EndNoCapacity, EvidenceRefused, "")
 	case StartFenced:
 		if r.tries == 1 { // otherwise an earlier copy may have been executed
-			c.endRun(e, r, EndNotRun, "")
+			c.endRun(e, r, EndNotRun, EvidenceRefused, "")
 		}
 		c.fenced(e)
 	case StartUnhealthy:
@@ -50,15 +50,15 @@
 		e.record.Failed(c.now, c.peersOf(e))
 		c.emitEjection(e, before, "it refuses tasks")
 		e.pausedUntil = c.now.Add(unhealthyPause)
-		c.endRun(e, r, EndNotRun, "")
+		c.endRun(e, r, EndNotRun, EvidenceRefused, "")
 	case StartOtherIncarnation:
-		c.endRun(e, r, EndNotRun, "")
+		c.endRun(e, r, EndNotRun, EvidenceRefused, "")
 		c.endpointRestarted(e, 0)
 		c.countUnanswered(e)
 	case StartInvalid:
-		c.endRun(e, r, EndFailed, "")
+		c.endRun(e, r, EndFailed, EvidenceRefused, "")
 	case StartNotSent:
-		c.endRun(e, r, EndNotRun, "")
+		c.endRun(e, r, EndNotRun, EvidenceRefused, "")
 		c.countUnanswered(e)
 	case StartUnanswered:
 		c.retryStart(e, r)
@@ -102,7 +102,7 @@
 	j := r.task.job
 	c.out.Starts = append(c.out.Starts, Start{
 		Endpoint: e.ID, Address: e.Address, Task: r.id, Run: r.number, Attempt: r.tries, Spec: j.Spec, Checkpoint: r.task.checkpoint,
-		Until: e.leaseEnd(c.now, c.opts.MaxLease), Token: e.token,
+		Until: e.leaseEnd(c.now, c.opts.MaxLease), Token: e.token, Evidence: r.task.evidence,
 		Waited: c.now.Sub(j.arrived), Free: e.free().plus(r.demand), Expected: r.expected,
 	})
 }
--- a/dispatch/leased/stored.go
+++ b/dispatch/leased/stored.go
@@ -136,8 +136,7 @@
 	case placedTask:
 		c.revokeRun(t, "the task is done elsewhere")
 	case delegatedTask:
-		c.out.DelegateCancels = append(c.out.DelegateCancels, DelegateCancel{Task: t.id})
-		c.cancelledTasks[t.id] = c.now
+		c.withdraw(t)
 	}
 	c.taskDone(t)
 	if c.jobs[j.ID] == j {
