Do not take a removed endpoint for one without runs

Cause: the new holder of a cell tells a delegator that its run has ended once all endpoints of the cell have listed their runs. It passed over endpoints that were no longer announced, or were removed before they had listed anything, although they may run tasks for one lease.

Change: endpoints that are no longer announced count until they are removed, and for one lease after the removal of an endpoint that had not listed its runs, the holder gives no such answer. The delegator then waits until the run is over by itself.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -63,6 +63,7 @@
 	unseen            unseenRuns
 	callers           map[Ticket]uint64    // entries that wait for tickets; those of this entry are absent
 	contacts          map[uint64]time.Time // when these entries were last heard
+	unpolledCells     map[string]time.Time // when an endpoint of a cell was removed whose runs were not known
 	cellHeldSince     map[string]time.Time // when the endpoints of a cell were first announced
 	firstHeldAt       time.Time            // when this core last got a cell while it held none
 	announced         []announcement       // of other cells; none is older than maxCapacityAge at a Tick
@@ -102,6 +103,7 @@
 		unseen:        make(unseenRuns),
 		callers:       make(map[Ticket]uint64),
 		contacts:      make(map[uint64]time.Time),
+		unpolledCells: make(map[string]time.Time),
 		cellHeldSince: make(map[string]time.Time),
 		runTimeRatios: make(map[string]*average),
 		evacuations:   evacuation.New(evacuationRamps),
@@ -190,6 +192,7 @@
 		}
 	}
 	c.unseen.expire(c.now)
+	maps.DeleteFunc(c.unpolledCells, func(_ string, at time.Time) bool { return c.now.Sub(at) > c.ownRunTimeout() })
 }
 
 // setEndpoints applies the announced endpoints. An endpoint that is no longer
@@ -258,6 +261,9 @@
 		if !removable {
 			return false
 		}
+		if !e.held {
+			c.unpolledCells[e.Cell] = c.now
+		}
 		for r := range e.runs.all() {
 			c.unseen.add(r.id, c.now.Add(c.ownRunTimeout()), e.Cell)
 			c.forgetRun(e, r)
--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -305,15 +305,19 @@
 // polledSince reports whether all endpoints of a cell have answered a Hold that
 // was sent after the given time, so that all their runs are known. It requests a
 // Hold for those that have not. A cell counts only once it has been held for
-// endpointListTime, because some of its endpoints may be announced late.
+// endpointListTime, because some of its endpoints may be announced late. An endpoint
+// that is no longer announced may still run tasks.
 func (c *Core) polledSince(cell string, since time.Time) bool {
 	heldSince, holds := c.cellHeldSince[cell]
 	if !holds || c.now.Sub(heldSince) < endpointListTime {
 		return false
 	}
+	if _, unpolled := c.unpolledCells[cell]; unpolled {
+		return false
+	}
 	known, all := false, true
 	for _, e := range c.endpointList {
-		if e.Cell != cell || e.dropped {
+		if e.Cell != cell {
 			continue
 		}
 		known = true
--- a/dispatch/leased/renewal_test.go
+++ b/dispatch/leased/renewal_test.go
@@ -134,3 +134,43 @@
 		t.Errorf("answer %+v after %d starts, want completed after one", a, sim.startCounts[leased.TaskID{Job: "j"}])
 	}
 }
+
+// Guards against a holder that tells a delegator that its run has ended, although an
+// endpoint of the cell was removed before it had listed its runs.
+func TestRemovedEndpointProvesNoEnd(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.addEndpoints(0, 2) // e00 and e01 in cell c0
+	spare := sim.specs[0]
+	spare.ID, spare.Address, spare.Cell = "e02", "e02", "spare"
+	sim.shareFreeCapacity()
+	sim.runUntil(200 * time.Millisecond)
+	other := singleTaskJob("other")
+	other.Steps[0].Demand.MilliCores = 60_000
+	sim.submitJob(0, other, longRun)
+	sim.submitJob(0, singleTaskJob("j"), longRun)
+	sim.runUntil(300 * time.Millisecond)
+	sim.addEndpoint(0, spare)
+	var at, free leased.EndpointID
+	for id, e := range sim.endpoints {
+		for _, r := range e.Running() {
+			if r.Task.Job == "j" {
+				at = id
+			}
+		}
+	}
+	for _, id := range []leased.EndpointID{"e00", "e01"} {
+		if id != at {
+			free = id
+		}
+	}
+	sim.holderOf[free] = 1
+	sim.announce()
+	sim.runUntil(1200 * time.Millisecond)
+	sim.holderOf[at] = 1
+	sim.announce()
+	sim.runUntil(sim.now + networkDelay + networkDelay/2) // the Hold was executed, its reply is under way
+	sim.holderOf[at] = -1
+	sim.announce()
+	sim.runUntil(4 * time.Second)
+	sim.wantNoDoubleRuns()
+}
