--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -21,7 +21,8 @@
 func (l *Loop) start(request leased.Start) {
 	l.log.Info("placed", zap.String("job", string(request.Task.Job)), zap.Int("step", request.Task.Step), zap.Int("task", request.Task.Index),
 		zap.Int("run", request.Run), zap.Int("attempt", request.Attempt), zap.String("endpoint", string(request.Endpoint)), zap.Duration("waited_ms", request.Waited),
-		zap.Int("free_millicores", request.Free.MilliCores), zap.Duration("expected_ms", request.Expected), zap.Int64("token", request.Token))
+		zap.Int("free_millicores", request.Free.MilliCores), zap.Duration("expected_ms", request.Expected), zap.Int64("token", request.Token),
+		zap.Stringer("evidence", request.Evidence))
 	go func() {
 		began := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), l.startTimeout.timeout(request.Attempt))
@@ -88,7 +89,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), request.Task.CallerTimeout)
 	l.delegations[request.Task.ID] = cancel
 	l.log.Info("lent", zap.String("job", string(request.Task.ID.Job)), zap.Int("step", request.Task.ID.Step),
-		zap.Int("task", request.Task.ID.Index), zap.Int("run", request.Task.Run), zap.String("cell", request.Cell), zap.Bool("adopt", request.Task.Adopt))
+		zap.Int("task", request.Task.ID.Index), zap.Int("run", request.Task.Run), zap.String("cell", request.Cell), zap.Bool("adopt", request.Task.Adopt),
+		zap.Stringer("evidence", request.Evidence))
 	go func() {
 		defer cancel()
 		end, checkpoint := leased.EndUnknown, ""
