Explore schedules of failures for two runs of one task

Change: a checker drives real cores and endpoints through a small site in virtual time. Each message and some moments are choice points; a schedule is a list of deviations from prompt delivery. All schedules with at most two deviations are run, and a sample of those with three and four. A schedule that breaks a rule is printed and can be replayed with a log of all actions.

--- a/dispatch/leased/leasedtest/endpoint.go
+++ b/dispatch/leased/leasedtest/endpoint.go
@@ -99,6 +99,14 @@
 	return list
 }
 
+// RunOf returns the number of the active run of a task, or false if it has none.
+func (e *Endpoint) RunOf(task leased.TaskID) (number int, active bool) {
+	if r := e.runs[task]; r != nil {
+		return r.Number, true
+	}
+	return 0, false
+}
+
 func compareTasks(a, b leased.TaskID) int {
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 }
--- /dev/null
+++ b/dispatch/leased/restart_check_faults_test.go
@@ -0,0 +1,261 @@
+package leased_test
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"lovagespread.example/dispatch/leased"
+)
+
+// faultKind is the kind of a fault that is no loss of a message.
+type faultKind uint8
+
+const (
+	resetEntry      faultKind = iota // the connection between the entry and the holder of the job
+	resetDelegation                  // the connection between a delegator and its delegate
+	crashHolder
+	handOver // a cell, while both holders live
+	restartEndpointFault
+	cutEndpoint // off from its holder
+)
+
+var faultNames = [...]string{"reset entry-holder", "reset holder-delegate", "crash of a holder", "hand-over", "restart of an endpoint", "endpoint cut off"}
+
+// fault is one that may be chosen at a moment.
+type fault struct {
+	kind       faultKind
+	at         int // holder or endpoint
+	cell       int
+	to         int // holder that gets the job or the cell
+	delay      time.Duration
+	slow       bool // the crash is noticed late; the new holder is told first
+	delegation *restartDelegation
+}
+
+func (f *fault) String() string {
+	switch f.kind {
+	case resetEntry:
+		return fmt.Sprintf("h%d gets the Cancel after %v, resubmission to h%d", f.at, f.delay, f.to)
+	case resetDelegation:
+		return fmt.Sprintf("%v, Cancel after %v", f.delegation, f.delay)
+	case crashHolder:
+		return fmt.Sprintf("h%d, its cells go to h%d, noticed late %t", f.at, f.to, f.slow)
+	case handOver:
+		return fmt.Sprintf("c%d from h%d to h%d, which is told first %t", f.cell, f.at, f.to, f.slow)
+	case restartEndpointFault:
+		return fmt.Sprintf("e%d", f.at)
+	}
+	return fmt.Sprintf("e%d from h%d for %v", f.at, f.to, f.delay)
+}
+
+// variant describes a fault without the names of holders and endpoints.
+func (f *fault) variant() string {
+	switch f.kind {
+	case resetEntry:
+		to := "elsewhere"
+		if f.at == f.to {
+			to = "same holder"
+		}
+		return fmt.Sprintf("Cancel after %v, %s", f.delay, to)
+	case resetDelegation, cutEndpoint:
+		return f.delay.String()
+	case crashHolder, handOver:
+		return fmt.Sprintf("slow %t", f.slow)
+	}
+	return "another incarnation"
+}
+
+// moment is a choice point at which one of the faults that concern the job may occur.
+func (w *restartWorld) moment() {
+	if w.now > restartSubmitAt+restartChoiceTime || w.answeredAt > 0 {
+		return
+	}
+	faults := w.faults()
+	if len(faults) == 0 {
+		return
+	}
+	option := w.script.decide(choicePoint{kind: atMoment, at: w.now}, len(faults))
+	if option == 0 {
+		return
+	}
+	f := faults[option-1]
+	w.deviate(faultNames[f.kind]+": "+f.String(), faultNames[f.kind], f.variant())
+	w.apply(&f)
+	w.addMoments()
+}
+
+// faults lists the faults that concern the job at present.
+func (w *restartWorld) faults() []fault {
+	var list []fault
+	involved := make([]bool, len(w.holders))
+	if c := w.calls[0]; c.ticket != 0 {
+		involved[c.holder] = true
+		list = append(list, w.entryResets(c)...)
+	}
+	for _, d := range w.sortedDelegations() {
+		involved[d.to] = true
+		for _, delay := range []time.Duration{networkDelay, shortDelay, longDelay} {
+			list = append(list, fault{kind: resetDelegation, delegation: d, delay: delay})
+		}
+	}
+	for _, e := range w.endpoints {
+		if e.down || !w.runsJob(e) {
+			continue
+		}
+		list = append(list, fault{kind: restartEndpointFault, at: e.index})
+		for h, holder := range w.holders {
+			if !holder.cells[e.cell] || holder.crashed {
+				continue
+			}
+			involved[h] = true
+			for _, d := range []time.Duration{400 * time.Millisecond, 1300 * time.Millisecond} {
+				list = append(list, fault{kind: cutEndpoint, at: e.index, to: h, delay: d})
+			}
+		}
+	}
+	for h := range w.holders {
+		if involved[h] && !w.holders[h].crashed {
+			list = append(list, w.holderFaults(h)...)
+		}
+	}
+	return list
+}
+
+func (w *restartWorld) sortedDelegations() []*restartDelegation {
+	return slices.SortedFunc(maps.Values(w.delegations), func(a, b *restartDelegation) int {
+		return cmp.Or(cmp.Compare(a.key.from, b.key.from), cmp.Compare(a.key.task.Job, b.key.task.Job), cmp.Compare(a.key.task.Index, b.key.task.Index))
+	})
+}
+
+// others lists the live holders other than h.
+func (w *restartWorld) others(h int) []int {
+	var list []int
+	for other := range w.holders {
+		if other != h && !w.holders[other].crashed {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
+func (w *restartWorld) entryResets(c *restartCall) []fault {
+	var list []fault
+	for _, to := range append([]int{c.holder}, w.others(c.holder)...) {
+		for _, delay := range []time.Duration{networkDelay, shortDelay, longDelay} {
+			list = append(list, fault{kind: resetEntry, at: c.holder, to: to, delay: delay})
+		}
+	}
+	return list
+}
+
+func (w *restartWorld) holderFaults(h int) []fault {
+	var list []fault
+	for _, to := range w.others(h) {
+		for _, slow := range []bool{false, true} {
+			list = append(list, fault{kind: crashHolder, at: h, to: to, slow: slow})
+			for cell, held := range w.holders[h].cells {
+				if held {
+					list = append(list, fault{kind: handOver, at: h, cell: cell, to: to, slow: slow})
+				}
+			}
+		}
+	}
+	return list
+}
+
+func (w *restartWorld) apply(f *fault) {
+	switch f.kind {
+	case resetEntry:
+		c := w.calls[0]
+		w.cancel(c.ticket, f.delay)
+		c.resubmitTo(f.to)
+	case resetDelegation:
+		w.cancel(f.delegation.ticket, f.delay)
+		w.after(networkDelay, func() { w.endDelegation(f.delegation, leased.EndUnknown) })
+	case crashHolder:
+		w.crash(f)
+	case handOver:
+		w.handOver(f)
+	case restartEndpointFault:
+		w.restart(w.endpoints[f.at])
+	case cutEndpoint:
+		w.endpoints[f.at].cutUntil[f.to] = w.now + f.delay
+	}
+}
+
+// Times until others notice the crash of a holder. A process that dies closes its
+// connections; a VM that is gone is only silent.
+const (
+	promptTakeover = 150 * time.Millisecond
+	slowNotice     = 600 * time.Millisecond
+	slowTakeover   = 700 * time.Millisecond
+)
+
+func (w *restartWorld) crash(f *fault) {
+	w.holders[f.at].crashed = true
+	notice, cancel, takeover := time.Millisecond, time.Millisecond, promptTakeover
+	if f.slow {
+		notice, cancel, takeover = slowNotice, longDelay, slowTakeover
+	}
+	for _, d := range w.sortedDelegations() {
+		if d.to == f.at {
+			w.afterwards(notice, func() { w.endDelegation(d, leased.EndUnknown) })
+		}
+		if d.key.from == f.at {
+			delete(w.delegations, d.key)
+			w.cancel(d.ticket, cancel)
+		}
+	}
+	maps.DeleteFunc(w.tickets, func(_ leased.Ticket, t *restartTicket) bool { return t.holder == f.at })
+	for _, c := range w.calls {
+		if c.ticket != 0 && c.holder == f.at && !c.answered {
+			ticket := c.ticket
+			w.afterwards(notice, func() {
+				if c.ticket == ticket {
+					c.lose(true)
+				}
+			})
+		}
+	}
+	w.after(takeover, func() {
+		for cell, held := range w.holders[f.at].cells {
+			if held {
+				w.holders[f.at].cells[cell] = false
+				w.holders[f.to].cells[cell] = true
+			}
+		}
+		w.assign(f.to)
+	})
+}
+
+// handOverSkew is how much later the second one of two holders learns that a cell has
+// changed hands.
+const handOverSkew = 100 * time.Millisecond
+
+func (w *restartWorld) handOver(f *fault) {
+	release := func() { w.holders[f.at].cells[f.cell] = false; w.assign(f.at) }
+	take := func() { w.holders[f.to].cells[f.cell] = true; w.assign(f.to) }
+	if f.slow {
+		release, take = take, release
+	}
+	w.after(networkDelay, release)
+	w.after(handOverSkew, take)
+}
+
+// restartDownTime is how long an endpoint takes to restart.
+const restartDownTime = 100 * time.Millisecond
+
+// restart replaces an endpoint by another incarnation, which has none of its runs.
+func (w *restartWorld) restart(e *restartEndpoint) {
+	e.down = true
+	e.incarnation++
+	e.Restart(e.incarnation)
+	for _, p := range e.polls {
+		w.at(p.call.timeoutAt, func() { w.step(p.call.holder, p.call.noReply) })
+	}
+	e.polls = nil
+	w.after(restartDownTime, func() { e.down = false })
+}
--- /dev/null
+++ b/dispatch/leased/restart_check_rules_test.go
@@ -0,0 +1,130 @@
+package leased_test
+
+import (
+	"flag"
+	"fmt"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"testing"
+
+	"lovagespread.example/dispatch/leased"
+)
+
+var (
+	restartSchedule = flag.String("restart-schedule", "", "schedule that TestReplayRestartSchedule replays: layout/point.option,...")
+	restartSamples  = flag.Int("restart-samples", 1000, "sampled schedules of each layout in TestRestartRulesHold")
+	restartSeed     = flag.Uint64("restart-seed", 1, "seed of the sampled schedules")
+)
+
+// restartLayouts are the sites that are explored. The first holder gets the job under
+// test. Each task takes 27,000 of an endpoint's 64,000 millicores.
+var restartLayouts = []*restartLayout{
+	// The job goes to an endpoint that has the run of another job, too.
+	{name: "local", cells: [][]int{{8000, 0}, {0}}, tasks: 1},
+	// The holder's own endpoint is busy. The delegate's endpoint has the run of another job.
+	{name: "delegated", cells: [][]int{{60_000}, {8000}, {0}}, tasks: 1, slowClocks: true},
+	// The same without the other job on the delegate's endpoint.
+	{name: "delegated alone", cells: [][]int{{60_000}, {0}, {0}}, tasks: 1},
+	// One task runs here, the other one is delegated to an endpoint of its own.
+	{name: "both", cells: [][]int{{30_000}, {0, 0}}, tasks: 2},
+}
+
+func restartLayoutNamed(name string) *restartLayout {
+	for _, l := range restartLayouts {
+		if l.name == name {
+			return l
+		}
+	}
+	return nil
+}
+
+// collectRarely lets the heap grow more than usual during a test: a schedule leaves much
+// garbage and little else, so that collections took a fifth of the time.
+func collectRarely(t *testing.T) {
+	before := debug.SetGCPercent(800)
+	t.Cleanup(func() { debug.SetGCPercent(before) })
+}
+
+// Guards against two runs of a task at the same time, and against a job that is not
+// completed although one thing has failed at most: all schedules with two deviations,
+// and a sample of those with three and four.
+func TestRestartRulesHold(t *testing.T) {
+	collectRarely(t)
+	for _, layout := range restartLayouts {
+		t.Run(layout.name, func(t *testing.T) {
+			x := exploration{layout: layout}
+			x.explore(2)
+			exhaustive := x.schedules
+			x.sample(*restartSamples/2, 3, *restartSeed)
+			x.sample(*restartSamples/2, 4, *restartSeed+1)
+			t.Logf("%d schedules with at most two deviations, %d sampled ones, seeds %d and %d", exhaustive, x.schedules-exhaustive, *restartSeed, *restartSeed+1)
+			x.report(t)
+		})
+	}
+}
+
+// Guards against a rule that no schedule needs: without it, a task has two runs at the
+// same time.
+func TestEachRestartRuleIsNeeded(t *testing.T) {
+	collectRarely(t)
+	if len(leased.RestartRules) == 0 {
+		t.Skip("no rule can be broken yet")
+	}
+	for _, rule := range leased.RestartRules {
+		t.Run(rule, func(t *testing.T) {
+			for _, layout := range restartLayouts {
+				x := exploration{layout: layout, rule: rule, stopEarly: true}
+				x.explore(2)
+				for _, r := range x.failed {
+					if r.double != "" {
+						t.Logf("%s/%s after %d schedules: %s\n  %s", layout.name, r.schedule, x.schedules, r.double, strings.Join(r.described, "\n  "))
+						return
+					}
+				}
+			}
+			t.Error("no schedule leads to two runs of a task without this rule")
+		})
+	}
+}
+
+// Replays a schedule that another test has printed, and logs all actions.
+func TestReplayRestartSchedule(t *testing.T) {
+	if *restartSchedule == "" {
+		t.Skip("no -restart-schedule")
+	}
+	name, list, _ := strings.Cut(*restartSchedule, "/")
+	layout := restartLayoutNamed(name)
+	if layout == nil {
+		t.Fatalf("no layout %q", name)
+	}
+	w := newRestartWorld(layout, script{choices: parseSchedule(t, list)}, "")
+	w.log = func(format string, args ...any) { fmt.Fprintf(t.Output(), format+"\n", args...) }
+	w.run()
+	if w.violation != "" {
+		t.Error(w.violation)
+	}
+	if reason := w.whyNotCompleted(); reason != "" && w.violation == "" {
+		t.Error(reason)
+	}
+}
+
+func parseSchedule(t *testing.T, list string) schedule {
+	var s schedule
+	for _, part := range strings.Split(list, ",") {
+		if part == "" {
+			continue
+		}
+		point, option, _ := strings.Cut(part, ".")
+		p, err := strconv.Atoi(point)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o, err := strconv.Atoi(option)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s = append(s, choice{p, o})
+	}
+	return s
+}
