Let holders in the exploration of restarts hear their callers

The exploration cancelled calls up to 1.3 s late while the holder went on as if it heard the caller. Heartbeats name the calls that their sender has given up, so a cancellation that takes long implies silence: the holder gets no contact then.

--- a/dispatch/leased/restart_check_entry_test.go
+++ b/dispatch/leased/restart_check_entry_test.go
@@ -66,7 +66,7 @@
 	ticket := c.ticket
 	w.tracef("entry: submits %s to h%d, resubmitted %t", job.ID, h, job.Resubmitted)
 	deliver := func(delay time.Duration) {
-		w.after(delay, func() { w.step(h, &leased.Submit{Ticket: ticket, Job: job}) })
+		w.after(delay, func() { w.step(h, &leased.Submit{Ticket: ticket, Job: job, Caller: entryID}) })
 	}
 	deviation := 0
 	if c == w.calls[0] {
@@ -77,6 +77,7 @@
 		delete(w.tickets, ticket)
 	case submitLate, submitLateElsewhere:
 		deliver(shortDelay)
+		w.silence(entryID, h, longDelay)
 		w.cancel(ticket, longDelay)
 	default:
 		deliver(networkDelay)
@@ -182,7 +183,7 @@
 	}
 	deliver := func(delay time.Duration) {
 		d.ticket = w.newTicket(&restartTicket{holder: to, delegation: d})
-		w.after(delay, func() { w.step(to, &leased.SubmitDelegated{Ticket: d.ticket, Task: task}) })
+		w.after(delay, func() { w.step(to, &leased.SubmitDelegated{Ticket: d.ticket, Task: task, Caller: holderID(from)}) })
 	}
 	switch deviation {
 	case delegateNotSent:
@@ -191,6 +192,7 @@
 		w.after(networkDelay, func() { w.endDelegation(d, leased.EndUnknown) })
 	case delegateLate:
 		deliver(shortDelay)
+		w.silence(holderID(from), to, longDelay)
 		w.cancel(d.ticket, longDelay)
 		w.after(networkDelay, func() { w.endDelegation(d, leased.EndUnknown) })
 	default:
@@ -222,6 +224,7 @@
 		delay = shortDelay
 	case cancelLong:
 		delay = longDelay
+		w.silence(holderID(from), d.to, delay)
 	}
 	w.cancel(d.ticket, delay)
 }
--- a/dispatch/leased/restart_check_faults_test.go
+++ b/dispatch/leased/restart_check_faults_test.go
@@ -170,9 +170,11 @@
 	switch f.kind {
 	case resetEntry:
 		c := w.calls[0]
+		w.silenceFor(entryID, f.at, f.delay)
 		w.cancel(c.ticket, f.delay)
 		c.resubmitTo(f.to)
 	case resetDelegation:
+		w.silenceFor(holderID(f.delegation.key.from), f.delegation.to, f.delay)
 		w.cancel(f.delegation.ticket, f.delay)
 		w.after(networkDelay, func() { w.endDelegation(f.delegation, leased.EndUnknown) })
 	case crashHolder:
--- a/dispatch/leased/restart_check_world_test.go
+++ b/dispatch/leased/restart_check_world_test.go
@@ -78,6 +78,7 @@
 	tickets     map[leased.Ticket]*restartTicket
 	lastTicket  leased.Ticket
 	lastToken   int64
+	silentUntil map[contactPath]time.Duration
 	late        int // deliveries that are still to come although nobody waits for them
 	violation   string
 	answeredAt  time.Duration
@@ -89,6 +90,7 @@
 	w := &restartWorld{
 		layout: layout, rule: rule, script: s,
 		delegations: make(map[delegationKey]*restartDelegation), tickets: make(map[leased.Ticket]*restartTicket),
+		silentUntil: make(map[contactPath]time.Duration),
 	}
 	return w
 }
@@ -150,6 +152,7 @@
 		w.assign(h)
 	}
 	w.every(restartAnnouncement, w.announceFreeCapacity)
+	w.every(restartHeartbeat, w.sendHeartbeats)
 	w.at(restartSubmitAt, func() { w.calls[0].submit(0) })
 	for _, d := range []time.Duration{30, 330, 700, 1100} {
 		w.at(restartSubmitAt+d*time.Millisecond, w.moment)
