Count the lease of an endpoint that was taken over from the takeover on

Cause: a holder that had not sent an extension itself yet took the lease of an endpoint for expired as soon as one Hold was not answered. The earlier holder may have extended it until just before. The delegator was told that the endpoint was lost and started the task again.

Change: the lease counts as sent when the first Hold under the own token is answered; no other holder can extend it later.

--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -193,6 +193,7 @@
 	e.acknowledged = max(e.acknowledged, e.holdSeen)
 	if !e.held {
 		e.held = true
+		e.leaseSent = later(e.leaseSent, c.now) // an earlier holder may have extended the lease until now
 		c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_held", ""))
 	}
 	for i := range in.Ended {
