Refuse a delegated task that arrives after the search for it

Cause: the connection to a delegate breaks and the delegator asks, on a new one, for the run that it may have started. The answer is that there is none, the task is started elsewhere, and then the first request is handled, because it was read before the connection broke: two runs of one task for some milliseconds.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -63,6 +63,7 @@
 	unseen            unseenRuns
 	callers           map[Ticket]uint64    // entries that wait for tickets; those of this entry are absent
 	contacts          map[uint64]time.Time // when these entries were last heard
+	searched          map[TaskID]searchedRun
 	unpolledCells     map[string]time.Time // when an endpoint of a cell was removed whose runs were not known
 	cellHeldSince     map[string]time.Time // when the endpoints of a cell were first announced
 	firstHeldAt       time.Time            // when this core last got a cell while it held none
@@ -103,6 +104,7 @@
 		unseen:        make(unseenRuns),
 		callers:       make(map[Ticket]uint64),
 		contacts:      make(map[uint64]time.Time),
+		searched:      make(map[TaskID]searchedRun),
 		unpolledCells: make(map[string]time.Time),
 		cellHeldSince: make(map[string]time.Time),
 		runTimeRatios: make(map[string]*average),
@@ -192,6 +194,7 @@
 		}
 	}
 	c.unseen.expire(c.now)
+	maps.DeleteFunc(c.searched, func(_ TaskID, s searchedRun) bool { return c.now.Sub(s.at) > maxRequestDelay })
 	maps.DeleteFunc(c.unpolledCells, func(_ string, at time.Time) bool { return c.now.Sub(at) > c.ownRunTimeout() })
 }
 
--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -231,7 +231,12 @@
 	c.addCaller(in.Ticket, in.Caller)
 	j := c.newDelegated(d, in.Ticket)
 	t := &j.tasks[0][0]
+	if c.overtaken(d) {
+		c.answerDelegatedNow(j, d.Run, EndNotRun)
+		return
+	}
 	if d.Adopt {
+		c.searched[t.id] = searchedRun{d.Run, c.now}
 		t.runs = d.Run
 		c.delegated[t.id] = j
 		c.adopting = append(c.adopting, j)
@@ -260,6 +265,19 @@
 	c.start(t, e)
 }
 
+// searchedRun is a search for the earlier runs of a delegated task.
+type searchedRun struct {
+	run int // number of the search
+	at  time.Time
+}
+
+// overtaken reports whether a later search for the runs of a task has arrived before
+// the request to start one. The delegator takes its answer for the end of that run.
+func (c *Core) overtaken(d *DelegatedTask) bool {
+	s, searched := c.searched[d.ID]
+	return searched && d.Run < s.run
+}
+
 // resolveAdoptions searches for the earlier runs of delegated tasks.
 func (c *Core) resolveAdoptions() {
 	if len(c.adopting) == 0 {
