Give no word on the runs of a task whose job is here as well

Cause: a holder that has a job itself and is asked by another holder for a run of one of its tasks answered that there is none, and started the task in the same step.

Change: it gives no such answer while the task is open here. The other holder waits until the run that it asked for is over.

--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -287,7 +287,8 @@
 }
 
 // resolveAdoption returns true once the earlier run of a delegated task is
-// adopted, is known to have ended, or can no longer be found.
+// adopted, is known to have ended, or can no longer be found. While the job itself is
+// here as well, this core may start its task at any time.
 func (c *Core) resolveAdoption(j *job) bool {
 	t := &j.tasks[0][0]
 	if t.state != waitingTask { // cancelled in the meantime
@@ -304,7 +305,7 @@
 		c.answerDelegatedNow(j, t.runs, EndDone)
 		return true
 	}
-	if c.polledSince(j.cell, j.arrived) {
+	if c.openTask(t.id) == nil && c.polledSince(j.cell, j.arrived) {
 		c.answerDelegatedNow(j, t.runs, EndNotRun)
 		return true
 	}
