Restart a job that comes back after another holder has had it

Cause: a job that was resubmitted to a holder that still had it was joined with the one there, although another holder had had it in between. Its run here was renewed while the other holder could still start the task.

Change: the runs here are stopped and the tasks wait like those of any resubmitted job. If this holder is the only one that had the job, it goes on as before. Stored jobs are joined as before: their owner offers them again to the holder that runs them.

--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -85,6 +85,7 @@
 
 func (c *Core) submit(in *Submit) {
 	c.addCaller(in.Ticket, in.Caller)
+	earlier := c.takeOverTickets(&in.Job)
 	if j := c.jobs[in.Job.ID]; j != nil {
 		j.tickets = append(j.tickets, in.Ticket)
 		c.tickets[in.Ticket] = j
@@ -93,6 +94,10 @@
 		return
 	}
 	j := c.newJob(in.Job, in.Ticket)
+	for _, ticket := range earlier {
+		j.tickets = append(j.tickets, ticket)
+		c.tickets[ticket] = j
+	}
 	if in.Job.Stored {
 		c.submitStored(j)
 		return
@@ -116,6 +121,20 @@
 	c.enqueue(j)
 }
 
+// takeOverTickets removes a best-effort job that is here and was at another holder
+// since, and returns its tickets. That holder may still start its tasks, so the runs
+// here are stopped, and the tasks wait like those of any resubmitted job.
+func (c *Core) takeOverTickets(spec *Job) []Ticket {
+	j := c.jobs[spec.ID]
+	if j == nil || j.Stored || !spec.Resubmitted || spec.OnlyHolder {
+		return nil
+	}
+	tickets := j.tickets
+	j.tickets = nil
+	c.removeJob(j, "another holder has had its job since")
+	return tickets
+}
+
 // submitStored accepts a stored job, which waits without a deadline.
 func (c *Core) submitStored(j *job) {
 	c.jobs[j.ID] = j
