Keep a newer delegation when the answer of an earlier one arrives

What callers saw: nothing known; a delegated run could go on after its job was cancelled and submitted elsewhere.

Cause: the loop keeps the open delegation of a task to cancel it. When the answer of an earlier, cancelled delegation arrived late, it removed the newer one, which then could not be cancelled any more; its run went on until the caller's deadline.

The delegation is removed only by its own run's answer.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -87,7 +87,7 @@
 
 func (l *Loop) delegate(request leased.Delegate) {
 	ctx, cancel := context.WithTimeout(context.Background(), request.Task.CallerTimeout)
-	l.delegations[request.Task.ID] = cancel
+	l.delegations[request.Task.ID] = delegation{request.Task.Run, cancel}
 	l.log.Info("lent", zap.String("job", string(request.Task.ID.Job)), zap.Int("step", request.Task.ID.Step),
 		zap.Int("task", request.Task.ID.Index), zap.Int("run", request.Task.Run), zap.String("cell", request.Cell), zap.Bool("adopt", request.Task.Adopt),
 		zap.Stringer("evidence", request.Evidence))
@@ -108,13 +108,21 @@
 		l.log.Warn("lend_ended", zap.String("job", string(r.Task.Job)), zap.Int("step", r.Task.Step), zap.Int("task", r.Task.Index),
 			zap.Int("run", r.Run), zap.String("end", r.End.String()))
 	}
-	delete(l.delegations, m.reply.Task)
+	if l.delegations[m.reply.Task].run == m.reply.Run {
+		delete(l.delegations, m.reply.Task)
+	}
 	l.step(m.reply)
 }
 
+// delegation is the open call of a delegated task.
+type delegation struct {
+	run    int
+	cancel context.CancelFunc
+}
+
 func (l *Loop) cancelDelegation(task leased.TaskID) {
-	if cancel := l.delegations[task]; cancel != nil {
-		cancel()
+	if d, open := l.delegations[task]; open {
+		d.cancel()
 		delete(l.delegations, task)
 	}
 }
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -80,7 +80,7 @@
 	lastTicket          leased.Ticket
 	waiters             map[leased.Ticket]chan leased.Answer
 	delegatedWaiters    map[leased.Ticket]chan leased.DelegatedAnswer
-	delegations         map[leased.TaskID]context.CancelFunc
+	delegations         map[leased.TaskID]delegation
 	stopping            bool
 	evacuatedRuns       int       // on evacuated endpoints, in the latest snapshot
 	resumedAt           time.Time // end of the latest freeze that was handled
@@ -107,7 +107,7 @@
 		peerCapacity:     make(map[cells.Cell]announcedCapacity),
 		waiters:          make(map[leased.Ticket]chan leased.Answer),
 		delegatedWaiters: make(map[leased.Ticket]chan leased.DelegatedAnswer),
-		delegations:      make(map[leased.TaskID]context.CancelFunc),
+		delegations:      make(map[leased.TaskID]delegation),
 		sharedDemand:     sharedDemand{sentAt: make(map[bool]time.Time)},
 	}
 	l.core = leased.New(leased.Options{MaxLease: s.MaxLease, NextToken: l.nextToken, Yields: l.yields, Balancing: s.Balancing, Recovery: s.Recovery, Policy: s.policy()})
