Let the entries of the soak reach each other through a proxy

Change: standin/peerproxy passes on the heartbeats (UDP) and the calls (HTTP/2 over TCP) between entries, with fault switches for each pair and direction. It needs no setting and no change of the product: an entry listens on its own address and announces it; the proxy replaces the address in each heartbeat, and usersplatform does so in the record that an entry writes to the store and in the seed of the settings file. Each caller gets another address of the same entry, 127.(caller+2).N.x, so that the proxy knows who calls. Calls to an entry whose process has ended are refused, as without the proxy: an entry distinguishes requests that were sent from others.

--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -176,9 +176,11 @@
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "start an entry")
 	}
+	s.deployment.Peers.Started(i)
 	p := &process{cmd: cmd, exited: make(chan struct{})}
 	go func() {
 		_ = cmd.Wait() // the exit status of a killed process is not meaningful
+		s.deployment.Peers.Ended(i)
 		close(p.exited)
 	}()
 	s.processes[i] = p
--- a/standin/usersplatform/deployment.go
+++ b/standin/usersplatform/deployment.go
@@ -1,7 +1,7 @@
 // Package usersplatform runs a stand-in for the users' platform on the local VM:
 // a store, executors, and settings files for entries. Each entry has its own
-// loopback address. The connections to the store and to the executors have
-// fault switches, which act from outside the processes of the entries.
+// loopback address. The connections to the store, to the executors and between the
+// entries have fault switches, which act from outside the processes of the entries.
 package usersplatform
 
 import (
@@ -25,6 +25,7 @@
 	"lovagespread.example/standin/fakeexecutor"
 	"lovagespread.example/standin/fakestore"
 	"lovagespread.example/standin/faultnet"
+	"lovagespread.example/standin/peerproxy"
 )
 
 // Parameters that all deployments share.
@@ -79,6 +80,7 @@
 	StoreListener *faultnet.Listener
 	Executors     []*Executor
 	Entries       []Entry
+	Peers         *peerproxy.Network // between the entries, in the order of Entries
 
 	opts    Options
 	servers []*http.Server
@@ -98,7 +100,7 @@
 		Store: fakestore.New(operatorTopic, fakeexecutor.Topic), opts: opts, cancel: cancel,
 		runTimes: make(map[leased.JobID]time.Duration), startedRuns: make(map[leased.JobID]int), deadly: make(map[leased.TaskID]int),
 	}
-	listener, err := d.serve(d.Store)
+	listener, err := d.serve(d.announceProxy(d.Store))
 	if err != nil {
 		return nil, err
 	}
@@ -118,12 +120,14 @@
 			}
 		}
 	}
-	return d, nil
+	d.Peers, err = d.connectEntries()
+	return d, err
 }
 
 // Close stops all stand-ins.
 func (d *Deployment) Close() {
 	d.cancel()
+	d.Peers.Close()
 	for _, s := range d.servers {
 		_ = s.Close() // nothing depends on a graceful shutdown
 	}
@@ -196,8 +200,7 @@
 }
 
 func (d *Deployment) addEntry(domain, n int) error {
-	const hostsPerDomain = 32
-	ip := fmt.Sprintf("127.0.%d.%d", d.opts.Subnet, domain*hostsPerDomain+n+2)
+	ip := d.entryAddress(domain, n)
 	e := Entry{
 		Name:     fmt.Sprintf("entry-%s-%d", domainName(domain), n),
 		Front:    fmt.Sprintf("%s:%d", ip, frontPort),
@@ -205,10 +208,10 @@
 		Settings: filepath.Join(d.opts.Dir, fmt.Sprintf("entry-%s-%d.toml", domainName(domain), n)),
 	}
 	settings := fmt.Sprintf(`node_name = %q
-ip = %q
+ip = "%v"
 zone = %q
 internal_ports = [%d, %d]
-seeds = ["127.0.%d.2:8166"]
+seeds = [%q]
 control_mode = "rpc"
 [listen]
 front = %q
@@ -227,7 +230,7 @@
 parts = 24
 writes_per_s = 600
 keep_s = 300
-`, e.Name, ip, domainName(domain), firstPort, firstPort+15, d.opts.Subnet, e.Front, e.Ready,
+`, e.Name, ip, domainName(domain), firstPort, firstPort+15, d.seed(), e.Front, e.Ready,
 		d.opts.EvacuationBound.Milliseconds(), d.StoreListener.Addr())
 	const permissions = 0o600
 	if err := os.WriteFile(e.Settings, []byte(settings), permissions); err != nil {
