Check for two runs of a task at one instant, and log the faults of the soak

Cause: the check read the executors one after the other every 5 ms. A run that moved from one executor to another between two reads looked like two runs, a run was counted until its executor's timer fired, and two runs shorter than the interval were missed. The report did not say which runs they were, nor when. Change: the check reads all executors while none of them can change, after each has advanced to the present, every 5 ms as before and also whenever a run has started. Evidence: TestOverlapsAreFound; go test -race ./experiment/soak ./standin/fakeexecutor.

--- a/experiment/soak/evacuations.go
+++ b/experiment/soak/evacuations.go
@@ -140,9 +140,7 @@
 	for _, domain := range domains {
 		s.deployment.Evacuate(domain)
 		s.evacuations.request(domain)
-		s.mu.Lock()
-		s.report.Faults["domain evacuated"]++
-		s.mu.Unlock()
+		s.recordFault("domain evacuated", "domain", domain)
 	}
 	time.Sleep(duration)
 	for _, domain := range domains {
--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -78,9 +78,7 @@
 	if kind.cutsContact && !s.evacuations.beginOutage() {
 		return
 	}
-	s.mu.Lock()
-	s.report.Faults[kind.name]++
-	s.mu.Unlock()
+	s.recordFault(kind.name, "duration", duration.String(), "choice", choice)
 	running.Go(func() {
 		kind.inject(s, duration, choice)
 		if kind.cutsContact {
@@ -89,6 +87,14 @@
 	})
 }
 
+// recordFault counts a fault and writes it to the log of events.
+func (s *soak) recordFault(name string, values ...any) {
+	s.events.add(name, values...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.report.Faults[name]++
+}
+
 func storeFault(faults fakestore.Faults) func(*soak, time.Duration, int) {
 	return func(s *soak, duration time.Duration, _ int) {
 		s.deployment.Store.SetFaults(faults)
--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -83,12 +83,18 @@
 		opts:   opts,
 		rng:    rand.New(rand.NewPCG(opts.Seed, 7)),
 		report: &Report{Seed: opts.Seed, Answers: make(map[string]int), Faults: make(map[string]int), DeadlyStarts: make(map[int]int)},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, runStarted: make(chan struct{}, 1),
 	}
+	events, err := openEvents(opts.Dir)
+	if err != nil {
+		return nil, err
+	}
+	defer events.close()
+	s.events = events
 	s.evacuations = newEvacuations(s.addViolation)
 	d, err := usersplatform.Start(usersplatform.Options{
 		Dir: opts.Dir, Domains: opts.Domains, Entries: opts.Entries, Executors: executorsPerDomain, Subnet: opts.Subnet,
-		EvacuationBound: evacuationBound, OnStart: s.evacuations.started,
+		EvacuationBound: evacuationBound, OnStart: s.started,
 	})
 	if err != nil {
 		return nil, err
@@ -106,7 +112,9 @@
 	opts        Options
 	deployment  *usersplatform.Deployment
 	evacuations *evacuations
-	rng         *rand.Rand // used only by the goroutine of run
+	events      *events
+	runStarted  chan struct{} // wakes the check for overlaps
+	rng         *rand.Rand    // used only by the goroutine of run
 	client      *http.Client
 	processes   []*process
 	jobs        sync.WaitGroup
@@ -255,24 +263,6 @@
 	}
 }
 
-// watchOverlaps looks for tasks with two runs at the same time.
-func (s *soak) watchOverlaps(ctx context.Context) {
-	for ctx.Err() == nil {
-		runningOn := make(map[leased.TaskID]leased.EndpointID)
-		for _, executor := range s.deployment.Executors {
-			executor.WithState(func(e *leasedtest.Endpoint) {
-				for _, r := range e.Running() {
-					if other, twice := runningOn[r.Task]; twice {
-						s.addViolation("task %v runs on %s and %s", r.Task, other, e.ID)
-					}
-					runningOn[r.Task] = e.ID
-				}
-			})
-		}
-		time.Sleep(checkInterval)
-	}
-}
-
 // checkIdle checks that no runs continue after the last caller has
 // disconnected.
 func (s *soak) checkIdle() {
--- a/standin/fakeexecutor/executor.go
+++ b/standin/fakeexecutor/executor.go
@@ -83,11 +83,14 @@
 	x.faults = f
 }
 
-// WithState calls f with the state of the executor. Tests use it to read the
-// state or to set faults in it.
+// WithState calls f with the state of the executor at the current time. Tests use it
+// to read the state or to set faults in it.
 func (x *Executor) WithState(f func(*leasedtest.Endpoint)) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.state.Advance(x.clock()) {
+		x.advance()
+	}
 	f(x.state)
 }
 
--- a/standin/usersplatform/executors.go
+++ b/standin/usersplatform/executors.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/dispatch/leased/leasedtest"
 	"lovagespread.example/standin/fakeexecutor"
 )
 
@@ -36,6 +37,23 @@
 	return nil
 }
 
+// WithExecutorStates calls f with the states of all executors at one time.
+func (d *Deployment) WithExecutorStates(f func([]*leasedtest.Endpoint)) {
+	var states []*leasedtest.Endpoint
+	var add func(i int)
+	add = func(i int) {
+		if i == len(d.Executors) {
+			f(states)
+			return
+		}
+		d.Executors[i].WithState(func(e *leasedtest.Endpoint) {
+			states = append(states, e)
+			add(i + 1)
+		})
+	}
+	add(0)
+}
+
 func (d *Deployment) sendHeartbeats(ctx context.Context, x *Executor) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
