--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -4,6 +4,9 @@
 //
 //	seed → a schedule of faults and jobs → violations
 //
+// Even seeds also evacuate failure domains. Two of three seeds have faults between the
+// entries while entries are restarted, with jobs that last longer.
+//
 // It checks these guarantees: no task has two runs at the same time; a job that
 // was refused as not run has not run; jobs are served again after the faults;
 // no task runs for long after the last caller has disconnected; planned stops
@@ -83,7 +86,10 @@
 		opts:   opts,
 		rng:    rand.New(rand.NewPCG(opts.Seed, 7)),
 		report: &Report{Seed: opts.Seed, Answers: make(map[string]int), Faults: make(map[string]int), DeadlyStarts: make(map[int]int)},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, runStarted: make(chan struct{}, 1),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, runStarted: make(chan struct{}, 1), jobLoad: &shortJobs,
+	}
+	if !opts.NoFaults && disturbsPeers(opts.Seed) {
+		s.jobLoad = &longJobs
 	}
 	events, err := openEvents(opts.Dir)
 	if err != nil {
@@ -94,7 +100,7 @@
 	s.evacuations = newEvacuations(s.addViolation)
 	d, err := usersplatform.Start(usersplatform.Options{
 		Dir: opts.Dir, Domains: opts.Domains, Entries: opts.Entries, Executors: executorsPerDomain, Subnet: opts.Subnet,
-		EvacuationBound: evacuationBound, OnStart: s.started,
+		EvacuationBound: evacuationBound, QueueTimeout: s.jobLoad.queueTimeout, OnStart: s.started,
 	})
 	if err != nil {
 		return nil, err
@@ -113,6 +119,7 @@
 	deployment  *usersplatform.Deployment
 	evacuations *evacuations
 	events      *events
+	jobLoad     *jobLoad      // during the faults
 	runStarted  chan struct{} // wakes the check for overlaps
 	rng         *rand.Rand    // used only by the goroutine of run
 	client      *http.Client
@@ -214,13 +221,16 @@
 	go s.watchOverlaps(watchCtx)
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	loadEnded := make(chan struct{})
-	go func() { s.load(loadCtx, nil); close(loadEnded) }()
+	go func() { s.load(loadCtx, s.jobLoad, nil); close(loadEnded) }()
 	storingEnded := make(chan struct{})
-	go func() { s.storeJobs(loadCtx); close(storingEnded) }()
+	go func() { s.storeJobs(loadCtx, s.jobLoad); close(storingEnded) }()
 	var faults sync.WaitGroup
 	if !s.opts.NoFaults && evacuatesDomains(s.opts.Seed) {
 		faults.Go(func() { s.evacuateDomains(time.Now().Add(s.opts.FaultDuration)) })
 	}
+	if !s.opts.NoFaults && disturbsPeers(s.opts.Seed) {
+		faults.Go(func() { s.disturbPeers(ctx, time.Now().Add(s.opts.FaultDuration)) })
+	}
 	for start := time.Now(); time.Since(start) < s.opts.FaultDuration && ctx.Err() == nil; {
 		if !s.opts.NoFaults {
 			s.startFault(&faults)
@@ -248,7 +258,7 @@
 	checkCtx, stop := context.WithTimeout(ctx, recoveryCheckTime)
 	defer stop()
 	var served, all int
-	s.load(checkCtx, func(a usersplatform.Response) {
+	s.load(checkCtx, &shortJobs, func(a usersplatform.Response) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		all++
--- a/experiment/soak/stored.go
+++ b/experiment/soak/stored.go
@@ -29,18 +29,18 @@
 )
 
 // storeJobs submits stored jobs, which outlive their callers, until ctx ends.
-func (s *soak) storeJobs(ctx context.Context) {
+func (s *soak) storeJobs(ctx context.Context, load *jobLoad) {
 	rng := rand.New(rand.NewPCG(s.opts.Seed, 23))
 	for n := 0; ctx.Err() == nil; n++ {
 		id := leased.JobID(fmt.Sprintf("%08x%08x", uint32(s.opts.Seed), 1<<31+n))
 		entry := rng.IntN(len(s.deployment.Entries))
 		tasks := 1 + rng.IntN(3)
-		run := time.Duration(20+rng.IntN(300)) * time.Millisecond
+		run := load.storedRunTime(rng)
 		if !s.opts.NoFaults && rng.IntN(deadlyJobEvery) == 0 {
 			s.deployment.MakeDeadly(leased.TaskID{Job: id, Index: rng.IntN(tasks)})
 		}
 		s.jobs.Go(func() { s.storeJob(id, entry, tasks, run) })
-		time.Sleep(storedInterval)
+		time.Sleep(load.storedInterval)
 	}
 }
 
--- a/standin/usersplatform/deployment.go
+++ b/standin/usersplatform/deployment.go
@@ -5,6 +5,7 @@
 package usersplatform
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -54,11 +55,16 @@
 	// EvacuationBound is the time after the store's reply within which an evacuation
 	// must be in force; 0: operators request none.
 	EvacuationBound time.Duration
+	// QueueTimeout is how long callers are served at most; 0: DefaultQueueTimeout.
+	QueueTimeout time.Duration
 	// OnStart is called when a run has started in a failure domain; nil: not. It must
 	// not call the deployment.
 	OnStart func(domain string, executor leased.EndpointID, task leased.TaskID)
 }
 
+// DefaultQueueTimeout is how long callers are served at most if Options say nothing.
+const DefaultQueueTimeout = 1500 * time.Millisecond
+
 // Entry holds the listen addresses and the settings file of an entry.
 type Entry struct {
 	Name     string
@@ -195,8 +201,8 @@
 	version := d.version
 	d.mu.Unlock()
 	d.Store.Put(operatorTopic, "config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":%q,"path_prefix":%q,"type":"unsafe",
-"timeout_ms":1500,"slo_ms":60,"service":%q,"max_attempts":3,"stretch":1.6}],"services":[{"name":%q,"admission_check":true}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, host, pathPrefix, serviceName, serviceName))
+"timeout_ms":%d,"slo_ms":60,"service":%q,"max_attempts":3,"stretch":1.6}],"services":[{"name":%q,"admission_check":true}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, host, pathPrefix, cmp.Or(d.opts.QueueTimeout, DefaultQueueTimeout).Milliseconds(), serviceName, serviceName))
 }
 
 func (d *Deployment) addEntry(domain, n int) error {
