--- a/standin/usersplatform/deployment.go
+++ b/standin/usersplatform/deployment.go
@@ -1,10 +1,11 @@
 // Package usersplatform runs a stand-in for the users' platform on the local VM:
 // a store, executors, and settings files for entries. Each entry has its own
-// loopback address. The connections to the store and to the executors have
-// fault switches, which act from outside the processes of the entries.
+// loopback address. The connections to the store, to the executors and between the
+// entries have fault switches, which act from outside the processes of the entries.
 package usersplatform
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -25,6 +26,7 @@
 	"lovagespread.example/standin/fakeexecutor"
 	"lovagespread.example/standin/fakestore"
 	"lovagespread.example/standin/faultnet"
+	"lovagespread.example/standin/peerproxy"
 )
 
 // Parameters that all deployments share.
@@ -53,11 +55,16 @@
 	// EvacuationBound is the time after the store's reply within which an evacuation
 	// must be in force; 0: operators request none.
 	EvacuationBound time.Duration
+	// QueueTimeout is how long callers are served at most; 0: DefaultQueueTimeout.
+	QueueTimeout time.Duration
 	// OnStart is called when a run has started in a failure domain; nil: not. It must
 	// not call the deployment.
 	OnStart func(domain string, executor leased.EndpointID, task leased.TaskID)
 }
 
+// DefaultQueueTimeout is how long callers are served at most if Options say nothing.
+const DefaultQueueTimeout = 1500 * time.Millisecond
+
 // Entry holds the listen addresses and the settings file of an entry.
 type Entry struct {
 	Name     string
@@ -79,6 +86,7 @@
 	StoreListener *faultnet.Listener
 	Executors     []*Executor
 	Entries       []Entry
+	Peers         *peerproxy.Network // between the entries, in the order of Entries
 
 	opts    Options
 	servers []*http.Server
@@ -98,7 +106,7 @@
 		Store: fakestore.New(operatorTopic, fakeexecutor.Topic), opts: opts, cancel: cancel,
 		runTimes: make(map[leased.JobID]time.Duration), startedRuns: make(map[leased.JobID]int), deadly: make(map[leased.TaskID]int),
 	}
-	listener, err := d.serve(d.Store)
+	listener, err := d.serve(d.announceProxy(d.Store))
 	if err != nil {
 		return nil, err
 	}
@@ -118,12 +126,14 @@
 			}
 		}
 	}
-	return d, nil
+	d.Peers, err = d.connectEntries()
+	return d, err
 }
 
 // Close stops all stand-ins.
 func (d *Deployment) Close() {
 	d.cancel()
+	d.Peers.Close()
 	for _, s := range d.servers {
 		_ = s.Close() // nothing depends on a graceful shutdown
 	}
@@ -191,13 +201,12 @@
 	version := d.version
 	d.mu.Unlock()
 	d.Store.Put(operatorTopic, "config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":%q,"path_prefix":%q,"type":"unsafe",
-"timeout_ms":1500,"slo_ms":60,"service":%q,"max_attempts":3,"stretch":1.6}],"services":[{"name":%q,"admission_check":true}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, host, pathPrefix, serviceName, serviceName))
+"timeout_ms":%d,"slo_ms":60,"service":%q,"max_attempts":3,"stretch":1.6}],"services":[{"name":%q,"admission_check":true}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, host, pathPrefix, cmp.Or(d.opts.QueueTimeout, DefaultQueueTimeout).Milliseconds(), serviceName, serviceName))
 }
 
 func (d *Deployment) addEntry(domain, n int) error {
-	const hostsPerDomain = 32
-	ip := fmt.Sprintf("127.0.%d.%d", d.opts.Subnet, domain*hostsPerDomain+n+2)
+	ip := d.entryAddress(domain, n)
 	e := Entry{
 		Name:     fmt.Sprintf("entry-%s-%d", domainName(domain), n),
 		Front:    fmt.Sprintf("%s:%d", ip, frontPort),
@@ -205,10 +214,10 @@
 		Settings: filepath.Join(d.opts.Dir, fmt.Sprintf("entry-%s-%d.toml", domainName(domain), n)),
 	}
 	settings := fmt.Sprintf(`node_name = %q
-ip = %q
+ip = "%v"
 zone = %q
 internal_ports = [%d, %d]
-seeds = ["127.0.%d.2:8166"]
+seeds = [%q]
 control_mode = "rpc"
 [listen]
 front = %q
@@ -227,7 +236,7 @@
 parts = 24
 writes_per_s = 600
 keep_s = 300
-`, e.Name, ip, domainName(domain), firstPort, firstPort+15, d.opts.Subnet, e.Front, e.Ready,
+`, e.Name, ip, domainName(domain), firstPort, firstPort+15, d.seed(), e.Front, e.Ready,
 		d.opts.EvacuationBound.Milliseconds(), d.StoreListener.Addr())
 	const permissions = 0o600
 	if err := os.WriteFile(e.Settings, []byte(settings), permissions); err != nil {
