Put evacuations in force within the bound of the deployment's settings

What callers saw: tasks started in an evacuated failure domain later than the settings allow, if evacuate_ms is below 5 s.

Cause: a request that is read late is put in force at once, without the drain in steps. What counts as late was a constant for a bound of 5 s.

Change: the age is the bound less the drain and a margin of 0.3 s: 3.2 s at 5 s as before, 1.2 s at 3 s. The durations of the drain stood twice and stand once.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -138,7 +138,7 @@
 		receivers: make(map[jobid.Incarnation]*handoverReceiver),
 		share:     SetShare{Rank: 0, Entries: 1},
 
-		evacuations: evacuation.New(evacuationRamps),
+		evacuations: evacuation.New(evacuation.Ramps),
 	}
 }
 
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -10,10 +10,6 @@
 	"lovagespread.example/dispatch/queue"
 )
 
-// evacuationRamps are the durations of the evacuation and of the return of a
-// failure domain.
-var evacuationRamps = evacuation.Options{Drain: 1500 * time.Millisecond, Return: 4 * time.Second}
-
 // evacuationRetryAfter is the time after which callers may retry a job that was
 // refused because of an evacuation. It is longer than the interval of 1 s at which
 // balancers check whether an entry is ready, so that the retry reaches an entry of
--- a/dispatch/evacuation/evacuation.go
+++ b/dispatch/evacuation/evacuation.go
@@ -34,6 +34,11 @@
 	Return time.Duration
 }
 
+// Ramps are the durations in use. Read requests are at most some seconds old, so that
+// the drain leaves time for them within a bound of 5 s; the return takes longer,
+// because endpoints that were idle are cold.
+var Ramps = Options{Drain: 1500 * time.Millisecond, Return: 4 * time.Second}
+
 // Phase is the state of a failure domain.
 type Phase uint8
 
--- a/dispatch/evacuation/requests.go
+++ b/dispatch/evacuation/requests.go
@@ -7,7 +7,8 @@
 
 // List is the list of failure domains whose evacuation operators request.
 type List struct {
-	// Revision is the offset of the operators' log for which Domains is the list. A list with a higher one replaces one with a lower one.
+	// Revision is the offset of the operators' log for which Domains is the list. A
+	// list with a higher one replaces one with a lower one.
 	Revision int64
 	Domains  []string // sorted
 }
@@ -30,17 +31,25 @@
 	FromPeer bool
 }
 
-// MaxAge is the age of a change above which it is in force at once. With the drain
-// of 1.5 s and 0.3 s for a tick and a busy entry, it fits into the 5 s within which
-// a request must be in force. It is longer than two reads that wait 1.2 s for changes
-// each, so that most requests are drained in steps.
-const MaxAge = 3200 * time.Millisecond
+// delayMargin covers a tick and a busy entry between the read of a request and the
+// last start that it allows.
+const delayMargin = 300 * time.Millisecond
 
 // Requests are the operators' requests as an entry knows them, from its own reads
-// and from its peers. It is not safe for concurrent use. The zero value knows none.
+// and from its peers. It is not safe for concurrent use.
 type Requests struct {
-	known *List
-	tried bool // a read of the operators' log was answered or has failed
+	// maxAge is the age of a change above which it is in force at once, because a
+	// drain in steps would end too late.
+	maxAge time.Duration
+	known  *List
+	tried  bool // a read of the operators' log was answered or has failed
+}
+
+// NewRequests returns requests of which none is known. They must be in force within
+// bound of their acknowledgement. A bound that leaves no time for Ramps.Drain puts all
+// of them in force at once.
+func NewRequests(bound time.Duration) *Requests {
+	return &Requests{maxAge: bound - Ramps.Drain - delayMargin}
 }
 
 // Latest returns the newest known list, or nil if none is known. The caller
@@ -73,7 +82,7 @@
 	if r.known != nil && list.Revision < r.known.Revision {
 		return Update{}, false
 	}
-	return r.replace(Update{List: list, Late: read.Age > MaxAge}), true
+	return r.replace(Update{List: list, Late: read.Age > r.maxAge}), true
 }
 
 // ApplyPeer applies a list that a peer knows. It returns false if this entry knows
--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -108,7 +108,7 @@
 		unpolledCells: make(map[string]time.Time),
 		cellHeldSince: make(map[string]time.Time),
 		runTimeRatios: make(map[string]*average),
-		evacuations:   evacuation.New(evacuationRamps),
+		evacuations:   evacuation.New(evacuation.Ramps),
 		unequal:       newUnequal(),
 		admission:     newAdmissionControl(),
 	}
--- a/dispatch/leased/evacuate.go
+++ b/dispatch/leased/evacuate.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"lovagespread.example/dispatch/evacuation"
 )
 
 // setEvacuations applies the list of failure domains that operators have
@@ -51,7 +49,3 @@
 // DomainShares returns, for each failure domain that is not fully in service, the
 // share of its endpoints that may get tasks.
 func (c *Core) DomainShares(now time.Time) map[string]float64 { return c.evacuations.Shares(now) }
-
-// evacuationRamps are the times within which the load of a domain moves to the
-// others and back.
-var evacuationRamps = evacuation.Options{Drain: 1500 * time.Millisecond, Return: 4 * time.Second}
--- a/fleet/evacuationcheck/entry.go
+++ b/fleet/evacuationcheck/entry.go
@@ -35,7 +35,7 @@
 	copy                *follow.Copy
 	listed              bool
 	failures            int
-	requests            evacuation.Requests
+	requests            *evacuation.Requests
 	core                *leased.Core
 	roster              *cells.Roster
 	view                *cells.View
@@ -61,6 +61,7 @@
 			Name: name, Address: name, HeartbeatAddress: name, FailureDomain: entryDomains[index],
 			Incarnation: w.lastInc, Weight: 1, Interval: heartbeatInterval,
 		},
+		requests:    evacuation.NewRequests(Bound),
 		delegations: make(map[leased.TaskID]*delegation), received: make(map[leased.Ticket]*delegation),
 	}
 	e.roster = cells.New(e.self, w.time())
--- a/fleet/evacuations.go
+++ b/fleet/evacuations.go
@@ -18,7 +18,7 @@
 type peerEvacuations struct{ list Evacuations }
 
 func (m peerEvacuations) handle(l *Loop) {
-	if l.settings.Evacuations {
+	if l.settings.EvacuationBound > 0 {
 		l.applyEvacuations(l.requests.ApplyPeer(m.list))
 	}
 }
@@ -32,7 +32,7 @@
 }
 
 func (m evacuationsRead) handle(l *Loop) {
-	if l.settings.Evacuations {
+	if l.settings.EvacuationBound > 0 {
 		awaited := l.awaitsEvacuations()
 		l.applyEvacuations(l.requests.ApplyRead(evacuation.Read{Offset: m.read.Offset, Domains: m.domains, Touched: m.touched, Age: m.read.Age}))
 		if awaited {
@@ -75,7 +75,7 @@
 
 // awaitsEvacuations reports whether this entry does not know well enough yet which
 // failure domains are evacuated. It holds no endpoints until then.
-func (l *Loop) awaitsEvacuations() bool { return l.settings.Evacuations && !l.requests.Known() }
+func (l *Loop) awaitsEvacuations() bool { return l.settings.EvacuationBound > 0 && !l.requests.Known() }
 
 // logDomainChange logs a change of the phase of a failure domain.
 func (l *Loop) logDomainChange(change evacuation.Change) {
--- a/fleet/evacuations_test.go
+++ b/fleet/evacuations_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"lovagespread.example/dispatch/evacuation"
 	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/fleet/follow"
 	"lovagespread.example/membership/cells"
@@ -13,7 +14,8 @@
 func evacuatingLoop(t *testing.T) *Loop {
 	t.Helper()
 	l := testLoop(t, nil)
-	l.settings.Evacuations = true
+	l.settings.EvacuationBound = 5 * time.Second
+	l.requests = evacuation.NewRequests(l.settings.EvacuationBound)
 	return l
 }
 
--- a/fleet/freecapacity.go
+++ b/fleet/freecapacity.go
@@ -36,7 +36,7 @@
 // hasNewerEvacuations reports whether the sender of a heartbeat knows requests of
 // the operators that this entry does not know.
 func (l *Loop) hasNewerEvacuations(b *fleetpb.Beat) bool {
-	return l.settings.Evacuations && l.requests.OlderThan(b.EvacuationsRevision)
+	return l.settings.EvacuationBound > 0 && l.requests.OlderThan(b.EvacuationsRevision)
 }
 
 func leavingIn(v *cells.View, id uint64) bool {
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -66,7 +66,7 @@
 	roster              *cells.Roster
 	view                *cells.View
 	directory           Directory
-	requests            evacuation.Requests
+	requests            *evacuation.Requests
 	sharedDemand        sharedDemand
 	dirty               bool // endpoints or holders may have changed since the last assignEndpoints
 	nextAssign          time.Time
@@ -108,6 +108,7 @@
 		waiters:          make(map[leased.Ticket]chan leased.Answer),
 		delegatedWaiters: make(map[leased.Ticket]chan leased.DelegatedAnswer),
 		delegations:      make(map[leased.TaskID]delegation),
+		requests:         evacuation.NewRequests(s.EvacuationBound),
 		sharedDemand:     sharedDemand{sentAt: make(map[bool]time.Time)},
 	}
 	l.core = leased.New(leased.Options{MaxLease: s.MaxLease, NextToken: l.nextToken, Yields: l.yields, Balancing: s.Balancing, Recovery: s.Recovery, Policy: s.policy()})
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -20,9 +20,10 @@
 	EndpointsPerCell int
 	Grace            time.Duration // of a planned stop
 	Stored           StoredSettings
-	// Evacuations reports whether operators may evacuate failure domains. The
-	// entry then holds no endpoints until it has read their requests.
-	Evacuations bool
+	// EvacuationBound is the time after the acknowledgement of an operator's request
+	// within which the evacuation of a failure domain must be in force. The entry holds
+	// no endpoints until it has read the requests. 0: operators evacuate none.
+	EvacuationBound time.Duration
 	// Recovery rejects jobs that cannot be served in time because capacity is missing,
 	// after a loss of endpoints or of power.
 	Recovery bool
