Delegate no task for an entry that is not heard

A holder delegated tasks of a job up to 1 s after it last heard the job's entry, and withdrew them in the same step, because delegated tasks are withdrawn after 0.5 s.

--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -93,7 +93,7 @@
 // enough free capacity. If this core cannot serve its queue, any holder will do. It
 // returns false if there is none.
 func (c *Core) delegate(t *task) bool {
-	if t.job.delegated {
+	if t.job.delegated || c.unheard(t.job) {
 		return false
 	}
 	cell, i := c.bestAnnounced(t.step.Demand.MilliCores)
