Report contacts and the only holder to the core

The core bounds the leases of runs by when the entries that wait for them were last heard, and lets a resubmitted job start without a pause at the only holder that had it (docs/design/restarts.md). A call of a higher epoch also withdraws those of lower ones, which its entry has given up; the test of refused calls covers that as well.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -154,6 +154,9 @@
 	case *CallerContact:
 		c.contact(in)
 	case *Tick:
+		for i := range in.Contacts {
+			c.contact(&in.Contacts[i])
+		}
 		c.tick()
 	}
 	c.resolveAdoptions()
--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -65,7 +65,7 @@
 	// Resubmitted reports that the job was submitted before, possibly to another
 	// holder: it may have active runs that this holder cannot see.
 	Resubmitted bool
-	// OnlyHolder reports that this holder is the only one that had a resubmitted job
+	// OnlyHolder reports that the holder is the only one that had a resubmitted job
 	// before, in its present incarnation. So it knows all runs of the job.
 	OnlyHolder bool
 	// Movable reports that the submitter sends the job to another holder if it is
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -110,7 +110,9 @@
 type Pause struct{ For time.Duration }
 
 // Tick advances the time.
-type Tick struct{}
+type Tick struct {
+	Contacts []CallerContact // of all entries that wait for tickets
+}
 
 func (*SetEndpoints) isInput()         {}
 func (*AnnounceFreeCapacity) isInput() {}
--- a/fleet/callset.go
+++ b/fleet/callset.go
@@ -55,14 +55,16 @@
 	return s.add(ctx, id, s.epochs.current(id))
 }
 
-// admit adds a call from another entry in the epoch that the call names. It
-// returns errCallWithdrawn if that entry has given up all calls of the epoch.
+// admit adds a call from another entry in the epoch that the call names, and cancels
+// its calls of lower epochs. It returns errCallWithdrawn if that entry has given up all
+// calls of the epoch.
 func (s *callSet) admit(ctx context.Context, id cells.Incarnation, epoch uint64) (*call, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if epoch < s.epochs.current(id) {
 		return nil, errCallWithdrawn
 	}
+	s.withdrawLocked(id, epoch)
 	return s.add(ctx, id, epoch), nil
 }
 
@@ -124,6 +126,10 @@
 func (s *callSet) withdraw(id cells.Incarnation, epoch uint64) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.withdrawLocked(id, epoch)
+}
+
+func (s *callSet) withdrawLocked(id cells.Incarnation, epoch uint64) int {
 	s.epochs.raise(time.Now(), id, epoch)
 	n := 0
 	for c := range s.byEntry[id] {
--- a/fleet/epochs_test.go
+++ b/fleet/epochs_test.go
@@ -116,14 +116,19 @@
 		}
 		return c
 	}
-	old, resubmitted, other := admit(2, 0), admit(2, 2), admit(3, 0)
+	old, other := admit(2, 0), admit(3, 0)
+	second := admit(2, 1)
+	if old.ctx.Err() == nil || second.ctx.Err() != nil {
+		t.Errorf("ended: %v and %v, want only the call of the epoch that a later call has ended", old.ctx.Err(), second.ctx.Err())
+	}
 	for i, want := range []int{1, 0} {
 		if n := s.withdraw(2, 2); n != want {
 			t.Errorf("heartbeat %d withdrew %d calls, want %d", i, n, want)
 		}
 	}
-	if old.ctx.Err() == nil || resubmitted.ctx.Err() != nil || other.ctx.Err() != nil {
-		t.Errorf("ended: %v, %v and %v, want only the call of the earlier epoch", old.ctx.Err(), resubmitted.ctx.Err(), other.ctx.Err())
+	resubmitted := admit(2, 2)
+	if second.ctx.Err() == nil || resubmitted.ctx.Err() != nil || other.ctx.Err() != nil {
+		t.Errorf("ended: %v, %v and %v, want only the call of the earlier epoch", second.ctx.Err(), resubmitted.ctx.Err(), other.ctx.Err())
 	}
 	for epoch := range uint64(2) {
 		if _, err := s.admit(context.Background(), 2, epoch); !errors.Is(err, errCallWithdrawn) {
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -161,7 +161,7 @@
 	l.refresh(now)
 	l.cancelCallsOfLostEntries(now)
 	l.passCapacityOn(now)
-	l.step(&leased.Tick{})
+	l.step(&leased.Tick{Contacts: l.callerContacts()})
 	l.updateOwnLoad(now)
 	l.sendHeartbeats(now)
 	l.publish()
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -212,6 +212,7 @@
 	backoff := minHolderBackoff
 	preferred := cells.Incarnation(0) // the holder that a moved job, or one whose call broke, should go to
 	again := sameHolder{}
+	var lost lostHolders
 	job.Movable = s.loop.settings.Balancing
 	if pause := s.loop.freezeDetector.remainingPause(); pause > 0 && !pauseFor(ctx, pause) {
 		return s.abandoned() // the caller disconnected during the freeze
@@ -223,6 +224,7 @@
 		if ok {
 			sent := time.Now()
 			wait.apply(&job, sent)
+			job.OnlyHolder = lost.only(holder)
 			outcome, err := s.offer(ctx, latest, holder, &job)
 			if err == nil {
 				return abandonIfResubmitted(outcome, &job)
@@ -236,6 +238,7 @@
 			}
 			if !errors.Is(err, errNotHolder) {
 				s.holderLost(holder, &job, err)
+				lost.add(holder, err)
 				lostAt = time.Now()
 				preferred = again.next(holder, err)
 			}
@@ -349,6 +352,22 @@
 		zap.Bool("may_have_begun", job.Resubmitted), zap.Error(err))
 }
 
+// lostHolders are the holders that may have begun a job and were lost since.
+type lostHolders []cells.Incarnation
+
+// add records that a holder was lost, unless nothing was sent to it.
+func (l *lostHolders) add(holder cells.Entry, err error) {
+	var notSent *notSentError
+	if !errors.As(err, &notSent) {
+		*l = append(*l, holder.Incarnation)
+	}
+}
+
+// only reports whether a holder is the only one that may have begun the job.
+func (l lostHolders) only(holder cells.Entry) bool {
+	return len(l) > 0 && !slices.ContainsFunc(l, func(id cells.Incarnation) bool { return id != holder.Incarnation })
+}
+
 // sameHolder decides when a job whose call broke goes to the same holder once more.
 // That one may still have the job and continues it, or it knows what has become of
 // its runs. Another holder has to wait until they have certainly ended.
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/membership/cells"
 	"lovagespread.example/peer/fleetpb"
 )
@@ -61,24 +62,34 @@
 	}
 }
 
-// callerContact is the last contact with an entry that has open calls.
-type callerContact struct {
-	caller  cells.Incarnation
-	heardAt time.Time
-}
-
-// callerContacts returns the last contact with each entry that has open calls, by
-// incarnation: its last heartbeat or, if none has arrived, the beginning of its
-// earliest call. A later call is no sign that the earlier ones are still wanted.
-func (l *Loop) callerContacts() []callerContact {
-	var contacts []callerContact
+// callerContacts returns when each entry with open calls was last heard, by
+// incarnation. The core extends the leases of their runs no further than that allows.
+func (l *Loop) callerContacts() []leased.CallerContact {
+	var contacts []leased.CallerContact
 	for id, began := range l.peers.inbound.earliest() {
-		heardAt, heard := l.roster.LastHeartbeat(id)
-		if !heard {
-			heardAt = began
-		}
-		contacts = append(contacts, callerContact{id, heardAt})
+		contacts = append(contacts, l.callerContact(id, began))
 	}
-	slices.SortFunc(contacts, func(a, b callerContact) int { return cmp.Compare(a.caller, b.caller) })
+	slices.SortFunc(contacts, func(a, b leased.CallerContact) int { return cmp.Compare(a.Caller, b.Caller) })
 	return contacts
 }
+
+// callerContact returns when an entry was last heard: its last heartbeat or, if none has
+// arrived, the beginning of its earliest call. A later call is no sign that the earlier
+// ones are still wanted.
+func (l *Loop) callerContact(id cells.Incarnation, firstCall time.Time) leased.CallerContact {
+	heardAt, heard := l.roster.LastHeartbeat(id)
+	if !heard {
+		heardAt = firstCall
+	}
+	return leased.CallerContact{Caller: uint64(id), HeardAt: heardAt}
+}
+
+// reportContact tells the core when the entry was last heard whose job or task it gets
+// next; 0: this entry.
+func (l *Loop) reportContact(caller cells.Incarnation) {
+	if caller == 0 {
+		return
+	}
+	contact := l.callerContact(caller, time.Now())
+	l.step(&contact)
+}
--- a/fleet/withdrawals_test.go
+++ b/fleet/withdrawals_test.go
@@ -353,7 +353,7 @@
 			earliest = c.began
 		}
 	}
-	want := []callerContact{{2, earliest}, {3, heardAt}}
+	want := []leased.CallerContact{{Caller: 2, HeardAt: earliest}, {Caller: 3, HeardAt: heardAt}}
 	if got := l.callerContacts(); !slices.Equal(got, want) {
 		t.Errorf("contacts %v, want %v", got, want)
 	}
