--- a/dispatch/leased/restart_check_entry_test.go
+++ b/dispatch/leased/restart_check_entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"lovagespread.example/dispatch/leased"
@@ -16,6 +17,7 @@
 	job      leased.Job
 	ticket   leased.Ticket // of the newest submission; 0: none is awaited
 	holder   int
+	lost     []int // holders that may have begun the job
 	since    time.Duration
 	answered bool
 }
@@ -63,6 +65,7 @@
 	}
 	job := c.job
 	job.CallerTimeout -= w.now - c.since
+	job.OnlyHolder = len(c.lost) > 0 && !slices.ContainsFunc(c.lost, func(other int) bool { return other != h })
 	c.holder = h
 	c.ticket = w.newTicket(&restartTicket{holder: h, call: c})
 	ticket := c.ticket
@@ -101,6 +104,7 @@
 func (c *restartCall) resubmitTo(h int) {
 	c.ticket = 0
 	c.job.Resubmitted = true
+	c.lost = append(c.lost, c.holder)
 	c.world.after(resubmitPause, func() { c.submit(h) })
 }
 
