--- a/fleet/service_test.go
+++ b/fleet/service_test.go
@@ -193,7 +193,7 @@
 	s, x, _ := breakingHolders(t, false, breaksCall, completesJob)
 	s.runAtHolder(context.Background(), leased.Job{ID: "j", CallerTimeout: 5 * time.Second})
 	for epoch := range uint64(2) {
-		if r := <-x.submits; r.Epoch != epoch || r.Resubmitted != (epoch == 1) {
+		if r := receiveFrom(t, x.submits); r.Epoch != epoch || r.Resubmitted != (epoch == 1) {
 			t.Errorf("request of epoch %d, resubmitted %v, want epoch %d", r.Epoch, r.Resubmitted, epoch)
 		}
 	}
--- a/fleet/withdrawals_test.go
+++ b/fleet/withdrawals_test.go
@@ -127,18 +127,26 @@
 	l.receiveDatagram(buffer[:n])
 }
 
-// nextMessage returns the next message to a loop.
+// receiveFrom returns the next value of a channel.
+func receiveFrom[T any](t *testing.T, values <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-values:
+		return v
+	case <-time.After(5 * time.Second):
+		var none T
+		t.Fatalf("no %T within 5 s", none)
+		return none
+	}
+}
+
+// nextMessage returns the next message of a type to a loop, and drops those of other
+// types before it.
 func nextMessage[M message](t *testing.T, l *Loop) M {
 	t.Helper()
 	for {
-		select {
-		case m := <-l.messages:
-			if m, ok := m.(M); ok {
-				return m
-			}
-		case <-time.After(5 * time.Second):
-			var want M
-			t.Fatalf("no message of type %T", want)
+		if m, ok := receiveFrom(t, l.messages).(M); ok {
+			return m
 		}
 	}
 }
@@ -189,11 +197,11 @@
 				_, err := l.peers.submit(ctx, x.entry, &leased.Job{ID: "j"})
 				result <- err
 			}()
-			<-x.submits
+			receiveFrom(t, x.submits)
 			if c.during != nil {
 				c.during(l, cancel)
 			}
-			if err := <-result; !c.check(err) {
+			if err := receiveFrom(t, result); !c.check(err) {
 				t.Errorf("error %v", err)
 			}
 			if got := l.peers.outbound.epochs.current(2); got != c.epoch {
@@ -251,7 +259,7 @@
 	if _, err := l.peers.submit(context.Background(), x.entry, &leased.Job{ID: "j"}); err != nil {
 		t.Fatal(err)
 	}
-	if first, second, submit := <-x.lends, <-x.lends, <-x.submits; first.Epoch != 0 || second.Epoch != 1 || submit.Epoch != 1 {
+	if first, second, submit := receiveFrom(t, x.lends), receiveFrom(t, x.lends), receiveFrom(t, x.submits); first.Epoch != 0 || second.Epoch != 1 || submit.Epoch != 1 {
 		t.Errorf("requests of epochs %d, %d and %d, want 0, 1 and 1", first.Epoch, second.Epoch, submit.Epoch)
 	}
 }
@@ -282,14 +290,14 @@
 
 	caller.peers.outbound.open(context.Background(), 2)
 	caller.giveUpCalls(to)
-	for range 2 { // both datagrams of the withdrawal
-		receiveHeartbeat(t, holder)
-		nextMessage[peerHeartbeat](t, holder).handle(holder)
-	}
-	if err := <-result; !errors.Is(err, context.Canceled) {
+	receiveHeartbeat(t, holder)
+	nextMessage[peerHeartbeat](t, holder).handle(holder)
+	if err := receiveFrom(t, result); !errors.Is(err, context.Canceled) {
 		t.Errorf("the call ended with %v, want %v", err, context.Canceled)
 	}
 	nextMessage[cancelTicket](t, holder) // which stops the run
+	receiveHeartbeat(t, holder)          // the second datagram changes nothing
+	nextMessage[peerHeartbeat](t, holder).handle(holder)
 	if n := logs.FilterMessage("calls_withdrawn").Len(); n != 1 {
 		t.Errorf("%d log lines of the withdrawal, want 1", n)
 	}
