Withdraw calls to another entry by heartbeats when they are given up

Cause: the end of a connection may reach one side only.

Change: the calls to each other entry have an epoch. When a call breaks without an answer, or the other entry is gone, all open calls to it are cancelled and the epoch rises. Submit and Lend carry the epoch. Heartbeats announce epochs that have risen within 30 s, two of them at once. The receiver cancels calls of lower epochs (calls_withdrawn) and refuses them when they arrive late. The epoch does not rise when the caller ends the call, nothing was sent or the other entry has answered, also with an error. Entries of older versions send no epochs, which means 0. Requests about stored jobs have a call set of their own: they are not given up with the others.

Evidence: go test -race ./fleet ./membership/... ./peer/... passes. With the sending or the handling of epochs in heartbeats taken out, TestWithdrawalReachesTheOtherEntryWithoutItsConnection fails: the call goes on. With the rise, the refusal or the conditions of the rise taken out one by one, the tests in epochs_test.go and withdrawals_test.go fail.

Conclusion: a holder that receives heartbeats of an entry learns what that entry has given up. One that receives none still has to wait for callerSilence.

--- a/fleet/callset.go
+++ b/fleet/callset.go
@@ -5,45 +5,141 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"lovagespread.example/membership/cells"
+	"lovagespread.example/peer/fleetpb"
 )
 
 // callSet contains the open calls to other entries, or from them, so that they
-// can be cancelled when an entry is lost. It is safe for concurrent use.
+// can be cancelled when an entry is lost or has given them up. It is safe for
+// concurrent use.
 type callSet struct {
 	mu      sync.Mutex
 	byEntry map[cells.Incarnation]map[*call]struct{}
+	epochs  epochs
 }
 
+// call is an open call to another entry, or from it.
 type call struct {
+	ctx    context.Context // done when the call has ended or was cancelled
+	entry  cells.Incarnation
+	epoch  uint64
 	began  time.Time
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 }
 
+// Causes of the cancellation of calls, other than the end of their own contexts.
+var (
+	errEntryGone     = errors.New("the other entry counts as gone")
+	errCallsGivenUp  = errors.New("the connection of another call to the same entry broke")
+	errCallWithdrawn = errors.New("the calling entry has given the call up")
+)
+
 func newCallSet() *callSet {
-	return &callSet{byEntry: make(map[cells.Incarnation]map[*call]struct{})}
+	return &callSet{byEntry: make(map[cells.Incarnation]map[*call]struct{}), epochs: newEpochs()}
 }
 
-// track returns a context that is also cancelled by cancelAll. The returned
-// function must be called when the call has ended.
+// track returns a context that is cancelled with the calls of an entry. The
+// returned function must be called when the call has ended.
 func (s *callSet) track(ctx context.Context, id cells.Incarnation) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	c := &call{time.Now(), cancel}
+	c := s.open(ctx, id)
+	return c.ctx, func() { s.end(c) }
+}
+
+// open adds a call of the current epoch. The caller must call end when it has
+// ended.
+func (s *callSet) open(ctx context.Context, id cells.Incarnation) *call {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.add(ctx, id, s.epochs.current(id))
+}
+
+// admit adds a call from another entry in the epoch that the call names. It
+// returns errCallWithdrawn if that entry has given up all calls of the epoch.
+func (s *callSet) admit(ctx context.Context, id cells.Incarnation, epoch uint64) (*call, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if epoch < s.epochs.current(id) {
+		return nil, errCallWithdrawn
+	}
+	return s.add(ctx, id, epoch), nil
+}
+
+func (s *callSet) add(ctx context.Context, id cells.Incarnation, epoch uint64) *call {
+	c := &call{entry: id, epoch: epoch, began: time.Now()}
+	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	if s.byEntry[id] == nil {
 		s.byEntry[id] = make(map[*call]struct{})
 	}
 	s.byEntry[id][c] = struct{}{}
-	return ctx, func() {
-		cancel()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.byEntry[id], c)
-		if len(s.byEntry[id]) == 0 {
-			delete(s.byEntry, id)
+	return c
+}
+
+// end removes a call that has ended.
+func (s *callSet) end(c *call) {
+	c.cancel(nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.byEntry[c.entry], c)
+	if len(s.byEntry[c.entry]) == 0 {
+		delete(s.byEntry, c.entry)
+	}
+}
+
+// giveUp cancels the open calls to an entry and begins the next epoch. It returns
+// the epoch and the number of calls. Without open calls it does nothing.
+func (s *callSet) giveUp(id cells.Incarnation, cause error) (epoch uint64, calls int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.giveUpLocked(id, cause)
+}
+
+// giveUpBroken does the same after a call broke, unless that call was given up
+// before: calls that break together begin one epoch only.
+func (s *callSet) giveUpBroken(broken *call) (epoch uint64, calls int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, open := s.byEntry[broken.entry][broken]; !open {
+		return 0, 0
+	}
+	return s.giveUpLocked(broken.entry, errCallsGivenUp)
+}
+
+func (s *callSet) giveUpLocked(id cells.Incarnation, cause error) (epoch uint64, calls int) {
+	given := s.byEntry[id]
+	if len(given) == 0 {
+		return 0, 0
+	}
+	for c := range given {
+		c.cancel(cause)
+	}
+	delete(s.byEntry, id)
+	return s.epochs.next(time.Now(), id), len(given)
+}
+
+// withdraw cancels the calls from an entry of epochs before the given one, which
+// that entry has given up, and lets no further ones in. It returns the number of
+// calls that it has cancelled.
+func (s *callSet) withdraw(id cells.Incarnation, epoch uint64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epochs.raise(time.Now(), id, epoch)
+	n := 0
+	for c := range s.byEntry[id] {
+		if c.epoch < epoch && c.ctx.Err() == nil {
+			c.cancel(errCallWithdrawn)
+			n++
 		}
 	}
+	return n
+}
+
+// recentEpochs returns the epochs that heartbeats announce.
+func (s *callSet) recentEpochs() []*fleetpb.CallEpoch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epochs.recent(time.Now())
 }
 
 // cancelAll cancels the calls of an entry.
@@ -57,7 +153,7 @@
 	n := 0
 	for c := range s.byEntry[id] {
 		if !c.began.After(before) {
-			c.cancel()
+			c.cancel(errEntryGone)
 			n++
 		}
 	}
--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -9,6 +9,8 @@
 //     goroutines read its immutable Snapshot.
 //   - Service serves callers. It submits a job to the holder of a cell, and to
 //     another holder if the first one is lost.
+//   - Each call to another entry has an epoch (epochs.go, callset.go). An entry that
+//     gives up calls notifies the other one by its heartbeats (withdrawals.go).
 //   - peers.go, server.go and heartbeats.go communicate with other entries: by
 //     Twirp for jobs, tasks and snapshots, and by UDP datagrams for heartbeats
 //     and free capacity.
--- a/fleet/freecapacity.go
+++ b/fleet/freecapacity.go
@@ -17,6 +17,7 @@
 func (m peerHeartbeat) handle(l *Loop) {
 	now := time.Now()
 	b := m.heartbeat
+	l.withdrawCalls(b)
 	l.maxToken = max(l.maxToken, b.Token)
 	isNew := l.roster.ReceiveHeartbeat(now, entryOf(b))
 	l.heartbeats.addAddressesOf(b)
--- a/fleet/heartbeats.go
+++ b/fleet/heartbeats.go
@@ -235,6 +235,7 @@
 		Name: self.Name, Address: self.Address, Beats: self.HeartbeatAddress, FailureDomain: self.FailureDomain,
 		Incarnation: uint64(self.Incarnation), Weight: self.Weight, IntervalMs: uint32(l.interval(local).Milliseconds()),
 		Leaving: l.stopping, ConfigurationVersion: l.directory.Version, Token: l.maxToken,
+		CallEpochs: l.peers.outbound.recentEpochs(),
 	}
 	if l.directory.Evacuations != nil {
 		heartbeat.EvacuationsRevision = l.directory.Evacuations.Revision
@@ -298,6 +299,11 @@
 	case b.Token < 0 || b.Token>>tokenLowBits > now.Add(maxTokenLead).UnixMilli():
 		reason = fmt.Sprintf("token %d", b.Token)
 	}
+	for _, e := range b.CallEpochs {
+		if e.Incarnation == 0 || e.Epoch == 0 || e.Epoch > maxEpoch {
+			reason = fmt.Sprintf("epoch %d of calls to incarnation %d", e.Epoch, e.Incarnation)
+		}
+	}
 	for _, r := range b.Rooms {
 		if r.Of == 0 || r.Of > maxCells || r.Cell >= r.Of || r.FailureDomain == "" {
 			reason = fmt.Sprintf("free capacity of cell %d of %d", r.Cell, r.Of)
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -197,13 +197,14 @@
 	})
 }
 
-// entriesChanged logs which entries are new or gone, and cancels the calls to
+// entriesChanged logs which entries are new or gone, and gives up the calls to
 // those that are gone.
 func (l *Loop) entriesChanged(before, after *cells.View) {
 	for _, e := range before.Live {
 		if _, ok := after.Find(e.Incarnation); !ok {
 			l.log.Warn("entry_gone", zap.String("entry", e.Name), zap.Uint64("incarnation", uint64(e.Incarnation)))
-			l.peers.outbound.cancelAll(e.Incarnation)
+			l.giveUpCalls(e)
+			l.peers.requests.cancelAll(e.Incarnation)
 			l.dropCapacity(e.Incarnation)
 		}
 	}
--- a/fleet/malformed_test.go
+++ b/fleet/malformed_test.go
@@ -47,6 +47,11 @@
 		"a cell of none":      func(b *fleetpb.Beat) { b.Rooms[0].Of = 0 },
 		"a cell beyond all":   func(b *fleetpb.Beat) { b.Rooms[0].Cell = 2 },
 		"billions of cells":   func(b *fleetpb.Beat) { b.Rooms[0].Of = math.MaxUint32 },
+		"an epoch of nobody":  func(b *fleetpb.Beat) { b.CallEpochs = []*fleetpb.CallEpoch{{Epoch: 1}} },
+		"no epoch":            func(b *fleetpb.Beat) { b.CallEpochs = []*fleetpb.CallEpoch{{Incarnation: 1}} },
+		"the last epoch": func(b *fleetpb.Beat) {
+			b.CallEpochs = []*fleetpb.CallEpoch{{Incarnation: 3, Epoch: 1}, {Incarnation: 1, Epoch: math.MaxUint64}}
+		},
 	} {
 		b := validHeartbeat()
 		spoil(b)
@@ -81,6 +86,10 @@
 	if !errors.As(err, &rejected) || rejected.Code() != twirp.InvalidArgument {
 		t.Errorf("delegated task: error %v, want invalid_argument", err)
 	}
+	_, err = s.Lend(context.Background(), &fleetpb.LendRequest{Job: "j", Step: &fleetpb.Step{Tasks: 1, MilliCores: 1000}, Run: 1, PatienceUs: 1000, Epoch: math.MaxUint64})
+	if !errors.As(err, &rejected) || rejected.Code() != twirp.InvalidArgument {
+		t.Errorf("the last epoch: error %v, want invalid_argument", err)
+	}
 	job := jobFromPB(&fleetpb.SubmitRequest{Id: "j", Steps: []*fleetpb.Step{{Tasks: 1, After: []uint32{9}}}})
 	if job.Validate() == nil {
 		t.Error("a job that depends on a missing step is valid")
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
 	"lovagespread.example/dispatch/leased"
@@ -36,8 +37,9 @@
 	send   func(message)    // to the loop
 	latest func() *Snapshot // of the loop
 
-	outbound *callSet // calls to other entries
-	inbound  *callSet // calls from other entries
+	outbound *callSet // jobs and tasks submitted to other entries
+	inbound  *callSet // the same from other entries
+	requests *callSet // requests to other entries about stored jobs; they have no epochs
 
 	mu       sync.Mutex
 	clients  map[string]fleetpb.Fleet // by address
@@ -54,7 +56,7 @@
 			DialContext: dialer.DialContext, Protocols: protocols,
 			HTTP2: &http.HTTP2Config{SendPingTimeout: peerPingAfter, PingTimeout: peerPingTimeout},
 		}},
-		outbound: newCallSet(), inbound: newCallSet(),
+		outbound: newCallSet(), inbound: newCallSet(), requests: newCallSet(),
 		clients: make(map[string]fleetpb.Fleet),
 	}
 }
@@ -78,6 +80,45 @@
 }
 func (e *notSentError) Unwrap() error { return e.cause }
 
+// brokenCallError reports a call that was given up without an answer. The other
+// entry may have begun what it was asked for.
+type brokenCallError struct {
+	gone  bool // the other entry counted as gone
+	cause error
+}
+
+func (e *brokenCallError) Error() string {
+	return "the connection to the other entry broke: " + e.cause.Error()
+}
+func (e *brokenCallError) Unwrap() error { return e.cause }
+
+// isAnswer reports whether the error of a call is the other entry's answer. An
+// error that the client detects wraps its cause.
+func isAnswer(err error) bool {
+	var answer twirp.Error
+	return errors.As(err, &answer) && errors.Unwrap(answer) == nil
+}
+
+// callFailed returns the error of a call that has failed: a *notSentError if
+// nothing was sent, and a *brokenCallError if there was no answer although the
+// caller was waiting. The first call that breaks gives up all calls to the entry:
+// what has become of them is not known either.
+func (p *peers) callFailed(caller context.Context, to cells.Entry, c *call, sent bool, err error) error {
+	if c.ctx.Err() == nil {
+		p.send(suspectEntry{to.Incarnation})
+	}
+	switch {
+	case !sent:
+		return &notSentError{err}
+	case caller.Err() != nil || isAnswer(err):
+		return err
+	}
+	if epoch, calls := p.outbound.giveUpBroken(c); calls > 0 {
+		p.send(callsGivenUp{to, epoch, calls})
+	}
+	return &brokenCallError{gone: errors.Is(context.Cause(c.ctx), errEntryGone), cause: err}
+}
+
 // traceSent returns a context for a request, and a flag that is set once a part
 // of the request may have been sent.
 func traceSent(ctx context.Context) (context.Context, *bool) {
@@ -87,42 +128,37 @@
 }
 
 // submit submits a job to a holder. A *notSentError means that the holder has
-// not received it.
+// not received it, and a *brokenCallError that the call was given up.
 func (p *peers) submit(ctx context.Context, to cells.Entry, job *leased.Job) (*fleetpb.SubmitResponse, error) {
-	ctx, done := p.outbound.track(ctx, to.Incarnation)
-	defer done()
-	traced, sent := traceSent(ctx)
-	reply, err := p.client(to.Address).Submit(traced, jobToPB(job, uint64(p.self)))
+	c := p.outbound.open(ctx, to.Incarnation)
+	defer p.outbound.end(c)
+	traced, sent := traceSent(c.ctx)
+	request := jobToPB(job, uint64(p.self))
+	request.Epoch = c.epoch
+	reply, err := p.client(to.Address).Submit(traced, request)
 	if err == nil {
 		return reply, nil
 	}
-	if ctx.Err() == nil {
-		p.send(suspectEntry{to.Incarnation})
-	}
-	if !*sent {
-		return nil, &notSentError{err}
-	}
-	return nil, errors.Wrap(err, "the connection to the holder broke")
+	return nil, p.callFailed(ctx, to, c, *sent, err)
 }
 
 // delegate asks another holder to run a task. If the call fails, it returns
 // EndNoCapacity if nothing was sent, and EndUnknown otherwise.
 func (p *peers) delegate(ctx context.Context, request *leased.Delegate) (leased.End, string) {
-	holder := cells.Incarnation(request.Holder)
-	address, ok := p.addressOf(holder)
+	holder, ok := p.latest().View.Find(cells.Incarnation(request.Holder))
 	if !ok {
 		return leased.EndNoCapacity, ""
 	}
-	ctx, done := p.outbound.track(ctx, holder)
-	defer done()
-	traced, sent := traceSent(ctx)
-	reply, err := p.client(address).Lend(traced, delegatedTaskToPB(&request.Task, uint64(p.self)))
+	c := p.outbound.open(ctx, holder.Incarnation)
+	defer p.outbound.end(c)
+	traced, sent := traceSent(c.ctx)
+	lend := delegatedTaskToPB(&request.Task, uint64(p.self))
+	lend.Epoch = c.epoch
+	reply, err := p.client(holder.Address).Lend(traced, lend)
 	if err == nil {
 		return delegatedEndFromPB(reply), reply.Saved
 	}
-	if ctx.Err() == nil {
-		p.send(suspectEntry{holder})
-	}
+	err = p.callFailed(ctx, holder, c, *sent, err)
 	p.log.Warn("lend_failed", zap.String("job", string(request.Task.ID.Job)), zap.Int("task", request.Task.ID.Index), zap.Int("run", request.Task.Run), zap.Bool("sent", *sent), zap.Error(err))
 	if !*sent {
 		return leased.EndNoCapacity, ""
@@ -130,11 +166,6 @@
 	return leased.EndUnknown, ""
 }
 
-func (p *peers) addressOf(id cells.Incarnation) (string, bool) {
-	e, ok := p.latest().View.Find(id)
-	return e.Address, ok
-}
-
 // fetchSnapshot requests the configuration and the endpoints of an entry. It
 // does nothing while another such request is open.
 func (p *peers) fetchSnapshot(address string) {
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -38,15 +38,33 @@
 	if err := job.Validate(); err != nil {
 		return nil, s.rejectMalformed(err)
 	}
-	ctx, done := s.peers.inbound.track(ctx, cells.Incarnation(r.From))
-	defer done()
-	answer, ended := s.loop.runLocally(ctx, job)
+	c, err := s.admit(ctx, r.From, r.Epoch)
+	if err != nil {
+		return nil, err
+	}
+	defer s.peers.inbound.end(c)
+	answer, ended := s.loop.runLocally(c.ctx, job)
 	if !ended {
-		return nil, ctx.Err()
+		return nil, c.ctx.Err()
 	}
 	return answerOf(&answer, r.Movable), nil
 }
 
+// admit tracks a call of another entry. It returns an error if that entry has
+// given up the call, whose request was late.
+func (s *server) admit(ctx context.Context, from, epoch uint64) (*call, error) {
+	if epoch > maxEpoch {
+		return nil, s.rejectMalformed(errors.Errorf("epoch %d of calls, the highest is %d", epoch, uint64(maxEpoch)))
+	}
+	c, err := s.peers.inbound.admit(ctx, cells.Incarnation(from), epoch)
+	if err != nil {
+		s.loop.metrics.withdrawnCalls.WithLabelValues("refused").Inc()
+		s.peers.log.Warn("withdrawn_call_refused", zap.Uint64("incarnation", from), zap.Uint64("epoch", epoch))
+		return nil, twirp.FailedPrecondition.Error(err.Error())
+	}
+	return c, nil
+}
+
 // rejectMalformed logs a malformed request of another entry and returns the error
 // that answers it.
 func (s *server) rejectMalformed(err error) error {
@@ -72,11 +90,14 @@
 	if err := task.Validate(); err != nil {
 		return nil, s.rejectMalformed(err)
 	}
-	ctx, done := s.peers.inbound.track(ctx, cells.Incarnation(r.From))
-	defer done()
-	answer, ended := s.loop.runDelegated(ctx, task)
+	c, err := s.admit(ctx, r.From, r.Epoch)
+	if err != nil {
+		return nil, err
+	}
+	defer s.peers.inbound.end(c)
+	answer, ended := s.loop.runDelegated(c.ctx, task)
 	if !ended {
-		return nil, ctx.Err()
+		return nil, c.ctx.Err()
 	}
 	return delegatedAnswerToPB(&answer), nil
 }
--- a/fleet/storedjobs.go
+++ b/fleet/storedjobs.go
@@ -248,7 +248,7 @@
 
 // askRemote sends a request to an owner that is another entry.
 func (sj *storedJobs) askRemote(ctx context.Context, owner cells.Entry, call func(context.Context, fleetpb.Fleet) (*fleetpb.KeptResponse, error)) ownerReply {
-	ctx, done := sj.peers.outbound.track(ctx, owner.Incarnation)
+	ctx, done := sj.peers.requests.track(ctx, owner.Incarnation)
 	defer done()
 	traced, sent := traceSent(ctx)
 	reply, err := call(traced, sj.peers.client(owner.Address))
