Submit a job to the same holder once more after its call broke

Cause: a job whose call broke went to any holder.

Change: if the holder is live, not leaving and did not count as gone, it gets the job once more, as resubmitted. If that call fails, too, the holder is chosen as before. A job of which nothing was sent, or that was answered by an error, goes to any holder as before. Stored jobs are not changed.

Evidence: go test -race ./fleet passes. TestJobGoesBackToTheHolderOfItsBrokenCall fails without the preference, TestSameHolderIsTriedOnceMore without the limit to one call, and TestJobDoesNotGoBackToAHolderThatIsGone without the condition that the holder is not gone.

--- a/fleet/service.go
+++ b/fleet/service.go
@@ -204,13 +204,14 @@
 }
 
 // runAtHolder submits a job to a holder, and to another one if that holder is
-// lost.
+// lost. If only the call to the holder broke, that one gets the job once more.
 func (s *Service) runAtHolder(ctx context.Context, job leased.Job) Outcome {
 	began := time.Now()
 	wait := callerWait{since: began, timeout: job.CallerTimeout, before: job.Waited}
 	lostAt := time.Time{}
 	backoff := minHolderBackoff
-	preferred := cells.Incarnation(0) // the holder that a moved job should go to
+	preferred := cells.Incarnation(0) // the holder that a moved job, or one whose call broke, should go to
+	again := sameHolder{}
 	job.Movable = s.loop.settings.Balancing
 	if pause := s.loop.freezeDetector.remainingPause(); pause > 0 && !pauseFor(ctx, pause) {
 		return s.abandoned() // the caller disconnected during the freeze
@@ -236,6 +237,7 @@
 			if !errors.Is(err, errNotHolder) {
 				s.holderLost(holder, &job, err)
 				lostAt = time.Now()
+				preferred = again.next(holder, err)
 			}
 		}
 		if ctx.Err() != nil {
@@ -347,6 +349,25 @@
 		zap.Bool("may_have_begun", job.Resubmitted), zap.Error(err))
 }
 
+// sameHolder decides when a job whose call broke goes to the same holder once more.
+// That one may still have the job and continues it, or it knows what has become of
+// its runs. Another holder has to wait until they have certainly ended.
+type sameHolder struct {
+	tried cells.Incarnation // the holder that gets or has got the job once more; 0: none
+}
+
+// next returns the holder that the job should go to after its call to a holder has
+// failed, or 0 for any.
+func (s *sameHolder) next(holder cells.Entry, err error) cells.Incarnation {
+	var broken *brokenCallError
+	if holder.Incarnation == s.tried || !errors.As(err, &broken) || broken.gone {
+		s.tried = 0
+	} else {
+		s.tried = holder.Incarnation
+	}
+	return s.tried
+}
+
 // holderFor returns the holder that a new job is submitted to: one of this
 // entry's failure domain or, if that has none or is evacuated, one of any other.
 // The random number draw, in [0, 1), selects among them by their announced free
--- a/fleet/service_test.go
+++ b/fleet/service_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
 	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/membership/cells"
+	"lovagespread.example/peer/fleetpb"
 )
 
 func TestResubmittedJobIsNeverRejected(t *testing.T) {
@@ -93,6 +97,122 @@
 	}
 }
 
+// The same holder is tried first after its call broke, and once: a job must neither
+// stay at a holder to which each call breaks, nor go back to one that answered.
+func TestSameHolderIsTriedOnceMore(t *testing.T) {
+	x, y := cells.Entry{Incarnation: 2}, cells.Entry{Incarnation: 3}
+	broken, gone := &brokenCallError{cause: io.EOF}, &brokenCallError{gone: true, cause: io.EOF}
+	again := sameHolder{}
+	for i, c := range []struct {
+		holder cells.Entry
+		err    error
+		want   cells.Incarnation
+	}{
+		{x, broken, 2}, {x, broken, 0}, {x, broken, 2}, {y, broken, 3}, {y, gone, 0}, {x, gone, 0},
+		{x, broken, 2}, {x, &notSentError{io.EOF}, 0}, {y, &notSentError{io.EOF}, 0}, {y, errors.New("an answer"), 0},
+	} {
+		if got := again.next(c.holder, c.err); got != c.want {
+			t.Errorf("call %d, to %d, failed by %v: next goes to %d, want %d", i, c.holder.Incarnation, c.err, got, c.want)
+		}
+	}
+}
+
+// holderAnswer is what a holder does with a job.
+type holderAnswer func(context.Context, *Loop) (*fleetpb.SubmitResponse, error)
+
+func completesJob(context.Context, *Loop) (*fleetpb.SubmitResponse, error) {
+	return &fleetpb.SubmitResponse{}, nil
+}
+
+func breaksCall(ctx context.Context, _ *Loop) (*fleetpb.SubmitResponse, error) {
+	return nil, breakConnection(ctx)
+}
+
+func refusesJob(context.Context, *Loop) (*fleetpb.SubmitResponse, error) {
+	return nil, twirp.InternalError("an error of the application")
+}
+
+// breakingHolders returns a service and the holders x and y of its failure domain.
+// The job goes to x at first. From then on all free capacity is announced by y, so
+// that the usual choice is y, and x may be leaving.
+func breakingHolders(t *testing.T, leaving bool, answers ...holderAnswer) (s *Service, x, y *fakeEntry) {
+	t.Helper()
+	l := testLoop(t, nil)
+	x = startFakeEntry(t, cells.Entry{Name: "x", FailureDomain: "d0", Incarnation: 2, Weight: 1, Interval: time.Second})
+	y = startFakeEntry(t, cells.Entry{Name: "y", FailureDomain: "d0", Incarnation: 3, Weight: 1, Interval: time.Second})
+	now := time.Now()
+	snapshotOf := func(holder, other cells.Entry) *Snapshot {
+		r := cells.New(cells.Entry{Name: "e0", FailureDomain: "d0", Incarnation: 1, Weight: 1, Leaving: true}, now.Add(-time.Minute))
+		r.ReceiveHeartbeat(now, holder)
+		r.ReceiveHeartbeat(now, other)
+		latest := &Snapshot{View: r.View(now), CellCounts: map[string]int{"d0": 64}, FreeMilliCores: make(map[cells.Cell]int)}
+		for _, cell := range cells.All("d0", 64) {
+			if e, _ := latest.View.Holder(cell); e.Name == holder.Name {
+				latest.FreeMilliCores[cell] = 10_000
+			}
+		}
+		return latest
+	}
+	l.snapshot.Store(snapshotOf(x.entry, y.entry))
+	x.setSubmit(func(ctx context.Context, call int) (*fleetpb.SubmitResponse, error) {
+		e := x.entry
+		e.Leaving = leaving
+		l.snapshot.Store(snapshotOf(y.entry, e))
+		return answers[min(call, len(answers)-1)](ctx, l)
+	})
+	return newService(l, l.peers, zap.NewNop(), l.metrics), x, y
+}
+
+// After its call broke, a job goes back to a holder that is live, and only then to
+// another one. Guards against a second holder that starts the tasks while the first
+// one still has the job.
+func TestJobGoesBackToTheHolderOfItsBrokenCall(t *testing.T) {
+	for name, c := range map[string]struct {
+		leaving bool
+		answers []holderAnswer
+		x, y    int // number of calls
+	}{
+		"broken once":                {false, []holderAnswer{breaksCall, completesJob}, 2, 0},
+		"broken twice":               {false, []holderAnswer{breaksCall, breaksCall}, 2, 1},
+		"broken, then refused":       {false, []holderAnswer{breaksCall, refusesJob}, 2, 1},
+		"broken, holder is leaving":  {true, []holderAnswer{breaksCall}, 1, 1},
+		"the holder answered itself": {false, []holderAnswer{refusesJob}, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, x, y := breakingHolders(t, c.leaving, c.answers...)
+			got := s.runAtHolder(context.Background(), leased.Job{ID: "j", CallerTimeout: 5 * time.Second})
+			if got.Verdict != leased.Completed || len(x.submits) != c.x || len(y.submits) != c.y {
+				t.Errorf("%v after %d calls to x and %d to y, want completed after %d and %d", got.Verdict, len(x.submits), len(y.submits), c.x, c.y)
+			}
+		})
+	}
+}
+
+// The job counts as resubmitted at the same holder, too, in the next epoch.
+func TestJobThatGoesBackIsResubmitted(t *testing.T) {
+	s, x, _ := breakingHolders(t, false, breaksCall, completesJob)
+	s.runAtHolder(context.Background(), leased.Job{ID: "j", CallerTimeout: 5 * time.Second})
+	for epoch := range uint64(2) {
+		if r := receiveFrom(t, x.submits); r.Epoch != epoch || r.Resubmitted != (epoch == 1) {
+			t.Errorf("request of epoch %d, resubmitted %v, want epoch %d", r.Epoch, r.Resubmitted, epoch)
+		}
+	}
+}
+
+// Guards against a job that goes back to a holder that this entry has taken for gone,
+// whose calls it cancelled, although the newest snapshot does not say so yet.
+func TestJobDoesNotGoBackToAHolderThatIsGone(t *testing.T) {
+	s, x, y := breakingHolders(t, false, func(ctx context.Context, l *Loop) (*fleetpb.SubmitResponse, error) {
+		l.peers.outbound.giveUp(2, errEntryGone)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	got := s.runAtHolder(context.Background(), leased.Job{ID: "j", CallerTimeout: 5 * time.Second})
+	if got.Verdict != leased.Completed || len(x.submits) != 1 || len(y.submits) != 1 {
+		t.Errorf("%v after %d calls to x and %d to y, want completed after one each", got.Verdict, len(x.submits), len(y.submits))
+	}
+}
+
 // Guards against a job that counts as new at its second holder, after a move or
 // the loss of the first one: it would circulate or be served ahead of others.
 func TestTimeAtEarlierHoldersCountsAsWaited(t *testing.T) {
