Tell when each caller's entry was last heard

Change: the messages submitJob and submitDelegated carry the entry whose call submits the job or task, 0 for a caller at this entry. Loop.callerContacts lists for each entry with open calls when its last heartbeat arrived, or when its earliest call began if none has.

Evidence: go test -race ./fleet ./membership/... ./peer/... passes.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/membership/cells"
 )
 
 // Timeouts of requests to endpoints.
@@ -135,6 +136,7 @@
 // submitJob is a message that submits a job to the core.
 type submitJob struct {
 	job    leased.Job
+	caller cells.Incarnation // the entry whose call submits it; 0: this entry
 	answer chan leased.Answer
 	ticket chan leased.Ticket
 }
@@ -149,6 +151,7 @@
 // submitDelegated is a message that submits a delegated task to the core.
 type submitDelegated struct {
 	task   leased.DelegatedTask
+	caller cells.Incarnation // the entry whose call submits it
 	answer chan leased.DelegatedAnswer
 	ticket chan leased.Ticket
 }
@@ -169,18 +172,19 @@
 	l.step(&leased.Cancel{Ticket: m.ticket})
 }
 
-// runLocally runs a job in this entry's core until it ends. If the context is
-// done first, it cancels the job and returns false.
-func (l *Loop) runLocally(ctx context.Context, job leased.Job) (leased.Answer, bool) {
+// runLocally runs a job in this entry's core until it ends, for the entry whose
+// call submits it, or 0 for a caller at this entry. If the context is done first,
+// it cancels the job and returns false.
+func (l *Loop) runLocally(ctx context.Context, job leased.Job, caller cells.Incarnation) (leased.Answer, bool) {
 	return await(ctx, l, func(answer chan leased.Answer, ticket chan leased.Ticket) message {
-		return submitJob{job, answer, ticket}
+		return submitJob{job, caller, answer, ticket}
 	})
 }
 
 // runDelegated does the same for a delegated task.
-func (l *Loop) runDelegated(ctx context.Context, task leased.DelegatedTask) (leased.DelegatedAnswer, bool) {
+func (l *Loop) runDelegated(ctx context.Context, task leased.DelegatedTask, caller cells.Incarnation) (leased.DelegatedAnswer, bool) {
 	return await(ctx, l, func(answer chan leased.DelegatedAnswer, ticket chan leased.Ticket) message {
-		return submitDelegated{task, answer, ticket}
+		return submitDelegated{task, caller, answer, ticket}
 	})
 }
 
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	defer s.peers.inbound.end(c)
-	answer, ended := s.loop.runLocally(c.ctx, job)
+	answer, ended := s.loop.runLocally(c.ctx, job, c.entry)
 	if !ended {
 		return nil, c.ctx.Err()
 	}
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	defer s.peers.inbound.end(c)
-	answer, ended := s.loop.runDelegated(c.ctx, task)
+	answer, ended := s.loop.runDelegated(c.ctx, task, c.entry)
 	if !ended {
 		return nil, c.ctx.Err()
 	}
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -1,6 +1,10 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
+	"time"
+
 	"go.uber.org/zap"
 
 	"lovagespread.example/membership/cells"
@@ -56,3 +60,25 @@
 			zap.Uint64("epoch", e.Epoch), zap.Int("calls", n))
 	}
 }
+
+// callerContact is the last contact with an entry that has open calls.
+type callerContact struct {
+	caller  cells.Incarnation
+	heardAt time.Time
+}
+
+// callerContacts returns the last contact with each entry that has open calls, by
+// incarnation: its last heartbeat or, if none has arrived, the beginning of its
+// earliest call. A later call is no sign that the earlier ones are still wanted.
+func (l *Loop) callerContacts() []callerContact {
+	var contacts []callerContact
+	for id, began := range l.peers.inbound.earliest() {
+		heardAt, heard := l.roster.LastHeartbeat(id)
+		if !heard {
+			heardAt = began
+		}
+		contacts = append(contacts, callerContact{id, heardAt})
+	}
+	slices.SortFunc(contacts, func(a, b callerContact) int { return cmp.Compare(a.caller, b.caller) })
+	return contacts
+}
--- a/fleet/withdrawals_test.go
+++ b/fleet/withdrawals_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -281,7 +282,11 @@
 	}
 	result := make(chan error, 1)
 	go func() { result <- lend(0) }() // its context does not end with the connection
-	nextMessage[submitDelegated](t, holder).handle(holder)
+	submitted := nextMessage[submitDelegated](t, holder)
+	if submitted.caller != 1 {
+		t.Errorf("the task is submitted for the entry %d, want 1", submitted.caller)
+	}
+	submitted.handle(holder)
 
 	caller.peers.outbound.open(context.Background(), 2)
 	caller.giveUpCalls(to)
@@ -333,3 +338,51 @@
 		t.Error("the call was not withdrawn by the epoch that names this entry")
 	}
 }
+
+// Leases must not be extended beyond the last contact with the caller's entry. Guards
+// against an entry that counts as heard because it has a call, and against one
+// without heartbeats that counts as never heard at its first call.
+func TestCallerContacts(t *testing.T) {
+	l := testLoop(t, nil)
+	heardAt := time.Now().Add(-700 * time.Millisecond)
+	l.roster.ReceiveHeartbeat(heardAt, cells.Entry{Name: "e1", FailureDomain: "d0", Incarnation: 3, Interval: heartbeatInterval})
+	l.roster.ReceiveHeartbeat(heardAt, cells.Entry{Name: "e2", FailureDomain: "d0", Incarnation: 4, Interval: heartbeatInterval})
+	if got := l.callerContacts(); len(got) != 0 {
+		t.Errorf("%v without open calls, want none", got)
+	}
+	var earliest time.Time
+	for i, id := range []cells.Incarnation{3, 2, 2} {
+		c, err := l.peers.inbound.admit(context.Background(), id, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.peers.inbound.end(c)
+		if i == 1 {
+			earliest = c.began
+		}
+	}
+	want := []callerContact{{2, earliest}, {3, heardAt}}
+	if got := l.callerContacts(); !slices.Equal(got, want) {
+		t.Errorf("contacts %v, want %v", got, want)
+	}
+}
+
+// The core needs to know whose call submits a job, or it cannot bound its leases.
+func TestCallerIsPassedToTheLoop(t *testing.T) {
+	l := testLoop(t, nil)
+	now := time.Now()
+	view := cells.New(l.view.Self, now.Add(-time.Minute)).View(now)
+	l.snapshot.Store(&Snapshot{View: view, CellCounts: map[string]int{"d0": 1}})
+	s := &server{loop: l, peers: l.peers}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	job := leased.Job{ID: "j", Service: "s", MaxAttempts: 1, CallerTimeout: time.Second, Steps: []leased.Step{{Tasks: 1, Demand: leased.Demand{MilliCores: 1000}}}}
+	go func() { _, _ = s.Submit(ctx, jobToPB(&job, 5)) }() // ends with the test
+	if m := nextMessage[submitJob](t, l); m.caller != 5 {
+		t.Errorf("the job is submitted for the entry %d, want 5", m.caller)
+	}
+	go l.runLocally(ctx, job, 0)
+	if m := nextMessage[submitJob](t, l); m.caller != 0 {
+		t.Errorf("the job of a local caller is submitted for the entry %d, want 0", m.caller)
+	}
+}
--- a/membership/cells/cells.go
+++ b/membership/cells/cells.go
@@ -157,6 +157,18 @@
 	return Unknown
 }
 
+// LastHeartbeat returns when the last heartbeat of an incarnation arrived. It
+// returns false if none has, none for forgetAfter, or if a newer incarnation of the
+// entry has sent one.
+func (r *Roster) LastHeartbeat(id Incarnation) (time.Time, bool) {
+	for _, m := range r.members {
+		if m.Incarnation == id {
+			return m.lastHeartbeat, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // Suspect records that the connection to an entry broke. A shorter silence
 // limit applies to the entry until its next heartbeat.
 func (r *Roster) Suspect(id Incarnation) {
--- a/membership/cells/cells_test.go
+++ b/membership/cells/cells_test.go
@@ -254,3 +254,24 @@
 		}
 	}
 }
+
+// Guards against leases that are extended by the heartbeats of another incarnation.
+func TestLastHeartbeatIsThatOfTheIncarnation(t *testing.T) {
+	r := rosterOf(start, a1, a2)
+	later := start.Add(interval)
+	r.ReceiveHeartbeat(later, a3)
+	if at, ok := r.LastHeartbeat(a2.Incarnation); !ok || !at.Equal(start) {
+		t.Errorf("last heartbeat at %v, %v, want %v", at, ok, start)
+	}
+	next := a2
+	next.Incarnation = 22
+	r.ReceiveHeartbeat(later, next)
+	if at, ok := r.LastHeartbeat(22); !ok || !at.Equal(later) {
+		t.Errorf("last heartbeat of the new incarnation at %v, %v, want %v", at, ok, later)
+	}
+	for _, id := range []Incarnation{a2.Incarnation, 99} {
+		if at, ok := r.LastHeartbeat(id); ok {
+			t.Errorf("last heartbeat of incarnation %d at %v, want none", id, at)
+		}
+	}
+}
