Show that delegates and delegators need their memory of done tasks

Cause: TestEndsOfDelegatedTasksAreRemembered passes with either part taken out: the delegate's check of storedDone in submitDelegated, or the delegator's entry in taskDone. Each covers for the other in its schedule. In TestDelegateRemembersEndsOfStoredJobs the answer of the delegate is lost and the delegator delegates the task again. In TestDelegatorRemembersEndsOfStoredJobs the delegate crashes after its answer and another holder has the free capacity. The simulation can lose answers of delegates for this. The first test stays.

--- a/dispatch/leased/sim_holders_test.go
+++ b/dispatch/leased/sim_holders_test.go
@@ -57,7 +57,11 @@
 		return
 	}
 	delete(sim.delegations, a.Task)
-	sim.after(2*networkDelay, func() { sim.step(d.from, &leased.DelegateReply{Task: a.Task, Run: d.run, End: a.End}) })
+	end := a.End
+	if sim.delegateAnswersLost {
+		end = leased.EndUnknown
+	}
+	sim.after(2*networkDelay, func() { sim.step(d.from, &leased.DelegateReply{Task: a.Task, Run: d.run, End: end}) })
 }
 
 // shareFreeCapacity makes the cores announce their free capacity to each other.
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -79,6 +79,8 @@
 	onAnswer func(leased.Answer)
 	// recordsChanged makes the entries of a site pass the endpoints on again.
 	recordsChanged bool
+	// delegateAnswersLost makes delegators learn nothing of how delegated tasks end.
+	delegateAnswersLost bool
 }
 
 type submission struct {
--- a/dispatch/leased/stored_test.go
+++ b/dispatch/leased/stored_test.go
@@ -211,6 +211,66 @@
 	}
 }
 
+// Guards against a second run of a task of a stored job that is done: the delegate's
+// answer is lost, so that the delegator finds no run and delegates the task again,
+// while the owner has not stored the end. Only the delegate knows of it.
+func TestDelegateRemembersEndsOfStoredJobs(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.addEndpoints(1, 2)
+	sim.shareFreeCapacity()
+	sim.unresponsiveOwner = true
+	sim.delegateAnswersLost = true
+	sim.runUntil(100 * time.Millisecond)
+	sim.submitJob(0, storedJob("j", 1, 200*time.Millisecond), 200*time.Millisecond)
+	sim.runUntil(400 * time.Millisecond) // the run has ended
+	sim.delegateAnswersLost = false
+	sim.runUntil(8 * time.Second)
+	if a := sim.answers["j"]; a.Verdict != leased.Completed || a.Took == 0 {
+		t.Errorf("answer %+v, want completed", a)
+	}
+	task := leased.TaskID{Job: "j"}
+	if n := sim.startCounts[task]; n != 1 {
+		t.Errorf("the task was started %d times, want once", n)
+	}
+	if n := sim.delegatedRuns[task]; n < 2 {
+		t.Errorf("the task was delegated %d times; want at least twice, or the test shows nothing", n)
+	}
+}
+
+// Guards against a second run of a task of a stored job that is done: the delegate
+// has answered and crashed before the owner has stored the end, and the next owner
+// submits the job to the delegator again. Only the delegator knows of the end, and the
+// holder that now has free capacity does not.
+func TestDelegatorRemembersEndsOfStoredJobs(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.addEndpoints(1, 2)
+	sim.shareFreeCapacity()
+	sim.unresponsiveOwner = true
+	sim.runUntil(100 * time.Millisecond)
+	job := storedJob("j", 3, 200*time.Millisecond)
+	job.Steps = append(job.Steps, leased.Step{Tasks: 1, After: []int{0}, Demand: job.Steps[0].Demand, Estimate: 200 * time.Millisecond})
+	ticket := sim.submitJob(0, job, 200*time.Millisecond)
+	sim.runUntil(400 * time.Millisecond) // the last step is running
+	sim.step(0, &leased.Cancel{Ticket: ticket})
+	sim.crashed[1] = true
+	sim.addEndpoints(2, 2)
+	resubmitted := job
+	resubmitted.Resubmitted = true
+	sim.submitJob(0, resubmitted, 200*time.Millisecond)
+	sim.runUntil(8 * time.Second)
+	if a := sim.answers["j"]; a.Verdict != leased.Completed || a.Took == 0 {
+		t.Errorf("answer %+v, want completed", a)
+	}
+	for index := range 3 {
+		if n := sim.startCounts[leased.TaskID{Job: "j", Index: index}]; n != 1 {
+			t.Errorf("task %d was started %d times, want once", index, n)
+		}
+	}
+	if n := sim.startCounts[leased.TaskID{Job: "j", Step: 1}]; n != 2 {
+		t.Errorf("the last task was started %d times; want once by each holder, or the test shows nothing", n)
+	}
+}
+
 func TestStoredJobResumesFromProgress(t *testing.T) {
 	sim := newSimulation(t, 1, 1)
 	sim.addEndpoints(0, 2)
