Name no only holder for a job that came with earlier holders

A job that arrives at its entry as resubmitted has had holders that this call does not know, so no holder can be the only one.

--- a/fleet/service.go
+++ b/fleet/service.go
@@ -213,6 +213,7 @@
 	preferred := cells.Incarnation(0) // the holder that a moved job, or one whose call broke, should go to
 	again := sameHolder{}
 	var lost lostHolders
+	returning := job.Resubmitted // after holders that this call does not know
 	job.Movable = s.loop.settings.Balancing
 	if pause := s.loop.freezeDetector.remainingPause(); pause > 0 && !pauseFor(ctx, pause) {
 		return s.abandoned() // the caller disconnected during the freeze
@@ -224,7 +225,7 @@
 		if ok {
 			sent := time.Now()
 			wait.apply(&job, sent)
-			job.OnlyHolder = lost.only(holder)
+			job.OnlyHolder = !returning && lost.only(holder)
 			outcome, err := s.offer(ctx, latest, holder, &job)
 			if err == nil {
 				return abandonIfResubmitted(outcome, &job)
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -90,6 +90,6 @@
 	if caller == 0 {
 		return
 	}
-	contact := l.callerContact(caller, time.Now())
+	contact := l.callerContact(caller, l.peers.inbound.earliest()[caller])
 	l.step(&contact)
 }
