Let no word of a new holder settle a lost delegation

Cause: a delegator whose delegate was lost asked the new holder of the cell for the run, and started the task again when that one listed no such run. The delegate may have run it on an endpoint that was no longer announced when the cell changed hands, of which the new holder knows nothing.

Change: the new holder may still hand over the run or its end; without that, the delegator waits until the run is over by itself.

--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -307,8 +307,15 @@
 // withdraw cancels a delegated task. The delegate does not confirm it.
 func (c *Core) withdraw(t *task) {
 	c.out.DelegateCancels = append(c.out.DelegateCancels, DelegateCancel{Task: t.id})
+	c.addRemoteRun(t)
+}
+
+// addRemoteRun records that a task may run at its delegate. It may be on an endpoint that
+// is no longer announced, of which a new holder of the cell knows nothing, so that its
+// word does not settle it.
+func (c *Core) addRemoteRun(t *task) {
 	t.evidence = EvidenceElapsed
-	c.unseen.add(t.id, c.now.Add(c.remoteRunTimeout()), t.delegatedCell)
+	c.unseen.add(t.id, c.now.Add(c.remoteRunTimeout()), "")
 }
 
 // finish answers all tickets of a job and removes it. A job that was submitted
@@ -361,8 +368,7 @@
 		return
 	case EndUnknown:
 		c.addLostRun(t, t.delegatedCell)
-		t.evidence = EvidenceElapsed
-		c.unseen.add(t.id, c.now.Add(c.remoteRunTimeout()), t.delegatedCell)
+		c.addRemoteRun(t)
 	}
 	c.enqueue(t.job)
 }
