Answer a delegated task whose earlier run may be active with unknown

A delegate that had another run of the very task, or may have one, answered that it has no capacity, and the delegator started the task elsewhere at once. That matters if the delegator knows of no earlier run, as when a caller submits its job at a second entry before the first one has noticed that it left. It answers unknown now, so that the delegator waits and asks for the run.

--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -134,7 +134,7 @@
 			t.lostCell = ""
 			return true
 		}
-		if !c.mayStartFor(t.job) || !c.delegateToLostCell(t) {
+		if c.unheard(t.job) || !c.delegateToLostCell(t) {
 			return false
 		}
 		c.dequeueIfPlaced(t.job)
@@ -246,9 +246,13 @@
 		c.answerDelegatedNow(j, d.Run, EndDone) // the delegator did not receive the answer
 		return
 	}
+	if c.runs[t.id] != nil || c.unseen.possible(t.id, c.now) {
+		c.answerDelegatedNow(j, d.Run, EndUnknown) // an earlier run may be active here
+		return
+	}
 	e, fits := c.bestEndpoint(t, nil)
 	fits = fits && !c.now.Before(c.startsPausedUntil)
-	if d.Wait && c.holdsEndpointOf(d.Cell) && c.runs[t.id] == nil && (!fits || c.waiting.len() > 0) {
+	if d.Wait && c.holdsEndpointOf(d.Cell) && (!fits || c.waiting.len() > 0) {
 		c.delegated[t.id] = j
 		t.runs = d.Run - 1
 		j.begun = true
@@ -256,7 +260,7 @@
 		c.enqueue(j)
 		return
 	}
-	if !fits || c.waiting.len() > 0 || c.runs[t.id] != nil || c.unseen.possible(t.id, c.now) || !c.mayStartFor(j) {
+	if !fits || c.waiting.len() > 0 || c.unheard(j) {
 		c.answerDelegatedNow(j, d.Run, EndNoCapacity)
 		return
 	}
