Start no task for an entry that was not heard for a heartbeat or two

Cause: a task was started until 1.0 s after its entry was last heard, with a lease of its own that ended in time. But the endpoint may hold a longer lease already, which never shortens: the run lived until 2.0 s after the entry was last heard, and others wait for 1.65 s only.

Change: a task is started, delegated or searched for only if its entry was heard within the grace, so that no lease given before lasts longer than the job allows. After a freeze an entry counts as unheard until it is heard again, because the clock does not count the freeze.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -64,6 +64,7 @@
 	callers           map[Ticket]uint64    // entries that wait for tickets; those of this entry are absent
 	contacts          map[uint64]time.Time // when these entries were last heard
 	searched          map[TaskID]searchedRun
+	resumedAt         time.Time            // when this process was last frozen until
 	unpolledCells     map[string]time.Time // when an endpoint of a cell was removed whose runs were not known
 	cellHeldSince     map[string]time.Time // when the endpoints of a cell were first announced
 	firstHeldAt       time.Time            // when this core last got a cell while it held none
@@ -151,6 +152,7 @@
 		c.taskDoneElsewhere(in.Task)
 	case *Pause:
 		c.startsPausedUntil = c.now.Add(in.For)
+		c.forgetContacts()
 	case *CallerContact:
 		c.contact(in)
 	case *Tick:
@@ -197,6 +199,7 @@
 		}
 	}
 	c.unseen.expire(c.now)
+	c.expireContacts()
 	maps.DeleteFunc(c.searched, func(_ TaskID, s searchedRun) bool { return c.now.Sub(s.at) > maxRequestDelay })
 	maps.DeleteFunc(c.unpolledCells, func(_ string, at time.Time) bool { return c.now.Sub(at) > c.ownRunTimeout() })
 }
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -71,7 +71,7 @@
 	if t.state != waitingTask || c.runs[t.id] != nil || c.unseen.possible(t.id, c.now) {
 		return false
 	}
-	return c.mayStartFor(t.job) && !c.mayHaveEnded(t)
+	return !c.unheard(t.job) && !c.mayHaveEnded(t)
 }
 
 func (c *Core) placeStep(j *job, step int) {
--- a/dispatch/leased/renewal.go
+++ b/dispatch/leased/renewal.go
@@ -1,6 +1,7 @@
 package leased
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -30,11 +31,23 @@
 	return max(0, lease)
 }
 
-// contact records when an entry was last heard.
+// contact records when an entry was last heard. What was heard before this process was
+// frozen tells nothing, because the clock does not count the freeze.
 func (c *Core) contact(in *CallerContact) {
+	if in.HeardAt.Before(c.resumedAt) {
+		return
+	}
 	c.contacts[in.Caller] = later(c.contacts[in.Caller], in.HeardAt)
 }
 
+// forgetContacts makes all entries unheard until they are heard again.
+func (c *Core) forgetContacts() {
+	c.resumedAt = c.now
+	for caller := range c.contacts {
+		c.contacts[caller] = time.Time{}
+	}
+}
+
 // addCaller records which entry waits for a ticket; 0: this one.
 func (c *Core) addCaller(ticket Ticket, caller uint64) {
 	if caller == 0 {
@@ -60,14 +73,9 @@
 	return heard.Add(contactGrace + c.opts.MaxLease)
 }
 
-// mayStartFor reports whether the entries that wait for a job were heard recently
-// enough to start tasks of it.
-func (c *Core) mayStartFor(j *job) bool {
-	limit := c.claimLimit(j)
-	return limit.IsZero() || limit.Sub(c.now) >= c.minUsefulLease()
-}
-
-// unheard reports whether no entry that waits for a job was heard for contactGrace.
+// unheard reports whether no entry that waits for a job was heard for contactGrace. No
+// task is started for such a job: the endpoint may hold a lease that lasts longer than
+// the job allows.
 func (c *Core) unheard(j *job) bool {
 	limit := c.claimLimit(j)
 	return !limit.IsZero() && limit.Sub(c.now) < c.opts.MaxLease
@@ -112,14 +120,15 @@
 // someContactIsOld reports whether an entry that waits for a ticket was not heard for
 // contactGrace.
 func (c *Core) someContactIsOld() bool {
-	old := false
-	for caller, heard := range c.contacts {
-		switch age := c.now.Sub(heard); {
-		case age > contactRetention:
-			delete(c.contacts, caller)
-		case age > contactGrace:
-			old = true
+	for _, caller := range c.callers {
+		if c.now.Sub(c.contacts[caller]) > contactGrace {
+			return true
 		}
 	}
-	return old && len(c.callers) > 0
+	return false
+}
+
+// expireContacts removes entries that were not heard for contactRetention.
+func (c *Core) expireContacts() {
+	maps.DeleteFunc(c.contacts, func(_ uint64, heard time.Time) bool { return c.now.Sub(heard) > contactRetention })
 }
--- a/dispatch/leased/restart.go
+++ b/dispatch/leased/restart.go
@@ -8,12 +8,9 @@
 // lease after its last renewal, because a holder renews no run that no task claims
 // (renewal.go).
 
-// Times after which a run that is not listed here is over.
-const (
-	// contactGrace is how long a holder fully renews the runs of an entry that it no
-	// longer hears. Heartbeats arrive at shorter intervals.
-	contactGrace = 500 * time.Millisecond
-)
+// contactGrace is how long a holder fully renews the runs of an entry that it no longer
+// hears. It covers a lost heartbeat: the intervals are 440 ms at most.
+const contactGrace = 900 * time.Millisecond
 
 // ownRunTimeout is the time after its last renewal by this holder after which a run
 // is over.
