Count a call as contact with its entry for the call's own ticket

Cause: an entry of another failure domain sends heartbeats every 440 to 660 ms until it calls this one. Its first delegated tasks were turned away, because it counted as unheard after 0.5 s. The call itself shows that its sender wanted it just now.

Evidence: TestFirstCallOfAnEntryCountsAsContact fails before (no start) and passes. The process reports contacts at ticks only.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -61,8 +61,8 @@
 	someUnreachable   bool                 // some entries cannot be reached
 	reachableSince    time.Time            // when all entries became reachable
 	unseen            unseenRuns
-	callers           map[Ticket]uint64    // entries that wait for tickets; those of this entry are absent
-	contacts          map[uint64]time.Time // when these entries were last heard
+	callers           map[Ticket]ticketCaller // entries that wait for tickets; those of this entry are absent
+	contacts          map[uint64]time.Time    // when these entries were last heard
 	searched          map[TaskID]searchedRun
 	resumedAt         time.Time            // when this process was last frozen until
 	unpolledCells     map[string]time.Time // when an endpoint of a cell was removed whose runs were not known
@@ -103,7 +103,7 @@
 		doneUnclaimed: make(map[TaskID]time.Time),
 		storedDone:    make(map[TaskID]time.Time),
 		unseen:        make(unseenRuns),
-		callers:       make(map[Ticket]uint64),
+		callers:       make(map[Ticket]ticketCaller),
 		contacts:      make(map[uint64]time.Time),
 		searched:      make(map[TaskID]searchedRun),
 		unpolledCells: make(map[string]time.Time),
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -46,8 +46,8 @@
 	Caller uint64 // incarnation of the delegator; 0: this entry
 }
 
-// CallerContact reports when an entry that waits for tickets was last heard. A caller
-// that is not reported counts as heard when its first ticket arrived.
+// CallerContact reports when an entry that waits for tickets was last heard. It also
+// counts as heard for each ticket when that arrived.
 type CallerContact struct {
 	Caller  uint64
 	HeardAt time.Time
--- a/dispatch/leased/renewal.go
+++ b/dispatch/leased/renewal.go
@@ -43,8 +43,9 @@
 // forgetContacts makes all entries unheard until they are heard again.
 func (c *Core) forgetContacts() {
 	c.resumedAt = c.now
-	for caller := range c.contacts {
-		c.contacts[caller] = time.Time{}
+	clear(c.contacts)
+	for ticket, caller := range c.callers {
+		c.callers[ticket] = ticketCaller{id: caller.id}
 	}
 }
 
@@ -53,10 +54,19 @@
 	if caller == 0 {
 		return
 	}
-	c.callers[ticket] = caller
-	if _, known := c.contacts[caller]; !known {
-		c.contacts[caller] = c.now
-	}
+	c.callers[ticket] = ticketCaller{caller, c.now}
+}
+
+// ticketCaller is the entry that waits for a ticket. Its call shows that it wanted the
+// ticket when the call arrived: heartbeats may be rarer before an entry's first call.
+type ticketCaller struct {
+	id        uint64
+	arrivedAt time.Time
+}
+
+// heardFor returns when the entry that waits for a ticket was last heard.
+func (c *Core) heardFor(caller ticketCaller) time.Time {
+	return later(c.contacts[caller.id], caller.arrivedAt)
 }
 
 // claimLimit returns until when the runs of a job may hold leases, by when the entries
@@ -68,7 +78,7 @@
 		if !remote {
 			return time.Time{}
 		}
-		heard = later(heard, c.contacts[caller])
+		heard = later(heard, c.heardFor(caller))
 	}
 	return heard.Add(j.grace() + c.opts.MaxLease)
 }
@@ -130,7 +140,7 @@
 // contactGrace.
 func (c *Core) someContactIsOld() bool {
 	for _, caller := range c.callers {
-		if c.now.Sub(c.contacts[caller]) > contactGrace {
+		if c.now.Sub(c.heardFor(caller)) > contactGrace {
 			return true
 		}
 	}
--- a/dispatch/leased/renewal_test.go
+++ b/dispatch/leased/renewal_test.go
@@ -174,3 +174,21 @@
 	sim.runUntil(4 * time.Second)
 	sim.wantNoDoubleRuns()
 }
+
+// Guards against a delegated task that is turned away because the delegator's heartbeats
+// were rare before its call: it is heard by the call itself.
+func TestFirstCallOfAnEntryCountsAsContact(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addEndpoints(0, 1)
+	sim.runUntil(200 * time.Millisecond)
+	sim.step(0, &leased.CallerContact{Caller: 7, HeardAt: simStart.Add(sim.now)})
+	sim.runUntil(860 * time.Millisecond)
+	task := leased.DelegatedTask{
+		ID: leased.TaskID{Job: "j"}, Service: "s", Queue: "q", Run: 1, CallerTimeout: time.Second, Cell: "c0",
+		Step: leased.Step{Tasks: 1, Demand: leased.Demand{MilliCores: 27_000}, Estimate: 60 * time.Millisecond},
+	}
+	out := sim.cores[0].Step(simStart.Add(sim.now), &leased.SubmitDelegated{Ticket: 1, Task: task, Caller: 7})
+	if len(out.Starts) != 1 {
+		t.Errorf("%d starts, want one: %+v", len(out.Starts), out.DelegatedAnswers)
+	}
+}
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -155,7 +155,6 @@
 	l.lastTicket++
 	l.waiters[l.lastTicket] = m.answer
 	m.ticket <- l.lastTicket
-	l.reportContact(m.caller)
 	l.step(&leased.Submit{Ticket: l.lastTicket, Job: m.job, Caller: uint64(m.caller)})
 }
 
@@ -171,7 +170,6 @@
 	l.lastTicket++
 	l.delegatedWaiters[l.lastTicket] = m.answer
 	m.ticket <- l.lastTicket
-	l.reportContact(m.caller)
 	l.step(&leased.SubmitDelegated{Ticket: l.lastTicket, Task: m.task, Caller: uint64(m.caller)})
 }
 
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -63,33 +62,17 @@
 }
 
 // callerContacts returns when each entry with open calls was last heard, by
-// incarnation. The core extends the leases of their runs no further than that allows.
+// incarnation: its last heartbeat or, if none has arrived, the beginning of its earliest
+// call. The core extends the leases of their runs no further than that allows.
 func (l *Loop) callerContacts() []leased.CallerContact {
 	var contacts []leased.CallerContact
 	for id, began := range l.peers.inbound.earliest() {
-		contacts = append(contacts, l.callerContact(id, began))
+		heardAt, heard := l.roster.LastHeartbeat(id)
+		if !heard {
+			heardAt = began
+		}
+		contacts = append(contacts, leased.CallerContact{Caller: uint64(id), HeardAt: heardAt})
 	}
 	slices.SortFunc(contacts, func(a, b leased.CallerContact) int { return cmp.Compare(a.Caller, b.Caller) })
 	return contacts
 }
-
-// callerContact returns when an entry was last heard: its last heartbeat or, if none has
-// arrived, the beginning of its earliest call. A later call is no sign that the earlier
-// ones are still wanted.
-func (l *Loop) callerContact(id cells.Incarnation, firstCall time.Time) leased.CallerContact {
-	heardAt, heard := l.roster.LastHeartbeat(id)
-	if !heard {
-		heardAt = firstCall
-	}
-	return leased.CallerContact{Caller: uint64(id), HeardAt: heardAt}
-}
-
-// reportContact tells the core when the entry was last heard whose job or task it gets
-// next; 0: this entry.
-func (l *Loop) reportContact(caller cells.Incarnation) {
-	if caller == 0 {
-		return
-	}
-	contact := l.callerContact(caller, l.peers.inbound.earliest()[caller])
-	l.step(&contact)
-}
