Measure evacuations beside other operators in virtual time

Cause: TestEvacuationIsAcknowledgedInTime/other_operators failed beside heavy load (p99 3.3 s, target 2 s). The test has three operators publish without a pause, and each command reads and decodes the whole log, which grows to thousands of records within the test: on an idle store decoding is 40% of 16 s of processor time (CPU profile). So the case measured how much processor time it gets; the number of requests and retries did not change. The cases "quiet" and "slow replies" stay in real time and still bound the time of a command itself. lovagectl has a variable for the HTTP client, which only tests set.

--- a/cmd/lovagectl/session.go
+++ b/cmd/lovagectl/session.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	mathrand "math/rand/v2"
+	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -37,11 +38,15 @@
 	flags.DurationVar(&f.timeout, "timeout", defaultTimeout, "timeout of the whole command, with its unit, as in 10s")
 }
 
+// httpClient sends all requests to the platform; nil: each command has a client of
+// its own. Tests set it, to run commands in virtual time.
+var httpClient *http.Client
+
 func (f *platformFlags) client() (*logservice.Client, error) {
 	if f.url == "" {
 		return nil, usagef("no platform: add -platform URL")
 	}
-	opts := logservice.Options{URL: f.url}
+	opts := logservice.Options{URL: f.url, HTTPClient: httpClient}
 	if f.tokenFile != "" {
 		token, err := os.ReadFile(f.tokenFile)
 		if err != nil {
