--- a/dispatch/leased/renewal.go
+++ b/dispatch/leased/renewal.go
@@ -9,8 +9,8 @@
 // A Hold or a Start extends the lease of everything on an endpoint. So the lease of an
 // endpoint is extended no further than each of its runs allows. A run without a task
 // ends within one lease, even if every request to stop it is lost; and so does a run
-// whose caller's entry is not heard any more, a contactGrace later. Whoever starts such
-// a task elsewhere relies on that (restart.go).
+// whose caller's entry is not heard any more, a contactGrace later. A holder that starts
+// such a task elsewhere relies on that (restart.go).
 
 // minUsefulLease is the shortest lease with which tasks are started on an endpoint.
 func (c *Core) minUsefulLease() time.Duration { return c.opts.MaxLease / 2 }
--- a/dispatch/leased/restart_check_world_test.go
+++ b/dispatch/leased/restart_check_world_test.go
@@ -78,7 +78,7 @@
 	lastTicket  leased.Ticket
 	lastToken   int64
 	silentUntil map[contactPath]time.Duration
-	late        int // deliveries that are still to come although nobody waits for them
+	late        int // deliveries that are still to come although no reply to them is awaited
 	violation   string
 	answeredAt  time.Duration
 	verdict     leased.Verdict
