Tell restarts at the only holder from first runs in the log

Whoever looks for two runs of one task reads in `placed` and `lent` why the earlier runs counted as over. A resubmitted job whose only earlier holder is this one was logged with `first_run`, like a job that was never here, so the log could not tell a start that rests on the listed ends of a cancelled job from one of a new job.

Its evidence is `only_holder` now. TestEvidenceOfResubmittedJob failed before with "[first_run first_run], want [first_run only_holder]". No decision changes.

--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -167,6 +167,7 @@
 			*t = task{id: TaskID{Job: spec.ID, Step: s, Index: i}, job: j, step: step}
 			if spec.Resubmitted {
 				t.runs = resubmittedRunOffset
+				t.evidence = EvidenceOnlyHolder
 			}
 			if pause := c.resubmitPause(&spec); pause > 0 {
 				c.unseen.add(t.id, c.now.Add(pause), "")
--- a/dispatch/leased/restart.go
+++ b/dispatch/leased/restart.go
@@ -79,9 +79,10 @@
 	EvidenceLeaseExpired                 // the endpoint was unresponsive for longer than the lease
 	EvidenceDelegate                     // the delegate has said so
 	EvidenceElapsed                      // a run that was not seen is over by now
+	EvidenceOnlyHolder                   // no other holder had the job before, and its runs here are listed as ended
 )
 
 // String returns the name of the evidence in logs.
 func (e Evidence) String() string {
-	return [...]string{"first_run", "listed", "refused", "vanished", "lease_expired", "delegate", "elapsed"}[e]
+	return [...]string{"first_run", "listed", "refused", "vanished", "lease_expired", "delegate", "elapsed", "only_holder"}[e]
 }
--- a/dispatch/leased/restart_test.go
+++ b/dispatch/leased/restart_test.go
@@ -1,6 +1,7 @@
 package leased_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -65,3 +66,28 @@
 	sim.runUntil(8 * time.Second)
 	sim.wantNoDoubleRuns()
 }
+
+// Guards against a log that gives a restart out as a first run: whoever looks for the
+// cause of a double run must see which later starts rest on the word of the only holder.
+func TestEvidenceOfResubmittedJob(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addEndpoints(0, 2)
+	var evidence []leased.Evidence
+	sim.stepped = func(_ int, _ leased.Input, out *leased.Actions) {
+		for i := range out.Starts {
+			evidence = append(evidence, out.Starts[i].Evidence)
+		}
+	}
+	sim.runUntil(200 * time.Millisecond)
+	job := singleTaskJob("j")
+	ticket := sim.submitJob(0, job, 900*time.Millisecond)
+	sim.runUntil(300 * time.Millisecond)
+	sim.step(0, &leased.Cancel{Ticket: ticket})
+	job.OnlyHolder = true
+	sim.submitJob(0, resubmitted(job), 900*time.Millisecond)
+	sim.runUntil(3 * time.Second)
+	want := []leased.Evidence{leased.EvidenceFirstRun, leased.EvidenceOnlyHolder}
+	if !slices.Equal(evidence, want) {
+		t.Errorf("evidence of the starts %v, want %v", evidence, want)
+	}
+}
