Let a task that crashes its stand-in executor never end

TestTaskOfStoredJobThatCrashesExecutorsIsGivenUp failed in 2 of 300 runs, ten at a time: the job was "completed" after 15 s, want "failed".

The stand-in crashed 10 ms after the start of the task, by a timer, while the task ended by itself after 50 ms. On a busy VM the timer came after the end of the task: the log of a failed run has its run_ended with "done" 67 ms after the start and the first broken call of the executor 12 ms later.

The run time of such a task is an hour now, so that only the crash can end it. TestTaskThatCrashesExecutorNeverEnds, whose task takes 1 ms, failed before with "1 runs ended, want a crash".

--- a/standin/fakeexecutor/executor.go
+++ b/standin/fakeexecutor/executor.go
@@ -100,11 +100,17 @@
 	downTime   = 1500 * time.Millisecond
 )
 
+// timeUntilCrash is the run time of a task that crashes its executor. It is far
+// longer than any lease: on a busy VM the timer of the crash may be late, and such a
+// task must not end before.
+const timeUntilCrash = time.Hour
+
 // work returns the work of a task that is being started, and schedules the crash
 // that it causes.
 func (x *Executor) work(id leased.TaskID) leasedtest.Work {
 	work := x.opts.Work(id)
 	if work.Crashes {
+		work.Time = timeUntilCrash
 		time.AfterFunc(crashDelay, func() { x.Crash(downTime) })
 	}
 	return work
--- a/standin/fakeexecutor/executor_test.go
+++ b/standin/fakeexecutor/executor_test.go
@@ -84,3 +84,29 @@
 		t.Errorf("after the crash: %s, want no run", text)
 	}
 }
+
+// Guards against a task that ends before it crashes its executor. Tests of tasks that
+// crash executors failed beside other load, when the timer of the crash was late.
+func TestTaskThatCrashesExecutorNeverEnds(t *testing.T) {
+	x := fakeexecutor.New(fakeexecutor.Options{
+		ID: "x", Capacity: leased.Demand{MilliCores: 64_000, MemoryMiB: 64_000},
+		Work: func(leased.TaskID) leasedtest.Work { return leasedtest.Work{Time: time.Millisecond, Crashes: true} },
+	})
+	w := httptest.NewRecorder()
+	x.ServeHTTP(w, httptest.NewRequest("POST", "/run-start", strings.NewReader(`{"task":"j.0.0.0","run_id":1,"until_ms":60000,"fencing_token":1}`)))
+	if w.Code != http.StatusOK {
+		t.Fatalf("start: %d %s", w.Code, w.Body)
+	}
+	deadline := time.Now().Add(10 * time.Second)
+	for crashed := false; !crashed; time.Sleep(time.Millisecond) {
+		x.WithState(func(e *leasedtest.Endpoint) {
+			crashed = len(e.Running()) == 0
+			if n := len(e.Unacknowledged()); n > 0 {
+				t.Fatalf("%d runs ended, want a crash", n)
+			}
+		})
+		if time.Now().After(deadline) {
+			t.Fatal("the executor has not crashed")
+		}
+	}
+}
