Run several soaks at the same time

A deployment of the users' platform reserves a loopback network that no other one uses. With -network it gets that one, or an error that says that it is in use. A deployment that fails to start closes what it has opened.

--- a/cmd/lovage-load/soak.go
+++ b/cmd/lovage-load/soak.go
@@ -25,7 +25,7 @@
 	seconds := flags.Int("seconds", 15, "`seconds` during which faults are injected for each seed")
 	domains := flags.Int("domains", 3, "`number` of failure domains")
 	entries := flags.Int("entries", 2, "`number` of entries in each failure domain")
-	network := flags.Int("network", 77, "`number` N in the entries' addresses 127.0.N.x")
+	network := flags.Int("network", 0, "`number` N in the entries' addresses 127.0.N.x; 0: one that no other deployment uses")
 	noFaults := flags.Bool("calm", false, "inject no faults")
 	keep := flags.String("keep", "", "`directory` for settings and logs (default: a temporary one, removed unless a guarantee is violated)")
 	if err := command.Parse(flags, args); err != nil {
--- a/standin/usersplatform/deployment.go
+++ b/standin/usersplatform/deployment.go
@@ -26,6 +26,7 @@
 	"lovagespread.example/standin/fakeexecutor"
 	"lovagespread.example/standin/fakestore"
 	"lovagespread.example/standin/faultnet"
+	"lovagespread.example/standin/loopback"
 	"lovagespread.example/standin/peerproxy"
 )
 
@@ -49,8 +50,8 @@
 	Domains   int    // number of failure domains
 	Entries   int    // per failure domain
 	Executors int    // per failure domain
-	// Subnet is the third number of the entries' addresses, 127.0.N.x. It lets
-	// several deployments run at the same time.
+	// Subnet is the third number of the entries' addresses, 127.0.N.x; 0: one that no
+	// other deployment uses.
 	Subnet int
 	// EvacuationBound is the time after the store's reply within which an evacuation
 	// must be in force; 0: operators request none.
@@ -89,6 +90,7 @@
 	Peers         *peerproxy.Network // between the entries, in the order of Entries
 
 	opts    Options
+	network *loopback.Network // of the entries
 	servers []*http.Server
 	cancel  context.CancelFunc
 
@@ -99,44 +101,67 @@
 	version     int
 }
 
-// Start starts a deployment, which runs until Close.
+// Start starts a deployment, which runs until Close. It returns a
+// loopback.InUseError if another deployment uses the subnet of the options.
 func Start(opts Options) (*Deployment, error) {
+	network, err := reserve(opts.Subnet)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Deployment{
-		Store: fakestore.New(operatorTopic, fakeexecutor.Topic), opts: opts, cancel: cancel,
+		Store: fakestore.New(operatorTopic, fakeexecutor.Topic), opts: opts, network: network, cancel: cancel,
 		runTimes: make(map[leased.JobID]time.Duration), startedRuns: make(map[leased.JobID]int), deadly: make(map[leased.TaskID]int),
 	}
+	if err := d.start(ctx); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func reserve(subnet int) (*loopback.Network, error) {
+	if subnet == 0 {
+		return loopback.Reserve()
+	}
+	return loopback.ReserveNumber(subnet)
+}
+
+func (d *Deployment) start(ctx context.Context) error {
 	listener, err := d.serve(d.announceProxy(d.Store))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	d.StoreListener = listener
 	d.PublishConfiguration()
-	for domain := range opts.Domains {
-		for n := range opts.Executors {
+	for domain := range d.opts.Domains {
+		for n := range d.opts.Executors {
 			if err := d.addExecutor(ctx, domain, n); err != nil {
-				return nil, err
+				return err
 			}
 		}
 	}
-	for domain := range opts.Domains {
-		for n := range opts.Entries {
+	for domain := range d.opts.Domains {
+		for n := range d.opts.Entries {
 			if err := d.addEntry(domain, n); err != nil {
-				return nil, err
+				return err
 			}
 		}
 	}
 	d.Peers, err = d.connectEntries()
-	return d, err
+	return err
 }
 
-// Close stops all stand-ins.
+// Close stops all stand-ins. The processes of the entries must have ended.
 func (d *Deployment) Close() {
 	d.cancel()
-	d.Peers.Close()
+	if d.Peers != nil {
+		d.Peers.Close()
+	}
 	for _, s := range d.servers {
 		_ = s.Close() // nothing depends on a graceful shutdown
 	}
+	d.network.Close()
 }
 
 func (d *Deployment) serve(handler http.Handler) (*faultnet.Listener, error) {
--- a/standin/usersplatform/peers.go
+++ b/standin/usersplatform/peers.go
@@ -28,12 +28,13 @@
 // its heartbeat address from it.
 func (d *Deployment) seed() string {
 	const controlPort = 8166
-	return peerproxy.Announced(fmt.Sprintf("%v:%d", d.entryAddress(0, 0), controlPort), d.opts.Subnet)
+	return peerproxy.Announced(fmt.Sprintf("%v:%d", d.entryAddress(0, 0), controlPort), d.network.Number())
 }
 
 func (d *Deployment) entryAddress(domain, n int) netip.Addr {
 	const hostsPerDomain = 32
-	return netip.AddrFrom4([4]byte{127, 0, byte(d.opts.Subnet), byte(domain*hostsPerDomain + n + 2)})
+	const firstHost = 2
+	return d.network.Host(domain*hostsPerDomain + n + firstHost)
 }
 
 // announceProxy passes requests to the store. Where an entry writes its heartbeat
@@ -46,7 +47,7 @@
 				w.WriteHeader(http.StatusBadRequest)
 				return
 			}
-			r.Body = io.NopCloser(strings.NewReader(peerproxy.Announced(string(body), d.opts.Subnet)))
+			r.Body = io.NopCloser(strings.NewReader(peerproxy.Announced(string(body), d.network.Number())))
 		}
 		store.ServeHTTP(w, r)
 	})
