Use no address of a closed listener in tests

Tests of refused connections closed a listener and expected that nobody listens at its address; until the test connects, the kernel can give the port to any listener. They use 127.0.0.1:1 instead, whose port the kernel never chooses, or an address of a reserved loopback network where a proxy must have listened before. The two entries of the tests of peerproxy shared 127.0.98.2 and 127.0.98.3 with all other copies, on ports that only the first of them had got from the kernel.

--- a/entry/endpointclient/client_test.go
+++ b/entry/endpointclient/client_test.go
@@ -118,14 +118,12 @@
 	}
 }
 
+// refusingAddress is an address at which connections are refused. The kernel never
+// chooses its port for a listener or a connection.
+const refusingAddress = "127.0.0.1:1"
+
 func TestRefusedConnectionProvesThatNothingWasSent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := l.Addr().String()
-	_ = l.Close()
-	outcome, ok := attempt(newClient(nil), taskAt(address, 0, 10*time.Second)).(*dispatch.Lost)
+	outcome, ok := attempt(newClient(nil), taskAt(refusingAddress, 0, 10*time.Second)).(*dispatch.Lost)
 	if !ok || !outcome.NotSent {
 		t.Errorf("outcome %+v", outcome)
 	}
--- a/fleet/withdrawals_test.go
+++ b/fleet/withdrawals_test.go
@@ -219,15 +219,14 @@
 	return errors.As(err, &broken) && !broken.gone
 }
 
+// refusingAddress is an address at which connections are refused. The kernel never
+// chooses its port for a listener or a connection.
+const refusingAddress = "127.0.0.1:1"
+
 // Nothing was sent, so there is nothing to withdraw.
 func TestEpochDoesNotRiseWhenNothingWasSent(t *testing.T) {
 	l := testLoop(t, nil)
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listener.Close()
-	_, err = l.peers.submit(context.Background(), cells.Entry{Incarnation: 2, Address: listener.Addr().String()}, &leased.Job{ID: "j"})
+	_, err := l.peers.submit(context.Background(), cells.Entry{Incarnation: 2, Address: refusingAddress}, &leased.Job{ID: "j"})
 	var notSent *notSentError
 	if got := l.peers.outbound.epochs.current(2); !errors.As(err, &notSent) || got != 0 {
 		t.Errorf("epoch %d after %v, want 0 after an error of an entry that was not reached", got, err)
--- a/standin/faultnet/proxy_test.go
+++ b/standin/faultnet/proxy_test.go
@@ -3,10 +3,12 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
 	"lovagespread.example/standin/faultnet"
+	"lovagespread.example/standin/loopback"
 )
 
 // proxied is a connection through a proxy, with both of its ends.
@@ -16,14 +18,23 @@
 	dialer, target     net.Conn
 }
 
+// proxyPort is below the range from which the kernel chooses ports, so that nobody
+// listens on it after the proxy.
+const proxyPort = 7720
+
 func openProxied(t *testing.T) *proxied {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	network, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(network.Close)
 	p := &proxied{}
-	p.proxy = faultnet.NewProxy("127.0.0.1:0", listener.Addr().String(), &p.toTarget, &p.toDialer)
+	p.proxy = faultnet.NewProxy(netip.AddrPortFrom(network.Host(2), proxyPort).String(), listener.Addr().String(), &p.toTarget, &p.toDialer)
 	if err := p.proxy.Open(); err != nil {
 		t.Fatal(err)
 	}
--- a/standin/peerproxy/network_test.go
+++ b/standin/peerproxy/network_test.go
@@ -9,12 +9,19 @@
 	"google.golang.org/protobuf/proto"
 
 	"lovagespread.example/peer/fleetpb"
+	"lovagespread.example/standin/loopback"
 	"lovagespread.example/standin/peerproxy"
 )
 
 // wait is how long a test waits for what must not arrive.
 const wait = 50 * time.Millisecond
 
+// Ports of all entries.
+const (
+	peerPort      = 7720
+	heartbeatPort = 7721
+)
+
 // pair is two entries on a network. Each listens for calls and heartbeats.
 type pair struct {
 	network    *peerproxy.Network
@@ -25,18 +32,21 @@
 
 func newPair(t *testing.T) *pair {
 	t.Helper()
-	p := &pair{entries: []netip.Addr{netip.MustParseAddr("127.0.98.2"), netip.MustParseAddr("127.0.98.3")}}
-	peerPort, heartbeatPort := 0, 0
+	addresses, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(addresses.Close)
+	p := &pair{entries: []netip.Addr{addresses.Host(2), addresses.Host(3)}}
 	for _, ip := range p.entries {
-		listener, err := net.Listen("tcp4", netip.AddrPortFrom(ip, uint16(peerPort)).String())
+		listener, err := net.Listen("tcp4", netip.AddrPortFrom(ip, peerPort).String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, uint16(heartbeatPort))))
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, heartbeatPort)))
 		if err != nil {
 			t.Fatal(err)
 		}
-		peerPort, heartbeatPort = listener.Addr().(*net.TCPAddr).Port, conn.LocalAddr().(*net.UDPAddr).Port
 		p.calls, p.heartbeats = append(p.calls, listener), append(p.heartbeats, conn)
 		t.Cleanup(func() { _, _ = listener.Close(), conn.Close() })
 	}
@@ -61,8 +71,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	port := p.heartbeats[to].LocalAddr().(*net.UDPAddr).AddrPort().Port()
-	if _, err := p.heartbeats[from].WriteToUDPAddrPort(data, netip.AddrPortFrom(p.network.HeartbeatIP(to), port)); err != nil {
+	if _, err := p.heartbeats[from].WriteToUDPAddrPort(data, netip.AddrPortFrom(p.network.HeartbeatIP(to), heartbeatPort)); err != nil {
 		t.Fatal(err)
 	}
 	buffer := make([]byte, len(data)*2)
