Begin the search for a holder anew after a freeze

A caller whose entry was frozen for more than a second while its job waited for a holder got "no entry holds endpoints", or a 504 with this reason if an earlier holder had been lost, though its deadline had not passed.

runAtHolder counts the time of the search from the request or the loss of the last holder on and ends it after 1.1 s. It counted the time of a freeze too, and just after one no other entry has been heard again, so the first attempt found no holder and was the last. Callers of an evacuated domain were even rejected without any wait. The search now also begins anew at the end of a freeze, which it gets from the freeze detector. The context of the call still ends it at the caller's deadline.

--- a/fleet/freeze_test.go
+++ b/fleet/freeze_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -116,3 +118,70 @@
 	case <-time.After(100 * time.Millisecond):
 	}
 }
+
+// Guards against a job that is rejected, or waits beyond its caller's deadline,
+// because its process was frozen while it waited for a holder.
+func TestSearchForHolderBeginsAnewAfterFreeze(t *testing.T) {
+	const frozenAfter = time.Second
+	for _, c := range []struct {
+		name          string
+		evacuated     bool // the own failure domain
+		callerTimeout time.Duration
+		want          leased.Verdict
+		after         time.Duration
+	}{
+		{"no holder found", false, time.Hour, leased.Rejected, frozenAfter + holderTimeout},
+		{"deadline during the search", false, 1500 * time.Millisecond, leased.Abandoned, 1500 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, freeze := searchingService(t, c.evacuated)
+				time.AfterFunc(frozenAfter, freeze)
+				checkSearch(t, s, c.callerTimeout, c.want, c.after)
+			})
+		})
+	}
+}
+
+// Guards against callers of an evacuated domain that are rejected after a freeze
+// because no other entry has been heard again yet.
+func TestJobsOfAnEvacuatedDomainWaitForHoldersAfterFreeze(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, freeze := searchingService(t, true)
+		freeze()
+		checkSearch(t, s, time.Hour, leased.Rejected, holderTimeout)
+		checkSearch(t, s, time.Hour, leased.Rejected, 0)
+	})
+}
+
+// searchingService returns a service that knows no holder, and a function that
+// freezes its VM.
+func searchingService(t *testing.T, evacuated bool) (s *Service, freeze func()) {
+	t.Helper()
+	const freezeTime = 2 * time.Second
+	l := testLoop(t, nil)
+	began := time.Now()
+	var frozen atomic.Int64
+	l.freezeDetector = newFreezeDetector(func() (time.Time, time.Duration) {
+		return time.Now(), time.Since(began) + time.Duration(frozen.Load())
+	}, zap.NewNop())
+	latest := &Snapshot{View: l.view, CellCounts: map[string]int{"d0": 1}}
+	latest.View.Self.FailureDomain = "d0"
+	if evacuated {
+		latest.DomainShares = map[string]float64{"d0": 0}
+		latest.CellCounts["d1"] = 1
+	}
+	l.snapshot.Store(latest)
+	return newService(l, l.peers, zap.NewNop(), l.metrics), func() { frozen.Add(int64(freezeTime)) }
+}
+
+// checkSearch checks the verdict about a job, and when it is given. A freeze is
+// noticed, and a search ends, when the next attempt to find a holder fails.
+func checkSearch(t *testing.T, s *Service, callerTimeout time.Duration, want leased.Verdict, after time.Duration) {
+	t.Helper()
+	began := time.Now()
+	got := s.Submit(t.Context(), leased.Job{ID: "j", Service: "s", CallerTimeout: callerTimeout, Steps: []leased.Step{{Tasks: 1}}})
+	if took := time.Since(began); got.Verdict != want || took < after || took > after+2*maxHolderBackoff {
+		t.Errorf("%v after %v (%s), want %v after %v", got.Verdict, took, got.Reason, want, after)
+	}
+}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -24,8 +24,9 @@
 	// every request.
 	minHolderBackoff = 15 * time.Millisecond
 	maxHolderBackoff = 120 * time.Millisecond
-	// holderTimeout is how long a job waits for a holder before it is rejected.
-	// It is longer than the time in which a lost holder is detected and replaced.
+	// holderTimeout is how long a job waits for a holder before it is rejected, from
+	// its request, the loss of its last holder or the end of a freeze on, whichever
+	// is last. It is longer than the time in which a lost holder is detected and replaced.
 	holderTimeout      = 1100 * time.Millisecond
 	noHolderRetryAfter = time.Second
 )
@@ -247,9 +248,7 @@
 		if ctx.Err() != nil {
 			return s.abandoned()
 		}
-		// The callers of an evacuated domain depend on entries of the others. If none
-		// can be reached, none is expected to return within holderTimeout.
-		if !ok && !latest.serving(latest.View.Self.FailureDomain) || time.Since(later(began, lostAt)) > holderTimeout {
+		if s.searchIsOver(latest, ok, later(began, lostAt)) {
 			return s.rejectWithoutHolder(&job)
 		}
 		if !pauseFor(ctx, backoff) {
@@ -259,6 +258,19 @@
 	}
 }
 
+// searchIsOver reports whether a job that no holder has taken since a given time is
+// to be rejected. The time of a freeze does not count, and after it the other entries
+// are unknown until their next heartbeats, so the search begins anew at its end.
+func (s *Service) searchIsOver(latest *Snapshot, found bool, since time.Time) bool {
+	resumedAt := s.loop.freezeDetector.check()
+	if time.Since(later(since, resumedAt)) > holderTimeout {
+		return true
+	}
+	// The callers of an evacuated domain depend on entries of the others. If none
+	// can be reached, none is expected to return within holderTimeout.
+	return !found && !latest.serving(latest.View.Self.FailureDomain) && time.Since(resumedAt) > holderTimeout
+}
+
 // callerWait is the time that a caller has waited and still waits.
 type callerWait struct {
 	since   time.Time     // when the caller's request arrived
