Wait after a freeze before a job is submitted again

Callers may get two runs of a task: while their entry was frozen, they left, and sent the job to another entry; the end of their connection is not read yet when the entry goes on. A call to a holder that ended meanwhile made the entry submit the job again at once, and a holder that is the only one that had the job starts its tasks without waiting.

Cause: the pause for reading cancellations after a freeze was taken once, before the search for a holder, and not before each further submission.

--- a/fleet/service.go
+++ b/fleet/service.go
@@ -216,10 +216,10 @@
 	var lost lostHolders
 	returning := job.Resubmitted // after holders that this call does not know
 	job.Movable = s.loop.settings.Balancing
-	if pause := s.loop.freezeDetector.remainingPause(); pause > 0 && !pauseFor(ctx, pause) {
-		return s.abandoned() // the caller disconnected during the freeze
-	}
 	for {
+		if pause := s.loop.freezeDetector.remainingPause(); pause > 0 && !pauseFor(ctx, pause) {
+			return s.abandoned() // the caller disconnected during the freeze
+		}
 		latest := s.loop.Latest()
 		holder, ok := s.chooseHolder(latest, &job, preferred)
 		preferred = 0
