--- a/dispatch/leased/restart_open_test.go
+++ b/dispatch/leased/restart_open_test.go
@@ -147,3 +147,46 @@
 		t.Errorf("%v after the Start: %s", w.now-idle, w.violation)
 	}
 }
+
+// Guards against a job that is returned by a holder that waits for an earlier run of it:
+// the next holder takes the job for a new one. Here the delegate has not received the
+// cancellation of the earlier run, the caller has submitted the job again after 1.3 s,
+// and its holder then gives up its cell.
+func TestReturnedJobKeepsTheDoubtAboutItsRuns(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.addEndpoints(0, 1)
+	sim.addEndpoints(1, 1)
+	sim.shareFreeCapacity()
+	sim.runUntil(200 * time.Millisecond)
+	other := singleTaskJob("other")
+	other.Steps[0].Demand.MilliCores = 60_000
+	sim.submitJob(0, other, longRun)
+	job := singleTaskJob("j")
+	job.Movable = true
+	ticket := sim.submitJob(0, job, longRun)
+	if len(sim.delegations) != 1 {
+		t.Fatal("the task was not delegated")
+	}
+	sim.addEndpoints(2, 1)
+	sim.runUntil(300 * time.Millisecond)
+	cancelledAt := sim.now
+	sim.cancelDelay = 2 * time.Second
+	sim.step(0, &leased.Cancel{Ticket: ticket})
+	sim.runUntil(cancelledAt + 1300*time.Millisecond)
+	returned := 0
+	sim.moved = func(core int, a leased.Answer) {
+		returned++
+		again := sim.submissions[a.Ticket].job
+		again.Movable = false
+		sim.after(2*networkDelay, func() { sim.submitJob(2, again, longRun) })
+	}
+	sim.submitJob(0, job, longRun)
+	sim.runUntil(cancelledAt + 1400*time.Millisecond)
+	sim.holderOf["e00"] = 2
+	sim.announce()
+	sim.runUntil(cancelledAt + 3*time.Second)
+	if returned != 1 {
+		t.Fatalf("the job was returned %d times, want once", returned)
+	}
+	sim.wantNoDoubleRuns()
+}
