End delegated tasks at their caller's deadline

Callers may get two runs of a task: the withdrawal of a delegated task is lost on a silent connection, the delegate goes on with the run, and the caller sends the job to another entry 1.3 s after its deadline.

Cause: a delegated task has the deadline of its job, but only jobs were ended by it.

The delegate now ends the task at the deadline, so that its run ends one lease later even if nothing is heard of the delegator.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -188,6 +188,7 @@
 	c.withdrawUnheard()
 	c.orderQueue()
 	c.expireJobs()
+	c.expireDelegated()
 	if c.opts.Balancing {
 		c.balance()
 	}
--- a/dispatch/leased/deadlines.go
+++ b/dispatch/leased/deadlines.go
@@ -1,6 +1,7 @@
 package leased
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -29,6 +30,30 @@
 	}
 }
 
+// expireDelegated ends delegated tasks whose caller's deadline has passed. The delegator
+// cancels them then, but its request may not arrive.
+func (c *Core) expireDelegated() {
+	var due []*job
+	for _, j := range c.delegated {
+		if !c.now.Before(j.expires) {
+			due = append(due, j)
+		}
+	}
+	slices.SortFunc(due, byArrivalAndTask)
+	for _, j := range due {
+		t := &j.tasks[0][0]
+		c.waiting.remove(j)
+		c.revokeRun(t, "the caller's deadline has passed")
+		c.answerDelegatedNow(j, t.runs, EndUnknown)
+	}
+}
+
+// byArrivalAndTask orders delegated tasks, several of which may belong to one job.
+func byArrivalAndTask(a, b *job) int {
+	x, y := &a.tasks[0][0].id, &b.tasks[0][0].id
+	return cmp.Or(byArrival(a, b), cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index))
+}
+
 // cannotEndInTime reports whether a job that waits and has not begun would exceed
 // its caller's deadline if it were started now.
 func (c *Core) cannotEndInTime(j *job) bool {
