Start nothing for a held-up call of an entry that is silent

Callers may get two runs of a task: a partition holds up the call of an entry to a holder, or of a holder to its delegate. When the partition heals, the held-up call and its cancellation arrive one after the other, and the task is started in between.

Cause: the arrival of a call counted as contact with its entry. Calls now come with the time of the entry's last heartbeat. If that is older than contactGrace, the arrival proves nothing, and no task is started before the next heartbeat, which names what was given up.

--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -228,7 +228,7 @@
 // wait, or answers that there is not enough free capacity.
 func (c *Core) submitDelegated(in *SubmitDelegated) {
 	d := &in.Task
-	c.addCaller(in.Ticket, in.Caller)
+	c.addCaller(in.Ticket, in.Caller, in.CallerHeardAt)
 	j := c.newDelegated(d, in.Ticket)
 	t := &j.tasks[0][0]
 	if c.overtaken(d) {
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -84,7 +84,7 @@
 const resubmittedRunOffset = 16
 
 func (c *Core) submit(in *Submit) {
-	c.addCaller(in.Ticket, in.Caller)
+	c.addCaller(in.Ticket, in.Caller, in.CallerHeardAt)
 	earlier := c.takeOverTickets(&in.Job)
 	if j := c.jobs[in.Job.ID]; j != nil {
 		j.tickets = append(j.tickets, in.Ticket)
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -35,6 +35,8 @@
 	Ticket Ticket
 	Job    Job
 	Caller uint64 // incarnation of the entry that waits for the answer; 0: this one
+	// CallerHeardAt is when the last heartbeat of Caller arrived; zero: none is known.
+	CallerHeardAt time.Time
 }
 
 // SubmitDelegated submits one task of a job that is queued at another holder.
@@ -44,10 +46,11 @@
 	Ticket Ticket
 	Task   DelegatedTask
 	Caller uint64 // incarnation of the delegator; 0: this entry
+	// CallerHeardAt is when the last heartbeat of Caller arrived; zero: none is known.
+	CallerHeardAt time.Time
 }
 
-// CallerContact reports when an entry that waits for tickets was last heard. It also
-// counts as heard for each ticket when that arrived.
+// CallerContact reports when an entry that waits for tickets was last heard.
 type CallerContact struct {
 	Caller  uint64
 	HeardAt time.Time
--- a/dispatch/leased/renewal.go
+++ b/dispatch/leased/renewal.go
@@ -49,19 +49,28 @@
 	}
 }
 
-// addCaller records which entry waits for a ticket; 0: this one.
-func (c *Core) addCaller(ticket Ticket, caller uint64) {
+// addCaller records which entry waits for a ticket; 0: this one. The call counts as
+// contact with an entry of which no heartbeat is known, or a recent one. The call of an
+// entry that has been silent may have been held up since, and withdrawn meanwhile: its
+// next heartbeat shows that.
+func (c *Core) addCaller(ticket Ticket, caller uint64, heardAt time.Time) {
 	if caller == 0 {
 		return
 	}
-	c.callers[ticket] = ticketCaller{caller, c.now}
+	if !heardAt.IsZero() {
+		c.contact(&CallerContact{Caller: caller, HeardAt: heardAt})
+	}
+	waiting := ticketCaller{id: caller}
+	if heard, known := c.contacts[caller]; !known || c.now.Sub(heard) <= contactGrace {
+		waiting.arrivedAt = c.now
+	}
+	c.callers[ticket] = waiting
 }
 
-// ticketCaller is the entry that waits for a ticket. Its call shows that it wanted the
-// ticket when the call arrived: heartbeats may be rarer before an entry's first call.
+// ticketCaller is the entry that waits for a ticket.
 type ticketCaller struct {
 	id        uint64
-	arrivedAt time.Time
+	arrivedAt time.Time // of its call; zero: the call does not count as contact
 }
 
 // heardFor returns when the entry that waits for a ticket was last heard.
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -155,7 +155,7 @@
 	l.lastTicket++
 	l.waiters[l.lastTicket] = m.answer
 	m.ticket <- l.lastTicket
-	l.step(&leased.Submit{Ticket: l.lastTicket, Job: m.job, Caller: uint64(m.caller)})
+	l.step(&leased.Submit{Ticket: l.lastTicket, Job: m.job, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.caller)})
 }
 
 // submitDelegated is a message that submits a delegated task to the core.
@@ -170,7 +170,7 @@
 	l.lastTicket++
 	l.delegatedWaiters[l.lastTicket] = m.answer
 	m.ticket <- l.lastTicket
-	l.step(&leased.SubmitDelegated{Ticket: l.lastTicket, Task: m.task, Caller: uint64(m.caller)})
+	l.step(&leased.SubmitDelegated{Ticket: l.lastTicket, Task: m.task, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.caller)})
 }
 
 // cancelTicket is a message that cancels a ticket.
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -76,3 +77,10 @@
 	slices.SortFunc(contacts, func(a, b leased.CallerContact) int { return cmp.Compare(a.Caller, b.Caller) })
 	return contacts
 }
+
+// heardAt returns when the entry whose call has arrived was last heard, or zero if no
+// heartbeat of it is known. The call may have been held up since.
+func (l *Loop) heardAt(caller cells.Incarnation) time.Time {
+	heardAt, _ := l.roster.LastHeartbeat(caller)
+	return heardAt
+}
