Withdraw single calls between entries by their numbers

A cancelled Submit or Lend raised no epoch. If its connection was silent towards the called entry, that entry went on starting and renewing the runs until its ping failed, after up to 3.5 s, while heartbeats went on. The canceller counts the run as over after 2.55 s, and a client sends its job to another entry after 1.3 s, so two runs of a task were possible. A request delivered after its cancellation started its job.

Calls have numbers now, and each heartbeat names the calls to its receivers that ended without an answer within the last 5 s. The called entry cancels them, and refuses those that arrive later. A heartbeat that counts as contact therefore brings all withdrawals made before it, so that the bounds on leases count from a time at which the caller still wanted the run.

The withdrawn calls of a heartbeat are at most 3 KiB. Calls that do not fit are left out once they were named for 1.5 s; if that is not enough, the epoch of their target rises. Entries of earlier versions number no calls and ignore the new field.

The tests do not compile without the change.

--- a/fleet/callset.go
+++ b/fleet/callset.go
@@ -8,16 +8,18 @@
 	"github.com/go-faster/errors"
 
 	"lovagespread.example/membership/cells"
-	"lovagespread.example/peer/fleetpb"
 )
 
 // callSet contains the open calls to other entries, or from them, so that they
 // can be cancelled when an entry is lost or has given them up. It is safe for
 // concurrent use.
 type callSet struct {
-	mu      sync.Mutex
-	byEntry map[cells.Incarnation]map[*call]struct{}
-	epochs  epochs
+	mu         sync.Mutex
+	byEntry    map[cells.Incarnation]map[*call]struct{}
+	epochs     epochs
+	lastNumber uint64         // of a call to another entry
+	withdrawn  withdrawnCalls // to other entries
+	refused    refusedCalls   // from other entries
 }
 
 // call is an open call to another entry, or from it.
@@ -25,6 +27,7 @@
 	ctx    context.Context // done when the call has ended or was cancelled
 	entry  cells.Incarnation
 	epoch  uint64
+	number uint64 // 0: the calling entry numbers no calls
 	began  time.Time
 	cancel context.CancelCauseFunc
 }
@@ -37,7 +40,10 @@
 )
 
 func newCallSet() *callSet {
-	return &callSet{byEntry: make(map[cells.Incarnation]map[*call]struct{}), epochs: newEpochs()}
+	return &callSet{
+		byEntry: make(map[cells.Incarnation]map[*call]struct{}), epochs: newEpochs(),
+		withdrawn: newWithdrawnCalls(), refused: newRefusedCalls(),
+	}
 }
 
 // track returns a context that is cancelled with the calls of an entry. The
@@ -47,29 +53,30 @@
 	return c.ctx, func() { s.end(c) }
 }
 
-// open adds a call of the current epoch. The caller must call end when it has
-// ended.
+// open adds a call of the current epoch, with the next number. The caller must call
+// end when it has ended.
 func (s *callSet) open(ctx context.Context, id cells.Incarnation) *call {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.add(ctx, id, s.epochs.current(id))
+	s.lastNumber++
+	return s.add(ctx, id, s.epochs.current(id), s.lastNumber)
 }
 
-// admit adds a call from another entry in the epoch that the call names, and cancels
-// its calls of lower epochs. It returns errCallWithdrawn if that entry has given up all
-// calls of the epoch.
-func (s *callSet) admit(ctx context.Context, id cells.Incarnation, epoch uint64) (*call, error) {
+// admit adds a call from another entry with the epoch and number that the call names,
+// and cancels that entry's calls of lower epochs. It returns errCallWithdrawn if the
+// entry has given up all calls of the epoch, or this one.
+func (s *callSet) admit(ctx context.Context, id cells.Incarnation, epoch, number uint64) (*call, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if epoch < s.epochs.current(id) {
+	if epoch < s.epochs.current(id) || s.refused.contains(id, number) {
 		return nil, errCallWithdrawn
 	}
 	s.withdrawLocked(id, epoch)
-	return s.add(ctx, id, epoch), nil
+	return s.add(ctx, id, epoch, number), nil
 }
 
-func (s *callSet) add(ctx context.Context, id cells.Incarnation, epoch uint64) *call {
-	c := &call{entry: id, epoch: epoch, began: time.Now()}
+func (s *callSet) add(ctx context.Context, id cells.Incarnation, epoch, number uint64) *call {
+	c := &call{entry: id, epoch: epoch, number: number, began: time.Now()}
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	if s.byEntry[id] == nil {
 		s.byEntry[id] = make(map[*call]struct{})
@@ -80,9 +87,13 @@
 
 // end removes a call that has ended.
 func (s *callSet) end(c *call) {
-	c.cancel(nil)
+	defer c.cancel(nil) // an open call whose context has ended counts as withdrawn
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.remove(c)
+}
+
+func (s *callSet) remove(c *call) {
 	delete(s.byEntry[c.entry], c)
 	if len(s.byEntry[c.entry]) == 0 {
 		delete(s.byEntry, c.entry)
@@ -113,11 +124,18 @@
 	if len(given) == 0 {
 		return 0, 0
 	}
-	for c := range given {
+	return s.raiseLocked(id, cause), len(given)
+}
+
+// raiseLocked cancels the open calls to an entry, if any, and begins the next epoch,
+// which it returns. The epoch withdraws the entry's withdrawn calls, too.
+func (s *callSet) raiseLocked(id cells.Incarnation, cause error) uint64 {
+	for c := range s.byEntry[id] {
 		c.cancel(cause)
 	}
 	delete(s.byEntry, id)
-	return s.epochs.next(time.Now(), id), len(given)
+	s.withdrawn.removeAll(id)
+	return s.epochs.next(time.Now(), id)
 }
 
 // withdraw cancels the calls from an entry of epochs before the given one, which
@@ -141,13 +159,6 @@
 	return n
 }
 
-// recentEpochs returns the epochs that heartbeats announce.
-func (s *callSet) recentEpochs() []*fleetpb.CallEpoch {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.epochs.recent(time.Now())
-}
-
 // cancelAll cancels the calls of an entry.
 func (s *callSet) cancelAll(id cells.Incarnation) { s.cancelBefore(id, time.Now()) }
 
--- a/fleet/epochs_test.go
+++ b/fleet/epochs_test.go
@@ -110,7 +110,7 @@
 	s := newCallSet()
 	admit := func(id cells.Incarnation, epoch uint64) *call {
 		t.Helper()
-		c, err := s.admit(context.Background(), id, epoch)
+		c, err := s.admit(context.Background(), id, epoch, 0)
 		if err != nil {
 			t.Fatalf("call of epoch %d from %d: %v", epoch, id, err)
 		}
@@ -131,7 +131,7 @@
 		t.Errorf("ended: %v, %v and %v, want only the call of the earlier epoch", second.ctx.Err(), resubmitted.ctx.Err(), other.ctx.Err())
 	}
 	for epoch := range uint64(2) {
-		if _, err := s.admit(context.Background(), 2, epoch); !errors.Is(err, errCallWithdrawn) {
+		if _, err := s.admit(context.Background(), 2, epoch, 0); !errors.Is(err, errCallWithdrawn) {
 			t.Errorf("a delayed request of epoch %d: error %v, want %v", epoch, err, errCallWithdrawn)
 		}
 	}
--- a/fleet/heartbeats.go
+++ b/fleet/heartbeats.go
@@ -159,14 +159,14 @@
 }
 
 // sendToCalled sends a heartbeat to the entries of other failure domains that run
-// jobs or tasks for this one, if the usual interval would let them take it for
-// lost.
+// jobs or tasks for this one, or may still do so after their calls were withdrawn, if
+// the usual interval would let them take it for lost.
 func (l *Loop) sendToCalled() {
 	if l.interval(false) <= maxLocalInterval {
 		return
 	}
 	var data []byte
-	for _, id := range l.peers.outbound.entries() {
+	for _, id := range l.peers.outbound.heartbeatReceivers() {
 		e, live := l.view.Find(id)
 		if !live || l.isLocal(e) {
 			continue
@@ -231,11 +231,13 @@
 
 func (l *Loop) heartbeat(local bool) *fleetpb.Beat {
 	self := l.view.Self
+	withdrawals := l.peers.outbound.withdrawals(time.Now())
+	l.logOverflow(withdrawals.overflow)
 	heartbeat := &fleetpb.Beat{
 		Name: self.Name, Address: self.Address, Beats: self.HeartbeatAddress, FailureDomain: self.FailureDomain,
 		Incarnation: uint64(self.Incarnation), Weight: self.Weight, IntervalMs: uint32(l.interval(local).Milliseconds()),
 		Leaving: l.stopping, ConfigurationVersion: l.directory.Version, Token: l.maxToken,
-		CallEpochs: l.peers.outbound.recentEpochs(),
+		CallEpochs: withdrawals.epochs, WithdrawnCalls: withdrawals.calls,
 	}
 	if l.directory.Evacuations != nil {
 		heartbeat.EvacuationsRevision = l.directory.Evacuations.Revision
@@ -304,6 +306,11 @@
 			reason = fmt.Sprintf("epoch %d of calls to incarnation %d", e.Epoch, e.Incarnation)
 		}
 	}
+	for _, w := range b.WithdrawnCalls {
+		if err := validateWithdrawn(w); err != nil {
+			reason = err.Error()
+		}
+	}
 	for _, r := range b.Rooms {
 		if r.Of == 0 || r.Of > maxCells || r.Cell >= r.Of || r.FailureDomain == "" {
 			reason = fmt.Sprintf("free capacity of cell %d of %d", r.Cell, r.Of)
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -163,6 +163,7 @@
 	l.passCapacityOn(now)
 	l.step(&leased.Tick{Contacts: l.callerContacts()})
 	l.updateOwnLoad(now)
+	l.announceWithdrawn(now)
 	l.sendHeartbeats(now)
 	l.publish()
 }
--- a/fleet/malformed_test.go
+++ b/fleet/malformed_test.go
@@ -52,6 +52,19 @@
 		"the last epoch": func(b *fleetpb.Beat) {
 			b.CallEpochs = []*fleetpb.CallEpoch{{Incarnation: 3, Epoch: 1}, {Incarnation: 1, Epoch: math.MaxUint64}}
 		},
+		"a call to nobody": func(b *fleetpb.Beat) { b.WithdrawnCalls = []*fleetpb.WithdrawnCalls{{Calls: []uint64{1}}} },
+		"a call without a number": func(b *fleetpb.Beat) {
+			b.WithdrawnCalls = []*fleetpb.WithdrawnCalls{{Incarnation: 1, Calls: []uint64{0}}}
+		},
+		"a call named twice": func(b *fleetpb.Beat) {
+			b.WithdrawnCalls = []*fleetpb.WithdrawnCalls{{Incarnation: 1, Calls: []uint64{7, 0}}}
+		},
+		"numbers that overflow": func(b *fleetpb.Beat) {
+			b.WithdrawnCalls = []*fleetpb.WithdrawnCalls{{Incarnation: 1, Calls: []uint64{7, math.MaxUint64}}}
+		},
+		"numbers beyond the highest": func(b *fleetpb.Beat) {
+			b.WithdrawnCalls = []*fleetpb.WithdrawnCalls{{Incarnation: 1, Calls: []uint64{maxCallNumber, 1}}}
+		},
 	} {
 		b := validHeartbeat()
 		spoil(b)
@@ -90,6 +103,10 @@
 	if !errors.As(err, &rejected) || rejected.Code() != twirp.InvalidArgument {
 		t.Errorf("the last epoch: error %v, want invalid_argument", err)
 	}
+	_, err = s.Lend(context.Background(), &fleetpb.LendRequest{Job: "j", Step: &fleetpb.Step{Tasks: 1, MilliCores: 1000}, Run: 1, PatienceUs: 1000, Call: math.MaxUint64})
+	if !errors.As(err, &rejected) || rejected.Code() != twirp.InvalidArgument {
+		t.Errorf("the last number of a call: error %v, want invalid_argument", err)
+	}
 	job := jobFromPB(&fleetpb.SubmitRequest{Id: "j", Steps: []*fleetpb.Step{{Tasks: 1, After: []uint32{9}}}})
 	if job.Validate() == nil {
 		t.Error("a job that depends on a missing step is valid")
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -102,7 +102,8 @@
 // callFailed returns the error of a call that has failed: a *notSentError if
 // nothing was sent, and a *brokenCallError if there was no answer although the
 // caller was waiting. The first call that breaks gives up all calls to the entry:
-// what has become of them is not known either.
+// what has become of them is not known either. A call whose caller waits no longer is
+// withdrawn alone.
 func (p *peers) callFailed(caller context.Context, to cells.Entry, c *call, sent bool, err error) error {
 	if c.ctx.Err() == nil {
 		p.send(suspectEntry{to.Incarnation})
@@ -110,7 +111,10 @@
 	switch {
 	case !sent:
 		return &notSentError{err}
-	case caller.Err() != nil || isAnswer(err):
+	case isAnswer(err):
+		return err
+	case caller.Err() != nil:
+		p.outbound.withdrawEnded(c)
 		return err
 	}
 	if epoch, calls := p.outbound.giveUpBroken(c); calls > 0 {
@@ -134,7 +138,7 @@
 	defer p.outbound.end(c)
 	traced, sent := traceSent(c.ctx)
 	request := jobToPB(job, uint64(p.self))
-	request.Epoch = c.epoch
+	request.Epoch, request.Call = c.epoch, c.number
 	reply, err := p.client(to.Address).Submit(traced, request)
 	if err == nil {
 		return reply, nil
@@ -153,7 +157,7 @@
 	defer p.outbound.end(c)
 	traced, sent := traceSent(c.ctx)
 	lend := delegatedTaskToPB(&request.Task, uint64(p.self))
-	lend.Epoch = c.epoch
+	lend.Epoch, lend.Call = c.epoch, c.number
 	reply, err := p.client(holder.Address).Lend(traced, lend)
 	if err == nil {
 		return delegatedEndFromPB(reply), reply.Saved
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -38,7 +38,7 @@
 	if err := job.Validate(); err != nil {
 		return nil, s.rejectMalformed(err)
 	}
-	c, err := s.admit(ctx, r.From, r.Epoch)
+	c, err := s.admit(ctx, r.From, r.Epoch, r.Call)
 	if err != nil {
 		return nil, err
 	}
@@ -52,14 +52,17 @@
 
 // admit tracks a call of another entry. It returns an error if that entry has
 // given up the call, whose request was late.
-func (s *server) admit(ctx context.Context, from, epoch uint64) (*call, error) {
+func (s *server) admit(ctx context.Context, from, epoch, number uint64) (*call, error) {
 	if epoch > maxEpoch {
 		return nil, s.rejectMalformed(errors.Errorf("epoch %d of calls, the highest is %d", epoch, uint64(maxEpoch)))
 	}
-	c, err := s.peers.inbound.admit(ctx, cells.Incarnation(from), epoch)
+	if number > maxCallNumber {
+		return nil, s.rejectMalformed(errors.Errorf("call %d, the highest number is %d", number, uint64(maxCallNumber)))
+	}
+	c, err := s.peers.inbound.admit(ctx, cells.Incarnation(from), epoch, number)
 	if err != nil {
 		s.loop.metrics.withdrawnCalls.WithLabelValues("refused").Inc()
-		s.peers.log.Warn("withdrawn_call_refused", zap.Uint64("incarnation", from), zap.Uint64("epoch", epoch))
+		s.peers.log.Warn("withdrawn_call_refused", zap.Uint64("incarnation", from), zap.Uint64("epoch", epoch), zap.Uint64("call", number))
 		return nil, twirp.FailedPrecondition.Error(err.Error())
 	}
 	return c, nil
@@ -90,7 +93,7 @@
 	if err := task.Validate(); err != nil {
 		return nil, s.rejectMalformed(err)
 	}
-	c, err := s.admit(ctx, r.From, r.Epoch)
+	c, err := s.admit(ctx, r.From, r.Epoch, r.Call)
 	if err != nil {
 		return nil, err
 	}
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -15,7 +16,9 @@
 // its calls to another one therefore raises the epoch of these calls, and its
 // heartbeats name the new epoch. The other entry cancels calls of lower epochs.
 // Without this it would go on starting runs of jobs that are submitted again
-// elsewhere, as long as heartbeats arrive.
+// elsewhere, as long as heartbeats arrive. Single calls that end without an answer are
+// named by their numbers (withdrawncalls.go). So an entry that hears a heartbeat knows
+// all withdrawals that were made before it was sent.
 
 // callsGivenUp is a message that reports that a call to an entry broke and its
 // calls were given up.
@@ -45,22 +48,57 @@
 	}
 }
 
-// withdrawCalls cancels the calls that the sender of a heartbeat has given up.
+// announceWithdrawn notifies entries of the calls to them that were withdrawn since the
+// last tick. A wave of them takes one heartbeat for each entry.
+func (l *Loop) announceWithdrawn(now time.Time) {
+	for _, id := range l.peers.outbound.takeUnannounced(now) {
+		to, live := l.view.Find(id)
+		if !live {
+			continue // hellos name the calls
+		}
+		data := l.encodeHeartbeat(l.isLocal(to), false)
+		for range 2 { // a datagram may be lost
+			l.heartbeats.write(to.HeartbeatAddress, data)
+		}
+	}
+}
+
+// logOverflow logs the calls that were given up because too many others were withdrawn
+// to be named one by one.
+func (l *Loop) logOverflow(list []overflow) {
+	for _, o := range list {
+		l.log.Warn("calls_given_up", zap.Uint64("incarnation", uint64(o.to)), zap.Uint64("epoch", o.epoch), zap.Int("calls", o.calls),
+			zap.String("reason", "too many calls were withdrawn to name them one by one"))
+	}
+}
+
+// withdrawCalls cancels the calls that the sender of a heartbeat has given up, and lets
+// them in no more if they arrive later.
 func (l *Loop) withdrawCalls(b *fleetpb.Beat) {
+	self, from := uint64(l.view.Self.Incarnation), cells.Incarnation(b.Incarnation)
 	for _, e := range b.CallEpochs {
-		if cells.Incarnation(e.Incarnation) != l.view.Self.Incarnation {
-			continue
+		if e.Incarnation == self {
+			l.callsWithdrawn(b, l.peers.inbound.withdraw(from, e.Epoch), zap.Uint64("epoch", e.Epoch))
 		}
-		n := l.peers.inbound.withdraw(cells.Incarnation(b.Incarnation), e.Epoch)
-		if n == 0 {
-			continue
+	}
+	for _, w := range b.WithdrawnCalls {
+		if w.Incarnation == self {
+			l.callsWithdrawn(b, l.peers.inbound.withdrawNumbers(time.Now(), from, decodeNumbers(w.Calls)), zap.Bool("single", true))
 		}
-		l.metrics.withdrawnCalls.WithLabelValues("cancelled").Add(float64(n))
-		l.log.Warn("calls_withdrawn", zap.String("entry", b.Name), zap.Uint64("incarnation", b.Incarnation),
-			zap.Uint64("epoch", e.Epoch), zap.Int("calls", n))
 	}
 }
 
+// callsWithdrawn logs and counts calls that were cancelled because the sender of a
+// heartbeat has withdrawn them.
+func (l *Loop) callsWithdrawn(b *fleetpb.Beat, n int, how zap.Field) {
+	if n == 0 {
+		return
+	}
+	l.metrics.withdrawnCalls.WithLabelValues("cancelled").Add(float64(n))
+	l.log.Warn("calls_withdrawn", zap.String("entry", b.Name), zap.Uint64("incarnation", b.Incarnation),
+		how, zap.Int("calls", n))
+}
+
 // callerContacts returns when each entry with open calls was last heard, by
 // incarnation: its last heartbeat or, if none has arrived, the beginning of its earliest
 // call. The core extends the leases of their runs no further than that allows.
--- a/fleet/withdrawals_test.go
+++ b/fleet/withdrawals_test.go
@@ -318,7 +318,7 @@
 func TestOnlyTheNamedCallsAreWithdrawn(t *testing.T) {
 	l := testLoop(t, nil)
 	withHeartbeats(t, l)
-	call, err := l.peers.inbound.admit(context.Background(), 2, 0)
+	call, err := l.peers.inbound.admit(context.Background(), 2, 0, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -352,7 +352,7 @@
 	}
 	var earliest time.Time
 	for i, id := range []cells.Incarnation{3, 2, 2} {
-		c, err := l.peers.inbound.admit(context.Background(), id, 0)
+		c, err := l.peers.inbound.admit(context.Background(), id, 0, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
