Limit how often cancellations cause heartbeats of their own

With calls cancelled all the time, as when deadlines pass in an overload, each tick of 20 ms sent two heartbeats to every entry concerned, with up to 3 KiB of withdrawn calls. They go out once in 110 ms now; the usual heartbeats name the calls in any case, and no bound relies on these. The first cancellation after a quiet time is still announced at the next tick.

TestStreamOfCancellationsCausesFewHeartbeats fails without the limit. The test of late calls ends instead of blocking when such a call is let in.

--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -84,6 +84,7 @@
 	stopping            bool
 	evacuatedRuns       int       // on evacuated endpoints, in the latest snapshot
 	resumedAt           time.Time // end of the latest freeze that was handled
+	withdrawalsSentAt   time.Time // apart from the usual heartbeats
 }
 
 // announcedCapacity is the free capacity of a cell as announced by its holder.
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -49,13 +49,18 @@
 }
 
 // announceWithdrawn notifies entries of the calls to them that were withdrawn since the
-// last tick. A wave of them takes one heartbeat for each entry.
+// last time. A wave of them takes one heartbeat for each entry. Under a steady stream,
+// such heartbeats are as frequent as the usual ones.
 func (l *Loop) announceWithdrawn(now time.Time) {
+	if now.Sub(l.withdrawalsSentAt) < heartbeatInterval {
+		return
+	}
 	for _, id := range l.peers.outbound.takeUnannounced(now) {
 		to, live := l.view.Find(id)
 		if !live {
 			continue // hellos name the calls
 		}
+		l.withdrawalsSentAt = now
 		data := l.encodeHeartbeat(l.isLocal(to), false)
 		for range 2 { // a datagram may be lost
 			l.heartbeats.write(to.HeartbeatAddress, data)
--- a/fleet/withdrawncalls_test.go
+++ b/fleet/withdrawncalls_test.go
@@ -159,13 +159,15 @@
 	b := validHeartbeat()
 	b.WithdrawnCalls = []*fleetpb.WithdrawnCalls{{Incarnation: 1, Calls: encodeNumbers([]uint64{9, 5})}, {Incarnation: 3, Calls: []uint64{6}}}
 	peerHeartbeat{b}.handle(l)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
 	for _, number := range []uint64{5, 9} {
-		_, err := s.Lend(ctx, &fleetpb.LendRequest{
-			From: b.Incarnation, Job: "j", Step: &fleetpb.Step{Tasks: 1, MilliCores: 1000}, Run: 1, PatienceUs: 1_000_000, Adopt: true, Call: number})
+		result := make(chan error, 1)
+		go func() {
+			_, err := s.Lend(context.Background(), &fleetpb.LendRequest{
+				From: b.Incarnation, Job: "j", Step: &fleetpb.Step{Tasks: 1, MilliCores: 1000}, Run: 1, PatienceUs: 1_000_000, Adopt: true, Call: number})
+			result <- err
+		}()
 		var refused twirp.Error
-		if !errors.As(err, &refused) || refused.Code() != twirp.FailedPrecondition {
+		if err := receiveFrom(t, result); !errors.As(err, &refused) || refused.Code() != twirp.FailedPrecondition {
 			t.Errorf("call %d: error %v, want %v", number, err, twirp.FailedPrecondition)
 		}
 	}
@@ -285,6 +287,24 @@
 	}
 }
 
+// Guards against a stream of cancellations that causes heartbeats at every tick.
+func TestStreamOfCancellationsCausesFewHeartbeats(t *testing.T) {
+	p := newSilentPair(t)
+	start := time.Now()
+	for at := time.Duration(0); at < heartbeatInterval; at += leased.TickInterval {
+		c := p.caller.peers.outbound.open(context.Background(), 2)
+		p.caller.peers.outbound.withdrawEnded(c)
+		p.caller.announceWithdrawn(start.Add(at))
+	}
+	if n := len(p.caller.peers.outbound.withdrawn.unannounced); n != 1 {
+		t.Errorf("the withdrawals since the first heartbeat are announced already (%d entries left), want them left for the next", n)
+	}
+	p.caller.announceWithdrawn(start.Add(heartbeatInterval))
+	if n := len(p.caller.peers.outbound.withdrawn.unannounced); n != 0 {
+		t.Errorf("%d entries are left after %v, want none", n, heartbeatInterval)
+	}
+}
+
 // Guards against heartbeats beyond the size of a datagram. What no heartbeat names any
 // more must have been named for long enough, or be withdrawn by an epoch.
 func TestWithdrawnCallsFitIntoAHeartbeat(t *testing.T) {
