Extend no lease by a cancellation

A cancelled run whose end is not listed yet allowed its lease to be extended to one lease after the cancellation, also if its caller's silence had lowered the limit before. A delegate that had heard nothing of the delegator for 1.3 s cancelled the task, and so allowed 2.3 s after the last contact instead of 1.5 s, while the Stop might be lost. The delegator, and the entry behind it, wait for 1.4 s beyond one lease.

The limit of a revoked run is now the lower one of both. A job keeps its tickets until its runs are stopped, because they give the limit.

TestCancellationExtendsNoLeaseOfUnheardEntry failed before: the run was active 1.65 s after the last contact, while another run on the endpoint was renewed.

--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -1,6 +1,7 @@
 package leased
 
 import (
+	"slices"
 	"time"
 
 	"lovagespread.example/dispatch/blame"
@@ -129,9 +130,9 @@
 	if j == nil || j.Stored || !spec.Resubmitted || spec.OnlyHolder {
 		return nil
 	}
+	c.removeJob(j, "another holder has had its job since")
 	tickets := j.tickets
 	j.tickets = nil
-	c.removeJob(j, "another holder has had its job since")
 	return tickets
 }
 
@@ -257,19 +258,15 @@
 	if j == nil {
 		return
 	}
-	c.dropTicket(ticket)
-	for i, t := range j.tickets {
-		if t == ticket {
-			j.tickets = append(j.tickets[:i], j.tickets[i+1:]...)
-			break
-		}
-	}
-	if len(j.tickets) == 0 {
+	if len(j.tickets) == 1 {
 		c.removeJob(j, "its caller has disconnected")
 	}
+	c.dropTicket(ticket)
+	j.tickets = slices.DeleteFunc(j.tickets, func(t Ticket) bool { return t == ticket })
 }
 
-// removeJob stops all runs of a job and removes it.
+// removeJob stops all runs of a job and removes it. The job still has its tickets, which
+// bound the leases of the runs.
 func (c *Core) removeJob(j *job, reason string) {
 	for s := range j.tasks {
 		for i := range j.tasks[s] {
@@ -302,6 +299,9 @@
 	r.task = nil
 	r.unclaimedSince = c.now
 	r.leaseLimit = c.now.Add(c.opts.MaxLease)
+	if limit := c.claimLimit(t.job); !limit.IsZero() && limit.Before(r.leaseLimit) {
+		r.leaseLimit = limit // its caller was not heard, and relies on that
+	}
 }
 
 // withdraw cancels a delegated task. The delegate does not confirm it.
@@ -324,6 +324,7 @@
 	if verdict == Rejected && j.Resubmitted {
 		verdict, retryAfter = Abandoned, 0
 	}
+	c.removeJob(j, reason)
 	for _, t := range j.tickets {
 		c.dropTicket(t)
 		c.out.Answers = append(c.out.Answers, Answer{
@@ -331,7 +332,6 @@
 		})
 	}
 	j.tickets = nil
-	c.removeJob(j, reason)
 }
 
 // taskRunEnded applies the end of a task's run.
--- a/dispatch/leased/renewal_test.go
+++ b/dispatch/leased/renewal_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/dispatch/leased/leasedtest"
 )
 
 // longRun is longer than any lease.
@@ -54,6 +55,33 @@
 	sim.wantNoDoubleRuns()
 }
 
+// Guards against a cancellation that extends the lease of a run beyond what its caller's
+// silence allows: that entry relies on the earlier bound, and the Stop may be lost.
+func TestCancellationExtendsNoLeaseOfUnheardEntry(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addEndpoints(0, 1)
+	sim.runUntil(200 * time.Millisecond)
+	sim.submitJob(0, singleTaskJob("k"), longRun)
+	task := leased.DelegatedTask{
+		ID: leased.TaskID{Job: "j"}, Service: "s", Queue: "q", Run: 1, CallerTimeout: longRun, Cell: "c0",
+		Step: leased.Step{Tasks: 1, Demand: leased.Demand{MilliCores: 1000}, Estimate: longRun},
+	}
+	heardAt := sim.now
+	sim.work["j"] = leasedtest.Work{Demand: task.Step.Demand, Time: longRun}
+	sim.stopsLost = true
+	sim.step(0, &leased.SubmitDelegated{Ticket: 99, Task: task, Caller: 7})
+	sim.runUntil(heardAt + 1300*time.Millisecond)
+	active := func() bool { _, active := sim.endpoints["e00"].RunOf(task.ID); return active }
+	if !active() {
+		t.Fatal("the run has ended before it was cancelled")
+	}
+	sim.step(0, &leased.Cancel{Ticket: 99})
+	sim.runUntil(heardAt + 500*time.Millisecond + time.Second + 150*time.Millisecond)
+	if active() {
+		t.Error("the run is active 0.5 s, one lease and the margin after its delegator was last heard")
+	}
+}
+
 // Guards against a Start that renews a cancelled run on the same endpoint.
 func TestStartsDoNotRenewCancelledRun(t *testing.T) {
 	sim, j, _, ticket := twoRunsOnOneEndpoint(t, 2)
