--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -84,6 +84,7 @@
 	stopping            bool
 	evacuatedRuns       int       // on evacuated endpoints, in the latest snapshot
 	resumedAt           time.Time // end of the latest freeze that was handled
+	withdrawalsSentAt   time.Time // apart from the usual heartbeats
 }
 
 // announcedCapacity is the free capacity of a cell as announced by its holder.
@@ -163,6 +164,7 @@
 	l.passCapacityOn(now)
 	l.step(&leased.Tick{Contacts: l.callerContacts()})
 	l.updateOwnLoad(now)
+	l.announceWithdrawn(now)
 	l.sendHeartbeats(now)
 	l.publish()
 }
