Tell that earlier runs of a returned job may be active

Callers may get two runs of a task: a job waits at a holder because a run of its task under an earlier submission may be active. The holder stops and returns the job, which it has not begun, and the next holder starts the task at once.

Cause: the doubt about earlier runs is kept by the holder, and the answer that returns a job did not carry it. It does now (`earlier_runs`), and the entry then submits the job as one that other holders have had before, so that its tasks wait.

TestReturnedJobKeepsTheDoubtAboutItsRuns failed before with two runs at 1.7009 s. The test now passes the doubt on to the next holder, as an entry does.

--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -326,15 +326,29 @@
 		verdict, retryAfter = Abandoned, 0
 	}
 	c.removeJob(j, reason)
+	earlierRuns := verdict == Moved && c.earlierRunPossible(j)
 	for _, t := range j.tickets {
 		c.dropTicket(t)
 		c.out.Answers = append(c.out.Answers, Answer{
-			Ticket: t, Job: j.ID, Verdict: verdict, Reason: reason, RetryAfter: retryAfter, Took: c.now.Sub(j.arrived),
+			Ticket: t, Job: j.ID, Verdict: verdict, Reason: reason, RetryAfter: retryAfter, Took: c.now.Sub(j.arrived), EarlierRuns: earlierRuns,
 		})
 	}
 	j.tickets = nil
 }
 
+// earlierRunPossible reports whether a run of a task of a job may be active without
+// being seen.
+func (c *Core) earlierRunPossible(j *job) bool {
+	for s := range j.tasks {
+		for i := range j.tasks[s] {
+			if c.unseen.possible(j.tasks[s][i].id, c.now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // taskRunEnded applies the end of a task's run.
 func (c *Core) taskRunEnded(t *task, end End, checkpoint string) {
 	t.run = nil
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -319,6 +319,8 @@
 	RetryAfter time.Duration // of a rejected job
 	Took       time.Duration // since the job arrived here
 	To         uint64        // holder that a moved job should go to; 0: any
+	// EarlierRuns reports, with Moved, that runs under earlier holders may be active.
+	EarlierRuns bool
 }
 
 // DelegatedAnswer is the final answer to a ticket of a delegated task.
--- a/dispatch/leased/restart_open_test.go
+++ b/dispatch/leased/restart_open_test.go
@@ -177,7 +177,7 @@
 	sim.moved = func(core int, a leased.Answer) {
 		returned++
 		again := sim.submissions[a.Ticket].job
-		again.Movable = false
+		again.Movable, again.Resubmitted = false, a.EarlierRuns // as the caller's entry does
 		sim.after(2*networkDelay, func() { sim.submitJob(2, again, longRun) })
 	}
 	sim.submitJob(0, job, longRun)
--- a/fleet/balancing.go
+++ b/fleet/balancing.go
@@ -162,7 +162,7 @@
 
 // answerOf returns the answer to another entry for a job that was run here.
 func answerOf(a *leased.Answer, movable bool) *fleetpb.SubmitResponse {
-	r := &fleetpb.SubmitResponse{Verdict: verdicts[a.Verdict], Reason: a.Reason, RetryAfterUs: a.RetryAfter.Microseconds()}
+	r := &fleetpb.SubmitResponse{Verdict: verdicts[a.Verdict], Reason: a.Reason, RetryAfterUs: a.RetryAfter.Microseconds(), EarlierRuns: a.EarlierRuns}
 	if a.Verdict == leased.Moved && a.To != 0 && movable {
 		r.Verdict, r.To = fleetpb.Verdict_MOVED, a.To
 	}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -231,6 +231,7 @@
 			if err == nil {
 				return abandonIfResubmitted(outcome, &job)
 			}
+			returning = returning || job.Resubmitted && len(lost) == 0
 			if ctx.Err() != nil {
 				return s.abandoned() // the call was ended here, and the holder is not lost
 			}
@@ -337,6 +338,7 @@
 			return s.abandoned(), nil
 		}
 		if a.Verdict == leased.Moved {
+			job.Resubmitted = job.Resubmitted || a.EarlierRuns
 			return Outcome{}, returnedError(job, a.To)
 		}
 		return Outcome{Verdict: a.Verdict, Reason: a.Reason, RetryAfter: a.RetryAfter}, nil
@@ -347,6 +349,7 @@
 		return Outcome{}, err
 	}
 	if reply.Verdict == fleetpb.Verdict_NOT_HOLDER || reply.Verdict == fleetpb.Verdict_MOVED {
+		job.Resubmitted = job.Resubmitted || reply.EarlierRuns
 		return Outcome{}, returnedError(job, reply.To)
 	}
 	return Outcome{
