Give each written layout a loopback address of its own

"lovage-load layout" chooses ports that are free while it runs, but the processes listen on them seconds later. Two deployments that are started at the same time, each with some 30 ports of 12,000, could choose the same one; nobody has reported it.

All processes of a layout listen at one random loopback address of 8 million, so another deployment can take none of their ports meanwhile.

TestLayoutsHaveDifferentHosts failed before ("layout 1 uses 127.0.0.1, want a loopback address of its own").

--- a/experiment/demo/layout.go
+++ b/experiment/demo/layout.go
@@ -38,7 +38,7 @@
 	Standins deployment.Settings // region, failure domains, workers and pools
 	// EntriesPerDomain is the number of entries in each failure domain.
 	EntriesPerDomain int
-	Rand             *rand.Rand // random source for the choice of ports
+	Rand             *rand.Rand // random source for the choice of addresses
 }
 
 // Layout describes the written deployment.
@@ -74,7 +74,7 @@
 	if l.Standins.ServicesFile, err = filepath.Abs(l.Standins.ServicesFile); err != nil {
 		return l, errors.Wrap(err, "path of the services file")
 	}
-	ports := &portAllocator{rand: opts.Rand, used: make(map[int]bool)}
+	ports := newPortAllocator(opts.Rand)
 	if err := l.allocateAddresses(ports, opts.EntriesPerDomain); err != nil {
 		return l, err
 	}
--- a/experiment/demo/layout_test.go
+++ b/experiment/demo/layout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"path/filepath"
 	"reflect"
 	"testing"
@@ -53,3 +54,24 @@
 		t.Errorf("settings of %s have other addresses than the layout", entry.Name)
 	}
 }
+
+// Guards against two deployments with the same addresses: neither has started when
+// their layouts are written, so that all ports seem free to both.
+func TestLayoutsHaveDifferentHosts(t *testing.T) {
+	standins, err := deployment.Load("../../examples/collections.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hosts := make(map[netip.Addr]bool)
+	for seed := range uint64(3) {
+		layout, err := demo.Write(demo.Options{Dir: t.TempDir(), Standins: standins, EntriesPerDomain: 1, Rand: rand.New(rand.NewPCG(seed, 1))})
+		if err != nil {
+			t.Fatal(err)
+		}
+		host := netip.MustParseAddrPort(layout.Standins.ControlListen).Addr()
+		if hosts[host] || !host.IsLoopback() {
+			t.Errorf("layout %d uses %v, want a loopback address of its own", seed, host)
+		}
+		hosts[host] = true
+	}
+}
