Let stand-in endpoints listen on reserved addresses

An endpoint of lovage-standin that crashes or refuses connections closes its listener and opens it again at the end of the fault, on a port that the kernel had chosen. Meanwhile the kernel can give the port to a connection or another listener on 127.0.0.1; the fault then could not be cleared ("reopen the listener"). This was not seen.

The endpoints of a deployment listen in a reserved loopback network on ports that the kernel never chooses. So does the endpoint of the tests of fakeendpoint.

TestEndpointsListenOnReservedAddresses failed before ("listens on 127.0.0.1:40719, want an address of its own in a reserved network").

--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -16,6 +16,7 @@
 	"lovagespread.example/standin/fakebalancer"
 	"lovagespread.example/standin/fakeendpoint"
 	"lovagespread.example/standin/fakeplatform"
+	"lovagespread.example/standin/loopback"
 )
 
 // listUpdateInterval is the interval at which the platform gets a new list of VMs
@@ -33,6 +34,8 @@
 	Fleet    *fakeendpoint.Fleet
 
 	settings  Settings
+	network   *loopback.Network // of the endpoints
+	endpoints int               // that have an address
 	entries   *entryProber
 	addresses Addresses
 	servers   []*http.Server
@@ -87,9 +90,14 @@
 }
 
 func (d *Deployment) start(ctx context.Context) error {
+	network, err := loopback.Reserve()
+	if err != nil {
+		return err
+	}
+	d.network = network
 	workers := addWorkers(d.Fleet, d.settings)
 	for _, pool := range pools(d.settings, d.Services) {
-		if err := addPool(d.Fleet, d.settings, workers, pool); err != nil {
+		if err := d.addPool(workers, pool); err != nil {
 			return err
 		}
 	}
@@ -184,4 +192,7 @@
 		_ = server.Close()
 	}
 	d.Fleet.Close()
+	if d.network != nil {
+		d.network.Close()
+	}
 }
--- a/standin/deployment/deployment_test.go
+++ b/standin/deployment/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 
 	"github.com/samber/lo"
@@ -60,3 +61,17 @@
 		}
 	}
 }
+
+// Guards against an endpoint that can't listen again after a crash, because the kernel
+// has given its port to another socket meanwhile.
+func TestEndpointsListenOnReservedAddresses(t *testing.T) {
+	first, second := start(t, "../../examples/collections.toml"), start(t, "../../examples/collections.toml")
+	used := make(map[string]bool)
+	for _, vm := range append(first.Fleet.VMs(), second.Fleet.VMs()...) {
+		address := netip.MustParseAddrPort(vm.Address)
+		if address.Addr() == netip.MustParseAddr("127.0.0.1") || used[vm.Address] {
+			t.Errorf("%s listens on %v, want an address of its own in a reserved network", vm.Name, address)
+		}
+		used[vm.Address] = true
+	}
+}
--- a/standin/deployment/fleet.go
+++ b/standin/deployment/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 
 	"lovagespread.example/catalog"
 	"lovagespread.example/standin/fakeendpoint"
@@ -43,16 +44,17 @@
 
 // addPool spreads the executors of a pool round robin over the failure domains,
 // and over the workers of each failure domain.
-func addPool(fleet *fakeendpoint.Fleet, s Settings, byDomain workersByDomain, p Pool) error {
+func (d *Deployment) addPool(byDomain workersByDomain, p Pool) error {
+	s := d.settings
 	for i := range p.Executors {
 		domain := s.FailureDomains[i%len(s.FailureDomains)]
 		workers := byDomain[domain]
-		_, err := fleet.Add(fakeendpoint.Options{
+		_, err := d.Fleet.Add(fakeendpoint.Options{
 			Name:    fmt.Sprintf("%s-%s-%02d", p.Service, domain, i/len(s.FailureDomains)),
 			Service: p.Service,
 			Slots:   p.Slots,
 			Worker:  workers[(i/len(s.FailureDomains))%len(workers)],
-		}, DefaultListen)
+		}, d.nextEndpointAddress())
 		if err != nil {
 			return err
 		}
@@ -60,6 +62,18 @@
 	return nil
 }
 
+// nextEndpointAddress returns the address of the next endpoint. An endpoint that has
+// crashed listens on its address again later, so nobody else may get it meanwhile.
+func (d *Deployment) nextEndpointAddress() string {
+	const (
+		host      = 2
+		firstPort = 10_000 // below the range from which the kernel chooses ports
+	)
+	port := firstPort + d.endpoints
+	d.endpoints++
+	return netip.AddrPortFrom(d.network.Host(host), uint16(port)).String()
+}
+
 // pools returns the pool of each service of the services file.
 func pools(s Settings, services *catalog.Catalog) []Pool {
 	var list []Pool
--- a/standin/fakeendpoint/faults_test.go
+++ b/standin/fakeendpoint/faults_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,7 @@
 	"lovagespread.example/logservice/endpointapi"
 	"lovagespread.example/standin/fakeendpoint"
 	"lovagespread.example/standin/faultnet"
+	"lovagespread.example/standin/loopback"
 )
 
 // noResponse is the status of a request that ended without a response.
@@ -147,12 +149,21 @@
 	}
 }
 
+// endpointPort is below the range from which the kernel chooses ports, so that nobody
+// gets it while the endpoint is crashed.
+const endpointPort = 7720
+
 func newFleet(t *testing.T) (*fakeendpoint.Fleet, *fakeendpoint.Server) {
 	t.Helper()
+	network, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(network.Close)
 	fleet := fakeendpoint.NewFleet()
 	worker := &fakeendpoint.Worker{Name: "w-1", Rack: "r-1", Capacity: catalog.Resources{MilliCores: 64_000}}
 	fleet.AddWorker(worker)
-	server, err := fleet.Add(fakeendpoint.Options{Name: "e-1", Service: "resize", Slots: slots, Worker: worker}, "127.0.0.1:0")
+	server, err := fleet.Add(fakeendpoint.Options{Name: "e-1", Service: "resize", Slots: slots, Worker: worker}, netip.AddrPortFrom(network.Host(2), endpointPort).String())
 	if err != nil {
 		t.Fatal(err)
 	}
