Offer no jobs of a shard that was given up during its takeover

An entry that takes a shard over reads it for up to some hundred milliseconds, and longer while the log is slow. If another entry should own the shard by then, the runner still offered all open jobs of it, and withdrew them at its next check of the ownership, up to 0.1 s later. It now checks before it serves the shard.

TestTakeoverOfYieldedShardOffersNothing failed before: "offered 1 jobs of a shard that it has yielded, want none". TestOwnerThatHasYieldedAcknowledgesAndStartsNothing passes without the change; it keeps the proof that an owner that leaves a shard is fenced off by the log, also if its append arrives late.

--- a/fleet/keep/runner.go
+++ b/fleet/keep/runner.go
@@ -92,6 +92,10 @@
 			r.rejectRequests(ctx, takeoverBackoff)
 			continue
 		}
+		if !r.env.ShouldOwn(r.shard) {
+			r.env.Logger.Info("shard_left", zap.Int64("epoch", taken.epoch), zap.String("reason", "another entry should own it since the takeover began"))
+			continue
+		}
 		if err := r.serve(ctx, taken); err != nil {
 			r.env.Logger.Warn("shard_lost", zap.Int64("epoch", taken.epoch), zap.Error(err))
 			r.reportIfFenced(err)
