Let entries that the store turns away yield their shards

Ownership followed from heartbeats alone, which say nothing about the store. Each entry now records whether the log answers its calls, and announces that. An entry yields its shards once the log has answered none of its calls for 1.5 s but those of another entry, and takes shards again after 3 s of answers, later each time. A log that serves nobody moves no shard.

--- a/fleet/freecapacity.go
+++ b/fleet/freecapacity.go
@@ -20,6 +20,7 @@
 	l.withdrawCalls(b)
 	l.maxToken = max(l.maxToken, b.Token)
 	isNew := l.roster.ReceiveHeartbeat(now, entryOf(b))
+	l.roster.ReceiveLogContact(now, cells.Incarnation(b.Incarnation), logContactOf(b))
 	l.heartbeats.addAddressesOf(b)
 	l.receiveCapacity(now, b)
 	if isNew || b.Leaving != leavingIn(l.view, b.Incarnation) {
--- a/fleet/heartbeats.go
+++ b/fleet/heartbeats.go
@@ -237,6 +237,7 @@
 		Leaving: l.stopping, ConfigurationVersion: l.directory.Version, Token: l.maxToken,
 		CallEpochs: l.peers.outbound.recentEpochs(),
 	}
+	l.announceLogContact(heartbeat)
 	if l.directory.Evacuations != nil {
 		heartbeat.EvacuationsRevision = l.directory.Evacuations.Revision
 	}
@@ -319,6 +320,6 @@
 	return cells.Entry{
 		Name: b.Name, Address: b.Address, HeartbeatAddress: b.Beats, FailureDomain: b.FailureDomain,
 		Incarnation: cells.Incarnation(b.Incarnation), Weight: b.Weight,
-		Interval: time.Duration(b.IntervalMs) * time.Millisecond, Leaving: b.Leaving,
+		Interval: time.Duration(b.IntervalMs) * time.Millisecond, Leaving: b.Leaving, YieldsShards: b.YieldsShards,
 	}
 }
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -40,6 +40,7 @@
 	Evacuations    *Evacuations       // nil: not known
 	DomainShares   map[string]float64 // share of the endpoints that may get tasks, by failure domain; 1 where it is absent
 	Stopping       bool
+	ProbesLog      bool // this entry must find out whether the log of stored jobs serves it
 }
 
 // message is a message to the loop. The loop calls handle in its goroutine.
@@ -57,7 +58,8 @@
 	messages       chan message
 	snapshot       atomic.Pointer[Snapshot]
 	freezeDetector *freezeDetector
-	reporter       *reporter // nil: stored jobs are not served
+	reporter       *reporter    // nil: stored jobs are not served
+	jobLog         *observedLog // the same
 	startTimeout   timeoutEstimator
 	balancer       balancer
 
@@ -171,6 +173,7 @@
 // have changed.
 func (l *Loop) refresh(now time.Time) {
 	previous := l.view
+	l.reviewShards(now)
 	l.view = l.roster.View(now)
 	if !sameEntries(previous, l.view) {
 		l.dirty = true
@@ -378,6 +381,7 @@
 		View: l.view, Configuration: l.directory.Configuration, Endpoints: l.directory.Endpoints,
 		CellCounts: maps.Clone(l.cellCounts), FreeMilliCores: make(map[cells.Cell]int), Status: l.core.Status(), Stopping: l.stopping,
 		Evacuations: l.directory.Evacuations, DomainShares: l.core.DomainShares(time.Now()),
+		ProbesLog: l.jobLog != nil && l.roster.ProbesLog(time.Now()),
 	}
 	for cell, a := range l.peerCapacity {
 		s.FreeMilliCores[cell] = lo.Sum(a.free)
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -41,6 +41,7 @@
 	entries              prometheus.Gauge
 	configurationVersion prometheus.Gauge
 	shards               prometheus.Gauge
+	shardYields          *prometheus.CounterVec // by change
 	appends              *prometheus.CounterVec // by result
 	panics               *prometheus.CounterVec // by operation
 	domainChanges        *prometheus.CounterVec // of the phase of a failure domain, by phase
@@ -86,6 +87,7 @@
 	m.appendSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: "lovage", Name: "append_seconds", Help: "Time until the log answered an append of stored jobs.", Buckets: durationBuckets})
 	m.appends = counter("appends_total", "Appends to the log of stored jobs, by the log's reply.", "result")
+	m.shardYields = counter("shard_yields_total", "Changes of whether this entry leaves its shards to entries that the log serves, by change.", "change")
 	m.panics = counter("panics_total", "Operations that ended by an unexpected error, by operation.", "operation")
 	m.domainChanges = counter("failure_domain_changes_total", "Failure domains that began to be evacuated or returned to service, by phase.", "phase")
 	m.domainShare = prometheus.NewGaugeVec(prometheus.GaugeOpts{
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -59,7 +59,8 @@
 	p.peers.latest = p.loop.Latest
 	p.service = newService(p.loop, p.peers, log.Logger, m)
 	if jobLog != nil && s.Stored.Shards > 0 {
-		p.storedJobs = newStoredJobs(s.Stored, p.loop, p.peers, p.service, jobLog, log.Logger, m)
+		p.loop.jobLog = &observedLog{Log: jobLog}
+		p.storedJobs = newStoredJobs(s.Stored, p.loop, p.peers, p.service, p.loop.jobLog, log.Logger, m)
 		p.service.storedJobs = p.storedJobs
 		p.loop.reporter = newReporter(p.storedJobs)
 	}
--- a/fleet/storedjobs.go
+++ b/fleet/storedjobs.go
@@ -84,6 +84,7 @@
 	for _, r := range sj.runners {
 		go r.Run(ctx)
 	}
+	go sj.probeLog(ctx)
 }
 
 // shardOf returns the shard of a job, a hash of its ID.
--- a/membership/cells/assign.go
+++ b/membership/cells/assign.go
@@ -57,25 +57,6 @@
 	return holders[c.Index], true
 }
 
-// Owner returns the entry, of any failure domain, that should own a shard of
-// stored jobs. It returns false if there is none.
-func (v *View) Owner(shard, total int) (Entry, bool) {
-	a := v.assigned
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if len(a.shardOwners) != total {
-		a.shardOwners = assignCells(shardsHashKey, total, a.candidates)
-	}
-	if shard >= len(a.shardOwners) {
-		return Entry{}, false
-	}
-	return a.shardOwners[shard], true
-}
-
-// shardsHashKey takes the place of the failure domain in the hash that assigns
-// shards. All entries must use the same text to pick the same owners.
-const shardsHashKey = "shards of kept jobs"
-
 // eligible returns the entries among which the cells of a domain are divided.
 func (a *assignments) eligible(domain string) []Entry {
 	local := lo.Filter(a.candidates, func(e Entry, _ int) bool { return e.FailureDomain == domain })
--- a/membership/cells/cells.go
+++ b/membership/cells/cells.go
@@ -60,6 +60,9 @@
 	Weight           float64       // share of a processor
 	Interval         time.Duration // between its heartbeats
 	Leaving          bool          // it is stopping and takes no new cells
+	// YieldsShards reports that the log of stored jobs turns the entry away while it
+	// serves others, so that the entry should own no shard.
+	YieldsShards bool
 }
 
 // Cell is a share of the endpoints of a failure domain.
@@ -91,11 +94,14 @@
 	listeningSince time.Time
 	members        map[string]*member // by name: the newest incarnation of each entry
 	assigned       *assignments       // of the latest view
+	yield          shardYield
 }
 
 type member struct {
 	Entry
 	lastHeartbeat time.Time
+	logAnsweredAt time.Time   // about when it sent its latest call that the log has answered
+	logFails      bool        // the log has not answered its latest call
 	suspect       bool        // its connection broke, and no heartbeat has arrived since
 	replaced      Incarnation // the one before; 0: none is known
 }
@@ -122,6 +128,7 @@
 	}
 	if m.Incarnation < e.Incarnation {
 		m.replaced = m.Incarnation
+		m.logAnsweredAt, m.logFails = time.Time{}, false
 	}
 	m.Entry = e
 	m.lastHeartbeat = now
