Log the return of yielded shards as a warning, and count late answers right

It is a warning now, like dependency_regained.

A call that was sent before the calls began to fail, and answered after that, counted the time of its sending as the beginning of the answers, up to 2 s too early.

--- a/fleet/shardyield.go
+++ b/fleet/shardyield.go
@@ -131,7 +131,7 @@
 		l.metrics.shardYields.WithLabelValues("yielded").Inc()
 		return
 	}
-	l.log.Info("shards_resumed", zap.Duration("answered_ms", now.Sub(calls.ServedSince)))
+	l.log.Warn("shards_resumed", zap.Duration("answered_ms", now.Sub(calls.ServedSince)))
 	l.metrics.shardYields.WithLabelValues("resumed").Inc()
 }
 
--- a/membership/cells/shards.go
+++ b/membership/cells/shards.go
@@ -39,7 +39,7 @@
 type LogCalls struct {
 	AnsweredAt   time.Time // when the latest call that was answered was sent; zero: none was
 	FailingSince time.Time // when the first call that failed since then was sent; zero: none has
-	ServedSince  time.Time // when the first call that was answered after a failed one was sent
+	ServedSince  time.Time // when the first call that was answered after a failed one was sent; zero: it fails
 	Failed       int       // calls that failed since FailingSince
 }
 
@@ -49,6 +49,9 @@
 	if !c.FailingSince.IsZero() || c.ServedSince.IsZero() {
 		c.ServedSince = sentAt
 	}
+	if c.FailingSince.After(sentAt) {
+		c.ServedSince = c.FailingSince // the call was answered late
+	}
 	if sentAt.After(c.AnsweredAt) {
 		c.AnsweredAt = sentAt
 	}
