Test that entries call the log only when they must, and late answers

The simulated entries of the tests of yielded shards called the log all the time; they now call it for their shards, or when the roster asks for a probe. Without the probes, TestEntriesThatTheLogTurnsAwayYieldTheirShards fails (the shards do not return), and so does TestYieldedShardsReturnWhenTheOthersAreTurnedAway.

--- a/membership/cells/shards_test.go
+++ b/membership/cells/shards_test.go
@@ -62,8 +62,10 @@
 	}
 }
 
+// callLog calls the log as an entry does: for the shards that it owns, or to find out
+// whether it is served.
 func (f *simFleet) callLog(i int, e *simEntry) {
-	if f.now.Before(e.nextCall) {
+	if f.now.Before(e.nextCall) || !e.ownsShard() && !e.roster.ProbesLog(f.now) {
 		return
 	}
 	if f.turnedAway(i, f.now.Sub(start)) {
@@ -75,6 +77,18 @@
 	e.nextCall = f.now.Add(simProbe)
 }
 
+func (e *simEntry) ownsShard() bool {
+	for shard := range simShards {
+		if e.view == nil {
+			return false
+		}
+		if owner, ok := e.view.Owner(shard, simShards); ok && owner.Incarnation == e.id.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *simFleet) exchangeHeartbeats() {
 	for _, from := range f.entries {
 		for _, to := range f.entries {
@@ -198,3 +212,19 @@
 		t.Errorf("4 s after the roles changed, %d shards are owned by an entry that is turned away", n)
 	}
 }
+
+// Guards against an entry that takes shards again too early: a call that was sent
+// before the log began to turn the entry away, and answered after that, does not show
+// that the log has served the entry since it was sent.
+func TestLateAnswerCountsFromTheFailuresBeforeIt(t *testing.T) {
+	var calls LogCalls
+	failed := start.Add(2 * time.Second)
+	calls.NotServed(failed)
+	calls.Answered(start)
+	if calls.ServedSince.Before(failed) {
+		t.Errorf("served since %v before a failed call", failed.Sub(calls.ServedSince))
+	}
+	if !calls.FailingSince.IsZero() || calls.Failed != 0 {
+		t.Errorf("failing since %v, %d failed calls, want none after an answer", calls.FailingSince, calls.Failed)
+	}
+}
