--- a/membership/cells/shards.go
+++ b/membership/cells/shards.go
@@ -1,6 +1,7 @@
 package cells
 
 import (
+	"iter"
 	"time"
 
 	"github.com/samber/lo"
@@ -140,10 +141,13 @@
 
 // reviewContrast notes since when the log serves other entries but not this one.
 func (r *Roster) reviewContrast(now time.Time, calls LogCalls) {
+	if calls.FailingSince.IsZero() {
+		r.yield.turnedAwaySince = time.Time{}
+		return
+	}
 	answered := r.latestLogAnswer(now)
-	fails := !calls.FailingSince.IsZero() && answered.After(calls.FailingSince)
 	switch {
-	case !fails || now.Sub(answered) > maxAnswerAge:
+	case !answered.After(calls.FailingSince) || now.Sub(answered) > maxAnswerAge:
 		r.yield.turnedAwaySince = time.Time{}
 	case r.yield.turnedAwaySince.IsZero() && now.Sub(calls.FailingSince) < yieldAfter:
 		r.yield.turnedAwaySince = calls.FailingSince
@@ -156,7 +160,7 @@
 // has answered.
 func (r *Roster) latestLogAnswer(now time.Time) time.Time {
 	var latest time.Time
-	for _, m := range r.liveMembers(now) {
+	for m := range r.liveMembers(now) {
 		if m.logAnsweredAt.After(latest) {
 			latest = m.logAnsweredAt
 		}
@@ -181,7 +185,12 @@
 	if now.Sub(calls.ServedSince) >= r.yield.returnDelay {
 		return true
 	}
-	return !lo.ContainsBy(r.liveMembers(now), func(m *member) bool { return !m.YieldsShards })
+	for m := range r.liveMembers(now) {
+		if !m.YieldsShards {
+			return false
+		}
+	}
+	return true
 }
 
 // YieldsShards reports whether this entry yields its shards.
@@ -195,12 +204,23 @@
 	if r.yield.logFails || r.self.YieldsShards {
 		return true
 	}
-	return lo.ContainsBy(r.liveMembers(now), func(m *member) bool { return m.logFails || m.YieldsShards })
+	for m := range r.liveMembers(now) {
+		if m.logFails || m.YieldsShards {
+			return true
+		}
+	}
+	return false
 }
 
-// liveMembers returns the other live entries that are not leaving.
-func (r *Roster) liveMembers(now time.Time) []*member {
-	return lo.Filter(lo.Values(r.members), func(m *member, _ int) bool { return r.live(now, m) && !m.Leaving })
+// liveMembers iterates over the other live entries that are not leaving.
+func (r *Roster) liveMembers(now time.Time) iter.Seq[*member] {
+	return func(yield func(*member) bool) {
+		for _, m := range r.members {
+			if !m.Leaving && r.live(now, m) && !yield(m) {
+				return
+			}
+		}
+	}
 }
 
 // Owner returns the entry, of any failure domain, that should own a shard of
