--- a/fleet/resume_open_test.go
+++ b/fleet/resume_open_test.go
@@ -58,7 +58,7 @@
 		result <- err
 	}()
 	request := receiveFrom(t, x.submits)
-	call, err := holder.peers.inbound.admit(context.Background(), 1, request.Epoch)
+	call, err := holder.peers.inbound.admit(context.Background(), 1, request.Epoch, request.Call)
 	if err != nil {
 		t.Fatal(err)
 	}
