Tell lost calls from lost endpoints

Cause: one unanswered call kept tasks from an endpoint until its next reply, and two in a row made it silent, whatever happened to calls to other endpoints. Starts waited twice as long for each lost reply.

The rate of lost calls, which the core estimates over all endpoints, now says how many calls in a row are lost by chance at one of a hundred endpoints. That many may stay unanswered, Holds and Starts are repeated that often, and all copies of a Start wait equally long. Without lost calls nothing changes. What counts as the end of a run is as before: an unanswered call is no evidence.

--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -105,6 +105,7 @@
 	idleSince time.Time
 
 	unanswered   int       // consecutive requests without a reply
+	tolerated    int       // how many of them are put down to chance
 	pausedUntil  time.Time // no task is started before
 	fencedCount  int       // consecutive refusals because of a higher token
 	departure    departure
@@ -202,7 +203,7 @@
 
 // usable reports whether new tasks may be started on the endpoint.
 func (e *endpoint) usable(now time.Time) bool {
-	return e.held && !e.dropped && !e.evacuated && !e.shortLease && !e.Leaving && e.unknownDemands == 0 && e.unanswered == 0 &&
+	return e.held && !e.dropped && !e.evacuated && !e.shortLease && !e.Leaving && e.unknownDemands == 0 && e.unanswered <= e.tolerated &&
 		!now.Before(e.pausedUntil) && e.record.Health() != outlier.Ejected
 }
 
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -70,13 +70,13 @@
 }
 
 // overdue reports whether the Hold in flight should have been answered by now.
-// The first overdue Hold is repeated at once; after that, a Hold is overdue
-// only after abandonHoldAfter. Two in a row make the endpoint unresponsive.
+// It is repeated at once while it may have been lost by chance; after that, a Hold is
+// overdue only after abandonHoldAfter.
 func (c *Core) overdue(e *endpoint) bool {
 	if c.now.Sub(e.holdSent) < e.holdWait+c.loss.replyMargin() {
 		return false
 	}
-	if e.unanswered == 0 {
+	if e.unanswered <= c.loss.tolerated() {
 		c.countUnanswered(e)
 		return true
 	}
@@ -218,21 +218,23 @@
 	}
 }
 
-// countUnanswered counts a request without a reply. The endpoint gets no new
-// tasks until it replies.
+// countUnanswered counts a request without a reply. The endpoint gets no new tasks until
+// it replies, unless calls are lost at other endpoints, too.
 func (c *Core) countUnanswered(e *endpoint) {
 	if e.unanswered == 0 { // an endpoint that is gone tells nothing of the others
 		c.loss.lost()
 	}
 	e.unanswered++
-	if e.unanswered == 1 {
-		return // poll again at once: a single reply may be lost
+	e.tolerated = c.loss.tolerated()
+	repeats := max(1, e.tolerated)
+	if e.unanswered <= repeats {
+		return // poll again at once: the replies may be lost by chance
 	}
-	if e.unanswered == 2 {
-		c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_silent", "two consecutive requests were not answered"))
+	if e.unanswered == repeats+1 {
+		c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_silent", "consecutive requests were not answered"))
 		e.record.Failed(c.now, c.peersOf(e))
 	}
-	wait := min(minBackoff<<min(e.unanswered-2, 5), maxBackoff)
+	wait := min(minBackoff<<min(e.unanswered-repeats-1, 5), maxBackoff)
 	e.nextHold = c.now.Add(wait)
 }
 
--- a/dispatch/leased/load_test.go
+++ b/dispatch/leased/load_test.go
@@ -328,3 +328,26 @@
 		t.Errorf("verdicts %v, want all %d jobs completed", verdicts, jobs)
 	}
 }
+
+// The scenario is that three in ten requests get no reply. Endpoints that answer most of
+// their calls must go on getting tasks: half of the value that is answered in time without
+// the loss must be left. Two unanswered calls in a row prove nothing then.
+func TestHeavyLossOfRepliesEmptiesNoCapacity(t *testing.T) {
+	const seeds = 3
+	var baseline, lossy float64
+	for seed := range uint64(seeds) {
+		simulate := func(faults func(*simulation)) float64 {
+			sc := loadScenario{name: "30% of the requests unanswered", loadFactor: 1, injectFaults: faults}
+			return sc.simulate(t, seed, leased.Adaptive).inTime / seeds
+		}
+		baseline += simulate(noFaults)
+		lossy += simulate(func(sim *simulation) { sim.startTimeout = lossyStartTimeout; lostReplies(0.3)(sim) })
+	}
+	t.Logf("in time %.3f without lost replies, %.3f with them", baseline, lossy)
+	if lossy < 0.5*baseline {
+		t.Errorf("in time %.3f, want at least half of %.3f", lossy, baseline)
+	}
+}
+
+// lossyStartTimeout is the timeout of a Start while replies are lost.
+const lossyStartTimeout = 10 * time.Millisecond
--- a/dispatch/leased/loss.go
+++ b/dispatch/leased/loss.go
@@ -20,6 +20,28 @@
 func (l *lossEstimate) lost()       { l.rate += (1 - l.rate) * lossGain }
 func (l *lossEstimate) lossy() bool { return l.rate >= lossyRate && !l.ignored }
 
+// Limits of the calls to an endpoint that stay unanswered in a row by chance.
+const (
+	// chanceOfSilence is the accepted probability that an endpoint that answers counts
+	// as silent, because as many calls in a row were lost.
+	chanceOfSilence = 0.01
+	maxTolerated    = 5 // calls; a dead endpoint is noticed after this number
+)
+
+// tolerated returns how many calls in a row an endpoint may leave unanswered and still
+// get tasks. It is 0 unless calls are lost at many endpoints.
+func (l *lossEstimate) tolerated() int {
+	if !l.lossy() {
+		return 0
+	}
+	n, chance := 0, l.rate
+	for chance > chanceOfSilence && n < maxTolerated {
+		chance *= l.rate
+		n++
+	}
+	return n
+}
+
 // dueAfter returns the time after its Start at which the end of a run is asked
 // for if no Hold has reported it.
 func (l *lossEstimate) dueAfter(expected time.Duration) time.Duration {
@@ -42,5 +64,5 @@
 // whose reply is overdue gets no new tasks until it replies.
 const (
 	usualReplyMargin = 40 * time.Millisecond
-	lossyReplyMargin = 20 * time.Millisecond
+	lossyReplyMargin = 12 * time.Millisecond
 )
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -264,6 +264,9 @@
 	Checkpoint string        // checkpoint; empty: none
 	Until      time.Duration // end of the lease on the endpoint's clock
 	Token      int64
+	// CallsLost reports that replies are lost by chance, so that one that is overdue is
+	// hardly to be expected.
+	CallsLost bool
 	// The remaining fields explain the decision.
 	Waited   time.Duration // by the job, until now
 	Free     Demand        // on the endpoint, before the start
--- a/dispatch/leased/recovery.go
+++ b/dispatch/leased/recovery.go
@@ -23,7 +23,7 @@
 }
 
 // answers reports whether an endpoint is held and answers its polls.
-func (e *endpoint) answers() bool { return e.held && !e.dropped && e.unanswered < 2 }
+func (e *endpoint) answers() bool { return e.held && !e.dropped && e.unanswered <= max(1, e.tolerated) }
 
 // pending reports whether an endpoint is expected to be held soon: it was just
 // assigned, and has not left several polls unanswered.
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -220,11 +220,15 @@
 		sim.stepped(core, in, out)
 	}
 	for _, s := range out.Starts {
+		timeout := sim.startTimeout << (s.Attempt - 1)
+		if s.CallsLost {
+			timeout = sim.startTimeout
+		}
 		if sim.recordStarts {
 			sim.starts = append(sim.starts, fmt.Sprintf("%v %d %s %v %d", sim.now, core, s.Endpoint, s.Task, s.Run))
 		}
 		sim.request(core, s.Endpoint, func(e *leasedtest.Endpoint) leased.Input { r := e.Start(sim.now, &s); return &r },
-			&leased.StartReply{Endpoint: s.Endpoint, Task: s.Task, Run: s.Run, Result: leased.StartUnanswered}, sim.startTimeout<<(s.Attempt-1))
+			&leased.StartReply{Endpoint: s.Endpoint, Task: s.Task, Run: s.Run, Result: leased.StartUnanswered}, timeout)
 	}
 	for _, s := range out.Stops {
 		if sim.stopsLost {
--- a/dispatch/leased/starts.go
+++ b/dispatch/leased/starts.go
@@ -4,8 +4,9 @@
 
 // Parameters for replies to a Start.
 const (
-	// maxStartTries is how often a Start without a reply is sent.
-	maxStartTries   = 3
+	// minStartTries is how often a Start without a reply is sent at least. It is more
+	// often while calls are lost by chance.
+	minStartTries   = 3
 	unhealthyPause  = 200 * time.Millisecond // no new tasks after a StartUnhealthy
 	noCapacityPause = 30 * time.Millisecond  // no new tasks after a StartNoCapacity
 )
@@ -85,7 +86,7 @@
 	if r.state == runStopping {
 		return
 	}
-	if r.tries >= maxStartTries || e.evacuated {
+	if r.tries >= max(minStartTries, 1+c.loss.tolerated()) || e.evacuated {
 		r.startUnanswered = true
 		c.countUnanswered(e)
 		return
@@ -102,7 +103,7 @@
 	j := r.task.job
 	c.out.Starts = append(c.out.Starts, Start{
 		Endpoint: e.ID, Address: e.Address, Task: r.id, Run: r.number, Attempt: r.tries, Spec: j.Spec, Checkpoint: r.task.checkpoint,
-		Until: e.leaseEnd(c.now, c.allowedLease(e)), Token: e.token, Evidence: r.task.evidence,
+		Until: e.leaseEnd(c.now, c.allowedLease(e)), Token: e.token, CallsLost: c.loss.lossy(), Evidence: r.task.evidence,
 		Waited: c.now.Sub(j.arrived), Free: e.free().plus(r.demand), Expected: r.expected,
 	})
 }
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -26,7 +26,7 @@
 		zap.Stringer("evidence", request.Evidence))
 	go func() {
 		began := time.Now()
-		ctx, cancel := context.WithTimeout(context.Background(), l.startTimeout.timeout(request.Attempt))
+		ctx, cancel := context.WithTimeout(context.Background(), l.startTimeout.timeout(request.Attempt, request.CallsLost))
 		defer cancel()
 		reply := leased.StartReply{Endpoint: request.Endpoint, Task: request.Task, Run: request.Run, Result: leased.StartUnanswered}
 		l.guard.do("start", func() { reply = l.endpoints.Start(ctx, &request) })
--- a/fleet/timeout.go
+++ b/fleet/timeout.go
@@ -9,6 +9,9 @@
 const (
 	// minStartTimeout covers the pauses of a process that shares its processor.
 	minStartTimeout = 30 * time.Millisecond
+	// minLossyStartTimeout replaces it while replies are lost by chance: one more
+	// request costs less than waiting for a reply that does not come.
+	minLossyStartTimeout = 10 * time.Millisecond
 	// maxStartTimeout is also the timeout while no reply has been measured.
 	maxStartTimeout = 120 * time.Millisecond
 )
@@ -44,13 +47,17 @@
 }
 
 // timeout returns the timeout of an attempt, from 1. Each attempt gets twice the
-// time of the one before, in case all replies have become slow.
-func (t *timeoutEstimator) timeout(attempt int) time.Duration {
+// time of the one before, in case all replies have become slow. While replies are lost
+// by chance (lossy), all attempts get the same time.
+func (t *timeoutEstimator) timeout(attempt int, lossy bool) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.smoothed == 0 {
 		return maxStartTimeout
 	}
+	if lossy {
+		return min(max(minLossyStartTimeout, t.smoothed+deviationsAllowed*t.deviation), maxStartTimeout)
+	}
 	timeout := max(minStartTimeout, t.smoothed+deviationsAllowed*t.deviation)
 	for range attempt - 1 {
 		timeout *= 2
