Bound leases by the slowest clock of an endpoint

Callers could see a task run twice: a Start on an idle endpoint that was executed seconds late was still accepted, after its task had been started elsewhere.

The end of a lease was computed from the endpoint's last clock reading as if its clock were correct. A clock that is 2% slow is 1.2 s behind that estimate after a minute without calls, so the lease lasted that much longer than its holder counted.

The end of a lease is now computed from the earliest time that the clock can show. A run is over one lease after the request was sent, however old the reading is. To keep leases long on correct clocks, the clock of an endpoint without runs is read every 4 to 5 s; the interval depends on the ID, so that endpoints are not polled at once. Such a Hold extends nothing. One without a reply is repeated and counted only then, because no task is affected by its loss.

TestIdleClocksAreReadInTurn, TestLostClockReadingTakesNoEndpointAway and TestLeaseAllowsForTheSlowestClock fail without the reading, the repetition and the bound.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -240,7 +240,7 @@
 	e := c.endpoints[spec.ID]
 	defer func() { c.markDirty(c.endpoints[spec.ID]) }()
 	if e == nil {
-		e = &endpoint{Endpoint: spec, addedAt: c.now, idleSince: c.now, freeIndex: c.freeIndex}
+		e = &endpoint{Endpoint: spec, addedAt: c.now, idleSince: c.now, freeIndex: c.freeIndex, clockReadingInterval: clockReadingInterval(spec.ID)}
 		e.token = c.opts.NextToken(0)
 		c.endpoints[spec.ID] = e
 		e.evacuated = !c.evacuations.Admits(c.now, e.FailureDomain, string(e.ID))
--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -1,6 +1,7 @@
 package leased
 
 import (
+	"hash/fnv"
 	"math"
 	"time"
 
@@ -92,17 +93,19 @@
 	lostRuns         []lostRun        // until it is known whether the endpoint has crashed
 	lostAt           time.Time        // when the newest of them was lost
 
-	clock     time.Duration // reading of the endpoint's clock at clockAt
-	clockAt   time.Time     // zero: the clock is unknown
-	leaseSent time.Time     // when the newest request that may have extended the lease was sent
+	clock                time.Duration // reading of the endpoint's clock at clockAt
+	clockAt              time.Time     // zero: the clock is unknown
+	clockReadingInterval time.Duration // age at which the reading is renewed while nothing runs
+	leaseSent            time.Time     // when the newest request that may have extended the lease was sent
 
-	sequence  uint64        // of the newest Hold
-	inFlight  bool          // the newest Hold is not answered yet
-	holdSent  time.Time     // when the newest Hold was sent
-	holdWait  time.Duration // wait requested by the newest Hold
-	holdSeen  int64         // LastSeen of the newest Hold
-	nextHold  time.Time     // no Hold is sent before
-	idleSince time.Time
+	sequence   uint64        // of the newest Hold
+	inFlight   bool          // the newest Hold is not answered yet
+	readsClock bool          // the newest Hold serves only to read the clock
+	holdSent   time.Time     // when the newest Hold was sent
+	holdWait   time.Duration // wait requested by the newest Hold
+	holdSeen   int64         // LastSeen of the newest Hold
+	nextHold   time.Time     // no Hold is sent before
+	idleSince  time.Time
 
 	unanswered   int       // consecutive requests without a reply
 	pausedUntil  time.Time // no task is started before
@@ -128,10 +131,37 @@
 
 func (e *endpoint) free() Demand { return e.Capacity.minus(e.used) }
 
-// now estimates the endpoint's clock. The estimate lags behind the clock by the
-// latency of the reply that carried the reading.
-func (e *endpoint) now(now time.Time) time.Duration {
-	return e.clock + now.Sub(e.clockAt)
+const (
+	// slowestClockPercent is the least speed of an endpoint's clock: it may be 2% slow.
+	slowestClockPercent = 98
+	// maxClockAge bounds the age of the reading of an idle endpoint's clock. A lease
+	// from a reading of that age is 0.1 s shorter than it could be on a correct clock.
+	maxClockAge = 5 * time.Second
+	// clockReadingSpread is the time over which endpoints whose clocks were read at
+	// the same time are polled again.
+	clockReadingSpread = time.Second
+)
+
+// earliestClock returns a lower bound of the endpoint's clock.
+func (e *endpoint) earliestClock(now time.Time) time.Duration {
+	return e.clock + now.Sub(e.clockAt)*slowestClockPercent/100
+}
+
+// clockReadingDue reports whether the endpoint's clock should be read. A Hold that
+// brought no reading is not repeated at once.
+func (e *endpoint) clockReadingDue(now time.Time) bool {
+	if e.dropped || e.clockAt.IsZero() {
+		return false
+	}
+	return now.Sub(later(e.clockAt, e.holdSent)) >= e.clockReadingInterval
+}
+
+// clockReadingInterval returns the age at which the reading of an endpoint's clock is
+// renewed. It differs between endpoints, so that they are not all polled at once.
+func clockReadingInterval(id EndpointID) time.Duration {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return maxClockAge - time.Duration(h.Sum32())%clockReadingSpread
 }
 
 func (e *endpoint) updateClock(now time.Time, clock time.Duration) {
@@ -162,12 +192,13 @@
 }
 
 // leaseEnd returns the end of a lease that starts now, on the endpoint's clock,
-// or 0 if that clock is unknown.
+// or 0 if that clock is unknown. A slow clock reaches it within the lease, however old
+// its reading is.
 func (e *endpoint) leaseEnd(now time.Time, lease time.Duration) time.Duration {
 	if e.clockAt.IsZero() {
 		return 0
 	}
-	return e.now(now) + lease
+	return e.earliestClock(now) + lease
 }
 
 // slowness returns the factor by which tasks run longer here than expected.
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -77,7 +77,7 @@
 		return false
 	}
 	if e.unanswered == 0 {
-		c.countUnanswered(e)
+		c.holdUnanswered(e)
 		return true
 	}
 	return c.now.Sub(e.holdSent) >= e.holdWait+abandonHoldAfter
@@ -103,12 +103,16 @@
 		c.sendHold(e, e.hasClaimedRun(), c.nextHoldWait(e))
 	case e.acknowledgeable() > e.acknowledged && c.now.Sub(e.idleSince) >= acknowledgeAfter:
 		c.sendHold(e, false, 0)
+	case e.clockReadingDue(c.now):
+		c.sendHold(e, false, 0)
+		e.readsClock = true
 	}
 }
 
 func (c *Core) sendHold(e *endpoint, extend bool, wait time.Duration) {
 	e.sequence++
 	e.inFlight = true
+	e.readsClock = false
 	e.holdSent = c.now
 	e.holdWait = wait
 	e.holdSeen = e.acknowledgeable()
@@ -168,7 +172,7 @@
 		e.nextHold = c.now.Add(minBackoff)
 		e.pausedUntil = c.now.Add(minBackoff)
 	case HoldNotSent, HoldUnanswered:
-		c.countUnanswered(e)
+		c.holdUnanswered(e)
 	}
 }
 
@@ -218,6 +222,17 @@
 	}
 }
 
+// holdUnanswered handles a Hold without a reply. One that served only to read the
+// clock is repeated and not counted: no task is affected by its loss.
+func (c *Core) holdUnanswered(e *endpoint) {
+	if e.readsClock {
+		e.readsClock = false
+		e.pollWanted = true
+		return
+	}
+	c.countUnanswered(e)
+}
+
 // countUnanswered counts a request without a reply. The endpoint gets no new
 // tasks until it replies.
 func (c *Core) countUnanswered(e *endpoint) {
