Take a new token when an endpoint has started again

Callers could see a task run twice: a copy of a Start that got no reply was executed seconds later by the next incarnation of the endpoint, while a later run of the task was active elsewhere.

Another incarnation under the same ID has seen no token and no run, and its clock starts anew, so it accepted the copy. The Stop for such runs was sent once, and only for runs that were never confirmed.

The holder now takes a token above all earlier ones when it finds another incarnation, and accepts no list but one under that token. An endpoint does nothing for a lower token than it has seen, so from this list on it refuses every earlier copy, of this holder and of earlier ones, whether a Stop arrives or not. Replies to Holds under the earlier token are ignored. A Start that is refused because of the holder's own new token is not taken for the sign of another holder.

TestOtherIncarnationIsListedUnderNewToken and TestOwnNewTokenIsNoOtherHolder fail without the token and without the distinction.

--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -48,6 +48,7 @@
 	began           time.Time     // when the newest Start was sent, or the run was found
 	confirmed       time.Time     // when the endpoint confirmed the run; zero: not yet
 	tries           int           // how often the Start was sent
+	token           int64         // of the newest Start
 	unclaimedSince  time.Time     // when the run was found or revoked
 	percent         int           // progress
 	beganClock      time.Duration // earliest reading of the endpoint's clock that the run is known to have seen; 0: none
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -179,6 +179,7 @@
 func (c *Core) holdAnswered(e *endpoint, in *HoldReply) {
 	if in.IncarnationStart != 0 && e.Born != 0 && in.IncarnationStart != e.Born {
 		c.endpointRestarted(e, in.IncarnationStart)
+		return // its list may miss a late Start that only the new token keeps away
 	}
 	if in.IncarnationStart != 0 {
 		e.Born = in.IncarnationStart
@@ -302,7 +303,9 @@
 
 // endpointRestarted resets the state of an endpoint for another incarnation.
 // Runs of the earlier one have ended, but a Start may already have reached the
-// new one: the next list shows which.
+// new one: the list under a new token shows which. An incarnation has seen no token,
+// run number or clock of the earlier one, so the new token is what makes it refuse
+// late copies of earlier requests.
 func (c *Core) endpointRestarted(e *endpoint, incarnationStart int64) {
 	c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_restarted", "another incarnation answers"))
 	c.endpointCrashed(e)
@@ -310,6 +313,9 @@
 		e.Born = incarnationStart
 	}
 	e.held = false
+	e.token = c.opts.NextToken(e.token)
+	e.inFlight = false
+	e.sequence++ // a reply to a Hold with the earlier token is ignored
 	e.lastSeen, e.acknowledged, e.holdSeen, e.unreported = 0, 0, 0, nil
 	e.clockAt, e.listedClock = time.Time{}, 0
 	for _, r := range e.runs {
--- /dev/null
+++ b/dispatch/leased/incarnation_test.go
@@ -0,0 +1,61 @@
+package leased_test
+
+import (
+	"testing"
+	"time"
+
+	"lovagespread.example/dispatch/leased"
+)
+
+// Guards against a list of another incarnation that is taken for complete before the
+// incarnation has seen a token that keeps late copies of Starts away.
+func TestOtherIncarnationIsListedUnderNewToken(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addEndpoints(0, 1)
+	sim.runUntil(200 * time.Millisecond)
+	var before, after int64
+	sim.stepped = func(_ int, _ leased.Input, out *leased.Actions) {
+		for _, s := range out.Starts {
+			before, after = after, s.Token
+		}
+	}
+	sim.submit(0, "a", 1, 1000, 100*time.Millisecond, 5*time.Second)
+	sim.runUntil(time.Second)
+	sim.crashEndpoint("e00")
+	sim.runUntil(6 * time.Second)
+	sim.submit(0, "b", 1, 1000, 100*time.Millisecond, 5*time.Second)
+	sim.runUntil(8 * time.Second)
+	if before == 0 || after <= before {
+		t.Errorf("tokens %d and %d, want a higher one for the next incarnation", before, after)
+	}
+}
+
+// Guards against a holder that takes the refusal of its own earlier token for another
+// holder, and then releases the runs of the endpoint.
+func TestOwnNewTokenIsNoOtherHolder(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addEndpoints(0, 1)
+	sim.runUntil(200 * time.Millisecond)
+	var first *leased.Start
+	sim.stepped = func(_ int, _ leased.Input, out *leased.Actions) {
+		if first == nil && len(out.Starts) > 0 {
+			start := out.Starts[0]
+			first = &start
+			sim.unreachable["e00"] = true
+		}
+	}
+	sim.submit(0, "a", 1, 1000, 100*time.Millisecond, 5*time.Second)
+	sim.unreachable["e00"] = false
+	sim.endpoints["e00"].Restart(2)
+	sim.specs[0].Born = 2
+	sim.announce()
+	sim.runUntil(sim.now + time.Millisecond)
+	sim.step(0, &leased.StartReply{Endpoint: "e00", Task: first.Task, Run: first.Run, Result: leased.StartFenced})
+	sim.runUntil(sim.now + time.Second)
+	if n := sim.endpointEventCounts["endpoint_fenced"]; n != 0 {
+		t.Errorf("%d times fenced, want none", n)
+	}
+	if sim.answers["a"].Verdict != leased.Completed {
+		t.Errorf("answer %+v, want done", sim.answers["a"])
+	}
+}
--- a/dispatch/leased/starts.go
+++ b/dispatch/leased/starts.go
@@ -41,10 +41,7 @@
 		e.pausedUntil = c.now.Add(noCapacityPause)
 		c.endRun(e, r, EndNoCapacity, EvidenceRefused, "")
 	case StartFenced:
-		if r.tries == 1 { // otherwise an earlier copy may have been executed
-			c.endRun(e, r, EndNotRun, EvidenceRefused, "")
-		}
-		c.fenced(e)
+		c.startFenced(e, r)
 	case StartUnhealthy:
 		before := e.record.Health()
 		e.record.Failed(c.now, c.peersOf(e))
@@ -65,6 +62,22 @@
 	}
 }
 
+// startFenced handles a Start that was refused because of a higher token. That is
+// another holder's, or the one that this holder has taken since for another incarnation.
+func (c *Core) startFenced(e *endpoint, r *run) {
+	ownToken := r.token < e.token
+	switch {
+	case r.tries == 1:
+		c.endRun(e, r, EndNotRun, EvidenceRefused, "")
+	case ownToken: // an earlier copy may have been executed
+		r.startUnanswered = true
+		c.pollSoon(e)
+	}
+	if !ownToken {
+		c.fenced(e)
+	}
+}
+
 // refused reports whether the result proves that this copy of the request was
 // not executed. It proves nothing about earlier copies.
 func (r StartResult) refused() bool {
@@ -98,6 +111,7 @@
 	r.tries++
 	r.sent = c.now
 	r.began = c.now
+	r.token = e.token
 	e.leaseSent = c.now
 	j := r.task.job
 	c.out.Starts = append(c.out.Starts, Start{
