--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -77,7 +77,7 @@
 		return false
 	}
 	if e.unanswered <= c.loss.tolerated() {
-		c.countUnanswered(e)
+		c.holdUnanswered(e)
 		return true
 	}
 	return c.now.Sub(e.holdSent) >= e.holdWait+abandonHoldAfter
@@ -103,12 +103,16 @@
 		c.sendHold(e, e.hasClaimedRun(), c.nextHoldWait(e))
 	case e.acknowledgeable() > e.acknowledged && c.now.Sub(e.idleSince) >= acknowledgeAfter:
 		c.sendHold(e, false, 0)
+	case e.clockReadingDue(c.now):
+		c.sendHold(e, false, 0)
+		e.readsClock = true
 	}
 }
 
 func (c *Core) sendHold(e *endpoint, extend bool, wait time.Duration) {
 	e.sequence++
 	e.inFlight = true
+	e.readsClock = false
 	e.holdSent = c.now
 	e.holdWait = wait
 	e.holdSeen = e.acknowledgeable()
@@ -168,13 +172,14 @@
 		e.nextHold = c.now.Add(minBackoff)
 		e.pausedUntil = c.now.Add(minBackoff)
 	case HoldNotSent, HoldUnanswered:
-		c.countUnanswered(e)
+		c.holdUnanswered(e)
 	}
 }
 
 func (c *Core) holdAnswered(e *endpoint, in *HoldReply) {
 	if in.IncarnationStart != 0 && e.Born != 0 && in.IncarnationStart != e.Born {
 		c.endpointRestarted(e, in.IncarnationStart)
+		return // its list may miss a late Start that only the new token keeps away
 	}
 	if in.IncarnationStart != 0 {
 		e.Born = in.IncarnationStart
@@ -218,6 +223,17 @@
 	}
 }
 
+// holdUnanswered handles a Hold without a reply. One that served only to read the
+// clock is repeated and not counted: no task is affected by its loss.
+func (c *Core) holdUnanswered(e *endpoint) {
+	if e.readsClock {
+		e.readsClock = false
+		e.pollWanted = true
+		return
+	}
+	c.countUnanswered(e)
+}
+
 // countUnanswered counts a request without a reply. The endpoint gets no new tasks until
 // it replies, unless calls are lost at other endpoints, too.
 func (c *Core) countUnanswered(e *endpoint) {
@@ -289,7 +305,9 @@
 
 // endpointRestarted resets the state of an endpoint for another incarnation.
 // Runs of the earlier one have ended, but a Start may already have reached the
-// new one: the next list shows which.
+// new one: the list under a new token shows which. An incarnation has seen no token,
+// run number or clock of the earlier one, so the new token is what makes it refuse
+// late copies of earlier requests.
 func (c *Core) endpointRestarted(e *endpoint, incarnationStart int64) {
 	c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_restarted", "another incarnation answers"))
 	c.endpointCrashed(e)
@@ -297,6 +315,9 @@
 		e.Born = incarnationStart
 	}
 	e.held = false
+	e.token = c.opts.NextToken(e.token)
+	e.inFlight = false
+	e.sequence++ // a reply to a Hold with the earlier token is ignored
 	e.lastSeen, e.acknowledged, e.holdSeen, e.unreported = 0, 0, 0, nil
 	e.clockAt, e.listedClock = time.Time{}, 0
 	for _, r := range e.runs {
