Read no clock from the reply of an earlier incarnation

Callers could see a task run twice: a reply to a Start of an endpoint's earlier incarnation that arrives after the next one was noticed set the clock of the endpoint to that of the earlier one, which may be hours ahead, so that a late Start with such a lease is accepted.

A reply sets the clock only if its Start had the present token, which another incarnation always changes.

--- a/dispatch/leased/incarnation_test.go
+++ b/dispatch/leased/incarnation_test.go
@@ -59,3 +59,36 @@
 		t.Errorf("answer %+v, want done", sim.answers["a"])
 	}
 }
+
+// Guards against leases that end on the clock of an earlier incarnation, which is far
+// ahead: its reply to a Start arrives after the next one was noticed.
+func TestReplyOfEarlierIncarnationSetsNoClock(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addEndpoints(0, 1)
+	sim.runUntil(200 * time.Millisecond)
+	var first *leased.Start
+	var latest time.Duration // end of the lease of the next job
+	sim.stepped = func(_ int, _ leased.Input, out *leased.Actions) {
+		if first == nil && len(out.Starts) > 0 {
+			start := out.Starts[0]
+			first = &start
+			sim.unreachable["e00"] = true
+		}
+		for _, s := range out.Starts {
+			if s.Task.Job == "b" {
+				latest = max(latest, s.Until)
+			}
+		}
+	}
+	sim.submit(0, "a", 1, 1000, 100*time.Millisecond, 5*time.Second)
+	sim.unreachable["e00"] = false
+	sim.endpoints["e00"].Restart(2)
+	sim.specs[0].Born = 2
+	sim.announce()
+	sim.runUntil(sim.now + 10*time.Millisecond) // the new incarnation has listed its runs
+	sim.step(0, &leased.StartReply{Endpoint: "e00", Task: first.Task, Run: first.Run, Result: leased.StartAccepted, Clock: time.Hour})
+	sim.submit(0, "b", 1, 1000, 100*time.Millisecond, 5*time.Second)
+	if latest == 0 || latest > time.Minute {
+		t.Errorf("a lease until %v on the clock of an endpoint that has just started", latest)
+	}
+}
--- a/dispatch/leased/starts.go
+++ b/dispatch/leased/starts.go
@@ -16,10 +16,15 @@
 	if e == nil {
 		return
 	}
-	e.updateClock(c.now, in.Clock)
 	c.markDirty(e)
 	r := e.runs.find(in.Task)
-	if r == nil || r.number != in.Run || r.state == runRunning {
+	if r == nil || r.number != in.Run {
+		return
+	}
+	if r.token == e.token { // otherwise an earlier incarnation may have replied
+		e.updateClock(c.now, in.Clock)
+	}
+	if r.state == runRunning {
 		return
 	}
 	if r.tries > 1 && in.Result.refused() {
