--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -191,7 +191,9 @@
 	c.loss.answered()
 	e.unanswered = 0
 	e.fencedCount = 0
-	e.polledAt = e.holdSent
+	if !in.More {
+		e.polledAt = e.holdSent
+	}
 	e.nextHold = time.Time{}
 	e.updateClock(c.now, in.Clock)
 	e.listedClock = in.Clock
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -85,7 +85,7 @@
 	IncarnationStart int64         // of the endpoint, in milliseconds since 1970; 0: unknown
 	Running          []ActiveRun
 	Ended            []EndedRun
-	More             bool // further ended runs are omitted
+	More             bool // runs are omitted, so that a run that is not listed may be active
 }
 
 // DelegateReply is the result of a Delegate.
