--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 RACE     := $(if $(shell command -v $(or $(CC),gcc) 2>/dev/null),-race,)
 
 .PHONY: build demo demo-fleet soak soak-fleet test up format-check vet lint unit check-model generate tools
-.PHONY: bench compare ablation check-broken faults gopls
+.PHONY: bench compare ablation check-broken check-restarts faults gopls
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -37,12 +37,19 @@
 check-model:
 	go test -count=1 -v -run '^TestModel' ./dispatch/modelcheck
 	$(MAKE) check-broken
+	$(MAKE) check-restarts
 
 # Checks that the property test, the model checker and a scenario each detect a
 # build in which a lost task may be sent again.
 check-broken:
 	go test -tags broken_resend -run '^TestBroken' ./dispatch/modelcheck ./scenario
 
+# Checks that tests find two runs of a task in builds in which a rule for restarts is
+# broken: one quickly found mutant at least for each kind of evidence that an earlier run
+# is over. docs/design/restarts.md tells how to run all mutants.
+check-restarts:
+	go test -count=1 -tags mutants -run '^(TestMutants|TestEvidenceHasMutants)$$' ./dispatch/leased -args -mutants-quick
+
 # Runs every scenario and the fault tests, and writes docs/FAULTS.md.
 faults:
 	@./scripts/faults.sh
--- a/dispatch/leased/mutants_test.go
+++ b/dispatch/leased/mutants_test.go
@@ -29,6 +29,7 @@
 	name       string
 	file       string
 	quick      bool
+	layouts    string // regular expression for those that concern it; empty: all
 	schedule   string // in which the exploration finds two runs of a task; empty: none is known
 	unexplored string // why the exploration cannot find it; empty: it must
 	tests      string // other tests that fail; separated by spaces
@@ -61,19 +62,34 @@
 	}
 	_, section, _ := strings.Cut(string(page), "\n## What counts as the end of a run\n")
 	section, _, _ = strings.Cut(section, "\n## ")
+	evidence, named := tableRows(section, "| evidence | why"), tableRows(section, "| evidence | mutants |")
+	if len(evidence) == 0 || len(named) != len(evidence) {
+		t.Fatalf("%d rows of evidence in %s, and %d rows of mutants", len(evidence), restartsPage, len(named))
+	}
 	mutants := readMutants(t)
-	rows := 0
-	for _, line := range strings.Split(section, "\n") {
-		cells := strings.Split(strings.Trim(line, "|"), "|")
-		if !strings.HasPrefix(line, "| ") || strings.HasPrefix(line, "| ---") || strings.HasPrefix(line, "| evidence") {
-			continue
+	for i, row := range evidence {
+		if named[i][0] != row[0] {
+			t.Errorf("row %d of the mutants is %q, want %q", i, named[i][0], row[0])
 		}
-		rows++
-		checkNamesMutants(t, strings.TrimSpace(cells[0]), strings.Split(cells[len(cells)-1], ";"), mutants)
+		checkNamesMutants(t, row[0], strings.Split(named[i][1], ";"), mutants)
 	}
-	if rows == 0 {
-		t.Errorf("no table in %s", restartsPage)
+}
+
+// tableRows returns the cells of the table whose head begins with a text.
+func tableRows(page, head string) [][]string {
+	_, table, _ := strings.Cut(page, "\n"+head)
+	table, _, _ = strings.Cut(table, "\n\n")
+	var rows [][]string
+	for _, line := range strings.Split(table, "\n")[1:] {
+		cells := strings.Split(strings.Trim(line, "|"), "|")
+		for i := range cells {
+			cells[i] = strings.TrimSpace(cells[i])
+		}
+		if !strings.HasPrefix(cells[0], "---") {
+			rows = append(rows, cells)
+		}
 	}
+	return rows
 }
 
 // checkNamesMutants checks that a row names mutants that exist, and a quick one that is
@@ -137,6 +153,8 @@
 		m.file = value
 	case "quick":
 		m.quick = value == "yes"
+	case "layouts":
+		m.layouts = value
 	case "schedule":
 		m.schedule = value
 	case "unexplored":
@@ -169,7 +187,7 @@
 		m.checkOtherTests(t, b)
 		return
 	}
-	output := b.run("^TestRestartRulesHold$", "-restart-first")
+	output := b.run("^TestRestartRulesHold$", "-restart-first", "-restart-layouts", m.layouts)
 	found := foundByExploration.FindStringSubmatch(output)
 	switch {
 	case m.redundant != "" && found == nil:
--- a/dispatch/leased/restart_check_hunt_test.go
+++ b/dispatch/leased/restart_check_hunt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"regexp"
 	"testing"
 )
 
@@ -22,7 +23,11 @@
 // huntDoubleRun runs the schedules with one deviation at most first.
 func huntDoubleRun(t *testing.T) {
 	h := &hunt{}
+	wanted := regexp.MustCompile(*restartIn)
 	for _, layout := range restartLayouts {
+		if !wanted.MatchString(layout.name) {
+			continue
+		}
 		x := &exploration{layout: layout, stopEarly: true}
 		for _, s := range x.exploreBelow(2) {
 			h.add(x, script{choices: s})
--- a/dispatch/leased/restart_check_network_test.go
+++ b/dispatch/leased/restart_check_network_test.go
@@ -121,13 +121,13 @@
 	case p.kind == atStart && deviation == startDelayedRefused:
 		c.endpoint.Unhealthy = true
 		w.after(shortStall, func() { c.endpoint.Unhealthy = false })
-		w.delay(c, w.now+shortStall)
+		w.delay(c, shortStall)
 		return
 	case p.kind == atStart && deviation == startDelayed:
-		w.delay(c, w.now+shortStall)
+		w.delay(c, shortStall)
 		return
 	case w.now < c.endpoint.stalledUntil[c.holder]:
-		w.delay(c, c.endpoint.stalledUntil[c.holder])
+		w.delay(c, c.endpoint.stalledUntil[c.holder]-w.now)
 		return
 	case p.kind == atStart && deviation == startOvertakes, p.kind == atStop && deviation == stopOvertakes:
 		c.overtakes = true
@@ -135,24 +135,23 @@
 		c.endpoint.lostStops = p.run
 	}
 	if deviation == requestLost || w.cut(c) || p.kind == atStop && p.task.Job == w.calls[0].job.ID && p.run == c.endpoint.lostStops {
-		w.afterwards(lateExecution, func() {
-			if !c.endpoint.down {
-				w.advance(c.endpoint)
-				c.execute(true)
-				w.advance(c.endpoint)
-			}
-		})
-		w.at(c.timeoutAt, func() { w.step(c.holder, c.noReply) })
+		w.delay(c, lateExecution)
 		return
 	}
 	c.lostReply = deviation == replyLost
 	w.after(networkDelay, func() { w.arrive(c) })
 }
 
-// delay executes a request later. Its sender has given it up by then, or at its timeout.
-func (w *restartWorld) delay(c *endpointCall, until time.Duration) {
-	c.lostReply = true
-	w.afterwards(until-w.now, func() { w.arrive(c) })
+// delay executes a request later. Its sender gets no reply.
+func (w *restartWorld) delay(c *endpointCall, length time.Duration) {
+	w.afterwards(length, func() {
+		if !c.endpoint.down {
+			w.advance(c.endpoint)
+			c.execute(true)
+			w.advance(c.endpoint)
+		}
+	})
+	w.at(c.timeoutAt, func() { w.step(c.holder, c.noReply) })
 }
 
 // listBefore answers the waiting Hold of a holder with what the endpoint lists now. The
--- a/dispatch/leased/restart_check_rules_test.go
+++ b/dispatch/leased/restart_check_rules_test.go
@@ -13,6 +13,7 @@
 	restartSchedule = flag.String("restart-schedule", "", "schedule that TestReplayRestartSchedule replays: layout/point.option,...")
 	restartSamples  = flag.Int("restart-samples", 1000, "sampled schedules of each layout in TestRestartRulesHold")
 	restartSeed     = flag.Uint64("restart-seed", 1, "seed of the sampled schedules")
+	restartIn       = flag.String("restart-layouts", "", "regular expression for the layouts in which -restart-first searches")
 	restartFirst    = flag.Bool("restart-first", false, "TestRestartRulesHold ends at the first schedule with two runs of a task")
 )
 
