--- a/dispatch/leased/restart_evidence_test.go
+++ b/dispatch/leased/restart_evidence_test.go
@@ -86,15 +86,21 @@
 	return c.starts[before]
 }
 
-// submitDelegated submits a task of another holder's job, and returns its Start.
-func (c *evidenceCore) submitDelegated(ticket leased.Ticket, task leased.DelegatedTask) leased.Start {
+// delegatedTask returns the task of job j as another holder delegates it.
+func delegatedTask(run int) leased.DelegatedTask {
+	return leased.DelegatedTask{
+		ID: leased.TaskID{Job: "j"}, Service: "s", Queue: "q", Cell: "c", CallerTimeout: time.Minute, Run: run,
+		Step: singleTaskJob("j").Steps[0],
+	}
+}
+
+// submitDelegated submits the task of another holder's job, and returns its Start.
+func (c *evidenceCore) submitDelegated(ticket leased.Ticket, run int) leased.Start {
 	c.t.Helper()
-	task.ID, task.Service, task.Queue, task.Cell, task.CallerTimeout = leased.TaskID{Job: "j"}, "s", "q", "c", time.Minute
-	task.Step = singleTaskJob("j").Steps[0]
 	before := len(c.starts)
-	c.step(&leased.SubmitDelegated{Ticket: ticket, Task: task})
+	c.step(&leased.SubmitDelegated{Ticket: ticket, Task: delegatedTask(run)})
 	if len(c.starts) != before+1 {
-		c.t.Fatalf("%d starts of run %d, want one", len(c.starts)-before, task.Run)
+		c.t.Fatalf("%d starts of run %d, want one", len(c.starts)-before, run)
 	}
 	return c.starts[before]
 }
@@ -133,13 +139,13 @@
 // delegator would start the task elsewhere.
 func TestEndOfEarlierRunDoesNotEndRestartedRun(t *testing.T) {
 	c := newEvidenceCore(t, "e0")
-	first := c.submitDelegated(1, leased.DelegatedTask{Run: 1})
+	first := c.submitDelegated(1, 1)
 	c.answerStart(&first, leased.StartAccepted)
 	c.pass(1300 * time.Millisecond)
 	c.wantAnswers(1) // the endpoint is lost
 	other := leased.EndedRun{Number: 1, Task: leased.TaskID{Job: "other"}, Run: 1, End: leased.EndStopped}
 	c.answerHold("e0", leased.HoldReply{Ended: []leased.EndedRun{other}, More: true})
-	second := c.submitDelegated(2, leased.DelegatedTask{Run: 2})
+	second := c.submitDelegated(2, 2)
 	c.answerStart(&second, leased.StartAccepted)
 	c.pass(leased.TickInterval)
 	ended := leased.EndedRun{Number: 2, Task: first.Task, Run: first.Run, End: leased.EndLapsed}
@@ -216,10 +222,8 @@
 
 // search submits the question for the earlier runs of the task, as run 3.
 func (c *evidenceCore) search(ticket leased.Ticket) {
-	task := leased.DelegatedTask{
-		ID: leased.TaskID{Job: "j"}, Service: "s", Queue: "q", Cell: "c", CallerTimeout: time.Minute, Run: 3, Adopt: true,
-		Step: singleTaskJob("j").Steps[0],
-	}
+	task := delegatedTask(3)
+	task.Adopt = true
 	c.step(&leased.SubmitDelegated{Ticket: ticket, Task: task})
 }
 
@@ -320,11 +324,7 @@
 	c.search(1)
 	c.answerHold("e0", leased.HoldReply{})
 	c.wantAnswers(1)
-	task := leased.DelegatedTask{
-		ID: leased.TaskID{Job: "j"}, Service: "s", Queue: "q", Cell: "c", CallerTimeout: time.Minute, Run: 2,
-		Step: singleTaskJob("j").Steps[0],
-	}
-	c.step(&leased.SubmitDelegated{Ticket: 2, Task: task})
+	c.step(&leased.SubmitDelegated{Ticket: 2, Task: delegatedTask(2)})
 	if len(c.starts) != 0 {
 		t.Errorf("started %+v, want no start", c.starts)
 	}
@@ -340,7 +340,7 @@
 // delegator that the run there is over.
 func TestFencedDelegateDoesNotKnowTheEnd(t *testing.T) {
 	c := newEvidenceCore(t, "e0")
-	first := c.submitDelegated(1, leased.DelegatedTask{Run: 1})
+	first := c.submitDelegated(1, 1)
 	c.answerStart(&first, leased.StartAccepted)
 	c.fence("e0")
 	c.wantAnswers(1)
@@ -353,7 +353,7 @@
 // listed its runs: a Start may have reached it.
 func TestNewIncarnationProvesNoEndWithoutList(t *testing.T) {
 	c := newEvidenceCore(t, "e0")
-	first := c.submitDelegated(1, leased.DelegatedTask{Run: 1})
+	first := c.submitDelegated(1, 1)
 	c.answerStart(&first, leased.StartAccepted)
 	c.endpoints[0].Born = 2
 	c.step(&leased.SetEndpoints{Endpoints: c.endpoints})
@@ -470,10 +470,7 @@
 			c.pass(leased.TickInterval)
 			c.step(&leased.Cancel{Ticket: 1})
 			lose(c, &first)
-			task := leased.DelegatedTask{
-				ID: first.Task, Service: "s", Queue: "q", Cell: "c", CallerTimeout: time.Minute, Run: 20, Step: singleTaskJob("j").Steps[0],
-			}
-			c.step(&leased.SubmitDelegated{Ticket: 2, Task: task})
+			c.step(&leased.SubmitDelegated{Ticket: 2, Task: delegatedTask(20)})
 			c.wantRuns(first.Task, 1)
 			c.wantAnswers(1)
 			if end := c.answers[0].End; end != leased.EndUnknown {
