Prove the loss of calls by later answers of the same endpoint

When a third of the endpoints of a domain is lost, the calls to them looked like calls that are lost by chance, so that dead endpoints went on getting tasks for up to five calls. TestRecoveryWithAdmissionKeepsAsMuchAsRecoveryAlone (a third of a domain is lost) and TestAdmissionControlWhileCapacityFails failed on the merged code.

Cause: the rate of lost calls counted calls to endpoints that never answer again. The rate that allows unanswered calls in a row now counts only those to endpoints that have answered within 0.5 s of the first of them.

--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -108,16 +108,17 @@
 	nextHold   time.Time     // no Hold is sent before
 	idleSince  time.Time
 
-	unanswered   int       // consecutive requests without a reply
-	tolerated    int       // how many of them are put down to chance
-	pausedUntil  time.Time // no task is started before
-	fencedCount  int       // consecutive refusals because of a higher token
-	departure    departure
-	record       outlier.Record
-	logSlowness  float64 // moving average of ln(run time / expected)
-	slownessRuns int
-	speed        placement.Speed // used only while speeds differ (unequal.go)
-	observedJob  JobID           // whose run updated it last
+	unanswered      int       // consecutive requests without a reply
+	unansweredSince time.Time // when the first of them was counted
+	tolerated       int       // how many of them are put down to chance
+	pausedUntil     time.Time // no task is started before
+	fencedCount     int       // consecutive refusals because of a higher token
+	departure       departure
+	record          outlier.Record
+	logSlowness     float64 // moving average of ln(run time / expected)
+	slownessRuns    int
+	speed           placement.Speed // used only while speeds differ (unequal.go)
+	observedJob     JobID           // whose run updated it last
 }
 
 // Parameters of the moving average of an endpoint's slowness.
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -188,7 +188,7 @@
 	if e.unanswered > 1 {
 		c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_answers", ""))
 	}
-	c.loss.answered()
+	c.loss.answered(e.unanswered, c.now.Sub(e.unansweredSince))
 	e.unanswered = 0
 	e.fencedCount = 0
 	if !in.More {
@@ -241,6 +241,7 @@
 func (c *Core) countUnanswered(e *endpoint) {
 	if e.unanswered == 0 { // an endpoint that is gone tells nothing of the others
 		c.loss.lost()
+		e.unansweredSince = c.now
 	}
 	e.unanswered++
 	e.tolerated = c.loss.tolerated()
--- a/dispatch/leased/starts.go
+++ b/dispatch/leased/starts.go
@@ -36,7 +36,7 @@
 	switch in.Result {
 	case StartAccepted:
 		r.observeClock(in.Clock)
-		c.loss.answered()
+		c.loss.answered(r.tries-1, 0)
 		c.confirm(r)
 	case StartOldRun, StartLate:
 		if in.Result == StartOldRun && r.task != nil && r.task.job.Stored {
@@ -122,7 +122,7 @@
 	j := r.task.job
 	c.out.Starts = append(c.out.Starts, Start{
 		Endpoint: e.ID, Address: e.Address, Task: r.id, Run: r.number, Attempt: r.tries, Spec: j.Spec, Checkpoint: r.task.checkpoint,
-		Until: e.leaseEnd(c.now, c.allowedLease(e)), Token: e.token, CallsLost: c.loss.lossy(), Evidence: r.task.evidence,
+		Until: e.leaseEnd(c.now, c.allowedLease(e)), Token: e.token, CallsLost: c.loss.tolerated() > 0, Evidence: r.task.evidence,
 		Waited: c.now.Sub(j.arrived), Free: e.free().plus(r.demand), Expected: r.expected,
 	})
 }
