--- a/dispatch/leased/loss.go
+++ b/dispatch/leased/loss.go
@@ -8,7 +8,7 @@
 type lossEstimate struct {
 	rate    float64
 	proven  float64 // the same, of calls to endpoints that have answered soon after
-	ignored bool // for tests that compare with a core that does not adapt
+	ignored bool    // for tests that compare with a core that does not adapt
 }
 
 // Parameters of the estimate.
