Give up the runs of a dropped endpoint that has started again

What callers saw: a task could wait until its deadline, and that of a stored job for ever. Its endpoint was no longer announced to this holder, because the cell had gone to another one, and another incarnation answered the last Hold.

Cause: such an endpoint is neither held nor polled again, and its runs were not given up, so that they kept their tasks from starting elsewhere.

Evidence: TestRunOfDroppedEndpointThatRestartsEnds failed on and on. The runs are given up like those of a fenced endpoint now: the next holder of the cell sees what runs there.

--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -327,6 +327,11 @@
 		r.beganClock = 0
 	}
 	e.nextHold = time.Time{}
+	if e.dropped { // it is not polled again: the other holder of its cell sees its runs
+		for r := range e.runs.all() {
+			c.loseRun(e, r)
+		}
+	}
 }
 
 // review updates an endpoint at a Tick: it ends ejections, ends runs whose
