Repeat no Start whose run may be unwanted

What callers saw: two runs of a task for some milliseconds. A holder was frozen while its Start was lost, the caller came back elsewhere, and the holder repeated the Start before it read the cancellation.

Cause: new starts wait for 250 ms after a freeze, and for an entry that is not heard; repeated ones did not.

--- a/dispatch/leased/starts.go
+++ b/dispatch/leased/starts.go
@@ -104,7 +104,7 @@
 	if r.state == runStopping {
 		return
 	}
-	if r.tries >= max(minStartTries, 1+c.loss.tolerated()) || e.evacuated {
+	if r.tries >= max(minStartTries, 1+c.loss.tolerated()) || e.evacuated || !c.mayRepeatStart(r) {
 		r.startUnanswered = true
 		c.countUnanswered(e)
 		return
@@ -112,6 +112,13 @@
 	c.sendStart(e, r)
 }
 
+// mayRepeatStart reports whether the run of a Start without a reply is still wanted, as
+// far as this core can know: after a freeze, cancellations that arrived during it are
+// read first.
+func (c *Core) mayRepeatStart(r *run) bool {
+	return !c.now.Before(c.startsPausedUntil) && (r.task == nil || !c.unheard(r.task.job))
+}
+
 // sendStart sends the Start of a run.
 func (c *Core) sendStart(e *endpoint, r *run) {
 	r.tries++
