Wait for owners of stored jobs that do not know that they were replaced

What callers saw: two runs of a task of a stored job, if its earlier owner, cut off from the log, was lost 1.1 s after its shard was taken over, and the Stops of the delegate were lost.

Cause: the wait of resubmitted stored jobs covered the time after which a run is over that was given up, and not how long the earlier owner goes on before it gives it up (1.1 s, and 0.1 s until it checks).

--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -192,13 +192,14 @@
 // resubmitPause returns how long runs of a submitted job may be active without being
 // seen: those under holders that had the job before. What is known here of runs that
 // this holder has started is among its runs and unseen runs. Tasks of a stored job also
-// wait until the ends that others have seen are reported.
+// wait until an owner that was replaced has noticed it, and the ends that others have
+// seen are reported.
 func (c *Core) resubmitPause(j *Job) time.Duration {
 	switch {
 	case !j.Resubmitted || j.OnlyHolder:
 		return 0
 	case j.Stored:
-		return c.remoteRunTimeout() + reportDelay
+		return ownerGrace + c.remoteRunTimeout() + reportDelay
 	}
 	return c.remoteRunTimeout()
 }
--- a/dispatch/leased/stored.go
+++ b/dispatch/leased/stored.go
@@ -15,6 +15,11 @@
 // shard.
 const reportDelay = 500 * time.Millisecond
 
+// ownerGrace is how long the owner of a stored job that was replaced may go on with it
+// without knowing that: the time without a reply from the log after which it withdraws
+// its offers (1.1 s), and the time until it checks that.
+const ownerGrace = 1200 * time.Millisecond
+
 func isStoredRun(run int) bool { return run >= storedRunOffset }
 
 // reportEnd reports the end of a run of a stored job to the job's owner, which
--- a/fleet/keep/lease.go
+++ b/fleet/keep/lease.go
@@ -18,8 +18,9 @@
 	// owner with open jobs asks whether it has been replaced.
 	confirmAfter = 400 * time.Millisecond
 	// maxUnconfirmed is how long an owner keeps its offers without a reply from
-	// the log. The next owner starts none of their tasks before a lease of the
-	// endpoints plus half a second has passed.
+	// the log. The next owner starts none of their tasks before that time and the
+	// longest time that a run may go on after it was given up have passed
+	// (ownerGrace in dispatch/leased).
 	maxUnconfirmed = 1100 * time.Millisecond
 	// maxConfirmationAge is the age of the last confirmation up to which an owner
 	// answers, without asking the log, a query that a newer owner might answer
