Bound the leases of delegated tasks by the entry of their caller

What callers saw: two runs of a task for up to 0.8 s. The entry at which a caller waited was lost without a reset; within 0.9 s the delegator was lost, frozen or cut off from the delegate, or the delegate's Stops were lost. The caller came back 1.3 s after the first loss, and the delegate went on until 2.1 s.

Cause: a delegate counted from its contact with the delegator, which goes on for 0.9 s after its last contact with the entry. The two waits add up.

Change: a delegated task names the entry that waits for its job, and when the delegator last heard it.

--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -196,9 +196,10 @@
 	t.delegatedCell = cell.Cell
 	t.searching = adopt
 	c.markBegun(t.job)
+	origin, age := c.originOf(t.job)
 	c.out.Delegations = append(c.out.Delegations, Delegate{Holder: cell.Holder, Cell: cell.Cell, Evidence: t.evidence, Task: DelegatedTask{
 		ID: t.id, Service: t.job.Service, Queue: t.job.Queue, Spec: t.job.Spec, Step: step,
-		Run: t.runs, Checkpoint: t.checkpoint, CallerTimeout: t.job.expires.Sub(c.now), Cell: cell.Cell, Adopt: adopt, Wait: c.cannotServe() && !adopt, Suspect: t.suspect() && !c.sharesElsewhere(t),
+		Run: t.runs, Checkpoint: t.checkpoint, CallerTimeout: t.job.expires.Sub(c.now), Origin: origin, OriginAge: age, Cell: cell.Cell, Adopt: adopt, Wait: c.cannotServe() && !adopt, Suspect: t.suspect() && !c.sharesElsewhere(t),
 	}})
 }
 
@@ -229,6 +230,7 @@
 func (c *Core) submitDelegated(in *SubmitDelegated) {
 	d := &in.Task
 	c.addCaller(in.Ticket, in.Caller, in.CallerHeardAt)
+	c.addOrigin(in)
 	j := c.newDelegated(d, in.Ticket)
 	t := &j.tasks[0][0]
 	if c.overtaken(d) {
@@ -361,7 +363,7 @@
 	j := &job{
 		Job:     Job{ID: d.ID.Job, Spec: d.Spec, Service: d.Service, Queue: d.Queue, MaxAttempts: 1, Steps: []Step{d.Step}},
 		tickets: []Ticket{ticket}, arrived: c.now, expires: c.now.Add(d.CallerTimeout), delegated: true, suspect: d.Suspect,
-		cell: d.Cell, remaining: []int{1},
+		origin: d.Origin, cell: d.Cell, remaining: []int{1},
 	}
 	j.tasks = [][]task{{{id: d.ID, job: j, step: &j.Steps[0], checkpoint: d.Checkpoint, lostAt: c.now}}}
 	c.tickets[ticket] = j
--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -128,7 +128,12 @@
 	Run           int    // number of this run
 	Checkpoint    string // checkpoint to resume from
 	CallerTimeout time.Duration
-	Cell          string // to whose holder the task is delegated
+	// Origin is the incarnation of the entry that waits for the job, if that is not the
+	// delegator itself: 0 then, or if this entry does not hear it regularly. OriginAge
+	// is how long before the delegation the delegator has last heard it.
+	Origin    uint64
+	OriginAge time.Duration
+	Cell      string // to whose holder the task is delegated
 	// Wait reports that the delegator holds no cell any more: the task waits
 	// here for a free endpoint instead of being returned.
 	Wait    bool
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -60,6 +60,7 @@
 	failed      bool      // a run has failed, or was lost with its endpoint
 	delegated   bool      // one task of another holder's job
 	suspect     bool      // of a delegated task: an endpoint was lost with it before
+	origin      uint64    // of a delegated task: the entry that waits for its job; 0: the delegator, or not known
 	cell        string    // of a delegated task: the only cell where it may run, so that its run can be found again
 }
 
--- a/dispatch/leased/renewal.go
+++ b/dispatch/leased/renewal.go
@@ -121,13 +121,59 @@
 	return heard, true
 }
 
+// originOf returns the entry that waits for a job and was heard last, and how long ago
+// that was. It returns 0 if a caller waits at this entry.
+func (c *Core) originOf(j *job) (origin uint64, age time.Duration) {
+	var heard time.Time
+	for _, ticket := range j.tickets {
+		caller, remote := c.callers[ticket]
+		if !remote {
+			return 0, 0
+		}
+		if at := c.heardFor(caller); origin == 0 || at.After(heard) {
+			origin, heard = caller.id, at
+		}
+	}
+	return origin, min(max(0, c.now.Sub(heard)), contactRetention)
+}
+
+// addOrigin records when the entry that waits for the job of a delegated task was last
+// heard, by the delegator's word. From then on only its own heartbeats count.
+func (c *Core) addOrigin(in *SubmitDelegated) {
+	if in.Task.Origin == 0 {
+		return
+	}
+	sent := in.CallerHeardAt
+	if sent.IsZero() {
+		sent = c.now
+	}
+	c.contact(&CallerContact{Caller: in.Task.Origin, HeardAt: sent.Add(-in.Task.OriginAge)})
+}
+
+// Origins returns the entries that wait for the jobs of the tasks that others have
+// delegated to this core, in no order. Their contacts bound the leases of these tasks.
+func (c *Core) Origins() []uint64 {
+	var list []uint64
+	for _, j := range c.delegated {
+		if j.origin != 0 && !slices.Contains(list, j.origin) {
+			list = append(list, j.origin)
+		}
+	}
+	return list
+}
+
 // claimLimit returns until when the runs of a job may hold leases, by when the entries
-// that wait for it were last heard. Zero: without limit.
+// that wait for it were last heard. Zero: without limit. A delegated task depends on the
+// delegator and on the entry that waits for its job: if that is lost, the delegator
+// need not have noticed it before it is lost, too.
 func (c *Core) claimLimit(j *job) time.Time {
 	heard, remote := c.lastHeard(j)
 	if !remote {
 		return time.Time{}
 	}
+	if at := c.contacts[j.origin]; j.origin != 0 && at.Before(heard) {
+		heard = at
+	}
 	return heard.Add(c.claimTime)
 }
 
@@ -140,11 +186,15 @@
 	return contactGrace
 }
 
-// unheard reports whether no entry that waits for a job was heard within its grace. No
-// task is started for such a job.
+// unheard reports whether no entry that waits for a job was heard within its grace, or
+// whether that which waits for the job of a delegated task was not. No task is started
+// for such a job.
 func (c *Core) unheard(j *job) bool {
 	heard, remote := c.lastHeard(j)
-	return remote && c.now.Sub(heard) > j.grace()
+	if !remote {
+		return false
+	}
+	return c.now.Sub(heard) > j.grace() || j.origin != 0 && c.now.Sub(c.contacts[j.origin]) > contactGrace
 }
 
 // outlives reports whether an endpoint may hold a lease that lasts longer than the runs
--- a/dispatch/leased/restart_review_test.go
+++ b/dispatch/leased/restart_review_test.go
@@ -67,6 +67,7 @@
 			sim.runUntil(200 * time.Millisecond)
 			sim.hear(0, 7, lostAt)
 			sim.hear(1, delegatorID, cutAt)
+			sim.hear(1, 7, lostAt)
 			sim.at(cutAt+leased.CallerSilence(callerPause, maxLease), func() { sim.step(1, &leased.Cancel{Ticket: ticket}) })
 			sim.after(0, func() {
 				sim.step(0, &leased.AnnounceFreeCapacity{Announced: []leased.FreeCapacity{{Holder: 2, Cell: "c1", Free: []int{64_000}}}})
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -170,6 +170,9 @@
 	l.lastTicket++
 	l.delegatedWaiters[l.lastTicket] = m.answer
 	m.ticket <- l.lastTicket
+	if !l.hearsOften(m.task.Origin) {
+		m.task.Origin = 0
+	}
 	l.step(&leased.SubmitDelegated{Ticket: l.lastTicket, Task: m.task, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.caller)})
 }
 
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -50,11 +50,16 @@
 	}
 }
 
+// maxCallerAge is the age of a contact from which on an entry is certainly not heard any
+// more.
+const maxCallerAge = time.Minute
+
 func delegatedTaskToPB(t *leased.DelegatedTask, from uint64) *fleetpb.LendRequest {
 	return &fleetpb.LendRequest{
 		From: from, Job: string(t.ID.Job), Occurrence: uint32(t.ID.Occurrence), StepNumber: uint32(t.ID.Step), Index: uint32(t.ID.Index),
 		Service: t.Service, Queue: t.Queue, Spec: t.Spec, Step: stepToPB(&t.Step), Run: uint32(t.Run), Saved: t.Checkpoint,
 		PatienceUs: t.CallerTimeout.Microseconds(), Adopt: t.Adopt, Cell: t.Cell, Wait: t.Wait, Suspect: t.Suspect,
+		Caller: t.Origin, CallerAgeUs: t.OriginAge.Microseconds(),
 	}
 }
 
@@ -63,6 +68,7 @@
 		ID:      leased.TaskID{Job: leased.JobID(r.Job), Occurrence: int(r.Occurrence), Step: int(r.StepNumber), Index: int(r.Index)},
 		Service: r.Service, Queue: r.Queue, Spec: r.Spec, Step: stepFromPB(r.Step), Run: int(r.Run), Checkpoint: r.Saved,
 		CallerTimeout: microseconds(r.PatienceUs), Adopt: r.Adopt, Cell: r.Cell, Wait: r.Wait, Suspect: r.Suspect,
+		Origin: r.Caller, OriginAge: microseconds(min(max(0, r.CallerAgeUs), maxCallerAge.Microseconds())),
 	}
 }
 
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -106,9 +106,15 @@
 
 // callerContacts returns when each entry with open calls was last heard, by
 // incarnation: its last heartbeat or, if none has arrived, the beginning of its earliest
-// call. The core extends the leases of their runs no further than that allows.
+// call. It also returns when the origins of delegated tasks were last heard. The core
+// extends the leases of their runs no further than that allows.
 func (l *Loop) callerContacts() []leased.CallerContact {
 	var contacts []leased.CallerContact
+	for _, id := range l.core.Origins() {
+		if heardAt, heard := l.roster.LastHeartbeat(cells.Incarnation(id)); heard {
+			contacts = append(contacts, leased.CallerContact{Caller: id, HeardAt: heardAt})
+		}
+	}
 	for id, began := range l.peers.inbound.earliest() {
 		heardAt, heard := l.roster.LastHeartbeat(id)
 		if !heard {
@@ -120,6 +126,14 @@
 	return contacts
 }
 
+// hearsOften reports whether the heartbeats of another entry arrive often enough to
+// bound the leases of delegated tasks by them. In a large fleet, entries of different
+// failure domains hear each other rarely.
+func (l *Loop) hearsOften(id uint64) bool {
+	e, live := l.view.Find(cells.Incarnation(id))
+	return live && id != uint64(l.view.Self.Incarnation) && e.Interval <= maxLocalInterval
+}
+
 // heardAt returns when the entry whose call has arrived was last heard, or zero if no
 // heartbeat of it is known. The call may have been held up since.
 func (l *Loop) heardAt(caller cells.Incarnation) time.Time {
