--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -190,6 +190,13 @@
 	return a
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // resubmitPause returns how long runs of a submitted job may be active without being
 // seen: those under holders that had the job before. What is known here of runs that
 // this holder has started is among its runs and unseen runs. Tasks of a stored job also
--- a/dispatch/leased/renewal.go
+++ b/dispatch/leased/renewal.go
@@ -171,8 +171,8 @@
 	if !remote {
 		return time.Time{}
 	}
-	if at := c.contacts[j.origin]; j.origin != 0 && at.Before(heard) {
-		heard = at
+	if j.origin != 0 {
+		heard = earlier(heard, c.contacts[j.origin])
 	}
 	return heard.Add(c.claimTime)
 }
