Let a second submission of a job take over from the first

What callers saw: two runs of a task at the same time are possible if a caller's connection breaks and its entry does not notice (half-open). The caller sends the job again after 1.3 s. If it arrives at the same entry, Service.Submit knew nothing of the first submission, and submitted the job as a new one, possibly to another holder, which starts the tasks at once while the first holder still runs them. A cancellation reached only the newer submission.

Cause: track replaced the earlier submission of the same ID in the map, without a look at it.

Change: an entry has one submission of a best-effort job at a time. A later one ends the earlier one, whose caller gets the answer of a caller that has disconnected, and waits until it has returned, with no lock held. If the earlier one was answered (completed, failed, rejected, cancelled), the later one gets that answer. Otherwise it goes on with the history of the earlier one: the holders that may have begun the job, and the one to ask first, as after a broken call. So the same holder gets the job once more, with OnlyHolder if it is the only one; others get it as a resubmitted job, whose tasks wait. The wait does not end with the context of the later submission, so that a third one finds the complete history. It is short, because the earlier context is done. No goroutine is added. A job that was taken over is not rejected where no holder can run it, because a rejection says that nothing was run.

The tests that call runAtHolder pass it an empty history; nothing else changes in them.

The work of a run is kept only if the second call arrives at the holder before the cancellation of the first; otherwise the runs are stopped, and the tasks start again once they have ended.

Stored jobs go another way: the owner of a shard answers a second submission from the stored state (dispatch/stored/shard.go), and has one offer of a job at a time.

--- a/fleet/resume_open_test.go
+++ b/fleet/resume_open_test.go
@@ -25,7 +25,7 @@
 		return refusesJob(ctx, l)
 	})
 	s.loop.freezeDetector = newFreezeDetector(clocks.read, zap.NewNop())
-	got := s.runAtHolder(context.Background(), leased.Job{ID: "j", CallerTimeout: 5 * time.Second})
+	got := s.runAtHolder(context.Background(), leased.Job{ID: "j", CallerTimeout: 5 * time.Second}, &holderHistory{})
 	if got.Verdict != leased.Completed || len(y.submits) != 1 {
 		t.Fatalf("%v after %d calls to the other holder", got.Verdict, len(y.submits))
 	}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -55,7 +55,10 @@
 	queue      string
 	receivedAt time.Time
 	cancel     context.CancelFunc
-	cancelled  bool // by a caller
+	cancelled  bool          // by a caller
+	ended      chan struct{} // closed at the end; outcome and history may be read then
+	outcome    Outcome
+	history    holderHistory
 }
 
 // Resolve returns the queue for the host and path of a request, and the rest of
@@ -155,19 +158,19 @@
 func (s *Service) Submit(ctx context.Context, job leased.Job) Outcome {
 	ctx, cancel := context.WithTimeout(ctx, job.CallerTimeout)
 	defer cancel()
-	sub := &submission{queue: job.Queue, receivedAt: time.Now(), cancel: cancel}
-	s.track(job.ID, sub)
+	sub := &submission{
+		queue: job.Queue, receivedAt: time.Now(), cancel: cancel, ended: make(chan struct{}), outcome: s.abandoned(),
+	}
+	earlier := s.track(job.ID, sub)
 	defer s.untrack(job.ID, sub)
-	outcome := Outcome{Verdict: leased.Rejected, Reason: unschedulableReason, RetryAfter: unschedulableRetryAfter}
-	switch latest := s.loop.Latest(); {
-	case latest.allEvacuated():
-		outcome = Outcome{Verdict: leased.Rejected, Reason: reasonAllEvacuated, RetryAfter: allEvacuatedRetryAfter}
-	case !job.Unschedulable(latest.Endpoints):
-		outcome = s.runAtHolder(ctx, job)
+	outcome, answered := s.takeOver(earlier, &job, sub)
+	if !answered {
+		outcome = s.run(ctx, job, &sub.history)
 	}
 	if s.wasCancelled(sub) {
 		outcome = Outcome{Verdict: leased.Abandoned, Reason: ReasonCancelled}
 	}
+	sub.outcome = outcome
 	took := time.Since(sub.receivedAt)
 	s.metrics.answers.WithLabelValues(job.Queue, outcome.Verdict.String()).Inc()
 	s.metrics.answerSeconds.WithLabelValues(job.Queue).Observe(took.Seconds())
@@ -175,6 +178,40 @@
 	return outcome
 }
 
+// run runs a job at a holder unless no holder can run it.
+func (s *Service) run(ctx context.Context, job leased.Job, history *holderHistory) Outcome {
+	latest := s.loop.Latest()
+	switch {
+	case ctx.Err() != nil:
+		return s.abandoned()
+	case latest.allEvacuated():
+		rejected := Outcome{Verdict: leased.Rejected, Reason: reasonAllEvacuated, RetryAfter: allEvacuatedRetryAfter}
+		return abandonIfResubmitted(rejected, &job)
+	case job.Unschedulable(latest.Endpoints):
+		rejected := Outcome{Verdict: leased.Rejected, Reason: unschedulableReason, RetryAfter: unschedulableRetryAfter}
+		return abandonIfResubmitted(rejected, &job)
+	}
+	return s.runAtHolder(ctx, job, history)
+}
+
+// takeOver waits until the earlier submission of a job, which track has ended, has
+// returned. Its holders count as earlier holders of the job. If it was answered in the
+// meantime, its outcome is returned, because a job that has ended does not run again.
+func (s *Service) takeOver(earlier *submission, job *leased.Job, sub *submission) (Outcome, bool) {
+	if earlier == nil {
+		return Outcome{}, false
+	}
+	// The wait is short, because the earlier context is done. It does not end with the
+	// context of the later submission, so that the next one finds the complete history.
+	<-earlier.ended
+	answered := earlier.outcome.Verdict != leased.Abandoned || s.wasCancelled(earlier)
+	sub.history = earlier.history
+	job.Resubmitted = job.Resubmitted || sub.history.mayHaveBegun()
+	s.log.Info("submission_taken_over", zap.String("job", string(job.ID)), zap.Duration("age_ms", time.Since(earlier.receivedAt)),
+		zap.String("verdict", earlier.outcome.Verdict.String()), zap.Bool("answered", answered), zap.Bool("may_have_begun", job.Resubmitted))
+	return earlier.outcome, answered
+}
+
 func (s *Service) logAnswer(job *leased.Job, o *Outcome, took time.Duration) {
 	write := s.log.Info
 	if o.Verdict != leased.Completed {
@@ -190,10 +227,17 @@
 	return sub.cancelled
 }
 
-func (s *Service) track(id leased.JobID, sub *submission) {
+// track records a submission. It ends an earlier one of the same job, whose caller's
+// connection is taken for broken, and returns it.
+func (s *Service) track(id leased.JobID, sub *submission) *submission {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	earlier := s.running[id]
 	s.running[id] = sub
+	if earlier != nil {
+		earlier.cancel()
+	}
+	return earlier
 }
 
 func (s *Service) untrack(id leased.JobID, sub *submission) {
@@ -202,48 +246,51 @@
 	if s.running[id] == sub {
 		delete(s.running, id)
 	}
+	close(sub.ended)
 }
 
 // runAtHolder submits a job to a holder, and to another one if that holder is
-// lost. If only the call to the holder broke, that one gets the job once more.
-func (s *Service) runAtHolder(ctx context.Context, job leased.Job) Outcome {
+// lost. If only the call to the holder broke, that one gets the job once more. The
+// history holds the holders of an earlier submission, and those of this one at the end.
+func (s *Service) runAtHolder(ctx context.Context, job leased.Job, history *holderHistory) Outcome {
 	began := time.Now()
 	wait := callerWait{since: began, timeout: job.CallerTimeout, before: job.Waited}
 	lostAt := time.Time{}
 	backoff := minHolderBackoff
-	preferred := cells.Incarnation(0) // the holder that a moved job, or one whose call broke, should go to
-	again := sameHolder{}
-	var lost lostHolders
-	returning := job.Resubmitted // after holders that this call does not know
+	history.unknown = history.unknown || job.Resubmitted && len(history.lost) == 0
 	job.Movable = s.loop.settings.Balancing
 	for {
 		if pause := s.loop.freezeDetector.remainingPause(); pause > 0 && !pauseFor(ctx, pause) {
 			return s.abandoned() // the caller disconnected during the freeze
 		}
 		latest := s.loop.Latest()
-		holder, ok := s.chooseHolder(latest, &job, preferred)
-		preferred = 0
+		holder, ok := s.chooseHolder(latest, &job, history.preferred)
+		history.preferred = 0
 		if ok {
 			sent := time.Now()
 			wait.apply(&job, sent)
-			job.OnlyHolder = !returning && lost.only(holder)
+			job.OnlyHolder = !history.unknown && history.lost.only(holder)
 			outcome, err := s.offer(ctx, latest, holder, &job)
 			if err == nil {
+				if outcome.Verdict == leased.Abandoned {
+					history.callEnded(holder, nil)
+				}
 				return abandonIfResubmitted(outcome, &job)
 			}
-			returning = returning || job.Resubmitted && len(lost) == 0
+			history.unknown = history.unknown || job.Resubmitted && len(history.lost) == 0
 			if ctx.Err() != nil {
+				history.callEnded(holder, err)
 				return s.abandoned() // the call was ended here, and the holder is not lost
 			}
 			if to, moved := s.jobMoved(err, holder, &job, sent); moved {
-				preferred = to
+				history.preferred = to
 				continue
 			}
 			if !errors.Is(err, errNotHolder) {
 				s.holderLost(holder, &job, err)
-				lost.add(holder, err)
+				history.lost.add(holder, err)
 				lostAt = time.Now()
-				preferred = again.next(holder, err)
+				history.preferred = history.again.next(holder, err)
 			}
 		}
 		if ctx.Err() != nil {
@@ -368,41 +415,6 @@
 		zap.Bool("may_have_begun", job.Resubmitted), zap.Error(err))
 }
 
-// lostHolders are the holders that may have begun a job and were lost since.
-type lostHolders []cells.Incarnation
-
-// add records that a holder was lost, unless nothing was sent to it.
-func (l *lostHolders) add(holder cells.Entry, err error) {
-	var notSent *notSentError
-	if !errors.As(err, &notSent) {
-		*l = append(*l, holder.Incarnation)
-	}
-}
-
-// only reports whether a holder is the only one that may have begun the job.
-func (l lostHolders) only(holder cells.Entry) bool {
-	return len(l) > 0 && !slices.ContainsFunc(l, func(id cells.Incarnation) bool { return id != holder.Incarnation })
-}
-
-// sameHolder decides when a job whose call broke goes to the same holder once more.
-// That one may still have the job and continues it, or it knows what has become of
-// its runs. Another holder has to wait until they have certainly ended.
-type sameHolder struct {
-	tried cells.Incarnation // the holder that gets or has got the job once more; 0: none
-}
-
-// next returns the holder that the job should go to after its call to a holder has
-// failed, or 0 for any.
-func (s *sameHolder) next(holder cells.Entry, err error) cells.Incarnation {
-	var broken *brokenCallError
-	if holder.Incarnation == s.tried || !errors.As(err, &broken) || broken.gone {
-		s.tried = 0
-	} else {
-		s.tried = holder.Incarnation
-	}
-	return s.tried
-}
-
 // holderFor returns the holder that a new job is submitted to: one of this
 // entry's failure domain or, if that has none or is evacuated, one of any other.
 // The random number draw, in [0, 1), selects among them by their announced free
--- a/fleet/service_test.go
+++ b/fleet/service_test.go
@@ -180,7 +180,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, x, y := breakingHolders(t, c.leaving, c.answers...)
-			got := s.runAtHolder(context.Background(), leased.Job{ID: "j", CallerTimeout: 5 * time.Second})
+			got := s.runAtHolder(context.Background(), leased.Job{ID: "j", CallerTimeout: 5 * time.Second}, &holderHistory{})
 			if got.Verdict != leased.Completed || len(x.submits) != c.x || len(y.submits) != c.y {
 				t.Errorf("%v after %d calls to x and %d to y, want completed after %d and %d", got.Verdict, len(x.submits), len(y.submits), c.x, c.y)
 			}
@@ -191,7 +191,7 @@
 // The job counts as resubmitted at the same holder, too, in the next epoch.
 func TestJobThatGoesBackIsResubmitted(t *testing.T) {
 	s, x, _ := breakingHolders(t, false, breaksCall, completesJob)
-	s.runAtHolder(context.Background(), leased.Job{ID: "j", CallerTimeout: 5 * time.Second})
+	s.runAtHolder(context.Background(), leased.Job{ID: "j", CallerTimeout: 5 * time.Second}, &holderHistory{})
 	for epoch := range uint64(2) {
 		if r := receiveFrom(t, x.submits); r.Epoch != epoch || r.Resubmitted != (epoch == 1) {
 			t.Errorf("request of epoch %d, resubmitted %v, want epoch %d", r.Epoch, r.Resubmitted, epoch)
@@ -207,7 +207,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	})
-	got := s.runAtHolder(context.Background(), leased.Job{ID: "j", CallerTimeout: 5 * time.Second})
+	got := s.runAtHolder(context.Background(), leased.Job{ID: "j", CallerTimeout: 5 * time.Second}, &holderHistory{})
 	if got.Verdict != leased.Completed || len(x.submits) != 1 || len(y.submits) != 1 {
 		t.Errorf("%v after %d calls to x and %d to y, want completed after one each", got.Verdict, len(x.submits), len(y.submits))
 	}
