Count an entry as heard when its heartbeat was sent

What callers saw: two runs of a task at the same time. The entry that a caller waits at was lost; the holder of its job had stood still for 0.5 s, which is less than counts as a freeze, and read the entry's last heartbeat only then. It renewed the run for 1.2 s from that time, and the caller sent the job to another entry 1.3 s after its connection broke.

Cause: an entry counted as heard at the time at which its heartbeat was read.

Change: heartbeats say when they were sent, by the boot clock (sent_us), read before the withdrawals that they name are collected. The receiver subtracts their delay (membership/contact). The roster keeps that time beside the time of reading: lastContact for leases and the cancellation of calls, lastHeartbeat for who is live and holds cells. A heartbeat without sent_us counts from its reading, as before.

Calls are cancelled by the time of sending, too. After a stall ticks may run before queued heartbeats are read, so for 0.1 s after a gap of 0.15 s between ticks no calls are cancelled for silence. Leases are not extended meanwhile, so that only the stop comes later. caller_entry_lost logs contact_age_ms.

Tests: TestHeartbeatThatWaitedToBeReadIsOldContact passed the time of reading to the core itself, so no change of the fleet could mend it.

LastHeartbeat of the roster is called LastContact, and its test likewise.

--- a/dispatch/leased/restart_review_test.go
+++ b/dispatch/leased/restart_review_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/membership/contact"
 )
 
 // These tests show schedules in which a run outlasts the time after which the caller of
@@ -87,24 +88,31 @@
 }
 
 // Guards against a contact that counts from the time at which a heartbeat was read, not
-// from the time at which it arrived: the holder stood still for less time than counts as
-// a freeze. No Stop is lost.
+// from the time at which it was sent: the holder stood still for less time than counts as
+// a freeze. No Stop is lost. The contacts are those that fleet computes from the times on
+// the boot clocks, TestQueuedHeartbeatIsContactOfItsSending.
 func TestHeartbeatThatWaitedToBeReadIsOldContact(t *testing.T) {
 	sim := newSimulation(t, 1, 2)
 	sim.addEndpoints(0, 1)
 	sim.addEndpoints(1, 1)
 	sim.runUntil(200 * time.Millisecond)
 	lostAt := time.Second
-	sim.hear(0, 7, lostAt-heartbeatInterval)
+	var delays contact.Delays
+	hear := func(sentAt time.Duration) {
+		const clockLead = 7 * time.Hour // of the holder's clock
+		delay := delays.Delay(7, clockLead+sim.now, sentAt)
+		sim.step(0, &leased.CallerContact{Caller: 7, HeardAt: simStart.Add(sim.now - delay)})
+	}
+	for at := lostAt - heartbeatInterval; at > sim.now; at -= heartbeatInterval {
+		sim.at(at, func() { hear(at) })
+	}
 	job := singleTaskJob("j")
 	ticket := sim.submitFrom(0, 7, job)
 	sim.runUntil(lostAt - 10*time.Millisecond)
 	stalled := 500 * time.Millisecond // SilenceTimeout is 550 ms at the usual interval
 	sim.pausedUntil[0] = sim.now + stalled
 	readAt := sim.pausedUntil[0]
-	sim.at(readAt, func() { // the heartbeat that was sent at lostAt, as fleet passes it on
-		sim.step(0, &leased.CallerContact{Caller: 7, HeardAt: simStart.Add(sim.now)})
-	})
+	sim.at(readAt, func() { hear(lostAt) })
 	sim.at(readAt+leased.CallerSilence(callerPause, maxLease), func() { sim.step(0, &leased.Cancel{Ticket: ticket}) })
 	sim.runUntil(lostAt + callerPause)
 	sim.submitJob(1, job, longRun)
--- a/fleet/heartbeats.go
+++ b/fleet/heartbeats.go
@@ -231,13 +231,14 @@
 
 func (l *Loop) heartbeat(local bool) *fleetpb.Beat {
 	self := l.view.Self
+	sentAt := bootMicroseconds(l.freezeDetector.readClocks) // the heartbeat names the withdrawals up to then
 	withdrawals := l.peers.outbound.withdrawals(time.Now())
 	l.logOverflow(withdrawals.overflow)
 	heartbeat := &fleetpb.Beat{
 		Name: self.Name, Address: self.Address, Beats: self.HeartbeatAddress, FailureDomain: self.FailureDomain,
 		Incarnation: uint64(self.Incarnation), Weight: self.Weight, IntervalMs: uint32(l.interval(local).Milliseconds()),
 		Leaving: l.stopping, ConfigurationVersion: l.directory.Version, Token: l.maxToken,
-		CallEpochs: withdrawals.epochs, WithdrawnCalls: withdrawals.calls,
+		CallEpochs: withdrawals.epochs, WithdrawnCalls: withdrawals.calls, SentUs: sentAt,
 	}
 	l.announceLogContact(heartbeat)
 	if l.directory.Evacuations != nil {
@@ -297,6 +298,8 @@
 		reason = fmt.Sprintf("weight %v", b.Weight)
 	case time.Duration(b.IntervalMs)*time.Millisecond > maxHeartbeatInterval:
 		reason = fmt.Sprintf("interval of %d ms", b.IntervalMs)
+	case b.SentUs > maxSentMicroseconds:
+		reason = fmt.Sprintf("sent when the boot clock showed %d us", b.SentUs)
 	case b.EvacuationsRevision < 0:
 		reason = fmt.Sprintf("revision %d of evacuations", b.EvacuationsRevision)
 	case b.Token < 0 || b.Token>>tokenLowBits > now.Add(maxTokenLead).UnixMilli():
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -16,6 +16,7 @@
 	"lovagespread.example/dispatch/evacuation"
 	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/membership/cells"
+	"lovagespread.example/membership/contact"
 )
 
 // Sizes and intervals of the loop.
@@ -25,7 +26,13 @@
 	// assignInterval is how often the held endpoints are recomputed without any
 	// change of entries or endpoints, because a failure domain may have become
 	// empty with time.
-	assignInterval         = 250 * time.Millisecond
+	assignInterval = 250 * time.Millisecond
+	// stallThreshold is the time between two ticks above which this process has stood
+	// still. On a VM with a share of a processor it regularly stands still for 80 ms.
+	stallThreshold = 150 * time.Millisecond
+	// backlogTime is the time allowed after that for reading queued heartbeats. It is
+	// half of the time from the cancellation of a call to the end of its runs' leases.
+	backlogTime            = 100 * time.Millisecond
 	minAnnouncedMilliCores = 1000 // endpoints with less free capacity are not announced
 )
 
@@ -87,6 +94,9 @@
 	evacuatedRuns       int       // on evacuated endpoints, in the latest snapshot
 	resumedAt           time.Time // end of the latest freeze that was handled
 	withdrawalsSentAt   time.Time // apart from the usual heartbeats
+	delays              contact.Delays
+	tickedAt            time.Time // the latest tick
+	backlogUntil        time.Time // heartbeats that arrived while this process stood still may be unread
 }
 
 // announcedCapacity is the free capacity of a cell as announced by its holder.
@@ -162,6 +172,7 @@
 func (l *Loop) tick() {
 	now := time.Now()
 	l.refresh(now)
+	l.detectStall(now)
 	l.cancelCallsOfLostEntries(now)
 	l.passCapacityOn(now)
 	l.step(&leased.Tick{Contacts: l.callerContacts()})
@@ -230,22 +241,39 @@
 	return leased.CallerSilence(s.CallerRetry, s.MaxLease)
 }
 
+// detectStall allows time for reading queued heartbeats if this process has stood still
+// since the last tick.
+func (l *Loop) detectStall(now time.Time) {
+	if !l.tickedAt.IsZero() && now.Sub(l.tickedAt) > stallThreshold {
+		l.backlogUntil = now.Add(backlogTime)
+	}
+	l.tickedAt = now
+}
+
 // cancelCallsOfLostEntries cancels the calls from entries that have been silent
 // for callerSilence, or have been replaced by a new incarnation. An entry that has
-// just started may call before its first heartbeat arrives.
+// just started may call before its first heartbeat arrives. Entries whose heartbeats may
+// be unread are not silent. Leases are not extended for them meanwhile.
 func (l *Loop) cancelCallsOfLostEntries(now time.Time) {
 	silence := l.settings.callerSilence()
 	for _, id := range l.peers.inbound.entries() {
-		before := now
+		before, age := now, time.Duration(0)
+		if heardAt, heard := l.roster.LastContact(id); heard {
+			age = now.Sub(heardAt)
+		}
 		switch l.roster.Contact(now, id, silence) {
 		case cells.Heard:
 			continue
 		case cells.Unknown:
 			before = now.Add(-silence)
-		case cells.Silent, cells.Replaced:
+		case cells.Silent:
+			if now.Before(l.backlogUntil) {
+				continue
+			}
+		case cells.Replaced:
 		}
 		if n := l.peers.inbound.cancelBefore(id, before); n > 0 {
-			l.log.Warn("caller_entry_lost", zap.Uint64("incarnation", uint64(id)), zap.Int("calls", n))
+			l.log.Warn("caller_entry_lost", zap.Uint64("incarnation", uint64(id)), zap.Int("calls", n), zap.Duration("contact_age_ms", age))
 		}
 	}
 }
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -105,12 +105,12 @@
 }
 
 // callerContacts returns when each entry with open calls was last heard, by
-// incarnation: its last heartbeat or, if none has arrived, the beginning of its earliest
-// call. The core extends the leases of their runs no further than that allows.
+// incarnation: when its last heartbeat was sent or, if none has arrived, the beginning of
+// its earliest call. The core extends the leases of their runs no further than that allows.
 func (l *Loop) callerContacts() []leased.CallerContact {
 	var contacts []leased.CallerContact
 	for id, began := range l.peers.inbound.earliest() {
-		heardAt, heard := l.roster.LastHeartbeat(id)
+		heardAt, heard := l.roster.LastContact(id)
 		if !heard {
 			heardAt = began
 		}
@@ -123,6 +123,6 @@
 // heardAt returns when the entry whose call has arrived was last heard, or zero if no
 // heartbeat of it is known. The call may have been held up since.
 func (l *Loop) heardAt(caller cells.Incarnation) time.Time {
-	heardAt, _ := l.roster.LastHeartbeat(caller)
+	heardAt, _ := l.roster.LastContact(caller)
 	return heardAt
 }
--- a/membership/cells/cells.go
+++ b/membership/cells/cells.go
@@ -99,7 +99,8 @@
 
 type member struct {
 	Entry
-	lastHeartbeat time.Time
+	lastHeartbeat time.Time   // when its latest heartbeat was read
+	lastContact   time.Time   // when its newest heartbeat was sent, as far as is known
 	logAnsweredAt time.Time   // about when it sent its latest call that the log has answered
 	logFails      bool        // the log has not answered its latest call
 	suspect       bool        // its connection broke, and no heartbeat has arrived since
@@ -111,9 +112,17 @@
 	return &Roster{self: self, listeningSince: now, members: make(map[string]*member)}
 }
 
-// ReceiveHeartbeat records a heartbeat. It returns true if the entry was not
-// live before.
+// ReceiveHeartbeat records a heartbeat that was sent just now. It returns true if the
+// entry was not live before.
 func (r *Roster) ReceiveHeartbeat(now time.Time, e Entry) bool {
+	return r.ReceiveDelayedHeartbeat(now, e, 0)
+}
+
+// ReceiveDelayedHeartbeat records a heartbeat that was on its way, or waited to be read,
+// for a time. It returns true if the entry was not live before. Whether an entry is live
+// depends on when its heartbeats are read, so that none looks lost because this process
+// stood still; LastContact and Contact depend on when they were sent.
+func (r *Roster) ReceiveDelayedHeartbeat(now time.Time, e Entry, delay time.Duration) bool {
 	if e.Incarnation == r.self.Incarnation || e.Incarnation == 0 {
 		return false
 	}
@@ -128,10 +137,14 @@
 	}
 	if m.Incarnation < e.Incarnation {
 		m.replaced = m.Incarnation
+		m.lastContact = time.Time{}
 		m.logAnsweredAt, m.logFails = time.Time{}, false
 	}
 	m.Entry = e
 	m.lastHeartbeat = now
+	if sentAt := now.Add(-delay); sentAt.After(m.lastContact) {
+		m.lastContact = sentAt
+	}
 	m.suspect = false
 	return isNew
 }
@@ -142,20 +155,20 @@
 // Contacts with an incarnation.
 const (
 	Unknown  Contact = iota // no heartbeat has arrived, or none for forgetAfter
-	Heard                   // a heartbeat has arrived recently
-	Silent                  // none has arrived recently
+	Heard                   // a heartbeat was sent recently
+	Silent                  // none that has arrived was sent recently
 	Replaced                // a newer incarnation of the entry has sent one
 )
 
 // Contact returns what is known of an incarnation. A heartbeat is recent if it
-// has arrived within the given time.
+// was sent within the given time.
 func (r *Roster) Contact(now time.Time, id Incarnation, within time.Duration) Contact {
 	for _, m := range r.members {
 		switch {
 		case m.replaced == id:
 			return Replaced
 		case m.Incarnation != id:
-		case now.Sub(m.lastHeartbeat) <= within:
+		case now.Sub(m.lastContact) <= within:
 			return Heard
 		default:
 			return Silent
@@ -164,13 +177,13 @@
 	return Unknown
 }
 
-// LastHeartbeat returns when the last heartbeat of an incarnation arrived. It
-// returns false if none has, none for forgetAfter, or if a newer incarnation of the
-// entry has sent one.
-func (r *Roster) LastHeartbeat(id Incarnation) (time.Time, bool) {
+// LastContact returns when the newest heartbeat of an incarnation was sent. It returns
+// false if none has arrived, none for forgetAfter, or if a newer incarnation of the entry
+// has sent one.
+func (r *Roster) LastContact(id Incarnation) (time.Time, bool) {
 	for _, m := range r.members {
 		if m.Incarnation == id {
-			return m.lastHeartbeat, true
+			return m.lastContact, true
 		}
 	}
 	return time.Time{}, false
--- a/membership/cells/cells_test.go
+++ b/membership/cells/cells_test.go
@@ -256,22 +256,46 @@
 }
 
 // Guards against leases that are extended by the heartbeats of another incarnation.
-func TestLastHeartbeatIsThatOfTheIncarnation(t *testing.T) {
+func TestLastContactIsThatOfTheIncarnation(t *testing.T) {
 	r := rosterOf(start, a1, a2)
 	later := start.Add(interval)
 	r.ReceiveHeartbeat(later, a3)
-	if at, ok := r.LastHeartbeat(a2.Incarnation); !ok || !at.Equal(start) {
-		t.Errorf("last heartbeat at %v, %v, want %v", at, ok, start)
+	if at, ok := r.LastContact(a2.Incarnation); !ok || !at.Equal(start) {
+		t.Errorf("last contact at %v, %v, want %v", at, ok, start)
 	}
 	next := a2
 	next.Incarnation = 22
 	r.ReceiveHeartbeat(later, next)
-	if at, ok := r.LastHeartbeat(22); !ok || !at.Equal(later) {
-		t.Errorf("last heartbeat of the new incarnation at %v, %v, want %v", at, ok, later)
+	if at, ok := r.LastContact(22); !ok || !at.Equal(later) {
+		t.Errorf("last contact with the new incarnation at %v, %v, want %v", at, ok, later)
 	}
 	for _, id := range []Incarnation{a2.Incarnation, 99} {
-		if at, ok := r.LastHeartbeat(id); ok {
-			t.Errorf("last heartbeat of incarnation %d at %v, want none", id, at)
+		if at, ok := r.LastContact(id); ok {
+			t.Errorf("last contact with incarnation %d at %v, want none", id, at)
 		}
 	}
 }
+
+// Guards against an entry that counts as lost because this process stood still, and
+// against a heartbeat that counts as contact at the time at which it was read. A
+// heartbeat that was overtaken makes the contact no older.
+func TestDelayedHeartbeatIsOldContactOfALiveEntry(t *testing.T) {
+	r := rosterOf(start, a1, a2)
+	now := start.Add(2 * time.Second)
+	const delay = 600 * time.Millisecond
+	for _, d := range []time.Duration{delay, 2 * delay} {
+		r.ReceiveDelayedHeartbeat(now, a2, d)
+		if _, live := r.View(now).Find(a2.Incarnation); !live {
+			t.Error("an entry whose heartbeat was just read is not live")
+		}
+		if at, ok := r.LastContact(a2.Incarnation); !ok || !at.Equal(now.Add(-delay)) {
+			t.Errorf("last contact at %v, %v, want %v", at, ok, now.Add(-delay))
+		}
+	}
+	if c := r.Contact(now, a2.Incarnation, delay); c != Heard {
+		t.Errorf("contact %v within the delay, want %v", c, Heard)
+	}
+	if c := r.Contact(now, a2.Incarnation, delay-time.Millisecond); c != Silent {
+		t.Errorf("contact %v within less than the delay, want %v", c, Silent)
+	}
+}
