Count a call as contact at the time at which it was sent

What callers saw: two runs of a task at the same time. A call that was held up for 0.85 s counted as contact with its entry from its arrival, and the entry was lost since it had sent the call. The run was renewed for 1.2 s from then; the caller came back at another entry 1.3 s after its connection broke.

Cause: addCaller counted the arrival of a call, unless the entry's last heartbeat was more than 0.9 s old. It also raised the contact with the entry for all of its jobs, although a call, unlike a heartbeat, does not tell which other calls were withdrawn.

Change: Submit and Lend say when they were sent. The fleet passes, as CallerHeardAt, the later of the entry's last contact and the call's own, by the same smallest difference as for heartbeats, and never later than its arrival. The first message of an incarnation counts from its arrival; a call of an earlier version too, unless its entry has been silent for contactGrace, which was the core's rule before (leased.ContactGrace). The core counts the call at CallerHeardAt, for its ticket only, and its arrival only if CallerHeardAt is zero and nothing is known of the entry. CallerHeardAt before a freeze is no contact.

TestFirstCallOfAnEntryCountsAsContact relied on the arrival beside an older heartbeat. It passes the contact time of the call, as the fleet does now, and demands the same start; that the fleet computes this time is checked by TestCallIsContactOfItsSending.

--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -35,7 +35,8 @@
 	Ticket Ticket
 	Job    Job
 	Caller uint64 // incarnation of the entry that waits for the answer; 0: this one
-	// CallerHeardAt is when the last heartbeat of Caller arrived; zero: none is known.
+	// CallerHeardAt is when Caller was last heard, by a heartbeat or by this call; zero:
+	// not known.
 	CallerHeardAt time.Time
 }
 
@@ -46,7 +47,8 @@
 	Ticket Ticket
 	Task   DelegatedTask
 	Caller uint64 // incarnation of the delegator; 0: this entry
-	// CallerHeardAt is when the last heartbeat of Caller arrived; zero: none is known.
+	// CallerHeardAt is when Caller was last heard, by a heartbeat or by this call; zero:
+	// not known.
 	CallerHeardAt time.Time
 }
 
--- a/dispatch/leased/renewal.go
+++ b/dispatch/leased/renewal.go
@@ -80,32 +80,33 @@
 }
 
 // addCaller records which entry waits for a ticket; 0: this one. The call counts as
-// contact with an entry of which no heartbeat is known, or a recent one. The call of an
-// entry that has been silent may have been held up since, and withdrawn meanwhile: its
-// next heartbeat shows that.
+// contact at heardAt, for this ticket only: it does not tell which other calls its entry
+// has withdrawn. Its arrival counts only if nothing is known of the entry. The call may
+// have been held up, and withdrawn meanwhile: the next heartbeat shows that.
 func (c *Core) addCaller(ticket Ticket, caller uint64, heardAt time.Time) {
 	if caller == 0 {
 		return
 	}
-	if !heardAt.IsZero() {
-		c.contact(&CallerContact{Caller: caller, HeardAt: heardAt})
-	}
 	waiting := ticketCaller{id: caller}
-	if heard, known := c.contacts[caller]; !known || c.now.Sub(heard) <= contactGrace {
-		waiting.arrivedAt = c.now
+	_, known := c.contacts[caller]
+	switch {
+	case heardAt.IsZero() && !known:
+		waiting.heardAt = c.now
+	case !heardAt.Before(c.resumedAt): // see contact
+		waiting.heardAt = heardAt
 	}
 	c.callers[ticket] = waiting
 }
 
 // ticketCaller is the entry that waits for a ticket.
 type ticketCaller struct {
-	id        uint64
-	arrivedAt time.Time // of its call; zero: the call does not count as contact
+	id      uint64
+	heardAt time.Time // by its call; zero: the call does not count as contact
 }
 
 // heardFor returns when the entry that waits for a ticket was last heard.
 func (c *Core) heardFor(caller ticketCaller) time.Time {
-	return later(c.contacts[caller.id], caller.arrivedAt)
+	return later(c.contacts[caller.id], caller.heardAt)
 }
 
 // lastHeard returns when an entry that waits for a job was last heard, or false if a
@@ -192,6 +193,9 @@
 	}
 }
 
+// ContactGrace is how long tasks are started for an entry after it was last heard.
+const ContactGrace = contactGrace
+
 // contactRetention is how long it is remembered when an entry was last heard.
 const contactRetention = 30 * time.Second
 
--- a/dispatch/leased/renewal_test.go
+++ b/dispatch/leased/renewal_test.go
@@ -215,7 +215,7 @@
 		ID: leased.TaskID{Job: "j"}, Service: "s", Queue: "q", Run: 1, CallerTimeout: time.Second, Cell: "c0",
 		Step: leased.Step{Tasks: 1, Demand: leased.Demand{MilliCores: 27_000}, Estimate: 60 * time.Millisecond},
 	}
-	out := sim.cores[0].Step(simStart.Add(sim.now), &leased.SubmitDelegated{Ticket: 1, Task: task, Caller: 7})
+	out := sim.cores[0].Step(simStart.Add(sim.now), &leased.SubmitDelegated{Ticket: 1, Task: task, Caller: 7, CallerHeardAt: simStart.Add(sim.now)})
 	if len(out.Starts) != 1 {
 		t.Errorf("%d starts, want one: %+v", len(out.Starts), out.DelegatedAnswers)
 	}
@@ -269,3 +269,46 @@
 	sim.runUntil(lostAt + 4*time.Second)
 	sim.wantNoDoubleRuns()
 }
+
+// submitHeardAt submits a job of another entry that was heard at a time.
+func (sim *simulation) submitHeardAt(core int, caller uint64, heardAt time.Duration, job leased.Job) {
+	sim.callerHeardAt = simStart.Add(heardAt)
+	defer func() { sim.callerHeardAt = time.Time{} }()
+	sim.submitFrom(core, caller, job)
+}
+
+// Guards against a call that counts as contact from its arrival although it was held up
+// on its way: its entry is lost since, and the Stops of the run, too.
+func TestHeldUpCallCountsFromItsSending(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.addEndpoints(0, 1)
+	sim.addEndpoints(1, 1)
+	lostAt := time.Second
+	sim.runUntil(lostAt + 850*time.Millisecond)
+	sim.stopsLost = true
+	job := singleTaskJob("j")
+	sim.submitHeardAt(0, 7, lostAt, job)
+	sim.runUntil(lostAt + callerPause)
+	sim.submitJob(1, job, longRun)
+	sim.runUntil(lostAt + 4*time.Second)
+	sim.wantNoDoubleRuns()
+}
+
+// Guards against a call that extends the leases of other calls of its entry: unlike a
+// heartbeat, it does not tell which of them were withdrawn.
+func TestCallIsNoContactForOtherCalls(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.addEndpoints(0, 2)
+	sim.addEndpoints(1, 1)
+	sim.runUntil(200 * time.Millisecond)
+	brokenAt := time.Second
+	sim.hear(0, 7, brokenAt)
+	job := singleTaskJob("j")
+	sim.submitFrom(0, 7, job)
+	sim.runUntil(brokenAt + 800*time.Millisecond)
+	sim.submitHeardAt(0, 7, sim.now, singleTaskJob("k"))
+	sim.runUntil(brokenAt + callerPause)
+	sim.submitJob(1, job, longRun)
+	sim.runUntil(brokenAt + 4*time.Second)
+	sim.wantNoDoubleRuns()
+}
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -44,6 +44,7 @@
 	startTimeout        time.Duration // of the first attempt of a Start; it doubles with each further one
 	lossRate            float64       // share of requests that are executed late and not answered
 	caller              uint64        // entry from which jobs are submitted; 0: that of the core
+	callerHeardAt       time.Time     // when caller was heard, as its calls say; zero: not known
 	stopsLost           bool          // no Stop reaches its endpoint
 	lastToken           int64
 	reclaimFenced       bool // fenced holders take their endpoints back
@@ -324,7 +325,7 @@
 	sim.lastTicket++
 	ticket := sim.lastTicket // a delegation in the step takes further ones
 	sim.submissions[ticket] = submission{core, job}
-	sim.step(core, &leased.Submit{Ticket: ticket, Job: job, Caller: sim.caller})
+	sim.step(core, &leased.Submit{Ticket: ticket, Job: job, Caller: sim.caller, CallerHeardAt: sim.callerHeardAt})
 	return ticket
 }
 
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -143,10 +143,17 @@
 	}
 }
 
+// origin describes the call that submits a job or task.
+type origin struct {
+	caller    cells.Incarnation // the entry that calls; 0: this entry
+	sentUs    uint64            // the caller's boot clock when it sent the call; 0: not known
+	arrivedAt time.Time
+}
+
 // submitJob is a message that submits a job to the core.
 type submitJob struct {
-	job    leased.Job
-	caller cells.Incarnation // the entry whose call submits it; 0: this entry
+	job leased.Job
+	origin
 	answer chan leased.Answer
 	ticket chan leased.Ticket
 }
@@ -155,13 +162,13 @@
 	l.lastTicket++
 	l.waiters[l.lastTicket] = m.answer
 	m.ticket <- l.lastTicket
-	l.step(&leased.Submit{Ticket: l.lastTicket, Job: m.job, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.caller)})
+	l.step(&leased.Submit{Ticket: l.lastTicket, Job: m.job, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.origin)})
 }
 
 // submitDelegated is a message that submits a delegated task to the core.
 type submitDelegated struct {
-	task   leased.DelegatedTask
-	caller cells.Incarnation // the entry whose call submits it
+	task leased.DelegatedTask
+	origin
 	answer chan leased.DelegatedAnswer
 	ticket chan leased.Ticket
 }
@@ -170,7 +177,7 @@
 	l.lastTicket++
 	l.delegatedWaiters[l.lastTicket] = m.answer
 	m.ticket <- l.lastTicket
-	l.step(&leased.SubmitDelegated{Ticket: l.lastTicket, Task: m.task, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.caller)})
+	l.step(&leased.SubmitDelegated{Ticket: l.lastTicket, Task: m.task, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.origin)})
 }
 
 // cancelTicket is a message that cancels a ticket.
@@ -183,18 +190,18 @@
 }
 
 // runLocally runs a job in this entry's core until it ends, for the entry whose
-// call submits it, or 0 for a caller at this entry. If the context is done first,
-// it cancels the job and returns false.
-func (l *Loop) runLocally(ctx context.Context, job leased.Job, caller cells.Incarnation) (leased.Answer, bool) {
+// call submits it, or for a caller at this entry if from is zero. If the context is
+// done first, it cancels the job and returns false.
+func (l *Loop) runLocally(ctx context.Context, job leased.Job, from origin) (leased.Answer, bool) {
 	return await(ctx, l, func(answer chan leased.Answer, ticket chan leased.Ticket) message {
-		return submitJob{job, caller, answer, ticket}
+		return submitJob{job, from, answer, ticket}
 	})
 }
 
 // runDelegated does the same for a delegated task.
-func (l *Loop) runDelegated(ctx context.Context, task leased.DelegatedTask, caller cells.Incarnation) (leased.DelegatedAnswer, bool) {
+func (l *Loop) runDelegated(ctx context.Context, task leased.DelegatedTask, from origin) (leased.DelegatedAnswer, bool) {
 	return await(ctx, l, func(answer chan leased.DelegatedAnswer, ticket chan leased.Ticket) message {
-		return submitDelegated{task, caller, answer, ticket}
+		return submitDelegated{task, from, answer, ticket}
 	})
 }
 
--- a/fleet/malformed_test.go
+++ b/fleet/malformed_test.go
@@ -109,6 +109,10 @@
 	if !errors.As(err, &rejected) || rejected.Code() != twirp.InvalidArgument {
 		t.Errorf("the last number of a call: error %v, want invalid_argument", err)
 	}
+	_, err = s.Lend(context.Background(), &fleetpb.LendRequest{Job: "j", Step: &fleetpb.Step{Tasks: 1, MilliCores: 1000}, Run: 1, PatienceUs: 1000, SentUs: math.MaxUint64})
+	if !errors.As(err, &rejected) || rejected.Code() != twirp.InvalidArgument {
+		t.Errorf("the highest boot clock: error %v, want invalid_argument", err)
+	}
 	job := jobFromPB(&fleetpb.SubmitRequest{Id: "j", Steps: []*fleetpb.Step{{Tasks: 1, After: []uint32{9}}}})
 	if job.Validate() == nil {
 		t.Error("a job that depends on a missing step is valid")
--- a/fleet/messageage_test.go
+++ b/fleet/messageage_test.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/membership/cells"
 	"lovagespread.example/peer/fleetpb"
 )
@@ -65,7 +66,6 @@
 	l.roster = rosterAsOf(l, time.Now().Add(-stoodStill))
 	peerHeartbeat{heartbeatSentAt(sentAt)}.handle(l)
 	wantTime(t, "contact of a queued heartbeat", l.callerContacts()[0].HeardAt, time.Now().Add(-stoodStill))
-	wantTime(t, "contact of a call", l.heardAt(2), time.Now().Add(-stoodStill))
 	if _, live := l.roster.View(time.Now()).Find(2); !live {
 		t.Error("the entry whose heartbeat was just read is not live")
 	}
@@ -80,6 +80,93 @@
 	return r
 }
 
+// callSentAt returns the origin of a call that has just arrived and was sent when the
+// receiver's boot clock showed a time.
+func callSentAt(boot time.Duration) origin {
+	return origin{caller: 2, sentUs: uint64((boot - clockLead).Microseconds()), arrivedAt: time.Now()}
+}
+
+// Guards against a call that was held up on its way and counts as contact from its
+// arrival: its entry may be lost since, and a run that is started for it outlasts the
+// return of its caller. A call that was not held up is contact with an entry whose
+// heartbeats are rare.
+func TestCallIsContactOfItsSending(t *testing.T) {
+	l := testLoop(t, nil)
+	withHeartbeats(t, l)
+	clocks := withFakeClocks(l)
+	first := callSentAt(clocks.boot)
+	first.arrivedAt = time.Now().Add(-time.Second) // then it waited in the loop's queue
+	if got := l.heardAt(first); !got.Equal(first.arrivedAt) {
+		t.Errorf("the first call of an entry that was not heard yet is contact at %v, want its arrival, %v", got, first.arrivedAt)
+	}
+	hearHeartbeats(l, clocks)
+	const silent = 850 * time.Millisecond
+	heardAt := time.Now().Add(-silent)
+	l.roster = rosterAsOf(l, heardAt)
+	clocks.advance(silent)
+	for heldUp, want := range map[time.Duration]time.Duration{
+		0:                       0,
+		400 * time.Millisecond:  400 * time.Millisecond,
+		silent:                  silent,
+		1200 * time.Millisecond: silent, // the heartbeat is newer
+	} {
+		wantTime(t, "call held up for "+heldUp.String(), l.heardAt(callSentAt(clocks.boot-heldUp)), time.Now().Add(-want))
+	}
+	if got := l.heardAt(origin{}); !got.IsZero() {
+		t.Errorf("a caller at this entry: heard at %v, want none", got)
+	}
+}
+
+// Guards against a call of an earlier version that does not count as contact, so that
+// nothing is started for an entry whose heartbeats are rare, and against one that was
+// held up while its entry was silent.
+func TestCallOfEarlierVersionIsContactOfItsArrival(t *testing.T) {
+	l := testLoop(t, nil)
+	for silent, want := range map[time.Duration]time.Duration{
+		leased.ContactGrace - 250*time.Millisecond: 0,
+		leased.ContactGrace + 250*time.Millisecond: leased.ContactGrace + 250*time.Millisecond,
+	} {
+		now := time.Now()
+		l.roster = rosterAsOf(l, now.Add(-silent))
+		wantTime(t, "after silence of "+silent.String(), l.heardAt(origin{caller: 2, arrivedAt: now}), now.Add(-want))
+	}
+	now := time.Now()
+	if got := l.heardAt(origin{caller: 9, arrivedAt: now}); !got.Equal(now) {
+		t.Errorf("an entry without heartbeats: heard at %v, want %v", got, now)
+	}
+}
+
+// Guards against requests that do not say when they were sent, and against a time that
+// does not reach the loop.
+func TestCallsSayWhenTheyWereSent(t *testing.T) {
+	l := testLoop(t, nil)
+	x := startFakeEntry(t, cells.Entry{Name: "x", HeartbeatAddress: "127.0.0.1:2", FailureDomain: "d0", Incarnation: 2, Interval: time.Second})
+	l.roster.ReceiveHeartbeat(time.Now(), x.entry)
+	l.view = l.roster.View(time.Now())
+	l.publish()
+	x.setLend(nil)
+	before := bootMicroseconds(readClocks)
+	if _, err := l.peers.submit(context.Background(), x.entry, &leased.Job{ID: "j"}); err != nil {
+		t.Fatal(err)
+	}
+	l.peers.delegate(context.Background(), &leased.Delegate{Holder: 2, Task: leased.DelegatedTask{CallerTimeout: time.Second}})
+	after := bootMicroseconds(readClocks)
+	submit, lend := receiveFrom(t, x.submits), receiveFrom(t, x.lends)
+	for name, sentUs := range map[string]uint64{"Submit": submit.SentUs, "Lend": lend.SentUs} {
+		if sentUs < before || sentUs > after {
+			t.Errorf("%s: sent at %d us, want %d to %d", name, sentUs, before, after)
+		}
+	}
+	s := &server{loop: l, peers: l.peers}
+	lendRequest := &fleetpb.LendRequest{From: 2, Job: "j", Step: &fleetpb.Step{Tasks: 1, MilliCores: 1000}, Run: 1, PatienceUs: 1_000_000, SentUs: 77}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _, _ = s.Lend(ctx, lendRequest) }() // ends with the test
+	if m := nextMessage[submitDelegated](t, l); m.sentUs != 77 || m.caller != 2 || m.arrivedAt.IsZero() {
+		t.Errorf("the call of entry %d reaches the loop as sent at %d us, arrived at %v", m.caller, m.sentUs, m.arrivedAt)
+	}
+}
+
 // Guards against heartbeats that do not say when they were sent, by which a receiver
 // cannot tell how old they are.
 func TestHeartbeatsSayWhenTheyWereSent(t *testing.T) {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -138,7 +138,7 @@
 	defer p.outbound.end(c)
 	traced, sent := traceSent(c.ctx)
 	request := jobToPB(job, uint64(p.self))
-	request.Epoch, request.Call = c.epoch, c.number
+	request.Epoch, request.Call, request.SentUs = c.epoch, c.number, bootMicroseconds(readClocks)
 	reply, err := p.client(to.Address).Submit(traced, request)
 	if err == nil {
 		return reply, nil
@@ -157,7 +157,7 @@
 	defer p.outbound.end(c)
 	traced, sent := traceSent(c.ctx)
 	lend := delegatedTaskToPB(&request.Task, uint64(p.self))
-	lend.Epoch, lend.Call = c.epoch, c.number
+	lend.Epoch, lend.Call, lend.SentUs = c.epoch, c.number, bootMicroseconds(readClocks)
 	reply, err := p.client(holder.Address).Lend(traced, lend)
 	if err == nil {
 		return delegatedEndFromPB(reply), reply.Saved
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -38,21 +38,35 @@
 	if err := job.Validate(); err != nil {
 		return nil, s.rejectMalformed(err)
 	}
-	c, err := s.admit(ctx, r.From, r.Epoch, r.Call)
+	c, err := s.admit(ctx, r)
 	if err != nil {
 		return nil, err
 	}
 	defer s.peers.inbound.end(c)
-	answer, ended := s.loop.runLocally(c.ctx, job, c.entry)
+	answer, ended := s.loop.runLocally(c.ctx, job, originOf(c, r))
 	if !ended {
 		return nil, c.ctx.Err()
 	}
 	return answerOf(&answer, r.Movable), nil
 }
 
+// callRequest is a request of a call that its sender can withdraw.
+type callRequest interface {
+	GetFrom() uint64 // incarnation of the sender
+	GetEpoch() uint64
+	GetCall() uint64
+	GetSentUs() uint64
+}
+
+func originOf(c *call, r callRequest) origin { return origin{c.entry, r.GetSentUs(), c.began} }
+
 // admit tracks a call of another entry. It returns an error if that entry has
 // given up the call, whose request was late.
-func (s *server) admit(ctx context.Context, from, epoch, number uint64) (*call, error) {
+func (s *server) admit(ctx context.Context, r callRequest) (*call, error) {
+	from, epoch, number := r.GetFrom(), r.GetEpoch(), r.GetCall()
+	if sentUs := r.GetSentUs(); sentUs > maxSentMicroseconds {
+		return nil, s.rejectMalformed(errors.Errorf("sent when the boot clock showed %d us, the highest is %d", sentUs, maxSentMicroseconds))
+	}
 	if epoch > maxEpoch {
 		return nil, s.rejectMalformed(errors.Errorf("epoch %d of calls, the highest is %d", epoch, uint64(maxEpoch)))
 	}
@@ -93,12 +107,12 @@
 	if err := task.Validate(); err != nil {
 		return nil, s.rejectMalformed(err)
 	}
-	c, err := s.admit(ctx, r.From, r.Epoch, r.Call)
+	c, err := s.admit(ctx, r)
 	if err != nil {
 		return nil, err
 	}
 	defer s.peers.inbound.end(c)
-	answer, ended := s.loop.runDelegated(c.ctx, task, c.entry)
+	answer, ended := s.loop.runDelegated(c.ctx, task, originOf(c, r))
 	if !ended {
 		return nil, c.ctx.Err()
 	}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -333,7 +333,7 @@
 // holder.
 func (s *Service) offer(ctx context.Context, latest *Snapshot, holder cells.Entry, job *leased.Job) (Outcome, error) {
 	if holder.Incarnation == latest.View.Self.Incarnation {
-		a, ended := s.loop.runLocally(ctx, *job, 0)
+		a, ended := s.loop.runLocally(ctx, *job, origin{})
 		if !ended {
 			return s.abandoned(), nil
 		}
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -120,9 +120,30 @@
 	return contacts
 }
 
-// heardAt returns when the entry whose call has arrived was last heard, or zero if no
-// heartbeat of it is known. The call may have been held up since.
-func (l *Loop) heardAt(caller cells.Incarnation) time.Time {
-	heardAt, _ := l.roster.LastContact(caller)
+// heardAt returns when the entry whose call has arrived was last heard, by a heartbeat or
+// by the call itself; zero for this entry.
+func (l *Loop) heardAt(from origin) time.Time {
+	if from.caller == 0 {
+		return time.Time{}
+	}
+	heardAt, heard := l.roster.LastContact(from.caller)
+	if from.sentUs == 0 && heard && from.arrivedAt.Sub(heardAt) > leased.ContactGrace {
+		return heardAt // of an earlier version: the call may have been held up since
+	}
+	if sentAt := l.sentAt(from); sentAt.After(heardAt) {
+		return sentAt
+	}
 	return heardAt
 }
+
+// sentAt returns when a call was sent, as far as is known. It is not later than its arrival.
+func (l *Loop) sentAt(from origin) time.Time {
+	if from.sentUs == 0 {
+		return from.arrivedAt
+	}
+	sentAt := time.Now().Add(-l.delayOf(uint64(from.caller), from.sentUs))
+	if sentAt.After(from.arrivedAt) {
+		return from.arrivedAt
+	}
+	return sentAt
+}
--- a/fleet/withdrawals_test.go
+++ b/fleet/withdrawals_test.go
@@ -380,7 +380,7 @@
 	if m := nextMessage[submitJob](t, l); m.caller != 5 {
 		t.Errorf("the job is submitted for the entry %d, want 5", m.caller)
 	}
-	go l.runLocally(ctx, job, 0)
+	go l.runLocally(ctx, job, origin{})
 	if m := nextMessage[submitJob](t, l); m.caller != 0 {
 		t.Errorf("the job of a local caller is submitted for the entry %d, want 0", m.caller)
 	}
