--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -130,7 +130,7 @@
 	CallerTimeout time.Duration
 	// Origin is the incarnation of the entry that waits for the job, if that is not the
 	// delegator itself: 0 then, or if this entry does not hear it regularly. OriginAge
-	// is how long before the delegation the delegator has last heard it.
+	// is how long before CallerHeardAt of the delegation the delegator last heard it.
 	Origin    uint64
 	OriginAge time.Duration
 	Cell      string // to whose holder the task is delegated
--- a/fleet/malformed_test.go
+++ b/fleet/malformed_test.go
@@ -36,19 +36,21 @@
 func TestMalformedHeartbeatsAreSkipped(t *testing.T) {
 	l := testLoop(t, nil)
 	for name, spoil := range map[string]func(*fleetpb.Beat){
-		"no name":             func(b *fleetpb.Beat) { b.Name = "" },
-		"no incarnation":      func(b *fleetpb.Beat) { b.Incarnation = 0 },
-		"weight not a number": func(b *fleetpb.Beat) { b.Weight = math.NaN() },
-		"infinite weight":     func(b *fleetpb.Beat) { b.Weight = math.Inf(1) },
-		"negative weight":     func(b *fleetpb.Beat) { b.Weight = -1 },
-		"interval of weeks":   func(b *fleetpb.Beat) { b.IntervalMs = math.MaxUint32 },
-		"the highest token":   func(b *fleetpb.Beat) { b.Token = math.MaxInt64 },
-		"a negative token":    func(b *fleetpb.Beat) { b.Token = -1 },
-		"a cell of none":      func(b *fleetpb.Beat) { b.Rooms[0].Of = 0 },
-		"a cell beyond all":   func(b *fleetpb.Beat) { b.Rooms[0].Cell = 2 },
-		"billions of cells":   func(b *fleetpb.Beat) { b.Rooms[0].Of = math.MaxUint32 },
-		"an epoch of nobody":  func(b *fleetpb.Beat) { b.CallEpochs = []*fleetpb.CallEpoch{{Epoch: 1}} },
-		"no epoch":            func(b *fleetpb.Beat) { b.CallEpochs = []*fleetpb.CallEpoch{{Incarnation: 1}} },
+		"no name":              func(b *fleetpb.Beat) { b.Name = "" },
+		"no incarnation":       func(b *fleetpb.Beat) { b.Incarnation = 0 },
+		"weight not a number":  func(b *fleetpb.Beat) { b.Weight = math.NaN() },
+		"infinite weight":      func(b *fleetpb.Beat) { b.Weight = math.Inf(1) },
+		"negative weight":      func(b *fleetpb.Beat) { b.Weight = -1 },
+		"interval of weeks":    func(b *fleetpb.Beat) { b.IntervalMs = math.MaxUint32 },
+		"a clock of centuries": func(b *fleetpb.Beat) { b.SentUs = maxSentMicroseconds + 1 },
+		"the highest clock":    func(b *fleetpb.Beat) { b.SentUs = math.MaxUint64 },
+		"the highest token":    func(b *fleetpb.Beat) { b.Token = math.MaxInt64 },
+		"a negative token":     func(b *fleetpb.Beat) { b.Token = -1 },
+		"a cell of none":       func(b *fleetpb.Beat) { b.Rooms[0].Of = 0 },
+		"a cell beyond all":    func(b *fleetpb.Beat) { b.Rooms[0].Cell = 2 },
+		"billions of cells":    func(b *fleetpb.Beat) { b.Rooms[0].Of = math.MaxUint32 },
+		"an epoch of nobody":   func(b *fleetpb.Beat) { b.CallEpochs = []*fleetpb.CallEpoch{{Epoch: 1}} },
+		"no epoch":             func(b *fleetpb.Beat) { b.CallEpochs = []*fleetpb.CallEpoch{{Incarnation: 1}} },
 		"the last epoch": func(b *fleetpb.Beat) {
 			b.CallEpochs = []*fleetpb.CallEpoch{{Incarnation: 3, Epoch: 1}, {Incarnation: 1, Epoch: math.MaxUint64}}
 		},
@@ -107,6 +109,10 @@
 	if !errors.As(err, &rejected) || rejected.Code() != twirp.InvalidArgument {
 		t.Errorf("the last number of a call: error %v, want invalid_argument", err)
 	}
+	_, err = s.Lend(context.Background(), &fleetpb.LendRequest{Job: "j", Step: &fleetpb.Step{Tasks: 1, MilliCores: 1000}, Run: 1, PatienceUs: 1000, SentUs: math.MaxUint64})
+	if !errors.As(err, &rejected) || rejected.Code() != twirp.InvalidArgument {
+		t.Errorf("the highest boot clock: error %v, want invalid_argument", err)
+	}
 	job := jobFromPB(&fleetpb.SubmitRequest{Id: "j", Steps: []*fleetpb.Step{{Tasks: 1, After: []uint32{9}}}})
 	if job.Validate() == nil {
 		t.Error("a job that depends on a missing step is valid")
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -105,18 +105,18 @@
 }
 
 // callerContacts returns when each entry with open calls was last heard, by
-// incarnation: its last heartbeat or, if none has arrived, the beginning of its earliest
-// call. It also returns when the origins of delegated tasks were last heard. The core
-// extends the leases of their runs no further than that allows.
+// incarnation: when its last heartbeat was sent or, if none has arrived, the beginning of
+// its earliest call. It also returns when the origins of delegated tasks were last heard.
+// The core extends the leases of their runs no further than that allows.
 func (l *Loop) callerContacts() []leased.CallerContact {
 	var contacts []leased.CallerContact
 	for _, id := range l.core.Origins() {
-		if heardAt, heard := l.roster.LastHeartbeat(cells.Incarnation(id)); heard {
+		if heardAt, heard := l.roster.LastContact(cells.Incarnation(id)); heard {
 			contacts = append(contacts, leased.CallerContact{Caller: id, HeardAt: heardAt})
 		}
 	}
 	for id, began := range l.peers.inbound.earliest() {
-		heardAt, heard := l.roster.LastHeartbeat(id)
+		heardAt, heard := l.roster.LastContact(id)
 		if !heard {
 			heardAt = began
 		}
@@ -126,17 +126,42 @@
 	return contacts
 }
 
-// hearsOften reports whether the heartbeats of another entry arrive often enough to
-// bound the leases of delegated tasks by them. In a large fleet, entries of different
-// failure domains hear each other rarely.
-func (l *Loop) hearsOften(id uint64) bool {
-	e, live := l.view.Find(cells.Incarnation(id))
-	return live && id != uint64(l.view.Self.Incarnation) && e.Interval <= maxLocalInterval
+// boundByOrigin lets the leases of a delegated task end with the contacts of the entry
+// that waits for its job, if its heartbeats arrive often enough. In a large fleet, entries
+// of different failure domains hear each other rarely. The delegator has sent its call
+// callAge before it was last heard.
+func (l *Loop) boundByOrigin(t *leased.DelegatedTask, callAge time.Duration) {
+	e, live := l.view.Find(cells.Incarnation(t.Origin))
+	if live && e.Interval > maxLocalInterval || t.Origin == uint64(l.view.Self.Incarnation) {
+		t.Origin = 0
+	}
+	t.OriginAge += max(0, callAge)
 }
 
-// heardAt returns when the entry whose call has arrived was last heard, or zero if no
-// heartbeat of it is known. The call may have been held up since.
-func (l *Loop) heardAt(caller cells.Incarnation) time.Time {
-	heardAt, _ := l.roster.LastHeartbeat(caller)
+// heardAt returns when the entry whose call has arrived was last heard, by a heartbeat or
+// by the call itself; zero for this entry.
+func (l *Loop) heardAt(from origin) time.Time {
+	if from.caller == 0 {
+		return time.Time{}
+	}
+	heardAt, heard := l.roster.LastContact(from.caller)
+	if from.sentUs == 0 && heard && from.arrivedAt.Sub(heardAt) > leased.ContactGrace {
+		return heardAt // of an earlier version: the call may have been held up since
+	}
+	if sentAt := l.sentAt(from); sentAt.After(heardAt) {
+		return sentAt
+	}
 	return heardAt
 }
+
+// sentAt returns when a call was sent, as far as is known. It is not later than its arrival.
+func (l *Loop) sentAt(from origin) time.Time {
+	if from.sentUs == 0 {
+		return from.arrivedAt
+	}
+	sentAt := time.Now().Add(-l.delayOf(uint64(from.caller), from.sentUs))
+	if sentAt.After(from.arrivedAt) {
+		return from.arrivedAt
+	}
+	return sentAt
+}
