Count a delegator's word about an entry for its task only

A delegated task's word on when the delegator last heard the entry of its caller counted as contact with that entry, and so extended the leases of the entry's own calls here, which it may have withdrawn meanwhile.

Evidence: TestWordOfDelegatorIsNoContactForCalls. The time is kept with the task now, and only heartbeats count for all.

--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -230,8 +230,8 @@
 func (c *Core) submitDelegated(in *SubmitDelegated) {
 	d := &in.Task
 	c.addCaller(in.Ticket, in.Caller, in.CallerHeardAt)
-	c.addOrigin(in)
 	j := c.newDelegated(d, in.Ticket)
+	j.originHeardAt = c.originHeardAt(in)
 	t := &j.tasks[0][0]
 	if c.overtaken(d) {
 		c.answerDelegatedNow(j, d.Run, EndNotRun)
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -61,7 +61,9 @@
 	delegated   bool      // one task of another holder's job
 	suspect     bool      // of a delegated task: an endpoint was lost with it before
 	origin      uint64    // of a delegated task: the entry that waits for its job; 0: the delegator, or not known
-	cell        string    // of a delegated task: the only cell where it may run, so that its run can be found again
+	// originHeardAt is when the delegator last heard the origin.
+	originHeardAt time.Time
+	cell          string // of a delegated task: the only cell where it may run, so that its run can be found again
 }
 
 func (j *job) task(id TaskID) *task {
--- a/dispatch/leased/renewal.go
+++ b/dispatch/leased/renewal.go
@@ -138,19 +138,20 @@
 	return origin, min(max(0, c.now.Sub(heard)), contactRetention)
 }
 
-// addOrigin records when the entry that waits for the job of a delegated task was last
-// heard, by the delegator's word. From then on only its own heartbeats count.
-func (c *Core) addOrigin(in *SubmitDelegated) {
-	if in.Task.Origin == 0 {
-		return
-	}
+// originHeardAt returns when the entry that waits for the job of a delegated task was
+// last heard, by the delegator's word. That counts for this task only: it does not tell
+// which calls to this entry were withdrawn.
+func (c *Core) originHeardAt(in *SubmitDelegated) time.Time {
 	sent := in.CallerHeardAt
 	if sent.IsZero() {
 		sent = c.now
 	}
-	c.contact(&CallerContact{Caller: in.Task.Origin, HeardAt: sent.Add(-in.Task.OriginAge)})
+	return sent.Add(-in.Task.OriginAge)
 }
 
+// originHeard returns when the origin of a delegated task was last heard.
+func (c *Core) originHeard(j *job) time.Time { return later(c.contacts[j.origin], j.originHeardAt) }
+
 // Origins returns the entries that wait for the jobs of the tasks that others have
 // delegated to this core, in no order. Their contacts bound the leases of these tasks.
 func (c *Core) Origins() []uint64 {
@@ -173,7 +174,7 @@
 		return time.Time{}
 	}
 	if j.origin != 0 {
-		heard = earlier(heard, c.contacts[j.origin])
+		heard = earlier(heard, c.originHeard(j))
 	}
 	return heard.Add(c.claimTime)
 }
@@ -195,7 +196,7 @@
 	if !remote {
 		return false
 	}
-	return c.now.Sub(heard) > j.grace() || j.origin != 0 && c.now.Sub(c.contacts[j.origin]) > contactGrace
+	return c.now.Sub(heard) > j.grace() || j.origin != 0 && c.now.Sub(c.originHeard(j)) > contactGrace
 }
 
 // outlives reports whether an endpoint may hold a lease that lasts longer than the runs
--- a/dispatch/leased/renewal_test.go
+++ b/dispatch/leased/renewal_test.go
@@ -312,3 +312,27 @@
 	sim.runUntil(brokenAt + 4*time.Second)
 	sim.wantNoDoubleRuns()
 }
+
+// Guards against a delegator's word about an entry that extends the leases of that
+// entry's own calls: the delegator does not know that one of them was withdrawn.
+func TestWordOfDelegatorIsNoContactForCalls(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.addEndpoints(0, 2)
+	sim.addEndpoints(1, 1)
+	sim.runUntil(200 * time.Millisecond)
+	brokenAt := time.Second
+	sim.hear(0, 7, brokenAt)
+	job := singleTaskJob("j")
+	sim.submitFrom(0, 7, job)
+	sim.runUntil(brokenAt + 800*time.Millisecond)
+	task := leased.DelegatedTask{
+		ID: leased.TaskID{Job: "k"}, Service: "s", Queue: "q", Run: 1, CallerTimeout: longRun, Cell: "c0", Origin: 7,
+		Step: leased.Step{Tasks: 1, Demand: leased.Demand{MilliCores: 1000}, Estimate: longRun},
+	}
+	sim.work["k"] = leasedtest.Work{Demand: task.Step.Demand, Time: longRun}
+	sim.step(0, &leased.SubmitDelegated{Ticket: 99, Task: task, Caller: delegatorID, CallerHeardAt: simStart.Add(sim.now)})
+	sim.runUntil(brokenAt + callerPause)
+	sim.submitJob(1, job, longRun)
+	sim.runUntil(brokenAt + 4*time.Second)
+	sim.wantNoDoubleRuns()
+}
