Let the tests of entry listen on addresses of their own

Cause: the entries, endpoints and platforms of the tests listened on ports of 127.0.0.1 that the kernel had chosen. When one had stopped, other entries went on calling its address, which the kernel could give to anybody: the heartbeats of one test could reach an entry of another one, in this process or in another.

Change: each listens in a reserved loopback network, on a port that the kernel never chooses and that no other listener of the process uses.

Requests no longer reach others.

--- a/entry/testbed_test.go
+++ b/entry/testbed_test.go
@@ -6,11 +6,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +26,7 @@
 	"lovagespread.example/logservice/platformapi"
 	"lovagespread.example/standin/fakeendpoint"
 	"lovagespread.example/standin/fakeplatform"
+	"lovagespread.example/standin/loopback"
 )
 
 const services = `
@@ -63,14 +68,50 @@
 		fleet:    fakeendpoint.NewFleet(),
 		dir:      t.TempDir(),
 	}
-	server := httptest.NewServer(b.platform.Handler())
-	t.Cleanup(server.Close)
 	t.Cleanup(b.fleet.Close)
-	b.url = server.URL
+	b.url = b.servePlatform()
 	b.publish(services)
 	return b
 }
 
+// network is reserved until the process ends, because the entries of a test may listen
+// longer than the test runs.
+var network = sync.OnceValues(loopback.Reserve)
+
+// addressCount is the number of addresses that are or were in use.
+var addressCount atomic.Int64
+
+// newAddress returns an address at which nobody else listens, not even when its listener
+// was closed: an entry that has stopped is still called by others, and the platform of a
+// test by entries that are slow to stop. The kernel never chooses its port.
+func (b *testbed) newAddress() string {
+	b.t.Helper()
+	reserved, err := network()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	const (
+		firstHost    = 2 // host 1 is used by the network itself
+		firstPort    = 10_000
+		portsPerHost = 20_000
+	)
+	n := int(addressCount.Add(1)) - 1
+	return netip.AddrPortFrom(reserved.Host(firstHost+n/portsPerHost), uint16(firstPort+n%portsPerHost)).String()
+}
+
+// servePlatform serves the platform until the test ends and returns its URL.
+func (b *testbed) servePlatform() string {
+	b.t.Helper()
+	listener, err := net.Listen("tcp", b.newAddress())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: b.platform.Handler()}}
+	server.Start()
+	b.t.Cleanup(server.Close)
+	return server.URL
+}
+
 func (b *testbed) publish(text string) {
 	b.t.Helper()
 	parsed, err := catalog.ParseServices("services", []byte(text))
@@ -109,7 +150,7 @@
 		Name: "worker-" + name, FailureDomain: testDomain, Rack: "r1",
 		Capacity: catalog.Resources{MilliCores: 8000, MemoryMiB: 8192},
 	}
-	server, err := b.fleet.Add(fakeendpoint.Options{Name: name, Service: service, Slots: 4, Worker: worker}, "127.0.0.1:0")
+	server, err := b.fleet.Add(fakeendpoint.Options{Name: name, Service: service, Slots: 4, Worker: worker}, b.newAddress())
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -135,16 +176,16 @@
 region = "pl-centrum"
 failure_domain = %q
 [listen]
-caller = "127.0.0.1:0"
-peer = "127.0.0.1:0"
-admin = "127.0.0.1:0"
+caller = %q
+peer = %q
+admin = %q
 [platform]
 url = %q
 [job_ids]
 key_files = [%q]
 [log]
 file = %q
-`, name, testDomain, b.url, b.writeFile("key", testKey), filepath.Join(b.dir, name+".log"))
+`, name, testDomain, b.newAddress(), b.newAddress(), b.newAddress(), b.url, b.writeFile("key", testKey), filepath.Join(b.dir, name+".log"))
 	s, err := settings.Parse("test", []byte(text))
 	if err != nil {
 		b.t.Fatal(err)
