Keep the addresses of a soak reserved until its entries have ended

Cause: the process of the soak alone held the reservation of the loopback network. If it was killed, its entries went on listening there, and a later soak or test could reserve the same network.

Change: the processes of the entries inherit the socket that reserves the network.

--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -188,6 +188,7 @@
 	defer log.Close()
 	cmd := exec.Command(s.opts.Binary, "-config", e.Settings)
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.ExtraFiles = []*os.File{s.deployment.Reservation}
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "start an entry")
 	}
--- a/standin/loopback/network.go
+++ b/standin/loopback/network.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 
 	"github.com/go-faster/errors"
 )
@@ -28,8 +29,8 @@
 	lockPort = 7719 // UDP; bound as long as the network is reserved
 )
 
-// Network is the loopback addresses 127.x.N.y. It is reserved until Close, or until
-// the process ends.
+// Network is the loopback addresses 127.x.N.y. It is reserved until Close, or until the
+// process and those that have inherited its File end.
 type Network struct {
 	number int
 	lock   *net.UDPConn
@@ -84,5 +85,15 @@
 	return netip.AddrFrom4([4]byte{127, 0, byte(n.number), byte(host)})
 }
 
-// Close ends the reservation.
+// File returns a duplicate of the socket that reserves the network. A process that
+// inherits it keeps the network reserved until it ends, even if the owner ends first.
+func (n *Network) File() (*os.File, error) {
+	file, err := n.lock.File()
+	if err != nil {
+		return nil, errors.Wrap(err, "duplicate the socket that reserves a network")
+	}
+	return file, nil
+}
+
+// Close ends the reservation, unless processes have inherited its File.
 func (n *Network) Close() { _ = n.lock.Close() }
--- a/standin/loopback/network_test.go
+++ b/standin/loopback/network_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"os/exec"
 	"testing"
 
 	"lovagespread.example/standin/loopback"
@@ -48,3 +50,31 @@
 		network.Close()
 	}
 }
+
+// Guards against a network that gets a new owner while processes of an earlier owner,
+// which was killed, still listen in it.
+func TestInheritedNetworkStaysReserved(t *testing.T) {
+	network, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := network.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	heir := exec.Command("sleep", "60")
+	heir.ExtraFiles = []*os.File{file}
+	if err := heir.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = heir.Process.Kill()
+		_ = heir.Wait() // the status of a killed process is an error
+	})
+	_ = file.Close()
+	network.Close()
+	var inUse *loopback.InUseError
+	if _, err := loopback.ReserveNumber(network.Number()); !errors.As(err, &inUse) {
+		t.Errorf("reserving a network whose processes have not ended returns %v, want an InUseError", err)
+	}
+}
--- a/standin/usersplatform/deployment.go
+++ b/standin/usersplatform/deployment.go
@@ -88,6 +88,9 @@
 	Executors     []*Executor
 	Entries       []Entry
 	Peers         *peerproxy.Network // between the entries, in the order of Entries
+	// Reservation reserves the entries' addresses. If the processes of the entries
+	// inherit it, nobody else gets the addresses before all of them have ended.
+	Reservation *os.File
 
 	opts    Options
 	network *loopback.Network // of the entries
@@ -128,6 +131,11 @@
 }
 
 func (d *Deployment) start(ctx context.Context) error {
+	reservation, err := d.network.File()
+	if err != nil {
+		return err
+	}
+	d.Reservation = reservation
 	listener, err := d.serve(d.announceProxy(d.Store))
 	if err != nil {
 		return err
@@ -161,6 +169,9 @@
 	for _, s := range d.servers {
 		_ = s.Close() // nothing depends on a graceful shutdown
 	}
+	if d.Reservation != nil {
+		_ = d.Reservation.Close() // it may be closed already
+	}
 	d.network.Close()
 }
 
