Call an address on which nobody can listen in the test of an unreachable platform

Cause: TestAppendToUnreachablePlatform closed a server and expected that nobody listens at its address, which the kernel can give to another listener before the call.

Change: it calls 127.0.0.1:1, a port that the kernel never chooses, as the tests of refused connections do.

No failure by this was seen. The test passes.

--- a/standin/fakeplatform/platform_test.go
+++ b/standin/fakeplatform/platform_test.go
@@ -44,12 +44,11 @@
 }
 
 func TestAppendToUnreachablePlatform(t *testing.T) {
-	server := httptest.NewServer(New(Options{}).Handler())
-	client, err := logservice.NewClient(logservice.Options{URL: server.URL})
+	const refusingURL = "http://127.0.0.1:1" // the kernel never chooses this port
+	client, err := logservice.NewClient(logservice.Options{URL: refusingURL})
 	if err != nil {
 		t.Fatal(err)
 	}
-	server.Close()
 	var unavailable *logservice.UnavailableError
 	if _, err := client.Append(t.Context(), "s", [][]byte{{1}}); !errors.As(err, &unavailable) {
 		t.Fatalf("error %v", err)
