Let a stand-in's task succeed if its work was done before its lease ended

Cause: a task of the stand-in compares the time with the end of its lease when its timer fires. If the process was not scheduled meanwhile, both the end of the work and that of the lease have passed, and it failed with "stopped: the lease expired without a heartbeat", although its work had been done long before.

Change: a task records when its work was done, and succeeds if that is before the end of its lease.

--- a/standin/fakeendpoint/task.go
+++ b/standin/fakeendpoint/task.go
@@ -26,13 +26,14 @@
 	asOf       time.Time     // time at which remaining was computed
 	rate       float64       // current rate; 0 while the endpoint is paused
 	paused     bool
-	targetRate float64 // rate while the endpoint is not paused
+	targetRate float64   // rate while the endpoint is not paused
+	doneAt     time.Time // zero until the work is done
 	leaseEnd   time.Time
 	ended      *outcome
 }
 
 func newTask(req *endpointapi.TaskRequest, runTime time.Duration, rate float64, now time.Time) *task {
-	return &task{
+	t := &task{
 		id:         req.TaskID,
 		entry:      req.Entry,
 		started:    now,
@@ -43,6 +44,10 @@
 		targetRate: rate,
 		leaseEnd:   now.Add(leaseDuration(req.LeaseMS)),
 	}
+	if runTime <= 0 {
+		t.doneAt = now
+	}
+	return t
 }
 
 func leaseDuration(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
@@ -85,16 +90,22 @@
 		return t.ended, 0
 	case t.paused:
 		return nil, forever
+	case !t.doneAt.IsZero() && t.doneAt.Before(t.leaseEnd):
+		return &outcome{}, 0
 	case !now.Before(t.leaseEnd):
 		return &outcome{detail: "stopped: the lease expired without a heartbeat"}, 0
-	case t.remaining <= 0:
-		return &outcome{}, 0
 	}
 	return nil, min(t.leaseEnd.Sub(now), durationAtRate(t.remaining, t.rate))
 }
 
-// advance subtracts the work done since asOf.
+// advance subtracts the work done since asOf. It may be called late, when this process
+// was not scheduled, so it records when the work was done.
 func (t *task) advance(now time.Time) {
+	if t.doneAt.IsZero() && t.rate > 0 {
+		if done := t.asOf.Add(durationAtRate(t.remaining, t.rate)); !done.After(now) {
+			t.doneAt = done
+		}
+	}
 	t.remaining -= time.Duration(float64(now.Sub(t.asOf)) * t.rate)
 	t.asOf = now
 }
