Give the tasks of the tests of entry timeouts that a stalled machine keeps

Cause: a task's timeout, which is its lease, too, was 2 s in these tests. So the tests of planned stops measured the machine.

Change: the timeouts are 20 s, longer than the 15 s for which callers wait: a task that a hand-over loses still fails the tests, as its caller gets no result. That each task is started once is checked as before.

--- a/entry/testbed_test.go
+++ b/entry/testbed_test.go
@@ -29,19 +29,21 @@
 	"lovagespread.example/standin/loopback"
 )
 
+// The timeouts are as long as any wait of a test, so that they pass only if a task is
+// lost, and not if the machine does not schedule the test for a while.
 const services = `
 [[service]]
 name = "booking"
 slots = 4
 run_time = "5ms"
-timeout = "2s"
+timeout = "20s"
 
 [[service]]
 name = "valuation"
 idempotent = true
 slots = 4
 run_time = "5ms"
-timeout = "2s"
+timeout = "20s"
 `
 
 const (
