State in simulations which parts are off

Change: the cores of the simulations have all parts off, whatever the defaults are, and tests switch on what they test, as before.

Conclusion: the tests were at fault. Balancing with both parts on is not decided by them.

--- a/dispatch/leased/export_test.go
+++ b/dispatch/leased/export_test.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// DisableParts makes the core use no part that the settings can switch on. Tests that
+// compare a part with its absence rely on no other part, whatever the defaults are.
+func (c *Core) DisableParts() {
+	c.opts.Recovery, c.opts.DrainLimit, c.opts.Balancing = false, 0, false
+	c.applyPolicy(WithoutAdmission)
+}
+
 // EnableRecovery makes the core use package recovery.
 func (c *Core) EnableRecovery() { c.opts.Recovery, c.opts.DrainLimit = true, 3*time.Second }
 
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -133,11 +133,13 @@
 }
 
 func (sim *simulation) newCore(i int) *leased.Core {
-	return leased.New(leased.Options{
+	core := leased.New(leased.Options{
 		MaxLease:  maxLease,
 		NextToken: func(floor int64) int64 { sim.lastToken = max(sim.lastToken, floor) + 1; return sim.lastToken },
 		Yields:    func(string) bool { return !sim.reclaimFenced || sim.cores[i] == nil },
 	})
+	core.DisableParts()
+	return core
 }
 
 // addEndpoints adds n endpoints with 64 CPU cores each and announces them to a
--- a/dispatch/leased/site_test.go
+++ b/dispatch/leased/site_test.go
@@ -118,6 +118,7 @@
 			return true
 		},
 	})
+	s.cores[i].DisableParts()
 	if s.parts.recovery {
 		s.cores[i].EnableRecovery()
 	}
