Explore lost registrations and lists that omit ended runs

Cause: the exploration of the restart rules lacked two events, an endpoint that is not registered for a while and a page of ended runs that omits those that follow.

Change: two faults, appended to the others: an endpoint that runs the job is announced to no holder for 2.5 s, and then again; or a run of another job ends there, which fills a page of its list. The endpoints of the exploration list one ended run at a time (leasedtest.Endpoint.PageSize), so that two runs that lapse together also need two lists. A layout 'two endpoints' has a delegate with two endpoints and a third holder; of two faults there, the first one is a new one, which keeps it small.

--- a/dispatch/leased/leasedtest/endpoint.go
+++ b/dispatch/leased/leasedtest/endpoint.go
@@ -50,6 +50,8 @@
 	Fails     bool // new runs fail
 	Unhealthy bool // refuses new runs
 	Unguarded bool // starts runs beyond its capacity
+	// PageSize bounds the ended runs of a list; 0: a list has all of them.
+	PageSize int
 
 	incarnationStart int64
 	token            int64
@@ -151,8 +153,13 @@
 func (e *Endpoint) end(r Run, end leased.End) {
 	delete(e.runs, r.Task)
 	e.highestRun[r.Task] = max(e.highestRun[r.Task], r.Number)
+	e.AddEnded(r.Task, r.Number, end)
+}
+
+// AddEnded adds a run to the list of ended runs.
+func (e *Endpoint) AddEnded(task leased.TaskID, run int, end leased.End) {
 	e.lastNumber++
-	e.ended = append(e.ended, leased.EndedRun{Number: e.lastNumber, Task: r.Task, Run: r.Number, End: end})
+	e.ended = append(e.ended, leased.EndedRun{Number: e.lastNumber, Task: task, Run: run, End: end})
 }
 
 func (e *Endpoint) extend(now, until time.Duration) {
@@ -246,6 +253,9 @@
 // List returns the active runs and the ended runs.
 func (e *Endpoint) List(now time.Duration, sequence uint64) leased.HoldReply {
 	reply := leased.HoldReply{Endpoint: e.ID, Sequence: sequence, Clock: now, IncarnationStart: e.incarnationStart, Ended: slices.Clone(e.ended)}
+	if e.PageSize > 0 && len(reply.Ended) > e.PageSize {
+		reply.Ended, reply.More = reply.Ended[:e.PageSize], true
+	}
 	for _, r := range e.Running() {
 		reply.Running = append(reply.Running, leased.ActiveRun{Task: r.Task, Run: r.Number, Percent: r.percent(now)})
 	}
--- a/dispatch/leased/restart_check_explore_test.go
+++ b/dispatch/leased/restart_check_explore_test.go
@@ -56,12 +56,19 @@
 		results := x.runEach(frontier, depth, true)
 		frontier = nil
 		for i := range results {
-			frontier = append(frontier, results[i].extensions()...)
+			if depth == 0 || x.layout.extended(&results[i]) {
+				frontier = append(frontier, results[i].extensions()...)
+			}
 		}
 	}
 	return frontier
 }
 
+// extended reports whether schedules with further deviations are explored, too.
+func (l *restartLayout) extended(r *restartResult) bool {
+	return l.first == nil || slices.ContainsFunc(l.first, func(k faultKind) bool { return strings.HasPrefix(r.kinds[0], faultNames[k]+": ") })
+}
+
 // runEach runs schedules with the same number of deviations.
 func (x *exploration) runEach(list []schedule, deviations int, record bool) []restartResult {
 	return x.runAll(len(list), func(i int, visited func(choicePoint)) restartResult {
--- a/dispatch/leased/restart_check_faults_test.go
+++ b/dispatch/leased/restart_check_faults_test.go
@@ -23,9 +23,11 @@
 	stallEndpoint // requests of its holder arrive late, and are not answered
 	freezeHolder  // which then goes on
 	moveCaller    // to another entry, which knows nothing of the first one
+	unregisterEndpoint
+	fillPage // of the list of ended runs, so that it omits those that follow
 )
 
-var faultNames = [...]string{"reset entry-holder", "reset holder-delegate", "crash of a holder", "hand-over", "restart of an endpoint", "endpoint cut off", "requests delayed", "freeze of a holder", "caller moves"}
+var faultNames = [...]string{"reset entry-holder", "reset holder-delegate", "crash of a holder", "hand-over", "restart of an endpoint", "endpoint cut off", "requests delayed", "freeze of a holder", "caller moves", "endpoint not registered", "page of ended runs full"}
 
 // fault is one that may be chosen at a moment.
 type fault struct {
@@ -53,8 +55,10 @@
 		return fmt.Sprintf("h%d for %v, its cells go to h%d", f.at, f.delay, f.to)
 	case moveCaller:
 		return fmt.Sprintf("h%d gets the Cancel after %v, submission to h%d", f.at, f.delay, f.to)
-	case restartEndpointFault:
+	case restartEndpointFault, fillPage:
 		return fmt.Sprintf("e%d", f.at)
+	case unregisterEndpoint:
+		return fmt.Sprintf("e%d for %v", f.at, f.delay)
 	}
 	return fmt.Sprintf("e%d from h%d for %v", f.at, f.to, f.delay)
 }
@@ -68,10 +72,12 @@
 			to = "same holder"
 		}
 		return fmt.Sprintf("Cancel after %v, %s", f.delay, to)
-	case resetDelegation, cutEndpoint, stallEndpoint, freezeHolder, moveCaller:
+	case resetDelegation, cutEndpoint, stallEndpoint, freezeHolder, moveCaller, unregisterEndpoint:
 		return f.delay.String()
 	case crashHolder, handOver:
 		return fmt.Sprintf("slow %t, stale %t", f.slow, f.stale)
+	case fillPage:
+		return "ends that follow are omitted"
 	}
 	return "another incarnation"
 }
@@ -130,6 +136,11 @@
 			list = append(list, w.holderFaults(h)...)
 		}
 	}
+	for _, e := range w.endpoints {
+		if !e.down && w.runsJob(e) && w.now >= e.unregisteredUntil {
+			list = append(list, fault{kind: unregisterEndpoint, at: e.index, delay: unregisteredTime}, fault{kind: fillPage, at: e.index})
+		}
+	}
 	return list
 }
 
@@ -219,9 +230,37 @@
 		w.freeze(f)
 	case moveCaller:
 		w.moveCaller(f)
+	case unregisterEndpoint:
+		w.unregister(w.endpoints[f.at])
+	case fillPage:
+		w.fillPage(w.endpoints[f.at])
+	}
+}
+
+// unregisteredTime is longer than it takes a holder that gets the cell meanwhile to
+// search for a run.
+const unregisteredTime = 2500 * time.Millisecond
+
+// unregister removes the registration of an endpoint for a time. No holder learns of it
+// meanwhile, and its own holder takes it for gone.
+func (w *restartWorld) unregister(e *restartEndpoint) {
+	e.unregisteredUntil = w.now + unregisteredTime
+	for h := range w.holders {
+		w.after(networkDelay, func() { w.assign(h) })
+		w.at(e.unregisteredUntil, func() { w.assign(h) })
 	}
 }
 
+// endedPageSize bounds the ended runs in a list. The job under test has few runs, so that
+// a small page shows what happens when the next one has their ends.
+const endedPageSize = 1
+
+// fillPage lets a run of another job end, which fills a page.
+func (w *restartWorld) fillPage(e *restartEndpoint) {
+	e.AddEnded(leased.TaskID{Job: "earlier"}, 1, leased.EndStopped)
+	w.advance(e)
+}
+
 // callerPause is how long a caller waits whose connection broke before it sends its
 // request to another entry.
 const callerPause = 1300 * time.Millisecond
--- a/dispatch/leased/restart_check_rules_test.go
+++ b/dispatch/leased/restart_check_rules_test.go
@@ -30,6 +30,9 @@
 	{name: "both", cells: [][]int{{30_000}, {0, 0}}, tasks: 2},
 	// The holder may lose the cell of the run and keep another one.
 	{name: "two cells", cells: [][]int{{8000, 0}, {0}, {0}}, holders: []int{0, 0, 1}, tasks: 1},
+	// The delegate has another endpoint, by which a third holder can have its cell without
+	// the endpoint of the run.
+	{name: "two endpoints", cells: [][]int{{60_000}, {30_000, 30_000}, {0}}, tasks: 1, first: []faultKind{unregisterEndpoint, fillPage}},
 }
 
 func restartLayoutNamed(name string) *restartLayout {
--- a/dispatch/leased/restart_check_world_test.go
+++ b/dispatch/leased/restart_check_world_test.go
@@ -31,6 +31,8 @@
 	holders    []int   // the first holder of each cell; nil: each has one
 	tasks      int     // of the job under test
 	slowClocks bool    // endpoints' clocks lose 2%
+	// first are the kinds of the first one of two faults; nil: any deviation.
+	first []faultKind
 }
 
 // holderOf returns the first holder of a cell.
@@ -74,6 +76,8 @@
 	// announcedAt is when a holder of its cell learns of the endpoint.
 	announcedAt []time.Duration
 	lostStops   int // number of the run whose Stops are lost; 0: none
+	// unregisteredUntil is when holders can learn of the endpoint again.
+	unregisteredUntil time.Duration
 }
 
 // clock returns the reading of the endpoint's clock.
@@ -225,6 +229,7 @@
 	n = w.layout.holderCount()
 	e.cutUntil, e.stalledUntil, e.announcedAt = make([]time.Duration, n), make([]time.Duration, n), make([]time.Duration, n)
 	e.StopTime = slowestStop
+	e.PageSize = endedPageSize
 	if w.layout.slowClocks {
 		e.clockRate = slowestClock
 	}
@@ -261,7 +266,7 @@
 func (w *restartWorld) assign(h int) {
 	var list []leased.Endpoint
 	for _, e := range w.endpoints {
-		if w.holders[h].cells[e.cell] && w.now >= e.announcedAt[h] {
+		if w.holders[h].cells[e.cell] && w.now >= e.announcedAt[h] && w.now >= e.unregisteredUntil {
 			list = append(list, e.spec)
 		}
 	}
