Show that delegated runs of a lost entry outlast the return of its caller

Cause: claimTime bounds the leases of a job's runs by when the entry that waits for it was last heard. A delegate applies it to the delegator, which it goes on hearing. The delegator withdraws the task when it has not heard the entry for 0.9 s; until then the delegate extends the lease, by up to 1 s. Only the Stop ends the run before the caller, 1.3 s after the loss, has the job started elsewhere as a new one.

It loses the entry, and either all Stops of the run, or the connection of the delegate and the endpoint from 0.8 s after the loss on. No product code changed.

Conclusion: 'one claimTime after an entry was last heard' holds for runs at the holder only.

--- a/dispatch/leased/renewal_test.go
+++ b/dispatch/leased/renewal_test.go
@@ -385,3 +385,44 @@
 		}
 	}
 }
+
+// Guards against a delegated run of a lost entry that is still active when its caller has
+// submitted the job to another entry. The delegate hears the delegator, which withdraws
+// the task when it has not heard the entry for 0.9 s, but no Stop of the run arrives.
+func TestDelegatedRunOfLostEntryEndsBeforeItsCallerReturns(t *testing.T) {
+	faults := map[string]func(w *restartWorld, e *restartEndpoint, run int){
+		"Stops lost": func(_ *restartWorld, e *restartEndpoint, run int) { e.lostStops = run },
+		"endpoint cut off from the delegate": func(w *restartWorld, e *restartEndpoint, _ int) {
+			w.after(contactLost-100*time.Millisecond, func() { e.cutUntil[1] = w.now + callerPause })
+		},
+	}
+	for name, fail := range faults {
+		for _, layout := range []string{"delegated", "delegated alone"} {
+			t.Run(layout+", "+name, func(t *testing.T) {
+				w := newRestartWorld(restartLayoutNamed(layout), script{})
+				w.build()
+				lostAt := 4*restartHeartbeat + time.Microsecond
+				w.at(lostAt, func() {
+					job, e := w.calls[0], w.endpoints[1]
+					run, active := e.RunOf(leased.TaskID{Job: job.job.ID})
+					if !active {
+						t.Fatal("the task has no run at the delegate")
+					}
+					fail(w, e, run)
+					w.silence(entryID, 0, restartEnd)
+					w.cancel(job.ticket, leased.CallerSilence(callerPause, maxLease))
+					job.ticket = 0
+					w.after(callerPause, func() { job.submit(2) })
+				})
+				w.runUntil(lostAt + 3*time.Second)
+				if w.violation != "" {
+					t.Errorf("%v after the loss: %s", w.now-lostAt, w.violation)
+				}
+			})
+		}
+	}
+}
+
+// contactLost is the time after which a holder withdraws the delegated tasks of an entry
+// that it does not hear.
+const contactLost = 900 * time.Millisecond
