--- a/fleet/heartbeats.go
+++ b/fleet/heartbeats.go
@@ -279,7 +279,7 @@
 // Limits of heartbeats that are accepted.
 const (
 	maxHeartbeatInterval = 15 * time.Minute
-	maxWeight            = 1 << 12 // processors
+	MaxWeight            = 1 << 12 // processors
 	maxCells             = 1 << 16 // of a failure domain
 	// maxTokenLead is how far a token may be ahead of the time of day. An entry
 	// that accepts any token could be made to use up all of them.
@@ -294,7 +294,7 @@
 	switch {
 	case b.Name == "" || b.Beats == "" || b.FailureDomain == "" || b.Incarnation == 0:
 		reason = "its name, address, failure domain or incarnation is missing"
-	case !(b.Weight >= 0 && b.Weight <= maxWeight): // also excludes NaN
+	case !(b.Weight >= 0 && b.Weight <= MaxWeight): // also excludes NaN
 		reason = fmt.Sprintf("weight %v", b.Weight)
 	case time.Duration(b.IntervalMs)*time.Millisecond > maxHeartbeatInterval:
 		reason = fmt.Sprintf("interval of %d ms", b.IntervalMs)
