Count refused records of executors and bound the log lines about them

Operators had no metric of refused records, and the log told of each key once: a key whose record was corrected and odd again later was not logged again, and hundreds of odd records at once gave hundreds of lines, of any length.

Cause: the updater of endpoints remembered the keys that it had logged, for good, and wrote the error as it came.

Each change of an odd record is now counted in lovage_records_refused_total and logged with at most 800 bytes, at most 20 lines a minute; the next line says how many were left out.

--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -44,6 +44,7 @@
 	shardYields          *prometheus.CounterVec // by change
 	appends              *prometheus.CounterVec // by result
 	panics               *prometheus.CounterVec // by operation
+	recordsRefused       *prometheus.CounterVec // by kind
 	domainChanges        *prometheus.CounterVec // of the phase of a failure domain, by phase
 	domainShare          *prometheus.GaugeVec   // of the endpoints that may get tasks, by failure domain
 	evacuatedRuns        prometheus.Gauge
@@ -89,6 +90,7 @@
 	m.appends = counter("appends_total", "Appends to the log of stored jobs, by the log's reply.", "result")
 	m.shardYields = counter("shard_yields_total", "Changes of whether this entry leaves its shards to entries that the log serves, by change.", "change")
 	m.panics = counter("panics_total", "Operations that ended by an unexpected error, by operation.", "operation")
+	m.recordsRefused = counter("records_refused_total", "Records of endpoints and addresses of entries that this entry cannot use, by kind.", "kind")
 	m.domainChanges = counter("failure_domain_changes_total", "Failure domains that began to be evacuated or returned to service, by phase.", "phase")
 	m.domainShare = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: "lovage", Name: "failure_domain_share", Help: "Share of a failure domain's endpoints that may get tasks; absent while all may."}, []string{"failure_domain"})
--- a/fleet/sources.go
+++ b/fleet/sources.go
@@ -117,11 +117,11 @@
 }
 
 // endpointUpdater returns a function that decodes the records of endpoints and
-// passes them to the loop. It decodes a record only when it has changed, and logs
-// unusable records once for each key.
+// passes them to the loop. It decodes a record only when it has changed. It counts
+// unusable records, and logs each of them once for each change, at a bounded rate.
 func (p *Process) endpointUpdater(s *Sources) func(map[string][]byte) {
 	decoded := make(map[string]decodedEndpoint)
-	logged := make(map[string]bool)
+	refused := newRefusals(p.loop.metrics, "endpoint")
 	return func(records map[string][]byte) {
 		maps.DeleteFunc(decoded, func(key string, _ decodedEndpoint) bool { return records[key] == nil })
 		list := make([]leased.Endpoint, 0, len(records))
@@ -131,20 +131,28 @@
 				d = decodedEndpoint{record: data}
 				d.endpoint, d.err = s.DecodeEndpoint(key, data)
 				decoded[key] = d
+				if d.err != nil {
+					refused.add(1)
+					p.logUnusable(refused, d.err)
+				}
 			}
 			if d.err == nil {
 				list = append(list, d.endpoint)
-				continue
-			}
-			if !logged[key] {
-				logged[key] = true
-				p.log.Warn("record_unusable", zap.Error(d.err))
 			}
 		}
 		p.loop.send(setDirectory{Directory{Endpoints: list}})
 	}
 }
 
+func (p *Process) logUnusable(refused *refusals, err error) {
+	notLogged, ok := refused.mayLog(time.Now())
+	if !ok {
+		return
+	}
+	reason := err.Error()
+	p.log.Warn("record_unusable", zap.String("error", reason[:min(len(reason), maxRefusalReason)]), zap.Int("not_logged", notLogged))
+}
+
 // decodedEndpoint is a record of an endpoint and the result of decoding it.
 type decodedEndpoint struct {
 	record   []byte
