Look up no names of entries, and bound the addresses that are kept

One odd record among those of the entries, or one odd address in a heartbeat, could stop the control loop of every entry: a host name in place of a number was looked up there for each hello, which blocks until the resolver answers. The addresses were told to all others and kept for good, in any number, and each was sent a hello each 0.4 s. One that failed was logged, forgotten and taken in again with the next list.

Cause: fleet/sources.go passed the bytes of each record on as an address, and heartbeats.write resolved them with net.ResolveUDPAddr.

Addresses are now parsed as IPv4 number and port when they enter: from the settings, the list, and heartbeats, which are refused if their own addresses are odd. Writing a datagram parses numbers only. Each source has its own limit, so that thousands of unused addresses take the place of no entry; those that nobody names any more are forgotten after ten minutes, those that only others have named are not passed on, and at most 128 hellos are sent at once. Refused addresses are counted, and logged at the rate of refused records.

--- a/fleet/heartbeats.go
+++ b/fleet/heartbeats.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -40,31 +39,29 @@
 	conn       *net.UDPConn
 	ownAddress string
 	startedAt  time.Time
-	lastHello  map[string]time.Time // when each known heartbeat address was last sent a hello
-	nextLocal  time.Time            // when the next heartbeat to the own failure domain is due
-	nextRemote time.Time            // the same for other failure domains
-	nextHello  time.Time            // when the next hellos are due
-	announced  [2]announcement      // to the holders of the own failure domain, and of the others
+	known      map[string]*knownAddress
+	counts     [fromSettings + 1]int // of the known addresses, by source
+	refusals   *refusals             // of addresses
+	nextLocal  time.Time             // when the next heartbeat to the own failure domain is due
+	nextRemote time.Time             // the same for other failure domains
+	nextHello  time.Time             // when the next hellos are due
+	announced  [2]announcement       // to the holders of the own failure domain, and of the others
 	log        *zap.Logger
 }
 
-func newHeartbeats(conn *net.UDPConn, s Settings, log *zap.Logger) *heartbeats {
-	h := &heartbeats{conn: conn, ownAddress: s.HeartbeatAddress, startedAt: time.Now(), lastHello: make(map[string]time.Time), log: log}
-	h.addAddresses(s.Seeds)
-	return h
-}
-
-func (h *heartbeats) addAddresses(list []string) {
-	for _, address := range list {
-		if _, ok := h.lastHello[address]; !ok && address != h.ownAddress && address != "" {
-			h.lastHello[address] = time.Time{}
-		}
+func newHeartbeats(conn *net.UDPConn, s Settings, m *metrics, log *zap.Logger) *heartbeats {
+	h := &heartbeats{
+		conn: conn, ownAddress: s.HeartbeatAddress, startedAt: time.Now(), known: make(map[string]*knownAddress),
+		refusals: newRefusals(m, "address"), log: log,
 	}
+	h.addAddresses(h.startedAt, s.Seeds, fromSettings)
+	return h
 }
 
 func (h *heartbeats) addAddressesOf(heartbeat *fleetpb.Beat) {
-	h.addAddresses([]string{heartbeat.Beats})
-	h.addAddresses(heartbeat.Known)
+	now := time.Now()
+	h.addAddress(now, heartbeat.Beats, fromSender)
+	h.addAddresses(now, heartbeat.Known, fromOthers)
 }
 
 // receive passes received heartbeats to the loop until the context is done.
@@ -185,32 +182,33 @@
 	if now.Sub(l.heartbeats.startedAt) > earlyPeriod {
 		interval = lateHelloInterval
 	}
+	l.heartbeats.forgetUnused(now)
+	live := make(map[string]bool, len(l.view.Live))
+	for _, e := range l.view.Live {
+		live[e.HeartbeatAddress] = true
+	}
 	var data []byte
-	for address, last := range l.heartbeats.lastHello {
-		if now.Sub(last) < interval || l.isLive(address) {
+	sent := 0
+	for address, k := range l.heartbeats.known {
+		if now.Sub(k.helloAt) < interval || live[address] {
 			continue
 		}
+		if sent++; sent > maxHellos {
+			return // the others follow in the next rounds
+		}
 		if data == nil {
 			data = l.encodeHeartbeat(false, true)
 		}
-		l.heartbeats.lastHello[address] = now
+		k.helloAt = now
 		l.heartbeats.write(address, data)
 	}
 }
 
-func (l *Loop) isLive(address string) bool {
-	return slices.ContainsFunc(l.view.Live, func(e cells.Entry) bool { return e.HeartbeatAddress == address })
-}
-
 // sendHeartbeatTo answers a hello with a heartbeat that includes known addresses
 // of other entries.
 func (l *Loop) sendHeartbeatTo(address string, local bool) {
 	heartbeat := l.heartbeat(local)
-	for known := range l.heartbeats.lastHello {
-		if len(heartbeat.Known) < maxKnownAddresses {
-			heartbeat.Known = append(heartbeat.Known, known)
-		}
-	}
+	heartbeat.Known = l.heartbeats.addressesForOthers()
 	l.heartbeats.write(address, l.marshal(heartbeat))
 }
 
@@ -258,13 +256,12 @@
 // write sends a datagram. A datagram that cannot be sent is treated like a lost
 // one: the receiver detects the missing heartbeat.
 func (h *heartbeats) write(address string, data []byte) {
-	to, err := net.ResolveUDPAddr("udp4", address)
+	to, err := parseAddress(address)
 	if err != nil {
-		h.log.Warn("heartbeat_address", zap.String("address", address), zap.Error(err))
-		delete(h.lastHello, address)
+		h.refuse(time.Now(), err)
 		return
 	}
-	if _, err := h.conn.WriteToUDP(data, to); err != nil {
+	if _, err := h.conn.WriteToUDPAddrPort(data, to); err != nil {
 		h.log.Debug("heartbeat_unsent", zap.String("address", address), zap.Error(err))
 	}
 }
@@ -273,7 +270,7 @@
 type InvalidHeartbeatError struct{ Name, Reason string }
 
 func (e *InvalidHeartbeatError) Error() string {
-	return fmt.Sprintf("the heartbeat of %q is not valid: %s; check what sends to the heartbeat port", e.Name, e.Reason)
+	return fmt.Sprintf("the heartbeat of %.*q is not valid: %s; check what sends to the heartbeat port", maxLoggedAddress, e.Name, e.Reason)
 }
 
 // Limits of heartbeats that are accepted.
@@ -291,9 +288,15 @@
 // as live and what it holds, must be in range.
 func validateHeartbeat(b *fleetpb.Beat, now time.Time) error {
 	reason := ""
+	_, beatsErr := parseAddress(b.Beats)
+	_, callsErr := parseAddress(b.Address)
 	switch {
 	case b.Name == "" || b.Beats == "" || b.FailureDomain == "" || b.Incarnation == 0:
 		reason = "its name, address, failure domain or incarnation is missing"
+	case beatsErr != nil:
+		reason = beatsErr.Error()
+	case callsErr != nil:
+		reason = callsErr.Error()
 	case !(b.Weight >= 0 && b.Weight <= MaxWeight): // also excludes NaN
 		reason = fmt.Sprintf("weight %v", b.Weight)
 	case time.Duration(b.IntervalMs)*time.Millisecond > maxHeartbeatInterval:
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -53,7 +53,7 @@
 	p := &Process{settings: s, log: log.Logger, metrics: m}
 	p.peers = newPeers(self.Incarnation, log.Logger)
 	p.loop = newLoop(s, self, endpoints, log.Logger, m, p.peers, newFreezeDetector(readClocks, log.Logger))
-	p.heartbeats = newHeartbeats(conn, s, log.Logger)
+	p.heartbeats = newHeartbeats(conn, s, m, log.Logger)
 	p.loop.heartbeats = p.heartbeats
 	p.peers.send = p.loop.send
 	p.peers.latest = p.loop.Latest
@@ -80,7 +80,7 @@
 // Service returns the service for callers.
 func (p *Process) Service() *Service { return p.service }
 
-// AddSeeds adds heartbeat addresses of other entries.
+// AddSeeds adds the heartbeat addresses of other entries in the settings.
 func (p *Process) AddSeeds(addresses []string) { p.loop.send(seedAddresses{addresses}) }
 
 // Leave starts a planned stop: this entry gives up its endpoints and announces
@@ -154,11 +154,6 @@
 	return &Service{loop: l, peers: p, log: log, metrics: m, running: make(map[leased.JobID]*submission)}
 }
 
-// seedAddresses is a message that adds heartbeat addresses.
-type seedAddresses struct{ addresses []string }
-
-func (m seedAddresses) handle(l *Loop) { l.heartbeats.addAddresses(m.addresses) }
-
 // Grace returns the time limit of a planned stop.
 func (p *Process) Grace() time.Duration { return p.settings.Grace }
 
--- a/fleet/sources.go
+++ b/fleet/sources.go
@@ -58,7 +58,7 @@
 	endpoints := follow.New("endpoints", p.relayedEndpoints(&s), follow.PollOptions{Interval: p.endpointPollInterval}, p.log, p.endpointUpdater(&s))
 	entries := follow.New("entries", s.Entries,
 		follow.PollOptions{Interval: func() time.Duration { return entryPollInterval }}, p.log, func(records map[string][]byte) {
-			p.AddSeeds(lo.MapToSlice(records, func(_ string, address []byte) string { return string(address) }))
+			p.loop.send(listedAddresses{lo.MapToSlice(records, func(_ string, address []byte) string { return string(address) })})
 		})
 	go configuration.Run(ctx)
 	go endpoints.Run(ctx)
--- a/fleet/withdrawals_test.go
+++ b/fleet/withdrawals_test.go
@@ -109,7 +109,7 @@
 	}
 	t.Cleanup(func() { conn.Close() })
 	l.view.Self.Address, l.view.Self.HeartbeatAddress = "127.0.0.1:1", conn.LocalAddr().String()
-	l.heartbeats = newHeartbeats(conn, Settings{}, zap.NewNop())
+	l.heartbeats = newHeartbeats(conn, Settings{}, l.metrics, zap.NewNop())
 	return conn.LocalAddr().String()
 }
 
