Do not count an adopted run's time from its adoption

What callers saw: after a holder took over a job, tasks that it started were stopped with "too little progress" up to three times each and started elsewhere, so jobs took longer than they had to.

Cause: the age of a run that a holder found on an endpoint counted from the reply that listed it first, but its progress from its true start. The projected run time, and the run time at its end, were too short. They were the reference for the other tasks of the step, and lowered the estimates of the queue and the endpoint's slowness.

Fix: the progress with which a run was found is kept (foundPercent). A found run is a reference, and its run time is counted at its end, only if 20% of it was observed since; its run time is projected from the progress and the endpoint's clock since. Its age is a lower bound: the time since it was found, plus the earlier part once 10% were observed. The expected ends that planning and departures use begin accordingly. The run time of a found run of which too little was seen is unknown (took 0).

--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -52,7 +52,9 @@
 	unclaimedSince  time.Time     // when the run was found or revoked
 	percent         int           // progress
 	beganClock      time.Duration // earliest reading of the endpoint's clock that the run is known to have seen; 0: none
-	age             time.Duration // when the progress was listed
+	age             time.Duration // when the progress was listed; of a run that was found, a lower bound
+	foundPercent    int           // progress when the run was found; 0 if it was started here
+	ageFound        time.Duration // when the run was found, by its progress since; 0 if unknown or started here
 	listedBy        uint64        // sequence number of the newest Hold whose reply lists the run
 	reason          string        // of the Stop
 	demandUnknown   bool          // the run was found on the endpoint
@@ -176,8 +178,8 @@
 	e.clockAt = now
 }
 
-// age returns for how long a run was active when the endpoint last listed its
-// runs. The endpoint's own clock decides, so that neither a list that was
+// age returns for how long a run was active, or has been since it was found, when the
+// endpoint last listed its runs. The endpoint's own clock decides, so that neither a list that was
 // delayed on its way nor a holder that read it late makes the run look slow.
 // While the endpoint has reported no readings, it is the time since the Start.
 func (e *endpoint) age(r *run, now time.Time) time.Duration {
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -324,7 +324,7 @@
 	e.lastSeen, e.acknowledged, e.holdSeen, e.unreported = 0, 0, 0, nil
 	e.clockAt, e.listedClock = time.Time{}, 0
 	for _, r := range e.runs {
-		r.beganClock = 0
+		r.beganClock, r.foundPercent = 0, 0
 	}
 	e.nextHold = time.Time{}
 	if e.dropped { // it is not polled again: the other holder of its cell sees its runs
--- a/dispatch/leased/leaving.go
+++ b/dispatch/leased/leaving.go
@@ -155,10 +155,10 @@
 		return false
 	}
 	took := r.expected
-	if r.percent >= minProjectedPercent {
+	if r.observed() >= minProjectedPercent {
 		took = projectedRunTime(r, r.age)
 	}
-	return r.began.Add(took).After(e.departure.leavesAt.Add(noticeLag))
+	return r.startIfTaking(took).Add(took).After(e.departure.leavesAt.Add(noticeLag))
 }
 
 // canRestart reports whether the job of a run can be answered in time if the run
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -354,7 +354,7 @@
 	Task     TaskID
 	Run      int
 	End      End
-	Took     time.Duration
+	Took     time.Duration // 0: unknown, because too little was seen of a run that was found
 	Expected time.Duration
 	Failures int // of the task before this run
 }
--- a/dispatch/leased/progress.go
+++ b/dispatch/leased/progress.go
@@ -104,7 +104,7 @@
 		case other == t:
 		case other.state == doneTask && other.took > 0:
 			shortest = min(shortest, other.took)
-		case other.state == placedTask && other.run.percent >= minProjectedPercent:
+		case other.state == placedTask && other.run.observed() >= minProjectedPercent:
 			shortest = min(shortest, projectedRunTime(other.run, other.run.age))
 		}
 	}
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -49,8 +49,7 @@
 			continue
 		}
 		r.observeClock(e.listedClock)
-		r.percent = row.Percent
-		r.age = e.age(r, c.now)
+		c.observeProgress(e, r, row.Percent)
 		if r.state == runStarting {
 			c.confirm(r)
 		}
@@ -82,7 +81,7 @@
 // addFoundRun adds a run that this core does not know as active: an earlier
 // holder has started it, or a Start of this core was executed late.
 func (c *Core) addFoundRun(e *endpoint, row *ActiveRun) {
-	r := &run{id: row.Task, number: row.Run, endpoint: e, listedBy: e.sequence, state: runRunning, sent: c.now, began: c.now, beganClock: e.listedClock, confirmed: c.now, unclaimedSince: c.now, leaseLimit: c.now, percent: row.Percent, demandUnknown: true}
+	r := &run{id: row.Task, number: row.Run, endpoint: e, listedBy: e.sequence, state: runRunning, sent: c.now, began: c.now, beganClock: e.listedClock, confirmed: c.now, unclaimedSince: c.now, leaseLimit: c.now, percent: row.Percent, foundPercent: row.Percent, demandUnknown: true}
 	e.add(r)
 	if c.runs[row.Task] != nil {
 		c.sendStop(e, r, "the task runs elsewhere")
@@ -180,7 +179,7 @@
 	}
 	t.evidence = evidence
 	c.out.RunEnds = append(c.out.RunEnds, RunEnd{
-		Endpoint: e.ID, Task: r.id, Run: r.number, End: end, Took: e.age(r, c.now), Expected: r.expected, Failures: t.failures,
+		Endpoint: e.ID, Task: r.id, Run: r.number, End: end, Took: e.runTime(r, c.now), Expected: r.expected, Failures: t.failures,
 	})
 	c.observeEnd(e, r, end)
 	if t.job.delegated {
@@ -194,7 +193,7 @@
 func (c *Core) observeEnd(e *endpoint, r *run, end End) {
 	switch end {
 	case EndDone:
-		took := e.age(r, c.now)
+		took := e.runTime(r, c.now)
 		r.task.took = took
 		e.observeRunTime(took, r.expected)
 		c.learnSpeed(e, r, took)
--- a/dispatch/leased/together.go
+++ b/dispatch/leased/together.go
@@ -189,10 +189,11 @@
 // enough.
 func (c *Core) expectedEnd(r *run) time.Time {
 	progress := placement.Run{Age: r.age, Percent: r.percent}
-	if whole, known := progress.Projected(); known {
-		return r.began.Add(whole)
+	whole, known := progress.Projected()
+	if !known || r.foundPercent > 0 && r.observed() < minObservedPercent {
+		whole = r.expected
 	}
-	return r.began.Add(r.expected)
+	return r.startIfTaking(whole).Add(whole)
 }
 
 func (c *Core) addHost(t *task, e *endpoint, wait time.Duration, n int) {
