Tell owners of a shard with the same epoch apart

What callers saw: "the replaced owner answers 2" (no such job) in one of two whole runs of TestReplacedOwnerDoesNotTakeNoteOfOthersJobs beside load. The same fault loses an acknowledged job.

Cause: an epoch is the time in milliseconds. Two entries that take a shard over within one millisecond open the log with the same epoch, and the log fences off lower ones only. Both are confirmed as owners. The first append of the second one has the sequence number of the first one's, so the log takes it for a repeat and returns the earlier offset: the job is acknowledged and not stored. In the test, the runners of both owners check for their shard at the same times, so a stall of a fraction of a millisecond suffices. That the run beside load was this case is inferred: nothing else in the confirmations gives this answer, but its log was not kept.

Fix: an owner's first record is a claim with a random number, under sequence number 1. The log appends only one claim of an epoch. The owner is the entry whose claim stands at the offset that the log returned, as the replay shows; the other one is fenced and takes the shard over later with a higher epoch.

--- a/fleet/keep/codec.go
+++ b/fleet/keep/codec.go
@@ -77,6 +77,15 @@
 	return data, nil
 }
 
+// encodeClaim encodes the first record of an owner.
+func encodeClaim(claim uint64) ([]byte, error) {
+	data, err := proto.Marshal(&fleetpb.JobEvents{Claim: claim})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the claim of a shard")
+	}
+	return data, nil
+}
+
 // decode decodes a record.
 func (c *JobCodec) decode(data []byte) ([]stored.Event, error) {
 	record := &fleetpb.JobEvents{}
--- a/fleet/keep/serve.go
+++ b/fleet/keep/serve.go
@@ -52,7 +52,7 @@
 	s := &ownedShard{
 		Runner: r, ctx: ctx, shard: taken.shard, epoch: taken.epoch, events: make(chan any, queueSize),
 		replies: make(map[stored.Ticket]chan stored.Result), offers: make(map[leased.JobID]activeOffer),
-		lease: lease{confirmedAt: taken.startedAt},
+		lease: lease{confirmedAt: taken.startedAt}, sequence: taken.sequence,
 	}
 	defer s.release()
 	r.env.OnOwnershipChange(r.shard, true)
