Test that a reset starts no task beside its earlier run

TestCancelledJobThatRanElsewhereSince did not show it any more: since holders wait for 2.25 s before a resubmitted job is started, no run was active at the second loss, at 1.7 s. It plays until 3 s now and checks that one is.

Mutants may be of other packages.

--- a/dispatch/leased/mutants_test.go
+++ b/dispatch/leased/mutants_test.go
@@ -28,6 +28,7 @@
 type mutant struct {
 	name       string
 	file       string
+	dir        string // of the package whose tests run; empty: this one
 	quick      bool
 	layouts    string // regular expression for those that concern it; empty: all
 	schedule   string // in which the exploration finds two runs of a task; empty: none is known
@@ -137,6 +138,9 @@
 		if m.name == "" || names[m.name] || m.old == "" {
 			t.Fatalf("a mutant without a name of its own or a text to replace:\n%s", block)
 		}
+		if m.dir != "" && m.unexplored == "" {
+			t.Fatalf("mutant %q: the exploration runs only in this package", m.name)
+		}
 		names[m.name] = true
 		list = append(list, m)
 	}
@@ -159,6 +163,8 @@
 		m.name = value
 	case "file":
 		m.file = value
+	case "package":
+		m.dir = value
 	case "quick":
 		m.quick = value == "yes"
 	case "layouts":
@@ -187,11 +193,16 @@
 	if m.schedule != "" {
 		if output := b.run("^TestReplayRestartSchedule$", "-restart-schedule", m.schedule); doubleRun.MatchString(output) {
 			t.Logf("EXPLORED: %s", m.schedule)
+			m.checkOtherTests(t, b)
 			return
 		}
 		t.Logf("the schedule %s finds nothing any more", m.schedule)
 	}
 	if m.unexplored != "" {
+		if m.tests == "" {
+			t.Fatal("unexplored, and no other tests are named")
+		}
+		t.Logf("NOT EXPLORED: %s", m.unexplored)
 		m.checkOtherTests(t, b)
 		return
 	}
@@ -227,15 +238,13 @@
 // checkOtherTests checks that each of the tests named fails.
 func (m *mutant) checkOtherTests(t *testing.T, b *mutantBuild) {
 	t.Helper()
-	if m.tests == "" {
-		t.Fatal("unexplored, and no other tests are named")
-	}
 	for _, name := range strings.Fields(m.tests) {
 		if output := b.run("^" + name + "$"); !strings.Contains(output, "--- FAIL: "+name+" ") {
 			t.Errorf("%s has not failed:\n%s", name, output)
+			continue
 		}
+		t.Logf("caught by %s", name)
 	}
-	t.Logf("NOT EXPLORED (%s); caught by %s", m.unexplored, m.tests)
 }
 
 var (
@@ -246,6 +255,7 @@
 // mutantBuild is a test binary with a change.
 type mutantBuild struct {
 	t      *testing.T
+	dir    string // of the package
 	binary string
 }
 
@@ -270,7 +280,7 @@
 		t.Fatal(err)
 	}
 	dir := t.TempDir()
-	changed := filepath.Join(dir, m.file)
+	changed := filepath.Join(dir, filepath.Base(m.file))
 	if err := os.WriteFile(changed, source, 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -286,7 +296,7 @@
 	if err := os.WriteFile(list, overlay, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	b := &mutantBuild{t, filepath.Join(dir, "leased.test")}
+	b := &mutantBuild{t, m.dir, filepath.Join(dir, "mutant.test")}
 	out, err := b.command("go", "test", "-c", "-p", "1", "-overlay", list, "-vet=off", "-o", b.binary, ".").CombinedOutput()
 	if err != nil {
 		t.Fatalf("go test -c: %v\n%s", err, out)
@@ -297,7 +307,7 @@
 // command returns a command that uses one processor, because the mutants run in parallel.
 func (b *mutantBuild) command(name string, args ...string) *exec.Cmd {
 	cmd := exec.CommandContext(b.t.Context(), name, args...)
-	cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+	cmd.Env, cmd.Dir = append(os.Environ(), "GOMAXPROCS=1"), b.dir
 	return cmd
 }
 
--- a/dispatch/leased/restart_test.go
+++ b/dispatch/leased/restart_test.go
@@ -60,7 +60,10 @@
 	sim.runUntil(300 * time.Millisecond)
 	sim.step(0, &leased.Cancel{Ticket: ticket})
 	second := sim.submitJob(1, resubmitted(job), 900*time.Millisecond)
-	sim.runUntil(1700 * time.Millisecond)
+	sim.runUntil(3 * time.Second) // the second holder has waited for 2.25 s at most
+	if n := activeRuns(sim, "j"); n != 1 {
+		t.Fatalf("%d runs are active at the second loss, want one", n)
+	}
 	sim.after(40*time.Millisecond, func() { sim.step(1, &leased.Cancel{Ticket: second}) })
 	sim.submitJob(0, resubmitted(job), 900*time.Millisecond)
 	sim.runUntil(8 * time.Second)
