Tell the delay of a call by heartbeats only

A call that a cut has held up for seconds could count as new, so that its task would be started beside the run that its sender has started elsewhere: calls were recorded among the messages whose smallest difference of the two clocks is taken for a delay of zero. A cut drops heartbeats and holds calls up. Two calls that are held up in succession, 5 s or more apart and without a heartbeat between them, pushed the differences of heartbeats out of the window, and the second one got a delay of zero.

Calls are measured by the heartbeats of their sender and not recorded. A cut of any length thus keeps the earlier minimum until heartbeats arrive again.

If more than 4,096 senders were remembered, a further one was not, and its calls counted as new. The one that was not heard for the longest time is forgotten instead; every entry that sends heartbeats stays known.

TestCallsAreNotTakenForFast and TestSendersHeardLastAreRemembered fail with the mutants "calls are taken for the fastest messages" and "senders are not remembered if there are too many", which restore the earlier rules.

--- a/fleet/freecapacity.go
+++ b/fleet/freecapacity.go
@@ -19,7 +19,7 @@
 	b := m.heartbeat
 	l.withdrawCalls(b)
 	l.maxToken = max(l.maxToken, b.Token)
-	isNew := l.roster.ReceiveDelayedHeartbeat(now, entryOf(b), l.delayOf(b.Incarnation, b.SentUs))
+	isNew := l.roster.ReceiveDelayedHeartbeat(now, entryOf(b), l.delayOfHeartbeat(b.Incarnation, b.SentUs))
 	l.roster.ReceiveLogContact(now, cells.Incarnation(b.Incarnation), logContactOf(b))
 	l.heartbeats.addAddressesOf(b)
 	l.receiveCapacity(now, b)
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -159,7 +159,7 @@
 	if from.sentUs == 0 {
 		return from.arrivedAt
 	}
-	sentAt := time.Now().Add(-l.delayOf(uint64(from.caller), from.sentUs))
+	sentAt := time.Now().Add(-l.delayOfCall(uint64(from.caller), from.sentUs))
 	if sentAt.After(from.arrivedAt) {
 		return from.arrivedAt
 	}
--- a/membership/contact/delays.go
+++ b/membership/contact/delays.go
@@ -12,8 +12,7 @@
 	halfWindow = 5 * time.Second
 	// retention is how long a sender is remembered after its last message.
 	retention = time.Minute
-	// maxSenders bounds the senders that are remembered. The messages of others count as
-	// not delayed.
+	// maxSenders bounds the senders that are remembered: those heard last.
 	maxSenders = 4096
 	// MaxClock is the highest time of a boot clock that is taken for one: 100 years.
 	MaxClock = 100 * 365 * 24 * time.Hour
@@ -42,10 +41,10 @@
 	current, last time.Duration // smallest differences
 }
 
-// Delay records a message and returns how much longer it was on its way than the fastest
-// recent message of its sender. It is not negative. It is 0 for the first message of a
-// sender, and for one that does not say when it was sent (sentAt is 0) or says a time
-// that no clock shows. receivedAt is the receiver's boot clock at receipt, and sentAt the
+// Delay records a heartbeat and returns how much longer it was on its way than the fastest
+// recent one of its sender. It is not negative. It is 0 for the first heartbeat of a
+// sender, and for one that does not say when it was sent (sentAt is 0) or says a time that
+// no clock shows. receivedAt is the receiver's boot clock at receipt, and sentAt the
 // sender's at sending.
 func (d *Delays) Delay(sender uint64, receivedAt, sentAt time.Duration) time.Duration {
 	if !valid(receivedAt) || !valid(sentAt) {
@@ -62,6 +61,17 @@
 	return difference - min(w.current, w.last)
 }
 
+// DelayOfCall returns the same for a call, but does not record it. A cut holds calls up
+// for seconds, while it drops heartbeats, so that a call could become the fastest message
+// of the window. It is 0 if no heartbeat of the sender is known.
+func (d *Delays) DelayOfCall(sender uint64, receivedAt, sentAt time.Duration) time.Duration {
+	w := d.senders[sender]
+	if w == nil || !valid(receivedAt) || !valid(sentAt) {
+		return 0
+	}
+	return max(0, receivedAt-sentAt-min(w.current, w.last))
+}
+
 func valid(clock time.Duration) bool { return clock > 0 && clock <= MaxClock }
 
 func (w *window) add(receivedAt, difference time.Duration) {
@@ -76,7 +86,7 @@
 
 func (d *Delays) add(sender uint64, w *window) {
 	if len(d.senders) >= maxSenders {
-		return
+		d.forgetOldest()
 	}
 	if d.senders == nil {
 		d.senders = make(map[uint64]*window)
@@ -84,6 +94,18 @@
 	d.senders[sender] = w
 }
 
+// forgetOldest forgets the sender of which no message has arrived for the longest time.
+func (d *Delays) forgetOldest() {
+	var oldest uint64
+	var w *window
+	for sender, candidate := range d.senders {
+		if w == nil || candidate.lastAt < w.lastAt || candidate.lastAt == w.lastAt && sender < oldest {
+			oldest, w = sender, candidate
+		}
+	}
+	delete(d.senders, oldest)
+}
+
 // prune forgets the senders of which no message has arrived for a long time.
 func (d *Delays) prune(now time.Duration) {
 	if now < d.nextPrune {
--- a/membership/contact/delays_test.go
+++ b/membership/contact/delays_test.go
@@ -118,6 +118,48 @@
 	wantDelay(t, "second message", d.Delay(1, boot+time.Second, boot-time.Second), time.Second, time.Second)
 }
 
+// Guards against calls that are taken for the fastest messages, because a cut drops
+// heartbeats and holds calls up: two of them in succession would hide each other's delay.
+func TestCallsAreNotTakenForFast(t *testing.T) {
+	s := newStream()
+	call := func(heldUp time.Duration) time.Duration {
+		return s.delays.DelayOfCall(sender, s.now, s.now-heldUp-s.offset)
+	}
+	wantDelay(t, "call of an unheard sender", call(3*time.Second), 0, 0)
+	wantDelay(t, "first heartbeat after a call", s.receive(0), 0, 0)
+	s.pass(12 * time.Second)
+	wantDelay(t, "undelayed call", call(0), 0, 0)
+	for range 5 { // 40 s without a heartbeat
+		s.now += 8 * time.Second
+		wantDelay(t, "call held up by a cut", call(7*time.Second), 7*time.Second, 7*time.Second)
+	}
+	wantDelay(t, "heartbeat after the cut", s.receive(0), 0, 0)
+	wantDelay(t, "call held up by an earlier cut", call(20*time.Second), 20*time.Second, 20*time.Second)
+	wantDelay(t, "call after a jump down", s.delays.DelayOfCall(sender, s.now, s.now-s.offset+time.Second), 0, 0)
+	for _, sentAt := range []time.Duration{0, -1, math.MinInt64, MaxClock + 1} {
+		wantDelay(t, "absurd time of a call", s.delays.DelayOfCall(sender, s.now, sentAt), 0, 0)
+	}
+}
+
+// Guards against a sender that is not remembered because there are too many others, whose
+// calls count as new.
+func TestSendersHeardLastAreRemembered(t *testing.T) {
+	s := newStream()
+	for id := range uint64(maxSenders) {
+		s.delays.Delay(sender+1+id, s.now, s.now)
+	}
+	s.now += interval
+	s.receive(0)
+	s.now += interval
+	for id := range uint64(100) { // replace others
+		s.delays.Delay(2*maxSenders+id, s.now, s.now)
+	}
+	wantDelay(t, "held up", s.receive(3*time.Second), 3*time.Second, 3*time.Second)
+	if n := len(s.delays.senders); n != maxSenders {
+		t.Errorf("%d senders are remembered, want %d", n, maxSenders)
+	}
+}
+
 // Guards against overflow, and against senders that are remembered without limit.
 func TestAbsurdTimesCountAsNotDelayed(t *testing.T) {
 	var d Delays
