Refuse calls that were on their way for more than 0.9 s

Single calls are named for 5 s, epochs for 30 s.

A call that was sent more than contactGrace (0.9 s) ago now starts nothing, whatever was heard since. A delegated task is answered with "no capacity", a job is returned, with what is known of its runs here, and a search with "unknown". A newer call was withdrawn 0.9 s before its delivery at the earliest, so that heartbeats still name it, or are missing, which cancels it.

--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -229,6 +229,14 @@
 // wait, or answers that there is not enough free capacity.
 func (c *Core) submitDelegated(in *SubmitDelegated) {
 	d := &in.Task
+	if c.isLate(in.SentAt) {
+		end := EndNoCapacity
+		if d.Adopt {
+			end = EndUnknown // nothing was searched for
+		}
+		c.out.DelegatedAnswers = append(c.out.DelegatedAnswers, DelegatedAnswer{Ticket: in.Ticket, Task: d.ID, Run: d.Run, End: end})
+		return
+	}
 	c.addCaller(in.Ticket, in.Caller, in.CallerHeardAt)
 	j := c.newDelegated(d, in.Ticket)
 	j.originHeardAt = c.originHeardAt(in)
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -88,6 +88,10 @@
 const resubmittedRunOffset = 16
 
 func (c *Core) submit(in *Submit) {
+	if c.isLate(in.SentAt) {
+		c.refuseLate(in)
+		return
+	}
 	c.addCaller(in.Ticket, in.Caller, in.CallerHeardAt)
 	earlier := c.takeOverTickets(&in.Job)
 	if j := c.jobs[in.Job.ID]; j != nil {
@@ -125,6 +129,29 @@
 	c.enqueue(j)
 }
 
+// refuseLate returns a job that was submitted by a late call.
+func (c *Core) refuseLate(in *Submit) {
+	c.out.Answers = append(c.out.Answers, Answer{
+		Ticket: in.Ticket, Job: in.Job.ID, Verdict: Moved, Reason: "its call was delivered too late", EarlierRuns: c.mayHaveRuns(&in.Job),
+	})
+}
+
+// mayHaveRuns reports whether a job is here, or a run of one of its tasks may be active.
+func (c *Core) mayHaveRuns(spec *Job) bool {
+	if c.jobs[spec.ID] != nil {
+		return true
+	}
+	for s := range spec.Steps {
+		for i := range spec.Steps[s].Tasks {
+			id := TaskID{Job: spec.ID, Step: s, Index: i}
+			if c.runs[id] != nil || c.unseen.possible(id, c.now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // takeOverTickets removes a best-effort job that is here and was at another holder
 // since, and returns its tickets. That holder may still start its tasks, so the runs
 // here are stopped, and the tasks wait like those of any resubmitted job.
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -38,6 +38,7 @@
 	// CallerHeardAt is when Caller was last heard, by a heartbeat or by this call; zero:
 	// not known.
 	CallerHeardAt time.Time
+	SentAt        time.Time // when Caller sent the call; zero: not known
 }
 
 // SubmitDelegated submits one task of a job that is queued at another holder.
@@ -50,6 +51,7 @@
 	// CallerHeardAt is when Caller was last heard, by a heartbeat or by this call; zero:
 	// not known.
 	CallerHeardAt time.Time
+	SentAt        time.Time // when Caller sent the call; zero: not known
 }
 
 // CallerContact reports when an entry that waits for tickets was last heard.
--- a/dispatch/leased/renewal.go
+++ b/dispatch/leased/renewal.go
@@ -98,6 +98,14 @@
 	c.callers[ticket] = waiting
 }
 
+// isLate reports whether a call was on its way for longer than tasks are started for an
+// entry that is not heard. Its sender may have given it up and have started its tasks
+// elsewhere, and heartbeats name withdrawn calls for a few seconds only. So a late call
+// starts nothing, even if its entry was heard since.
+func (c *Core) isLate(sentAt time.Time) bool {
+	return !sentAt.IsZero() && c.now.Sub(sentAt) > contactGrace
+}
+
 // ticketCaller is the entry that waits for a ticket.
 type ticketCaller struct {
 	id      uint64
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -162,7 +162,8 @@
 	l.lastTicket++
 	l.waiters[l.lastTicket] = m.answer
 	m.ticket <- l.lastTicket
-	l.step(&leased.Submit{Ticket: l.lastTicket, Job: m.job, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.origin)})
+	l.logIfLate(m.caller, l.sentAt(m.origin))
+	l.step(&leased.Submit{Ticket: l.lastTicket, Job: m.job, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.origin), SentAt: l.sentAt(m.origin)})
 }
 
 // submitDelegated is a message that submits a delegated task to the core.
@@ -177,9 +178,10 @@
 	l.lastTicket++
 	l.delegatedWaiters[l.lastTicket] = m.answer
 	m.ticket <- l.lastTicket
-	heardAt := l.heardAt(m.origin)
-	l.boundByOrigin(&m.task, heardAt.Sub(l.sentAt(m.origin)))
-	l.step(&leased.SubmitDelegated{Ticket: l.lastTicket, Task: m.task, Caller: uint64(m.caller), CallerHeardAt: heardAt})
+	heardAt, sentAt := l.heardAt(m.origin), l.sentAt(m.origin)
+	l.logIfLate(m.caller, sentAt)
+	l.boundByOrigin(&m.task, heardAt.Sub(sentAt))
+	l.step(&leased.SubmitDelegated{Ticket: l.lastTicket, Task: m.task, Caller: uint64(m.caller), CallerHeardAt: heardAt, SentAt: sentAt})
 }
 
 // cancelTicket is a message that cancels a ticket.
--- /dev/null
+++ b/fleet/latecalls_test.go
@@ -0,0 +1,145 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/membership/cells"
+	"lovagespread.example/peer/fleetpb"
+)
+
+// These tests hand requests to an entry that were held up on their way, as a cut does. The
+// sender is incarnation 2, that of validHeartbeat, which has given the call up and has
+// started the task elsewhere by then (dispatch/leased/restart_late_test.go).
+
+// freeEndpoint is an endpoint that answers every call, and runs whatever is started.
+type freeEndpoint struct{}
+
+func (freeEndpoint) Start(_ context.Context, s *leased.Start) leased.StartReply {
+	return leased.StartReply{Endpoint: s.Endpoint, Task: s.Task, Run: s.Run, Result: leased.StartAccepted, Clock: time.Minute}
+}
+func (freeEndpoint) Stop(_ context.Context, s *leased.Stop) leased.StopReply {
+	return leased.StopReply{Endpoint: s.Endpoint, Task: s.Task, Run: s.Run}
+}
+func (freeEndpoint) Hold(_ context.Context, h *leased.Hold) leased.HoldReply {
+	return leased.HoldReply{Endpoint: h.Endpoint, Sequence: h.Sequence, Result: leased.HoldAnswered, Clock: time.Minute}
+}
+
+// receiver is an entry that holds an endpoint with free capacity.
+type receiver struct {
+	*Loop
+	clocks *fakeClocks
+	server *server
+	calls  uint64 // delivered ones
+}
+
+func newReceiver(t *testing.T) *receiver {
+	t.Helper()
+	l := testLoop(t, freeEndpoint{})
+	withHeartbeats(t, l)
+	r := &receiver{Loop: l, clocks: withFakeClocks(l), server: &server{loop: l, peers: l.peers}}
+	l.roster = cells.New(l.view.Self, time.Now().Add(-time.Minute))
+	l.handle(setDirectory{Directory{Endpoints: []leased.Endpoint{{
+		ID: "e1", Address: "e1", Service: "s", FailureDomain: "d0", Capacity: leased.Demand{MilliCores: 64_000, MemoryMiB: 1000},
+	}}}})
+	l.refresh(time.Now())
+	l.publish()
+	nextMessage[coreInput](t, l).handle(l) // the answer to the first Hold
+	if held := l.core.Status().Held; held != 1 {
+		t.Fatalf("%d endpoints are held, want one", held)
+	}
+	return r
+}
+
+// lateResult is the result of a call at the receiver.
+type lateResult struct {
+	end     leased.End
+	verdict fleetpb.Verdict
+	err     error
+}
+
+// deliver hands the receiver a call that was sent some time ago, and returns the result.
+func (r *receiver) deliver(ctx context.Context, t *testing.T, submit bool, age time.Duration) <-chan lateResult {
+	t.Helper()
+	r.calls++
+	sentUs := uint64((r.clocks.boot - clockLead - age).Microseconds())
+	step := &fleetpb.Step{Tasks: 1, MilliCores: 1000}
+	result := make(chan lateResult, 1)
+	if submit {
+		job := leased.Job{ID: "j", Service: "s", MaxAttempts: 1, CallerTimeout: time.Minute, Steps: []leased.Step{{Tasks: 1, Demand: leased.Demand{MilliCores: 1000}}}}
+		request := jobToPB(&job, 2)
+		request.SentUs, request.Call = sentUs, r.calls
+		go func() {
+			reply, err := r.server.Submit(ctx, request)
+			result <- lateResult{verdict: reply.GetVerdict(), err: err}
+		}()
+		nextMessage[submitJob](t, r.Loop).handle(r.Loop)
+		return result
+	}
+	request := &fleetpb.LendRequest{From: 2, Job: "j", Service: "s", Step: step, Run: 1, PatienceUs: 60_000_000, SentUs: sentUs, Call: r.calls}
+	go func() {
+		reply, err := r.server.Lend(ctx, request)
+		result <- lateResult{end: leased.End(reply.GetEnd()), err: err}
+	}()
+	nextMessage[submitDelegated](t, r.Loop).handle(r.Loop)
+	return result
+}
+
+func (r *receiver) wantRuns(t *testing.T, when string, want int) {
+	t.Helper()
+	if n := r.core.Status().Running; n != want {
+		t.Fatalf("%s: %d runs, want %d", when, n, want)
+	}
+}
+
+// wantRefused checks that a call was answered in a way that proves that nothing was started.
+func wantRefused(t *testing.T, submit bool, result <-chan lateResult) {
+	t.Helper()
+	got := receiveFrom(t, result)
+	if got.err != nil || submit && got.verdict != fleetpb.Verdict_NOT_HOLDER || !submit && got.end != leased.EndNoCapacity {
+		t.Errorf("the late call was answered with %+v", got)
+	}
+}
+
+// forBoth runs a test for a submitted job and for a delegated task.
+func forBoth(t *testing.T, test func(t *testing.T, submit bool)) {
+	for name, submit := range map[string]bool{"job": true, "delegated task": false} {
+		t.Run(name, func(t *testing.T) { test(t, submit) })
+	}
+}
+
+// Guards against form B of the double runs of incident 7 at an entry that has heard the
+// sender before the cut: a call that is delivered seconds late is started. No heartbeat
+// has arrived since, or one that does not name the call, because it was withdrawn more
+// than 5 s ago.
+func TestCallHeldUpByACutStartsNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		age   time.Duration
+		heard bool // since the cut
+	}{
+		"cut of 3 s, heartbeat since":     {2770 * time.Millisecond, true},
+		"cut of 12 s, heartbeat since":    {12 * time.Second, true},
+		"cut of 25 s, heartbeat since":    {25 * time.Second, true},
+		"cut of 3 s, no heartbeat since":  {2770 * time.Millisecond, false},
+		"cut of 12 s, no heartbeat since": {12 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forBoth(t, func(t *testing.T, submit bool) {
+				r := newReceiver(t)
+				hearHeartbeats(r.Loop, r.clocks)
+				r.clocks.advance(c.age)
+				r.roster = rosterAsOf(r.Loop, time.Now().Add(-c.age))
+				if c.heard {
+					peerHeartbeat{heartbeatSentAt(r.clocks.boot)}.handle(r.Loop)
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				result := r.deliver(ctx, t, submit, c.age)
+				r.wantRuns(t, "late call", 0)
+				wantRefused(t, submit, result)
+			})
+		})
+	}
+}
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -74,7 +74,7 @@
 	m.runEnds = counter("runs_ended_total", "Runs that ended, by how they ended.", "end")
 	m.crashes = counter("endpoint_crashes_total", "Runs under which their endpoint has crashed.", "queue", "alone")
 	m.delegations = counter("lends_total", "Tasks delegated to other holders, by how they ended.", "end")
-	m.withdrawnCalls = counter("withdrawn_calls_total", "Calls of other entries that those have given up, which were open (cancelled) or arrived later (refused).", "result")
+	m.withdrawnCalls = counter("withdrawn_calls_total", "Calls of other entries that those have given up, which were open (cancelled) or arrived later (refused), and calls that were on their way for too long (late).", "result")
 	m.endpointEvents = counter("endpoint_events_total", "Changes of the assumed state of endpoints, by event.", "event")
 	m.balanced = counter("balanced_jobs_total", "Jobs that went to another holder because of its shorter queue, when submitted (sent) or later (moved).", "decision")
 	m.predictedWait = gauge("predicted_wait_seconds", "Predicted wait of a new job in the queue of this holder.")
