Let calls wait for the first heartbeat of their entry

The delay of a call is known only once a heartbeat of its sender's incarnation has arrived. Before that a call counted as sent when it arrived, and as contact with its entry. So a call that was held up beside the start of its sender or its receiver, with the sender's heartbeats lost, started its task however old it was: between its delivery and its cancellation, or the first heartbeat, it ran beside the run that the delegator had started elsewhere after 2.25 s.

Such a call now waits in the loop for a heartbeat of the incarnation. That heartbeat names the calls that were withdrawn before, which end, and tells how old the others are. The rule needs no new field, and holds for senders of earlier versions, too. A call whose context has ended by its turn is not passed to the core: its cancellation is handled after it.

callerContacts took the beginning of an unheard entry's call for contact with it. A call that was held up could so extend the lease of a delegated task whose origin it came from.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -152,6 +152,7 @@
 
 // submitJob is a message that submits a job to the core.
 type submitJob struct {
+	ctx context.Context // of the call
 	job leased.Job
 	origin
 	answer chan leased.Answer
@@ -159,15 +160,17 @@
 }
 
 func (m submitJob) handle(l *Loop) {
-	l.lastTicket++
-	l.waiters[l.lastTicket] = m.answer
-	m.ticket <- l.lastTicket
-	l.logIfLate(m.caller, l.sentAt(m.origin))
-	l.step(&leased.Submit{Ticket: l.lastTicket, Job: m.job, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.origin), SentAt: l.sentAt(m.origin)})
+	ticket := l.newTicket()
+	l.waiters[ticket] = m.answer
+	m.ticket <- ticket
+	l.submit(&submittedCall{m.ctx, m.origin, ticket, func() {
+		l.step(&leased.Submit{Ticket: ticket, Job: m.job, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.origin), SentAt: l.sentAt(m.origin)})
+	}})
 }
 
 // submitDelegated is a message that submits a delegated task to the core.
 type submitDelegated struct {
+	ctx  context.Context // of the call
 	task leased.DelegatedTask
 	origin
 	answer chan leased.DelegatedAnswer
@@ -175,13 +178,19 @@
 }
 
 func (m submitDelegated) handle(l *Loop) {
+	ticket := l.newTicket()
+	l.delegatedWaiters[ticket] = m.answer
+	m.ticket <- ticket
+	l.submit(&submittedCall{m.ctx, m.origin, ticket, func() {
+		heardAt, sentAt := l.heardAt(m.origin), l.sentAt(m.origin)
+		l.boundByOrigin(&m.task, heardAt.Sub(sentAt))
+		l.step(&leased.SubmitDelegated{Ticket: ticket, Task: m.task, Caller: uint64(m.caller), CallerHeardAt: heardAt, SentAt: sentAt})
+	}})
+}
+
+func (l *Loop) newTicket() leased.Ticket {
 	l.lastTicket++
-	l.delegatedWaiters[l.lastTicket] = m.answer
-	m.ticket <- l.lastTicket
-	heardAt, sentAt := l.heardAt(m.origin), l.sentAt(m.origin)
-	l.logIfLate(m.caller, sentAt)
-	l.boundByOrigin(&m.task, heardAt.Sub(sentAt))
-	l.step(&leased.SubmitDelegated{Ticket: l.lastTicket, Task: m.task, Caller: uint64(m.caller), CallerHeardAt: heardAt, SentAt: sentAt})
+	return l.lastTicket
 }
 
 // cancelTicket is a message that cancels a ticket.
@@ -190,6 +199,7 @@
 func (m cancelTicket) handle(l *Loop) {
 	delete(l.waiters, m.ticket)
 	delete(l.delegatedWaiters, m.ticket)
+	l.removeUnheard(m.ticket)
 	l.step(&leased.Cancel{Ticket: m.ticket})
 }
 
@@ -198,14 +208,14 @@
 // done first, it cancels the job and returns false.
 func (l *Loop) runLocally(ctx context.Context, job leased.Job, from origin) (leased.Answer, bool) {
 	return await(ctx, l, func(answer chan leased.Answer, ticket chan leased.Ticket) message {
-		return submitJob{job, from, answer, ticket}
+		return submitJob{ctx, job, from, answer, ticket}
 	})
 }
 
 // runDelegated does the same for a delegated task.
 func (l *Loop) runDelegated(ctx context.Context, task leased.DelegatedTask, from origin) (leased.DelegatedAnswer, bool) {
 	return await(ctx, l, func(answer chan leased.DelegatedAnswer, ticket chan leased.Ticket) message {
-		return submitDelegated{task, from, answer, ticket}
+		return submitDelegated{ctx, task, from, answer, ticket}
 	})
 }
 
--- a/fleet/callset.go
+++ b/fleet/callset.go
@@ -187,18 +187,3 @@
 	}
 	return list
 }
-
-// earliest returns when the earliest open call of each entry began.
-func (s *callSet) earliest() map[cells.Incarnation]time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	began := make(map[cells.Incarnation]time.Time, len(s.byEntry))
-	for id, calls := range s.byEntry {
-		for c := range calls {
-			if first, known := began[id]; !known || c.began.Before(first) {
-				began[id] = c.began
-			}
-		}
-	}
-	return began
-}
--- a/fleet/freecapacity.go
+++ b/fleet/freecapacity.go
@@ -21,6 +21,7 @@
 	l.maxToken = max(l.maxToken, b.Token)
 	isNew := l.roster.ReceiveDelayedHeartbeat(now, entryOf(b), l.delayOfHeartbeat(b.Incarnation, b.SentUs))
 	l.roster.ReceiveLogContact(now, cells.Incarnation(b.Incarnation), logContactOf(b))
+	l.submitUnheard(cells.Incarnation(b.Incarnation))
 	l.heartbeats.addAddressesOf(b)
 	l.receiveCapacity(now, b)
 	if isNew || b.Leaving != leavingIn(l.view, b.Incarnation) {
--- a/fleet/latecalls_test.go
+++ b/fleet/latecalls_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/membership/cells"
 	"lovagespread.example/peer/fleetpb"
@@ -143,3 +145,103 @@
 		})
 	}
 }
+
+// Guards against a call of an incarnation that was not heard yet, of which nobody can tell
+// how old it is: it was held up by a cut beside the start of its sender or its receiver,
+// and is started. The first heartbeat names it, or is sent after it was withdrawn for 5 s.
+func TestCallOfUnheardEntryWaitsForItsHeartbeat(t *testing.T) {
+	heartbeat := func(r *receiver) *fleetpb.Beat { return heartbeatSentAt(r.clocks.boot) }
+	for name, c := range map[string]struct {
+		age       time.Duration
+		heartbeat func(r *receiver) *fleetpb.Beat
+		want      string
+	}{
+		"epoch withdrawn": {2770 * time.Millisecond, func(r *receiver) *fleetpb.Beat {
+			b := heartbeat(r)
+			b.CallEpochs = []*fleetpb.CallEpoch{{Incarnation: 1, Epoch: 1}}
+			return b
+		}, "cancelled"},
+		"call withdrawn": {2770 * time.Millisecond, func(r *receiver) *fleetpb.Beat {
+			b := heartbeat(r)
+			b.WithdrawnCalls = []*fleetpb.WithdrawnCalls{{Incarnation: 1, Calls: []uint64{r.calls}}}
+			return b
+		}, "cancelled"},
+		"not named": {7 * time.Second, heartbeat, "refused"},
+		"new call":  {20 * time.Millisecond, heartbeat, "started"},
+		"earlier version": {20 * time.Millisecond, func(*receiver) *fleetpb.Beat {
+			return validHeartbeat()
+		}, "started"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forBoth(t, func(t *testing.T, submit bool) {
+				r := newReceiver(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				result := r.deliver(ctx, t, submit, c.age)
+				r.wantRuns(t, "before any heartbeat", 0)
+				if n := len(r.callerContacts()); n != 0 {
+					t.Errorf("the call counts as contact with its entry: %d contacts", n)
+				}
+				other := validHeartbeat()
+				other.Name, other.Incarnation = "e2", 3
+				peerHeartbeat{other}.handle(r.Loop)
+				r.wantRuns(t, "after the heartbeat of another entry", 0)
+				peerHeartbeat{c.heartbeat(r)}.handle(r.Loop)
+				switch c.want {
+				case "started":
+					r.wantRuns(t, "after the heartbeat", 1)
+					return
+				case "cancelled":
+					if got := receiveFrom(t, result); !errors.Is(got.err, context.Canceled) {
+						t.Errorf("the withdrawn call ended with %+v", got)
+					}
+				case "refused":
+					wantRefused(t, submit, result)
+				}
+				r.wantRuns(t, "after the heartbeat", 0)
+				peerHeartbeat{heartbeat(r)}.handle(r.Loop)
+				r.wantRuns(t, "after another heartbeat", 0)
+			})
+		})
+	}
+}
+
+// Guards against calls that are kept after they have ended while they waited for a
+// heartbeat: memory that grows, or a task that is started for nobody.
+func TestCancelledCallOfUnheardEntryIsForgotten(t *testing.T) {
+	forBoth(t, func(t *testing.T, submit bool) {
+		r := newReceiver(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		result := r.deliver(ctx, t, submit, 0)
+		cancel()
+		if got := receiveFrom(t, result); !errors.Is(got.err, context.Canceled) {
+			t.Errorf("the cancelled call ended with %+v", got)
+		}
+		nextMessage[cancelTicket](t, r.Loop).handle(r.Loop)
+		if n := len(r.unheardCalls) + len(r.waiters) + len(r.delegatedWaiters); n != 0 {
+			t.Errorf("%d entries of a cancelled call are kept", n)
+		}
+		peerHeartbeat{heartbeatSentAt(r.clocks.boot)}.handle(r.Loop)
+		r.wantRuns(t, "after the heartbeat", 0)
+	})
+}
+
+// Guards against a call that is started although a heartbeat that was read just before it
+// has withdrawn it: the loop handles its cancellation only after it.
+func TestCallThatEndedBeforeItsTurnStartsNothing(t *testing.T) {
+	r := newReceiver(t)
+	hearHeartbeats(r.Loop, r.clocks)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	m := submitDelegated{
+		ctx: ctx, task: leased.DelegatedTask{ID: leased.TaskID{Job: "j"}, Service: "s", Run: 1, CallerTimeout: time.Minute, Step: leased.Step{Tasks: 1, Demand: leased.Demand{MilliCores: 1000}}},
+		origin: callSentAt(r.clocks.boot), answer: make(chan leased.DelegatedAnswer, 1), ticket: make(chan leased.Ticket, 1),
+	}
+	m.handle(r.Loop)
+	r.wantRuns(t, "call that has ended", 0)
+	cancelTicket{receiveFrom(t, m.ticket)}.handle(r.Loop)
+	if n := len(r.delegatedWaiters); n != 0 {
+		t.Errorf("%d waiters of a call that has ended", n)
+	}
+}
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -89,6 +89,7 @@
 	lastTicket          leased.Ticket
 	waiters             map[leased.Ticket]chan leased.Answer
 	delegatedWaiters    map[leased.Ticket]chan leased.DelegatedAnswer
+	unheardCalls        map[cells.Incarnation][]*submittedCall // of incarnations without a heartbeat
 	delegations         map[leased.TaskID]delegation
 	stopping            bool
 	evacuatedRuns       int       // on evacuated endpoints, in the latest snapshot
@@ -120,6 +121,7 @@
 		peerCapacity:     make(map[cells.Cell]announcedCapacity),
 		waiters:          make(map[leased.Ticket]chan leased.Answer),
 		delegatedWaiters: make(map[leased.Ticket]chan leased.DelegatedAnswer),
+		unheardCalls:     make(map[cells.Incarnation][]*submittedCall),
 		delegations:      make(map[leased.TaskID]delegation),
 		requests:         evacuation.NewRequests(s.EvacuationBound),
 		sharedDemand:     sharedDemand{sentAt: make(map[bool]time.Time)},
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -104,25 +103,23 @@
 		how, zap.Int("calls", n))
 }
 
-// callerContacts returns when each entry with open calls was last heard, by
-// incarnation: when its last heartbeat was sent or, if none has arrived, the beginning of
-// its earliest call. It also returns when the origins of delegated tasks were last heard.
-// The core extends the leases of their runs no further than that allows.
+// callerContacts returns when each entry with open calls was last heard, by incarnation:
+// when its newest heartbeat was sent. It also returns when the origins of delegated tasks
+// were last heard. The core extends the leases of their runs no further than that allows.
+// A call is no contact: it may have been held up on its way. Those of entries that were
+// not heard are not passed to the core (latecalls.go).
 func (l *Loop) callerContacts() []leased.CallerContact {
 	var contacts []leased.CallerContact
+	ids := l.peers.inbound.entries()
 	for _, id := range l.core.Origins() {
-		if heardAt, heard := l.roster.LastContact(cells.Incarnation(id)); heard {
-			contacts = append(contacts, leased.CallerContact{Caller: id, HeardAt: heardAt})
-		}
+		ids = append(ids, cells.Incarnation(id))
 	}
-	for id, began := range l.peers.inbound.earliest() {
-		heardAt, heard := l.roster.LastContact(id)
-		if !heard {
-			heardAt = began
+	slices.Sort(ids)
+	for _, id := range slices.Compact(ids) {
+		if heardAt, heard := l.roster.LastContact(id); heard {
+			contacts = append(contacts, leased.CallerContact{Caller: uint64(id), HeardAt: heardAt})
 		}
-		contacts = append(contacts, leased.CallerContact{Caller: uint64(id), HeardAt: heardAt})
 	}
-	slices.SortFunc(contacts, func(a, b leased.CallerContact) int { return cmp.Compare(a.Caller, b.Caller) })
 	return contacts
 }
 
