--- a/fleet/freecapacity.go
+++ b/fleet/freecapacity.go
@@ -19,8 +19,9 @@
 	b := m.heartbeat
 	l.withdrawCalls(b)
 	l.maxToken = max(l.maxToken, b.Token)
-	isNew := l.roster.ReceiveDelayedHeartbeat(now, entryOf(b), l.delayOf(b.Incarnation, b.SentUs))
+	isNew := l.roster.ReceiveDelayedHeartbeat(now, entryOf(b), l.delayOfHeartbeat(b.Incarnation, b.SentUs))
 	l.roster.ReceiveLogContact(now, cells.Incarnation(b.Incarnation), logContactOf(b))
+	l.submitUnheard(cells.Incarnation(b.Incarnation))
 	l.heartbeats.addAddressesOf(b)
 	l.receiveCapacity(now, b)
 	if isNew || b.Leaving != leavingIn(l.view, b.Incarnation) {
