Print what the caller was told if the test of two stops sees no start

What was seen: TestTwoEntriesStopOneAfterTheOther failed once with "no start within 20 s" beside load, and printed nothing else.

Cause: not shown.

Change: the test fails at once, with status and body, if its caller is answered before a task was started. Every failed test of entry prints the ends of its entries' logs.

--- a/entry/succession_test.go
+++ b/entry/succession_test.go
@@ -81,7 +81,13 @@
 	const tasks = 12
 	done := make(chan response, 1)
 	go func() { done <- first.do(http.MethodPut, "/v1/jobs/"+id+"?wait=15s", jobBody("booking", tasks, 300)) }()
-	eventually(t, "the job has started", func() bool { return totalStarts(b) > 0 })
+	eventually(t, "the job has started", func() bool {
+		if len(done) > 0 && totalStarts(b) == 0 {
+			early := <-done
+			t.Fatalf("no task was started: status %d, body %s", early.status, early.body)
+		}
+		return totalStarts(b) > 0
+	})
 	first.stop()
 	second.stop()
 	checkResults(t, (<-done).answer(t), tasks)
--- a/entry/testbed_test.go
+++ b/entry/testbed_test.go
@@ -71,11 +71,32 @@
 		dir:      t.TempDir(),
 	}
 	t.Cleanup(b.fleet.Close)
+	t.Cleanup(b.printLogs)
 	b.url = b.servePlatform()
 	b.publish(services)
 	return b
 }
 
+// printLogs prints the ends of the entries' logs if the test has failed.
+func (b *testbed) printLogs() {
+	if !b.t.Failed() {
+		return
+	}
+	const maxBytes = 20_000
+	paths, err := filepath.Glob(filepath.Join(b.dir, "*.log"))
+	if err != nil {
+		b.t.Error(err)
+	}
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			b.t.Error(err)
+			continue
+		}
+		b.t.Logf("%s:\n%s", filepath.Base(path), data[max(0, len(data)-maxBytes):])
+	}
+}
+
 // network is reserved until the process ends, because the entries of a test may listen
 // longer than the test runs.
 var network = sync.OnceValues(loopback.Reserve)
