Count the grace period of a stop from its signal, and log the phases

What was seen: in four of 50 soaks beside a load of 20 to 50, an entry "did not stop within its grace period" of 6 s (limit of the soak 6.5 s). One handled SIGTERM 1.1 s late; logs of two others ended 5.5 and 5.9 s after it.

Cause: a stop waits 2.4 s for the balancer and then for open requests, until 0.5 s before the end of the grace period. It counted that from when it handled the signal. A process that gets no processor time for 1.1 s is then cut off after 6.6 s. A connection without a request counts as open for 5 s in net/http, and may add to that.

Fix: the process wakes up every 50 ms to note the time. The grace period counts from the second last wake-up before the signal is handled, at most 0.1 s before it arrived. Connections without a request are closed after 1 s once the listener is closed. Each phase is logged as stop_phase with its duration, open work, open requests and connections without a request, and stopping says how late it may be.

The four sightings were not reproduced.

--- a/cmd/lovage-fleet/serve.go
+++ b/cmd/lovage-fleet/serve.go
@@ -29,6 +29,12 @@
 	// connections and the log.
 	stopReserve      = 500 * time.Millisecond
 	idlePollInterval = 50 * time.Millisecond
+	// maxUnusedTime is how long a connection may be open without a request before a stop
+	// closes it. A caller that means to use it sends its request at once.
+	maxUnusedTime = time.Second
+	// signalCheckInterval is half of the time by which a signal to stop is at most assumed
+	// to have arrived too early.
+	signalCheckInterval = 50 * time.Millisecond
 )
 
 // Limits of callers' connections. The header and idle limits of the
@@ -68,8 +74,16 @@
 	go watchSettings(ctx, path, settingsChanged)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	wakeUps := time.NewTicker(signalCheckInterval)
+	defer wakeUps.Stop()
+	waitingSince := time.Now()
 	for {
+		// A signal that is handled now may have arrived as early as the previous wait
+		// began, since the order in which events are handled is random.
+		previousWait := waitingSince
+		waitingSince = time.Now()
 		select {
+		case <-wakeUps.C:
 		case err := <-done:
 			return err
 		case <-settingsChanged:
@@ -79,7 +93,7 @@
 				reload(path, process, log.Logger)
 				continue
 			}
-			stop(process, callers, readiness, process.Grace(), log.Logger)
+			stop(process, callers, readiness, stopTimes{grace: process.Grace(), requested: previousWait}, log.Logger)
 			return nil
 		}
 	}
@@ -105,12 +119,43 @@
 	log.Info("reloaded", zap.Any("settings", file))
 }
 
-func listen(address string, handler http.Handler, log *eventlog.Log) (*http.Server, error) {
+// server is an HTTP server and its connections.
+type server struct {
+	http.Server
+	connections *connections
+}
+
+func newServer(handler http.Handler) *server {
+	s := &server{connections: newConnections()}
+	s.Handler, s.ConnState = handler, s.connections.observe
+	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
+	return s
+}
+
+// shutDown stops accepting connections, and waits until all requests are answered or
+// the context ends. Connections that stay without a request are closed: the server
+// would wait for 5 s for each, and callers open some that they may never use.
+func (s *server) shutDown(ctx context.Context) error {
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(ctx) }()
+	ticker := time.NewTicker(idlePollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-ticker.C:
+			s.connections.closeUnused(maxUnusedTime)
+		}
+	}
+}
+
+func listen(address string, handler http.Handler, log *eventlog.Log) (*server, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen: free the address or choose another one")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := newServer(handler)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			log.Error("server_ended", zap.String("address", address), zap.Error(err))
@@ -119,23 +164,59 @@
 	return server, nil
 }
 
+// stopTimes are the times of a planned stop.
+type stopTimes struct {
+	grace time.Duration
+	// requested is the earliest time at which the signal may have arrived. Without
+	// processor time, the process handles it late, and has less of the grace period left.
+	requested time.Time
+}
+
+// deadline returns when open requests are cut off.
+func (t stopTimes) deadline() time.Time { return t.requested.Add(t.grace - stopReserve) }
+
+// stoppable is what stop needs from a process.
+type stoppable interface {
+	Leave()
+	ActiveWork() int
+}
+
 // stop ends the process gracefully. Other entries take over its endpoints and
 // jobs, the process stops accepting connections, and open requests are answered
-// within the grace period.
-func stop(process *fleet.Process, callers, readiness *http.Server, grace time.Duration, log *zap.Logger) {
-	start := time.Now()
-	log.Info("stopping", zap.Duration("grace_ms", grace))
-	process.Leave()
-	time.Sleep(connectionDrainTime)
-	ctx, cancel := context.WithTimeout(context.Background(), grace-stopReserve-time.Since(start))
+// within the grace period. Each phase is logged with its duration.
+func stop(process stoppable, callers, readiness *server, times stopTimes, log *zap.Logger) {
+	phaseBegan := time.Now()
+	log.Info("stopping", zap.Duration("grace_ms", times.grace), zap.Duration("late_ms", phaseBegan.Sub(times.requested)))
+	endPhase := func(name string) {
+		active, unused := callers.connections.counts()
+		log.Info("stop_phase", zap.String("phase", name), zap.Duration("took_ms", time.Since(phaseBegan)),
+			zap.Int("open_work", process.ActiveWork()), zap.Int("open_requests", active), zap.Int("unused_connections", unused))
+		phaseBegan = time.Now()
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), times.deadline())
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	process.Leave()
+	pause(ctx, connectionDrainTime)
+	endPhase("drain_connections")
+	if err := callers.shutDown(ctx); err != nil {
 		log.Warn("stopped_with_open_requests", zap.Error(err))
 	}
-	for process.Service().ActiveWork() > 0 && ctx.Err() == nil {
-		time.Sleep(idlePollInterval)
+	endPhase("answer_requests")
+	for process.ActiveWork() > 0 && ctx.Err() == nil {
+		pause(ctx, idlePollInterval)
 	}
+	endPhase("finish_work")
 	// Readiness requests need no graceful shutdown.
 	_ = readiness.Close()
-	log.Info("ended", zap.Duration("took_ms", time.Since(start)))
+	log.Info("ended", zap.Duration("took_ms", time.Since(times.requested)))
+}
+
+// pause waits for a time or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -159,6 +159,9 @@
 
 func (m seedAddresses) handle(l *Loop) { l.heartbeats.addAddresses(m.addresses) }
 
+// ActiveWork returns the number of jobs and delegated tasks that have not ended.
+func (p *Process) ActiveWork() int { return p.service.ActiveWork() }
+
 // Grace returns the time limit of a planned stop.
 func (p *Process) Grace() time.Duration { return p.settings.Grace }
 
