Do not count stalls of the process in the search for a holder

Cause: a job seeks a holder for 1.1 s. That included 0.5 s in which the process was not scheduled and read no heartbeats. Only freezes, which are longer, did not count.

Fix: the freeze detector adds up the times of more than 150 ms without a check of the clocks, which the loop makes in each tick of 20 ms. As much of them as holderTimeout does not count, so that a process that is hardly ever scheduled still rejects. The caller's deadline bounds the search as before.

Evidence: TestSearchForHolderDoesNotCountStalls (virtual time): with a stall of 0.5 s the job is rejected after 1.6 s or more, before after 1.2 s. go test ./fleet passes.

--- a/fleet/freeze.go
+++ b/fleet/freeze.go
@@ -33,6 +33,7 @@
 	monotonic time.Time
 	boot      time.Duration
 	resumedAt time.Time
+	stalled   time.Duration // sum of the times above stallThreshold without a check
 	maxGap    time.Duration // longest time between two checks; 0: no limit
 }
 
@@ -59,6 +60,9 @@
 	elapsed := monotonic.Sub(d.monotonic)
 	uncounted := boot - d.boot - elapsed
 	d.monotonic, d.boot = monotonic, boot
+	if elapsed > stallThreshold {
+		d.stalled += elapsed
+	}
 	if uncounted > freezeThreshold || d.maxGap > 0 && elapsed > d.maxGap {
 		d.resumedAt = monotonic
 		d.log.Warn("process_stood_still", zap.Duration("unseen_ms", uncounted), zap.Duration("since_last_look_ms", elapsed))
@@ -77,6 +81,15 @@
 	return resumePause - d.elapsedSince(resumedAt)
 }
 
+// stalls returns what check returns, and for how long the process was not scheduled in
+// all.
+func (d *freezeDetector) stalls() (resumedAt time.Time, stalled time.Duration) {
+	resumedAt = d.check()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return resumedAt, d.stalled
+}
+
 func (d *freezeDetector) elapsedSince(since time.Time) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/fleet/freeze_test.go
+++ b/fleet/freeze_test.go
@@ -143,6 +143,39 @@
 	}
 }
 
+// Guards against a job that is rejected because its process was not scheduled for half a
+// second, which is no freeze, while another holder had the endpoints already.
+func TestSearchForHolderDoesNotCountStalls(t *testing.T) {
+	const stallTime = 500 * time.Millisecond
+	for _, c := range []struct {
+		name    string
+		stalls  int
+		timeout time.Duration // expected
+	}{
+		{"none", 0, holderTimeout},
+		{"one", 1, holderTimeout + stallTime},
+		{"most of the time", 100, 2 * holderTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, _ := searchingService(t, false)
+				began, stalls := time.Now(), 0
+				s.loop.freezeDetector = newFreezeDetector(func() (time.Time, time.Duration) {
+					if time.Since(began) > 300*time.Millisecond && stalls < c.stalls {
+						stalls++
+						time.Sleep(stallTime)
+					}
+					return time.Now(), time.Since(began)
+				}, zap.NewNop())
+				got := s.Submit(t.Context(), leased.Job{ID: "j", Service: "s", CallerTimeout: time.Hour, Steps: []leased.Step{{Tasks: 1}}})
+				if took := time.Since(began); got.Verdict != leased.Rejected || took < c.timeout || took > c.timeout+2*maxHolderBackoff+2*stallTime {
+					t.Errorf("%v after %v, want rejected after %v", got.Verdict, took, c.timeout)
+				}
+			})
+		})
+	}
+}
+
 // Guards against callers of an evacuated domain that are rejected after a freeze
 // because no other entry has been heard again yet.
 func TestJobsOfAnEvacuatedDomainWaitForHoldersAfterFreeze(t *testing.T) {
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -253,9 +253,8 @@
 // lost. If only the call to the holder broke, that one gets the job once more. The
 // history holds the holders of an earlier submission, and those of this one at the end.
 func (s *Service) runAtHolder(ctx context.Context, job leased.Job, history *holderHistory) Outcome {
-	began := time.Now()
-	wait := callerWait{since: began, timeout: job.CallerTimeout, before: job.Waited}
-	lostAt := time.Time{}
+	search := s.newSearch()
+	wait := callerWait{since: search.began, timeout: job.CallerTimeout, before: job.Waited}
 	backoff := minHolderBackoff
 	history.unknown = history.unknown || job.Resubmitted && len(history.lost) == 0
 	job.Movable = s.loop.settings.Balancing
@@ -289,14 +288,14 @@
 			if !errors.Is(err, errNotHolder) {
 				s.holderLost(holder, &job, err)
 				history.lost.add(holder, err)
-				lostAt = time.Now()
+				search = s.newSearch()
 				history.preferred = history.again.next(holder, err)
 			}
 		}
 		if ctx.Err() != nil {
 			return s.abandoned()
 		}
-		if s.searchIsOver(latest, ok, later(began, lostAt)) {
+		if s.searchIsOver(latest, ok, search) {
 			return s.rejectWithoutHolder(&job)
 		}
 		if !pauseFor(ctx, backoff) {
@@ -306,12 +305,29 @@
 	}
 }
 
-// searchIsOver reports whether a job that no holder has taken since a given time is
+// search is a search for a holder.
+type search struct {
+	began       time.Time
+	stallBefore time.Duration // for how long the process had not been scheduled when it began
+}
+
+func (s *Service) newSearch() search {
+	_, stalled := s.loop.freezeDetector.stalls()
+	return search{stallBefore: stalled, began: time.Now()}
+}
+
+// searchIsOver reports whether a job that no holder has taken since the search began is
 // to be rejected. The time of a freeze does not count, and after it the other entries
-// are unknown until their next heartbeats, so the search begins anew at its end.
-func (s *Service) searchIsOver(latest *Snapshot, found bool, since time.Time) bool {
-	resumedAt := s.loop.freezeDetector.check()
-	if time.Since(later(since, resumedAt)) > holderTimeout {
+// are unknown until their next heartbeats, so the search begins anew at its end. Of
+// shorter times in which the process was not scheduled, as much as holderTimeout does
+// not count either: it has not read which entry holds the endpoints meanwhile.
+func (s *Service) searchIsOver(latest *Snapshot, found bool, current search) bool {
+	resumedAt, stalled := s.loop.freezeDetector.stalls()
+	stalled = min(stalled-current.stallBefore, holderTimeout)
+	if resumedAt.After(current.began) {
+		current.began, stalled = resumedAt, 0
+	}
+	if time.Since(current.began)-stalled > holderTimeout {
 		return true
 	}
 	// The callers of an evacuated domain depend on entries of the others. If none
@@ -342,13 +358,6 @@
 	return o
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // pauseFor waits for a duration. It returns false if the context is done first.
 func pauseFor(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
