Tell an entry that has ended from one that the soak has not yet seen end

What was seen: two of four entries that "did not stop within their grace period" had written their last log line 5.5 and 5.9 s after SIGTERM; the limit is 6.5 s.

Cause: the soak waits for the exit status in another goroutine. If it is not scheduled itself, the limit passes first, or both are ready and the choice is random. That this happened is inferred.

Change: at the limit the soak looks up the state of the process in /proc. One that is gone or a zombie has ended. Otherwise it is a violation as before, which now names the state and the time waited. An entry that ends late is missed only if the soak does not run between the limit and that end either; then nothing shows on which side of the limit it was.

--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -1,10 +1,18 @@
 package soak
 
 import (
+	"bytes"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"lovagespread.example/dispatch/leased/leasedtest"
 	"lovagespread.example/standin/fakeexecutor"
 	"lovagespread.example/standin/fakestore"
@@ -158,14 +166,19 @@
 	if p == nil {
 		return
 	}
+	sent := time.Now()
 	_ = p.cmd.Process.Signal(syscall.SIGTERM) // it may have ended
 	select {
 	case <-p.exited:
 	case <-time.After(stopTimeout):
-		s.addViolation("%s did not stop within its grace period", s.deployment.Entries[i].Name)
+		waited, state := time.Since(sent), processState(p.cmd.Process.Pid)
+		if state == stateEnded {
+			break // only this process was late to see it
+		}
+		s.addViolation("%s did not stop within its grace period: state %s after %v", s.deployment.Entries[i].Name, state, waited)
 		_ = p.cmd.Process.Kill()
-		<-p.exited
 	}
+	<-p.exited
 	s.restart(i)
 }
 
@@ -190,3 +203,26 @@
 		_ = p.cmd.Process.Signal(sig) // it may have ended
 	}
 }
+
+// Results of processState.
+const (
+	stateEnded   = "ended"
+	stateUnknown = "unknown"
+)
+
+// processState returns the kernel's letter for the state of a process, or stateEnded,
+// also if its exit status was not read yet.
+func processState(pid int) string {
+	text, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "stat"))
+	if errors.Is(err, fs.ErrNotExist) {
+		return stateEnded
+	}
+	fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
+	switch {
+	case err != nil || len(fields) == 0:
+		return stateUnknown
+	case fields[0] == "Z":
+		return stateEnded
+	}
+	return fields[0]
+}
