--- a/fleet/process.go
+++ b/fleet/process.go
@@ -154,6 +154,9 @@
 	return &Service{loop: l, peers: p, log: log, metrics: m, running: make(map[leased.JobID]*submission)}
 }
 
+// ActiveWork returns the number of jobs and delegated tasks that have not ended.
+func (p *Process) ActiveWork() int { return p.service.ActiveWork() }
+
 // Grace returns the time limit of a planned stop.
 func (p *Process) Grace() time.Duration { return p.settings.Grace }
 
