Bound the age of a run that is taken from its executor's clock

An executor whose clock jumps by years, which the range of its answers allows, made its runs ten years old. The run time projected from that overflowed: a run at 11% was expected to take -135,290 hours, and the same in float64 differs between architectures. TestAgeOfARunIsBounded fails on the code before for all of 11% to 100%.

The age is now at most 30 days, of which a hundred times is a valid duration.

--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -184,9 +184,13 @@
 	if r.beganClock <= 0 || e.listedClock < r.beganClock {
 		return now.Sub(r.began)
 	}
-	return e.listedClock - r.beganClock
+	return min(e.listedClock-r.beganClock, maxRunAge)
 }
 
+// maxRunAge bounds the age of a run, so that a hundred times as much is a valid
+// duration. An executor's clock may have any reading of up to years.
+const maxRunAge = 30 * 24 * time.Hour
+
 // observeClock records a reading of the endpoint's clock at which the run was
 // active. Replies may overtake each other, so the earliest reading counts.
 func (r *run) observeClock(clock time.Duration) {
