Use no executors of services that the configuration does not name

An executor's record with a service that nobody has was polled for good by the holder of its cell, logged each failed call, and counted as announced capacity, so that one that does not answer looked like a loss to the recovery of capacity. The protocol says that such a record names no executor to use.

Cause: the service was compared with that of a job only. Without the new filter, TestEndpointsOfUnknownServicesAreNotUsed fails, and in TestOddRecordsAmongThoseThatEntriesFollow the record was called 6 times.

The endpoints that are assigned to cells are now those of services that a configuration names, in its list of services or in its routes: a route that is removed leaves the runs of its service alone. A newer configuration assigns them anew. Before the first one, and if it names no service, all are used as before. Peers get the whole list.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -8,13 +8,17 @@
 
 func (m setDirectory) handle(l *Loop) {
 	d := m.directory
+	changed := d.Endpoints != nil
 	if d.Configuration != nil && d.Version > l.directory.Version {
 		l.directory.Version = d.Version
 		l.directory.Configuration = d.Configuration
+		changed = true // it may name other services
 		l.log.Info("configuration_in_force", zap.Uint64("version", d.Version), zap.Int("queues", len(d.Configuration.Queues)))
 	}
 	if d.Endpoints != nil {
 		l.directory.Endpoints = d.Endpoints
+	}
+	if changed {
 		l.assignEndpoints()
 	}
 	l.publish()
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -283,18 +283,30 @@
 	l.balancer.receive(time.Time{}, holder, nil, 0)
 }
 
+// assigned returns the endpoints whose service the configuration names. Others name no
+// endpoint to use. Before the first configuration, and if that names no service, these
+// are all endpoints.
+func (l *Loop) assigned() []leased.Endpoint {
+	services := l.directory.Configuration.services()
+	if len(services) == 0 {
+		return l.directory.Endpoints
+	}
+	return lo.Filter(l.directory.Endpoints, func(e leased.Endpoint, _ int) bool { return services[e.Service] })
+}
+
 // assignEndpoints passes the endpoints that this entry holds to the core.
 func (l *Loop) assignEndpoints() {
+	assigned := l.assigned()
 	counts := make(map[string]int)
-	for i := range l.directory.Endpoints {
-		counts[l.directory.Endpoints[i].FailureDomain]++
+	for i := range assigned {
+		counts[assigned[i].FailureDomain]++
 	}
 	for domain, n := range counts {
 		l.cellCounts[domain] = cells.Count(n, l.settings.EndpointsPerCell)
 	}
 	var held []leased.Endpoint
 	holds := make(map[cells.Cell]bool)
-	for _, e := range l.directory.Endpoints {
+	for _, e := range assigned {
 		cell := cells.ForEndpoint(e.FailureDomain, string(e.ID), l.cellCounts[e.FailureDomain])
 		hold, known := holds[cell]
 		if !known {
--- a/fleet/ports.go
+++ b/fleet/ports.go
@@ -40,12 +40,28 @@
 type Configuration struct {
 	Version  uint64
 	Queues   []Queue
-	MaxBody  int64 // maximum size of a request in bytes
-	MaxHead  int   // maximum size of a request's headers in bytes
+	Services []string // names of all services; those of the queues may be missing
+	MaxBody  int64    // maximum size of a request in bytes
+	MaxHead  int      // maximum size of a request's headers in bytes
 	HeadTime time.Duration
 	IdleTime time.Duration
 }
 
+// services returns the names of the services.
+func (c *Configuration) services() map[string]bool {
+	names := make(map[string]bool)
+	if c == nil {
+		return names
+	}
+	for _, name := range c.Services {
+		names[name] = true
+	}
+	for i := range c.Queues {
+		names[c.Queues[i].Service] = true
+	}
+	return names
+}
+
 // Directory is the configuration and the endpoints that a process has received,
 // in the form in which peers exchange them. A higher Version replaces the
 // configuration of a lower one.
