Copy the list of endpoints only if some are of unknown services

The list is assigned to cells four times a second, and usually all of its services are known: with thousands of endpoints the copy would be made for nothing. TestEndpointsOfUnknownServicesAreNotUsed covers both cases. Not measured.

--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -288,10 +288,12 @@
 // are all endpoints.
 func (l *Loop) assigned() []leased.Endpoint {
 	services := l.directory.Configuration.services()
-	if len(services) == 0 {
-		return l.directory.Endpoints
+	all := l.directory.Endpoints
+	unknown := func(e leased.Endpoint) bool { return !services[e.Service] }
+	if len(services) == 0 || !slices.ContainsFunc(all, unknown) { // the usual case, without a copy
+		return all
 	}
-	return lo.Filter(l.directory.Endpoints, func(e leased.Endpoint, _ int) bool { return services[e.Service] })
+	return lo.Reject(all, func(e leased.Endpoint, _ int) bool { return unknown(e) })
 }
 
 // assignEndpoints passes the endpoints that this entry holds to the core.
