Withdraw a delegated task when its caller's entry gives the job up

Callers saw two runs of a task 1.3 s after three failures at once: the caller's connection broke, its entry was cut off from the delegator at that moment, and all Stops of the delegate were lost, or its endpoint was cut off.

Cause: the delegate extends the lease to 1.2 s after the earlier of the last contacts with the delegator and with the caller's entry. Both live, so both are heard. The entry's heartbeats name its withdrawn call to the delegator, but the delegate looked only at calls to itself. The delegator, which hears nothing of the entry, withdraws the task after 0.9 s, and the delegate then allows one more lease.

A delegated task now carries the epoch and number of the call by which its job was submitted to the delegator. The delegate compares them with what the entry's heartbeats withdraw of its calls to the delegator, cancels the task, refuses it if it arrives later, and tells the delegator, which cancels the call, too. Heartbeats name these withdrawals to every receiver already, so they do not grow. Why it holds: a heartbeat that counts as contact names every withdrawal before it. So the last one without this call was sent when the job was still wanted, and the run ends 1.2 s after that, as for calls to the delegate itself. An entry that is the delegate for its own job goes by the heartbeats that it sends.

The exploration has schedules in which the caller moves while its entry is cut off from the holder that has delegated tasks.

--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -196,10 +196,10 @@
 	t.delegatedCell = cell.Cell
 	t.searching = adopt
 	c.markBegun(t.job)
-	origin, age := c.originOf(t.job)
+	origin, age, call := c.originOf(t.job)
 	c.out.Delegations = append(c.out.Delegations, Delegate{Holder: cell.Holder, Cell: cell.Cell, Evidence: t.evidence, Task: DelegatedTask{
 		ID: t.id, Service: t.job.Service, Queue: t.job.Queue, Spec: t.job.Spec, Step: step,
-		Run: t.runs, Checkpoint: t.checkpoint, CallerTimeout: t.job.expires.Sub(c.now), Origin: origin, OriginAge: age, Cell: cell.Cell, Adopt: adopt, Wait: c.cannotServe() && !adopt, Suspect: t.suspect() && !c.sharesElsewhere(t),
+		Run: t.runs, Checkpoint: t.checkpoint, CallerTimeout: t.job.expires.Sub(c.now), Origin: origin, OriginAge: age, OriginCall: call, Cell: cell.Cell, Adopt: adopt, Wait: c.cannotServe() && !adopt, Suspect: t.suspect() && !c.sharesElsewhere(t),
 	}})
 }
 
--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -133,7 +133,11 @@
 	// is how long before CallerHeardAt of the delegation the delegator last heard it.
 	Origin    uint64
 	OriginAge time.Duration
-	Cell      string // to whose holder the task is delegated
+	// OriginCall is the call by which the origin has submitted the job to the delegator;
+	// zero: not known. The origin's heartbeats name it once it is withdrawn: to a delegate
+	// that hears both, they are contact for this task only as long as they do not.
+	OriginCall CallID
+	Cell       string // to whose holder the task is delegated
 	// Wait reports that the delegator holds no cell any more: the task waits
 	// here for a free endpoint instead of being returned.
 	Wait    bool
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -89,6 +89,7 @@
 
 func (c *Core) submit(in *Submit) {
 	c.addCaller(in.Ticket, in.Caller, in.CallerHeardAt)
+	c.recordCall(in.Ticket, in.CallerCall)
 	earlier := c.takeOverTickets(&in.Job)
 	if j := c.jobs[in.Job.ID]; j != nil {
 		j.tickets = append(j.tickets, in.Ticket)
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -38,8 +38,13 @@
 	// CallerHeardAt is when Caller was last heard, by a heartbeat or by this call; zero:
 	// not known.
 	CallerHeardAt time.Time
+	CallerCall    CallID // that submits the job; zero: not known
 }
 
+// CallID identifies a call from one entry to another, which the calling entry may name
+// as withdrawn.
+type CallID struct{ Epoch, Number uint64 }
+
 // SubmitDelegated submits one task of a job that is queued at another holder.
 // It is answered with EndNoCapacity if the task cannot start now and may not
 // wait.
--- a/dispatch/leased/renewal.go
+++ b/dispatch/leased/renewal.go
@@ -75,7 +75,7 @@
 	c.resumedAt = c.now
 	clear(c.contacts)
 	for ticket, caller := range c.callers {
-		c.callers[ticket] = ticketCaller{id: caller.id}
+		c.callers[ticket] = ticketCaller{id: caller.id, call: caller.call}
 	}
 }
 
@@ -102,6 +102,16 @@
 type ticketCaller struct {
 	id      uint64
 	heardAt time.Time // by its call; zero: the call does not count as contact
+	call    CallID    // that has submitted the job; zero: not known
+}
+
+// recordCall records which call has submitted the job of a ticket, if another entry waits
+// for it.
+func (c *Core) recordCall(ticket Ticket, call CallID) {
+	if caller, remote := c.callers[ticket]; remote {
+		caller.call = call
+		c.callers[ticket] = caller
+	}
 }
 
 // heardFor returns when the entry that waits for a ticket was last heard.
@@ -122,20 +132,21 @@
 	return heard, true
 }
 
-// originOf returns the entry that waits for a job and was heard last, and how long ago
-// that was. It returns 0 if a caller waits at this entry.
-func (c *Core) originOf(j *job) (origin uint64, age time.Duration) {
+// originOf returns the entry that waits for a job and was heard last, how long ago that
+// was, and its newest call for the job. It returns 0 if a caller waits at this entry.
+func (c *Core) originOf(j *job) (origin uint64, age time.Duration, call CallID) {
 	var heard time.Time
 	for _, ticket := range j.tickets {
 		caller, remote := c.callers[ticket]
 		if !remote {
-			return 0, 0
+			return 0, 0, CallID{}
 		}
-		if at := c.heardFor(caller); origin == 0 || at.After(heard) {
-			origin, heard = caller.id, at
+		at := c.heardFor(caller)
+		if origin == 0 || at.After(heard) || at.Equal(heard) && caller.call.Number > call.Number {
+			origin, heard, call = caller.id, at, caller.call
 		}
 	}
-	return origin, min(max(0, c.now.Sub(heard)), contactRetention)
+	return origin, min(max(0, c.now.Sub(heard)), contactRetention), call
 }
 
 // originHeardAt returns when the entry that waits for the job of a delegated task was
--- a/dispatch/leased/renewal_test.go
+++ b/dispatch/leased/renewal_test.go
@@ -373,7 +373,7 @@
 			}
 			w.endpoints[0].lostStops = run
 			w.cancel(job.ticket, leased.CallerSilence(callerPause, maxLease))
-			job.ticket = 0
+			job.giveUp()
 			w.after(callerPause, func() { job.submit(1) })
 		})
 		w.runUntil(lostAt + 3*time.Second)
@@ -424,7 +424,7 @@
 					fail(w, e, run)
 					silence(w)
 					w.cancel(job.ticket, leased.CallerSilence(callerPause, maxLease))
-					job.ticket = 0
+					job.giveUp()
 					w.after(callerPause, func() { job.submit(2) })
 				})
 				w.runUntil(lostAt + 3*time.Second)
@@ -439,3 +439,42 @@
 // contactLost is the time after which a holder withdraws the delegated tasks of an entry
 // that it does not hear.
 const contactLost = 900 * time.Millisecond
+
+// Guards against a delegate that cannot tell which call of the caller's entry it depends
+// on, because the delegation names none, or an earlier one: it would renew the run of a
+// job that was given up, or end that of one that is still wanted.
+func TestDelegationNamesItsCallersCall(t *testing.T) {
+	first, second := leased.CallID{Epoch: 1, Number: 5}, leased.CallID{Epoch: 2, Number: 9}
+	for name, c := range map[string]struct {
+		freeze bool
+		calls  []leased.CallID
+		want   leased.CallID
+	}{
+		"one call":                        {calls: []leased.CallID{first}, want: first},
+		"one call, and a freeze":          {freeze: true, calls: []leased.CallID{first}, want: first},
+		"two calls":                       {calls: []leased.CallID{first, second}, want: second},
+		"two calls, the first one is new": {calls: []leased.CallID{second, first}, want: second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core := newEvidenceCore(t, "e0")
+			blocker := singleTaskJob("blocker")
+			blocker.Steps[0].Demand.MilliCores = 60_000
+			core.step(&leased.Submit{Ticket: 1, Job: blocker})
+			for i, call := range c.calls {
+				core.step(&leased.Submit{Ticket: leased.Ticket(2 + i), Job: singleTaskJob("j"), Caller: remoteCaller, CallerHeardAt: core.now, CallerCall: call})
+			}
+			if c.freeze {
+				core.step(&leased.Pause{})
+			}
+			core.step(&leased.CallerContact{Caller: remoteCaller, HeardAt: core.now})
+			core.step(&leased.AnnounceFreeCapacity{Announced: []leased.FreeCapacity{{Holder: 2, Cell: "c2", Free: []int{64_000}}}})
+			core.pass(leased.TickInterval)
+			if len(core.delegations) != 1 {
+				t.Fatalf("%d delegations, want one", len(core.delegations))
+			}
+			if task := &core.delegations[0].Task; task.Origin != remoteCaller || task.OriginCall != c.want {
+				t.Errorf("it names call %+v of entry %d, want %+v of entry %d", task.OriginCall, task.Origin, c.want, remoteCaller)
+			}
+		})
+	}
+}
--- a/dispatch/leased/restart_check_contact_test.go
+++ b/dispatch/leased/restart_check_contact_test.go
@@ -1,6 +1,8 @@
 package leased_test
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"lovagespread.example/dispatch/leased"
@@ -50,7 +52,38 @@
 }
 
 func (w *restartWorld) hear(caller uint64, h int) {
-	if w.now >= w.silentUntil[contactPath{caller, h}] {
-		w.step(h, &leased.CallerContact{Caller: caller, HeardAt: simStart.Add(w.now)})
+	path := contactPath{caller, h}
+	if w.now < w.silentUntil[path] {
+		return
 	}
+	w.heardAt[path] = w.now
+	if caller == entryID {
+		for _, ticket := range slices.Sorted(maps.Keys(w.tickets)) {
+			t := w.tickets[ticket]
+			if t.delegation != nil && t.holder == h && t.arrivesAt <= w.now && w.knowsGivenUp(h, t.delegation.cause) {
+				w.withdrawCaused(t.delegation)
+			}
+		}
+	}
+	w.step(h, &leased.CallerContact{Caller: caller, HeardAt: simStart.Add(w.now)})
+}
+
+// knowsGivenUp reports whether a holder has heard the entry since that has given up a
+// call. Its heartbeats name the call.
+func (w *restartWorld) knowsGivenUp(h int, call leased.CallID) bool {
+	at, givenUp := w.givenUpAt[call]
+	return givenUp && w.heardAt[contactPath{entryID, h}] > at
+}
+
+// withdrawCaused ends a delegated task at the delegate, which has heard that the call was
+// given up by which its job was submitted to the delegator. It tells the delegator so.
+func (w *restartWorld) withdrawCaused(d *restartDelegation) {
+	w.tracef("h%d: has heard that the cause of %v is withdrawn", d.to, d)
+	w.cancel(d.ticket, 0)
+	w.after(networkDelay, func() {
+		if w.delegations[d.key] == d {
+			w.endDelegation(d, leased.EndUnknown)
+			w.cancel(leased.Ticket(d.cause.Number), networkDelay)
+		}
+	})
 }
--- a/dispatch/leased/restart_check_entry_test.go
+++ b/dispatch/leased/restart_check_entry_test.go
@@ -72,7 +72,9 @@
 	w.tracef("entry: submits %s to h%d, resubmitted %t", job.ID, h, job.Resubmitted)
 	deliver := func(delay time.Duration) {
 		w.tickets[ticket].arrivesAt = w.now + delay
-		w.after(delay, func() { w.step(h, &leased.Submit{Ticket: ticket, Job: job, Caller: entryID}) })
+		w.after(delay, func() {
+			w.step(h, &leased.Submit{Ticket: ticket, Job: job, Caller: entryID, CallerCall: callOf(ticket)})
+		})
 	}
 	deviation := 0
 	if c == w.calls[0] {
@@ -102,12 +104,24 @@
 }
 
 func (c *restartCall) resubmitTo(h int) {
-	c.ticket = 0
+	c.giveUp()
 	c.job.Resubmitted = true
 	c.lost = append(c.lost, c.holder)
 	c.world.after(resubmitPause, func() { c.submit(h) })
 }
 
+// giveUp ends the call to the holder without its answer. From now on the heartbeats of
+// the caller's entry name it.
+func (c *restartCall) giveUp() {
+	if c.ticket != 0 {
+		c.world.givenUpAt[callOf(c.ticket)] = c.world.now
+	}
+	c.ticket = 0
+}
+
+// callOf returns the call that submits a job with a ticket.
+func callOf(ticket leased.Ticket) leased.CallID { return leased.CallID{Number: uint64(ticket)} }
+
 // nextHolder returns the live holder with a cell that follows a holder, after
 // skipping some. It returns h if there is none.
 func (w *restartWorld) nextHolder(h, skip int) int {
@@ -172,13 +186,14 @@
 	to     int
 	run    int
 	ticket leased.Ticket
+	cause  leased.CallID // by which the entry has submitted the job to the delegator
 }
 
 // delegate sends a task to another holder.
 func (w *restartWorld) delegate(from int, request leased.Delegate) {
 	to := int(request.Holder) - 1
 	task := request.Task
-	d := &restartDelegation{key: delegationKey{from, task.ID}, to: to, run: task.Run}
+	d := &restartDelegation{key: delegationKey{from, task.ID}, to: to, run: task.Run, cause: task.OriginCall}
 	w.delegations[d.key] = d
 	w.tracef("h%d: delegates %s run %d to h%d, cell %s, adopt %t", from, taskName(task.ID), task.Run, to, task.Cell, task.Adopt)
 	if w.holders[to].crashed {
@@ -191,7 +206,13 @@
 	}
 	deliver := func(delay time.Duration) {
 		d.ticket = w.newTicket(&restartTicket{holder: to, delegation: d, arrivesAt: w.now + delay})
-		w.after(delay, func() { w.step(to, &leased.SubmitDelegated{Ticket: d.ticket, Task: task, Caller: holderID(from)}) })
+		w.after(delay, func() {
+			if w.knowsGivenUp(to, d.cause) {
+				w.withdrawCaused(d)
+				return
+			}
+			w.step(to, &leased.SubmitDelegated{Ticket: d.ticket, Task: task, Caller: holderID(from)})
+		})
 	}
 	switch deviation {
 	case delegateNotSent:
--- a/dispatch/leased/restart_check_faults_test.go
+++ b/dispatch/leased/restart_check_faults_test.go
@@ -25,9 +25,11 @@
 	moveCaller    // to another entry, which knows nothing of the first one
 	unregisterEndpoint
 	fillPage // of the list of ended runs, so that it omits those that follow
+	// moveUnheardCaller moves the caller while its entry is cut off from the holder only.
+	moveUnheardCaller
 )
 
-var faultNames = [...]string{"reset entry-holder", "reset holder-delegate", "crash of a holder", "hand-over", "restart of an endpoint", "endpoint cut off", "requests delayed", "freeze of a holder", "caller moves", "endpoint not registered", "page of ended runs full"}
+var faultNames = [...]string{"reset entry-holder", "reset holder-delegate", "crash of a holder", "hand-over", "restart of an endpoint", "endpoint cut off", "requests delayed", "freeze of a holder", "caller moves", "endpoint not registered", "page of ended runs full", "caller of an entry that its holder does not hear moves"}
 
 // fault is one that may be chosen at a moment.
 type fault struct {
@@ -53,7 +55,7 @@
 		return fmt.Sprintf("c%d from h%d to h%d, which is told first %t, of some endpoints late %t", f.cell, f.at, f.to, f.slow, f.stale)
 	case freezeHolder:
 		return fmt.Sprintf("h%d for %v, its cells go to h%d", f.at, f.delay, f.to)
-	case moveCaller:
+	case moveCaller, moveUnheardCaller:
 		return fmt.Sprintf("h%d gets the Cancel after %v, submission to h%d", f.at, f.delay, f.to)
 	case restartEndpointFault, fillPage:
 		return fmt.Sprintf("e%d", f.at)
@@ -72,7 +74,7 @@
 			to = "same holder"
 		}
 		return fmt.Sprintf("Cancel after %v, %s", f.delay, to)
-	case resetDelegation, cutEndpoint, stallEndpoint, freezeHolder, moveCaller, unregisterEndpoint:
+	case resetDelegation, cutEndpoint, stallEndpoint, freezeHolder, moveCaller, moveUnheardCaller, unregisterEndpoint:
 		return f.delay.String()
 	case crashHolder, handOver:
 		return fmt.Sprintf("slow %t, stale %t", f.slow, f.stale)
@@ -141,6 +143,20 @@
 			list = append(list, fault{kind: unregisterEndpoint, at: e.index, delay: unregisteredTime}, fault{kind: fillPage, at: e.index})
 		}
 	}
+	return append(list, w.unheardMoves()...)
+}
+
+// unheardMoves lists the moves of the caller while its entry is cut off from the holder
+// that has delegated tasks of its job.
+func (w *restartWorld) unheardMoves() []fault {
+	var list []fault
+	c := w.calls[0]
+	if c.ticket == 0 || len(w.delegations) == 0 {
+		return nil
+	}
+	for _, to := range w.others(c.holder) {
+		list = append(list, fault{kind: moveUnheardCaller, at: c.holder, to: to, delay: leased.CallerSilence(callerPause, maxLease)})
+	}
 	return list
 }
 
@@ -230,6 +246,9 @@
 		w.freeze(f)
 	case moveCaller:
 		w.moveCaller(f)
+	case moveUnheardCaller:
+		w.silence(entryID, f.at, callerPause)
+		w.moveCaller(f)
 	case unregisterEndpoint:
 		w.unregister(w.endpoints[f.at])
 	case fillPage:
@@ -271,7 +290,8 @@
 	c := w.calls[0]
 	w.callerMoved = true
 	w.cancel(c.ticket, f.delay)
-	c.ticket, c.lost, c.job.Resubmitted = 0, nil, false
+	c.giveUp()
+	c.lost, c.job.Resubmitted = nil, false
 	w.after(callerPause, func() { c.submit(f.to) })
 }
 
--- a/dispatch/leased/restart_check_world_test.go
+++ b/dispatch/leased/restart_check_world_test.go
@@ -106,7 +106,9 @@
 	lastTicket  leased.Ticket
 	lastToken   int64
 	silentUntil map[contactPath]time.Duration
-	late        int // deliveries that are still to come although no reply to them is awaited
+	heardAt     map[contactPath]time.Duration
+	givenUpAt   map[leased.CallID]time.Duration // calls of the entry that ended without answers
+	late        int                             // deliveries that are still to come although no reply to them is awaited
 	violation   string
 	// callerMoved and someUnheard tell that a caller has gone to another entry, and that
 	// an entry or a holder was not heard for long.
@@ -120,7 +122,8 @@
 	w := &restartWorld{
 		layout: layout, script: s,
 		delegations: make(map[delegationKey]*restartDelegation), tickets: make(map[leased.Ticket]*restartTicket),
-		silentUntil: make(map[contactPath]time.Duration),
+		silentUntil: make(map[contactPath]time.Duration), heardAt: make(map[contactPath]time.Duration),
+		givenUpAt: make(map[leased.CallID]time.Duration),
 	}
 	return w
 }
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -146,6 +146,7 @@
 // origin describes the call that submits a job or task.
 type origin struct {
 	caller    cells.Incarnation // the entry that calls; 0: this entry
+	call      leased.CallID     // zero: not known
 	sentUs    uint64            // the caller's boot clock when it sent the call; 0: not known
 	arrivedAt time.Time
 }
@@ -162,7 +163,7 @@
 	l.lastTicket++
 	l.waiters[l.lastTicket] = m.answer
 	m.ticket <- l.lastTicket
-	l.step(&leased.Submit{Ticket: l.lastTicket, Job: m.job, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.origin)})
+	l.step(&leased.Submit{Ticket: l.lastTicket, Job: m.job, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.origin), CallerCall: m.origin.call})
 }
 
 // submitDelegated is a message that submits a delegated task to the core.
--- a/fleet/callset.go
+++ b/fleet/callset.go
@@ -20,6 +20,7 @@
 	lastNumber uint64         // of a call to another entry
 	withdrawn  withdrawnCalls // to other entries
 	refused    refusedCalls   // from other entries
+	heard      heardWithdrawals
 }
 
 // call is an open call to another entry, or from it.
@@ -28,21 +29,23 @@
 	entry  cells.Incarnation
 	epoch  uint64
 	number uint64 // 0: the calling entry numbers no calls
+	cause  callerCall
 	began  time.Time
 	cancel context.CancelCauseFunc
 }
 
 // Causes of the cancellation of calls, other than the end of their own contexts.
 var (
-	errEntryGone     = errors.New("the other entry counts as gone")
-	errCallsGivenUp  = errors.New("the connection of another call to the same entry broke")
-	errCallWithdrawn = errors.New("the calling entry has given the call up")
+	errEntryGone      = errors.New("the other entry counts as gone")
+	errCallsGivenUp   = errors.New("the connection of another call to the same entry broke")
+	errCallWithdrawn  = errors.New("the calling entry has given the call up")
+	errCauseWithdrawn = errors.New("the entry that waits for the job has given up its call to the delegator")
 )
 
 func newCallSet() *callSet {
 	return &callSet{
 		byEntry: make(map[cells.Incarnation]map[*call]struct{}), epochs: newEpochs(),
-		withdrawn: newWithdrawnCalls(), refused: newRefusedCalls(),
+		withdrawn: newWithdrawnCalls(), refused: newRefusedCalls(), heard: make(heardWithdrawals),
 	}
 }
 
@@ -66,13 +69,24 @@
 // and cancels that entry's calls of lower epochs. It returns errCallWithdrawn if the
 // entry has given up all calls of the epoch, or this one.
 func (s *callSet) admit(ctx context.Context, id cells.Incarnation, epoch, number uint64) (*call, error) {
+	return s.admitCausedBy(ctx, id, epoch, number, callerCall{})
+}
+
+// admitCausedBy does the same for the call of a delegator. It returns errCauseWithdrawn if
+// the entry that waits for the job has withdrawn its call to the delegator.
+func (s *callSet) admitCausedBy(ctx context.Context, id cells.Incarnation, epoch, number uint64, cause callerCall) (*call, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if epoch < s.epochs.current(id) || s.refused.contains(id, number) {
 		return nil, errCallWithdrawn
 	}
+	if s.heard.withdrawn(cause, id) {
+		return nil, errCauseWithdrawn
+	}
 	s.withdrawLocked(id, epoch)
-	return s.add(ctx, id, epoch, number), nil
+	c := s.add(ctx, id, epoch, number)
+	c.cause = cause
+	return c, nil
 }
 
 func (s *callSet) add(ctx context.Context, id cells.Incarnation, epoch, number uint64) *call {
--- a/fleet/heartbeats.go
+++ b/fleet/heartbeats.go
@@ -240,6 +240,8 @@
 		Leaving: l.stopping, ConfigurationVersion: l.directory.Version, Token: l.maxToken,
 		CallEpochs: withdrawals.epochs, WithdrawnCalls: withdrawals.calls, SentUs: sentAt,
 	}
+	// A task of a job that this entry has submitted may have been delegated to it.
+	l.withdrawCaused(heartbeat)
 	l.announceLogContact(heartbeat)
 	if l.directory.Evacuations != nil {
 		heartbeat.EvacuationsRevision = l.directory.Evacuations.Revision
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -160,6 +160,9 @@
 	lend.Epoch, lend.Call, lend.SentUs = c.epoch, c.number, bootMicroseconds(readClocks)
 	reply, err := p.client(holder.Address).Lend(traced, lend)
 	if err == nil {
+		if reply.CallerWithdrew {
+			p.causeWithdrawn(&request.Task)
+		}
 		return delegatedEndFromPB(reply), reply.Saved
 	}
 	err = p.callFailed(ctx, holder, c, *sent, err)
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -9,6 +9,7 @@
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
+	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/fleet/relay"
 	"lovagespread.example/membership/cells"
 	"lovagespread.example/peer/fleetpb"
@@ -38,7 +39,7 @@
 	if err := job.Validate(); err != nil {
 		return nil, s.rejectMalformed(err)
 	}
-	c, err := s.admit(ctx, r)
+	c, err := s.admit(ctx, r, callerCall{})
 	if err != nil {
 		return nil, err
 	}
@@ -58,11 +59,14 @@
 	GetSentUs() uint64
 }
 
-func originOf(c *call, r callRequest) origin { return origin{c.entry, r.GetSentUs(), c.began} }
+func originOf(c *call, r callRequest) origin {
+	return origin{caller: c.entry, call: leased.CallID{Epoch: c.epoch, Number: c.number}, sentUs: r.GetSentUs(), arrivedAt: c.began}
+}
 
 // admit tracks a call of another entry. It returns an error if that entry has
-// given up the call, whose request was late.
-func (s *server) admit(ctx context.Context, r callRequest) (*call, error) {
+// given up the call, whose request was late, or if the caller's entry has given up the
+// call that it follows from.
+func (s *server) admit(ctx context.Context, r callRequest, cause callerCall) (*call, error) {
 	from, epoch, number := r.GetFrom(), r.GetEpoch(), r.GetCall()
 	if sentUs := r.GetSentUs(); sentUs > maxSentMicroseconds {
 		return nil, s.rejectMalformed(errors.Errorf("sent when the boot clock showed %d us, the highest is %d", sentUs, maxSentMicroseconds))
@@ -73,10 +77,16 @@
 	if number > maxCallNumber {
 		return nil, s.rejectMalformed(errors.Errorf("call %d, the highest number is %d", number, uint64(maxCallNumber)))
 	}
-	c, err := s.peers.inbound.admit(ctx, cells.Incarnation(from), epoch, number)
+	if cause.epoch > maxEpoch || cause.number > maxCallNumber {
+		return nil, s.rejectMalformed(errors.Errorf("caused by call %d of epoch %d, the highest are %d and %d", cause.number, cause.epoch, uint64(maxCallNumber), uint64(maxEpoch)))
+	}
+	c, err := s.peers.inbound.admitCausedBy(ctx, cells.Incarnation(from), epoch, number, cause)
 	if err != nil {
 		s.loop.metrics.withdrawnCalls.WithLabelValues("refused").Inc()
 		s.peers.log.Warn("withdrawn_call_refused", zap.Uint64("incarnation", from), zap.Uint64("epoch", epoch), zap.Uint64("call", number))
+		if errors.Is(err, errCauseWithdrawn) {
+			return nil, err
+		}
 		return nil, twirp.FailedPrecondition.Error(err.Error())
 	}
 	return c, nil
@@ -107,12 +117,18 @@
 	if err := task.Validate(); err != nil {
 		return nil, s.rejectMalformed(err)
 	}
-	c, err := s.admit(ctx, r)
+	c, err := s.admit(ctx, r, callerCall{cells.Incarnation(r.Caller), r.CallerEpoch, r.CallerCall})
+	if errors.Is(err, errCauseWithdrawn) {
+		return callerWithdrew(), nil
+	}
 	if err != nil {
 		return nil, err
 	}
 	defer s.peers.inbound.end(c)
 	answer, ended := s.loop.runDelegated(c.ctx, task, originOf(c, r))
+	if !ended && errors.Is(context.Cause(c.ctx), errCauseWithdrawn) {
+		return callerWithdrew(), nil
+	}
 	if !ended {
 		return nil, c.ctx.Err()
 	}
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -91,6 +91,13 @@
 			l.callsWithdrawn(b, l.peers.inbound.withdrawNumbers(time.Now(), from, decodeNumbers(w.Calls)), zap.Bool("single", true))
 		}
 	}
+	l.withdrawCaused(b)
+}
+
+// withdrawCaused cancels the delegated tasks of jobs that the sender of a heartbeat has
+// given up.
+func (l *Loop) withdrawCaused(b *fleetpb.Beat) {
+	l.callsWithdrawn(b, l.peers.inbound.withdrawCaused(time.Now(), b), zap.Bool("delegated", true))
 }
 
 // callsWithdrawn logs and counts calls that were cancelled because the sender of a
--- a/fleet/withdrawals_test.go
+++ b/fleet/withdrawals_test.go
@@ -31,6 +31,8 @@
 	calls  int                                                                  // of Submit
 	submit func(ctx context.Context, call int) (*fleetpb.SubmitResponse, error) // nil: completes the job
 	lend   func(ctx context.Context) error                                      // nil: the task is done
+	// lendReply answers Lend instead; nil: lend does.
+	lendReply func(context.Context, *fleetpb.LendRequest) (*fleetpb.LendResponse, error)
 }
 
 func (f *fakeEntry) setSubmit(submit func(context.Context, int) (*fleetpb.SubmitResponse, error)) {
@@ -45,6 +47,12 @@
 	f.lend = lend
 }
 
+func (f *fakeEntry) setLendReply(reply func(context.Context, *fleetpb.LendRequest) (*fleetpb.LendResponse, error)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lendReply = reply
+}
+
 func (f *fakeEntry) Submit(ctx context.Context, r *fleetpb.SubmitRequest) (*fleetpb.SubmitResponse, error) {
 	f.mu.Lock()
 	submit, call := f.submit, f.calls
@@ -59,9 +67,12 @@
 
 func (f *fakeEntry) Lend(ctx context.Context, r *fleetpb.LendRequest) (*fleetpb.LendResponse, error) {
 	f.mu.Lock()
-	lend := f.lend
+	lend, reply := f.lend, f.lendReply
 	f.mu.Unlock()
 	f.lends <- r
+	if reply != nil {
+		return reply(ctx, r)
+	}
 	if lend == nil {
 		return &fleetpb.LendResponse{End: uint32(leased.EndDone)}, nil
 	}
