Cancel withdrawn calls before their heartbeat counts as contact

Callers could see two runs of a task if a Hold or a Start was sent between a heartbeat that withdraws a call and the moment at which the goroutine of that call noticed it, and the Stops were lost: up to then the heartbeat counted as contact for the call that it withdraws, so the lease was extended to 1.2 s after the heartbeat instead of after the one before.

Cause: a heartbeat cancelled the contexts of the calls, and their goroutines then sent the cancellations to the loop, behind whatever was queued there. A call that was withdrawn before the loop handled its submission was started, too.

The loop now cancels the submissions whose contexts have ended while it handles the heartbeat, before it records the contact, and submits none whose context has ended. The two new tests fail without it (2 delegated tasks instead of 1 after the heartbeat; 1 instead of none). fleet, membership and platform pass.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -129,6 +130,7 @@
 }
 
 func (l *Loop) answer(a leased.Answer) {
+	delete(l.tickets, a.Ticket)
 	l.metrics.jobs.WithLabelValues(a.Verdict.String()).Inc()
 	if w := l.waiters[a.Ticket]; w != nil {
 		delete(l.waiters, a.Ticket)
@@ -137,6 +139,7 @@
 }
 
 func (l *Loop) answerDelegated(a leased.DelegatedAnswer) {
+	delete(l.tickets, a.Ticket)
 	if w := l.delegatedWaiters[a.Ticket]; w != nil {
 		delete(l.delegatedWaiters, a.Ticket)
 		w <- a
@@ -153,6 +156,7 @@
 
 // submitJob is a message that submits a job to the core.
 type submitJob struct {
+	ctx context.Context // of its call
 	job leased.Job
 	origin
 	answer chan leased.Answer
@@ -163,11 +167,16 @@
 	l.lastTicket++
 	l.waiters[l.lastTicket] = m.answer
 	m.ticket <- l.lastTicket
+	if m.ctx.Err() != nil {
+		return // cancelTicket follows
+	}
+	l.tickets[l.lastTicket] = m.ctx
 	l.step(&leased.Submit{Ticket: l.lastTicket, Job: m.job, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.origin), CallerCall: m.origin.call})
 }
 
 // submitDelegated is a message that submits a delegated task to the core.
 type submitDelegated struct {
+	ctx  context.Context // of its call
 	task leased.DelegatedTask
 	origin
 	answer chan leased.DelegatedAnswer
@@ -178,6 +187,10 @@
 	l.lastTicket++
 	l.delegatedWaiters[l.lastTicket] = m.answer
 	m.ticket <- l.lastTicket
+	if m.ctx.Err() != nil {
+		return // cancelTicket follows
+	}
+	l.tickets[l.lastTicket] = m.ctx
 	heardAt := l.heardAt(m.origin)
 	l.boundByOrigin(&m.task, heardAt.Sub(l.sentAt(m.origin)))
 	l.step(&leased.SubmitDelegated{Ticket: l.lastTicket, Task: m.task, Caller: uint64(m.caller), CallerHeardAt: heardAt})
@@ -189,7 +202,30 @@
 func (m cancelTicket) handle(l *Loop) {
 	delete(l.waiters, m.ticket)
 	delete(l.delegatedWaiters, m.ticket)
-	l.step(&leased.Cancel{Ticket: m.ticket})
+	l.cancel(m.ticket)
+}
+
+// cancel cancels a submission, unless it has been cancelled.
+func (l *Loop) cancel(ticket leased.Ticket) {
+	if _, open := l.tickets[ticket]; open {
+		delete(l.tickets, ticket)
+		l.step(&leased.Cancel{Ticket: ticket})
+	}
+}
+
+// cancelEnded cancels the submissions whose calls have ended, before their goroutines
+// notice that: the heartbeat that has withdrawn them counts as contact from now on.
+func (l *Loop) cancelEnded() {
+	var ended []leased.Ticket
+	for ticket, ctx := range l.tickets {
+		if ctx.Err() != nil {
+			ended = append(ended, ticket)
+		}
+	}
+	slices.Sort(ended)
+	for _, ticket := range ended {
+		l.cancel(ticket)
+	}
 }
 
 // runLocally runs a job in this entry's core until it ends, for the entry whose
@@ -197,14 +233,14 @@
 // done first, it cancels the job and returns false.
 func (l *Loop) runLocally(ctx context.Context, job leased.Job, from origin) (leased.Answer, bool) {
 	return await(ctx, l, func(answer chan leased.Answer, ticket chan leased.Ticket) message {
-		return submitJob{job, from, answer, ticket}
+		return submitJob{ctx, job, from, answer, ticket}
 	})
 }
 
 // runDelegated does the same for a delegated task.
 func (l *Loop) runDelegated(ctx context.Context, task leased.DelegatedTask, from origin) (leased.DelegatedAnswer, bool) {
 	return await(ctx, l, func(answer chan leased.DelegatedAnswer, ticket chan leased.Ticket) message {
-		return submitDelegated{task, from, answer, ticket}
+		return submitDelegated{ctx, task, from, answer, ticket}
 	})
 }
 
--- a/fleet/causedcalls_test.go
+++ b/fleet/causedcalls_test.go
@@ -202,3 +202,41 @@
 		}
 	}
 }
+
+// Guards against a heartbeat that counts as contact for a task that it withdraws, because
+// the goroutine of the task's call has not noticed the withdrawal yet: a Hold or a Start
+// that is sent meanwhile would extend the lease by a heartbeat interval.
+func TestWithdrawnTaskEndsBeforeItsHeartbeatCounts(t *testing.T) {
+	l := testLoop(t, nil)
+	withHeartbeats(t, l)
+	s := &server{loop: l, peers: l.peers}
+	b := withdrawalsOf(nil, &fleetpb.WithdrawnCalls{Incarnation: uint64(testDelegator), Calls: []uint64{7}})
+	for i := range 2 {
+		go func() { _, _ = s.Lend(t.Context(), lendFor(0, uint64(7-i))) }() // ends with the test
+		nextMessage[submitDelegated](t, l).handle(l)
+	}
+	if n := l.core.Status().DelegatedTasks; n != 2 {
+		t.Fatalf("%d delegated tasks, want 2", n)
+	}
+	peerHeartbeat{b}.handle(l)
+	if n := l.core.Status().DelegatedTasks; n != 1 {
+		t.Errorf("%d delegated tasks after the heartbeat, want the one that is not withdrawn", n)
+	}
+}
+
+// Guards against a call that was withdrawn before the loop handles it, and starts a run.
+func TestWithdrawnCallReachesNoCore(t *testing.T) {
+	l := testLoop(t, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	go l.runDelegated(ctx, delegatedTaskFromPB(lendFor(0, 7)), origin{caller: testDelegator})
+	m := nextMessage[submitDelegated](t, l)
+	cancel()
+	m.handle(l)
+	if n := l.core.Status().DelegatedTasks; n != 0 {
+		t.Errorf("%d delegated tasks, want none", n)
+	}
+	nextMessage[cancelTicket](t, l).handle(l)
+	if n := len(l.delegatedWaiters) + len(l.tickets); n != 0 {
+		t.Errorf("%d records of the call are left", n)
+	}
+}
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -87,6 +87,7 @@
 	newCapacity         bool // some of it is not passed on to the core yet
 	maxToken            int64
 	lastTicket          leased.Ticket
+	tickets             map[leased.Ticket]context.Context // of the submissions that wait for an answer
 	waiters             map[leased.Ticket]chan leased.Answer
 	delegatedWaiters    map[leased.Ticket]chan leased.DelegatedAnswer
 	delegations         map[leased.TaskID]delegation
@@ -118,6 +119,7 @@
 		held:             make(map[leased.EndpointID]bool),
 		cellCounts:       make(map[string]int),
 		peerCapacity:     make(map[cells.Cell]announcedCapacity),
+		tickets:          make(map[leased.Ticket]context.Context),
 		waiters:          make(map[leased.Ticket]chan leased.Answer),
 		delegatedWaiters: make(map[leased.Ticket]chan leased.DelegatedAnswer),
 		delegations:      make(map[leased.TaskID]delegation),
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -106,6 +106,7 @@
 	if n == 0 {
 		return
 	}
+	l.cancelEnded()
 	l.metrics.withdrawnCalls.WithLabelValues("cancelled").Add(float64(n))
 	l.log.Warn("calls_withdrawn", zap.String("entry", b.Name), zap.Uint64("incarnation", b.Incarnation),
 		how, zap.Int("calls", n))
