--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -129,6 +130,7 @@
 }
 
 func (l *Loop) answer(a leased.Answer) {
+	delete(l.tickets, a.Ticket)
 	l.metrics.jobs.WithLabelValues(a.Verdict.String()).Inc()
 	if w := l.waiters[a.Ticket]; w != nil {
 		delete(l.waiters, a.Ticket)
@@ -137,6 +139,7 @@
 }
 
 func (l *Loop) answerDelegated(a leased.DelegatedAnswer) {
+	delete(l.tickets, a.Ticket)
 	if w := l.delegatedWaiters[a.Ticket]; w != nil {
 		delete(l.delegatedWaiters, a.Ticket)
 		w <- a
@@ -146,6 +149,7 @@
 // origin describes the call that submits a job or task.
 type origin struct {
 	caller    cells.Incarnation // the entry that calls; 0: this entry
+	call      leased.CallID     // zero: not known
 	sentUs    uint64            // the caller's boot clock when it sent the call; 0: not known
 	arrivedAt time.Time
 }
@@ -164,7 +168,9 @@
 	l.waiters[ticket] = m.answer
 	m.ticket <- ticket
 	l.submit(&submittedCall{m.ctx, m.origin, ticket, func() {
-		l.step(&leased.Submit{Ticket: ticket, Job: m.job, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.origin), SentAt: l.sentAt(m.origin)})
+		l.step(&leased.Submit{
+			Ticket: ticket, Job: m.job, Caller: uint64(m.caller), CallerHeardAt: l.heardAt(m.origin), CallerCall: m.origin.call, SentAt: l.sentAt(m.origin),
+		})
 	}})
 }
 
@@ -200,7 +206,30 @@
 	delete(l.waiters, m.ticket)
 	delete(l.delegatedWaiters, m.ticket)
 	l.removeUnheard(m.ticket)
-	l.step(&leased.Cancel{Ticket: m.ticket})
+	l.cancel(m.ticket)
+}
+
+// cancel cancels a submission, unless it has been cancelled.
+func (l *Loop) cancel(ticket leased.Ticket) {
+	if _, open := l.tickets[ticket]; open {
+		delete(l.tickets, ticket)
+		l.step(&leased.Cancel{Ticket: ticket})
+	}
+}
+
+// cancelEnded cancels the submissions whose calls have ended, before their goroutines
+// notice that: the heartbeat that has withdrawn them counts as contact from now on.
+func (l *Loop) cancelEnded() {
+	var ended []leased.Ticket
+	for ticket, ctx := range l.tickets {
+		if ctx.Err() != nil {
+			ended = append(ended, ticket)
+		}
+	}
+	slices.Sort(ended)
+	for _, ticket := range ended {
+		l.cancel(ticket)
+	}
 }
 
 // runLocally runs a job in this entry's core until it ends, for the entry whose
--- a/fleet/latecalls.go
+++ b/fleet/latecalls.go
@@ -40,6 +40,7 @@
 			l.metrics.withdrawnCalls.WithLabelValues("late").Inc()
 			l.log.Warn("late_call_refused", zap.Uint64("incarnation", uint64(c.caller)), zap.Duration("age_ms", age))
 		}
+		l.tickets[c.ticket] = c.ctx
 		c.begin()
 	}
 }
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -90,6 +90,13 @@
 			l.callsWithdrawn(b, l.peers.inbound.withdrawNumbers(time.Now(), from, decodeNumbers(w.Calls)), zap.Bool("single", true))
 		}
 	}
+	l.withdrawCaused(b)
+}
+
+// withdrawCaused cancels the delegated tasks of jobs that the sender of a heartbeat has
+// given up.
+func (l *Loop) withdrawCaused(b *fleetpb.Beat) {
+	l.callsWithdrawn(b, l.peers.inbound.withdrawCaused(time.Now(), b), zap.Bool("delegated", true))
 }
 
 // callsWithdrawn logs and counts calls that were cancelled because the sender of a
@@ -98,6 +105,7 @@
 	if n == 0 {
 		return
 	}
+	l.cancelEnded()
 	l.metrics.withdrawnCalls.WithLabelValues("cancelled").Add(float64(n))
 	l.log.Warn("calls_withdrawn", zap.String("entry", b.Name), zap.Uint64("incarnation", b.Incarnation),
 		how, zap.Int("calls", n))
