Ask an endpoint that a record says has restarted or moved

Any client of the store can write a record under the key of a sound endpoint.

A Start that was executed without an answer was repeated at the address of the odd record.

The record now only makes the holder ask. A later start sends a Hold at once, whose reply tells the start; at another address nothing is started before the endpoint has answered there; a Start is repeated only at its first address, so a 421 tells of all its copies; and a 421 from an address at which the endpoint never answered is no evidence of a restart. The reply to a Hold still shows each true restart.

TestNewIncarnationProvesNoEndWithoutList announced the restart by a record, which does not make a holder believe in one any more.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -248,6 +248,7 @@
 	if e == nil {
 		e = &endpoint{Endpoint: spec, addedAt: c.now, idleSince: c.now, freeIndex: c.freeIndex, clockReadingInterval: clockReadingInterval(spec.ID)}
 		e.token = c.opts.NextToken(0)
+		e.announcedBorn = spec.Born
 		c.endpoints[spec.ID] = e
 		e.evacuated = !c.evacuations.Admits(c.now, e.FailureDomain, string(e.ID))
 		c.endpointList = append(c.endpointList, e)
@@ -258,16 +259,35 @@
 		c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_added", ""))
 		return
 	}
-	if spec.Born != 0 && e.Born != 0 && spec.Born > e.Born {
-		c.endpointRestarted(e, spec.Born)
-	}
-	born, wasLeaving := max(e.Born, spec.Born), e.Leaving
-	e.Endpoint = spec
-	e.Born = born
+	wasLeaving := e.Leaving
+	c.applyRecord(e, spec)
 	c.noteDeparture(e, wasLeaving, true)
 	e.freeIndex.update(e)
 }
 
+// applyRecord applies a new record of a known endpoint. The record is no evidence of a
+// restart: a record of another writer may name any start and any address. The endpoint
+// is asked instead, and what it answers counts.
+func (c *Core) applyRecord(e *endpoint, spec Endpoint) {
+	born := e.Born
+	if born == 0 {
+		born = spec.Born
+	}
+	moved := spec.Address != e.Address
+	asked := moved || spec.Born > e.Born && spec.Born != e.announcedBorn
+	e.Endpoint = spec
+	e.Born, e.announcedBorn = born, spec.Born
+	if moved {
+		e.held = false // nothing is started there before it has answered
+	}
+	if asked {
+		e.sequence++ // the reply to the Hold in flight is ignored: a new one is sent at once
+		e.inFlight = false
+		e.pollWanted = true
+		e.nextHold = time.Time{}
+	}
+}
+
 // removeDropped removes dropped endpoints on which nothing runs, and those not
 // held on which only runs of unknown demand are left.
 func (c *Core) removeDropped() {
--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -23,7 +23,7 @@
 	Leaving       bool          // gets no new tasks, except as in leaving.go
 	Remaining     time.Duration // least time until a leaving endpoint is gone, when the record was written; 0: unknown
 	Cold          time.Duration // cold start time, added to the expected run time of a task
-	Born          int64         // incarnation start, in milliseconds since 1970; 0: unknown
+	Born          int64         // incarnation start, in milliseconds since 1970, by the endpoint's own word once it has answered; 0: unknown
 	Cell          string        // the holder of the cell holds the endpoint
 }
 
@@ -45,6 +45,7 @@
 	demand          Demand
 	expected        time.Duration
 	sent            time.Time     // when the newest Start or Stop was sent
+	address         string        // to which the Start was sent
 	began           time.Time     // when the newest Start was sent, or the run was found
 	confirmed       time.Time     // when the endpoint confirmed the run; zero: not yet
 	tries           int           // how often the Start was sent
@@ -67,11 +68,15 @@
 // endpoint is an endpoint that the core holds.
 type endpoint struct {
 	Endpoint
-	token    int64
-	held     bool      // a Hold under the token was answered, so the active runs are known
-	dirty    bool      // a Hold may be due
-	addedAt  time.Time // when the endpoint was assigned to this core
-	polledAt time.Time // when the newest answered Hold was sent
+	token int64
+	// announcedBorn is Born of the newest record. Any client of the store may have
+	// written that, so it only makes the endpoint be asked.
+	announcedBorn int64
+	answeredAt    string    // address at which the newest Hold was answered
+	held          bool      // a Hold under the token was answered, so the active runs are known
+	dirty         bool      // a Hold may be due
+	addedAt       time.Time // when the endpoint was assigned to this core
+	polledAt      time.Time // when the newest answered Hold was sent
 	// listedClock is the reading of the endpoint's clock in the newest list of
 	// its runs; 0: none in this incarnation.
 	listedClock time.Duration
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -166,8 +166,7 @@
 	case HoldFenced:
 		c.fenced(e)
 	case HoldOtherIncarnation:
-		c.endpointRestarted(e, 0)
-		c.countUnanswered(e)
+		c.otherIncarnation(e, e.Address)
 	case HoldUnhealthy:
 		e.nextHold = c.now.Add(minBackoff)
 		e.pausedUntil = c.now.Add(minBackoff)
@@ -184,6 +183,7 @@
 	if in.IncarnationStart != 0 {
 		e.Born = in.IncarnationStart
 	}
+	e.answeredAt = e.Address
 	c.endpointReturned(e)
 	if e.unanswered > 1 {
 		c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_answers", ""))
@@ -306,6 +306,16 @@
 	}
 }
 
+// otherIncarnation handles a request that was refused at an address because it was meant
+// for another incarnation. It is evidence of a restart only at the address at which the
+// endpoint has answered. A record of another writer may name the address of any endpoint.
+func (c *Core) otherIncarnation(e *endpoint, address string) {
+	if e.answeredAt == "" || e.answeredAt == address {
+		c.endpointRestarted(e, 0)
+	}
+	c.countUnanswered(e)
+}
+
 // endpointRestarted resets the state of an endpoint for another incarnation.
 // Runs of the earlier one have ended, but a Start may already have reached the
 // new one: the list under a new token shows which. An incarnation has seen no token,
--- a/dispatch/leased/restart_evidence_test.go
+++ b/dispatch/leased/restart_evidence_test.go
@@ -359,6 +359,10 @@
 	c.step(&leased.SetEndpoints{Endpoints: c.endpoints})
 	c.pass(100 * time.Millisecond)
 	c.wantAnswers(0)
+	// The new incarnation answers under the earlier token, which it may have got by a Start.
+	c.step(&leased.HoldReply{Endpoint: "e0", Sequence: c.holds["e0"].Sequence, Clock: time.Second, IncarnationStart: 2})
+	c.pass(100 * time.Millisecond)
+	c.wantAnswers(0)
 }
 
 // Guards against two runs that may be active in two cells, of which only the newer one
--- a/dispatch/leased/sim_network_test.go
+++ b/dispatch/leased/sim_network_test.go
@@ -22,12 +22,12 @@
 // request delivers a request to an endpoint and the reply to the core. A lost
 // request is executed seconds later and not answered: the core gets noReply
 // after the timeout.
-func (sim *simulation) request(core int, id leased.EndpointID, handle func(*leasedtest.Endpoint) leased.Input, noReply leased.Input, timeout time.Duration) {
-	if sim.unreachable[id] {
+func (sim *simulation) request(core int, id leased.EndpointID, address string, handle func(*leasedtest.Endpoint) leased.Input, noReply leased.Input, timeout time.Duration) {
+	if sim.unreachable[id] || sim.nobodyAt(address) {
 		sim.after(timeout, func() { sim.step(core, noReply) })
 		return
 	}
-	if sim.replaced[id] {
+	if sim.replaced[id] || address != string(id) {
 		sim.after(2*networkDelay, func() { sim.step(core, otherIncarnation(noReply)) })
 		return
 	}
@@ -44,13 +44,19 @@
 	})
 }
 
+// nobodyAt reports whether no endpoint has an address. The address of an endpoint is
+// its ID; at that of another one, the other one answers.
+func (sim *simulation) nobodyAt(address string) bool {
+	return sim.endpoints[leased.EndpointID(address)] == nil
+}
+
 func (sim *simulation) poll(core int, h leased.Hold) {
 	noReply := &leased.HoldReply{Endpoint: h.Endpoint, Sequence: h.Sequence, Result: leased.HoldUnanswered}
-	if sim.unreachable[h.Endpoint] || sim.rng.Float64() < sim.lossRate {
+	if sim.unreachable[h.Endpoint] || sim.nobodyAt(h.Address) || sim.rng.Float64() < sim.lossRate {
 		sim.after(h.Wait+callTimeout, func() { sim.step(core, noReply) })
 		return
 	}
-	if sim.replaced[h.Endpoint] {
+	if sim.replaced[h.Endpoint] || h.Address != string(h.Endpoint) {
 		sim.after(2*networkDelay, func() { sim.step(core, otherIncarnation(noReply)) })
 		return
 	}
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -230,7 +230,7 @@
 		if sim.recordStarts {
 			sim.starts = append(sim.starts, fmt.Sprintf("%v %d %s %v %d", sim.now, core, s.Endpoint, s.Task, s.Run))
 		}
-		sim.request(core, s.Endpoint, func(e *leasedtest.Endpoint) leased.Input { r := e.Start(sim.now, &s); return &r },
+		sim.request(core, s.Endpoint, s.Address, func(e *leasedtest.Endpoint) leased.Input { r := e.Start(sim.now, &s); return &r },
 			&leased.StartReply{Endpoint: s.Endpoint, Task: s.Task, Run: s.Run, Result: leased.StartUnanswered}, timeout)
 	}
 	for _, s := range out.Stops {
@@ -238,7 +238,7 @@
 			sim.after(callTimeout, func() { sim.step(core, &leased.StopReply{Endpoint: s.Endpoint, Task: s.Task, Run: s.Run}) })
 			continue
 		}
-		sim.request(core, s.Endpoint, func(e *leasedtest.Endpoint) leased.Input { r := e.Stop(sim.now, &s); return &r },
+		sim.request(core, s.Endpoint, s.Address, func(e *leasedtest.Endpoint) leased.Input { r := e.Stop(sim.now, &s); return &r },
 			&leased.StopReply{Endpoint: s.Endpoint, Task: s.Task, Run: s.Run}, callTimeout)
 	}
 	for _, h := range out.Holds {
--- a/dispatch/leased/starts.go
+++ b/dispatch/leased/starts.go
@@ -56,8 +56,7 @@
 		c.endRun(e, r, EndNotRun, EvidenceRefused, "")
 	case StartOtherIncarnation:
 		c.endRun(e, r, EndNotRun, EvidenceRefused, "")
-		c.endpointRestarted(e, 0)
-		c.countUnanswered(e)
+		c.otherIncarnation(e, r.address)
 	case StartInvalid:
 		c.endRun(e, r, EndFailed, EvidenceRefused, "")
 	case StartNotSent:
@@ -104,7 +103,9 @@
 	if r.state == runStopping {
 		return
 	}
-	if r.tries >= max(minStartTries, 1+c.loss.tolerated()) || e.evacuated || !c.mayRepeatStart(r) {
+	// A refusal at another address would prove nothing about the copies sent before.
+	moved := r.address != e.Address
+	if moved || r.tries >= max(minStartTries, 1+c.loss.tolerated()) || e.evacuated || !c.mayRepeatStart(r) {
 		r.startUnanswered = true
 		c.countUnanswered(e)
 		return
@@ -125,6 +126,7 @@
 	r.sent = c.now
 	r.began = c.now
 	r.token = e.token
+	r.address = e.Address
 	lease := c.allowedLease(e)
 	c.leaseExtended(e, lease)
 	j := r.task.job
