Move an endpoint between the counts of services with its record

A record with another service left the endpoint in the count of the old one, and its removal was subtracted from the new one: the counts were 2 and -1 in TestServiceOfEndpointChanges. Outlier detection divides by that count, so after one odd record operators could see too many or too few endpoints of a service ejected.

The endpoint is now taken out of the old count together with its outcomes, and counts anew in the new one.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -275,6 +275,12 @@
 	}
 	moved := spec.Address != e.Address
 	asked := moved || spec.Born > e.Born && spec.Born != e.announcedBorn
+	if spec.Service != e.Service {
+		e.record.RemoveFrom(c.peersOf(e))
+		c.peersOf(e).Endpoints--
+		e.record = outlier.Record{}
+		defer func() { c.peersOf(e).Endpoints++ }()
+	}
 	e.Endpoint = spec
 	e.Born, e.announcedBorn = born, spec.Born
 	if moved {
--- a/dispatch/leased/export_test.go
+++ b/dispatch/leased/export_test.go
@@ -67,3 +67,11 @@
 // EnableAdmissionInEvacuations makes the core use admission control while a failure
 // domain is evacuated.
 func (c *Core) EnableAdmissionInEvacuations() { c.applyPolicy(AdmissionInEvacuations) }
+
+// PeersOf returns the number of endpoints that count as those of a service.
+func (c *Core) PeersOf(service string) int {
+	if p := c.peers[service]; p != nil {
+		return p.Endpoints
+	}
+	return 0
+}
--- a/dispatch/leased/replaced_record_test.go
+++ b/dispatch/leased/replaced_record_test.go
@@ -137,3 +137,19 @@
 	sim.runUntil(sim.now + 2*time.Second)
 	sim.wantNoDoubleRuns()
 }
+
+// Guards against counts of the endpoints of a service that include those of another one.
+func TestServiceOfEndpointChanges(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addEndpoints(0, 2)
+	sim.specs[0].Service = "other"
+	sim.announce()
+	if s, other := sim.cores[0].PeersOf("s"), sim.cores[0].PeersOf("other"); s != 1 || other != 1 {
+		t.Errorf("%d and %d endpoints of the services, want 1 and 1", s, other)
+	}
+	sim.specs = sim.specs[1:]
+	sim.announce()
+	if s, other := sim.cores[0].PeersOf("s"), sim.cores[0].PeersOf("other"); s != 1 || other != 0 {
+		t.Errorf("%d and %d endpoints of the services, want 1 and 0", s, other)
+	}
+}
