Keep back records that replace those of sound endpoints for a moment

Another writer may leave one record under the key of a sound executor, which writes its own again within 1.5 s. Until then each entry dropped the endpoint from its list (an unusable record), sent to another address, or moved the endpoint to another service or cell, whose holder took it over: runs there were found unclaimed and stopped, or lost their leases, and callers waited for them to run again.

A record that is unusable, or that changes what an endpoint keeps while it runs, is now passed to the follower only after it has stood for 2.5 s (1.5 s for the executor, 1 s for the poll). In between the last usable record counts. A deletion, a new key and a change of state pass at once. The price: an executor that restarts under its ID at another address is used there up to 2.5 s later.

Measured: TestOddRecordDoesNotReplaceASoundEndpoint fails without the filter for each kind of odd record and passes with it.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -57,15 +57,15 @@
 }
 
 // relayedEndpoints returns the log of the endpoints' records as this entry reads
-// it.
+// it, without odd ones that replace those of sound endpoints for a moment.
 func (p *Process) relayedEndpoints(s *Sources) follow.KeyedLog {
+	decoder := newRecordDecoder(s.DecodeEndpoint)
 	p.endpointJournal.Store(relay.NewJournal(func(key string, before, after []byte) bool {
-		first, firstErr := s.DecodeEndpoint(key, before)
-		second, secondErr := s.DecodeEndpoint(key, after)
-		return (firstErr == nil) == (secondErr == nil) && reflect.DeepEqual(first, second)
+		first, second := decoder.decode(key, before), decoder.decode(key, after)
+		return (first.err == nil) == (second.err == nil) && reflect.DeepEqual(first.endpoint, second.endpoint)
 	}))
 	role := func() relay.Role { return relayRole(p.loop.Latest().View) }
-	return relay.NewLog(s.Endpoints, p.endpointJournal.Load(), role, p.peers.endpointRecords)
+	return newSteadyLog(relay.NewLog(s.Endpoints, p.endpointJournal.Load(), role, p.peers.endpointRecords), decoder, p.log)
 }
 
 // endpointRecords asks another entry for records of endpoints.
