Use no reply of a broken reader of the endpoints' log

In large failure domains most entries get the endpoints' records from two others. Such a reader may be broken. In TestOddReaderIsNotFollowed (ten kinds of replies) an entry then lost all or most endpoints (a list of nothing, or of a few), followed nothing any more (an offset far beyond the log, or before what it had read), or listed all records at each poll (a gap at the offset that the reader had just named), for as long as the reader lived.

A reply is now checked as a whole: the offset must not go back nor beyond 2^50, keys must be possible and unique in a list. An *OddReplyError is logged as relayed_records_odd, and the reader is not asked for 2 s. A list of less than half of the known keys and a gap at the reader's own offset, which a sound reader may send, too, make the entry ask the log. After a gap in the log itself the next list is that of the log, since only a reader may have named the offset.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/samber/lo"
 	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"lovagespread.example/fleet/follow"
@@ -65,9 +66,12 @@
 		return (first.err == nil) == (second.err == nil) && reflect.DeepEqual(first.endpoint, second.endpoint)
 	}))
 	role := func() relay.Role { return relayRole(p.loop.Latest().View) }
-	return newSteadyLog(relay.NewLog(s.Endpoints, p.endpointJournal.Load(), role, p.peers.endpointRecords), decoder, p.log)
+	return newSteadyLog(relay.NewLog(s.Endpoints, p.endpointJournal.Load(), role, p.peers.endpointRecords, p.noteOddReply), decoder, p.log)
 }
 
+// noteOddReply logs a reply of a reader that is not used.
+func (p *Process) noteOddReply(err error) { p.log.Warn("relayed_records_odd", zap.Error(err)) }
+
 // endpointRecords asks another entry for records of endpoints.
 func (p *peers) endpointRecords(ctx context.Context, reader relay.Reader, from int64) ([]follow.Record, int64, error) {
 	reply, err := p.client(reader.Address).EndpointRecords(ctx, &fleetpb.EndpointRecordsRequest{From: from})
@@ -80,6 +84,7 @@
 	records := recordsFromPB(reply.Records)
 	if from < 0 {
 		if records, err = unpackRecords(reply.List); err != nil {
+			p.log.Warn("relayed_records_odd", zap.String("reader", reader.Name), zap.Error(err))
 			return nil, 0, err
 		}
 	}
--- a/fleet/relay/log.go
+++ b/fleet/relay/log.go
@@ -50,25 +50,39 @@
 	journal *Journal
 	role    func() Role
 	ask     Ask
+	odd     func(error)          // called with each *OddReplyError
 	avoid   map[string]time.Time // readers that have failed, and until when they are not asked
+
+	keys       map[string]struct{} // that this entry knows
+	reached    int64               // offset up to which it has read
+	listedBy   string              // reader that has sent the newest list; empty: the log
+	listDirect bool                // the log itself has no records at reached
 }
 
-// NewLog returns a log. The function role is called before each read.
-func NewLog(direct follow.KeyedLog, journal *Journal, role func() Role, ask Ask) *Log {
-	return &Log{direct: direct, journal: journal, role: role, ask: ask, avoid: make(map[string]time.Time)}
+// NewLog returns a log. The function role is called before each read, and odd with each
+// *OddReplyError of a reader.
+func NewLog(direct follow.KeyedLog, journal *Journal, role func() Role, ask Ask, odd func(error)) *Log {
+	return &Log{direct: direct, journal: journal, role: role, ask: ask, odd: odd, avoid: make(map[string]time.Time), keys: make(map[string]struct{})}
 }
 
 // Newest implements follow.KeyedLog.
 func (l *Log) Newest(ctx context.Context) ([]follow.Record, int64, error) {
 	role := l.role()
-	if records, next, err := l.askReaders(ctx, role, -1); err == nil {
-		return records, next, nil
+	if !l.listDirect {
+		if records, next, err := l.askReaders(ctx, role, -1); err == nil {
+			return records, next, nil
+		}
 	}
 	records, next, err := l.direct.Newest(ctx)
-	if err == nil && role.Relays {
+	if err != nil {
+		return nil, 0, err
+	}
+	if role.Relays {
 		l.journal.List(time.Now(), records, next)
 	}
-	return records, next, err
+	l.listDirect, l.listedBy = false, ""
+	l.advance(records, next, true)
+	return records, next, nil
 }
 
 // Read implements follow.KeyedLog.
@@ -77,21 +91,33 @@
 	if !role.Relays {
 		l.journal.Invalidate()
 		records, next, err := l.askReaders(ctx, role, from)
-		if _, gap := errors.Into[*follow.GapError](err); gap || err == nil {
+		if isGap(err) || err == nil {
 			return records, next, err
 		}
-		return l.direct.Read(ctx, from, wait)
+		return l.readDirect(ctx, from, wait)
 	}
 	if !l.journal.Continues(from) {
 		return nil, 0, &follow.GapError{From: from} // a reader needs all records
 	}
-	records, next, err := l.direct.Read(ctx, from, wait)
+	records, next, err := l.readDirect(ctx, from, wait)
 	if err == nil {
 		l.journal.Append(time.Now(), records, next)
 	}
 	return records, next, err
 }
 
+// readDirect reads the log itself. After a gap there, the next list is that of the log:
+// the offset may be one that only a reader has named.
+func (l *Log) readDirect(ctx context.Context, from int64, wait time.Duration) ([]follow.Record, int64, error) {
+	records, next, err := l.direct.Read(ctx, from, wait)
+	if err != nil {
+		l.listDirect = l.listDirect || isGap(err)
+		return nil, 0, err
+	}
+	l.advance(records, next, false)
+	return records, next, nil
+}
+
 // askReaders asks the readers in turn. It returns errNoReader if there is none.
 func (l *Log) askReaders(ctx context.Context, role Role, from int64) ([]follow.Record, int64, error) {
 	err := errNoReader
@@ -102,17 +128,35 @@
 		var records []follow.Record
 		var next int64
 		records, next, err = l.askReader(ctx, reader, from)
-		if _, gap := errors.Into[*follow.GapError](err); gap || err == nil {
+		if isGap(err) || err == nil {
 			delete(l.avoid, reader.Name)
 			return records, next, err
 		}
+		if _, odd := errors.Into[*OddReplyError](err); odd {
+			l.odd(err)
+		}
 		l.avoid[reader.Name] = time.Now().Add(avoidFor)
 	}
 	return nil, 0, err
 }
 
+// askReader asks a reader, and uses its reply only as a whole.
 func (l *Log) askReader(ctx context.Context, reader Reader, from int64) ([]follow.Record, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	return l.ask(ctx, reader, from)
+	records, next, err := l.ask(ctx, reader, from)
+	if isGap(err) && l.gapAgain(reader, from) {
+		return nil, 0, errGapAgain
+	}
+	if err == nil {
+		err = l.check(reader, from, records, next)
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	if from < 0 {
+		l.listedBy = reader.Name
+	}
+	l.advance(records, next, from < 0)
+	return records, next, nil
 }
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -115,6 +116,9 @@
 		return nil, 0, errors.New("down")
 	}
 	l.reads++
+	if from < 0 || from > int64(len(l.records)) {
+		return nil, 0, &follow.GapError{From: from} // as the platform's store does
+	}
 	return l.records[from:], int64(len(l.records)), nil
 }
 
@@ -183,7 +187,7 @@
 					}
 					return asked.journal.Since(time.Now(), from)
 				}
-				m.log = relay.NewLog(log, m.journal, func() relay.Role { return m.role }, ask)
+				m.log = relay.NewLog(log, m.journal, func() relay.Role { return m.role }, ask, oddReply(t))
 				members[name] = m
 			}
 			setReaders := func(names ...string) {
@@ -249,7 +253,7 @@
 func TestFollowersLeaveTheLogToTheReaders(t *testing.T) {
 	log := &fakeLog{records: []follow.Record{record("k", "1/1")}}
 	reader := &member{journal: relay.NewJournal(sameValue), role: relay.Role{Relays: true}}
-	reader.log = relay.NewLog(log, reader.journal, func() relay.Role { return reader.role }, nil)
+	reader.log = relay.NewLog(log, reader.journal, func() relay.Role { return reader.role }, nil, oddReply(t))
 	if err := reader.poll(t); err != nil {
 		t.Fatal(err)
 	}
@@ -263,7 +267,7 @@
 	}
 	for range 30 {
 		m := &member{journal: relay.NewJournal(sameValue), role: relay.Role{Readers: []relay.Reader{{Name: "r"}}}}
-		m.log = relay.NewLog(log, m.journal, func() relay.Role { return m.role }, ask)
+		m.log = relay.NewLog(log, m.journal, func() relay.Role { return m.role }, ask, oddReply(t))
 		for range 3 {
 			if err := m.poll(t); err != nil {
 				t.Fatal(err)
@@ -277,3 +281,78 @@
 		t.Errorf("30 entries read the log %d times, want none", log.reads-before)
 	}
 }
+
+// oddReply fails a test whose readers are sound.
+func oddReply(t *testing.T) func(error) { return func(err error) { t.Error(err) } }
+
+// oddReader answers as a broken reader does.
+type oddReader struct {
+	list    []follow.Record
+	next    int64 // after a list
+	gap     bool  // every offset is a gap
+	listed  int
+	changes []follow.Record
+	// maybeSound: a sound reader may answer like that, too, for a moment.
+	maybeSound bool
+}
+
+func (r *oddReader) ask(_ context.Context, _ relay.Reader, from int64) ([]follow.Record, int64, error) {
+	if from < 0 {
+		r.listed++
+		return r.list, r.next, nil
+	}
+	if r.gap {
+		return nil, 0, &follow.GapError{From: from}
+	}
+	return r.changes, r.next, nil
+}
+
+// Guards against a broken reader that makes an entry lose the records of sound endpoints,
+// or stop following the log: with a list of nothing, an offset beyond the log or before
+// the caller's, or a gap at every offset, also at the one that it has just named.
+func TestOddReaderIsNotFollowed(t *testing.T) {
+	var sound []follow.Record
+	for i := range 8 {
+		sound = append(sound, record(fmt.Sprint("k", i), "1/1"))
+	}
+	for name, reader := range map[string]*oddReader{
+		"list of nothing":              {next: 8, maybeSound: true},
+		"list of a few":                {list: sound[:2], next: 8, maybeSound: true},
+		"offset beyond the log":        {list: sound, next: 1<<63 - 1},
+		"offset before the caller's":   {list: sound, next: 1},
+		"negative offset":              {list: sound, next: -1},
+		"gap at each offset":           {list: sound, next: 8, gap: true, maybeSound: true},
+		"key without a name":           {list: append([]follow.Record{record("", "1/1")}, sound...), next: 8},
+		"key that no log can have":     {list: append([]follow.Record{record(strings.Repeat("k", 256), "1/1")}, sound...), next: 8},
+		"change without a name":        {list: sound, next: 8, changes: []follow.Record{record("", "1/1")}},
+		"two records of a key in list": {list: append([]follow.Record{record("k1", "9/9")}, sound...), next: 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log := &fakeLog{records: sound}
+			role, refused := relay.Role{}, 0
+			m := &member{journal: relay.NewJournal(sameValue)}
+			m.log = relay.NewLog(log, m.journal, func() relay.Role { return role }, reader.ask, func(error) { refused++ })
+			if err := m.poll(t); err != nil || len(m.values) != 8 {
+				t.Fatalf("%d records, %v", len(m.values), err)
+			}
+			role = relay.Role{Readers: []relay.Reader{{Name: "r"}}}
+			m.listed = false
+			for i := range 10 {
+				log.records = append(log.records, record("k0", fmt.Sprintf("%d/1", i%3)))
+				_ = m.poll(t) // an error makes the follower wait
+				if len(m.values) != 8 {
+					t.Fatalf("poll %d: %d records, want 8: %v", i, len(m.values), m.values)
+				}
+			}
+			if m.values["k0"] != stem(log.records[len(log.records)-1].Value) {
+				t.Errorf("k0 is %s, want the newest value", m.values["k0"])
+			}
+			if refused == 0 && !reader.maybeSound {
+				t.Error("no reply of the reader was refused")
+			}
+			if reader.listed > 3 {
+				t.Errorf("%d lists of the reader in 10 polls", reader.listed)
+			}
+		})
+	}
+}
