Refuse relayed lists that are cut at the limit

The endpoints' records that an entry relays were unpacked up to 48 MiB, and the rest was dropped without an error. If the limit fell between two records, the shorter list counted as the whole one, and all other endpoints of the failure domain left it.

FuzzRelayedList covers the decoder.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"compress/gzip"
 	"context"
+	"fmt"
 	"io"
 	"reflect"
 	"slices"
@@ -147,15 +148,26 @@
 // 100,000 endpoints.
 const maxUnpackedBytes = 48 << 20
 
+// ListTooLargeError reports a list of endpoints' records of another entry that is larger
+// than any that is used. A part of it would drop the other endpoints.
+type ListTooLargeError struct{ Limit int }
+
+func (e *ListTooLargeError) Error() string {
+	return fmt.Sprintf("the list of endpoints' records has more than %d bytes: check the version of the entry that sends it, and the size of the records", e.Limit)
+}
+
 func unpackRecords(packed []byte) ([]follow.Record, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress records of endpoints")
 	}
-	data, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes))
+	data, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress records of endpoints")
 	}
+	if len(data) > maxUnpackedBytes {
+		return nil, &ListTooLargeError{maxUnpackedBytes}
+	}
 	list := &fleetpb.EndpointRecordList{}
 	if err := proto.Unmarshal(data, list); err != nil {
 		return nil, errors.Wrap(err, "decode records of endpoints")
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -5,8 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
 	"lovagespread.example/fleet/follow"
 	"lovagespread.example/membership/cells"
+	"lovagespread.example/peer/fleetpb"
 )
 
 func TestRecordsArePackedAndUnpacked(t *testing.T) {
@@ -71,3 +75,40 @@
 		}
 	}
 }
+
+// Guards against a list that is cut at the limit between two records, and then lacks the
+// rest: the endpoints of that would be dropped.
+func TestListBeyondTheLimitIsRefused(t *testing.T) {
+	fill := maxUnpackedBytes - 1000
+	rest := 0
+	for rest != maxUnpackedBytes { // the length of a length varies
+		list := &fleetpb.EndpointRecordList{Records: recordsToPB([]follow.Record{{Key: "a", Value: make([]byte, fill)}})}
+		rest = proto.Size(list)
+		fill += maxUnpackedBytes - rest
+	}
+	packed, err := packRecords([]follow.Record{{Key: "a", Value: make([]byte, fill)}, {Key: "b", Value: []byte("v")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	records, err := unpackRecords(packed)
+	if _, tooLarge := errors.Into[*ListTooLargeError](err); !tooLarge {
+		t.Errorf("%d records, %v, want a *ListTooLargeError", len(records), err)
+	}
+}
+
+// FuzzRelayedList unpacks arbitrary lists. Other entries send them.
+func FuzzRelayedList(f *testing.F) {
+	for _, records := range [][]follow.Record{nil, {{Key: "a", Value: []byte("v")}}, {{Key: "", Value: nil}, {Key: "a", Value: []byte("v")}}} {
+		packed, err := packRecords(records)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(packed)
+	}
+	f.Add([]byte("garbage"))
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		if records, err := unpackRecords(packed); err != nil && records != nil {
+			t.Errorf("%d records beside an error", len(records))
+		}
+	})
+}
