Refuse jobs of other entries whose times or amounts overflow

The times of a job travel in microseconds. One that does not fit a time.Duration wrapped around to any other, so that a holder took a job with a time-out, an estimate or a slack that nobody had sent; amounts up to 2^63-1 and any stretch were accepted, whose sums over tasks overflow. Conversions of such sums from floating point differ between x86-64 and arm64 (a negative time on one, the longest on the other).

--- a/dispatch/leased/deadlines.go
+++ b/dispatch/leased/deadlines.go
@@ -126,7 +126,7 @@
 		}
 		return true
 	})
-	return time.Duration(work / cores * float64(time.Second))
+	return span(work / cores * float64(time.Second))
 }
 
 // remainingWork returns the expected work of the tasks of a job that are not
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -158,7 +158,7 @@
 func (c *Core) newJob(spec Job, ticket Ticket) *job {
 	j := &job{Job: spec, tickets: []Ticket{ticket}, arrived: c.now, expires: c.now.Add(spec.CallerTimeout)}
 	runTime := criticalPath(spec.Steps, func(d time.Duration) time.Duration { return c.expectedTime(spec.Queue, d) })
-	j.due = c.now.Add(time.Duration(spec.Stretch*float64(runTime)) + spec.Slack - spec.Waited)
+	j.due = c.now.Add(span(spec.Stretch*float64(runTime)) + spec.Slack - spec.Waited)
 	j.latestStart = j.due.Add(-runTime)
 	j.tasks = make([][]task, len(spec.Steps))
 	j.remaining = make([]int, len(spec.Steps))
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -252,5 +252,5 @@
 	if a == nil {
 		return estimate
 	}
-	return time.Duration(float64(estimate) * math.Exp(a.value))
+	return span(float64(estimate) * math.Exp(a.value))
 }
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"github.com/samber/lo"
@@ -30,7 +31,12 @@
 	}
 }
 
-func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+// microseconds converts a time of another entry. A time that does not fit a
+// time.Duration becomes the longest one, which no check of a message accepts.
+func microseconds(n int64) time.Duration {
+	const limit = math.MaxInt64 / int64(time.Microsecond)
+	return time.Duration(min(max(n, -limit), limit)) * time.Microsecond
+}
 
 func jobToPB(j *leased.Job, from uint64) *fleetpb.SubmitRequest {
 	return &fleetpb.SubmitRequest{
--- a/fleet/malformed_test.go
+++ b/fleet/malformed_test.go
@@ -179,3 +179,33 @@
 		}
 	}
 }
+
+// Guards against a job whose times or amounts overflow: microseconds that do not fit a
+// time.Duration wrap around to any time, and sums of such jobs to any load.
+func TestOverflowingJobsOfPeersAreRejected(t *testing.T) {
+	job := func() *fleetpb.SubmitRequest {
+		return &fleetpb.SubmitRequest{Id: "j", PatienceUs: 1000, Stretch: 1.5, SlackUs: 1000, Steps: []*fleetpb.Step{{Tasks: 1, MilliCores: 1000, EstimateUs: 1000}}}
+	}
+	if valid := jobFromPB(job()); valid.Validate() != nil {
+		t.Fatal(valid.Validate())
+	}
+	const wraps = 1<<63/1000 + 2000 // us; wraps to some 1.5 ms
+	for name, spoil := range map[string]func(*fleetpb.SubmitRequest){
+		"estimate that wraps":       func(r *fleetpb.SubmitRequest) { r.Steps[0].EstimateUs = 2 * wraps },
+		"caller timeout that wraps": func(r *fleetpb.SubmitRequest) { r.PatienceUs = 2 * wraps },
+		"slack that wraps":          func(r *fleetpb.SubmitRequest) { r.SlackUs = 2 * wraps },
+		"wait that wraps":           func(r *fleetpb.SubmitRequest) { r.WaitedUs = 2 * wraps },
+		"estimate of centuries":     func(r *fleetpb.SubmitRequest) { r.Steps[0].EstimateUs = math.MaxInt64 / 1000 },
+		"negative that wraps":       func(r *fleetpb.SubmitRequest) { r.Steps[0].EstimateUs = -2 * wraps },
+		"cores":                     func(r *fleetpb.SubmitRequest) { r.Steps[0].MilliCores = math.MaxInt64 },
+		"memory":                    func(r *fleetpb.SubmitRequest) { r.Steps[0].MemoryMib = math.MaxInt64 },
+		"accelerators":              func(r *fleetpb.SubmitRequest) { r.Steps[0].Accelerators = math.MaxInt64 },
+		"stretch":                   func(r *fleetpb.SubmitRequest) { r.Stretch = math.MaxFloat64 },
+	} {
+		r := job()
+		spoil(r)
+		if odd := jobFromPB(r); odd.Validate() == nil {
+			t.Errorf("%s: %+v is valid", name, odd)
+		}
+	}
+}
