Refuse directories of other entries that no record describes

While the store cannot be read, entries get the configuration, the endpoints and the evacuations from one another. What a broken entry, or one of another version, sent was put in force unchecked: endpoints without address or ID, negative or overflowing capacities (placement divides and sums them), one ID twice, a negative revision, a configuration told under another version.

An entry leaves out of its own directory what others would refuse, so that one odd record does not make all of it useless.

--- a/fleet/malformed_test.go
+++ b/fleet/malformed_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math"
+	"slices"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,7 +20,7 @@
 	"lovagespread.example/peer/fleetpb"
 )
 
-func testLoop(t *testing.T, endpoints EndpointClient) *Loop {
+func testLoop(t testing.TB, endpoints EndpointClient) *Loop {
 	t.Helper()
 	m := newMetrics(func() float64 { return 0 })
 	self := cells.Entry{Name: "e0", FailureDomain: "d0", Incarnation: 1, Weight: 1}
@@ -209,3 +213,96 @@
 		}
 	}
 }
+
+// Guards against a directory of another entry that is put in force although it has an
+// endpoint or a configuration that no record describes: the sender is of another version,
+// or broken.
+func TestMalformedDirectoriesOfPeersAreRefused(t *testing.T) {
+	sound := Directory{
+		Configuration: &Configuration{Version: 7, Queues: []Queue{{Name: "q", Service: "s", Stretch: 1.5}}},
+		Endpoints:     []leased.Endpoint{{ID: "e", Address: "127.0.0.1:1", Service: "s", FailureDomain: "d", Capacity: leased.Demand{MilliCores: 1000}, Born: 1}},
+		Evacuations:   &Evacuations{Revision: 3, Domains: []string{"d"}},
+	}
+	reply := func(spoil func(*Directory, *fleetpb.SnapshotResponse)) *fleetpb.SnapshotResponse {
+		d, r := sound, &fleetpb.SnapshotResponse{ConfigurationVersion: 7}
+		configuration, evacuations := *sound.Configuration, *sound.Evacuations
+		d.Configuration, d.Evacuations, d.Endpoints = &configuration, &evacuations, slices.Clone(sound.Endpoints)
+		spoil(&d, r)
+		for data, value := range map[*[]byte]any{&r.Configuration: d.Configuration, &r.Endpoints: d.Endpoints, &r.Evacuations: d.Evacuations} {
+			encoded, err := json.Marshal(value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			*data = encoded
+		}
+		return r
+	}
+	if _, err := decodeSnapshot(reply(func(*Directory, *fleetpb.SnapshotResponse) {})); err != nil {
+		t.Fatal(err)
+	}
+	for name, spoil := range map[string]func(*Directory, *fleetpb.SnapshotResponse){
+		"no ID":               func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].ID = "" },
+		"no address":          func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].Address = "" },
+		"no service":          func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].Service = "" },
+		"no failure domain":   func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].FailureDomain = "" },
+		"no capacity":         func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].Capacity.MilliCores = 0 },
+		"negative memory":     func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].Capacity.MemoryMiB = -1 },
+		"overflowing cores":   func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].Capacity.MilliCores = math.MaxInt64 },
+		"negative cold start": func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].Cold = -1 },
+		"endless cold start":  func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].Cold = math.MaxInt64 },
+		"negative remaining":  func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].Remaining = -1 },
+		"negative start":      func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].Born = -1 },
+		"one ID twice":        func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints = append(d.Endpoints, d.Endpoints[0]) },
+		"another version":     func(_ *Directory, r *fleetpb.SnapshotResponse) { r.ConfigurationVersion = math.MaxUint64 },
+		"negative revision":   func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Evacuations.Revision = -1 },
+		"domain without name": func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Evacuations.Domains = []string{""} },
+	} {
+		_, err := decodeSnapshot(reply(spoil))
+		if _, invalid := errors.Into[*InvalidDirectoryError](err); !invalid {
+			t.Errorf("%s: error %v, want an *InvalidDirectoryError", name, err)
+		}
+	}
+}
+
+// FuzzSnapshot decodes arbitrary directories. Other entries send them.
+func FuzzSnapshot(f *testing.F) {
+	f.Add(uint64(7), []byte(`{"Version":7,"Queues":[{"Name":"q"}]}`), []byte(`[{"ID":"e","Address":"a:1","Service":"s","FailureDomain":"d","Capacity":{"MilliCores":1}}]`), []byte(`{"Revision":1,"Domains":["d"]}`))
+	f.Add(uint64(0), []byte(`null`), []byte(`null`), []byte(`null`))
+	f.Add(uint64(1), []byte(`[[[[[[[[`), []byte(`[{"Capacity":{"MilliCores":1e99}}]`), []byte(`{"Revision":-9223372036854775808}`))
+	f.Fuzz(func(t *testing.T, version uint64, configuration, endpoints, evacuations []byte) {
+		d, err := decodeSnapshot(&fleetpb.SnapshotResponse{ConfigurationVersion: version, Configuration: configuration, Endpoints: endpoints, Evacuations: evacuations})
+		if err != nil {
+			return
+		}
+		l := testLoop(t, nil)
+		peerDirectory{d}.handle(l)
+	})
+}
+
+// oddDirectory is an entry whose directory is never valid.
+type oddDirectory struct {
+	fleetpb.Fleet
+	asked atomic.Int32
+}
+
+func (d *oddDirectory) Snapshot(context.Context, *fleetpb.SnapshotRequest) (*fleetpb.SnapshotResponse, error) {
+	d.asked.Add(1)
+	return &fleetpb.SnapshotResponse{Endpoints: []byte(`[{}]`)}, nil
+}
+
+// Guards against an entry that is asked for its directory at each of its heartbeats,
+// because it claims a newer configuration and sends a directory that is refused.
+func TestRefusedDirectoryIsNotFetchedAtFullRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, odd := newPeers(1, zap.NewNop()), &oddDirectory{}
+		p.clients["odd"] = odd
+		p.send = func(m message) { t.Errorf("%T reached the loop", m) }
+		for range 200 {
+			p.fetchSnapshot("odd")
+			time.Sleep(heartbeatInterval)
+		}
+		if n := odd.asked.Load(); n < 2 || n > 4 {
+			t.Errorf("asked %d times in 22 s, want 3", n)
+		}
+	})
+}
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -27,6 +28,9 @@
 	peerPingAfter   = time.Second // without a received frame
 	peerPingTimeout = 2500 * time.Millisecond
 	snapshotTimeout = 500 * time.Millisecond
+	// refusedPause is how long an entry whose directory was refused is not asked again.
+	// Each of its heartbeats would be an occasion, and a directory may have megabytes.
+	refusedPause = 10 * time.Second
 )
 
 // peers is the client for calls to other entries. It is safe for concurrent use.
@@ -44,6 +48,7 @@
 	mu       sync.Mutex
 	clients  map[string]fleetpb.Fleet // by address
 	fetching bool
+	refused  map[string]time.Time // addresses whose directories were refused, and until when they are not asked
 }
 
 func newPeers(self cells.Incarnation, log *zap.Logger) *peers {
@@ -57,7 +62,7 @@
 			HTTP2: &http.HTTP2Config{SendPingTimeout: peerPingAfter, PingTimeout: peerPingTimeout},
 		}},
 		outbound: newCallSet(), inbound: newCallSet(), requests: newCallSet(),
-		clients: make(map[string]fleetpb.Fleet),
+		clients: make(map[string]fleetpb.Fleet), refused: make(map[string]time.Time),
 	}
 }
 
@@ -175,7 +180,7 @@
 func (p *peers) fetchSnapshot(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.fetching {
+	if p.fetching || time.Now().Before(p.refused[address]) {
 		return
 	}
 	p.fetching = true
@@ -191,12 +196,22 @@
 		directory, err := decodeSnapshot(reply)
 		if err != nil {
 			p.log.Warn("snapshot_unreadable", zap.String("address", address), zap.Error(err))
+			p.refuse(address)
 			return
 		}
 		p.send(peerDirectory{directory})
 	}()
 }
 
+// refuse makes fetchSnapshot leave an entry alone for a while.
+func (p *peers) refuse(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(p.refused, func(_ string, until time.Time) bool { return !now.Before(until) })
+	p.refused[address] = now.Add(refusedPause)
+}
+
 func (p *peers) fetchDone() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -222,5 +237,5 @@
 			return d, errors.Wrap(err, "decode the evacuations of a peer")
 		}
 	}
-	return d, nil
+	return d, d.validate()
 }
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -6,9 +6,11 @@
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
+	"github.com/samber/lo"
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
+	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/fleet/relay"
 	"lovagespread.example/membership/cells"
 	"lovagespread.example/peer/fleetpb"
@@ -131,7 +133,9 @@
 		reply.ConfigurationVersion = latest.Configuration.Version
 		reply.Configuration = data
 	}
-	data, err := json.Marshal(latest.Endpoints)
+	// The receiver refuses the directory as a whole if one endpoint is not valid.
+	valid := lo.Filter(latest.Endpoints, func(e leased.Endpoint, _ int) bool { return invalidEndpoint(&e) == "" })
+	data, err := json.Marshal(valid)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the endpoints")
 	}
