Skip records of stored jobs that no entry writes

One record of another writer in the log of stored jobs was applied as far as it could be read.

A record is now checked as a whole, and one that no entry writes is skipped with an *InvalidRecordError (record_unreadable in the log). Events of unknown kinds are passed over one by one, since a later version may have written them beside known ones. Times and amounts that new jobs may not have are cut, so that no job is lost that an earlier version has accepted.

--- a/fleet/keep/codec.go
+++ b/fleet/keep/codec.go
@@ -1,6 +1,9 @@
 package keep
 
 import (
+	"fmt"
+	"time"
+
 	"github.com/go-faster/errors"
 	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
@@ -15,6 +18,8 @@
 type JobCodec struct {
 	ToPB   func(*leased.Job) *fleetpb.SubmitRequest
 	FromPB func(*fleetpb.SubmitRequest) leased.Job
+	// ShardOf returns the shard of a job; nil: it is not checked.
+	ShardOf func(leased.JobID) int
 }
 
 // ProgressToPB converts the progress of tasks to messages.
@@ -77,34 +82,97 @@
 	return data, nil
 }
 
-// decode decodes a record.
-func (c *JobCodec) decode(data []byte) ([]stored.Event, error) {
+// InvalidRecordError reports a record of the log of stored jobs that no entry writes.
+// No part of it is applied.
+type InvalidRecordError struct{ Reason string }
+
+func (e *InvalidRecordError) Error() string {
+	return "the record is not one of stored jobs: " + e.Reason + "; look for another writer of the topic"
+}
+
+// decode decodes a record of a shard.
+func (c *JobCodec) decode(data []byte, shard int) ([]stored.Event, error) {
 	record := &fleetpb.JobEvents{}
 	if err := proto.Unmarshal(data, record); err != nil {
 		return nil, errors.Wrap(err, "decode events of stored jobs")
 	}
 	events := make([]stored.Event, 0, len(record.Events))
 	for _, e := range record.Events {
-		event := stored.Event{
-			Kind: stored.EventKind(e.Kind), Job: leased.JobID(e.Job), State: stored.State(e.State), Progress: ProgressFromPB(e.Progress),
-			Run: int(e.Run), Done: e.Done, Checkpoint: e.Saved,
-			Task: leased.TaskID{Job: leased.JobID(e.Job), Occurrence: int(e.Occurrence), Step: int(e.Step), Index: int(e.Index)},
-		}
-		if e.Loss != nil {
-			event.Loss = LossFromPB(e.Loss)
+		if e.Kind > uint32(stored.TaskLost) {
+			continue // of a later version
 		}
-		if e.Spec != nil {
-			spec := c.FromPB(e.Spec)
-			if tasks := lo.SumBy(spec.Steps, func(s leased.Step) int { return s.Tasks }); tasks > maxTasksPerJob {
-				return nil, errors.Errorf("decode events of stored jobs: job %s has %d tasks, want at most %d", spec.ID, tasks, maxTasksPerJob)
-			}
-			event.Spec = &spec
+		event, reason := c.event(e, shard)
+		if reason != "" {
+			return nil, &InvalidRecordError{fmt.Sprintf("job %q: %s", e.Job, reason)}
 		}
 		events = append(events, event)
 	}
 	return events, nil
 }
 
-// maxTasksPerJob is above the limit of the callers' API. A record with more tasks
-// was not written by an entry.
-const maxTasksPerJob = 20_000
+// Limits of numbers in the records of stored jobs.
+const (
+	// maxRun is far above the number of starts of any task, and below what the message
+	// between entries can carry by far: numbers go on rising.
+	maxRun = 1 << 30
+	// maxCount is above the number of failures, crashes or losses of any task. A replay
+	// takes memory for each failure.
+	maxCount = 100_000
+)
+
+// event converts one event. It returns a reason if no entry writes it to a shard.
+func (c *JobCodec) event(e *fleetpb.JobEvent, shard int) (stored.Event, string) {
+	id := leased.JobID(e.Job)
+	event := stored.Event{
+		Kind: stored.EventKind(e.Kind), Job: id, State: stored.State(e.State), Progress: ProgressFromPB(e.Progress),
+		Run: int(e.Run), Done: e.Done, Checkpoint: e.Saved,
+		Task: leased.TaskID{Job: id, Occurrence: int(e.Occurrence), Step: int(e.Step), Index: int(e.Index)},
+	}
+	if e.Loss != nil {
+		event.Loss = LossFromPB(e.Loss)
+	}
+	switch {
+	case e.Job == "":
+		return event, "it has no ID"
+	case c.ShardOf != nil && c.ShardOf(id) != shard:
+		return event, fmt.Sprintf("it belongs to shard %d, not %d", c.ShardOf(id), shard)
+	case e.State > uint32(stored.Cancelled):
+		return event, fmt.Sprintf("state %d", e.State)
+	case e.Run > maxRun:
+		return event, fmt.Sprintf("run %d", e.Run)
+	}
+	for _, p := range e.Progress {
+		if p.Newest > maxRun || max(p.Failures, p.Crashes, p.CrashesAlone, p.Losses) > maxCount {
+			return event, fmt.Sprintf("progress of step %d, task %d: run %d, %d failures, %d crashes, %d losses", p.Step, p.Index, p.Newest, p.Failures, p.Crashes, p.Losses)
+		}
+	}
+	if e.Spec == nil {
+		return event, ""
+	}
+	spec := c.FromPB(e.Spec)
+	if spec.ID != id {
+		return event, fmt.Sprintf("its specification is that of %q", spec.ID)
+	}
+	limitSpec(&spec)
+	if err := spec.Validate(); err != nil {
+		return event, err.Error()
+	}
+	event.Spec = &spec
+	return event, ""
+}
+
+// limitSpec cuts times and amounts that are refused in new jobs: a job that an earlier
+// version has accepted must not be lost.
+func limitSpec(spec *leased.Job) {
+	limit := func(d *time.Duration) { *d = min(max(0, *d), leased.MaxJobTime) }
+	limit(&spec.CallerTimeout)
+	limit(&spec.Slack)
+	limit(&spec.Waited)
+	for i := range spec.Steps {
+		step := &spec.Steps[i]
+		limit(&step.Estimate)
+		step.Demand.MilliCores = min(step.Demand.MilliCores, leased.MaxDemand)
+		step.Demand.MemoryMiB = min(step.Demand.MemoryMiB, leased.MaxDemand)
+		step.Demand.Accelerators = min(step.Demand.Accelerators, leased.MaxDemand)
+	}
+}
--- a/fleet/keep/fuzz_test.go
+++ b/fleet/keep/fuzz_test.go
@@ -1,6 +1,7 @@
 package keep
 
 import (
+	"bytes"
 	"testing"
 
 	"lovagespread.example/dispatch/leased"
@@ -38,8 +39,10 @@
 		f.Add(record)
 	}
 	f.Add([]byte("\xff\x00garbage"))
+	f.Add([]byte("\x0a\x10\x08\x04\x12\x01j\x2a\x07\x20\xff\xff\xff\xff\x0f")) // billions of failures
+	f.Add(bytes.Repeat([]byte("\x0b"), 20_000))                                // groups in groups
 	f.Fuzz(func(t *testing.T, record []byte) {
-		events, err := codec.decode(record)
+		events, err := codec.decode(record, 0)
 		if err != nil {
 			return
 		}
--- a/fleet/keep/take.go
+++ b/fleet/keep/take.go
@@ -86,7 +86,7 @@
 		}
 		end = newEnd
 		for _, data := range records {
-			events, err := r.env.Codec.decode(data)
+			events, err := r.env.Codec.decode(data, r.shard)
 			if err != nil {
 				r.env.Logger.Error("record_unreadable", zap.Int64("offset", next), zap.Error(err))
 			}
--- a/fleet/storedjobs.go
+++ b/fleet/storedjobs.go
@@ -58,7 +58,7 @@
 		Log: jobLog, ShouldOwn: sj.owns, MayTakeOver: sj.mayTakeOver, OnFenced: sj.recordFenced, Offer: sj.offer, Logger: log,
 		Codec: keep.JobCodec{
 			ToPB:   func(j *leased.Job) *fleetpb.SubmitRequest { return jobToPB(j, 0) },
-			FromPB: jobFromPB,
+			FromPB: jobFromPB, ShardOf: sj.shardOf,
 		},
 		AppendInterval: time.Duration(float64(s.Shards) / (writeShare * s.WritesPerSecond) * float64(time.Second)),
 		Options:        stored.Options{Retain: s.Retention, SnapshotAge: s.LogRetention / 2},
