Give simulated endpoints that replace others their addresses

Since the simulation delivers a request by its address. An endpoint that returns under another ID keeps the address of the one that it replaces, but no request reached it there: TestStartThatNeverArrivedProvesNothing failed ("answered false"), and tests with returnsAs newID ran without the replacements. The simulation now knows which endpoint has taken an address over.

--- a/dispatch/leased/endpointfaults_test.go
+++ b/dispatch/leased/endpointfaults_test.go
@@ -10,8 +10,9 @@
 
 // endpointFaults are the faults of endpoints in a simulation.
 type endpointFaults struct {
-	deadly     map[leased.TaskID]bool     // tasks that crash the endpoints that start them
-	replaced   map[leased.EndpointID]bool // their addresses belong to other endpoints
+	deadly     map[leased.TaskID]bool       // tasks that crash the endpoints that start them
+	replaced   map[leased.EndpointID]bool   // their addresses belong to other endpoints
+	takenOver  map[string]leased.EndpointID // addresses of endpoints that have replaced others
 	returnsAs  returnAs
 	downTime   time.Duration // from a crash to the return of the endpoint
 	crashCount int           // of endpoints
@@ -31,7 +32,7 @@
 
 func newEndpointFaults() endpointFaults {
 	return endpointFaults{
-		deadly: make(map[leased.TaskID]bool), replaced: make(map[leased.EndpointID]bool), downTime: 3 * time.Second,
+		deadly: make(map[leased.TaskID]bool), replaced: make(map[leased.EndpointID]bool), takenOver: make(map[string]leased.EndpointID), downTime: 3 * time.Second,
 	}
 }
 
@@ -57,6 +58,7 @@
 	spec := sim.specs[at]
 	sim.specs = slices.Delete(sim.specs, at, at+1)
 	spec.ID = leased.EndpointID(fmt.Sprintf("e%02d", len(sim.endpoints)))
+	sim.takenOver[spec.Address] = spec.ID
 	sim.addEndpoint(sim.holderOf[id], spec)
 	sim.announce()
 }
--- a/dispatch/leased/sim_network_test.go
+++ b/dispatch/leased/sim_network_test.go
@@ -27,7 +27,7 @@
 		sim.after(timeout, func() { sim.step(core, noReply) })
 		return
 	}
-	if sim.replaced[id] || address != string(id) {
+	if sim.replaced[id] || sim.endpointAt(address) != id {
 		sim.after(2*networkDelay, func() { sim.step(core, otherIncarnation(noReply)) })
 		return
 	}
@@ -44,10 +44,18 @@
 	})
 }
 
-// nobodyAt reports whether no endpoint has an address. The address of an endpoint is
-// its ID; at that of another one, the other one answers.
+// endpointAt returns the endpoint that has an address. That is its ID, unless it has
+// replaced another endpoint there.
+func (sim *simulation) endpointAt(address string) leased.EndpointID {
+	if id, taken := sim.takenOver[address]; taken {
+		return id
+	}
+	return leased.EndpointID(address)
+}
+
+// nobodyAt reports whether no endpoint has an address.
 func (sim *simulation) nobodyAt(address string) bool {
-	return sim.endpoints[leased.EndpointID(address)] == nil
+	return sim.endpoints[sim.endpointAt(address)] == nil
 }
 
 func (sim *simulation) poll(core int, h leased.Hold) {
@@ -56,7 +64,7 @@
 		sim.after(h.Wait+callTimeout, func() { sim.step(core, noReply) })
 		return
 	}
-	if sim.replaced[h.Endpoint] || h.Address != string(h.Endpoint) {
+	if sim.replaced[h.Endpoint] || sim.endpointAt(h.Address) != h.Endpoint {
 		sim.after(2*networkDelay, func() { sim.step(core, otherIncarnation(noReply)) })
 		return
 	}
