--- a/fleet/causedcalls_test.go
+++ b/fleet/causedcalls_test.go
@@ -210,6 +210,7 @@
 	l := testLoop(t, nil)
 	withHeartbeats(t, l)
 	s := &server{loop: l, peers: l.peers}
+	hearDelegator(l)
 	b := withdrawalsOf(nil, &fleetpb.WithdrawnCalls{Incarnation: uint64(testDelegator), Calls: []uint64{7}})
 	for i := range 2 {
 		go func() { _, _ = s.Lend(t.Context(), lendFor(0, uint64(7-i))) }() // ends with the test
@@ -224,9 +225,18 @@
 	}
 }
 
+// hearDelegator lets a heartbeat of the delegator arrive, for which its calls wait.
+func hearDelegator(l *Loop) {
+	b := validHeartbeat()
+	b.Name, b.Incarnation = "delegator", uint64(testDelegator)
+	peerHeartbeat{b}.handle(l)
+}
+
 // Guards against a call that was withdrawn before the loop handles it, and starts a run.
 func TestWithdrawnCallReachesNoCore(t *testing.T) {
 	l := testLoop(t, nil)
+	withHeartbeats(t, l)
+	hearDelegator(l)
 	ctx, cancel := context.WithCancel(t.Context())
 	go l.runDelegated(ctx, delegatedTaskFromPB(lendFor(0, 7)), origin{caller: testDelegator})
 	m := nextMessage[submitDelegated](t, l)
--- a/fleet/keep/take.go
+++ b/fleet/keep/take.go
@@ -133,7 +133,7 @@
 		}
 		end = newEnd
 		for _, data := range records {
-			events, err := r.env.Codec.decode(data)
+			events, err := r.env.Codec.decode(data, r.shard)
 			if err != nil {
 				r.env.Logger.Error("record_unreadable", zap.Int64("offset", next), zap.Error(err))
 			}
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"compress/gzip"
 	"context"
+	"fmt"
 	"io"
 	"reflect"
 	"slices"
@@ -13,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/samber/lo"
 	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"lovagespread.example/fleet/follow"
@@ -57,17 +59,20 @@
 }
 
 // relayedEndpoints returns the log of the endpoints' records as this entry reads
-// it.
+// it, without odd ones that replace those of sound endpoints for a moment.
 func (p *Process) relayedEndpoints(s *Sources) follow.KeyedLog {
+	decoder := newRecordDecoder(s.DecodeEndpoint)
 	p.endpointJournal.Store(relay.NewJournal(func(key string, before, after []byte) bool {
-		first, firstErr := s.DecodeEndpoint(key, before)
-		second, secondErr := s.DecodeEndpoint(key, after)
-		return (firstErr == nil) == (secondErr == nil) && reflect.DeepEqual(first, second)
+		first, second := decoder.decode(key, before), decoder.decode(key, after)
+		return (first.err == nil) == (second.err == nil) && reflect.DeepEqual(first.endpoint, second.endpoint)
 	}))
 	role := func() relay.Role { return relayRole(p.loop.Latest().View) }
-	return relay.NewLog(s.Endpoints, p.endpointJournal.Load(), role, p.peers.endpointRecords)
+	return newSteadyLog(relay.NewLog(s.Endpoints, p.endpointJournal.Load(), role, p.peers.endpointRecords, p.noteOddReply), decoder, p.log)
 }
 
+// noteOddReply logs a reply of a reader that is not used.
+func (p *Process) noteOddReply(err error) { p.log.Warn("relayed_records_odd", zap.Error(err)) }
+
 // endpointRecords asks another entry for records of endpoints.
 func (p *peers) endpointRecords(ctx context.Context, reader relay.Reader, from int64) ([]follow.Record, int64, error) {
 	reply, err := p.client(reader.Address).EndpointRecords(ctx, &fleetpb.EndpointRecordsRequest{From: from})
@@ -80,6 +85,7 @@
 	records := recordsFromPB(reply.Records)
 	if from < 0 {
 		if records, err = unpackRecords(reply.List); err != nil {
+			p.log.Warn("relayed_records_odd", zap.String("reader", reader.Name), zap.Error(err))
 			return nil, 0, err
 		}
 	}
@@ -142,15 +148,26 @@
 // 100,000 endpoints.
 const maxUnpackedBytes = 48 << 20
 
+// ListTooLargeError reports a list of endpoints' records of another entry that is larger
+// than any that is used. A part of it would drop the other endpoints.
+type ListTooLargeError struct{ Limit int }
+
+func (e *ListTooLargeError) Error() string {
+	return fmt.Sprintf("the list of endpoints' records has more than %d bytes: check the version of the entry that sends it, and the size of the records", e.Limit)
+}
+
 func unpackRecords(packed []byte) ([]follow.Record, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress records of endpoints")
 	}
-	data, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes))
+	data, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress records of endpoints")
 	}
+	if len(data) > maxUnpackedBytes {
+		return nil, &ListTooLargeError{maxUnpackedBytes}
+	}
 	list := &fleetpb.EndpointRecordList{}
 	if err := proto.Unmarshal(data, list); err != nil {
 		return nil, errors.Wrap(err, "decode records of endpoints")
