Bound delegated runs by the caller's entry in large fleets, too

Callers could get two runs of a task in fleets of more than 48 entries: entries of different failure domains hear each other too rarely there for a lease, so a delegate went by the delegator alone. If the caller's entry was lost, and the delegator up to 0.9 s later, the run ended 1.2 s after the second loss, and the caller was back before.

A delegate now asks the entry that waits for the job of one of its tasks for a heartbeat whenever it was not heard for 330 ms, so that a lost answer leaves time for another one within 0.9 s. The bound by that entry then holds in every fleet. Entries that hear each other every 440 ms send nothing more.

TestOriginsOfOtherDomainsAreAskedForHeartbeats fails without the change. The price: a delegate that cannot reach the caller's entry, although the delegator can, loses the run there as in small fleets.

--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -129,8 +129,8 @@
 	Checkpoint    string // checkpoint to resume from
 	CallerTimeout time.Duration
 	// Origin is the incarnation of the entry that waits for the job, if that is not the
-	// delegator itself: 0 then, or if this entry does not hear it regularly. OriginAge
-	// is how long before CallerHeardAt of the delegation the delegator last heard it.
+	// delegator or this entry: 0 then. OriginAge is how long before CallerHeardAt of the
+	// delegation the delegator last heard it.
 	Origin    uint64
 	OriginAge time.Duration
 	// OriginCall is the call by which the origin has submitted the job to the delegator;
--- a/fleet/causedcalls_test.go
+++ b/fleet/causedcalls_test.go
@@ -250,3 +250,48 @@
 		t.Errorf("%d records of the call are left", n)
 	}
 }
+
+// Guards against a delegated task of a lost entry that goes on for as long as its delegator
+// is heard: in a large fleet, the entry's heartbeats to this one are too rare to tell.
+func TestOriginsOfOtherDomainsAreAskedForHeartbeats(t *testing.T) {
+	for name, c := range map[string]struct {
+		interval time.Duration
+		want     int
+	}{"rare heartbeats": {3 * time.Second, 2}, "frequent heartbeats": {maxLocalInterval, 0}} {
+		t.Run(name, func(t *testing.T) {
+			l := testLoop(t, nil)
+			withHeartbeats(t, l)
+			self := l.view.Self
+			hearDelegator(l)
+			o := testLoop(t, nil)
+			e := cells.Entry{Name: "e1", FailureDomain: "d1", Incarnation: testOrigin, Interval: c.interval, HeartbeatAddress: withHeartbeats(t, o)}
+			start := time.Now()
+			l.roster.ReceiveHeartbeat(start, e)
+			l.view = l.roster.View(start)
+			l.view.Self = self
+			l.askOrigins(start.Add(time.Second))
+			go func() {
+				_, _ = (&server{loop: l, peers: l.peers}).Lend(t.Context(), lendFor(0, 7)) // ends with the test
+			}()
+			nextMessage[submitDelegated](t, l).handle(l)
+			if got := l.core.Origins(); len(got) != 1 || got[0] != uint64(testOrigin) {
+				t.Fatalf("origins %v, want that of the task", got)
+			}
+			for at := time.Duration(0); at < time.Second; at += 20 * time.Millisecond {
+				l.askOrigins(start.Add(at))
+			}
+			for i := range c.want {
+				receiveHeartbeat(t, o)
+				if b := nextMessage[peerHeartbeat](t, o).heartbeat; !b.Hello {
+					t.Errorf("heartbeat %d asks for no answer", i)
+				}
+			}
+			if err := o.heartbeats.conn.SetReadDeadline(time.Now().Add(20 * time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+			if _, _, err := o.heartbeats.conn.ReadFromUDP(make([]byte, maxDatagram)); err == nil {
+				t.Errorf("more than %d heartbeats within a second", c.want)
+			}
+		})
+	}
+}
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -96,6 +96,7 @@
 	evacuatedRuns       int       // on evacuated endpoints, in the latest snapshot
 	resumedAt           time.Time // end of the latest freeze that was handled
 	withdrawalsSentAt   time.Time // apart from the usual heartbeats
+	originAskedAt       map[cells.Incarnation]time.Time
 	delays              contact.Delays
 	tickedAt            time.Time // the latest tick
 	backlogUntil        time.Time // heartbeats that arrived while this process stood still may be unread
@@ -121,6 +122,7 @@
 		cellCounts:       make(map[string]int),
 		peerCapacity:     make(map[cells.Cell]announcedCapacity),
 		tickets:          make(map[leased.Ticket]context.Context),
+		originAskedAt:    make(map[cells.Incarnation]time.Time),
 		waiters:          make(map[leased.Ticket]chan leased.Answer),
 		delegatedWaiters: make(map[leased.Ticket]chan leased.DelegatedAnswer),
 		unheardCalls:     make(map[cells.Incarnation][]*submittedCall),
@@ -182,6 +184,7 @@
 	l.step(&leased.Tick{Contacts: l.callerContacts()})
 	l.updateOwnLoad(now)
 	l.announceWithdrawn(now)
+	l.askOrigins(now)
 	l.sendHeartbeats(now)
 	l.publish()
 }
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -131,13 +131,45 @@
 	return contacts
 }
 
+// originInterval is how old the contact with the origin of a delegated task may be before
+// it is asked for a heartbeat. If the first answer is lost, the second one arrives within
+// leased.ContactGrace.
+const originInterval = 3 * heartbeatInterval
+
+// askOrigins sends hellos to the origins of delegated tasks whose heartbeats are too rare
+// to bound leases: in a large fleet, entries of different failure domains hear each other
+// rarely. The answers name withdrawn calls, as every heartbeat does.
+func (l *Loop) askOrigins(now time.Time) {
+	var data []byte
+	origins := l.core.Origins()
+	for id := range l.originAskedAt {
+		if !slices.Contains(origins, uint64(id)) {
+			delete(l.originAskedAt, id)
+		}
+	}
+	for _, origin := range origins {
+		id := cells.Incarnation(origin)
+		e, live := l.view.Find(id)
+		if !live || e.Interval <= maxLocalInterval {
+			continue
+		}
+		heardAt, _ := l.roster.LastContact(id)
+		if now.Sub(heardAt) < originInterval || now.Sub(l.originAskedAt[id]) < originInterval {
+			continue
+		}
+		if data == nil {
+			data = l.encodeHeartbeat(false, true)
+		}
+		l.originAskedAt[id] = now
+		l.heartbeats.write(e.HeartbeatAddress, data)
+	}
+}
+
 // boundByOrigin lets the leases of a delegated task end with the contacts of the entry
-// that waits for its job, if its heartbeats arrive often enough. In a large fleet, entries
-// of different failure domains hear each other rarely. The delegator has sent its call
-// callAge before it was last heard.
+// that waits for its job, unless that is this one. The delegator has sent its call callAge
+// before it was last heard.
 func (l *Loop) boundByOrigin(t *leased.DelegatedTask, callAge time.Duration) {
-	e, live := l.view.Find(cells.Incarnation(t.Origin))
-	if live && e.Interval > maxLocalInterval || t.Origin == uint64(l.view.Self.Incarnation) {
+	if t.Origin == uint64(l.view.Self.Incarnation) {
 		t.Origin = 0
 	}
 	t.OriginAge += max(0, callAge)
