--- a/fleet/latecalls_test.go
+++ b/fleet/latecalls_test.go
@@ -37,9 +37,9 @@
 	calls  uint64 // delivered ones
 }
 
-func newReceiver(t *testing.T) *receiver {
+func newReceiver(t *testing.T, endpoint EndpointClient) *receiver {
 	t.Helper()
-	l := testLoop(t, freeEndpoint{})
+	l := testLoop(t, endpoint)
 	withHeartbeats(t, l)
 	r := &receiver{Loop: l, clocks: withFakeClocks(l), server: &server{loop: l, peers: l.peers}}
 	l.roster = cells.New(l.view.Self, time.Now().Add(-time.Minute))
@@ -129,7 +129,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			forBoth(t, func(t *testing.T, submit bool) {
-				r := newReceiver(t)
+				r := newReceiver(t, freeEndpoint{})
 				hearHeartbeats(r.Loop, r.clocks)
 				r.clocks.advance(c.age)
 				r.roster = rosterAsOf(r.Loop, time.Now().Add(-c.age))
@@ -174,7 +174,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			forBoth(t, func(t *testing.T, submit bool) {
-				r := newReceiver(t)
+				r := newReceiver(t, freeEndpoint{})
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
 				result := r.deliver(ctx, t, submit, c.age)
@@ -210,7 +210,7 @@
 // heartbeat: memory that grows, or a task that is started for nobody.
 func TestCancelledCallOfUnheardEntryIsForgotten(t *testing.T) {
 	forBoth(t, func(t *testing.T, submit bool) {
-		r := newReceiver(t)
+		r := newReceiver(t, freeEndpoint{})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		result := r.deliver(ctx, t, submit, 0)
@@ -230,7 +230,7 @@
 // Guards against a call that is started although a heartbeat that was read just before it
 // has withdrawn it: the loop handles its cancellation only after it.
 func TestCallThatEndedBeforeItsTurnStartsNothing(t *testing.T) {
-	r := newReceiver(t)
+	r := newReceiver(t, freeEndpoint{})
 	hearHeartbeats(r.Loop, r.clocks)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
