Keep following when the decoding of a record panics

A follower applied each update in its own goroutine without a guard. A record on which a decoder panics would end the process, and again after each start, since it stays the newest of its key. No such record is known at present.

An update that panics is now logged as operation_panicked, and the follower goes on. For endpoints the guard is around each record, so that one record does not hide the others, also not from the entries that it is relayed to: it is never passed on.

--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -118,7 +118,7 @@
 		}
 		f.recordSuccess()
 		if f.copy.Apply(time.Now(), reply) {
-			f.update(f.copy.Records())
+			f.runUpdate()
 		}
 		if f.poll.MaxWait == 0 {
 			f.waitInterval(ctx)
@@ -126,6 +126,17 @@
 	}
 }
 
+// runUpdate calls update. A panic ends that call only: the record that has caused it stays
+// the newest of its key, and would end the process again after each start.
+func (f *Follower) runUpdate() {
+	defer func() {
+		if cause := recover(); cause != nil {
+			f.logger.Error("operation_panicked", zap.String("operation", "update_"+f.name), zap.Any("cause", cause), zap.Stack("stack"))
+		}
+	}()
+	f.update(f.copy.Records())
+}
+
 // waitInterval waits until the next read is due. It checks the interval
 // repeatedly, because it may become shorter meanwhile.
 func (f *Follower) waitInterval(ctx context.Context) {
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -61,7 +61,7 @@
 // relayedEndpoints returns the log of the endpoints' records as this entry reads
 // it, without odd ones that replace those of sound endpoints for a moment.
 func (p *Process) relayedEndpoints(s *Sources) follow.KeyedLog {
-	decoder := newRecordDecoder(s.DecodeEndpoint)
+	decoder := newRecordDecoder(s.DecodeEndpoint, p.log)
 	p.endpointJournal.Store(relay.NewJournal(func(key string, before, after []byte) bool {
 		first, second := decoder.decode(key, before), decoder.decode(key, after)
 		return (first.err == nil) == (second.err == nil) && reflect.DeepEqual(first.endpoint, second.endpoint)
--- a/fleet/steady.go
+++ b/fleet/steady.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"maps"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"lovagespread.example/dispatch/leased"
@@ -55,7 +57,11 @@
 	for _, r := range list {
 		listed[r.Key] = true
 		if !l.passes(r) {
-			r.Value = l.passed[r.Key].record
+			earlier, known := l.passed[r.Key]
+			if !known {
+				continue
+			}
+			r.Value = earlier.record
 		}
 		steady = append(steady, r)
 	}
@@ -94,6 +100,9 @@
 		return true
 	}
 	decoded := l.decoder.decode(r.Key, r.Value)
+	if _, panicked := errors.Into[*decodePanicError](decoded.err); panicked {
+		return false // its decoding would end the process
+	}
 	earlier, known := l.passed[r.Key]
 	if known && !continues(&earlier.endpoint, decoded) {
 		kept, again := l.keptBack[r.Key]
@@ -128,10 +137,11 @@
 type recordDecoder struct {
 	decodeEndpoint func(key string, record []byte) (leased.Endpoint, error)
 	newest         map[string]*decodedEndpoint
+	log            *zap.Logger
 }
 
-func newRecordDecoder(decode func(key string, record []byte) (leased.Endpoint, error)) *recordDecoder {
-	return &recordDecoder{decode, make(map[string]*decodedEndpoint)}
+func newRecordDecoder(decode func(key string, record []byte) (leased.Endpoint, error), log *zap.Logger) *recordDecoder {
+	return &recordDecoder{decode, make(map[string]*decodedEndpoint), log}
 }
 
 func (d *recordDecoder) decode(key string, record []byte) *decodedEndpoint {
@@ -139,11 +149,33 @@
 		return newest
 	}
 	decoded := &decodedEndpoint{record: record}
-	decoded.endpoint, decoded.err = d.decodeEndpoint(key, record)
+	decoded.endpoint, decoded.err = d.decodeSafely(key, record)
 	d.newest[key] = decoded
 	return decoded
 }
 
+// decodePanicError reports a record whose decoding has panicked.
+type decodePanicError struct {
+	key   string
+	cause any
+}
+
+func (e *decodePanicError) Error() string {
+	return fmt.Sprintf("decoding the record %s has panicked (%v): report it with the record", e.key, e.cause)
+}
+
+// decodeSafely turns a panic into an error: any client of the store can write a record,
+// and one that ends the process would end it again after each start.
+func (d *recordDecoder) decodeSafely(key string, record []byte) (e leased.Endpoint, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = &decodePanicError{key, cause}
+			d.log.Error("operation_panicked", zap.String("operation", "decode_endpoint"), zap.Any("cause", cause), zap.Stack("stack"))
+		}
+	}()
+	return d.decodeEndpoint(key, record)
+}
+
 func (d *recordDecoder) forget(key string) { delete(d.newest, key) }
 
 // retain forgets all keys but the listed ones.
--- a/fleet/steady_test.go
+++ b/fleet/steady_test.go
@@ -99,7 +99,7 @@
 	for name, odd := range oddRecords {
 		now := time.Unix(1000, 0)
 		source := &scriptedLog{list: []follow.Record{{Key: "k", Value: []byte(soundRecord)}}}
-		l := newSteadyLog(source, newRecordDecoder(decodeWords), zap.NewNop())
+		l := newSteadyLog(source, newRecordDecoder(decodeWords, zap.NewNop()), zap.NewNop())
 		l.now = func() time.Time { return now }
 		read := func(values ...string) []follow.Record {
 			for _, v := range values {
@@ -137,3 +137,29 @@
 		}
 	}
 }
+
+// Guards against one record whose decoding panics, and that ends the process, after each
+// start again, or keeps the records of all other endpoints from being used.
+func TestRecordThatPanicsHidesNoOthers(t *testing.T) {
+	decode := func(key string, record []byte) (leased.Endpoint, error) {
+		if string(record) == "panic" {
+			panic("odd record")
+		}
+		return decodeWords(key, record)
+	}
+	source := &scriptedLog{list: []follow.Record{{Key: "k", Value: []byte("panic")}, {Key: "other", Value: []byte(soundRecord)}}}
+	l := newSteadyLog(source, newRecordDecoder(decode, zap.NewNop()), zap.NewNop())
+	list, _, err := l.Newest(context.Background())
+	if err != nil || len(list) != 1 || list[0].Key != "other" {
+		t.Errorf("list: %s, %v, want only the other record", list, err)
+	}
+	source.records = []follow.Record{{Key: "k", Value: []byte("panic")}, {Key: "k", Value: []byte(soundRecord)}, {Key: "other", Value: []byte("panic")}}
+	records, _, err := l.Read(context.Background(), 0, 0)
+	if err != nil || len(records) != 1 || string(records[0].Value) != soundRecord {
+		t.Errorf("records %s, %v, want only the sound one", records, err)
+	}
+	l.now = func() time.Time { return time.Now().Add(time.Hour) }
+	if records, _, err = l.Read(context.Background(), 0, 0); err != nil || len(records) != 0 {
+		t.Errorf("records %s, %v an hour later, want none", records, err)
+	}
+}
