Keep a delegated task that waits when another request for it is answered

A task that waits at a delegate could be left waiting until its delegator gave it up: a second request for the same task, which is answered at once, removed the first one from the delegated tasks. The contacts of its caller's entry were not followed any more, so that the entry counted as unheard after 0.9 s and the task was not started.

Only the request that is answered or cancelled is removed now. TestAnswerKeepsOtherRequestForTheSameTask failed before.

--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -382,7 +382,7 @@
 func (c *Core) answerDelegated(j *job, run int, end End, checkpoint string) {
 	t := &j.tasks[0][0]
 	t.state = doneTask
-	delete(c.delegated, t.id)
+	c.forgetDelegated(j)
 	for _, ticket := range j.tickets {
 		c.dropTicket(ticket)
 		c.out.DelegatedAnswers = append(c.out.DelegatedAnswers, DelegatedAnswer{Ticket: ticket, Task: t.id, Run: run, End: end, Checkpoint: checkpoint})
@@ -390,5 +390,13 @@
 	j.tickets = nil
 }
 
+// forgetDelegated removes a delegated task, unless another request for the same task is
+// here.
+func (c *Core) forgetDelegated(j *job) {
+	if id := j.tasks[0][0].id; c.delegated[id] == j {
+		delete(c.delegated, id)
+	}
+}
+
 // answerDelegatedNow answers a delegated task without a checkpoint.
 func (c *Core) answerDelegatedNow(j *job, run int, end End) { c.answerDelegated(j, run, end, "") }
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -322,7 +322,7 @@
 	}
 	c.waiting.remove(j)
 	if j.delegated {
-		delete(c.delegated, j.tasks[0][0].id)
+		c.forgetDelegated(j)
 		return
 	}
 	delete(c.jobs, j.ID)
--- a/dispatch/leased/renewal_test.go
+++ b/dispatch/leased/renewal_test.go
@@ -478,3 +478,30 @@
 		})
 	}
 }
+
+// Guards against a delegated task that waits here and is forgotten when another request
+// for the same task is answered: the contacts of its caller's entry would not be followed,
+// so that the task is never started.
+func TestAnswerKeepsOtherRequestForTheSameTask(t *testing.T) {
+	core := newEvidenceCore(t, "e0")
+	blocker := singleTaskJob("blocker")
+	blocker.Steps[0].Demand.MilliCores = 60_000
+	core.step(&leased.Submit{Ticket: 1, Job: blocker})
+	task := leased.DelegatedTask{
+		ID: leased.TaskID{Job: "j"}, Service: "s", Step: singleTaskJob("j").Steps[0], Run: 1, CallerTimeout: time.Minute,
+		Origin: remoteCaller, Cell: "c", Wait: true,
+	}
+	core.step(&leased.SubmitDelegated{Ticket: 2, Task: task, Caller: 2, CallerHeardAt: core.now})
+	task.Wait, task.Run = false, 2
+	core.step(&leased.SubmitDelegated{Ticket: 3, Task: task, Caller: 3, CallerHeardAt: core.now})
+	if len(core.answers) != 1 || core.answers[0].Ticket != 3 {
+		t.Fatalf("answers %+v, want one for the second request", core.answers)
+	}
+	if origins := core.core.Origins(); len(origins) != 1 {
+		t.Errorf("origins %v, want that of the task that waits", origins)
+	}
+	core.step(&leased.Cancel{Ticket: 2})
+	if n := core.core.Status().DelegatedTasks; n != 0 {
+		t.Errorf("%d delegated tasks after the cancellation, want none", n)
+	}
+}
