Split the files of the service, the loop, jobs and renewals by their parts

Moves declarations without changing them: the search for a holder and the choice of one (fleet/holdersearch.go, holderchoice.go), the assignment of endpoints and changes of entries (assign.go, entrychanges.go), the submission of jobs (dispatch/leased/submit.go) and the contacts with callers' entries (contacts.go). Two comments are reworded.

--- a/dispatch/leased/restart_test.go
+++ b/dispatch/leased/restart_test.go
@@ -70,7 +70,7 @@
 	sim.wantNoDoubleRuns()
 }
 
-// Guards against a log that gives a restart out as a first run: whoever looks for the
+// Guards against a log that shows a restart as a first run: an operator who looks for the
 // cause of a double run must see which later starts rest on the word of the only holder.
 func TestEvidenceOfResubmittedJob(t *testing.T) {
 	sim := newSimulation(t, 1, 1)
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -215,149 +214,6 @@
 	}
 }
 
-func sameEntries(a, b *cells.View) bool {
-	return slices.EqualFunc(a.Live, b.Live, func(x, y cells.Entry) bool {
-		return x.Incarnation == y.Incarnation && x.Leaving == y.Leaving
-	})
-}
-
-// entriesChanged logs which entries are new or gone, and gives up the calls to
-// those that are gone.
-func (l *Loop) entriesChanged(before, after *cells.View) {
-	for _, e := range before.Live {
-		if _, ok := after.Find(e.Incarnation); !ok {
-			l.log.Warn("entry_gone", zap.String("entry", e.Name), zap.Uint64("incarnation", uint64(e.Incarnation)))
-			l.giveUpCalls(e)
-			l.peers.requests.cancelAll(e.Incarnation)
-			l.dropCapacity(e.Incarnation)
-		}
-	}
-	for _, e := range after.Live {
-		if old, ok := before.Find(e.Incarnation); !ok || old.Leaving != e.Leaving {
-			l.log.Info("entry_seen", zap.String("entry", e.Name), zap.String("failure_domain", e.FailureDomain),
-				zap.Uint64("incarnation", uint64(e.Incarnation)), zap.Bool("leaving", e.Leaving))
-		}
-	}
-}
-
-// callerSilence returns how long an entry may send no heartbeat before the calls
-// from it are cancelled, which stops the runs of its jobs. It is longer than the time
-// after which another entry takes over its cells, because an entry that is only slow
-// still has callers who wait for those runs.
-func (s Settings) callerSilence() time.Duration {
-	return leased.CallerSilence(s.CallerRetry, s.MaxLease)
-}
-
-// detectStall allows time for reading queued heartbeats if this process has stood still
-// since the last tick.
-func (l *Loop) detectStall(now time.Time) {
-	if !l.tickedAt.IsZero() && now.Sub(l.tickedAt) > stallThreshold {
-		l.backlogUntil = now.Add(backlogTime)
-	}
-	l.tickedAt = now
-}
-
-// cancelCallsOfLostEntries cancels the calls from entries that have been silent
-// for callerSilence, or have been replaced by a new incarnation. An entry that has
-// just started may call before its first heartbeat arrives. Entries whose heartbeats may
-// be unread are not silent. Leases are not extended for them meanwhile.
-func (l *Loop) cancelCallsOfLostEntries(now time.Time) {
-	silence := l.settings.callerSilence()
-	for _, id := range l.peers.inbound.entries() {
-		before, age := now, time.Duration(0)
-		if heardAt, heard := l.roster.LastContact(id); heard {
-			age = now.Sub(heardAt)
-		}
-		switch l.roster.Contact(now, id, silence) {
-		case cells.Heard:
-			continue
-		case cells.Unknown:
-			before = now.Add(-silence)
-		case cells.Silent:
-			if now.Before(l.backlogUntil) {
-				continue
-			}
-		case cells.Replaced:
-		}
-		if n := l.peers.inbound.cancelBefore(id, before); n > 0 {
-			l.log.Warn("caller_entry_lost", zap.Uint64("incarnation", uint64(id)), zap.Int("calls", n), zap.Duration("contact_age_ms", age))
-		}
-	}
-}
-
-func (l *Loop) dropCapacity(holder cells.Incarnation) {
-	maps.DeleteFunc(l.peerCapacity, func(_ cells.Cell, a announcedCapacity) bool { return a.holder == holder })
-	l.balancer.receive(time.Time{}, holder, nil, 0)
-}
-
-// assigned returns the endpoints whose service the configuration names. Others name no
-// endpoint to use. Before the first configuration, and if that names no service, these
-// are all endpoints.
-func (l *Loop) assigned() []leased.Endpoint {
-	services := l.directory.Configuration.services()
-	all := l.directory.Endpoints
-	unknown := func(e leased.Endpoint) bool { return !services[e.Service] }
-	if len(services) == 0 || !slices.ContainsFunc(all, unknown) { // the usual case, without a copy
-		return all
-	}
-	return lo.Reject(all, func(e leased.Endpoint, _ int) bool { return unknown(e) })
-}
-
-// assignEndpoints passes the endpoints that this entry holds to the core.
-func (l *Loop) assignEndpoints() {
-	assigned := l.assigned()
-	counts := make(map[string]int)
-	for i := range assigned {
-		counts[assigned[i].FailureDomain]++
-	}
-	for domain, n := range counts {
-		l.cellCounts[domain] = cells.Count(n, l.settings.EndpointsPerCell)
-	}
-	var held []leased.Endpoint
-	holds := make(map[cells.Cell]bool)
-	for _, e := range assigned {
-		cell := cells.ForEndpoint(e.FailureDomain, string(e.ID), l.cellCounts[e.FailureDomain])
-		hold, known := holds[cell]
-		if !known {
-			hold = !l.fencedWhileIsolated && !l.awaitsEvacuations() && !l.stopping && l.view.Holds(cell)
-			holds[cell] = hold
-		}
-		if hold {
-			e.Cell = cell.String()
-			held = append(held, e)
-		}
-	}
-	l.step(&leased.SetEndpoints{Endpoints: held})
-	l.updateMaxCheckGap() // holders send heartbeats more often
-}
-
-// nextToken returns a fencing token above floor, above all tokens that this
-// entry has seen, and not below the time of day: after all entries have lost
-// power, nothing remembers the last tokens but the endpoints. A time of day that
-// is wrong costs some rejected polls. The low bits distinguish entries.
-func (l *Loop) nextToken(floor int64) int64 {
-	const low = 1 << tokenLowBits
-	epoch := max(max(l.maxToken, floor)>>tokenLowBits+1, time.Now().UnixMilli())
-	l.maxToken = epoch<<tokenLowBits | int64(uint64(l.view.Self.Incarnation)%low)
-	return l.maxToken
-}
-
-// tokenLowBits is the number of bits of a token that distinguish entries.
-const tokenLowBits = 10
-
-// yields reports whether this entry leaves the endpoints of a cell to another
-// holder that has fenced it off.
-func (l *Loop) yields(cell string) bool {
-	for domain, n := range l.cellCounts {
-		for _, c := range cells.All(domain, n) {
-			if c.String() == cell {
-				return !l.view.Reclaims(c)
-			}
-		}
-	}
-	return true
-}
-
 // step passes an input to the core and executes the resulting actions.
 func (l *Loop) step(in leased.Input) {
 	out := l.core.Step(time.Now(), in)
@@ -447,15 +303,6 @@
 	l.metrics.publish(s)
 }
 
-// suspectEntry is a message that reports a broken call to an entry.
-type suspectEntry struct{ id cells.Incarnation }
-
-func (m suspectEntry) handle(l *Loop) {
-	l.roster.Suspect(m.id)
-	l.refresh(time.Now())
-	l.publish()
-}
-
 // leave is a message that starts a planned stop: this entry gives up all cells.
 type leave struct{}
 
--- a/fleet/shardyield.go
+++ b/fleet/shardyield.go
@@ -22,8 +22,8 @@
 	probeTimeout  = 500 * time.Millisecond
 )
 
-// probeEpoch is the epoch of probes. It is lower than that of any owner, which
-// begins with the time of day in milliseconds, so that a probe fences off nobody.
+// probeEpoch is the epoch of probes. The epochs of owners are times of day in
+// milliseconds, and so higher: a probe fences off no owner.
 const probeEpoch = 1
 
 // observedLog is a log that records whether it serves this entry. It is safe for
