End the runs of an endpoint that refuses all Holds

A task could wait for as long as an endpoint refused its Holds (a status other than 200, 409 and 421, also of another server at an address that a record names): 24 s after its lease had ended, the core still counted its run and the job was not answered.

Cause: a refusal is a response, so the endpoint did not count as unanswered, and the runs of answering endpoints end only by their lists. Each refused Hold also counted as one that extends the lease, and tasks were started there again.

After a refused Hold, Holds extend no lease and no task is started there until one is answered. One lease and the margin later the runs are lost, as those of a silent endpoint.

--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -116,6 +116,7 @@
 	nextHold   time.Time     // no Hold is sent before
 	idleSince  time.Time
 
+	holdRefused     bool      // the newest Hold was refused, so the next one extends no lease
 	unanswered      int       // consecutive requests without a reply
 	unansweredSince time.Time // when the first of them was counted
 	tolerated       int       // how many of them are put down to chance
@@ -248,7 +249,7 @@
 
 // usable reports whether new tasks may be started on the endpoint.
 func (e *endpoint) usable(now time.Time) bool {
-	return e.held && !e.dropped && !e.evacuated && !e.shortLease && !e.Leaving && e.unknownDemands == 0 && e.unanswered <= e.tolerated &&
+	return e.held && !e.dropped && !e.holdRefused && !e.evacuated && !e.shortLease && !e.Leaving && e.unknownDemands == 0 && e.unanswered <= e.tolerated &&
 		!now.Before(e.pausedUntil) && e.record.Health() != outlier.Ejected
 }
 
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -94,7 +94,7 @@
 			return
 		}
 		c.sendHold(e, false, 0)
-	case e.unanswered > 0:
+	case e.unanswered > 0 || e.holdRefused:
 		c.sendHold(e, false, 0)
 	case e.pollWanted:
 		e.pollWanted = false
@@ -168,6 +168,7 @@
 	case HoldOtherIncarnation:
 		c.otherIncarnation(e, e.Address)
 	case HoldUnhealthy:
+		e.holdRefused = true
 		e.nextHold = c.now.Add(minBackoff)
 		e.pausedUntil = c.now.Add(minBackoff)
 	case HoldNotSent, HoldUnanswered:
@@ -184,6 +185,7 @@
 		e.Born = in.IncarnationStart
 	}
 	e.answeredAt = e.Address
+	e.holdRefused = false
 	c.endpointReturned(e)
 	if e.unanswered > 1 {
 		c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_answers", ""))
@@ -357,7 +359,7 @@
 			c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_probation", "the ejection is over"))
 		}
 	}
-	if e.unanswered > 0 && len(e.runs) > 0 && c.now.Sub(e.leaseSent) > c.opts.MaxLease+clockSlack {
+	if (e.unanswered > 0 || e.holdRefused) && len(e.runs) > 0 && c.now.Sub(e.leaseSent) > c.opts.MaxLease+clockSlack {
 		c.loseRuns(e)
 	}
 	for r := range e.runs.all() {
