Take no shard over after a refused claim

Callers of stored jobs could lose an acknowledged job, and two entries could offer the same stored jobs: two entries take a shard over within one millisecond, so with the same epoch, and the log refuses the claim of the second one once, with 429 or 503. It counted as owner without a claim. The first append of that entry was then taken for a repeat of the other one's claim.

Cause: any refusal stood for a full log, which alone has to be taken over without a claim.

Open: two entries with one epoch while the log is full.

--- a/fleet/keep/keeptest/log.go
+++ b/fleet/keep/keeptest/log.go
@@ -21,7 +21,7 @@
 
 // Faults are the faults that a Log simulates.
 type Faults struct {
-	RefuseAppends bool // appends are refused
+	RefuseAppends bool // appends are refused, because the log is full
 	LoseReplies   bool // appends are carried out but not answered
 	Unresponsive  bool // calls to Open and Append are neither carried out nor answered
 }
@@ -81,7 +81,7 @@
 	case epoch < p.epoch:
 		return 0, &keep.FencedError{Epoch: epoch}
 	case l.faults.RefuseAppends:
-		return 0, &keep.RefusedError{Cause: errors.New("appends are switched off")}
+		return 0, &keep.RefusedError{Cause: errors.New("the log is full"), Full: true}
 	case p.appended && sequence == p.sequence:
 		return p.lastOffset, nil
 	case p.appended && sequence != p.sequence+1:
--- a/fleet/keep/log.go
+++ b/fleet/keep/log.go
@@ -39,7 +39,10 @@
 }
 
 // RefusedError reports a call that the log has refused and will not carry out.
-type RefusedError struct{ Cause error }
+type RefusedError struct {
+	Cause error
+	Full  bool // the log takes no appends until records are deleted
+}
 
 func (e *RefusedError) Error() string { return "the log refused the call: " + e.Cause.Error() }
 func (e *RefusedError) Unwrap() error { return e.Cause }
--- a/fleet/keep/take.go
+++ b/fleet/keep/take.go
@@ -68,8 +68,8 @@
 	return &takeover{shard, epoch, sequence, began}, nil
 }
 
-// claim appends the claim of an epoch. It returns nil if the log refuses appends: the
-// shard is taken over nevertheless, because its owner trims a log that is full.
+// claim appends the claim of an epoch. It returns nil if the log is full: the shard is
+// taken over nevertheless, because its owner deletes records.
 func (r *Runner) claim(ctx context.Context, epoch int64) (*claim, error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
@@ -80,7 +80,7 @@
 	start := time.Now()
 	offset, err := r.env.Log.Append(ctx, r.shard, epoch, claimSequence, record)
 	r.env.ObserveAppend(appendResult(err), time.Since(start))
-	if _, refused := errors.Into[*RefusedError](err); refused {
+	if refused, ok := errors.Into[*RefusedError](err); ok && refused.Full {
 		r.env.Logger.Warn("shard_not_claimed", zap.Int64("epoch", epoch), zap.Error(err))
 		return nil, nil
 	}
