Cancel all ended calls before the heartbeat that withdraws them counts as contact

A heartbeat that withdraws a call counted as contact with the call's entry while the call was still open in the core, if its context had ended just before (its stream was reset first): cancelEnded ran only if the heartbeat itself had cancelled a call. A Hold sent in between could extend the lease by one interval of heartbeats. No double run is known from it; the waits leave room for it.

Every heartbeat that names withdrawals now cancels the calls that have ended. TestHeartbeatCancelsWithdrawnCallThatHasEnded (found by a review) failed for submissions and delegated tasks.

--- a/fleet/latecalls_test.go
+++ b/fleet/latecalls_test.go
@@ -245,3 +245,23 @@
 		t.Errorf("%d waiters of a call that has ended", n)
 	}
 }
+
+// Guards against a heartbeat that counts as contact for a call that it withdraws, because
+// the call's context had ended just before, and its goroutine has not noticed that.
+func TestHeartbeatCancelsWithdrawnCallThatHasEnded(t *testing.T) {
+	forBoth(t, func(t *testing.T, submit bool) {
+		r := newReceiver(t, freeEndpoint{})
+		hearHeartbeats(r.Loop, r.clocks)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		r.deliver(ctx, t, submit, 20*time.Millisecond)
+		r.wantRuns(t, "call", 1)
+		cancel() // the connection's reader has read the reset of the stream
+		b := heartbeatSentAt(r.clocks.boot)
+		b.WithdrawnCalls = []*fleetpb.WithdrawnCalls{{Incarnation: 1, Calls: []uint64{r.calls}}}
+		peerHeartbeat{b}.handle(r.Loop)
+		if n := len(r.tickets); n != 0 {
+			t.Errorf("%d calls that the heartbeat withdraws are open after it, and it counts as contact with their entry", n)
+		}
+	})
+}
--- a/fleet/withdrawals.go
+++ b/fleet/withdrawals.go
@@ -91,6 +91,9 @@
 		}
 	}
 	l.withdrawCaused(b)
+	if len(b.CallEpochs)+len(b.WithdrawnCalls) > 0 {
+		l.cancelEnded() // also calls that had ended by themselves, which are not counted
+	}
 }
 
 // withdrawCaused cancels the delegated tasks of jobs that the sender of a heartbeat has
@@ -105,7 +108,6 @@
 	if n == 0 {
 		return
 	}
-	l.cancelEnded()
 	l.metrics.withdrawnCalls.WithLabelValues("cancelled").Add(float64(n))
 	l.log.Warn("calls_withdrawn", zap.String("entry", b.Name), zap.Uint64("incarnation", b.Incarnation),
 		how, zap.Int("calls", n))
