Announce all epochs of calls that have just risen

In a fleet of more than 64 entries, a heartbeat could count as contact with an entry that had withdrawn a call without saying so: if its connections to more than 64 entries broke within 30 s, only the newest 64 epochs were named. A holder whose side of the connection is silent would renew the run until its pings fail, after 3.5 s, while another holder waits for 2.25 s.

An entry that hears no heartbeat for 1.0 s cancels the calls by itself. Open: more than 160 within 1.5 s.

--- a/fleet/epochs.go
+++ b/fleet/epochs.go
@@ -15,7 +15,10 @@
 	// than any call of an earlier epoch lasts at an entry that hears no heartbeats:
 	// that one cancels the calls after callerSilence.
 	epochAnnouncedFor  = 30 * time.Second
-	maxAnnouncedEpochs = 64 // in one heartbeat
+	maxAnnouncedEpochs = 64 // in one heartbeat, besides those that have just risen
+	// maxNewEpochs bounds the epochs in one heartbeat that have risen within
+	// minWithdrawnNamedFor. They take 2.6 KB of maxDatagram.
+	maxNewEpochs = 160
 	// maxEpochs bounds the memory for epochs. It is several times the number of
 	// entries of a large fleet.
 	maxEpochs = 1024
@@ -86,18 +89,26 @@
 }
 
 // recent returns the epochs that heartbeats announce: those that have risen within
-// epochAnnouncedFor, the newest ones first.
+// epochAnnouncedFor, the newest ones first. All that have risen within
+// minWithdrawnNamedFor are among them, up to maxNewEpochs: an entry that hears no heartbeat
+// for longer cancels all calls.
 func (e *epochs) recent(now time.Time) []*fleetpb.CallEpoch {
 	var ids []cells.Incarnation
+	justRisen := 0
 	for id, known := range e.byEntry {
-		if now.Sub(known.risenAt) <= epochAnnouncedFor {
-			ids = append(ids, id)
+		age := now.Sub(known.risenAt)
+		if age > epochAnnouncedFor {
+			continue
+		}
+		ids = append(ids, id)
+		if age <= minWithdrawnNamedFor {
+			justRisen++
 		}
 	}
 	slices.SortFunc(ids, func(a, b cells.Incarnation) int {
 		return cmp.Or(e.byEntry[b].risenAt.Compare(e.byEntry[a].risenAt), cmp.Compare(a, b))
 	})
-	ids = ids[:min(len(ids), maxAnnouncedEpochs)]
+	ids = ids[:min(len(ids), max(maxAnnouncedEpochs, min(justRisen, maxNewEpochs)))]
 	list := make([]*fleetpb.CallEpoch, len(ids))
 	for i, id := range ids {
 		list[i] = &fleetpb.CallEpoch{Incarnation: uint64(id), Epoch: e.byEntry[id].number}
