--- a/dispatch/leased/restart_late_test.go
+++ b/dispatch/leased/restart_late_test.go
@@ -80,7 +80,7 @@
 	return answer
 }
 
-// Guards against form B of the double runs of incident 7: a delegate starts a task when a
+// Guards against form B of the double runs of incident 8: a delegate starts a task when a
 // cut heals, 2.8 s after the call was sent, and reads 40 ms later that the delegator has
 // given it up. The delegator has started the task itself. The first heartbeat after the
 // cut may arrive before the call or after it, and may name the call no longer.
--- a/dispatch/leased/restart_reset_test.go
+++ b/dispatch/leased/restart_reset_test.go
@@ -56,7 +56,7 @@
 	return func() { sim.step(1, &leased.Cancel{Ticket: second}) }
 }
 
-// Guards against form A of the double runs of incident 7: after a reset, a job comes back
+// Guards against form A of the double runs of incident 8: after a reset, a job comes back
 // to a holder that has cancelled it, which takes that for the end of all its runs and
 // starts the task as run 17, while its earlier run is active or is being stopped.
 func TestResetStartsNoTaskBesideItsEarlierRun(t *testing.T) {
--- a/fleet/heldupcalls_test.go
+++ b/fleet/heldupcalls_test.go
@@ -185,7 +185,7 @@
 	}})
 }
 
-// Guards against form B of the double runs of incident 7 between real entries: a cut holds
+// Guards against form B of the double runs of incident 8 between real entries: a cut holds
 // a delegated task up for 2.8 s, its delegator gives it up after 0.8 s, and the delegate
 // starts it before it reads that its caller has disconnected. It was heard before the cut,
 // or was not heard yet. Without a cut the task is started.
--- a/fleet/latecalls_test.go
+++ b/fleet/latecalls_test.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// Guards against form B of the double runs of incident 7 at an entry that has heard the
+// Guards against form B of the double runs of incident 8 at an entry that has heard the
 // sender before the cut: a call that is delivered seconds late is started. No heartbeat
 // has arrived since, or one that does not name the call, because it was withdrawn more
 // than 5 s ago.
