Check the addresses of endpoints that peers tell as those of records

An entry that had read no list itself took any text as the address of an endpoint that another entry told it of, and called it. The records' own check refuses such addresses.

TestMalformedDirectoriesOfPeersAreRefused has a port out of range, which was accepted before.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -79,9 +79,12 @@
 
 // invalidEndpoint returns why no record describes an endpoint, or "".
 func invalidEndpoint(e *leased.Endpoint) string {
+	_, addressErr := ParseAddress(e.Address)
 	switch {
 	case e.ID == "" || e.Address == "" || e.Service == "" || e.FailureDomain == "":
 		return "its ID, address, service or failure domain is missing"
+	case addressErr != nil:
+		return addressErr.Error()
 	case e.Capacity.MilliCores <= 0 || e.Capacity.MemoryMiB < 0 || e.Capacity.Accelerators < 0 ||
 		max(e.Capacity.MilliCores, e.Capacity.MemoryMiB, e.Capacity.Accelerators) > leased.MaxDemand:
 		return fmt.Sprintf("capacity %+v", e.Capacity)
--- a/fleet/heartbeats.go
+++ b/fleet/heartbeats.go
@@ -258,7 +258,7 @@
 // write sends a datagram. A datagram that cannot be sent is treated like a lost
 // one: the receiver detects the missing heartbeat.
 func (h *heartbeats) write(address string, data []byte) {
-	to, err := parseAddress(address)
+	to, err := ParseAddress(address)
 	if err != nil {
 		h.refuse(time.Now(), err)
 		return
@@ -290,8 +290,8 @@
 // as live and what it holds, must be in range.
 func validateHeartbeat(b *fleetpb.Beat, now time.Time) error {
 	reason := ""
-	_, beatsErr := parseAddress(b.Beats)
-	_, callsErr := parseAddress(b.Address)
+	_, beatsErr := ParseAddress(b.Beats)
+	_, callsErr := ParseAddress(b.Address)
 	switch {
 	case b.Name == "" || b.Beats == "" || b.FailureDomain == "" || b.Incarnation == 0:
 		reason = "its name, address, failure domain or incarnation is missing"
--- a/fleet/knownaddresses.go
+++ b/fleet/knownaddresses.go
@@ -45,17 +45,18 @@
 	helloAt time.Time // when the last hello was sent
 }
 
-// InvalidAddressError reports an address at which no entry can receive anything.
+// InvalidAddressError reports an address at which nothing can be received.
 type InvalidAddressError struct{ Address string }
 
 func (e *InvalidAddressError) Error() string {
-	return fmt.Sprintf("the address %.*q is not an IPv4 number and a port of 1 to 65535: correct the settings or the record of the entry that has it",
+	return fmt.Sprintf("the address %.*q is not an IPv4 number and a port of 1 to 65535: correct the settings or the record that has it",
 		maxLoggedAddress, e.Address)
 }
 
-// parseAddress parses the address of an entry. It looks up no names, which would stop
-// the loop, and refuses other spellings of an address, which would count as others.
-func parseAddress(address string) (netip.AddrPort, error) {
+// ParseAddress parses the address of an entry or endpoint. It looks up no names, which would
+// stop the loop, and refuses other spellings of an address, which would count as others.
+// The error is an *InvalidAddressError.
+func ParseAddress(address string) (netip.AddrPort, error) {
 	parsed, err := netip.ParseAddrPort(address)
 	ip := parsed.Addr()
 	if err != nil || !ip.Is4() || ip.IsUnspecified() || ip.IsMulticast() || ip == netip.AddrFrom4([4]byte{255, 255, 255, 255}) ||
@@ -73,7 +74,7 @@
 	}
 	k := h.known[address]
 	if k == nil {
-		if _, err := parseAddress(address); err != nil {
+		if _, err := ParseAddress(address); err != nil {
 			h.refuse(now, err)
 			return
 		}
--- a/fleet/malformed_test.go
+++ b/fleet/malformed_test.go
@@ -242,6 +242,7 @@
 		t.Fatal(err)
 	}
 	for name, spoil := range map[string]func(*Directory, *fleetpb.SnapshotResponse){
+		"port out of range":   func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].Address = "127.0.0.1:99999" },
 		"no ID":               func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].ID = "" },
 		"no address":          func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].Address = "" },
 		"no service":          func(d *Directory, _ *fleetpb.SnapshotResponse) { d.Endpoints[0].Service = "" },
