Tell runs of two holders with one number apart

Cause: holders number the runs of a task on their own, and the numbers of runs that have only begun are not known to the owner. After two losses of the holder, two runs on different endpoints had the number 17: one failed, one was done. The owner recognized repeated reports by the number, acknowledged the end without storing it, and offered the job again.

An incarnation runs a number at most once, so no two runs are taken for one. A report that a run is done is never a repetition of a failure. Reports of earlier versions name no endpoint, and are compared by the number as before.

--- a/dispatch/leased/crash.go
+++ b/dispatch/leased/crash.go
@@ -10,7 +10,7 @@
 // endpoint has crashed, or it was cut off and has ended the run itself.
 type lostRun struct {
 	task  TaskID
-	run   int
+	run   RunID
 	queue string // empty: no job claimed the run
 	alone bool   // no other run was on the endpoint
 }
@@ -30,7 +30,7 @@
 // was never confirmed was not alone for sure: the endpoint may have been down
 // before, under other runs.
 func (c *Core) loseWithEndpoint(e *endpoint, r *run, alone bool) {
-	lost := lostRun{task: r.id, run: r.number, alone: alone && !r.confirmed.IsZero()}
+	lost := lostRun{task: r.id, run: r.identity(), alone: alone && !r.confirmed.IsZero()}
 	if r.task != nil {
 		lost.queue = r.task.job.Queue
 	}
@@ -63,7 +63,7 @@
 		c.clearLoss(e, lost)
 		return
 	}
-	c.out.Crashes = append(c.out.Crashes, Crash{Endpoint: e.ID, Task: lost.task, Run: lost.run, Queue: lost.queue, Alone: lost.alone})
+	c.out.Crashes = append(c.out.Crashes, Crash{Endpoint: e.ID, Task: lost.task, Run: lost.run.Number, Queue: lost.queue, Alone: lost.alone})
 	c.reportLoss(e, lost, LossByCrash)
 	t := c.openTask(lost.task)
 	if t == nil {
@@ -123,10 +123,10 @@
 // reportLoss reports the loss of a run of a stored job to the job's owner, which
 // may know of other endpoints that were lost with the task.
 func (c *Core) reportLoss(e *endpoint, lost lostRun, cause LossCause) {
-	if !isStoredRun(lost.run) {
+	if !isStoredRun(lost.run.Number) {
 		return
 	}
 	c.out.Reports = append(c.out.Reports, Report{
-		Endpoint: e.ID, IncarnationStart: e.Born, Task: lost.task, Run: lost.run, End: EndEndpointLost, Loss: Loss{Cause: cause, Alone: lost.alone},
+		Endpoint: e.ID, IncarnationStart: lost.run.Incarnation, Task: lost.task, Run: lost.run.Number, End: EndEndpointLost, Loss: Loss{Cause: cause, Alone: lost.alone},
 	})
 }
--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -39,6 +39,7 @@
 type run struct {
 	id              TaskID
 	number          int
+	incarnation     int64 // of the endpoint that runs it, as Born of that
 	endpoint        *endpoint
 	task            *task // nil: no task claims the run
 	state           runState
@@ -67,6 +68,11 @@
 	leaseLimit      time.Time     // of a run without a task: its lease is extended no further
 }
 
+// identity identifies the run among those of all holders.
+func (r *run) identity() RunID {
+	return RunID{Number: r.number, Endpoint: r.endpoint.ID, Incarnation: r.incarnation}
+}
+
 // endpoint is an endpoint that the core holds.
 type endpoint struct {
 	Endpoint
--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -17,6 +17,28 @@
 	Index      int
 }
 
+// RunID identifies a run of a task among the runs of all holders. Holders number
+// runs independently of each other, so two runs may have the same number; one
+// incarnation of an endpoint runs each number at most once.
+type RunID struct {
+	Number      int
+	Endpoint    EndpointID // empty: not known, as in reports of earlier versions
+	Incarnation int64      // start of the endpoint's incarnation, in milliseconds since 1970; 0: not known
+}
+
+// Same reports whether two identifiers stand for the same run. One without an
+// endpoint stands for any run with its number.
+func (r RunID) Same(o RunID) bool {
+	return r == o || r.Number == o.Number && (r.Endpoint == "" || o.Endpoint == "")
+}
+
+// CountedRun is a run of a stored job that counts against its task.
+type CountedRun struct {
+	ID     RunID
+	Failed bool      // false: its endpoint was lost
+	Cause  LossCause // of the loss
+}
+
 // Demand is an amount of an endpoint's resources.
 type Demand struct {
 	MilliCores   int
@@ -90,6 +112,9 @@
 	Losses      int          // endpoints that were lost with the task for a reason that is not known
 	LastRun     int          // highest run number
 	Checkpoint  string       // newest checkpoint
+	// Counted lists the runs that Failures, Crashes and Losses count. It is set in
+	// snapshots only, to recognize reports that are repeated.
+	Counted []CountedRun
 }
 
 // fits reports whether an idle endpoint can run a task of the step.
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -381,7 +381,7 @@
 // Once an end is stored, it is answered by ReportStored.
 type Report struct {
 	Endpoint         EndpointID
-	IncarnationStart int64 // of the endpoint
+	IncarnationStart int64 // of the endpoint that ran it
 	Number           int64 // of the ended run; 0: the endpoint does not list it
 	Task             TaskID
 	Run              int
--- a/dispatch/leased/owner_test.go
+++ b/dispatch/leased/owner_test.go
@@ -137,7 +137,7 @@
 	r := sent.report
 	lost := r.End == leased.EndEndpointLost
 	o.step(&stored.Report{Ticket: ticket, From: uint64(sent.core + 1), Tasks: []stored.TaskReport{{
-		Task: r.Task, Run: r.Run, Begun: r.Begun || lost, Done: r.End == leased.EndDone, Lost: lost, Loss: r.Loss,
+		Task: r.Task, Run: leased.RunID{Number: r.Run, Endpoint: r.Endpoint, Incarnation: r.IncarnationStart}, Begun: r.Begun || lost, Done: r.End == leased.EndDone, Lost: lost, Loss: r.Loss,
 	}}})
 	o.sim.after(500*time.Millisecond, func() { o.deliver(ticket) })
 }
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -208,7 +208,7 @@
 func (c *Core) start(t *task, e *endpoint) {
 	t.runs++
 	r := &run{
-		id: t.id, number: t.runs, endpoint: e, task: t, demand: t.step.Demand, suspect: t.suspect(),
+		id: t.id, number: t.runs, incarnation: e.Born, endpoint: e, task: t, demand: t.step.Demand, suspect: t.suspect(),
 		expected: time.Duration(float64(c.nominalTime(t)) * c.slowness(e)),
 	}
 	t.state = placedTask
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -48,6 +48,7 @@
 		if r.number != row.Run {
 			continue
 		}
+		r.incarnation = e.Born
 		r.observeClock(e.listedClock)
 		c.observeProgress(e, r, row.Percent)
 		if r.state == runStarting {
@@ -81,7 +82,7 @@
 // addFoundRun adds a run that this core does not know as active: an earlier
 // holder has started it, or a Start of this core was executed late.
 func (c *Core) addFoundRun(e *endpoint, row *ActiveRun) {
-	r := &run{id: row.Task, number: row.Run, endpoint: e, listedBy: e.sequence, state: runRunning, sent: c.now, began: c.now, beganClock: e.listedClock, confirmed: c.now, unclaimedSince: c.now, leaseLimit: c.now, percent: row.Percent, foundPercent: row.Percent, demandUnknown: true}
+	r := &run{id: row.Task, number: row.Run, incarnation: e.Born, endpoint: e, listedBy: e.sequence, state: runRunning, sent: c.now, began: c.now, beganClock: e.listedClock, confirmed: c.now, unclaimedSince: c.now, leaseLimit: c.now, percent: row.Percent, foundPercent: row.Percent, demandUnknown: true}
 	e.add(r)
 	if c.runs[row.Task] != nil {
 		c.sendStop(e, r, "the task runs elsewhere")
--- a/dispatch/stored/apply.go
+++ b/dispatch/stored/apply.go
@@ -117,9 +117,7 @@
 		return
 	}
 	t.checkpoint, t.lastRun, t.crashes, t.losses = p.Checkpoint, p.LastRun, p.Crashes, p.Losses
-	for n := range p.Failures {
-		t.failedRuns = append(t.failedRuns, -1-n) // a snapshot has no run numbers
-	}
+	t.restoreCounted(p)
 	if p.Done && !t.done {
 		t.done = true
 		j.unfinished--
@@ -176,12 +174,12 @@
 	if t == nil || t.done {
 		return false
 	}
-	t.lastRun = max(t.lastRun, r.Run)
+	t.lastRun = max(t.lastRun, r.Run.Number)
 	j.state = Running
 	if r.Lost {
 		return s.handleLossReport(in, r, t)
 	}
-	if r.Begun || slices.Contains(t.failedRuns, r.Run) {
+	if r.Begun || !r.Done && t.hasFailed(r.Run) {
 		return false
 	}
 	if r.Done && !t.reportedDone {
--- a/dispatch/stored/batch.go
+++ b/dispatch/stored/batch.go
@@ -17,24 +17,33 @@
 
 // maxEncodedSize returns an upper bound of the size of an event on the log.
 func maxEncodedSize(e *Event) int {
-	const fixed, perStep, perTask = 64, 128, 24
-	size := fixed + len(e.Checkpoint)
+	const fixed, perStep, perTask, perRun = 64, 128, 24, 40
+	size := fixed + len(e.Checkpoint) + len(e.Run.Endpoint)
 	if e.Spec != nil {
 		size += len(e.Spec.Spec) + len(e.Spec.Queue) + len(e.Spec.Service) + perStep*len(e.Spec.Steps)
 	}
 	for i := range e.Progress {
 		size += perTask + len(e.Progress[i].Checkpoint)
+		for _, run := range e.Progress[i].Counted {
+			size += perRun + len(run.ID.Endpoint)
+		}
 	}
 	return size
 }
 
+// sameEvent reports whether one event says what another one does. The checkpoint of a
+// run does not tell events apart.
+func sameEvent(a, b *Event) bool {
+	return a.Kind == b.Kind && a.Job == b.Job && a.Task == b.Task && a.Run == b.Run && a.Done == b.Done && a.Loss == b.Loss
+}
+
 // joinPending lets a ticket wait for an equal event that is not stored yet. It
 // returns false if there is none.
 func (s *Shard) joinPending(e *Event, t Ticket) bool {
 	for _, list := range [][]pendingEvent{s.inFlight, s.waiting} {
 		for i := range list {
 			p := &list[i]
-			if p.event.Kind != e.Kind || p.event.Job != e.Job || p.event.Task != e.Task || p.event.Run != e.Run || p.event.Loss != e.Loss {
+			if !sameEvent(&p.event, e) {
 				continue
 			}
 			if t != 0 {
--- a/dispatch/stored/blame_test.go
+++ b/dispatch/stored/blame_test.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		loss := known[0]
-		report := TaskReport{Task: lost.task, Run: lost.run, Begun: true, Lost: true, Loss: loss}
+		report := TaskReport{Task: lost.task, Run: identityOf(lost.run), Begun: true, Lost: true, Loss: loss}
 		sim.request(func(t Ticket) Input { return &Report{Ticket: t, Tasks: []TaskReport{report}} }, func(result Result) {
 			if rest := sim.unreported[lost]; result != Stored || len(rest) == 0 || rest[0] != loss {
 				return
@@ -105,7 +105,7 @@
 }
 
 func crashReport(t Ticket, id leased.JobID, run int, alone bool) *Report {
-	return &Report{Ticket: t, Tasks: []TaskReport{{Task: taskOf(id, 0), Run: run, Begun: true, Lost: true, Loss: leased.Loss{Cause: leased.LossByCrash, Alone: alone}}}}
+	return &Report{Ticket: t, Tasks: []TaskReport{{Task: taskOf(id, 0), Run: leased.RunID{Number: run}, Begun: true, Lost: true, Loss: leased.Loss{Cause: leased.LossByCrash, Alone: alone}}}}
 }
 
 // A loss counts as unexplained until its cause is reported, once.
@@ -125,7 +125,7 @@
 		s := New(testOptions())
 		s.Replay(start, 0, []Event{{Kind: JobAccepted, Job: "a", Spec: specOf(testJob("a", 1))}})
 		for i, cause := range c.causes {
-			s.Replay(start, int64(i+1), []Event{{Kind: TaskLost, Job: "a", Task: taskOf("a", 0), Run: 1, Loss: leased.Loss{Cause: cause}}})
+			s.Replay(start, int64(i+1), []Event{{Kind: TaskLost, Job: "a", Task: taskOf("a", 0), Run: leased.RunID{Number: 1}, Loss: leased.Loss{Cause: cause}}})
 		}
 		progress := s.FinishReplay(start).Offers[0].Job.Progress[0]
 		if progress.Losses != c.wantLosses || progress.Crashes.Crashes != c.wantCrashes {
@@ -138,7 +138,7 @@
 // changes: its task would crash two more endpoints with each owner.
 func TestCrashesSurviveTheirOwner(t *testing.T) {
 	accepted := []Event{{Kind: JobAccepted, Job: "a", Spec: specOf(testJob("a", 2))}}
-	crash := []Event{{Kind: TaskLost, Job: "a", Task: taskOf("a", 0), Run: 1, Loss: leased.Loss{Cause: leased.LossByCrash}}}
+	crash := []Event{{Kind: TaskLost, Job: "a", Task: taskOf("a", 0), Run: leased.RunID{Number: 1}, Loss: leased.Loss{Cause: leased.LossByCrash}}}
 	logs := map[string][][]Event{
 		"as an event": {accepted, crash},
 		"in a snapshot": {{{Kind: JobSnapshot, Job: "a", State: Running, Spec: specOf(testJob("a", 2)),
--- a/dispatch/stored/crash_test.go
+++ b/dispatch/stored/crash_test.go
@@ -197,12 +197,19 @@
 	return slices.ContainsFunc(o.Job.Progress, func(p leased.TaskProgress) bool { return p.Index == index && p.Done })
 }
 
+// identityOf returns the identity of the run of a task with a serial number. Holders number
+// runs on their own: three of them in turn give one number, each on another endpoint.
+func identityOf(serial int) leased.RunID {
+	const holdersOfNumber = 3
+	return leased.RunID{Number: 1 + serial/holdersOfNumber, Endpoint: leased.EndpointID(fmt.Sprint("x", serial)), Incarnation: 1}
+}
+
 // reportEnds reports the ends that endpoints list. An endpoint forgets an end
 // once the report is acknowledged.
 func (sim *crashSim) reportEnds() {
 	for task, run := range sim.listed {
 		isFailed := sim.failed[task]
-		report := TaskReport{Task: task, Run: run, Done: !isFailed}
+		report := TaskReport{Task: task, Run: identityOf(run), Done: !isFailed}
 		sim.request(func(t Ticket) Input { return &Report{Ticket: t, Tasks: []TaskReport{report}} }, func(r Result) {
 			if r != Stored || sim.listed[task] != run {
 				return
--- a/dispatch/stored/event.go
+++ b/dispatch/stored/event.go
@@ -26,7 +26,7 @@
 	Progress   []leased.TaskProgress
 	State      State // in a JobSnapshot
 	Task       leased.TaskID
-	Run        int
+	Run        leased.RunID
 	Done       bool        // the run has succeeded; false: it has failed
 	Loss       leased.Loss // in a TaskLost
 	Checkpoint string      // newest checkpoint
--- a/dispatch/stored/job.go
+++ b/dispatch/stored/job.go
@@ -35,15 +35,21 @@
 // on the log.
 type taskState struct {
 	done         bool
-	reportedDone bool                     // possibly not stored yet
-	failedRuns   []int                    // their numbers
-	lostRuns     map[int]leased.LossCause // by number; nil: none
-	crashes      blame.Record             // of endpoints that ran the task
-	losses       int                      // of unknown cause
-	lastRun      int                      // highest known run number, possibly not stored yet
+	reportedDone bool // possibly not stored yet
+	failedRuns   []leased.RunID
+	lostRuns     []runLoss
+	crashes      blame.Record // of endpoints that ran the task
+	losses       int          // of unknown cause
+	lastRun      int          // highest known run number, possibly not stored yet
 	checkpoint   string
 }
 
+// runLoss is a run whose endpoint was lost.
+type runLoss struct {
+	id    leased.RunID
+	cause leased.LossCause
+}
+
 func newJobState(spec *leased.Job, now time.Time) *jobState {
 	j := &jobState{id: spec.ID, spec: spec, state: Queued, acceptedAt: now, tasks: make(map[taskKey]*taskState)}
 	for i := range spec.Steps {
@@ -93,7 +99,7 @@
 	if t == nil || t.done {
 		return false
 	}
-	t.lastRun = max(t.lastRun, e.Run)
+	t.lastRun = max(t.lastRun, e.Run.Number)
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
@@ -103,7 +109,7 @@
 		j.markReportedDone(t)
 		return j.unfinished == 0
 	}
-	if !slices.Contains(t.failedRuns, e.Run) {
+	if !t.hasFailed(e.Run) {
 		t.failedRuns = append(t.failedRuns, e.Run)
 	}
 	return len(t.failedRuns) >= max(1, j.spec.MaxAttempts)
@@ -116,14 +122,8 @@
 	if t == nil || t.done || !t.explains(e.Run, e.Loss.Cause) {
 		return false
 	}
-	t.lastRun = max(t.lastRun, e.Run)
-	if _, known := t.lostRuns[e.Run]; known {
-		t.losses--
-	}
-	if t.lostRuns == nil {
-		t.lostRuns = make(map[int]leased.LossCause)
-	}
-	t.lostRuns[e.Run] = e.Loss.Cause
+	t.lastRun = max(t.lastRun, e.Run.Number)
+	t.setLossCause(e.Run, e.Loss.Cause)
 	switch e.Loss.Cause {
 	case leased.LossUnexplained:
 		t.losses++
@@ -133,10 +133,64 @@
 	return t.crashes.Guilty()
 }
 
+// hasFailed reports whether the failure of a run is known.
+func (t *taskState) hasFailed(run leased.RunID) bool {
+	return slices.ContainsFunc(t.failedRuns, run.Same)
+}
+
+// lossOf returns the loss of a run, or nil if none is known.
+func (t *taskState) lossOf(run leased.RunID) *runLoss {
+	i := slices.IndexFunc(t.lostRuns, func(l runLoss) bool { return l.id.Same(run) })
+	if i < 0 {
+		return nil
+	}
+	return &t.lostRuns[i]
+}
+
+// setLossCause records the cause of the loss of a run. A loss that had no cause until
+// then is no longer counted as unexplained.
+func (t *taskState) setLossCause(run leased.RunID, cause leased.LossCause) {
+	if l := t.lossOf(run); l != nil {
+		t.losses--
+		l.cause = cause
+		return
+	}
+	t.lostRuns = append(t.lostRuns, runLoss{run, cause})
+}
+
 // explains reports whether the cause of the loss of a run is news.
-func (t *taskState) explains(run int, cause leased.LossCause) bool {
-	before, known := t.lostRuns[run]
-	return !known || before == leased.LossUnexplained && cause != leased.LossUnexplained
+func (t *taskState) explains(run leased.RunID, cause leased.LossCause) bool {
+	l := t.lossOf(run)
+	return l == nil || l.cause == leased.LossUnexplained && cause != leased.LossUnexplained
+}
+
+// countedRuns lists the runs that count against the task.
+func (t *taskState) countedRuns() []leased.CountedRun {
+	var list []leased.CountedRun
+	for _, id := range t.failedRuns {
+		if id.Number >= 0 {
+			list = append(list, leased.CountedRun{ID: id, Failed: true})
+		}
+	}
+	for _, l := range t.lostRuns {
+		list = append(list, leased.CountedRun{ID: l.id, Cause: l.cause})
+	}
+	return list
+}
+
+// restoreCounted restores the runs that count against the task from a snapshot. One of
+// an earlier version has the number of failures only.
+func (t *taskState) restoreCounted(p *leased.TaskProgress) {
+	for _, run := range p.Counted {
+		if run.Failed {
+			t.failedRuns = append(t.failedRuns, run.ID)
+		} else {
+			t.lostRuns = append(t.lostRuns, runLoss{run.ID, run.Cause})
+		}
+	}
+	for n := len(t.failedRuns); n < p.Failures; n++ {
+		t.failedRuns = append(t.failedRuns, leased.RunID{Number: -1 - n}) // the same as no other run
+	}
 }
 
 // finalState returns the state of a job that has ended with one of its runs.
@@ -147,17 +201,22 @@
 	return Failed
 }
 
-// progress lists what is known about the tasks. If onlyStored is set, tasks
-// count as done only once that is stored.
-func (j *jobState) progress(onlyStored bool) []leased.TaskProgress {
+// progress lists what is known about the tasks, for a holder or for a snapshot. In a
+// snapshot, tasks count as done only once that is stored.
+func (j *jobState) progress(snapshot bool) []leased.TaskProgress {
 	list := make([]leased.TaskProgress, 0, len(j.tasks))
 	for key, t := range j.tasks {
-		done := t.done || t.reportedDone && !onlyStored
-		if done || len(t.failedRuns) > 0 || t.lastRun > 0 {
-			list = append(list, leased.TaskProgress{
-				Step: key.step, Index: key.index, Done: done, Failures: len(t.failedRuns), Crashes: t.crashes, Losses: t.losses, LastRun: t.lastRun, Checkpoint: t.checkpoint,
-			})
+		done := t.done || t.reportedDone && !snapshot
+		if !done && len(t.failedRuns) == 0 && t.lastRun == 0 {
+			continue
+		}
+		p := leased.TaskProgress{
+			Step: key.step, Index: key.index, Done: done, Failures: len(t.failedRuns), Crashes: t.crashes, Losses: t.losses, LastRun: t.lastRun, Checkpoint: t.checkpoint,
+		}
+		if snapshot {
+			p.Counted = t.countedRuns()
 		}
+		list = append(list, p)
 	}
 	slices.SortFunc(list, func(a, b leased.TaskProgress) int {
 		if a.Step != b.Step {
--- a/dispatch/stored/message.go
+++ b/dispatch/stored/message.go
@@ -31,7 +31,7 @@
 // TaskReport reports the start or the end of one run.
 type TaskReport struct {
 	Task       leased.TaskID
-	Run        int
+	Run        leased.RunID
 	Begun      bool // the run has started; false: it has ended
 	Done       bool // of a run that has ended: it has succeeded; false: it has failed
 	Lost       bool // the run's endpoint was lost, as Loss says
--- a/dispatch/stored/shard_test.go
+++ b/dispatch/stored/shard_test.go
@@ -21,7 +21,7 @@
 
 // doneReport returns a report that one task is done.
 func doneReport(t Ticket, id leased.JobID, index, run int) *Report {
-	return &Report{Ticket: t, Tasks: []TaskReport{{Task: taskOf(id, index), Run: run, Done: true}}}
+	return &Report{Ticket: t, Tasks: []TaskReport{{Task: taskOf(id, index), Run: leased.RunID{Number: run}, Done: true}}}
 }
 
 func wantReplies(t *testing.T, out *Actions, want ...Reply) {
@@ -80,7 +80,7 @@
 	s.Step(start, &Appended{Sequence: 1})
 	s.Step(start, &Appended{Sequence: 2})
 	s.Step(start, doneReport(3, "a", 0, 1)) // in flight as the third batch
-	both := &Report{Ticket: 4, Tasks: []TaskReport{{Task: taskOf("a", 0), Run: 1, Done: true}, {Task: taskOf("b", 0), Run: 1, Done: true}}}
+	both := &Report{Ticket: 4, Tasks: []TaskReport{{Task: taskOf("a", 0), Run: leased.RunID{Number: 1}, Done: true}, {Task: taskOf("b", 0), Run: leased.RunID{Number: 1}, Done: true}}}
 	wantReplies(t, s.Step(start, both))
 	wantReplies(t, s.Step(start, &Appended{Sequence: 3}), Reply{3, Stored})
 	wantReplies(t, s.Step(start, &Appended{Sequence: 4}), Reply{4, Stored})
@@ -108,13 +108,13 @@
 	s.Step(start, &Accept{Ticket: 1, Job: testJob("a", 1)})
 	s.Step(start, &Appended{Sequence: 1})
 	for ticket := Ticket(2); ticket < 4; ticket++ {
-		s.Step(start, &Report{Ticket: ticket, Tasks: []TaskReport{{Task: taskOf("a", 0), Run: 1}}})
+		s.Step(start, &Report{Ticket: ticket, Tasks: []TaskReport{{Task: taskOf("a", 0), Run: leased.RunID{Number: 1}}}})
 	}
 	s.Step(start, &Appended{Sequence: 2})
 	if s.State("a") != Running {
 		t.Errorf("after one failed run, reported twice: %v, want running", s.State("a"))
 	}
-	s.Step(start, &Report{Ticket: 9, Tasks: []TaskReport{{Task: taskOf("a", 0), Run: 2}}})
+	s.Step(start, &Report{Ticket: 9, Tasks: []TaskReport{{Task: taskOf("a", 0), Run: leased.RunID{Number: 2}}}})
 	s.Step(start, &Appended{Sequence: 3})
 	if s.State("a") != Failed {
 		t.Errorf("after two: %v, want failed", s.State("a"))
--- a/fleet/keep/codec.go
+++ b/fleet/keep/codec.go
@@ -28,6 +28,7 @@
 		return &fleetpb.TaskProgress{
 			Step: uint32(p.Step), Index: uint32(p.Index), Done: p.Done, Failures: uint32(p.Failures), Newest: uint32(p.LastRun), Saved: p.Checkpoint,
 			Crashes: uint32(p.Crashes.Crashes), CrashesAlone: uint32(p.Crashes.Alone), Losses: uint32(p.Losses),
+			Counted: lo.Map(p.Counted, func(r leased.CountedRun, _ int) *fleetpb.CountedRun { return countedToPB(&r) }),
 		}
 	})
 }
@@ -38,10 +39,27 @@
 		return leased.TaskProgress{
 			Step: int(p.Step), Index: int(p.Index), Done: p.Done, Failures: int(p.Failures), LastRun: int(p.Newest), Checkpoint: p.Saved,
 			Crashes: blame.Record{Crashes: int(p.Crashes), Alone: int(p.CrashesAlone)}, Losses: int(p.Losses),
+			Counted: lo.Map(p.Counted, func(r *fleetpb.CountedRun, _ int) leased.CountedRun { return countedFromPB(r) }),
 		}
 	})
 }
 
+func countedToPB(r *leased.CountedRun) *fleetpb.CountedRun {
+	pb := &fleetpb.CountedRun{Run: uint32(r.ID.Number), Endpoint: string(r.ID.Endpoint), Incarnation: r.ID.Incarnation}
+	if !r.Failed {
+		pb.Loss = LossToPB(leased.Loss{Cause: r.Cause})
+	}
+	return pb
+}
+
+func countedFromPB(pb *fleetpb.CountedRun) leased.CountedRun {
+	r := leased.CountedRun{ID: leased.RunID{Number: int(pb.Run), Endpoint: leased.EndpointID(pb.Endpoint), Incarnation: pb.Incarnation}, Failed: pb.Loss == nil}
+	if pb.Loss != nil {
+		r.Cause = LossFromPB(pb.Loss).Cause
+	}
+	return r
+}
+
 // LossToPB converts the loss of an endpoint to a message.
 func LossToPB(l leased.Loss) *fleetpb.Loss {
 	return &fleetpb.Loss{Cause: uint32(l.Cause), Alone: l.Alone}
@@ -65,7 +83,7 @@
 		event := &fleetpb.JobEvent{
 			Kind: uint32(e.Kind), Job: string(e.Job), State: uint32(e.State), Progress: ProgressToPB(e.Progress),
 			Occurrence: uint32(e.Task.Occurrence), Step: uint32(e.Task.Step), Index: uint32(e.Task.Index),
-			Run: uint32(e.Run), Done: e.Done, Saved: e.Checkpoint,
+			Run: uint32(e.Run.Number), Endpoint: string(e.Run.Endpoint), Incarnation: e.Run.Incarnation, Done: e.Done, Saved: e.Checkpoint,
 		}
 		if e.Kind == stored.TaskLost {
 			event.Loss = LossToPB(e.Loss)
@@ -134,7 +152,8 @@
 	id := leased.JobID(e.Job)
 	event := stored.Event{
 		Kind: stored.EventKind(e.Kind), Job: id, State: stored.State(e.State), Progress: ProgressFromPB(e.Progress),
-		Run: int(e.Run), Done: e.Done, Checkpoint: e.Saved,
+		Run:  leased.RunID{Number: int(e.Run), Endpoint: leased.EndpointID(e.Endpoint), Incarnation: e.Incarnation},
+		Done: e.Done, Checkpoint: e.Saved,
 		Task: leased.TaskID{Job: id, Occurrence: int(e.Occurrence), Step: int(e.Step), Index: int(e.Index)},
 	}
 	if e.Loss != nil {
--- a/fleet/keep/fuzz_test.go
+++ b/fleet/keep/fuzz_test.go
@@ -28,7 +28,7 @@
 	job := leased.Job{ID: "j", Steps: []leased.Step{{Tasks: 2}}}
 	task := leased.TaskID{Job: "j", Index: 1}
 	for _, events := range [][]stored.Event{
-		{{Kind: stored.JobAccepted, Job: "j", Spec: &job}, {Kind: stored.TaskEnded, Job: "j", Task: task, Run: 7, Done: true}},
+		{{Kind: stored.JobAccepted, Job: "j", Spec: &job}, {Kind: stored.TaskEnded, Job: "j", Task: task, Run: leased.RunID{Number: 7}, Done: true}},
 		{{Kind: stored.JobSnapshot, Job: "j", State: stored.Cancelled}, {Kind: stored.JobFailed, Job: "k"}},
 		{{Kind: stored.JobAccepted, Job: "j"}},
 	} {
--- a/fleet/keep/runner_test.go
+++ b/fleet/keep/runner_test.go
@@ -104,7 +104,7 @@
 	first.shouldOwn.Store(true)
 	first.accept(t, job(1))
 	first.accept(t, job(2))
-	done := []stored.TaskReport{{Task: leased.TaskID{Job: "j2"}, Run: 1, Done: true}}
+	done := []stored.TaskReport{{Task: leased.TaskID{Job: "j2"}, Run: leased.RunID{Number: 1}, Done: true}}
 	if r := first.Report(context.Background(), 1, done); r != stored.Stored {
 		t.Fatalf("report: %v", r)
 	}
@@ -165,7 +165,7 @@
 	first.accept(t, job(1))
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	done := []stored.TaskReport{{Task: leased.TaskID{Job: "j1"}, Run: 1, Done: true}}
+	done := []stored.TaskReport{{Task: leased.TaskID{Job: "j1"}, Run: leased.RunID{Number: 1}, Done: true}}
 	if r := first.Report(ctx, 1, done); r != stored.Stored { // without open jobs the owner does not ask the log
 		t.Fatalf("report: %v", r)
 	}
@@ -219,7 +219,7 @@
 	defer cancel()
 	requests := map[string]func(*testOwner) stored.Result{
 		"report": func(o *testOwner) stored.Result {
-			return o.Report(ctx, 1, []stored.TaskReport{{Task: leased.TaskID{Job: "j2"}, Run: 1, Done: true}})
+			return o.Report(ctx, 1, []stored.TaskReport{{Task: leased.TaskID{Job: "j2"}, Run: leased.RunID{Number: 1}, Done: true}})
 		},
 		"cancel": func(o *testOwner) stored.Result { return o.Cancel(ctx, "j2") },
 	}
@@ -252,7 +252,7 @@
 	if r := o.Cancel(ctx, "none"); r != stored.NoSuchJob {
 		t.Errorf("cancel: %v, want no such job", r)
 	}
-	if r := o.Report(ctx, 1, []stored.TaskReport{{Task: leased.TaskID{Job: "none"}, Run: 1, Done: true}}); r != stored.NoSuchJob {
+	if r := o.Report(ctx, 1, []stored.TaskReport{{Task: leased.TaskID{Job: "none"}, Run: leased.RunID{Number: 1}, Done: true}}); r != stored.NoSuchJob {
 		t.Errorf("report: %v, want no such job", r)
 	}
 }
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -95,7 +95,7 @@
 func taskReport(p *leased.Report) stored.TaskReport {
 	lost := p.End == leased.EndEndpointLost
 	return stored.TaskReport{
-		Task: p.Task, Run: p.Run, Begun: p.Begun || lost, Done: p.End == leased.EndDone, Lost: lost, Loss: p.Loss, Checkpoint: p.Checkpoint,
+		Task: p.Task, Run: leased.RunID{Number: p.Run, Endpoint: p.Endpoint, Incarnation: p.IncarnationStart}, Begun: p.Begun || lost, Done: p.End == leased.EndDone, Lost: lost, Loss: p.Loss, Checkpoint: p.Checkpoint,
 	}
 }
 
@@ -103,7 +103,7 @@
 	return &fleetpb.ReportRequest{From: from, Shard: uint32(shard), Tasks: lo.Map(tasks, func(t stored.TaskReport, _ int) *fleetpb.TaskReport {
 		report := &fleetpb.TaskReport{
 			Job: string(t.Task.Job), Occurrence: uint32(t.Task.Occurrence), Step: uint32(t.Task.Step), Index: uint32(t.Task.Index),
-			Run: uint32(t.Run), Begun: t.Begun, Done: t.Done, Saved: t.Checkpoint,
+			Run: uint32(t.Run.Number), Endpoint: string(t.Run.Endpoint), Incarnation: t.Run.Incarnation, Begun: t.Begun, Done: t.Done, Saved: t.Checkpoint,
 		}
 		if t.Lost {
 			report.Loss = keep.LossToPB(t.Loss)
@@ -116,7 +116,7 @@
 	return lo.Map(r.Tasks, func(t *fleetpb.TaskReport, _ int) stored.TaskReport {
 		report := stored.TaskReport{
 			Task: leased.TaskID{Job: leased.JobID(t.Job), Occurrence: int(t.Occurrence), Step: int(t.Step), Index: int(t.Index)},
-			Run:  int(t.Run), Begun: t.Begun, Done: t.Done, Checkpoint: t.Saved,
+			Run:  leased.RunID{Number: int(t.Run), Endpoint: leased.EndpointID(t.Endpoint), Incarnation: t.Incarnation}, Begun: t.Begun, Done: t.Done, Checkpoint: t.Saved,
 		}
 		if t.Loss != nil {
 			report.Lost, report.Loss = true, keep.LossFromPB(t.Loss)
