Drop the answer to a delegation that was withdrawn

What callers could see: a delegated task whose earlier delegation was withdrawn could take the late answer of that one for its own, if the job had come back to this holder and the task had got the same run number. The answer then removed the newer delegation, so that it could not be cancelled, or ended the task at the delegator.

Change: an answer belongs to the delegation that asked, not to its task and run number.

Test: TestLateAnswerKeepsNewerDelegation with an equal number failed before.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -89,7 +89,8 @@
 
 func (l *Loop) delegate(request leased.Delegate) {
 	ctx, cancel := context.WithTimeout(context.Background(), request.Task.CallerTimeout)
-	l.delegations[request.Task.ID] = delegation{request.Task.Run, cancel}
+	open := &delegation{cancel}
+	l.delegations[request.Task.ID] = open
 	l.log.Info("lent", zap.String("job", string(request.Task.ID.Job)), zap.Int("step", request.Task.ID.Step),
 		zap.Int("task", request.Task.ID.Index), zap.Int("run", request.Task.Run), zap.String("cell", request.Cell), zap.Bool("adopt", request.Task.Adopt),
 		zap.Stringer("evidence", request.Evidence))
@@ -98,29 +99,30 @@
 		end, checkpoint := leased.EndUnknown, ""
 		l.guard.do("delegate", func() { end, checkpoint = l.peers.delegate(ctx, &request) })
 		l.metrics.delegations.WithLabelValues(end.String()).Inc()
-		l.send(delegationEnded{&leased.DelegateReply{Task: request.Task.ID, Run: request.Task.Run, End: end, Checkpoint: checkpoint}})
+		l.send(delegationEnded{open, &leased.DelegateReply{Task: request.Task.ID, Run: request.Task.Run, End: end, Checkpoint: checkpoint}})
 	}()
 }
 
 // delegationEnded is a message that reports the end of a delegated task.
-type delegationEnded struct{ reply *leased.DelegateReply }
+type delegationEnded struct {
+	of    *delegation
+	reply *leased.DelegateReply
+}
 
 func (m delegationEnded) handle(l *Loop) {
 	if r := m.reply; r.End != leased.EndDone && r.End != leased.EndNoCapacity {
 		l.log.Warn("lend_ended", zap.String("job", string(r.Task.Job)), zap.Int("step", r.Task.Step), zap.Int("task", r.Task.Index),
 			zap.Int("run", r.Run), zap.String("end", r.End.String()))
 	}
-	if l.delegations[m.reply.Task].run == m.reply.Run {
-		delete(l.delegations, m.reply.Task)
+	if l.delegations[m.reply.Task] != m.of {
+		return // it was withdrawn; a later delegation of the task may have the same run number
 	}
+	delete(l.delegations, m.reply.Task)
 	l.step(m.reply)
 }
 
 // delegation is the open call of a delegated task.
-type delegation struct {
-	run    int
-	cancel context.CancelFunc
-}
+type delegation struct{ cancel context.CancelFunc }
 
 func (l *Loop) cancelDelegation(task leased.TaskID) {
 	if d, open := l.delegations[task]; open {
--- a/fleet/delegation_test.go
+++ b/fleet/delegation_test.go
@@ -22,8 +22,13 @@
 	task := leased.TaskID{Job: "j"}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	l.delegations[task] = delegation{run: 2, cancel: cancel}
-	delegationEnded{&leased.DelegateReply{Task: task, Run: 1, End: leased.EndUnknown}}.handle(l)
+	for _, run := range []int{1, 2} {
+		l.delegations[task] = &delegation{cancel}
+		delegationEnded{&delegation{func() {}}, &leased.DelegateReply{Task: task, Run: run, End: leased.EndUnknown}}.handle(l)
+		if l.delegations[task] == nil {
+			t.Errorf("the late answer for run %d has removed the newer delegation, of run 2", run)
+		}
+	}
 	l.cancelDelegation(task)
 	if ctx.Err() == nil {
 		t.Error("the newer delegation was not cancelled")
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -90,7 +90,7 @@
 	waiters             map[leased.Ticket]chan leased.Answer
 	delegatedWaiters    map[leased.Ticket]chan leased.DelegatedAnswer
 	unheardCalls        map[cells.Incarnation][]*submittedCall // of incarnations without a heartbeat
-	delegations         map[leased.TaskID]delegation
+	delegations         map[leased.TaskID]*delegation
 	stopping            bool
 	evacuatedRuns       int       // on evacuated endpoints, in the latest snapshot
 	resumedAt           time.Time // end of the latest freeze that was handled
@@ -125,7 +125,7 @@
 		waiters:          make(map[leased.Ticket]chan leased.Answer),
 		delegatedWaiters: make(map[leased.Ticket]chan leased.DelegatedAnswer),
 		unheardCalls:     make(map[cells.Incarnation][]*submittedCall),
-		delegations:      make(map[leased.TaskID]delegation),
+		delegations:      make(map[leased.TaskID]*delegation),
 		requests:         evacuation.NewRequests(s.EvacuationBound),
 		sharedDemand:     sharedDemand{sentAt: make(map[bool]time.Time)},
 	}
