Give a number of pending jobs in full, or say that it is not known

Cause: the count was a sum over owners in which a missing part was zero: a shard that is not taken over yet, one whose owner does not think so, and an owner that never answered. Earlier counts were kept for each owner, and lost owners were not asked for any more.

Change: the sum is over shards. An owner whose last confirmation is older than a second asks the log before it counts: a replaced one would leave out the jobs of its successor.

Tests: TestPendingJobsWhileMostEntriesAreLost failed before (7 of 24 jobs, status 200).

--- a/fleet/keep/runner.go
+++ b/fleet/keep/runner.go
@@ -172,13 +172,13 @@
 	return state, result
 }
 
-// Pending returns the number of jobs in each queue of which no task has started.
+// Pending returns the number of jobs in each queue of which no task has started. Only an
+// owner that has not been replaced knows it.
 func (r *Runner) Pending(ctx context.Context) (map[string]int, stored.Result) {
 	var counts map[string]int
 	result := r.do(ctx, request{query: func(s *stored.Shard) bool {
 		counts = s.Pending()
-		known, _ := s.Len()
-		return known == 0 // otherwise a newer owner may know other jobs
+		return false // a newer owner may know other jobs
 	}})
 	if result != stored.Stored {
 		return nil, result // the query may still be under way
--- a/fleet/storedserver.go
+++ b/fleet/storedserver.go
@@ -57,14 +57,10 @@
 
 // PendingKept implements fleetpb.Fleet.
 func (s *server) PendingKept(ctx context.Context, _ *fleetpb.PendingRequest) (*fleetpb.PendingResponse, error) {
-	reply := &fleetpb.PendingResponse{Jobs: make(map[string]uint32)}
 	if s.storedJobs == nil {
-		return reply, nil
+		return pendingToPB(nil), nil
 	}
-	for queue, n := range s.storedJobs.countPendingLocally(ctx) {
-		reply.Jobs[queue] = uint32(n)
-	}
-	return reply, nil
+	return pendingToPB(s.storedJobs.countPendingLocally(ctx)), nil
 }
 
 // Report implements fleetpb.Fleet.
--- a/fleet/storedservice.go
+++ b/fleet/storedservice.go
@@ -136,11 +136,12 @@
 	return StoredDone
 }
 
-// PendingStored returns the number of stored jobs of a queue of which no task
-// has started.
-func (s *Service) PendingStored(ctx context.Context, queue string) int {
+// PendingStored returns the number of stored jobs of a queue of which no task has
+// started, as it was two seconds ago or later. It returns a *PendingUnknownError if the
+// owner of some jobs cannot be asked, and has not answered recently.
+func (s *Service) PendingStored(ctx context.Context, queue string) (int, error) {
 	if s.storedJobs == nil {
-		return 0
+		return 0, nil
 	}
 	return s.storedJobs.pendingJobs(ctx, queue)
 }
