Show a job that has begun as running at the next owner, too

What callers saw: after a change of the owner, a job of which a run had ended was shown as queued, and counted as pending, until its next run began. The protocol calls a job queued only while no task has started.

Test: TestBegunJobIsNotPendingAtTheNextOwner failed before. A job whose run has begun and not ended is still counted after a takeover, until its new holder reports a start: begun runs are not on the log.

--- a/dispatch/stored/apply.go
+++ b/dispatch/stored/apply.go
@@ -45,11 +45,19 @@
 	case JobSnapshot:
 		s.applySnapshot(e, offset)
 	case TaskEnded:
-		if j != nil && !j.state.Ended() && j.applyTaskEnded(e) {
+		if j == nil || j.state.Ended() {
+			return
+		}
+		j.state = Running
+		if j.applyTaskEnded(e) {
 			j.markEnded(j.finalState(), s.now)
 		}
 	case TaskLost:
-		if j != nil && !j.state.Ended() && j.applyTaskLost(e) {
+		if j == nil || j.state.Ended() {
+			return
+		}
+		j.state = Running
+		if j.applyTaskLost(e) {
 			j.markEnded(Failed, s.now)
 		}
 	case JobCancelled:
@@ -104,6 +112,9 @@
 	}
 	j := newJobState(e.Spec, s.now)
 	j.stored, j.offset, j.writtenAt = true, offset, s.replayedAt()
+	if e.State == Running {
+		j.state = Running
+	}
 	s.jobs[e.Job] = j
 	for i := range e.Progress {
 		j.restoreProgress(&e.Progress[i])
--- a/dispatch/stored/runs_test.go
+++ b/dispatch/stored/runs_test.go
@@ -139,3 +139,27 @@
 		t.Errorf("state %v, want completed", state)
 	}
 }
+
+// Guards against a job that the next owner shows as queued, and counts as pending, though
+// the log says that a run of it has ended.
+func TestBegunJobIsNotPendingAtTheNextOwner(t *testing.T) {
+	accepted := Event{Kind: JobAccepted, Job: "a", Spec: specOf(testJob("a", 2))}
+	for name, events := range map[string][]Event{
+		"done":     {accepted, {Kind: TaskEnded, Job: "a", Task: taskOf("a", 0), Run: runOn("x"), Done: true}},
+		"failed":   {accepted, {Kind: TaskEnded, Job: "a", Task: taskOf("a", 0), Run: runOn("x")}},
+		"lost":     {accepted, {Kind: TaskLost, Job: "a", Task: taskOf("a", 0), Run: runOn("x")}},
+		"snapshot": {{Kind: JobSnapshot, Job: "a", State: Running, Spec: specOf(testJob("a", 2))}},
+	} {
+		s := New(testOptions())
+		s.Replay(start, 0, events)
+		s.FinishReplay(start)
+		if state, n := s.State("a"), s.Pending()["q"]; state != Running || n != 0 {
+			t.Errorf("%s: state %v, %d pending, want running, 0", name, state, n)
+		}
+	}
+	s := New(testOptions())
+	s.Replay(start, 0, []Event{accepted})
+	if n := s.Pending()["q"]; n != 1 {
+		t.Errorf("no run has ended: %d pending, want 1", n)
+	}
+}
