--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -62,8 +62,11 @@
 	adopting          []*job               // delegated tasks whose earlier runs are searched for
 	doneUnclaimed     map[TaskID]time.Time // when a run that no job claimed was listed as done
 	storedDone        map[TaskID]time.Time // done tasks of stored jobs
-	someUnreachable   bool                 // some entries cannot be reached
-	reachableSince    time.Time            // when all entries became reachable
+	uncounted         map[TaskID][]reportedEnd
+	counted           map[TaskID]countedTask
+	heldAnswers       map[TaskID][]heldAnswer
+	someUnreachable   bool      // some entries cannot be reached
+	reachableSince    time.Time // when all entries became reachable
 	unseen            unseenRuns
 	callers           map[Ticket]ticketCaller // entries that wait for tickets; those of this entry are absent
 	contacts          map[uint64]time.Time    // when these entries were last heard
@@ -107,6 +110,9 @@
 		freeIndex:     &freeIndex{},
 		doneUnclaimed: make(map[TaskID]time.Time),
 		storedDone:    make(map[TaskID]time.Time),
+		uncounted:     make(map[TaskID][]reportedEnd),
+		counted:       make(map[TaskID]countedTask),
+		heldAnswers:   make(map[TaskID][]heldAnswer),
 		unseen:        make(unseenRuns),
 		callers:       make(map[Ticket]ticketCaller),
 		contacts:      make(map[uint64]time.Time),
@@ -153,8 +159,8 @@
 		c.delegateReply(in)
 	case *ReportStored:
 		c.reportStored(in)
-	case *DoneTask:
-		c.taskDoneElsewhere(in.Task)
+	case *TaskUpdate:
+		c.learn(in.Task, &in.Progress, true)
 	case *Pause:
 		c.startsPausedUntil = c.now.Add(in.For)
 		c.forgetContacts()
@@ -199,6 +205,7 @@
 	}
 	c.expireAnnouncements()
 	c.forgetStoredDone()
+	c.forgetCounted()
 	for id, at := range c.doneUnclaimed {
 		if c.now.Sub(at) > claimTimeout {
 			delete(c.doneUnclaimed, id)
--- a/dispatch/leased/crash.go
+++ b/dispatch/leased/crash.go
@@ -72,7 +72,7 @@
 	t.losses = max(0, t.losses-1)
 	t.crashes.Add(lost.alone)
 	if t.crashes.Guilty() {
-		c.finish(t.job, Failed, "one of its tasks crashes the endpoints that run it", 0)
+		c.finish(t.job, Failed, guiltyReason, 0)
 		return
 	}
 	c.resumeIfCleared(t)
--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -216,7 +216,36 @@
 		c.forgetAnnounced(t.delegate)
 	}
 	t.evidence = EvidenceDelegate
-	c.taskRunEnded(t, in.End, in.Checkpoint)
+	switch {
+	case in.Progress != nil && in.End == EndFailed:
+		c.delegatedRunFailed(t, in)
+		return
+	case in.Progress != nil:
+		c.learn(t.id, in.Progress, false)
+	case t.learnedAt.After(t.delegatedAt):
+		// The owner has told of this end, which taskRunEnded adds.
+		if in.End == EndEndpointLost {
+			t.losses--
+		}
+		if in.End == EndFailed {
+			t.failures--
+		}
+	}
+	if t.state == delegatedTask {
+		c.taskRunEnded(t, in.End, in.Checkpoint)
+	}
+}
+
+// delegatedRunFailed applies the failure of a delegated task, which the owner of the stored
+// job has counted.
+func (c *Core) delegatedRunFailed(t *task, in *DelegateReply) {
+	t.state = waitingTask
+	t.job.failed = true
+	if in.Checkpoint != "" {
+		t.checkpoint = in.Checkpoint
+	}
+	c.enqueue(t.job)
+	c.learn(t.id, in.Progress, false)
 }
 
 // forgetAnnounced discards the free capacity of a holder until its next
@@ -252,6 +281,10 @@
 		c.adopting = append(c.adopting, j)
 		return
 	}
+	if c.awaitsCount(t.id) { // the delegator lacks a failure that is known here
+		c.answerDelegatedNow(j, d.Run, EndNoCapacity)
+		return
+	}
 	if _, done := c.storedDone[t.id]; done && isStoredRun(d.Run) {
 		c.answerDelegatedNow(j, d.Run, EndDone) // the delegator did not receive the answer
 		return
@@ -319,6 +352,9 @@
 		c.answerDelegatedNow(j, t.runs, EndDone)
 		return true
 	}
+	if c.awaitsCount(t.id) {
+		return false
+	}
 	if c.openTask(t.id) == nil && c.polledSince(j.cell, j.arrived) {
 		c.answerDelegatedNow(j, t.runs, EndNotRun)
 		return true
@@ -385,7 +421,9 @@
 	c.forgetDelegated(j)
 	for _, ticket := range j.tickets {
 		c.dropTicket(ticket)
-		c.out.DelegatedAnswers = append(c.out.DelegatedAnswers, DelegatedAnswer{Ticket: ticket, Task: t.id, Run: run, End: end, Checkpoint: checkpoint})
+		c.out.DelegatedAnswers = append(c.out.DelegatedAnswers, DelegatedAnswer{
+			Ticket: ticket, Task: t.id, Run: run, End: end, Checkpoint: checkpoint, Progress: c.countedProgress(t.id),
+		})
 	}
 	j.tickets = nil
 }
--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -112,6 +112,8 @@
 	Losses      int          // endpoints that were lost with the task for a reason that is not known
 	LastRun     int          // highest run number
 	Checkpoint  string       // newest checkpoint
+	// JobEnded reports that the job has ended: no task of it is started again.
+	JobEnded bool
 	// Counted lists the runs that Failures, Crashes and Losses count. It is set in
 	// snapshots only, to recognize reports that are repeated.
 	Counted []CountedRun
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -13,7 +13,8 @@
 	waitingTask taskState = iota
 	placedTask
 	delegatedTask
-	suspended // waits to learn whether it has crashed its endpoints
+	suspended     // waits to learn whether it has crashed its endpoints
+	uncountedTask // delegated to this core, failed, and not returned before that is counted
 	doneTask
 )
 
@@ -27,6 +28,7 @@
 	crashes        blame.Record // of endpoints that ran the task
 	losses         int          // endpoints that were lost with the task, and may have crashed
 	lostAt         time.Time    // when the last of them was lost
+	learnedAt      time.Time    // when the owner of the stored job last told what it knows
 	suspendedUntil time.Time
 	runs           int           // number of the newest run
 	moves          int           // runs stopped because of too little progress
@@ -218,8 +220,8 @@
 		if n := len(t.failedOn); n > 0 {
 			t.avoid = t.failedOn[n-1]
 		}
-		if t.failures >= max(1, t.job.MaxAttempts) {
-			c.finish(t.job, Failed, "a task has used up its attempts", 0)
+		if t.usedUp() {
+			c.finish(t.job, Failed, usedUpReason, 0)
 			return
 		}
 	case EndNoCapacity:
--- a/dispatch/leased/leasedtest/endpoint.go
+++ b/dispatch/leased/leasedtest/endpoint.go
@@ -50,6 +50,10 @@
 	Fails     bool // new runs fail
 	Unhealthy bool // refuses new runs
 	Unguarded bool // starts runs beyond its capacity
+	// OnEnded is called when a run ends, and OnAcknowledged when its end is acknowledged;
+	// lapsed tells that the lease has expired between the two. Nil: not called.
+	OnEnded        func(leased.EndedRun)
+	OnAcknowledged func(end leased.EndedRun, lapsed bool)
 	// PageSize bounds the ended runs of a list; 0: a list has all of them.
 	PageSize int
 
@@ -59,6 +63,8 @@
 	runs             map[leased.TaskID]*Run
 	highestRun       map[leased.TaskID]int // number of the newest run that was stopped or has ended
 	ended            []leased.EndedRun
+	endedAt          map[int64]time.Duration // by number of the ended run
+	lapsedAt         time.Duration           // when the lease last expired, as far as it was extended since
 	lastNumber       int64
 	startCount       int
 }
@@ -82,6 +88,8 @@
 	e.runs = make(map[leased.TaskID]*Run)
 	e.highestRun = make(map[leased.TaskID]int)
 	e.ended = nil
+	e.endedAt = make(map[int64]time.Duration)
+	e.lapsedAt = 0
 	e.lastNumber = 0
 }
 
@@ -133,11 +141,11 @@
 	for _, r := range e.Running() {
 		switch {
 		case r.stopsAt > 0 && r.stopsAt <= now && r.stopsAt <= r.EndsAt:
-			e.end(r, leased.EndStopped)
+			e.end(r, leased.EndStopped, now)
 		case r.EndsAt <= now && r.EndsAt <= e.leaseEnd:
-			e.end(r, endOf(r))
+			e.end(r, endOf(r), now)
 		case e.leaseEnd <= now:
-			e.end(r, leased.EndLapsed)
+			e.end(r, leased.EndLapsed, now)
 		}
 	}
 	return e.lastNumber > before
@@ -150,8 +158,9 @@
 	return leased.EndDone
 }
 
-func (e *Endpoint) end(r Run, end leased.End) {
+func (e *Endpoint) end(r Run, end leased.End, now time.Duration) {
 	delete(e.runs, r.Task)
+	e.endedAt[e.lastNumber+1] = now
 	e.highestRun[r.Task] = max(e.highestRun[r.Task], r.Number)
 	e.AddEnded(r.Task, r.Number, end)
 }
@@ -159,10 +168,28 @@
 // AddEnded adds a run to the list of ended runs.
 func (e *Endpoint) AddEnded(task leased.TaskID, run int, end leased.End) {
 	e.lastNumber++
-	e.ended = append(e.ended, leased.EndedRun{Number: e.lastNumber, Task: task, Run: run, End: end})
+	ended := leased.EndedRun{Number: e.lastNumber, Task: task, Run: run, End: end}
+	e.ended = append(e.ended, ended)
+	if e.OnEnded != nil {
+		e.OnEnded(ended)
+	}
+}
+
+// acknowledge forgets the ends up to a number.
+func (e *Endpoint) acknowledge(lastSeen int64) {
+	e.ended = slices.DeleteFunc(e.ended, func(end leased.EndedRun) bool {
+		acknowledged := end.Number <= lastSeen
+		if acknowledged && e.OnAcknowledged != nil {
+			e.OnAcknowledged(end, e.endedAt[end.Number] < e.lapsedAt)
+		}
+		return acknowledged
+	})
 }
 
 func (e *Endpoint) extend(now, until time.Duration) {
+	if e.leaseEnd <= now {
+		e.lapsedAt = max(e.lapsedAt, e.leaseEnd)
+	}
 	e.leaseEnd = max(e.leaseEnd, min(until, now+e.MaxLease))
 }
 
@@ -246,7 +273,7 @@
 	if request.Until > 0 {
 		e.extend(now, request.Until)
 	}
-	e.ended = slices.DeleteFunc(e.ended, func(end leased.EndedRun) bool { return end.Number <= request.LastSeen })
+	e.acknowledge(request.LastSeen)
 	return e.List(now, request.Sequence)
 }
 
--- a/dispatch/leased/message.go
+++ b/dispatch/leased/message.go
@@ -103,6 +103,7 @@
 	Run        int
 	End        End
 	Checkpoint string
+	Progress   *TaskProgress // as in DelegatedAnswer
 }
 
 // ReportStored states that the reported end of a run is stored, so the endpoint
@@ -111,11 +112,19 @@
 	Endpoint         EndpointID
 	IncarnationStart int64 // of the endpoint
 	Number           int64 // of the ended run
+	Task             TaskID
+	Run              int
+	// Progress is what the owner of the job knows of the task, including this end; nil: it
+	// has not told.
+	Progress *TaskProgress
 }
 
-// DoneTask states that a task of a stored job is done, as another holder has
-// reported.
-type DoneTask struct{ Task TaskID }
+// TaskUpdate states what the owner of a stored job has learned of a task from other
+// holders.
+type TaskUpdate struct {
+	Task     TaskID
+	Progress TaskProgress
+}
 
 // Pause states that this process was frozen. No task is started for a while,
 // because waiting jobs may have been cancelled in the meantime.
@@ -138,7 +147,7 @@
 func (*HoldReply) isInput()            {}
 func (*DelegateReply) isInput()        {}
 func (*ReportStored) isInput()         {}
-func (*DoneTask) isInput()             {}
+func (*TaskUpdate) isInput()           {}
 func (*Pause) isInput()                {}
 func (*CallerContact) isInput()        {}
 func (*Tick) isInput()                 {}
@@ -342,6 +351,9 @@
 	Run        int
 	End        End
 	Checkpoint string
+	// Progress is what the owner of a stored job has told the delegate of the task; nil: it
+	// has told nothing recently. It includes a run that has failed.
+	Progress *TaskProgress
 }
 
 // Delegate asks the holder of another cell to run a task.
--- a/dispatch/leased/owner_test.go
+++ b/dispatch/leased/owner_test.go
@@ -20,6 +20,8 @@
 	lastTicket stored.Ticket
 	unstored   map[stored.Ticket]sentReport
 	offers     map[leased.JobID]activeOffer
+	// stalledUntil is when appends are stored that are sent before.
+	stalledUntil time.Duration
 }
 
 type sentReport struct {
@@ -57,17 +59,28 @@
 func (o *owner) perform(out *stored.Actions) {
 	for _, a := range out.Appends {
 		shard, events := o.shard, slices.Clone(a.Events)
-		o.sim.after(appendTime, func() { o.appended(shard, a.Sequence, events) })
+		o.sim.after(appendTime+max(0, o.stalledUntil-o.sim.now), func() { o.appended(shard, a.Sequence, events) })
 	}
 	for _, r := range slices.Clone(out.Replies) {
 		if sent, ok := o.unstored[r.Ticket]; ok && r.Result == stored.Stored {
 			delete(o.unstored, r.Ticket)
 			p := sent.report
+			var progress *leased.TaskProgress
+			if len(r.Progress) > 0 {
+				progress = &r.Progress[0]
+			}
 			o.sim.after(networkDelay, func() {
-				o.sim.step(sent.core, &leased.ReportStored{Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number})
+				o.sim.step(sent.core, &leased.ReportStored{
+					Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number, Task: p.Task, Run: p.Run, Progress: progress,
+				})
 			})
 		}
 	}
+	for _, u := range slices.Clone(out.Updates) {
+		if a, ok := o.offers[u.Task.Job]; ok && u.From != uint64(a.core+1) {
+			o.sim.after(networkDelay, func() { o.sim.step(a.core, &leased.TaskUpdate{Task: u.Task, Progress: u.Progress}) })
+		}
+	}
 	for _, id := range slices.Clone(out.Withdrawals) {
 		o.withdraw(id)
 	}
@@ -76,6 +89,21 @@
 	}
 }
 
+// stall lets appends to the log wait for a time. All offers are withdrawn for that time.
+func (o *owner) stall(d time.Duration) {
+	o.stalledUntil = o.sim.now + d
+	suspended := make(map[leased.JobID]activeOffer)
+	for _, id := range slices.Sorted(maps.Keys(o.offers)) {
+		suspended[id] = o.offers[id]
+		o.withdraw(id)
+	}
+	o.sim.after(d, func() {
+		for _, id := range slices.Sorted(maps.Keys(suspended)) {
+			o.step(&stored.Outcome{Job: id, Attempt: suspended[id].attempt, Lost: true, Begun: true})
+		}
+	})
+}
+
 // appended stores a batch, unless its owner was replaced in the meantime.
 func (o *owner) appended(shard *stored.Shard, sequence uint64, events []stored.Event) {
 	if shard != o.shard {
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -71,6 +71,9 @@
 	if t.state != waitingTask || c.runs[t.id] != nil || c.unseen.possible(t.id, c.now) {
 		return false
 	}
+	if c.awaitsCount(t.id) {
+		return false
+	}
 	return !c.unheard(t.job) && !c.mayHaveEnded(t)
 }
 
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -183,7 +183,11 @@
 		Endpoint: e.ID, Task: r.id, Run: r.number, End: end, Took: e.runTime(r, c.now), Expected: r.expected, Failures: t.failures,
 	})
 	c.observeEnd(e, r, end)
-	if t.job.delegated {
+	switch {
+	case t.job.delegated && end == EndFailed && c.awaitsCount(t.id):
+		c.holdAnswer(t.job, r.number, checkpoint)
+		return
+	case t.job.delegated:
 		c.answerDelegated(t.job, r.number, end, checkpoint)
 		return
 	}
--- a/dispatch/leased/sim_holders_test.go
+++ b/dispatch/leased/sim_holders_test.go
@@ -57,11 +57,11 @@
 		return
 	}
 	delete(sim.delegations, a.Task)
-	end := a.End
+	reply := &leased.DelegateReply{Task: a.Task, Run: d.run, End: a.End, Progress: a.Progress}
 	if sim.delegateAnswersLost {
-		end = leased.EndUnknown
+		reply.End, reply.Progress = leased.EndUnknown, nil
 	}
-	sim.after(2*networkDelay, func() { sim.step(d.from, &leased.DelegateReply{Task: a.Task, Run: d.run, End: end}) })
+	sim.after(2*networkDelay, func() { sim.step(d.from, reply) })
 }
 
 // shareFreeCapacity makes the cores announce their free capacity to each other.
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -291,7 +291,7 @@
 func (sim *simulation) storeReports() {
 	for _, r := range sim.reports {
 		for core := range sim.cores {
-			sim.step(core, &leased.ReportStored{Endpoint: r.Endpoint, IncarnationStart: r.IncarnationStart, Number: r.Number})
+			sim.step(core, &leased.ReportStored{Endpoint: r.Endpoint, IncarnationStart: r.IncarnationStart, Number: r.Number, Task: r.Task, Run: r.Run})
 		}
 	}
 }
--- a/dispatch/leased/stored.go
+++ b/dispatch/leased/stored.go
@@ -34,6 +34,8 @@
 	e.unreported[end.Number] = end.Task
 	if end.End == EndDone {
 		c.storedDone[end.Task] = c.now
+	} else {
+		c.awaitCount(end.Task, reportedEnd{RunID{end.Run, e.ID, e.Born}, end.Number})
 	}
 	c.out.Reports = append(c.out.Reports, Report{
 		Endpoint: e.ID, IncarnationStart: e.Born, Number: end.Number, Task: end.Task, Run: end.Run, End: end.End, Checkpoint: end.Checkpoint,
@@ -100,8 +102,10 @@
 	}
 }
 
-// reportStored allows an ended run to be acknowledged to its endpoint.
+// reportStored allows an ended run to be acknowledged to its endpoint, and its task to go
+// on.
 func (c *Core) reportStored(in *ReportStored) {
+	c.endCounted(in.Task, reportedEnd{RunID{in.Run, in.Endpoint, in.IncarnationStart}, in.Number}, in.Progress)
 	e := c.endpoints[in.Endpoint]
 	if e == nil || e.Born != in.IncarnationStart {
 		return
@@ -152,10 +156,9 @@
 // mergeProgress applies newer progress from the owner of a stored job to a job
 // that was submitted here before.
 func (c *Core) mergeProgress(job *Job) {
-	for _, p := range job.Progress {
-		if p.Done {
-			c.taskDoneElsewhere(TaskID{Job: job.ID, Step: p.Step, Index: p.Index})
-		}
+	for i := range job.Progress {
+		p := &job.Progress[i]
+		c.learn(TaskID{Job: job.ID, Step: p.Step, Index: p.Index}, p, false)
 	}
 }
 
@@ -168,7 +171,7 @@
 	}
 	for _, p := range j.Progress {
 		t := j.task(TaskID{Job: j.ID, Step: p.Step, Index: p.Index})
-		if t == nil {
+		if t == nil || t.state == doneTask {
 			continue
 		}
 		t.runs = max(t.runs, p.LastRun)
--- a/dispatch/leased/stored_test.go
+++ b/dispatch/leased/stored_test.go
@@ -175,7 +175,7 @@
 	sim := newSimulation(t, 1, 1)
 	sim.addEndpoints(0, 1)
 	sim.runUntil(100 * time.Millisecond)
-	sim.step(0, &leased.DoneTask{Task: leased.TaskID{Job: "j"}})
+	sim.step(0, doneUpdate(leased.TaskID{Job: "j"}))
 	sim.submitJob(0, storedJob("j", 2, 100*time.Millisecond), 100*time.Millisecond)
 	sim.runUntil(time.Second)
 	if n := sim.startCounts[leased.TaskID{Job: "j"}]; n != 0 {
@@ -312,12 +312,12 @@
 	sim.runUntil(100 * time.Millisecond)
 	sim.submitJob(0, storedJob("j", 2, time.Second), time.Second)
 	sim.runUntil(200 * time.Millisecond)
-	sim.step(0, &leased.DoneTask{Task: leased.TaskID{Job: "j", Index: 0}})
+	sim.step(0, doneUpdate(leased.TaskID{Job: "j", Index: 0}))
 	sim.runUntil(400 * time.Millisecond)
 	if n := len(sim.endpoints["e00"].Running()); n != 1 {
 		t.Errorf("%d runs, want only that of the other task", n)
 	}
-	sim.step(0, &leased.DoneTask{Task: leased.TaskID{Job: "j", Index: 1}})
+	sim.step(0, doneUpdate(leased.TaskID{Job: "j", Index: 1}))
 	if a := sim.answers["j"]; a.Verdict != leased.Completed || a.Took == 0 {
 		t.Errorf("answer %+v, want completed", a)
 	}
@@ -343,7 +343,7 @@
 		t.Errorf("a job without earlier runs: %+v, want completed", a)
 	}
 	sim.step(0, &leased.SetReachability{SomeUnreachable: false})
-	sim.after(time.Second, func() { sim.step(0, &leased.DoneTask{Task: leased.TaskID{Job: "j"}}) })
+	sim.after(time.Second, func() { sim.step(0, doneUpdate(leased.TaskID{Job: "j"})) })
 	sim.runUntil(9 * time.Second)
 	if n := sim.startCounts[leased.TaskID{Job: "j"}]; n != 0 {
 		t.Errorf("the task was started %d times, though its end was reported", n)
@@ -367,3 +367,8 @@
 		t.Errorf("answer %+v, want completed", a)
 	}
 }
+
+// doneUpdate returns an update which says that a task is done.
+func doneUpdate(task leased.TaskID) *leased.TaskUpdate {
+	return &leased.TaskUpdate{Task: task, Progress: leased.TaskProgress{Step: task.Step, Index: task.Index, Done: true}}
+}
--- a/dispatch/leased/submit.go
+++ b/dispatch/leased/submit.go
@@ -90,6 +90,9 @@
 func (c *Core) submitStored(j *job) {
 	c.jobs[j.ID] = j
 	c.restoreProgress(j)
+	if c.learnCounted(j); c.jobs[j.ID] != j {
+		return
+	}
 	if j.complete() {
 		c.finish(j, Completed, "", 0)
 		return
--- a/dispatch/stored/apply.go
+++ b/dispatch/stored/apply.go
@@ -150,6 +150,8 @@
 	case TaskEnded, TaskLost:
 		if j.state.Ended() {
 			s.out.Withdrawals = append(s.out.Withdrawals, j.id)
+		} else if p.event.Kind == TaskLost && p.event.Loss.Cause != leased.LossUnexplained {
+			s.update(j, p.event.Task, p.from)
 		}
 	}
 }
@@ -167,13 +169,33 @@
 	}
 	switch {
 	case mustWait:
+		s.reports[in.Ticket] = in.Tasks
 	case unknown:
-		s.reply(in.Ticket, NoSuchJob)
+		s.replyToReport(in.Ticket, NoSuchJob, in.Tasks)
 	default:
-		s.reply(in.Ticket, Stored)
+		s.replyToReport(in.Ticket, Stored, in.Tasks)
 	}
 }
 
+// replyToReport answers a report, with what is known about its tasks.
+func (s *Shard) replyToReport(t Ticket, r Result, tasks []TaskReport) {
+	if t == 0 {
+		return
+	}
+	reply := Reply{Ticket: t, Result: r}
+	if slices.ContainsFunc(tasks, func(r TaskReport) bool { return r.Lost || !r.Begun && !r.Done }) {
+		for i := range tasks {
+			reply.Progress = append(reply.Progress, s.jobs[tasks[i].Task.Job].progressOf(tasks[i].Task))
+		}
+	}
+	s.out.Replies = append(s.out.Replies, reply)
+}
+
+// update notifies the holder of a job of what has become known about a task.
+func (s *Shard) update(j *jobState, task leased.TaskID, from uint64) {
+	s.out.Updates = append(s.out.Updates, TaskUpdate{Task: task, From: from, Progress: j.progressOf(task)})
+}
+
 // handleTaskReport returns true if the report has to wait until an event is
 // stored.
 func (s *Shard) handleTaskReport(in *Report, r *TaskReport) bool {
@@ -193,9 +215,12 @@
 	if r.Begun || !r.Done && t.hasFailed(r.Run) {
 		return false
 	}
-	if r.Done && !t.reportedDone {
+	switch {
+	case r.Done && !t.reportedDone:
 		j.markReportedDone(t)
-		s.out.DoneTasks = append(s.out.DoneTasks, DoneTask{Task: r.Task, From: in.From})
+		s.update(j, r.Task, in.From)
+	case !r.Done && t.addNewFailure(r.Run):
+		s.update(j, r.Task, in.From)
 	}
 	event := Event{Kind: TaskEnded, Job: j.id, Task: r.Task, Run: r.Run, Done: r.Done, Checkpoint: r.Checkpoint}
 	if !s.joinPending(&event, in.Ticket) {
--- a/dispatch/stored/batch.go
+++ b/dispatch/stored/batch.go
@@ -113,6 +113,11 @@
 			}
 		}
 	}
+	if tasks, isReport := s.reports[t]; isReport {
+		delete(s.reports, t)
+		s.replyToReport(t, Stored, tasks)
+		return
+	}
 	s.reply(t, Stored)
 }
 
--- a/dispatch/stored/blame_test.go
+++ b/dispatch/stored/blame_test.go
@@ -156,7 +156,7 @@
 			}
 			s.Step(start, crashReport(1, "a", 2, true))
 			out = s.Step(start, &Appended{Sequence: 1, Offset: 9})
-			wantReplies(t, out, Reply{1, Stored})
+			wantReplies(t, out, Reply{Ticket: 1, Result: Stored})
 			if s.State("a") != Failed || len(out.Withdrawals) != 1 {
 				t.Errorf("after the second crash: state %v, withdrawals %v", s.State("a"), out.Withdrawals)
 			}
@@ -175,14 +175,14 @@
 	s.Step(start, crashReport(2, "a", 1, true))
 	s.Step(start, &Appended{Sequence: 2})
 	out := s.Step(start, crashReport(3, "a", 1, true))
-	wantReplies(t, out, Reply{3, Stored})
+	wantReplies(t, out, Reply{Ticket: 3, Result: Stored})
 	if s.State("a") != Running {
 		t.Fatalf("one crash, reported twice: state %v, want running", s.State("a"))
 	}
 	s.Step(start, doneReport(4, "a", 0, 2))
 	s.Step(start, &Appended{Sequence: 3})
 	out = s.Step(start.Add(time.Second), crashReport(5, "a", 3, true))
-	wantReplies(t, out, Reply{5, Stored})
+	wantReplies(t, out, Reply{Ticket: 5, Result: Stored})
 	if s.State("a") != Completed {
 		t.Errorf("a crash reported after the task was done: state %v, want completed", s.State("a"))
 	}
--- a/dispatch/stored/crash_test.go
+++ b/dispatch/stored/crash_test.go
@@ -70,8 +70,8 @@
 			delete(sim.knownDone, taskOf(o.Job.ID, index))
 		}
 	}
-	for _, done := range out.DoneTasks {
-		sim.knownDone[done.Task] = true
+	for _, u := range out.Updates {
+		sim.knownDone[u.Task] = sim.knownDone[u.Task] || u.Progress.Done
 	}
 	for _, id := range out.Withdrawals {
 		delete(sim.offers, id)
--- a/dispatch/stored/job.go
+++ b/dispatch/stored/job.go
@@ -37,6 +37,7 @@
 	done         bool
 	reportedDone bool // possibly not stored yet
 	failedRuns   []leased.RunID
+	newFailures  []leased.RunID // reported, and not stored yet
 	lostRuns     []runLoss
 	crashes      blame.Record // of endpoints that ran the task
 	losses       int          // of unknown cause
@@ -109,6 +110,7 @@
 		j.markReportedDone(t)
 		return j.unfinished == 0
 	}
+	t.newFailures = slices.DeleteFunc(t.newFailures, func(run leased.RunID) bool { return run == e.Run })
 	if !t.hasFailed(e.Run) {
 		t.failedRuns = append(t.failedRuns, e.Run)
 	}
@@ -133,7 +135,20 @@
 	return t.crashes.Guilty()
 }
 
-// hasFailed reports whether the failure of a run is known.
+// failures counts the runs that have failed, stored or not.
+func (t *taskState) failures() int { return len(t.failedRuns) + len(t.newFailures) }
+
+// addNewFailure records a failure that is reported and not stored yet. It returns false if
+// it was reported before.
+func (t *taskState) addNewFailure(run leased.RunID) bool {
+	if slices.ContainsFunc(t.newFailures, run.Same) {
+		return false
+	}
+	t.newFailures = append(t.newFailures, run)
+	return true
+}
+
+// hasFailed reports whether the failure of a run is stored.
 func (t *taskState) hasFailed(run leased.RunID) bool {
 	return slices.ContainsFunc(t.failedRuns, run.Same)
 }
@@ -201,22 +216,57 @@
 	return Failed
 }
 
-// progress lists what is known about the tasks, for a holder or for a snapshot. In a
-// snapshot, tasks count as done only once that is stored.
+// usedUp reports whether a task has failed as often as it may, as stored or not: the job
+// ends once that is stored.
+func (j *jobState) usedUp() bool {
+	for _, t := range j.tasks {
+		if t.failures() >= max(1, j.spec.MaxAttempts) {
+			return true
+		}
+	}
+	return false
+}
+
+// taskProgress returns what is known about a task, stored or not.
+func (t *taskState) taskProgress(key taskKey) leased.TaskProgress {
+	return leased.TaskProgress{
+		Step: key.step, Index: key.index, Done: t.done || t.reportedDone, Failures: t.failures(),
+		Crashes: t.crashes, Losses: t.losses, LastRun: t.lastRun, Checkpoint: t.checkpoint,
+	}
+}
+
+// storedProgress returns what is stored about a task, for a snapshot.
+func (t *taskState) storedProgress(key taskKey) leased.TaskProgress {
+	p := t.taskProgress(key)
+	p.Done, p.Failures, p.Counted = t.done, len(t.failedRuns), t.countedRuns()
+	return p
+}
+
+// progressOf returns what is known about a task of the job. Of a job that has ended, that
+// is all.
+func (j *jobState) progressOf(id leased.TaskID) leased.TaskProgress {
+	key := taskKey{id.Step, id.Index}
+	if j == nil || j.state.Ended() {
+		return leased.TaskProgress{Step: key.step, Index: key.index, JobEnded: true}
+	}
+	if t := j.task(id); t != nil {
+		return t.taskProgress(key)
+	}
+	return leased.TaskProgress{Step: key.step, Index: key.index}
+}
+
+// progress lists what is known about the tasks, for a holder or for a snapshot, which
+// contains what is stored only.
 func (j *jobState) progress(snapshot bool) []leased.TaskProgress {
 	list := make([]leased.TaskProgress, 0, len(j.tasks))
 	for key, t := range j.tasks {
-		done := t.done || t.reportedDone && !snapshot
-		if !done && len(t.failedRuns) == 0 && t.lastRun == 0 {
-			continue
-		}
-		p := leased.TaskProgress{
-			Step: key.step, Index: key.index, Done: done, Failures: len(t.failedRuns), Crashes: t.crashes, Losses: t.losses, LastRun: t.lastRun, Checkpoint: t.checkpoint,
-		}
+		p := t.taskProgress(key)
 		if snapshot {
-			p.Counted = t.countedRuns()
+			p = t.storedProgress(key)
+		}
+		if p.Done || p.Failures > 0 || p.LastRun > 0 {
+			list = append(list, p)
 		}
-		list = append(list, p)
 	}
 	slices.SortFunc(list, func(a, b leased.TaskProgress) int {
 		if a.Step != b.Step {
--- a/dispatch/stored/message.go
+++ b/dispatch/stored/message.go
@@ -75,12 +75,12 @@
 	Replies     []Reply
 	Offers      []Offer
 	Withdrawals []leased.JobID // jobs that have ended; their offers are to be withdrawn
-	DoneTasks   []DoneTask
+	Updates     []TaskUpdate
 	Trims       []int64 // offsets before which records are no longer needed
 }
 
 func (a *Actions) reset() {
-	*a = Actions{a.Appends[:0], a.Replies[:0], a.Offers[:0], a.Withdrawals[:0], a.DoneTasks[:0], a.Trims[:0]}
+	*a = Actions{a.Appends[:0], a.Replies[:0], a.Offers[:0], a.Withdrawals[:0], a.Updates[:0], a.Trims[:0]}
 }
 
 // Append is a batch of events to be stored as one record.
@@ -107,6 +107,9 @@
 type Reply struct {
 	Ticket Ticket
 	Result Result
+	// Progress lists what is known about the tasks of a Report, in their order, if the
+	// Report has a run that has not succeeded; otherwise it is nil.
+	Progress []leased.TaskProgress
 }
 
 // Offer offers a job to a holder of endpoints.
@@ -115,9 +118,10 @@
 	Job     leased.Job // including its progress
 }
 
-// DoneTask says that a task is done. The entry that reported it may differ from
-// the one that the job was offered to.
-type DoneTask struct {
-	Task leased.TaskID
-	From uint64 // incarnation of the entry that reported it
+// TaskUpdate says what has become known about a task of an offered job. The entry that
+// reported it may differ from the one that the job was offered to.
+type TaskUpdate struct {
+	Task     leased.TaskID
+	From     uint64 // incarnation of the entry that reported it
+	Progress leased.TaskProgress
 }
--- a/dispatch/stored/runs_test.go
+++ b/dispatch/stored/runs_test.go
@@ -77,11 +77,11 @@
 				first := s.Step(start, reportOf(2, c.first))
 				if stored {
 					store(first)
-					wantReplies(t, store(s.Step(start, reportOf(3, c.second))), Reply{3, Stored})
+					wantReplies(t, store(s.Step(start, reportOf(3, c.second))), Reply{Ticket: 3, Result: Stored})
 				} else {
 					batches = append(batches, first.Appends[0].Events)
 					wantReplies(t, s.Step(start, reportOf(3, c.second)))
-					wantReplies(t, store(s.Step(start, &Appended{Sequence: s.sequence})), Reply{3, Stored})
+					wantReplies(t, store(s.Step(start, &Appended{Sequence: s.sequence})), Reply{Ticket: 3, Result: Stored})
 				}
 				next := New(testOptions())
 				for offset, events := range batches {
@@ -131,7 +131,7 @@
 	s.Step(start, reportOf(2, TaskReport{Run: leased.RunID{Number: 17}}))
 	s.Step(start, &Appended{Sequence: 2})
 	out := s.Step(start, reportOf(3, TaskReport{Run: runOn("x")}))
-	wantReplies(t, out, Reply{3, Stored})
+	wantReplies(t, out, Reply{Ticket: 3, Result: Stored})
 	out = s.Step(start, reportOf(4, TaskReport{Run: leased.RunID{Number: 17}, Done: true}))
 	wantReplies(t, out)
 	s.Step(start, &Appended{Sequence: 3})
--- a/dispatch/stored/shard.go
+++ b/dispatch/stored/shard.go
@@ -43,8 +43,9 @@
 	opts         Options
 	now          time.Time
 	jobs         map[leased.JobID]*jobState
-	waiting      []pendingEvent // for the next batch
-	inFlight     []pendingEvent // the batch that is being stored
+	reports      map[Ticket][]TaskReport // that wait for the log
+	waiting      []pendingEvent          // for the next batch
+	inFlight     []pendingEvent          // the batch that is being stored
 	sequence     uint64
 	backoffUntil time.Time
 	trimmedTo    int64
@@ -62,7 +63,7 @@
 
 // New returns a shard without jobs.
 func New(opts Options) *Shard {
-	return &Shard{opts: opts, jobs: make(map[leased.JobID]*jobState)}
+	return &Shard{opts: opts, jobs: make(map[leased.JobID]*jobState), reports: make(map[Ticket][]TaskReport)}
 }
 
 // Step applies one input at the given time, which must not decrease, and
@@ -177,16 +178,20 @@
 	}
 }
 
-// offer offers a job to the next holder.
+// offer offers a job to the next holder, unless one of its tasks has used up its attempts
+// and the job ends as soon as that is stored.
 func (s *Shard) offer(j *jobState) {
 	j.attempt++
 	j.confirmBy = time.Time{}
+	if j.usedUp() {
+		return
+	}
 	s.out.Offers = append(s.out.Offers, Offer{Attempt: j.attempt, Job: j.jobToOffer(s.now)})
 }
 
 func (s *Shard) reply(t Ticket, r Result) {
 	if t != 0 {
-		s.out.Replies = append(s.out.Replies, Reply{t, r})
+		s.out.Replies = append(s.out.Replies, Reply{Ticket: t, Result: r})
 	}
 }
 
--- a/dispatch/stored/shard_test.go
+++ b/dispatch/stored/shard_test.go
@@ -24,10 +24,16 @@
 	return &Report{Ticket: t, Tasks: []TaskReport{{Task: taskOf(id, index), Run: leased.RunID{Number: run}, Done: true}}}
 }
 
+// wantReplies checks the tickets and results of the replies. Tests of the progress in them
+// are in attempts_test.go.
 func wantReplies(t *testing.T, out *Actions, want ...Reply) {
 	t.Helper()
-	if fmt.Sprint(out.Replies) != fmt.Sprint(want) && len(out.Replies)+len(want) > 0 {
-		t.Errorf("replies %v, want %v", out.Replies, want)
+	var got []Reply
+	for _, r := range out.Replies {
+		got = append(got, Reply{Ticket: r.Ticket, Result: r.Result})
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) && len(got)+len(want) > 0 {
+		t.Errorf("replies %v, want %v", got, want)
 	}
 }
 
@@ -42,12 +48,12 @@
 		t.Fatalf("the same job again: %+v", out)
 	}
 	out = s.Step(start, &Appended{Sequence: 1, Offset: 7})
-	wantReplies(t, out, Reply{1, Stored}, Reply{2, Stored})
+	wantReplies(t, out, Reply{Ticket: 1, Result: Stored}, Reply{Ticket: 2, Result: Stored})
 	if len(out.Offers) != 1 || s.State("a") != Queued {
 		t.Errorf("%d offers, state %v, want one, queued", len(out.Offers), s.State("a"))
 	}
 	out = s.Step(start, &Accept{Ticket: 3, Job: testJob("a", 1)})
-	wantReplies(t, out, Reply{3, Stored})
+	wantReplies(t, out, Reply{Ticket: 3, Result: Stored})
 	if len(out.Offers)+len(out.Appends) != 0 {
 		t.Errorf("a job that is known is stored or offered again: %+v", out)
 	}
@@ -60,17 +66,17 @@
 	s.Step(start, doneReport(2, "a", 0, 1))
 	s.Step(start, &Accept{Ticket: 3, Job: testJob("b", 1)})
 	out := s.Step(start, &AppendRefused{Sequence: 2})
-	wantReplies(t, out, Reply{3, Refused})
+	wantReplies(t, out, Reply{Ticket: 3, Result: Refused})
 	if s.State("b") != Unknown {
 		t.Errorf("state of a refused job: %v", s.State("b"))
 	}
 	out = s.Step(start, &Accept{Ticket: 4, Job: testJob("c", 1)})
-	wantReplies(t, out, Reply{4, Refused})
+	wantReplies(t, out, Reply{Ticket: 4, Result: Refused})
 	out = s.Step(start.Add(time.Second), &Tick{})
 	if len(out.Appends) != 1 || len(out.Appends[0].Events) != 1 || out.Appends[0].Events[0].Kind != TaskEnded {
 		t.Fatalf("appends %+v, want the end of the task again", out.Appends)
 	}
-	wantReplies(t, s.Step(start.Add(time.Second), &Appended{Sequence: 3}), Reply{2, Stored})
+	wantReplies(t, s.Step(start.Add(time.Second), &Appended{Sequence: 3}), Reply{Ticket: 2, Result: Stored})
 }
 
 func TestReportIsAcknowledgedOnceAllItsEndsAreStored(t *testing.T) {
@@ -82,8 +88,8 @@
 	s.Step(start, doneReport(3, "a", 0, 1)) // in flight as the third batch
 	both := &Report{Ticket: 4, Tasks: []TaskReport{{Task: taskOf("a", 0), Run: leased.RunID{Number: 1}, Done: true}, {Task: taskOf("b", 0), Run: leased.RunID{Number: 1}, Done: true}}}
 	wantReplies(t, s.Step(start, both))
-	wantReplies(t, s.Step(start, &Appended{Sequence: 3}), Reply{3, Stored})
-	wantReplies(t, s.Step(start, &Appended{Sequence: 4}), Reply{4, Stored})
+	wantReplies(t, s.Step(start, &Appended{Sequence: 3}), Reply{Ticket: 3, Result: Stored})
+	wantReplies(t, s.Step(start, &Appended{Sequence: 4}), Reply{Ticket: 4, Result: Stored})
 	if s.State("b") != Completed || s.State("a") != Running {
 		t.Errorf("states %v, %v", s.State("a"), s.State("b"))
 	}
@@ -123,12 +129,12 @@
 
 func TestCancelledJobIsWithdrawn(t *testing.T) {
 	s := New(testOptions())
-	wantReplies(t, s.Step(start, &Cancel{Ticket: 1, Job: "a"}), Reply{1, NoSuchJob})
+	wantReplies(t, s.Step(start, &Cancel{Ticket: 1, Job: "a"}), Reply{Ticket: 1, Result: NoSuchJob})
 	s.Step(start, &Accept{Ticket: 2, Job: testJob("a", 1)})
 	s.Step(start, &Appended{Sequence: 1})
 	s.Step(start, &Cancel{Ticket: 3, Job: "a"})
 	out := s.Step(start, &Appended{Sequence: 2})
-	wantReplies(t, out, Reply{3, Stored})
+	wantReplies(t, out, Reply{Ticket: 3, Result: Stored})
 	if len(out.Withdrawals) != 1 || s.State("a") != Cancelled {
 		t.Errorf("withdrawals %v, state %v", out.Withdrawals, s.State("a"))
 	}
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -96,10 +96,10 @@
 		zap.Stringer("evidence", request.Evidence))
 	go func() {
 		defer cancel()
-		end, checkpoint := leased.EndUnknown, ""
-		l.guard.do("delegate", func() { end, checkpoint = l.peers.delegate(ctx, &request) })
-		l.metrics.delegations.WithLabelValues(end.String()).Inc()
-		l.send(delegationEnded{open, &leased.DelegateReply{Task: request.Task.ID, Run: request.Task.Run, End: end, Checkpoint: checkpoint}})
+		reply := leased.DelegateReply{Task: request.Task.ID, Run: request.Task.Run, End: leased.EndUnknown}
+		l.guard.do("delegate", func() { reply = l.peers.delegate(ctx, &request) })
+		l.metrics.delegations.WithLabelValues(reply.End.String()).Inc()
+		l.send(delegationEnded{open, &reply})
 	}()
 }
 
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -83,12 +83,24 @@
 // earlier versions do not know it.
 func delegatedAnswerToPB(a *leased.DelegatedAnswer) *fleetpb.LendResponse {
 	r := &fleetpb.LendResponse{End: uint32(a.End), Saved: a.Checkpoint}
+	if a.Progress != nil {
+		r.Progress = keep.ProgressToPB([]leased.TaskProgress{*a.Progress})[0]
+	}
 	if a.End == leased.EndEndpointLost {
 		r.End, r.EndpointLost = uint32(leased.EndLapsed), true
 	}
 	return r
 }
 
+// delegateReplyFromPB returns the result of a delegation.
+func delegateReplyFromPB(request *leased.Delegate, r *fleetpb.LendResponse) leased.DelegateReply {
+	reply := leased.DelegateReply{Task: request.Task.ID, Run: request.Task.Run, End: delegatedEndFromPB(r), Checkpoint: r.Saved}
+	if r.Progress != nil {
+		reply.Progress = &keep.ProgressFromPB([]*fleetpb.TaskProgress{r.Progress})[0]
+	}
+	return reply
+}
+
 // delegatedEndFromPB returns EndUnknown for an end that no supported version
 // sends, because the run may be active.
 func delegatedEndFromPB(r *fleetpb.LendResponse) leased.End {
--- a/fleet/keep/claim_test.go
+++ b/fleet/keep/claim_test.go
@@ -60,7 +60,7 @@
 	defer cancel()
 	requests := map[string]func(*testOwner) stored.Result{
 		"report": func(o *testOwner) stored.Result {
-			return o.Report(ctx, 1, []stored.TaskReport{{Task: leased.TaskID{Job: "j2"}, Run: leased.RunID{Number: 1}, Done: true}})
+			return o.report(ctx, []stored.TaskReport{{Task: leased.TaskID{Job: "j2"}, Run: leased.RunID{Number: 1}, Done: true}})
 		},
 		"cancel": func(o *testOwner) stored.Result { return o.Cancel(ctx, "j2") },
 	}
--- a/fleet/keep/codec.go
+++ b/fleet/keep/codec.go
@@ -28,7 +28,7 @@
 		return &fleetpb.TaskProgress{
 			Step: uint32(p.Step), Index: uint32(p.Index), Done: p.Done, Failures: uint32(p.Failures), Newest: uint32(p.LastRun), Saved: p.Checkpoint,
 			Crashes: uint32(p.Crashes.Crashes), CrashesAlone: uint32(p.Crashes.Alone), Losses: uint32(p.Losses),
-			Counted: lo.Map(p.Counted, func(r leased.CountedRun, _ int) *fleetpb.CountedRun { return countedToPB(&r) }),
+			Counted: lo.Map(p.Counted, func(r leased.CountedRun, _ int) *fleetpb.CountedRun { return countedToPB(&r) }), JobEnded: p.JobEnded,
 		}
 	})
 }
@@ -39,7 +39,7 @@
 		return leased.TaskProgress{
 			Step: int(p.Step), Index: int(p.Index), Done: p.Done, Failures: int(p.Failures), LastRun: int(p.Newest), Checkpoint: p.Saved,
 			Crashes: blame.Record{Crashes: int(p.Crashes), Alone: int(p.CrashesAlone)}, Losses: int(p.Losses),
-			Counted: lo.Map(p.Counted, func(r *fleetpb.CountedRun, _ int) leased.CountedRun { return countedFromPB(r) }),
+			Counted: lo.Map(p.Counted, func(r *fleetpb.CountedRun, _ int) leased.CountedRun { return countedFromPB(r) }), JobEnded: p.JobEnded,
 		}
 	})
 }
--- a/fleet/keep/lease.go
+++ b/fleet/keep/lease.go
@@ -40,8 +40,8 @@
 
 // unconfirmedReply is the reply to a request that waits for a confirmation.
 type unconfirmedReply struct {
-	to     chan stored.Result
-	result stored.Result
+	to     chan reply
+	answer reply
 	since  time.Time
 }
 
@@ -112,7 +112,7 @@
 	s.sendUnconfirmedReplies(c.sentAt)
 	for _, req := range s.pendingQueries {
 		req.query(s.shard)
-		req.reply <- stored.Stored
+		req.reply <- reply{result: stored.Stored}
 	}
 	s.pendingQueries = nil
 }
@@ -124,7 +124,7 @@
 		if confirmedAt.Before(r.since) {
 			return false
 		}
-		r.to <- r.result
+		r.to <- r.answer
 		return true
 	})
 	if len(s.unconfirmedReplies) > 0 {
--- a/fleet/keep/runner.go
+++ b/fleet/keep/runner.go
@@ -32,9 +32,9 @@
 	// OnFenced is called when another process has taken a shard over.
 	OnFenced func(shard int)
 	// Offer offers a job to a holder of endpoints. It returns when the job has
-	// ended there, the holder is lost or the context ends. From doneTasks it
-	// receives the tasks that are reported as done after the job was offered.
-	Offer func(ctx context.Context, job leased.Job, doneTasks <-chan stored.DoneTask) stored.Outcome
+	// ended there, the holder is lost or the context ends. From updates it gets what is
+	// reported of the job's tasks after the job was offered.
+	Offer func(ctx context.Context, job leased.Job, updates *Updates) stored.Outcome
 	// AppendInterval is the minimum time between two appends to a shard.
 	AppendInterval time.Duration
 	Options        stored.Options
@@ -68,7 +68,13 @@
 	// query reads the state of the shard. It returns false if only an owner that
 	// is sure not to have been replaced may give the answer.
 	query func(*stored.Shard) bool
-	reply chan stored.Result
+	reply chan reply
+}
+
+// reply is the answer to a request.
+type reply struct {
+	result   stored.Result
+	progress []leased.TaskProgress // as in stored.Reply
 }
 
 // NewRunner returns a runner of a shard.
@@ -122,41 +128,42 @@
 		case <-timer.C:
 			return
 		case req := <-r.inbox:
-			req.reply <- stored.OtherOwner
+			req.reply <- reply{result: stored.OtherOwner}
 		}
 	}
 }
 
 // do sends a request and waits for its answer.
-func (r *Runner) do(ctx context.Context, req request) stored.Result {
-	req.reply = make(chan stored.Result, 1)
+func (r *Runner) do(ctx context.Context, req request) reply {
+	req.reply = make(chan reply, 1)
 	select {
 	case r.inbox <- req:
 	case <-ctx.Done():
-		return stored.OtherOwner
+		return reply{result: stored.OtherOwner}
 	}
 	select {
-	case result := <-req.reply:
-		return result
+	case answer := <-req.reply:
+		return answer
 	case <-ctx.Done():
-		return stored.Uncertain
+		return reply{result: stored.Uncertain}
 	}
 }
 
 // Accept stores a job.
 func (r *Runner) Accept(ctx context.Context, job leased.Job) stored.Result {
-	return r.do(ctx, request{input: func(t stored.Ticket) stored.Input { return &stored.Accept{Ticket: t, Job: job} }})
+	return r.do(ctx, request{input: func(t stored.Ticket) stored.Input { return &stored.Accept{Ticket: t, Job: job} }}).result
 }
 
 // Cancel cancels a job.
 func (r *Runner) Cancel(ctx context.Context, id leased.JobID) stored.Result {
-	return r.do(ctx, request{input: func(t stored.Ticket) stored.Input { return &stored.Cancel{Ticket: t, Job: id} }})
+	return r.do(ctx, request{input: func(t stored.Ticket) stored.Input { return &stored.Cancel{Ticket: t, Job: id} }}).result
 }
 
 // Report reports runs that have started or ended. From is the incarnation of the
-// entry that holds their endpoint.
-func (r *Runner) Report(ctx context.Context, from uint64, tasks []stored.TaskReport) stored.Result {
-	return r.do(ctx, request{input: func(t stored.Ticket) stored.Input { return &stored.Report{Ticket: t, From: from, Tasks: tasks} }})
+// entry that holds their endpoint. It returns the progress of their tasks as stored.Reply does.
+func (r *Runner) Report(ctx context.Context, from uint64, tasks []stored.TaskReport) (stored.Result, []leased.TaskProgress) {
+	answer := r.do(ctx, request{input: func(t stored.Ticket) stored.Input { return &stored.Report{Ticket: t, From: from, Tasks: tasks} }})
+	return answer.result, answer.progress
 }
 
 // State returns the state of a job.
@@ -165,7 +172,7 @@
 	result := r.do(ctx, request{query: func(s *stored.Shard) bool {
 		state = s.State(id)
 		return state != stored.Unknown // a newer owner may know it
-	}})
+	}}).result
 	if result != stored.Stored {
 		return stored.Unknown, result // the query may still be under way
 	}
@@ -179,7 +186,7 @@
 	result := r.do(ctx, request{query: func(s *stored.Shard) bool {
 		counts = s.Pending()
 		return false // a newer owner may know other jobs
-	}})
+	}}).result
 	if result != stored.Stored {
 		return nil, result // the query may still be under way
 	}
--- a/fleet/keep/runner_test.go
+++ b/fleet/keep/runner_test.go
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o.Runner = keep.NewRunner(keep.Environment{
 		Log: log, Codec: codec, ShouldOwn: func(int) bool { return o.shouldOwn.Load() }, MayTakeOver: func(int) bool { return true }, OnFenced: func(int) {},
-		Offer: func(ctx context.Context, job leased.Job, _ <-chan stored.DoneTask) stored.Outcome {
+		Offer: func(ctx context.Context, job leased.Job, _ *keep.Updates) stored.Outcome {
 			o.mu.Lock()
 			o.offers = append(o.offers, job)
 			o.mu.Unlock()
@@ -72,6 +72,12 @@
 	return leased.Job{ID: leased.JobID(fmt.Sprintf("j%d", n)), Queue: "q", MaxAttempts: 2, Steps: []leased.Step{{Tasks: 1}}}
 }
 
+// report reports runs of an entry.
+func (o *testOwner) report(ctx context.Context, tasks []stored.TaskReport) stored.Result {
+	result, _ := o.Report(ctx, 1, tasks)
+	return result
+}
+
 // accept retries until the runner owns its shard.
 func (o *testOwner) accept(t *testing.T, j leased.Job) {
 	t.Helper()
@@ -105,7 +111,7 @@
 	first.accept(t, job(1))
 	first.accept(t, job(2))
 	done := []stored.TaskReport{{Task: leased.TaskID{Job: "j2"}, Run: leased.RunID{Number: 1}, Done: true}}
-	if r := first.Report(context.Background(), 1, done); r != stored.Stored {
+	if r := first.report(context.Background(), done); r != stored.Stored {
 		t.Fatalf("report: %v", r)
 	}
 	second.shouldOwn.Store(true) // the first has not noticed
@@ -166,7 +172,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	done := []stored.TaskReport{{Task: leased.TaskID{Job: "j1"}, Run: leased.RunID{Number: 1}, Done: true}}
-	if r := first.Report(ctx, 1, done); r != stored.Stored { // without open jobs the owner does not ask the log
+	if r := first.report(ctx, done); r != stored.Stored { // without open jobs the owner does not ask the log
 		t.Fatalf("report: %v", r)
 	}
 	second.shouldOwn.Store(true)
@@ -219,7 +225,7 @@
 	defer cancel()
 	requests := map[string]func(*testOwner) stored.Result{
 		"report": func(o *testOwner) stored.Result {
-			return o.Report(ctx, 1, []stored.TaskReport{{Task: leased.TaskID{Job: "j2"}, Run: leased.RunID{Number: 1}, Done: true}})
+			return o.report(ctx, []stored.TaskReport{{Task: leased.TaskID{Job: "j2"}, Run: leased.RunID{Number: 1}, Done: true}})
 		},
 		"cancel": func(o *testOwner) stored.Result { return o.Cancel(ctx, "j2") },
 	}
@@ -252,7 +258,7 @@
 	if r := o.Cancel(ctx, "none"); r != stored.NoSuchJob {
 		t.Errorf("cancel: %v, want no such job", r)
 	}
-	if r := o.Report(ctx, 1, []stored.TaskReport{{Task: leased.TaskID{Job: "none"}, Run: leased.RunID{Number: 1}, Done: true}}); r != stored.NoSuchJob {
+	if r := o.report(ctx, []stored.TaskReport{{Task: leased.TaskID{Job: "none"}, Run: leased.RunID{Number: 1}, Done: true}}); r != stored.NoSuchJob {
 		t.Errorf("report: %v, want no such job", r)
 	}
 }
--- a/fleet/keep/serve.go
+++ b/fleet/keep/serve.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"lovagespread.example/dispatch/leased"
@@ -28,7 +27,7 @@
 	epoch              int64
 	events             chan any // confirmation, stored.Input, or an error that ends the ownership
 	ticket             stored.Ticket
-	replies            map[stored.Ticket]chan stored.Result
+	replies            map[stored.Ticket]chan reply
 	offers             map[leased.JobID]activeOffer
 	lease              lease
 	pendingQueries     []request          // they wait until the ownership is confirmed
@@ -39,9 +38,9 @@
 
 // activeOffer is an offer that has not ended.
 type activeOffer struct {
-	attempt   int
-	cancel    context.CancelFunc
-	doneTasks chan stored.DoneTask // has capacity for each task once
+	attempt int
+	cancel  context.CancelFunc
+	updates *Updates // nil: the offer is suspended
 }
 
 // serve owns the shard until the context ends or another process should own it.
@@ -51,7 +50,7 @@
 	defer cancel()
 	s := &ownedShard{
 		Runner: r, ctx: ctx, shard: taken.shard, epoch: taken.epoch, events: make(chan any, queueSize),
-		replies: make(map[stored.Ticket]chan stored.Result), offers: make(map[leased.JobID]activeOffer),
+		replies: make(map[stored.Ticket]chan reply), offers: make(map[leased.JobID]activeOffer),
 		lease: lease{confirmedAt: taken.startedAt}, sequence: taken.sequence,
 	}
 	defer s.release()
@@ -90,20 +89,20 @@
 		s.requestConfirmation()
 		return
 	}
-	req.reply <- stored.Stored
+	req.reply <- reply{result: stored.Stored}
 }
 
 // release tells waiting callers to ask the next owner, which knows what was
 // stored.
 func (s *ownedShard) release() {
-	for _, reply := range s.replies {
-		reply <- stored.Uncertain
+	for _, to := range s.replies {
+		to <- reply{result: stored.Uncertain}
 	}
 	for _, req := range s.pendingQueries {
-		req.reply <- stored.OtherOwner
+		req.reply <- reply{result: stored.OtherOwner}
 	}
 	for _, r := range s.unconfirmedReplies {
-		r.to <- stored.OtherOwner
+		r.to <- reply{result: stored.OtherOwner}
 	}
 }
 
@@ -135,9 +134,9 @@
 		go s.append(out.Appends[i], s.reserveAppend())
 	}
 	for _, r := range out.Replies {
-		if reply := s.replies[r.Ticket]; reply != nil {
+		if to := s.replies[r.Ticket]; to != nil {
 			delete(s.replies, r.Ticket)
-			s.reply(reply, r.Result)
+			s.reply(to, reply{r.Result, r.Progress})
 		}
 	}
 	for _, id := range out.Withdrawals {
@@ -149,8 +148,8 @@
 	for i := range out.Offers {
 		s.startOffer(&out.Offers[i])
 	}
-	for _, task := range out.DoneTasks {
-		s.forwardDoneTask(task)
+	for _, update := range out.Updates {
+		s.forwardUpdate(update)
 	}
 	for _, before := range out.Trims {
 		go s.trim(before)
@@ -159,12 +158,12 @@
 
 // reply answers a request. A result that rests on what the shard does not know is
 // held back until the ownership is confirmed: a newer owner may know it.
-func (s *ownedShard) reply(to chan stored.Result, result stored.Result) {
-	if result != stored.NoSuchJob {
-		to <- result
+func (s *ownedShard) reply(to chan reply, answer reply) {
+	if answer.result != stored.NoSuchJob {
+		to <- answer
 		return
 	}
-	s.unconfirmedReplies = append(s.unconfirmedReplies, unconfirmedReply{to, result, time.Now()})
+	s.unconfirmedReplies = append(s.unconfirmedReplies, unconfirmedReply{to, answer, time.Now()})
 	s.requestConfirmation()
 }
 
@@ -253,18 +252,12 @@
 	}
 }
 
-// forwardDoneTask forwards a done task to the offer of its job, if there is one.
-func (s *ownedShard) forwardDoneTask(t stored.DoneTask) {
-	s.env.Logger.Info("task_learned", zap.String("job", string(t.Task.Job)), zap.Int("step", t.Task.Step),
-		zap.Int("task", t.Task.Index), zap.Uint64("from", t.From))
-	o, ok := s.offers[t.Task.Job]
-	if !ok || o.doneTasks == nil {
-		return
-	}
-	select {
-	case o.doneTasks <- t:
-	default: // each task is reported as done once
-		s.env.Logger.Error("news_dropped", zap.String("job", string(t.Task.Job)), zap.Int("task", t.Task.Index))
+// forwardUpdate forwards an update to the offer of its job, if there is one.
+func (s *ownedShard) forwardUpdate(u stored.TaskUpdate) {
+	s.env.Logger.Info("task_learned", zap.String("job", string(u.Task.Job)), zap.Int("step", u.Task.Step), zap.Int("task", u.Task.Index),
+		zap.Bool("done", u.Progress.Done), zap.Int("failures", u.Progress.Failures), zap.Int("crashes", u.Progress.Crashes.Crashes), zap.Uint64("from", u.From))
+	if o, ok := s.offers[u.Task.Job]; ok && o.updates != nil {
+		o.updates.Add(u)
 	}
 }
 
@@ -278,13 +271,12 @@
 		s.offers[o.Job.ID] = activeOffer{attempt: o.Attempt, cancel: cancel}
 		return
 	}
-	tasks := lo.SumBy(o.Job.Steps, func(step leased.Step) int { return step.Tasks })
-	doneTasks := make(chan stored.DoneTask, tasks)
-	s.offers[o.Job.ID] = activeOffer{o.Attempt, cancel, doneTasks}
+	updates := NewUpdates()
+	s.offers[o.Job.ID] = activeOffer{o.Attempt, cancel, updates}
 	attempt, job := o.Attempt, o.Job
 	go func() {
 		defer cancel()
-		outcome := s.env.Offer(ctx, job, doneTasks)
+		outcome := s.env.Offer(ctx, job, updates)
 		if ctx.Err() != nil {
 			return
 		}
--- a/fleet/keep/yield_test.go
+++ b/fleet/keep/yield_test.go
@@ -93,7 +93,7 @@
 	requests := map[string]stored.Result{
 		"accept": first.Accept(ctx, job(3)),
 		"cancel": first.Cancel(ctx, "j1"),
-		"report": first.Report(ctx, 1, []stored.TaskReport{{Task: leased.TaskID{Job: "j1"}, Run: leased.RunID{Number: 1}, Done: true}}),
+		"report": first.report(ctx, []stored.TaskReport{{Task: leased.TaskID{Job: "j1"}, Run: leased.RunID{Number: 1}, Done: true}}),
 	}
 	for name, r := range requests {
 		if r != stored.OtherOwner {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -153,10 +153,11 @@
 
 // delegate asks another holder to run a task. If the call fails, it returns
 // EndNoCapacity if nothing was sent, and EndUnknown otherwise.
-func (p *peers) delegate(ctx context.Context, request *leased.Delegate) (leased.End, string) {
+func (p *peers) delegate(ctx context.Context, request *leased.Delegate) leased.DelegateReply {
+	failed := leased.DelegateReply{Task: request.Task.ID, Run: request.Task.Run, End: leased.EndNoCapacity}
 	holder, ok := p.latest().View.Find(cells.Incarnation(request.Holder))
 	if !ok {
-		return leased.EndNoCapacity, ""
+		return failed
 	}
 	c := p.outbound.open(ctx, holder.Incarnation)
 	defer p.outbound.end(c)
@@ -168,14 +169,14 @@
 		if reply.CallerWithdrew {
 			p.causeWithdrawn(&request.Task)
 		}
-		return delegatedEndFromPB(reply), reply.Saved
+		return delegateReplyFromPB(request, reply)
 	}
 	err = p.callFailed(ctx, holder, c, *sent, err)
 	p.log.Warn("lend_failed", zap.String("job", string(request.Task.ID.Job)), zap.Int("task", request.Task.ID.Index), zap.Int("run", request.Task.Run), zap.Bool("sent", *sent), zap.Error(err))
-	if !*sent {
-		return leased.EndNoCapacity, ""
+	if *sent {
+		failed.End = leased.EndUnknown
 	}
-	return leased.EndUnknown, ""
+	return failed
 }
 
 // fetchSnapshot requests the configuration and the endpoints of an entry. It
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/samber/lo"
@@ -15,7 +16,6 @@
 
 // Limits of reports about stored jobs.
 const (
-	reportQueueLength = 8192
 	// batchDelay is how long reports are collected before they are sent. It is far
 	// less than the time in which an owner stores them.
 	batchDelay          = 4 * time.Millisecond
@@ -23,24 +23,28 @@
 )
 
 // reporter sends reports about runs to the owners of stored jobs, and retries
-// until the owners have stored them.
+// until the owners have stored them. It drops none: the core waits for the answers. Their
+// number is bounded by the runs that have ended and that endpoints still list.
 type reporter struct {
 	storedJobs *storedJobs
-	reports    chan leased.Report
+	queued     chan struct{} // has a value while there are reports
+
+	mu      sync.Mutex
+	reports []leased.Report
 }
 
 func newReporter(jobs *storedJobs) *reporter {
-	return &reporter{storedJobs: jobs, reports: make(chan leased.Report, reportQueueLength)}
+	return &reporter{storedJobs: jobs, queued: make(chan struct{}, 1)}
 }
 
-// add queues a report. If the queue is full, it drops the report: the next
-// holder of the endpoint reports the end of a run again, and a job whose start
-// was not reported still ends.
+// add queues a report.
 func (r *reporter) add(report leased.Report) {
+	r.mu.Lock()
+	r.reports = append(r.reports, report)
+	r.mu.Unlock()
 	select {
-	case r.reports <- report:
+	case r.queued <- struct{}{}:
 	default:
-		r.storedJobs.log.Error("report_dropped", zap.String("job", string(report.Task.Job)), zap.Int("run", report.Run))
 	}
 }
 
@@ -49,44 +53,49 @@
 		select {
 		case <-ctx.Done():
 			return
-		case first := <-r.reports:
+		case <-r.queued:
 			pauseFor(ctx, batchDelay)
-			for shard, list := range r.drain(first) {
+			for shard, list := range r.takeAll() {
 				go r.deliver(ctx, shard, list)
 			}
 		}
 	}
 }
 
-// drain returns all queued reports by shard, starting with first.
-func (r *reporter) drain(first leased.Report) map[int][]leased.Report {
-	byShard := map[int][]leased.Report{r.storedJobs.shardOf(first.Task.Job): {first}}
-	for {
-		select {
-		case next := <-r.reports:
-			shard := r.storedJobs.shardOf(next.Task.Job)
-			byShard[shard] = append(byShard[shard], next)
-		default:
-			return byShard
-		}
-	}
+// takeAll removes all queued reports and returns them by shard.
+func (r *reporter) takeAll() map[int][]leased.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	byShard := lo.GroupBy(r.reports, func(report leased.Report) int { return r.storedJobs.shardOf(report.Task.Job) })
+	r.reports = nil
+	return byShard
 }
 
 // deliver sends reports to the owner of a shard until one has answered. It then
 // acknowledges the reported ends, so that the endpoints may forget them.
 func (r *reporter) deliver(ctx context.Context, shard int, list []leased.Report) {
 	tasks := lo.Map(list, func(p leased.Report, _ int) stored.TaskReport { return taskReport(&p) })
+	var answer ownerReply
 	for ctx.Err() == nil {
-		if a := r.storedJobs.report(ctx, shard, tasks); a.answered {
+		if answer = r.storedJobs.report(ctx, shard, tasks); answer.answered {
 			break
 		}
 		r.storedJobs.log.Warn("report_undelivered", zap.Int("shard", shard), zap.Int("tasks", len(tasks)), zap.String("job", string(list[0].Task.Job)))
 		pauseFor(ctx, reportRetryInterval)
 	}
+	if !answer.answered {
+		return
+	}
 	for i := range list {
-		if p := &list[i]; p.Number > 0 {
-			r.storedJobs.loop.send(coreInput{&leased.ReportStored{Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number}})
+		p := &list[i]
+		if p.Number == 0 {
+			continue
+		}
+		ended := &leased.ReportStored{Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number, Task: p.Task, Run: p.Run}
+		if p.End == leased.EndFailed && len(answer.progress) == len(list) {
+			ended.Progress = &answer.progress[i]
 		}
+		r.storedJobs.loop.send(coreInput{ended})
 	}
 }
 
--- a/fleet/storedjobs.go
+++ b/fleet/storedjobs.go
@@ -33,7 +33,7 @@
 	// storedJobTimeout is the time limit of a stored job at a holder. It is in
 	// effect unlimited, because a stored job waits for as long as it takes.
 	storedJobTimeout = 24 * time.Hour
-	doneTaskTimeout  = time.Second
+	updateTimeout    = time.Second
 )
 
 // storedJobs serves stored jobs: it sends requests to the owners of their
@@ -130,13 +130,13 @@
 
 // offer submits a job of an owned shard to a holder, and returns when the job
 // has ended there or the holder is lost. It retries while nothing was submitted.
-func (sj *storedJobs) offer(ctx context.Context, job leased.Job, doneTasks <-chan stored.DoneTask) stored.Outcome {
+func (sj *storedJobs) offer(ctx context.Context, job leased.Job, updates *keep.Updates) stored.Outcome {
 	job.CallerTimeout = storedJobTimeout
 	backoff := minHolderBackoff
 	for ctx.Err() == nil {
 		latest := sj.loop.Latest()
 		if holder, ok := holderFor(latest, rand.Float64()); ok {
-			relay := sj.relayDoneTasks(ctx, holder, doneTasks)
+			relay := sj.relayUpdates(ctx, holder, updates)
 			outcome, err := sj.service.offer(ctx, latest, holder, &job)
 			job.Progress = append(job.Progress, relay.stop()...)
 			if err == nil {
@@ -153,27 +153,24 @@
 	return stored.Outcome{Lost: true, Begun: true}
 }
 
-// doneTaskRelay notifies the holder of a job of tasks that other entries have
-// reported as done.
-type doneTaskRelay struct {
+// updateRelay notifies the holder of a job of what other entries have reported about its
+// tasks.
+type updateRelay struct {
 	cancel  context.CancelFunc
 	stopped chan struct{}
 	relayed []leased.TaskProgress
 }
 
-func (sj *storedJobs) relayDoneTasks(ctx context.Context, holder cells.Entry, doneTasks <-chan stored.DoneTask) *doneTaskRelay {
+func (sj *storedJobs) relayUpdates(ctx context.Context, holder cells.Entry, updates *keep.Updates) *updateRelay {
 	ctx, cancel := context.WithCancel(ctx)
-	r := &doneTaskRelay{cancel: cancel, stopped: make(chan struct{})}
+	r := &updateRelay{cancel: cancel, stopped: make(chan struct{})}
 	go func() {
 		defer close(r.stopped)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case done := <-doneTasks:
-				r.relayed = append(r.relayed, leased.TaskProgress{Step: done.Task.Step, Index: done.Task.Index, Done: true})
-				if uint64(holder.Incarnation) != done.From {
-					sj.sendDoneTask(ctx, holder, done.Task)
+		for ctx.Err() == nil {
+			for _, u := range updates.Next(ctx) {
+				r.relayed = append(r.relayed, u.Progress)
+				if uint64(holder.Incarnation) != u.From {
+					sj.sendUpdate(ctx, holder, &u)
 				}
 			}
 		}
@@ -181,26 +178,35 @@
 	return r
 }
 
-// stop ends the relay and returns the tasks that it has relayed.
-func (r *doneTaskRelay) stop() []leased.TaskProgress {
+// stop ends the relay and returns the progress that it has relayed.
+func (r *updateRelay) stop() []leased.TaskProgress {
 	r.cancel()
 	<-r.stopped
 	return r.relayed
 }
 
-// sendDoneTask notifies a holder that a task is done.
-func (sj *storedJobs) sendDoneTask(ctx context.Context, holder cells.Entry, task leased.TaskID) {
+// sendUpdate notifies a holder of what is known about a task. Holders of earlier versions
+// understand only that a task is done.
+func (sj *storedJobs) sendUpdate(ctx context.Context, holder cells.Entry, u *stored.TaskUpdate) {
 	if holder.Incarnation == sj.peers.self {
-		sj.loop.send(coreInput{&leased.DoneTask{Task: task}})
+		sj.loop.send(coreInput{&leased.TaskUpdate{Task: u.Task, Progress: u.Progress}})
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, doneTaskTimeout)
+	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 	defer cancel()
-	_, err := sj.peers.client(holder.Address).Learn(ctx, &fleetpb.LearnRequest{
-		Job: string(task.Job), Occurrence: uint32(task.Occurrence), Step: uint32(task.Step), Index: uint32(task.Index),
-	})
-	if err != nil { // the holder gets the end from its own endpoints, or is replaced
-		sj.log.Warn("learn_failed", zap.String("job", string(task.Job)), zap.String("holder", holder.Name), zap.Error(err))
+	client := sj.peers.client(holder.Address)
+	var err error
+	if u.Progress.Done {
+		_, err = client.Learn(ctx, &fleetpb.LearnRequest{
+			Job: string(u.Task.Job), Occurrence: uint32(u.Task.Occurrence), Step: uint32(u.Task.Step), Index: uint32(u.Task.Index),
+		})
+	} else {
+		_, err = client.LearnProgress(ctx, &fleetpb.LearnProgressRequest{
+			Job: string(u.Task.Job), Occurrence: uint32(u.Task.Occurrence), Progress: keep.ProgressToPB([]leased.TaskProgress{u.Progress})[0],
+		})
+	}
+	if err != nil { // the holder learns it by the answer to its next report, or is replaced
+		sj.log.Warn("learn_failed", zap.String("job", string(u.Task.Job)), zap.String("holder", holder.Name), zap.Error(err))
 	}
 }
 
@@ -213,6 +219,8 @@
 type ownerReply struct {
 	result stored.Result
 	state  stored.State
+	// progress of the tasks of a report, as in stored.Reply.
+	progress []leased.TaskProgress
 	// maybeApplied is true if a request may have had an effect although no owner
 	// has answered.
 	maybeApplied bool
@@ -264,7 +272,7 @@
 		sj.log.Warn("peer_answer_malformed", zap.Error(&InvalidAnswerError{owner.Name, fmt.Sprintf("result %d, state %d", reply.Result, reply.State)}))
 		return ownerReply{result: stored.OtherOwner, maybeApplied: true}
 	}
-	return ownerReply{result: stored.Result(reply.Result), state: stored.State(reply.State)}
+	return ownerReply{result: stored.Result(reply.Result), state: stored.State(reply.State), progress: keep.ProgressFromPB(reply.Progress)}
 }
 
 // accept asks the owner of a job's shard to store the job.
@@ -299,7 +307,8 @@
 func (sj *storedJobs) report(ctx context.Context, shard int, tasks []stored.TaskReport) ownerReply {
 	self := uint64(sj.peers.self)
 	return sj.askOwner(ctx, shard, func(ctx context.Context, r *keep.Runner) ownerReply {
-		return ownerReply{result: r.Report(ctx, self, tasks)}
+		result, progress := r.Report(ctx, self, tasks)
+		return ownerReply{result: result, progress: progress}
 	}, func(ctx context.Context, c fleetpb.Fleet) (*fleetpb.KeptResponse, error) {
 		return c.Report(ctx, reportToPB(self, shard, tasks))
 	})
--- a/fleet/storedserver.go
+++ b/fleet/storedserver.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/go-faster/errors"
+
 	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/dispatch/stored"
 	"lovagespread.example/fleet/keep"
@@ -68,12 +70,26 @@
 	if s.storedJobs == nil || int(r.Shard) >= len(s.storedJobs.runners) {
 		return storedResponse(stored.OtherOwner), nil
 	}
-	return storedResponse(s.storedJobs.runners[r.Shard].Report(ctx, r.From, reportFromPB(r))), nil
+	result, progress := s.storedJobs.runners[r.Shard].Report(ctx, r.From, reportFromPB(r))
+	response := storedResponse(result)
+	response.Progress = keep.ProgressToPB(progress)
+	return response, nil
 }
 
 // Learn implements fleetpb.Fleet.
 func (s *server) Learn(_ context.Context, r *fleetpb.LearnRequest) (*fleetpb.LearnResponse, error) {
 	task := leased.TaskID{Job: leased.JobID(r.Job), Occurrence: int(r.Occurrence), Step: int(r.Step), Index: int(r.Index)}
-	s.loop.send(coreInput{&leased.DoneTask{Task: task}})
+	s.loop.send(coreInput{&leased.TaskUpdate{Task: task, Progress: leased.TaskProgress{Step: task.Step, Index: task.Index, Done: true}}})
+	return &fleetpb.LearnResponse{}, nil
+}
+
+// LearnProgress implements fleetpb.Fleet.
+func (s *server) LearnProgress(_ context.Context, r *fleetpb.LearnProgressRequest) (*fleetpb.LearnResponse, error) {
+	if r.Progress == nil {
+		return nil, s.rejectMalformed(errors.New("an update without the progress of a task"))
+	}
+	p := keep.ProgressFromPB([]*fleetpb.TaskProgress{r.Progress})[0]
+	task := leased.TaskID{Job: leased.JobID(r.Job), Occurrence: int(r.Occurrence), Step: p.Step, Index: p.Index}
+	s.loop.send(coreInput{&leased.TaskUpdate{Task: task, Progress: p}})
 	return &fleetpb.LearnResponse{}, nil
 }
--- a/fleet/withdrawals_test.go
+++ b/fleet/withdrawals_test.go
@@ -255,7 +255,7 @@
 	job := l.peers.outbound.open(context.Background(), 2) // on another connection
 	x.setLend(breakConnection)
 	request := &leased.Delegate{Holder: 2, Task: leased.DelegatedTask{ID: leased.TaskID{Job: "j"}, Run: 1}}
-	if end, _ := l.peers.delegate(context.Background(), request); end != leased.EndUnknown {
+	if end := l.peers.delegate(context.Background(), request).End; end != leased.EndUnknown {
 		t.Errorf("the task ended with %v, want %v", end, leased.EndUnknown)
 	}
 	if !errors.Is(context.Cause(job.ctx), errCallsGivenUp) {
