Use an endpoint only while its record is of the incarnation that answers

Cause: a holder learns of a new incarnation by its answer to a Hold, and of its labels, capacity and service by its record in the store, read each 0.5 s. Nothing compared the two, so the new incarnation was used with the record of the earlier one.

Change: an endpoint is usable only if its newest record names the start of the incarnation that answers, and the records are read at once if not. On related paths: before a task that requires a label is started, the endpoint must have answered within 50 ms or have a Hold open since then, or is asked first, also at a delegate; a Start without a reply is not repeated unasked for such a task. Tasks without labels are started and repeated as before.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -200,6 +200,7 @@
 	c.orderQueue()
 	c.expireJobs()
 	c.expireDelegated()
+	c.returnUnchecked()
 	if c.opts.Balancing {
 		c.balance()
 	}
--- a/dispatch/leased/deadlines.go
+++ b/dispatch/leased/deadlines.go
@@ -39,7 +39,7 @@
 			due = append(due, j)
 		}
 	}
-	slices.SortFunc(due, byArrivalAndTask)
+	sortByArrivalAndTask(due)
 	for _, j := range due {
 		t := &j.tasks[0][0]
 		c.waiting.remove(j)
@@ -48,10 +48,12 @@
 	}
 }
 
-// byArrivalAndTask orders delegated tasks, several of which may belong to one job.
-func byArrivalAndTask(a, b *job) int {
-	x, y := &a.tasks[0][0].id, &b.tasks[0][0].id
-	return cmp.Or(byArrival(a, b), cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index))
+// sortByArrivalAndTask orders delegated tasks, several of which may belong to one job.
+func sortByArrivalAndTask(delegated []*job) {
+	slices.SortFunc(delegated, func(a, b *job) int {
+		x, y := &a.tasks[0][0].id, &b.tasks[0][0].id
+		return cmp.Or(byArrival(a, b), cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index))
+	})
 }
 
 // cannotEndInTime reports whether a job that waits and has not begun would exceed
--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -298,9 +298,7 @@
 	if d.Wait && c.holdsEndpointOf(d.Cell) && (!fits || c.waiting.len() > 0) {
 		c.delegated[t.id] = j
 		t.runs = d.Run - 1
-		j.begun = true
-		j.latestStart = c.now
-		c.enqueue(j)
+		c.queueDelegated(j)
 		return
 	}
 	if !fits || c.waiting.len() > 0 || c.unheard(j) {
@@ -309,9 +307,21 @@
 	}
 	c.delegated[t.id] = j
 	t.runs = d.Run - 1
+	if c.mustCheck(t, e) {
+		j.checkUntil = c.now.Add(delegatedCheckTimeout)
+		c.queueDelegated(j)
+		return
+	}
 	c.start(t, e)
 }
 
+// queueDelegated lets a delegated task wait here.
+func (c *Core) queueDelegated(j *job) {
+	j.begun = true
+	j.latestStart = c.now
+	c.enqueue(j)
+}
+
 // searchedRun is a search for the earlier runs of a delegated task.
 type searchedRun struct {
 	run int // number of the search
--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -81,6 +81,7 @@
 	// written that, so it only makes the endpoint be asked.
 	announcedBorn int64
 	answeredAt    string    // address at which the newest Hold was answered
+	lastAnswer    time.Time // when that was
 	held          bool      // a Hold under the token was answered, so the active runs are known
 	dirty         bool      // a Hold may be due
 	addedAt       time.Time // when the endpoint was assigned to this core
@@ -255,7 +256,7 @@
 
 // usable reports whether new tasks may be started on the endpoint.
 func (e *endpoint) usable(now time.Time) bool {
-	return e.held && !e.dropped && !e.holdRefused && !e.evacuated && !e.shortLease && !e.Leaving && e.unknownDemands == 0 && e.unanswered <= e.tolerated &&
+	return e.held && e.described() && !e.dropped && !e.holdRefused && !e.evacuated && !e.shortLease && !e.Leaving && e.unknownDemands == 0 && e.unanswered <= e.tolerated &&
 		!now.Before(e.pausedUntil) && e.record.Health() != outlier.Ejected
 }
 
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -184,7 +184,7 @@
 	if in.IncarnationStart != 0 {
 		e.Born = in.IncarnationStart
 	}
-	e.answeredAt = e.Address
+	e.answeredAt, e.lastAnswer = e.Address, c.now
 	e.holdRefused = false
 	c.endpointReturned(e)
 	if e.unanswered > 1 {
@@ -204,6 +204,7 @@
 		e.held = true
 		c.leaseExtended(e, c.opts.MaxLease) // an earlier holder may have done so until now
 		c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_held", ""))
+		c.noteUndescribed(e)
 	}
 	for i := range in.Ended {
 		c.applyEnded(e, &in.Ended[i])
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -65,7 +65,10 @@
 	origin      uint64    // of a delegated task: the entry that waits for its job; 0: the delegator, or not known
 	// originHeardAt is when the delegator last heard the origin.
 	originHeardAt time.Time
-	cell          string // of a delegated task: the only cell where it may run, so that its run can be found again
+	// checkUntil is when a delegated task is returned that waits for an endpoint which is
+	// asked for its incarnation; zero: it does not.
+	checkUntil time.Time
+	cell       string // of a delegated task: the only cell where it may run, so that its run can be found again
 }
 
 func (j *job) task(id TaskID) *task {
--- a/dispatch/leased/leaving.go
+++ b/dispatch/leased/leaving.go
@@ -96,7 +96,7 @@
 		e.Leaving = false // everything else must hold as for other endpoints
 		fits := c.eligible(t, e, c.claimLimit(j))
 		e.Leaving = true
-		if fits {
+		if fits && !c.mustCheck(t, e) {
 			c.start(t, e)
 			return true
 		}
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -88,7 +88,9 @@
 		}
 		if t.step.Demand.MilliCores <= c.maxFree {
 			if e, fits := c.bestEndpoint(t, nil); fits {
-				c.start(t, e)
+				if !c.mustCheck(t, e) {
+					c.start(t, e)
+				}
 				continue
 			}
 			c.maxFree = c.largestFree()
--- a/dispatch/leased/starts.go
+++ b/dispatch/leased/starts.go
@@ -105,7 +105,7 @@
 	}
 	// A refusal at another address would prove nothing about the copies sent before.
 	moved := r.address != e.Address
-	if moved || r.tries >= max(minStartTries, 1+c.loss.tolerated()) || e.evacuated || !c.mayRepeatStart(r) {
+	if moved || r.tries >= max(minStartTries, 1+c.loss.tolerated()) || e.evacuated || !c.mayRepeatStart(e, r) {
 		r.startUnanswered = true
 		c.countUnanswered(e)
 		return
@@ -115,9 +115,12 @@
 
 // mayRepeatStart reports whether the run of a Start without a reply is still wanted, as
 // far as this core can know: after a freeze, cancellations that arrived during it are
-// read first.
-func (c *Core) mayRepeatStart(r *run) bool {
-	return !c.now.Before(c.startsPausedUntil) && (r.task == nil || !c.unheard(r.task.job))
+// read first. The endpoint may have crashed, so that another incarnation would execute it.
+func (c *Core) mayRepeatStart(e *endpoint, r *run) bool {
+	if c.now.Before(c.startsPausedUntil) || !e.described() {
+		return false
+	}
+	return r.task == nil || r.task.step.Label == "" && !c.unheard(r.task.job)
 }
 
 // sendStart sends the Start of a run.
--- a/dispatch/leased/together.go
+++ b/dispatch/leased/together.go
@@ -31,9 +31,9 @@
 
 // placeTogether places the waiting tasks of a step together. It returns false if
 // the step has to be placed task by task: no endpoint here has free capacity, or a
-// task is a suspect, which has rules of its own.
+// task is a suspect or requires a label, which have rules of their own.
 func (c *Core) placeTogether(j *job, step int) bool {
-	if j.Steps[step].Demand.MilliCores > c.maxFree || !c.gatherTasks(j, step) {
+	if j.Steps[step].Label != "" || j.Steps[step].Demand.MilliCores > c.maxFree || !c.gatherTasks(j, step) {
 		return false
 	}
 	u := &c.unequal
--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -59,6 +59,7 @@
 type PollOptions struct {
 	MaxWait  time.Duration        // of a long poll; 0: poll in intervals
 	Interval func() time.Duration // used if MaxWait is 0
+	Wake     <-chan struct{}      // a value makes the next read due at once, if MaxWait is 0; nil: none does
 	// ExplicitDeletes states that a key is absent only if it was deleted on
 	// purpose: no writer renews it after an outage, so it is deleted at once. The
 	// records are then those of the log at Progress.Offset.
@@ -147,8 +148,23 @@
 		if left <= 0 {
 			return
 		}
-		sleep(ctx, min(left, checkInterval))
+		if woken := f.sleep(ctx, min(left, checkInterval)); woken {
+			return
+		}
+	}
+}
+
+// sleep waits for a time. It returns true at once if the follower is woken.
+func (f *Follower) sleep(ctx context.Context, d time.Duration) (woken bool) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.poll.Wake:
+		return true
 	}
+	return false
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/fleet/follow/follow_test.go
+++ b/fleet/follow/follow_test.go
@@ -46,3 +46,30 @@
 		}
 	})
 }
+
+// Guards against a wake that is ignored, or that makes reads due all the time.
+func TestFollowerReadsWhenItIsWoken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		wake := make(chan struct{}, 1)
+		log := &growingLog{}
+		poll := follow.PollOptions{Interval: func() time.Duration { return 4 * time.Second }, Wake: wake}
+		began := time.Now()
+		var reads []time.Duration
+		go follow.New("test", log, poll, zap.NewNop(), func(map[string][]byte) { reads = append(reads, time.Since(began)) }).Run(ctx)
+		time.Sleep(time.Second)
+		wake <- struct{}{}
+		time.Sleep(8 * time.Second)
+		synctest.Wait()
+		want := []time.Duration{0, time.Second, 5 * time.Second, 9 * time.Second}
+		if len(reads) != len(want) {
+			t.Fatalf("reads after %v, want %v", reads, want)
+		}
+		for i := range want {
+			if reads[i] != want[i] {
+				t.Errorf("reads after %v, want %v", reads, want)
+			}
+		}
+	})
+}
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -64,8 +64,9 @@
 	messages       chan message
 	snapshot       atomic.Pointer[Snapshot]
 	freezeDetector *freezeDetector
-	reporter       *reporter    // nil: stored jobs are not served
-	jobLog         *observedLog // the same
+	reporter       *reporter     // nil: stored jobs are not served
+	jobLog         *observedLog  // the same
+	recordsWanted  chan struct{} // has a value if the endpoints' records should be read at once
 	startTimeout   timeoutEstimator
 	balancer       balancer
 
@@ -116,6 +117,7 @@
 	l := &Loop{
 		settings: s, log: log, metrics: m, guard: guard{log, m}, endpoints: endpoints, peers: p, freezeDetector: f,
 		messages:         make(chan message, messageQueueLength),
+		recordsWanted:    make(chan struct{}, 1),
 		roster:           cells.New(self, time.Now()),
 		held:             make(map[leased.EndpointID]bool),
 		cellCounts:       make(map[string]int),
@@ -271,9 +273,20 @@
 	l.log.Warn(event.Event, zap.String("endpoint", string(event.Endpoint)), zap.String("reason", event.Reason),
 		zap.Int64("token", event.Token), zap.Int("runs", event.Runs))
 	l.metrics.endpointEvents.WithLabelValues(event.Event).Inc()
-	if event.Event == "endpoint_fenced" && l.view.Isolated {
+	switch {
+	case event.Event == "endpoint_fenced" && l.view.Isolated:
 		l.fencedWhileIsolated = true
 		l.dirty = true
+	case event.Event == leased.EventUndescribed:
+		l.readRecordsSoon()
+	}
+}
+
+// readRecordsSoon makes the next read of the endpoints' records due at once.
+func (l *Loop) readRecordsSoon() {
+	select {
+	case l.recordsWanted <- struct{}{}:
+	default:
 	}
 }
 
--- a/fleet/sources.go
+++ b/fleet/sources.go
@@ -55,7 +55,7 @@
 		p.setEvacuations(evacuatedDomains(&s, records), touched, configuration.Progress())
 		p.setConfiguration(&s, records)
 	})
-	endpoints := follow.New("endpoints", p.relayedEndpoints(&s), follow.PollOptions{Interval: p.endpointPollInterval}, p.log, p.endpointUpdater(&s))
+	endpoints := follow.New("endpoints", p.relayedEndpoints(&s), follow.PollOptions{Interval: p.endpointPollInterval, Wake: p.loop.recordsWanted}, p.log, p.endpointUpdater(&s))
 	entries := follow.New("entries", s.Entries,
 		follow.PollOptions{Interval: func() time.Duration { return entryPollInterval }}, p.log, func(records map[string][]byte) {
 			p.loop.send(listedAddresses{lo.MapToSlice(records, func(_ string, address []byte) string { return string(address) })})
--- a/fleet/sources_test.go
+++ b/fleet/sources_test.go
@@ -121,3 +121,19 @@
 	}
 	return counts
 }
+
+// Guards against an endpoint that is back as another incarnation and gets no task until
+// the next regular read of the records.
+func TestRecordsAreReadAtOnceForAnUndescribedEndpoint(t *testing.T) {
+	l := testLoop(t, nil)
+	l.logEndpointEvent(&leased.EndpointEvent{Event: "endpoint_held", Endpoint: "x"})
+	if n := len(l.recordsWanted); n != 0 {
+		t.Errorf("%d reads are wanted for an endpoint that is held, want none", n)
+	}
+	for range 3 { // more than the channel holds must not block the loop
+		l.logEndpointEvent(&leased.EndpointEvent{Event: leased.EventUndescribed, Endpoint: "x"})
+	}
+	if n := len(l.recordsWanted); n != 1 {
+		t.Errorf("%d reads are wanted, want one", n)
+	}
+}
