Acknowledge no ends to an endpoint that may have started again

What callers could see: a task of a stored job that was done ran again. An endpoint that has crashed and is back under its ID numbers its ended runs anew; a Hold that acknowledges the ends of the earlier incarnation made it forget an end that nobody had seen. Then the run counts as lost in a crash, and the task is started again.

Test: TestNothingIsAcknowledgedToAnEndpointThatMayHaveStartedAgain failed before.

--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -115,7 +115,10 @@
 	e.readsClock = false
 	e.holdSent = c.now
 	e.holdWait = wait
-	e.holdSeen = e.acknowledgeable()
+	e.holdSeen = 0
+	if e.mayAcknowledge(c.now) {
+		e.holdSeen = e.acknowledgeable()
+	}
 	h := Hold{Endpoint: e.ID, Address: e.Address, Sequence: e.sequence, Token: e.token, LastSeen: e.holdSeen, Wait: wait}
 	if lease := c.allowedLease(e); extend && lease > 0 {
 		h.Until = e.leaseEnd(c.now, lease)
--- a/dispatch/leased/incarnation.go
+++ b/dispatch/leased/incarnation.go
@@ -5,12 +5,14 @@
 // What an endpoint is (its service, labels, capacity and failure domain, and whether it
 // leaves) is known from its record only, and another incarnation may be of another kind,
 // even under the same ID and at the same address. Its answers to Holds tell which
-// incarnation it is; requests to start a task can't be limited to one. Two rules follow:
+// incarnation it is; requests can't be limited to one. Three rules follow:
 //
 //   - An endpoint gets tasks only while its newest record is that of the incarnation that
 //     answers.
 //   - A task that requires a label is started only while the endpoint can't have started
 //     again unnoticed.
+//   - Ended runs are acknowledged only then, or if no Start can have reached another
+//     incarnation.
 
 // incarnationCheckAge is the age of an answer up to which the endpoint is certainly the
 // same: an endpoint that has crashed is back later.
@@ -32,6 +34,16 @@
 	return now.Sub(e.lastAnswer) <= incarnationCheckAge || e.inFlight && e.holdSent.Sub(e.lastAnswer) <= incarnationCheckAge
 }
 
+// mayAcknowledge reports whether a Hold may acknowledge ended runs. Another incarnation
+// numbers its ends anew, and would forget ends that nobody has seen: if one may answer, the
+// Hold only asks. That is only so if a Start may have reached it.
+func (e *endpoint) mayAcknowledge(now time.Time) bool {
+	if e.certainlySame(now) {
+		return true
+	}
+	return !e.startSent.After(e.lastAnswer) && now.Sub(e.startUnanswered) > maxRequestDelay
+}
+
 // mustCheck reports whether an endpoint has to be asked for its incarnation before a task
 // is started on it, and asks it then.
 func (c *Core) mustCheck(t *task, e *endpoint) bool {
--- a/dispatch/leased/incarnation_test.go
+++ b/dispatch/leased/incarnation_test.go
@@ -92,3 +92,40 @@
 		t.Errorf("a lease until %v on the clock of an endpoint that has just started", latest)
 	}
 }
+
+// Guards against an end that nobody has seen and that an endpoint forgets: its new
+// incarnation numbers its ends anew, and takes the acknowledgement of the earlier one's for
+// theirs. The endpoint may have started again unnoticed before the Start.
+func TestNothingIsAcknowledgedToAnEndpointThatMayHaveStartedAgain(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addEndpoints(0, 1)
+	sim.runUntil(200 * time.Millisecond)
+	sim.submitJob(0, storedJob("before", 2, 100*time.Millisecond), 100*time.Millisecond)
+	sim.runUntil(3 * time.Second)
+	if n := len(sim.endpoints["e00"].Unacknowledged()); n != 0 {
+		t.Fatalf("%d ends are not acknowledged", n)
+	}
+	answered := false
+	var first, later int64 = -1, -1 // LastSeen of the Holds since the next Start
+	sim.stepped = func(_ int, in leased.Input, out *leased.Actions) {
+		if _, ok := in.(*leased.HoldReply); ok && first >= 0 {
+			answered = true
+		}
+		for _, h := range out.Holds {
+			switch {
+			case !answered:
+				first = max(first, h.LastSeen)
+			default:
+				later = max(later, h.LastSeen)
+			}
+		}
+	}
+	sim.submitJob(0, storedJob("j", 1, 100*time.Millisecond), 100*time.Millisecond)
+	sim.runUntil(6 * time.Second)
+	if first != 0 {
+		t.Errorf("the first Hold acknowledges the ends up to %d, want none", first)
+	}
+	if later != 3 || len(sim.endpoints["e00"].Unacknowledged()) != 0 {
+		t.Errorf("after an answer, Holds acknowledge the ends up to %d, want 3", later)
+	}
+}
