Delegate a task that requires a label to each cell in turn

What callers could see: a job whose tasks require a label did not proceed, for ever, while endpoints with that label were idle at another holder. Announced free capacity tells nothing of labels, so the task was delegated to the same cell again and again, whose holder refused it; a holder without endpoints let it wait in a cell that has none with the label.

The cells' order by free capacity decides, which does not change on idle endpoints.

Change: a cell that has refused such a task is passed over until all have; a task doesn't wait in a cell whose endpoints don't fit. Tasks without labels are delegated as before.

Test: TestLabelledTaskReachesTheCellThatHasIt failed before (101 delegations in 2 s). In the simulation, the connections of a crashed endpoint break now at once.

--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -66,13 +66,14 @@
 }
 
 // cellWithMostFree returns the cell with the most announced free capacity, which
-// may be 0, of a failure domain that is not evacuated, or nil if there is no announcement.
-func (c *Core) cellWithMostFree() *announcement {
+// may be 0, of a failure domain that is not evacuated and that has not refused the task, or
+// nil if there is no announcement of one.
+func (c *Core) cellWithMostFree(t *task) *announcement {
 	var best *announcement
 	most := -1
 	for i := range c.announced {
 		cell := &c.announced[i]
-		if c.evacuations.Phase(cell.FailureDomain) == evacuation.Evacuated {
+		if c.evacuations.Phase(cell.FailureDomain) == evacuation.Evacuated || t.wasRefusedBy(cell.Cell) {
 			continue
 		}
 		if total := lo.Sum(cell.Free); total > most {
@@ -96,17 +97,18 @@
 	if t.job.delegated || c.unheard(t.job) {
 		return false
 	}
-	cell, i := c.bestAnnounced(t.step.Demand.MilliCores)
+	cell, i := c.bestAnnounced(t)
 	if t.suspect() {
 		cell, i = c.announcedForSuspect(t)
 	}
 	if cell == nil && c.cannotServe() {
-		if cell = c.cellWithMostFree(); cell != nil {
+		if cell = c.cellWithMostFree(t); cell != nil {
 			c.delegateTo(t, cell, false)
 			return true
 		}
 	}
 	if cell == nil {
+		t.refusedBy = nil // the next round
 		return false
 	}
 	cell.Free[i] -= t.step.Demand.MilliCores
@@ -169,11 +171,15 @@
 
 // bestAnnounced returns the cell and the index of the announced endpoint with
 // the least free capacity that is enough for a task.
-func (c *Core) bestAnnounced(milliCores int) (*announcement, int) {
+func (c *Core) bestAnnounced(t *task) (*announcement, int) {
+	milliCores := t.step.Demand.MilliCores
 	var best *announcement
 	at := -1
 	for n := range c.announced {
 		cell := &c.announced[n]
+		if t.wasRefusedBy(cell.Cell) {
+			continue
+		}
 		for i, free := range cell.Free {
 			if free < milliCores {
 				continue
@@ -214,6 +220,7 @@
 	}
 	if in.End == EndNoCapacity {
 		c.forgetAnnounced(t.delegate)
+		t.noteRefusal()
 	}
 	t.evidence = EvidenceDelegate
 	switch {
@@ -295,7 +302,7 @@
 	}
 	e, fits := c.bestEndpoint(t, nil)
 	fits = fits && !c.now.Before(c.startsPausedUntil)
-	if d.Wait && c.holdsEndpointOf(d.Cell) && (!fits || c.waiting.len() > 0) {
+	if d.Wait && c.holdsEndpointOf(d.Cell) && c.mayFitIn(t, d.Cell) && (!fits || c.waiting.len() > 0) {
 		c.delegated[t.id] = j
 		t.runs = d.Run - 1
 		c.queueDelegated(j)
--- a/dispatch/leased/endpointfaults_test.go
+++ b/dispatch/leased/endpointfaults_test.go
@@ -12,6 +12,7 @@
 type endpointFaults struct {
 	deadly     map[leased.TaskID]bool       // tasks that crash the endpoints that start them
 	replaced   map[leased.EndpointID]bool   // their addresses belong to other endpoints
+	broken     map[leased.EndpointID]bool   // their processes are gone, so that connections break
 	takenOver  map[string]leased.EndpointID // addresses of endpoints that have replaced others
 	returnsAs  returnAs
 	downTime   time.Duration // from a crash to the return of the endpoint
@@ -32,7 +33,7 @@
 
 func newEndpointFaults() endpointFaults {
 	return endpointFaults{
-		deadly: make(map[leased.TaskID]bool), replaced: make(map[leased.EndpointID]bool), takenOver: make(map[string]leased.EndpointID), downTime: 3 * time.Second,
+		deadly: make(map[leased.TaskID]bool), replaced: make(map[leased.EndpointID]bool), broken: make(map[leased.EndpointID]bool), takenOver: make(map[string]leased.EndpointID), downTime: 3 * time.Second,
 	}
 }
 
@@ -48,6 +49,17 @@
 	sim.after(sim.downTime, func() { sim.returnEndpoint(id) })
 }
 
+// breakPolls breaks the connections of an endpoint whose process has crashed, until it is
+// back: open Holds have no reply at once.
+func (sim *simulation) breakPolls(id leased.EndpointID) {
+	sim.broken[id] = true
+	for _, p := range sim.pendingPolls[id] {
+		noReply := &leased.HoldReply{Endpoint: id, Sequence: p.sequence, Result: leased.HoldUnanswered}
+		sim.after(networkDelay, func() { sim.step(p.core, noReply) })
+	}
+	sim.pendingPolls[id] = nil
+}
+
 func (sim *simulation) returnEndpoint(id leased.EndpointID) {
 	sim.unreachable[id] = false
 	if sim.returnsAs == sameID {
--- a/dispatch/leased/isolate.go
+++ b/dispatch/leased/isolate.go
@@ -45,6 +45,9 @@
 	at := -1
 	for n := range c.announced {
 		cell := &c.announced[n]
+		if t.wasRefusedBy(cell.Cell) {
+			continue
+		}
 		for i, free := range cell.Free {
 			suits := free >= demand && c.isCapacity(t, free) || mayShare && free >= 2*demand
 			if suits && (best == nil || free > best.Free[at]) {
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -42,6 +42,7 @@
 	lostCell       string       // cell whose new holder may have an earlier run
 	delegate       uint64       // holder that runs a delegated task
 	delegatedCell  string       // cell of a delegated task
+	refusedBy      []string     // cells that have refused a task that requires a label (labels.go)
 	searching      bool         // delegated to find an earlier run, not to start one
 	delegatedAt    time.Time
 }
--- a/dispatch/leased/kind_test.go
+++ b/dispatch/leased/kind_test.go
@@ -51,8 +51,11 @@
 	sim.crashCount++
 	born := int64(1 + sim.crashCount)
 	sim.unreachable[id] = true
+	sim.breakPolls(id)
+	sim.endpoints[id].Restart(born) // its runs end
 	sim.after(away, func() {
 		sim.unreachable[id] = false
+		delete(sim.broken, id)
 		sim.endpoints[id].Restart(born)
 		sim.kinds[id] = kind
 	})
@@ -170,3 +173,33 @@
 		}
 	}
 }
+
+// Guards against a task that is delegated for ever to a cell which looks best and has no
+// endpoint with the label, while another cell of the same holder has: the delegator has
+// endpoints without the label, or none at all.
+func TestLabelledTaskReachesTheCellThatHasIt(t *testing.T) {
+	for _, own := range []int{0, 1} {
+		t.Run(fmt.Sprintf("%d own endpoints", own), func(t *testing.T) {
+			sim := newKindsSim(t, 1, 2, 0)
+			sim.addEndpoints(0, own)
+			sim.addEndpoints(1, 3)
+			for i := range sim.specs {
+				spec := &sim.specs[i]
+				sim.kinds[spec.ID] = "b"
+				if i == len(sim.specs)-1 {
+					sim.kinds[spec.ID] = "a"
+					spec.Cell = "c9"
+				}
+				spec.Labels = []string{sim.kinds[spec.ID]}
+			}
+			sim.announce()
+			sim.shareFreeCapacity()
+			sim.runUntil(2 * time.Second)
+			sim.submitNeeding(0, "j", "a", true)
+			sim.runUntil(4 * time.Second)
+			if a := sim.answers["j"]; a.Verdict != leased.Completed || a.Took == 0 {
+				t.Errorf("answer %+v after 2 s, want completed; %d times delegated", a, sim.delegatedRuns[leased.TaskID{Job: "j"}])
+			}
+		})
+	}
+}
--- a/dispatch/leased/sim_network_test.go
+++ b/dispatch/leased/sim_network_test.go
@@ -23,6 +23,10 @@
 // request is executed seconds later and not answered: the core gets noReply
 // after the timeout.
 func (sim *simulation) request(core int, id leased.EndpointID, address string, handle func(*leasedtest.Endpoint) leased.Input, noReply leased.Input, timeout time.Duration) {
+	if sim.broken[id] {
+		sim.after(2*networkDelay, func() { sim.step(core, noReply) })
+		return
+	}
 	if sim.unreachable[id] || sim.nobodyAt(address) {
 		sim.after(timeout, func() { sim.step(core, noReply) })
 		return
@@ -38,6 +42,10 @@
 		return
 	}
 	sim.after(networkDelay, func() {
+		if sim.broken[id] {
+			sim.after(networkDelay, func() { sim.step(core, noReply) })
+			return
+		}
 		reply := handle(sim.endpoints[id])
 		sim.advanceEndpoint(id)
 		sim.after(networkDelay, func() { sim.step(core, reply) })
@@ -60,6 +68,10 @@
 
 func (sim *simulation) poll(core int, h leased.Hold) {
 	noReply := &leased.HoldReply{Endpoint: h.Endpoint, Sequence: h.Sequence, Result: leased.HoldUnanswered}
+	if sim.broken[h.Endpoint] {
+		sim.after(2*networkDelay, func() { sim.step(core, noReply) })
+		return
+	}
 	if sim.unreachable[h.Endpoint] || sim.nobodyAt(h.Address) || sim.rng.Float64() < sim.lossRate {
 		sim.after(h.Wait+callTimeout, func() { sim.step(core, noReply) })
 		return
@@ -69,6 +81,10 @@
 		return
 	}
 	sim.after(networkDelay, func() {
+		if sim.broken[h.Endpoint] {
+			sim.after(networkDelay, func() { sim.step(core, noReply) })
+			return
+		}
 		e := sim.endpoints[h.Endpoint]
 		e.Advance(sim.now)
 		reply := e.Hold(sim.now, &h)
