Agree on the number of shards of stored jobs through the store

Change: the first entry writes the number to the topic keyed.jobs, under a condition, and all entries read it before they serve stored jobs. Until then a stored job has no owner (503). PendingJobs of the service replaces two calls that only the adapter added up.

An entry makes one more read at its start, and the first one writes once.

--- a/fleet/keep/keeptest/contract.go
+++ b/fleet/keep/keeptest/contract.go
@@ -53,6 +53,13 @@
 		mustSucceed(t, log.Open(ctx, 1, 5))
 		wantOffset(t, log, 1, 5, 1, "z", 0)
 	})
+	t.Run("the first number of shards stays", func(t *testing.T) {
+		for _, proposed := range []int{6, 12, 3} {
+			if n, err := log.Shards(ctx, proposed); err != nil || n != 6 {
+				t.Errorf("proposed %d: %d shards, %v, want 6", proposed, n, err)
+			}
+		}
+	})
 	t.Run("trimmed records are deleted", func(t *testing.T) {
 		mustSucceed(t, log.Trim(ctx, 0, 2))
 		_, _, err := log.Read(ctx, 0, 0)
--- a/fleet/keep/keeptest/log.go
+++ b/fleet/keep/keeptest/log.go
@@ -16,6 +16,7 @@
 type Log struct {
 	mu     sync.Mutex
 	shards map[int]*partition
+	layout int // number of shards; 0: not written yet
 	faults Faults
 }
 
@@ -54,6 +55,19 @@
 	return l.shards[shard]
 }
 
+// Shards implements keep.Log.
+func (l *Log) Shards(_ context.Context, proposed int) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Unresponsive {
+		return 0, errors.New("no answer")
+	}
+	if l.layout == 0 {
+		l.layout = proposed
+	}
+	return l.layout, nil
+}
+
 // Open implements keep.Log.
 func (l *Log) Open(_ context.Context, shard int, epoch int64) error {
 	l.mu.Lock()
--- a/fleet/keep/log.go
+++ b/fleet/keep/log.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+
+	"lovagespread.example/fleet/follow"
 )
 
 // Log is a log with a partition for each shard and fenced writers. Its methods
@@ -21,6 +24,55 @@
 	Read(ctx context.Context, shard int, from int64) (records [][]byte, end int64, err error)
 	// Trim deletes the records before an offset.
 	Trim(ctx context.Context, shard int, before int64) error
+	// Shards returns the number of shards over which jobs are distributed. It is that of
+	// the first call by any process, which proposed it: later ones must not change it,
+	// because the jobs that are stored would not be found.
+	Shards(ctx context.Context, proposed int) (int, error)
+}
+
+// maxShards is far above any number of shards that is proposed.
+const maxShards = 1000
+
+// LayoutError reports a number of shards on the log that no entry has written.
+type LayoutError struct{ Value string }
+
+func (e *LayoutError) Error() string {
+	return fmt.Sprintf("the log says that jobs are distributed over %.20q shards: look for another writer of the record", e.Value)
+}
+
+// shardsKey is the key of the number of shards, in decimal digits.
+const shardsKey = "shards"
+
+// LayoutTopic is a keyed log with conditional writes.
+type LayoutTopic interface {
+	// Newest is that of follow.KeyedLog.
+	Newest(context.Context) ([]follow.Record, int64, error)
+	// PutAt appends a record if the topic ends at an offset.
+	PutAt(ctx context.Context, key string, value []byte, end int64) error
+}
+
+// AgreeOnShards returns the number of shards that a topic has, and writes the proposed one
+// if there is none. Of several writers, one succeeds; the others get an error and call it
+// again. It returns a *LayoutError for a number that no entry has written.
+func AgreeOnShards(ctx context.Context, topic LayoutTopic, proposed int) (int, error) {
+	records, end, err := topic.Newest(ctx)
+	if err != nil {
+		return 0, err
+	}
+	for _, r := range records {
+		if r.Key != shardsKey {
+			continue
+		}
+		n, err := strconv.Atoi(string(r.Value))
+		if err != nil || n < 1 || n > maxShards {
+			return 0, &LayoutError{string(r.Value)}
+		}
+		return n, nil
+	}
+	if err := topic.PutAt(ctx, shardsKey, []byte(strconv.Itoa(proposed)), end); err != nil {
+		return 0, err
+	}
+	return proposed, nil
 }
 
 // FencedError reports that another owner has a higher epoch.
--- a/fleet/pendingjobs.go
+++ b/fleet/pendingjobs.go
@@ -106,7 +106,7 @@
 	now := time.Now()
 	total, recent := sj.pending.recent(now)
 	if !recent {
-		total = sj.pending.add(sj.countPending(ctx), len(sj.runners), now)
+		total = sj.pending.add(sj.countPending(ctx), max(1, len(sj.runners())), now)
 		if total.err != nil {
 			sj.log.Warn("pending_unknown", zap.Error(total.err))
 		}
@@ -144,8 +144,9 @@
 	view := sj.loop.Latest().View
 	shards := make(map[cells.Incarnation][]int)
 	owners := make(map[cells.Incarnation]cells.Entry)
-	for shard := range sj.runners {
-		if owner, ok := view.Owner(shard, len(sj.runners)); ok && owner.Incarnation != view.Self.Incarnation {
+	runners := sj.runners()
+	for shard := range runners {
+		if owner, ok := view.Owner(shard, len(runners)); ok && owner.Incarnation != view.Self.Incarnation {
 			shards[owner.Incarnation] = append(shards[owner.Incarnation], shard)
 			owners[owner.Incarnation] = owner
 		}
@@ -171,9 +172,10 @@
 		shard int
 		jobs  queueCounts
 	}
-	answers := make(chan answer, len(sj.runners))
+	runners := sj.runners()
+	answers := make(chan answer, len(runners))
 	asked := 0
-	for shard, r := range sj.runners {
+	for shard, r := range runners {
 		if sj.owns(shard) {
 			asked++
 			go func() { answers <- answer{shard, countPendingOf(ctx, r)} }()
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -103,7 +103,7 @@
 	}
 	go p.heartbeats.receive(ctx, p.loop)
 	if p.storedJobs != nil {
-		p.storedJobs.run(ctx)
+		go p.storedJobs.run(ctx)
 		go p.loop.reporter.run(ctx)
 	}
 	p.loop.run(ctx)
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -55,6 +55,12 @@
 			return
 		case <-r.queued:
 			pauseFor(ctx, batchDelay)
+			for r.storedJobs.runners() == nil && ctx.Err() == nil {
+				pauseFor(ctx, reportRetryInterval) // there is no owner to report to
+			}
+			if ctx.Err() != nil {
+				return
+			}
 			for shard, list := range r.takeAll() {
 				go r.deliver(ctx, shard, list)
 			}
--- a/fleet/shardyield.go
+++ b/fleet/shardyield.go
@@ -97,7 +97,7 @@
 // probeLog calls the log while this entry must find out whether it is served. The
 // probes go to all shards in turn, because one may be busy.
 func (sj *storedJobs) probeLog(ctx context.Context) {
-	for shard := 0; ctx.Err() == nil; shard = (shard + 1) % len(sj.runners) {
+	for shard := 0; ctx.Err() == nil; shard = (shard + 1) % len(sj.runners()) {
 		latest := sj.loop.Latest()
 		if latest.ProbesLog {
 			go sj.probe(ctx, shard)
--- a/fleet/storedjobs.go
+++ b/fleet/storedjobs.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -34,6 +35,9 @@
 	// effect unlimited, because a stored job waits for as long as it takes.
 	storedJobTimeout = 24 * time.Hour
 	updateTimeout    = time.Second
+	// layoutTimeout and layoutRetryInterval are those of reading the number of shards.
+	layoutTimeout       = time.Second
+	layoutRetryInterval = 200 * time.Millisecond
 )
 
 // storedJobs serves stored jobs: it sends requests to the owners of their
@@ -44,9 +48,12 @@
 	loop     *Loop
 	peers    *peers
 	service  *Service
+	jobLog   keep.Log
+	metrics  *metrics
 	log      *zap.Logger
-	runners  []*keep.Runner
 	pending  pendingCounter
+	// layout holds the runners of all shards; nil: their number is not known yet.
+	layout atomic.Pointer[[]*keep.Runner]
 
 	mu            sync.Mutex
 	minoritySince time.Time    // since when this entry has no majority; zero: it has one
@@ -54,14 +61,19 @@
 }
 
 func newStoredJobs(s StoredSettings, l *Loop, p *peers, service *Service, jobLog keep.Log, log *zap.Logger, m *metrics) *storedJobs {
-	sj := &storedJobs{settings: s, loop: l, peers: p, service: service, log: log}
+	return &storedJobs{settings: s, loop: l, peers: p, service: service, jobLog: jobLog, metrics: m, log: log}
+}
+
+// newRunners returns the runners of a number of shards.
+func (sj *storedJobs) newRunners(shards int) []*keep.Runner {
+	s, m := &sj.settings, sj.metrics
 	env := keep.Environment{
-		Log: jobLog, ShouldOwn: sj.owns, MayTakeOver: sj.mayTakeOver, OnFenced: sj.recordFenced, Offer: sj.offer, Logger: log,
+		Log: sj.jobLog, ShouldOwn: sj.owns, MayTakeOver: sj.mayTakeOver, OnFenced: sj.recordFenced, Offer: sj.offer, Logger: sj.log,
 		Codec: keep.JobCodec{
 			ToPB:   func(j *leased.Job) *fleetpb.SubmitRequest { return jobToPB(j, 0) },
 			FromPB: jobFromPB, ShardOf: sj.shardOf,
 		},
-		AppendInterval: time.Duration(float64(s.Shards) / (writeShare * s.WritesPerSecond) * float64(time.Second)),
+		AppendInterval: time.Duration(float64(shards) / (writeShare * s.WritesPerSecond) * float64(time.Second)),
 		Options:        stored.Options{Retain: s.Retention, SnapshotAge: s.LogRetention / 2},
 		ObserveAppend: func(result string, took time.Duration) {
 			m.appends.WithLabelValues(result).Inc()
@@ -75,30 +87,71 @@
 			m.shards.Dec()
 		},
 	}
-	for shard := range s.Shards {
-		sj.runners = append(sj.runners, keep.NewRunner(env, shard))
+	runners := make([]*keep.Runner, shards)
+	for shard := range runners {
+		runners[shard] = keep.NewRunner(env, shard)
 	}
-	return sj
+	return runners
 }
 
+// run runs the shards as soon as their number is known. It is read from the log: one that
+// followed the settings would change with them, and stored jobs would not be found.
 func (sj *storedJobs) run(ctx context.Context) {
-	for _, r := range sj.runners {
+	for ctx.Err() == nil {
+		shards, err := sj.agreeOnShards(ctx)
+		if err == nil {
+			sj.start(ctx, shards)
+			return
+		}
+		sj.log.Warn("shards_unknown", zap.Error(err))
+		pauseFor(ctx, layoutRetryInterval)
+	}
+}
+
+func (sj *storedJobs) agreeOnShards(ctx context.Context) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, layoutTimeout)
+	defer cancel()
+	return sj.jobLog.Shards(ctx, sj.settings.Shards)
+}
+
+func (sj *storedJobs) start(ctx context.Context, shards int) {
+	sj.log.Info("shards_known", zap.Int("shards", shards), zap.Int("by_settings", sj.settings.Shards))
+	runners := sj.newRunners(shards)
+	sj.layout.Store(&runners)
+	for _, r := range runners {
 		go r.Run(ctx)
 	}
 	go sj.probeLog(ctx)
 }
 
-// shardOf returns the shard of a job, a hash of its ID.
+// runners returns the runners of all shards, or nil while their number is not known: no
+// job has an owner then.
+func (sj *storedJobs) runners() []*keep.Runner {
+	if layout := sj.layout.Load(); layout != nil {
+		return *layout
+	}
+	return nil
+}
+
+// shardOf returns the shard of a job, a hash of its ID. The number of shards is known.
 func (sj *storedJobs) shardOf(id leased.JobID) int {
 	h := fnv.New32a()
 	h.Write([]byte(id))
-	return int(h.Sum32() % uint32(len(sj.runners)))
+	return int(h.Sum32() % uint32(len(sj.runners())))
+}
+
+// knownShardOf returns the shard of a job, or -1 while the number of shards is not known.
+func (sj *storedJobs) knownShardOf(id leased.JobID) int {
+	if sj.runners() == nil {
+		return -1
+	}
+	return sj.shardOf(id)
 }
 
 // owns reports whether this entry should own a shard.
 func (sj *storedJobs) owns(shard int) bool {
 	latest := sj.loop.Latest()
-	owner, ok := latest.View.Owner(shard, len(sj.runners))
+	owner, ok := latest.View.Owner(shard, len(sj.runners()))
 	return ok && owner.Incarnation == latest.View.Self.Incarnation && !latest.Stopping
 }
 
@@ -227,6 +280,17 @@
 	answered     bool // an owner has answered
 }
 
+// askOwnerOf sends a request to the owner of a job's shard, as askOwner does. While the
+// number of shards is not known, there is none.
+func (sj *storedJobs) askOwnerOf(ctx context.Context, id leased.JobID, local func(context.Context, *keep.Runner) ownerReply,
+	remote func(context.Context, fleetpb.Fleet) (*fleetpb.KeptResponse, error)) ownerReply {
+	shard := sj.knownShardOf(id)
+	if shard < 0 {
+		return ownerReply{result: stored.OtherOwner}
+	}
+	return sj.askOwner(ctx, shard, local, remote)
+}
+
 // askOwner sends a request to the owner of a shard, and to the next owner if that
 // one is replaced. It retries until an owner answers or ownerTimeout has passed.
 func (sj *storedJobs) askOwner(ctx context.Context, shard int, local func(context.Context, *keep.Runner) ownerReply,
@@ -236,13 +300,13 @@
 	maybeApplied := false
 	for ctx.Err() == nil {
 		view := sj.loop.Latest().View
-		owner, ok := view.Owner(shard, len(sj.runners))
+		owner, ok := view.Owner(shard, len(sj.runners()))
 		var reply ownerReply
 		switch {
 		case !ok:
 			reply.result = stored.OtherOwner
 		case owner.Incarnation == view.Self.Incarnation:
-			reply = local(ctx, sj.runners[shard])
+			reply = local(ctx, sj.runners()[shard])
 		default:
 			reply = sj.askRemote(ctx, owner, remote)
 		}
@@ -277,7 +341,7 @@
 
 // accept asks the owner of a job's shard to store the job.
 func (sj *storedJobs) accept(ctx context.Context, job leased.Job) ownerReply {
-	return sj.askOwner(ctx, sj.shardOf(job.ID), func(ctx context.Context, r *keep.Runner) ownerReply {
+	return sj.askOwnerOf(ctx, job.ID, func(ctx context.Context, r *keep.Runner) ownerReply {
 		return ownerReply{result: r.Accept(ctx, job)}
 	}, func(ctx context.Context, c fleetpb.Fleet) (*fleetpb.KeptResponse, error) {
 		return c.Keep(ctx, jobToPB(&job, uint64(sj.peers.self)))
@@ -286,7 +350,7 @@
 
 // cancel asks the owner of a job's shard to cancel the job.
 func (sj *storedJobs) cancel(ctx context.Context, id leased.JobID) ownerReply {
-	return sj.askOwner(ctx, sj.shardOf(id), func(ctx context.Context, r *keep.Runner) ownerReply {
+	return sj.askOwnerOf(ctx, id, func(ctx context.Context, r *keep.Runner) ownerReply {
 		return ownerReply{result: r.Cancel(ctx, id)}
 	}, func(ctx context.Context, c fleetpb.Fleet) (*fleetpb.KeptResponse, error) {
 		return c.CancelKept(ctx, &fleetpb.KeptRequest{Id: string(id)})
@@ -295,7 +359,7 @@
 
 // state asks the owner of a job's shard for the state of the job.
 func (sj *storedJobs) state(ctx context.Context, id leased.JobID) ownerReply {
-	return sj.askOwner(ctx, sj.shardOf(id), func(ctx context.Context, r *keep.Runner) ownerReply {
+	return sj.askOwnerOf(ctx, id, func(ctx context.Context, r *keep.Runner) ownerReply {
 		state, result := r.State(ctx, id)
 		return ownerReply{result: result, state: state}
 	}, func(ctx context.Context, c fleetpb.Fleet) (*fleetpb.KeptResponse, error) {
--- a/fleet/storedserver.go
+++ b/fleet/storedserver.go
@@ -18,7 +18,10 @@
 	if s.storedJobs == nil {
 		return nil
 	}
-	return s.storedJobs.runners[s.storedJobs.shardOf(leased.JobID(id))]
+	if shard := s.storedJobs.knownShardOf(leased.JobID(id)); shard >= 0 {
+		return s.storedJobs.runners()[shard]
+	}
+	return nil
 }
 
 func storedResponse(r stored.Result) *fleetpb.KeptResponse {
@@ -67,10 +70,10 @@
 
 // Report implements fleetpb.Fleet.
 func (s *server) Report(ctx context.Context, r *fleetpb.ReportRequest) (*fleetpb.KeptResponse, error) {
-	if s.storedJobs == nil || int(r.Shard) >= len(s.storedJobs.runners) {
+	if s.storedJobs == nil || int(r.Shard) >= len(s.storedJobs.runners()) {
 		return storedResponse(stored.OtherOwner), nil
 	}
-	result, progress := s.storedJobs.runners[r.Shard].Report(ctx, r.From, reportFromPB(r))
+	result, progress := s.storedJobs.runners()[r.Shard].Report(ctx, r.From, reportFromPB(r))
 	response := storedResponse(result)
 	response.Progress = keep.ProgressToPB(progress)
 	return response, nil
--- a/fleet/storedservice.go
+++ b/fleet/storedservice.go
@@ -93,7 +93,7 @@
 		write = s.log.Warn
 	}
 	write("stored", zap.String("job", string(job.ID)), zap.String("queue", job.Queue), zap.String("verdict", outcome.Verdict.String()),
-		zap.Int("shard", s.storedJobs.shardOf(job.ID)), zap.String("reason", outcome.Reason), zap.Duration("took_ms", took))
+		zap.Int("shard", s.storedJobs.knownShardOf(job.ID)), zap.String("reason", outcome.Reason), zap.Duration("took_ms", took))
 }
 
 func storeVerdict(a *ownerReply) StoredVerdict {
@@ -136,12 +136,15 @@
 	return StoredDone
 }
 
-// PendingStored returns the number of stored jobs of a queue of which no task has
-// started, as it was two seconds ago or later. It returns a *PendingUnknownError if the
-// owner of some jobs cannot be asked, and has not answered recently.
-func (s *Service) PendingStored(ctx context.Context, queue string) (int, error) {
+// PendingJobs returns the number of jobs of a queue of which no task has started, as it
+// was two seconds ago or later: the stored ones, and those whose callers wait here. It
+// returns a *PendingUnknownError if the owner of some jobs cannot be asked, and has not
+// answered recently.
+func (s *Service) PendingJobs(ctx context.Context, queue string) (int, error) {
+	waiting := s.Pending(queue)
 	if s.storedJobs == nil {
-		return 0, nil
+		return waiting, nil
 	}
-	return s.storedJobs.pendingJobs(ctx, queue)
+	stored, err := s.storedJobs.pendingJobs(ctx, queue)
+	return waiting + stored, err
 }
