Simulate the whole way of stored jobs under disturbances

TestStoredJobsUnderDisturbances plays callers, successive owners on one log, three holders and endpoints with incarnations and labels in virtual time. Holders are lost, also all at once and again during the reruns; the owner is lost with an append under way; the log stalls; endpoints crash and are back as another kind, or are cut off. It checks each start at its endpoint (label, step order, attempts, after a success, after a cancellation), runs at the same time, and at the end the state of each job against what the endpoints saw.

--- a/dispatch/leased/leasedtest/endpoint.go
+++ b/dispatch/leased/leasedtest/endpoint.go
@@ -64,7 +64,7 @@
 	highestRun       map[leased.TaskID]int // number of the newest run that was stopped or has ended
 	ended            []leased.EndedRun
 	endedAt          map[int64]time.Duration // by number of the ended run
-	lapsedAt         time.Duration           // when the lease last expired, as far as it was extended since
+	lapsedAt         time.Duration           // when the lease last expired, as far as was noted
 	lastNumber       int64
 	startCount       int
 }
@@ -180,16 +180,21 @@
 	e.ended = slices.DeleteFunc(e.ended, func(end leased.EndedRun) bool {
 		acknowledged := end.Number <= lastSeen
 		if acknowledged && e.OnAcknowledged != nil {
-			e.OnAcknowledged(end, e.endedAt[end.Number] < e.lapsedAt)
+			e.OnAcknowledged(end, e.endedAt[end.Number] <= e.lapsedAt)
 		}
 		return acknowledged
 	})
 }
 
-func (e *Endpoint) extend(now, until time.Duration) {
+// noteLapse records that the lease has expired, if it has.
+func (e *Endpoint) noteLapse(now time.Duration) {
 	if e.leaseEnd <= now {
 		e.lapsedAt = max(e.lapsedAt, e.leaseEnd)
 	}
+}
+
+func (e *Endpoint) extend(now, until time.Duration) {
+	e.noteLapse(now)
 	e.leaseEnd = max(e.leaseEnd, min(until, now+e.MaxLease))
 }
 
@@ -273,6 +278,7 @@
 	if request.Until > 0 {
 		e.extend(now, request.Until)
 	}
+	e.noteLapse(now)
 	e.acknowledge(request.LastSeen)
 	return e.List(now, request.Sequence)
 }
--- a/dispatch/leased/owner_test.go
+++ b/dispatch/leased/owner_test.go
@@ -20,12 +20,15 @@
 	lastTicket stored.Ticket
 	unstored   map[stored.Ticket]sentReport
 	offers     map[leased.JobID]activeOffer
+	replies    map[stored.Ticket]func(stored.Result) // of requests, except for reports
+	inFlight   []stored.Event                        // that are being appended
 	// stalledUntil is when appends are stored that are sent before.
 	stalledUntil time.Duration
 }
 
 type sentReport struct {
 	core   int
+	by     *leased.Core // that has sent it: one that was restarted repeats no report
 	report leased.Report
 }
 
@@ -44,9 +47,13 @@
 )
 
 func (sim *simulation) addOwner() *owner {
-	sim.owner = &owner{sim: sim, unstored: make(map[stored.Ticket]sentReport), offers: make(map[leased.JobID]activeOffer)}
+	sim.owner = &owner{sim: sim, unstored: make(map[stored.Ticket]sentReport), replies: make(map[stored.Ticket]func(stored.Result)), offers: make(map[leased.JobID]activeOffer)}
 	sim.owner.shard = newShard()
-	sim.every(50*time.Millisecond, func() { sim.owner.step(&stored.Tick{}) })
+	sim.every(50*time.Millisecond, func() {
+		if sim.owner.shard != nil {
+			sim.owner.step(&stored.Tick{})
+		}
+	})
 	return sim.owner
 }
 
@@ -59,9 +66,14 @@
 func (o *owner) perform(out *stored.Actions) {
 	for _, a := range out.Appends {
 		shard, events := o.shard, slices.Clone(a.Events)
+		o.inFlight = events
 		o.sim.after(appendTime+max(0, o.stalledUntil-o.sim.now), func() { o.appended(shard, a.Sequence, events) })
 	}
 	for _, r := range slices.Clone(out.Replies) {
+		if reply := o.replies[r.Ticket]; reply != nil {
+			delete(o.replies, r.Ticket)
+			reply(r.Result)
+		}
 		if sent, ok := o.unstored[r.Ticket]; ok && r.Result == stored.Stored {
 			delete(o.unstored, r.Ticket)
 			p := sent.report
@@ -97,7 +109,11 @@
 		suspended[id] = o.offers[id]
 		o.withdraw(id)
 	}
+	shard := o.shard
 	o.sim.after(d, func() {
+		if o.shard != shard {
+			return // the next owner has offered the jobs
+		}
 		for _, id := range slices.Sorted(maps.Keys(suspended)) {
 			o.step(&stored.Outcome{Job: id, Attempt: suspended[id].attempt, Lost: true, Begun: true})
 		}
@@ -109,6 +125,7 @@
 	if shard != o.shard {
 		return
 	}
+	o.inFlight = nil
 	o.log = append(o.log, events)
 	o.step(&stored.Appended{Sequence: sequence, Offset: int64(len(o.log) - 1)})
 }
@@ -120,6 +137,15 @@
 			live = append(live, core)
 		}
 	}
+	if len(live) == 0 {
+		shard := o.shard
+		o.sim.after(100*time.Millisecond, func() {
+			if o.shard == shard && !shard.State(offer.Job.ID).Ended() {
+				o.offer(offer)
+			}
+		})
+		return
+	}
 	core := live[o.sim.rng.IntN(len(live))]
 	o.sim.lastTicket++
 	ticket := o.sim.lastTicket
@@ -144,7 +170,11 @@
 	}
 	delete(o.offers, a.Job)
 	lost := a.Verdict != leased.Completed && a.Verdict != leased.Failed
+	shard := o.shard
 	o.sim.after(networkDelay, func() {
+		if o.shard != shard {
+			return
+		}
 		o.step(&stored.Outcome{Job: a.Job, Attempt: active.attempt, Verdict: a.Verdict, Lost: lost, Begun: lost})
 	})
 }
@@ -153,13 +183,17 @@
 func (o *owner) report(core int, r leased.Report) {
 	o.lastTicket++
 	ticket := o.lastTicket
-	o.unstored[ticket] = sentReport{core, r}
+	o.unstored[ticket] = sentReport{core, o.sim.cores[core], r}
 	o.sim.after(networkDelay, func() { o.deliver(ticket) })
 }
 
 func (o *owner) deliver(ticket stored.Ticket) {
 	sent, waiting := o.unstored[ticket]
-	if !waiting || o.sim.crashed[sent.core] {
+	if !waiting || o.sim.crashed[sent.core] || o.sim.cores[sent.core] != sent.by {
+		return
+	}
+	if o.shard == nil {
+		o.sim.after(200*time.Millisecond, func() { o.deliver(ticket) })
 		return
 	}
 	r := sent.report
@@ -174,7 +208,7 @@
 func (o *owner) coreCrashed(core int) {
 	o.sim.after(lostHolderFor, func() {
 		for _, id := range slices.Sorted(maps.Keys(o.offers)) {
-			if a := o.offers[id]; a.core == core {
+			if a := o.offers[id]; a.core == core && o.shard != nil {
 				delete(o.offers, id)
 				o.step(&stored.Outcome{Job: id, Attempt: a.attempt, Lost: true, Begun: true})
 			}
