Soak: stored jobs as callers send them

Stored jobs of the soak require a label in half of the cases, have runs that fail (15% of the runs of one job in four, all of one in 25), and executors come back as ones of another kind. What the executors see is checked: no start without the label, none after an acknowledged success, none after as many acknowledged failures as a task may have. The number of pending jobs is read four times a second at any entry: given with 200, it is at least half of the jobs that have waited for 5 s. A job may be shown as failed only if a task of it has used up its attempts; before, any fault that made an executor fail excused all jobs.

--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -45,6 +45,7 @@
 	{name: "executor silent", inject: executorFault(fakeexecutor.Faults{Hang: true})},
 	{name: "executor mute", inject: executorFault(fakeexecutor.Faults{LoseReplies: true})},
 	{name: "executor restarted", inject: func(s *soak, _ time.Duration, choice int) { s.executor(choice).Restart() }},
+	{name: "executor of another kind", inject: func(s *soak, _ time.Duration, choice int) { s.changeKind(choice) }},
 	{name: "executor hangs", inject: func(s *soak, duration time.Duration, choice int) {
 		s.changeExecutor(choice, duration, func(e *leasedtest.Endpoint, on bool) { e.Hangs = on })
 	}},
@@ -120,6 +121,18 @@
 	}
 }
 
+// changeKind makes an executor crash, which is back as one of another kind. The first
+// executor of each kind in each failure domain keeps its own.
+func (s *soak) changeKind(choice int) {
+	const away = 100 * time.Millisecond
+	n := choice % len(s.deployment.Executors)
+	if n%executorsPerDomain < len(usersplatform.Labels) {
+		return
+	}
+	kind := usersplatform.Labels[(choice/len(s.deployment.Executors))%len(usersplatform.Labels)]
+	s.deployment.Executors[n].RestartAs([]string{kind}, away, s.deployment.Store)
+}
+
 func (s *soak) executor(choice int) *usersplatform.Executor {
 	return s.deployment.Executors[choice%len(s.deployment.Executors)]
 }
--- a/experiment/soak/overlaps.go
+++ b/experiment/soak/overlaps.go
@@ -65,8 +65,9 @@
 }
 
 // started checks the start of a run.
-func (s *soak) started(domain string, executor leased.EndpointID, task leased.TaskID) {
+func (s *soak) started(domain string, executor leased.EndpointID, labels []string, task leased.TaskID) {
 	s.evacuations.started(domain, executor, task)
+	s.storedRuns.started(executor, labels, task)
 	s.events.add("run started", "executor", executor, "task", task)
 	select {
 	case s.runStarted <- struct{}{}:
--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -87,6 +87,7 @@
 		rng:    rand.New(rand.NewPCG(opts.Seed, 7)),
 		report: &Report{Seed: opts.Seed, Answers: make(map[string]int), Faults: make(map[string]int), DeadlyStarts: make(map[int]int)},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, runStarted: make(chan struct{}, 1), jobLoad: &shortJobs,
+		acceptedJobs: make(map[leased.JobID]acceptedJob),
 	}
 	if !opts.NoFaults && disturbsPeers(opts.Seed) {
 		s.jobLoad = &longJobs
@@ -98,6 +99,7 @@
 	defer events.close()
 	s.events = events
 	s.evacuations = newEvacuations(s.addViolation)
+	s.storedRuns = newStoredRuns(s.addViolation)
 	d, err := usersplatform.Start(usersplatform.Options{
 		Dir: opts.Dir, Domains: opts.Domains, Entries: opts.Entries, Executors: executorsPerDomain, Subnet: opts.Subnet,
 		EvacuationBound: evacuationBound, QueueTimeout: s.jobLoad.queueTimeout, OnStart: s.started,
@@ -107,6 +109,9 @@
 	}
 	defer d.Close()
 	s.deployment, s.processes = d, make([]*process, len(d.Entries))
+	for _, x := range d.Executors {
+		s.storedRuns.watch(x)
+	}
 	defer s.killAll()
 	if err := s.startAll(ctx); err != nil {
 		return nil, err
@@ -118,6 +123,7 @@
 	opts        Options
 	deployment  *usersplatform.Deployment
 	evacuations *evacuations
+	storedRuns  *storedRuns
 	events      *events
 	jobLoad     *jobLoad      // during the faults
 	runStarted  chan struct{} // wakes the check for overlaps
@@ -130,7 +136,9 @@
 	mu       sync.Mutex
 	report   *Report
 	accepted []leased.JobID // stored jobs
-	refused  []leased.JobID // jobs that were refused for storage
+	// acceptedJobs are the same by ID.
+	acceptedJobs map[leased.JobID]acceptedJob
+	refused      []leased.JobID // jobs that were refused for storage
 }
 
 // process is the process of an entry.
@@ -225,6 +233,7 @@
 	go func() { s.load(loadCtx, s.jobLoad, nil); close(loadEnded) }()
 	storingEnded := make(chan struct{})
 	go func() { s.storeJobs(loadCtx, s.jobLoad); close(storingEnded) }()
+	go s.askPending(watchCtx)
 	var faults sync.WaitGroup
 	if !s.opts.NoFaults && evacuatesDomains(s.opts.Seed) {
 		faults.Go(func() { s.evacuateDomains(time.Now().Add(s.opts.FaultDuration)) })
@@ -250,6 +259,7 @@
 	s.checkReturned(startsBefore)
 	s.jobs.Wait()
 	s.checkStored(ctx)
+	s.storedRuns.check()
 	s.checkIdle()
 	return ctx.Err()
 }
--- a/experiment/soak/stored.go
+++ b/experiment/soak/stored.go
@@ -10,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"lovagespread.example/dispatch/leased"
+	"lovagespread.example/standin/usersplatform"
 )
 
 // Sizes and times of stored jobs.
@@ -39,21 +40,44 @@
 		if !s.opts.NoFaults && rng.IntN(deadlyJobEvery) == 0 {
 			s.deployment.MakeDeadly(leased.TaskID{Job: id, Index: rng.IntN(tasks)})
 		}
-		s.jobs.Go(func() { s.storeJob(id, entry, tasks, run) })
+		job := &usersplatform.StoredJob{ID: id, Tasks: tasks, Run: run, Label: storedLabels[rng.IntN(len(storedLabels))], FailShare: failShareOf(rng)}
+		if s.opts.NoFaults {
+			job.FailShare = 0
+		}
+		s.jobs.Go(func() { s.storeJob(job, entry) })
 		time.Sleep(load.storedInterval)
 	}
 }
 
+// storedLabels are required by equal parts of the stored jobs.
+var storedLabels = append([]string{"", ""}, usersplatform.Labels...)
+
+// failShareOf returns the share of the runs of a stored job that fail: none for most jobs,
+// some for one in four, all for one in 25.
+func failShareOf(rng *rand.Rand) float64 {
+	const jobs, hopeless, flaky = 25, 1, 6
+	switch n := rng.IntN(jobs); {
+	case n < hopeless:
+		return 1
+	case n < hopeless+flaky:
+		return 0.15
+	}
+	return 0
+}
+
 // storeJob submits a stored job once, without retries. A refused job must never
 // run.
-func (s *soak) storeJob(id leased.JobID, entry, tasks int, run time.Duration) {
-	a := s.deployment.SubmitStored(context.Background(), s.client, s.deployment.Entries[entry].Front, id, tasks, run, callerTimeout)
+func (s *soak) storeJob(job *usersplatform.StoredJob, entry int) {
+	id := job.ID
+	s.storedRuns.submitted(job)
+	a := s.deployment.SubmitStored(context.Background(), s.client, s.deployment.Entries[entry].Front, job, callerTimeout)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report.Answers[fmt.Sprintf("store %d %s", a.Status, a.State)]++
 	switch a.Status {
 	case http.StatusOK:
 		s.accepted = append(s.accepted, id)
+		s.acceptedJobs[id] = acceptedJob{job.Tasks, time.Now()}
 	case http.StatusServiceUnavailable:
 		s.refused = append(s.refused, id)
 	}
@@ -106,10 +130,10 @@
 	}
 }
 
-// checkFailure reports a stored job that ended without being completed. A job
-// may fail if faults made executors fail its runs.
+// checkFailure reports a stored job that ended without being completed. A job may fail if
+// the runs of one of its tasks have failed as often as they may.
 func (s *soak) checkFailure(id leased.JobID, state string) {
-	if state == "failed" && (s.report.Faults["executor fails"] > 0 || s.hasDeadlyTask(id)) {
+	if state == "failed" && (s.storedRuns.mayFail(id) || s.hasDeadlyTask(id)) {
 		return
 	}
 	s.addViolation("stored job %s is %s", id, state)
--- a/standin/fakeexecutor/executor.go
+++ b/standin/fakeexecutor/executor.go
@@ -38,9 +38,9 @@
 	Capacity leased.Demand
 	Labels   []string
 	Work     func(leased.TaskID) leasedtest.Work
-	// OnStart is called when a run has started; nil: not. It must not call the
-	// executor.
-	OnStart func(leased.TaskID)
+	// OnStart is called when a run has started, with the labels of the executor; nil: not.
+	// It must not call the executor.
+	OnStart func(task leased.TaskID, labels []string)
 }
 
 // Faults are the fault switches of an executor.
@@ -141,6 +141,16 @@
 	x.restart()
 }
 
+// RestartAs crashes the executor. It is back under its ID after some time, with other
+// labels, and announces itself right before.
+func (x *Executor) RestartAs(labels []string, downFor time.Duration, registry Registry) {
+	x.Crash(downFor)
+	x.mu.Lock()
+	x.opts.Labels = labels
+	x.mu.Unlock()
+	time.AfterFunc(downFor, func() { _ = x.Announce(registry, "ready") }) // the same record was encoded before
+}
+
 func (x *Executor) restart() {
 	x.startTime = time.Now()
 	x.incarnationStart = time.Now().UnixMilli()
@@ -328,7 +338,7 @@
 		Task: id, Run: req.RunID, Until: time.Duration(req.UntilMS) * time.Millisecond, Token: req.FencingToken,
 	}).Result
 	if x.opts.OnStart != nil && x.state.StartCount() > startsBefore {
-		x.opts.OnStart(id)
+		x.opts.OnStart(id, x.opts.Labels)
 	}
 	x.advance()
 	body := response{ClockMS: x.clock().Milliseconds(), Reason: refusalReasons[result]}
--- a/standin/usersplatform/deployment.go
+++ b/standin/usersplatform/deployment.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -60,9 +61,12 @@
 	QueueTimeout time.Duration
 	// OnStart is called when a run has started in a failure domain; nil: not. It must
 	// not call the deployment.
-	OnStart func(domain string, executor leased.EndpointID, task leased.TaskID)
+	OnStart func(domain string, executor leased.EndpointID, labels []string, task leased.TaskID)
 }
 
+// MaxAttempts is how often a task of a stored job may fail.
+const MaxAttempts = 3
+
 // DefaultQueueTimeout is how long callers are served at most if Options say nothing.
 const DefaultQueueTimeout = 1500 * time.Millisecond
 
@@ -101,6 +105,7 @@
 	runTimes    map[leased.JobID]time.Duration
 	startedRuns map[leased.JobID]int
 	deadly      map[leased.TaskID]int // tasks that crash their executors, and how often they have started
+	failShares  map[leased.JobID]float64
 	version     int
 }
 
@@ -114,7 +119,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Deployment{
 		Store: fakestore.New(operatorTopic, fakeexecutor.Topic), opts: opts, network: network, cancel: cancel,
-		runTimes: make(map[leased.JobID]time.Duration), startedRuns: make(map[leased.JobID]int), deadly: make(map[leased.TaskID]int),
+		runTimes: make(map[leased.JobID]time.Duration), startedRuns: make(map[leased.JobID]int), deadly: make(map[leased.TaskID]int), failShares: make(map[leased.JobID]float64),
 	}
 	if err := d.start(ctx); err != nil {
 		d.Close()
@@ -203,7 +208,8 @@
 	if deadly {
 		d.deadly[id] = starts + 1
 	}
-	return leasedtest.Work{Demand: leased.Demand{MilliCores: taskMilliCores, MemoryMiB: 64}, Time: runTime, Crashes: deadly}
+	fails := rand.Float64() < d.failShares[id.Job]
+	return leasedtest.Work{Demand: leased.Demand{MilliCores: taskMilliCores, MemoryMiB: 64}, Time: runTime, Fails: fails, Crashes: deadly}
 }
 
 // MakeDeadly makes a task crash each executor that starts it.
@@ -237,8 +243,8 @@
 	version := d.version
 	d.mu.Unlock()
 	d.Store.Put(operatorTopic, "config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":%q,"path_prefix":%q,"type":"unsafe",
-"timeout_ms":%d,"slo_ms":60,"service":%q,"max_attempts":3,"stretch":1.6}],"services":[{"name":%q,"admission_check":true}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, host, pathPrefix, cmp.Or(d.opts.QueueTimeout, DefaultQueueTimeout).Milliseconds(), serviceName, serviceName))
+"timeout_ms":%d,"slo_ms":60,"service":%q,"max_attempts":%d,"stretch":1.6}],"services":[{"name":%q,"admission_check":true}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, host, pathPrefix, cmp.Or(d.opts.QueueTimeout, DefaultQueueTimeout).Milliseconds(), serviceName, MaxAttempts, serviceName))
 }
 
 func (d *Deployment) addEntry(domain, n int) error {
@@ -286,31 +292,27 @@
 type Response struct {
 	Status int // HTTP status; 0: no response
 	State  string
-	Took   time.Duration
+	// Pending is the number of pending jobs in the response to Pending.
+	Pending int
+	Took    time.Duration
 }
 
 // Submit submits a job of equal tasks to an entry and waits until it ends.
 func (d *Deployment) Submit(ctx context.Context, client *http.Client, front string, id leased.JobID, tasks int, run, timeout time.Duration) Response {
-	return d.call(ctx, client, http.MethodPost, front, id, d.requestBody(id, true, tasks, run), timeout)
-}
-
-// SubmitStored submits a stored job of equal tasks: it outlives its caller.
-func (d *Deployment) SubmitStored(ctx context.Context, client *http.Client, front string, id leased.JobID, tasks int, run, timeout time.Duration) Response {
-	return d.call(ctx, client, http.MethodPost, front, id, d.requestBody(id, false, tasks, run), timeout)
+	return d.call(ctx, client, http.MethodPost, front, id, d.requestBody(id, true, tasks, run, ""), timeout)
 }
 
-// QueryStored asks an entry for the state of a stored job.
-func (d *Deployment) QueryStored(ctx context.Context, client *http.Client, front string, id leased.JobID, timeout time.Duration) Response {
-	return d.call(ctx, client, http.MethodGet, front, id, "", timeout)
-}
-
-// requestBody returns the request body of a job of equal tasks, and sets the
+// requestBody returns the request body of a job of equal tasks, which require a label unless it is empty, and sets the
 // run time of the tasks.
-func (d *Deployment) requestBody(id leased.JobID, bestEffort bool, tasks int, run time.Duration) string {
+func (d *Deployment) requestBody(id leased.JobID, bestEffort bool, tasks int, run time.Duration, label string) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.runTimes[id] = run
-	return fmt.Sprintf(`{"spec":"x","best_effort":%t,"steps":[{"count":%d,"cpu":%d,"mem_mb":64,"estimate_ms":%d}]}`, bestEffort, tasks, taskMilliCores, run.Milliseconds())
+	requirements := ""
+	if label != "" {
+		requirements = fmt.Sprintf(`,"requirements":%q`, label)
+	}
+	return fmt.Sprintf(`{"spec":"x","best_effort":%t,"steps":[{"count":%d,"cpu":%d,"mem_mb":64,"estimate_ms":%d%s}]}`, bestEffort, tasks, taskMilliCores, run.Milliseconds(), requirements)
 }
 
 func (d *Deployment) call(ctx context.Context, client *http.Client, method, front string, id leased.JobID, body string, timeout time.Duration) Response {
@@ -333,8 +335,9 @@
 		return Response{Took: time.Since(start)}
 	}
 	var state struct {
-		State string `json:"state"`
+		State   string `json:"state"`
+		Pending int    `json:"pending"`
 	}
 	_ = json.Unmarshal(data, &state) // a response without a state leaves State empty
-	return Response{Status: resp.StatusCode, State: state.State, Took: time.Since(start)}
+	return Response{Status: resp.StatusCode, State: state.State, Pending: state.Pending, Took: time.Since(start)}
 }
--- a/standin/usersplatform/executors.go
+++ b/standin/usersplatform/executors.go
@@ -11,6 +11,9 @@
 	"lovagespread.example/standin/fakeexecutor"
 )
 
+// Labels are the kinds of executors. Each failure domain has executors of all kinds, in turn.
+var Labels = []string{"a", "b"}
+
 func (d *Deployment) addExecutor(ctx context.Context, domain, n int) error {
 	x := &Executor{}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { x.ServeHTTP(w, r) })
@@ -23,9 +26,10 @@
 	x.Executor = fakeexecutor.New(fakeexecutor.Options{
 		ID: id, Address: listener.Addr().String(), Service: serviceName, Zone: domainName(domain),
 		Capacity: leased.Demand{MilliCores: executorMilliCores, MemoryMiB: executorMemoryMiB}, Work: d.workOf,
-		OnStart: func(task leased.TaskID) {
+		Labels: []string{Labels[n%len(Labels)]},
+		OnStart: func(task leased.TaskID, labels []string) {
 			if d.opts.OnStart != nil {
-				d.opts.OnStart(domainName(domain), leased.EndpointID(id), task)
+				d.opts.OnStart(domainName(domain), leased.EndpointID(id), labels, task)
 			}
 		},
 	})
