--- a/dispatch/leased/doc.go
+++ b/dispatch/leased/doc.go
@@ -16,7 +16,7 @@
 // are done are placed in order of urgency (queue.go) on the endpoint that is
 // expected to finish them first (place.go). If no endpoint has enough free
 // capacity, a task is delegated to the holder of another cell that has
-// announced free capacity (delegate.go). An endpoint's list of ended runs
+// announced free capacity (delegate.go, and delegated.go at that holder). An endpoint's list of ended runs
 // (runs.go) tells how a run ended. When the last task is done, or one has
 // failed too often, every ticket of the job gets an Answer.
 //
