Let the owner of a stored job decide whether a lost task starts again

What callers saw: a task that was done, and whose end was acknowledged, was started again by a holder that was cut off with its zone, and stopped 30 to 140 ms later.

Cause: endpoint_lost proves that a run is over, not how it ended. The next holder of the endpoint had found it done and reported it; the holder of the job, which had the task delegated and was cut off from the owner, started it as soon as the lease had lapsed.

Change: after a loss, as after a failure, the task starts again once the owner has answered the report, and a delegate returns it with that answer. Answers to reports that were stored together are one input of the core, so that their tasks start in order of urgency (TestSuspectStartsBesideLongTasks needs that).

Tests: TestLostTaskWaitsForTheOwner failed before, for holder and delegate; two mutants.

--- a/dispatch/leased/action.go
+++ b/dispatch/leased/action.go
@@ -148,7 +148,7 @@
 }
 
 // Report notifies the owner of a stored job of a run that has begun or ended.
-// Once an end is stored, it is answered by ReportStored.
+// Once an end is stored, it is answered by ReportsStored.
 type Report struct {
 	Endpoint         EndpointID
 	IncarnationStart int64 // of the endpoint that ran it
--- a/dispatch/leased/attempts.go
+++ b/dispatch/leased/attempts.go
@@ -5,16 +5,17 @@
 	"time"
 )
 
-// The owner of a stored job counts the failures of its tasks, because runs of
-// several holders may have failed. A holder that has seen a failure starts the
-// task again only once the owner has counted it and has told the total: until
-// then it may lack the failures that others have found. A delegate returns a
-// failed task with that total.
+// The owner of a stored job decides whether a task starts again after a run that
+// has failed, or was lost with its endpoint: runs of several holders may have
+// failed, and another entry may have found the end of a lost run. A holder that
+// has seen either starts the task again only once the owner has answered the
+// report of it, and has told what it knows. A delegate returns the task with that
+// answer.
 
 // reportedEnd identifies an end that was reported to the owner of a stored job.
 type reportedEnd struct {
 	run    RunID
-	number int64 // of the end, in the endpoint's list
+	number int64 // of the end, in the endpoint's list; 0: the run was lost
 }
 
 // countedTask is what the owner of a stored job knew of a task when it counted an end that
@@ -24,22 +25,24 @@
 	at       time.Time
 }
 
-// heldAnswer is the answer to a delegated task whose failure is not counted yet.
+// heldAnswer is the answer to a delegated task whose failure or loss is not counted yet.
 type heldAnswer struct {
 	job        *job
 	run        int
+	end        End
 	checkpoint string
 }
 
-// awaitCount records that the failure of a run was reported and is not counted yet.
+// awaitCount records that the failure or loss of a run was reported and is not counted yet.
 func (c *Core) awaitCount(task TaskID, end reportedEnd) {
 	c.uncounted[task] = append(c.uncounted[task], end)
 }
 
-// awaitsCount reports whether a failure of a task was reported that is not counted yet.
+// awaitsCount reports whether a failure or loss of a task was reported that is not counted
+// yet.
 func (c *Core) awaitsCount(task TaskID) bool { return len(c.uncounted[task]) > 0 }
 
-// endCounted handles the owner's word on a reported end. If the end was a failure, the
+// endCounted handles the owner's word on a reported end. After a failure or a loss, the
 // task may start again, or be returned to its delegator. Progress is nil if the owner is of
 // an earlier version, which does not tell it.
 func (c *Core) endCounted(task TaskID, end reportedEnd, progress *TaskProgress) {
@@ -56,15 +59,15 @@
 	held := c.heldAnswers[task]
 	delete(c.heldAnswers, task)
 	for _, a := range held {
-		c.answerDelegated(a.job, a.run, EndFailed, a.checkpoint)
+		c.answerDelegated(a.job, a.run, a.end, a.checkpoint)
 	}
 }
 
-// holdAnswer holds the answer to a delegated task back until its failure is counted.
-func (c *Core) holdAnswer(j *job, run int, checkpoint string) {
+// holdAnswer holds the answer to a delegated task back until its failure or loss is counted.
+func (c *Core) holdAnswer(j *job, run int, end End, checkpoint string) {
 	t := &j.tasks[0][0]
 	t.state = uncountedTask
-	c.heldAnswers[t.id] = append(c.heldAnswers[t.id], heldAnswer{j, run, checkpoint})
+	c.heldAnswers[t.id] = append(c.heldAnswers[t.id], heldAnswer{j, run, end, checkpoint})
 }
 
 // countedProgress returns what the owner has told of a task, or nil if it has told nothing
--- a/dispatch/leased/attempts_test.go
+++ b/dispatch/leased/attempts_test.go
@@ -214,12 +214,48 @@
 	sim.submitFailing(0, 3)
 	sim.runUntil(time.Second)
 	end := sim.reports[len(sim.reports)-1]
-	sim.step(0, &leased.ReportStored{
+	sim.step(0, &leased.ReportsStored{Reports: []leased.StoredReport{{
 		Endpoint: end.Endpoint, IncarnationStart: end.IncarnationStart, Number: end.Number, Task: end.Task, Run: end.Run,
 		Progress: &leased.TaskProgress{JobEnded: true},
-	})
+	}}})
 	sim.runUntil(3 * time.Second)
 	if n := sim.startCounts[leased.TaskID{Job: "j"}]; n != 1 {
 		t.Errorf("the task was started %d times, want once", n)
 	}
 }
+
+// Guards against a task that is started again after its endpoint was lost, by a holder that
+// is cut off from the owner, while another holder has found that its run is done: here and
+// at a delegate.
+func TestLostTaskWaitsForTheOwner(t *testing.T) {
+	task := leased.TaskID{Job: "j"}
+	for _, holders := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d holders", holders), func(t *testing.T) {
+			sim := newSimulation(t, 1, holders)
+			for core := min(1, holders-1); core < holders; core++ { // the first of several has none
+				sim.addEndpoints(core, 2)
+			}
+			sim.shareFreeCapacity()
+			sim.unresponsiveOwner = true
+			sim.runUntil(100 * time.Millisecond)
+			sim.submitJob(0, storedJob("j", 1, 400*time.Millisecond), 400*time.Millisecond)
+			sim.runUntil(200 * time.Millisecond)
+			for id, e := range sim.endpoints {
+				sim.unreachable[id] = len(e.Running()) > 0
+			}
+			sim.runUntil(4 * time.Second)
+			if n := sim.startCounts[task]; n != 1 {
+				t.Fatalf("the task was started %d times before the owner has answered, want once", n)
+			}
+			sim.unresponsiveOwner = false
+			sim.storeReports()
+			sim.runUntil(8 * time.Second)
+			if n := sim.startCounts[task]; n != 2 {
+				t.Errorf("the task was started %d times, want twice: the owner knows of no end", n)
+			}
+			if a := sim.answers["j"]; a.Verdict != leased.Completed || a.Took == 0 {
+				t.Errorf("answer %+v, want completed", a)
+			}
+		})
+	}
+}
--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -157,8 +157,10 @@
 		c.holdReply(in)
 	case *DelegateReply:
 		c.delegateReply(in)
-	case *ReportStored:
-		c.reportStored(in)
+	case *ReportsStored:
+		for i := range in.Reports {
+			c.reportStored(&in.Reports[i])
+		}
 	case *TaskUpdate:
 		c.learn(in.Task, &in.Progress, true)
 	case *Pause:
--- a/dispatch/leased/crash.go
+++ b/dispatch/leased/crash.go
@@ -35,6 +35,9 @@
 		lost.queue = r.task.job.Queue
 	}
 	restarted := r.restarted
+	if isStoredRun(r.number) {
+		c.awaitCount(r.id, reportedEnd{run: lost.run}) // reportLoss reports it
+	}
 	c.endRun(e, r, EndEndpointLost, EvidenceLeaseExpired, "")
 	if restarted {
 		c.recordCrash(e, lost)
--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -224,8 +224,8 @@
 	}
 	t.evidence = EvidenceDelegate
 	switch {
-	case in.Progress != nil && in.End == EndFailed:
-		c.delegatedRunFailed(t, in)
+	case in.Progress != nil && (in.End == EndFailed || in.End == EndEndpointLost):
+		c.delegatedRunCounted(t, in)
 		return
 	case in.Progress != nil:
 		c.learn(t.id, in.Progress, false)
@@ -243,11 +243,14 @@
 	}
 }
 
-// delegatedRunFailed applies the failure of a delegated task, which the owner of the stored
-// job has counted.
-func (c *Core) delegatedRunFailed(t *task, in *DelegateReply) {
+// delegatedRunCounted applies the failure or loss of a delegated task, which the owner of the
+// stored job has counted.
+func (c *Core) delegatedRunCounted(t *task, in *DelegateReply) {
 	t.state = waitingTask
 	t.job.failed = true
+	if in.End == EndEndpointLost {
+		t.lostAt = c.now
+	}
 	if in.Checkpoint != "" {
 		t.checkpoint = in.Checkpoint
 	}
--- a/dispatch/leased/input.go
+++ b/dispatch/leased/input.go
@@ -105,9 +105,13 @@
 	Progress   *TaskProgress // as in DelegatedAnswer
 }
 
-// ReportStored states that the reported end of a run is stored, so the endpoint
+// ReportsStored states that reports of runs are stored, which the owner has answered
+// together: their tasks may start again in order of urgency.
+type ReportsStored struct{ Reports []StoredReport }
+
+// StoredReport states that the reported end of a run is stored, so the endpoint
 // may forget it.
-type ReportStored struct {
+type StoredReport struct {
 	Endpoint         EndpointID
 	IncarnationStart int64 // of the endpoint
 	Number           int64 // of the ended run
@@ -145,7 +149,7 @@
 func (*StopReply) isInput()            {}
 func (*HoldReply) isInput()            {}
 func (*DelegateReply) isInput()        {}
-func (*ReportStored) isInput()         {}
+func (*ReportsStored) isInput()        {}
 func (*TaskUpdate) isInput()           {}
 func (*Pause) isInput()                {}
 func (*CallerContact) isInput()        {}
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -14,7 +14,7 @@
 	placedTask
 	delegatedTask
 	suspended     // waits to learn whether it has crashed its endpoints
-	uncountedTask // delegated to this core, failed, and not returned before that is counted
+	uncountedTask // delegated to this core, failed or lost, and not returned before that is counted
 	doneTask
 )
 
--- a/dispatch/leased/owner_test.go
+++ b/dispatch/leased/owner_test.go
@@ -82,9 +82,9 @@
 				progress = &r.Progress[0]
 			}
 			o.sim.after(networkDelay, func() {
-				o.sim.step(sent.core, &leased.ReportStored{
+				o.sim.step(sent.core, &leased.ReportsStored{Reports: []leased.StoredReport{{
 					Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number, Task: p.Task, Run: p.Run, Progress: progress,
-				})
+				}}})
 			})
 		}
 	}
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -184,8 +184,8 @@
 	})
 	c.observeEnd(e, r, end)
 	switch {
-	case t.job.delegated && end == EndFailed && c.awaitsCount(t.id):
-		c.holdAnswer(t.job, r.number, checkpoint)
+	case t.job.delegated && (end == EndFailed || end == EndEndpointLost) && c.awaitsCount(t.id):
+		c.holdAnswer(t.job, r.number, end, checkpoint)
 		return
 	case t.job.delegated:
 		c.answerDelegated(t.job, r.number, end, checkpoint)
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -289,10 +289,12 @@
 
 // storeReports notifies all cores that the ends reported so far are stored.
 func (sim *simulation) storeReports() {
+	var list []leased.StoredReport
 	for _, r := range sim.reports {
-		for core := range sim.cores {
-			sim.step(core, &leased.ReportStored{Endpoint: r.Endpoint, IncarnationStart: r.IncarnationStart, Number: r.Number, Task: r.Task, Run: r.Run})
-		}
+		list = append(list, leased.StoredReport{Endpoint: r.Endpoint, IncarnationStart: r.IncarnationStart, Number: r.Number, Task: r.Task, Run: r.Run})
+	}
+	for core := range sim.cores {
+		sim.step(core, &leased.ReportsStored{Reports: list})
 	}
 }
 
--- a/dispatch/leased/stored.go
+++ b/dispatch/leased/stored.go
@@ -104,7 +104,7 @@
 
 // reportStored allows an ended run to be acknowledged to its endpoint, and its task to go
 // on.
-func (c *Core) reportStored(in *ReportStored) {
+func (c *Core) reportStored(in *StoredReport) {
 	c.endCounted(in.Task, reportedEnd{RunID{in.Run, in.Endpoint, in.IncarnationStart}, in.Number}, in.Progress)
 	e := c.endpoints[in.Endpoint]
 	if e == nil || e.Born != in.IncarnationStart {
--- a/dispatch/leased/stored_world_test.go
+++ b/dispatch/leased/stored_world_test.go
@@ -111,8 +111,10 @@
 		w.trace(in.Task.ID.Job, "core %d: delegated %v, run %d, adopt %v", core, in.Task.ID, in.Task.Run, in.Task.Adopt)
 	case *leased.DelegateReply:
 		w.trace(in.Task.Job, "core %d: delegate's reply %+v, %+v", core, in, in.Progress)
-	case *leased.ReportStored:
-		w.trace(in.Task.Job, "core %d: stored %+v, %+v", core, in, in.Progress)
+	case *leased.ReportsStored:
+		for _, r := range in.Reports {
+			w.trace(r.Task.Job, "core %d: stored %+v, %+v", core, r, r.Progress)
+		}
 	case *leased.TaskUpdate:
 		w.trace(in.Task.Job, "core %d: update %+v", core, in)
 	}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -92,17 +92,26 @@
 	if !answer.answered {
 		return
 	}
+	if reports := storedReports(list, answer.progress); len(reports) > 0 {
+		r.storedJobs.loop.send(coreInput{&leased.ReportsStored{Reports: reports}})
+	}
+}
+
+// storedReports returns what the core learns from the answer to reports.
+func storedReports(list []leased.Report, progress []leased.TaskProgress) []leased.StoredReport {
+	var reports []leased.StoredReport
 	for i := range list {
 		p := &list[i]
-		if p.Number == 0 {
+		if p.Begun {
 			continue
 		}
-		ended := &leased.ReportStored{Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number, Task: p.Task, Run: p.Run}
-		if p.End == leased.EndFailed && len(answer.progress) == len(list) {
-			ended.Progress = &answer.progress[i]
+		report := leased.StoredReport{Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number, Task: p.Task, Run: p.Run}
+		if p.End != leased.EndDone && len(progress) == len(list) {
+			report.Progress = &progress[i]
 		}
-		r.storedJobs.loop.send(coreInput{ended})
+		reports = append(reports, report)
 	}
+	return reports
 }
 
 // taskReport converts a report for the owner of the job. A loss is reported as a
