Wait for the number of shards before a stored job is refused

What callers saw: a stored job that was handed in within some 200 ms of an entry's start was refused with 503, where it had waited up to 1.5 s for an owner before.

Cause: since the number of shards is read from the store, an entry does not know it at once, and answered that there is no owner.

Change: a request about a stored job waits for the number as it waits for an owner.

--- a/fleet/storedjobs.go
+++ b/fleet/storedjobs.go
@@ -280,15 +280,19 @@
 	answered     bool // an owner has answered
 }
 
-// askOwnerOf sends a request to the owner of a job's shard, as askOwner does. While the
-// number of shards is not known, there is none.
+// askOwnerOf sends a request to the owner of a job's shard, as askOwner does. It waits
+// until the number of shards is known, which takes a moment after the start.
 func (sj *storedJobs) askOwnerOf(ctx context.Context, id leased.JobID, local func(context.Context, *keep.Runner) ownerReply,
 	remote func(context.Context, fleetpb.Fleet) (*fleetpb.KeptResponse, error)) ownerReply {
-	shard := sj.knownShardOf(id)
-	if shard < 0 {
-		return ownerReply{result: stored.OtherOwner}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	for sj.runners() == nil {
+		if ctx.Err() != nil {
+			return ownerReply{result: stored.OtherOwner}
+		}
+		pauseFor(ctx, ownerRetryInterval)
 	}
-	return sj.askOwner(ctx, shard, local, remote)
+	return sj.askOwner(ctx, sj.shardOf(id), local, remote)
 }
 
 // askOwner sends a request to the owner of a shard, and to the next owner if that
