Ask before acknowledging only where stored jobs have started

Cause: since a Hold acknowledges nothing after a Start on an endpoint that was idle, so it is answered at once with the ends that are known already, and another one follows: one more call for each such Start, also for best-effort jobs. Their ends don't need the rule: if one is forgotten, the run is over all the same, and the task may run again.

Change: only Starts of stored jobs count.

--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -82,13 +82,13 @@
 	announcedBorn int64
 	answeredAt    string    // address at which the newest Hold was answered
 	lastAnswer    time.Time // when that was
-	startSent     time.Time // when the newest Start was sent
-	// startUnanswered is when the newest Start was sent of those that got no reply.
-	startUnanswered time.Time
-	held            bool      // a Hold under the token was answered, so the active runs are known
-	dirty           bool      // a Hold may be due
-	addedAt         time.Time // when the endpoint was assigned to this core
-	polledAt        time.Time // when the newest answered Hold was sent
+	// storedStart is when the newest Start of a stored job's task was sent, and
+	// storedUnanswered when the newest of those was that got no reply.
+	storedStart, storedUnanswered time.Time
+	held                          bool      // a Hold under the token was answered, so the active runs are known
+	dirty                         bool      // a Hold may be due
+	addedAt                       time.Time // when the endpoint was assigned to this core
+	polledAt                      time.Time // when the newest answered Hold was sent
 	// listedClock is the reading of the endpoint's clock in the newest list of
 	// its runs; 0: none in this incarnation.
 	listedClock time.Duration
--- a/dispatch/leased/incarnation.go
+++ b/dispatch/leased/incarnation.go
@@ -11,8 +11,8 @@
 //     answers.
 //   - A task that requires a label is started only while the endpoint can't have started
 //     again unnoticed.
-//   - Ended runs are acknowledged only then, or if no Start can have reached another
-//     incarnation.
+//   - Ended runs are acknowledged only then, or if no Start of a stored job can have reached
+//     another incarnation.
 
 // incarnationCheckAge is the age of an answer up to which the endpoint is certainly the
 // same: an endpoint that has crashed is back later.
@@ -35,13 +35,14 @@
 }
 
 // mayAcknowledge reports whether a Hold may acknowledge ended runs. Another incarnation
-// numbers its ends anew, and would forget ends that nobody has seen: if one may answer, the
-// Hold only asks. That is only so if a Start may have reached it.
+// numbers its ends anew, and would forget ends that no entry has seen: if one may answer, the
+// Hold only asks. That is only so if a Start of a stored job may have reached it: a forgotten
+// end costs a best-effort job one more run at most, after the first one is over.
 func (e *endpoint) mayAcknowledge(now time.Time) bool {
 	if e.certainlySame(now) {
 		return true
 	}
-	return !e.startSent.After(e.lastAnswer) && now.Sub(e.startUnanswered) > maxRequestDelay
+	return !e.storedStart.After(e.lastAnswer) && now.Sub(e.storedUnanswered) > maxRequestDelay
 }
 
 // mustCheck reports whether an endpoint has to be asked for its incarnation before a task
--- a/dispatch/leased/incarnation_test.go
+++ b/dispatch/leased/incarnation_test.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// Guards against an end that nobody has seen and that an endpoint forgets: its new
+// Guards against an end that no entry has seen and that an endpoint forgets: its new
 // incarnation numbers its ends anew, and takes the acknowledgement of the earlier one's for
 // theirs. The endpoint may have started again unnoticed before the Start.
 func TestNothingIsAcknowledgedToAnEndpointThatMayHaveStartedAgain(t *testing.T) {
--- a/dispatch/leased/starts.go
+++ b/dispatch/leased/starts.go
@@ -100,7 +100,9 @@
 // the endpoint treats it as the same run.
 func (c *Core) retryStart(e *endpoint, r *run) {
 	c.loss.lost()
-	e.startUnanswered = later(e.startUnanswered, r.sent)
+	if isStoredRun(r.number) {
+		e.storedUnanswered = later(e.storedUnanswered, r.sent)
+	}
 	if r.state == runStopping {
 		return
 	}
@@ -129,7 +131,9 @@
 	r.tries++
 	r.sent = c.now
 	r.began = c.now
-	e.startSent = c.now
+	if isStoredRun(r.number) {
+		e.storedStart = c.now
+	}
 	r.token = e.token
 	r.address = e.Address
 	lease := c.allowedLease(e)
