Take a holder's word for a run only on the endpoint that it has asked

Callers could have a task run twice at the same time: a holder that is fenced off an endpoint asks the holder of its cell for the run, and starts the task again within the lease if that one answers that there is none.

Cause: the question named the cell, and was answered once all endpoints that the asked holder knows in it had listed their runs. Entries whose lists of endpoints or of entries differ disagree about who holds what. The endpoint in question may be unknown there, and held by a third entry.

Now the question names the endpoint, doubt is kept by endpoint, and only that endpoint's own list, under the token of the asked holder, ends it. A holder that doesn't get the endpoint says so, and the run counts as over one lease and its margin after it was lost.

--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -316,7 +316,7 @@
 			c.unpolledCells[e.Cell] = c.now
 		}
 		for r := range e.runs.all() {
-			c.unseen.add(r.id, c.now.Add(c.ownRunTimeout()), e.Cell)
+			c.unseen.add(r.id, c.now.Add(c.ownRunTimeout()), e.ID)
 			c.forgetRun(e, r)
 		}
 		e.record.RemoveFrom(c.peersOf(e))
--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -117,9 +117,9 @@
 }
 
 // addLostRun records that an earlier run of a task may be active in a cell of
-// another holder.
-func (c *Core) addLostRun(t *task, cell string) {
-	t.lostCell = cell
+// another holder, on the given endpoint or, if that is empty, on any.
+func (c *Core) addLostRun(t *task, cell string, endpoint EndpointID) {
+	t.lostCell, t.lostEndpoint = cell, endpoint
 	c.lostRuns = append(c.lostRuns, t)
 }
 
@@ -200,12 +200,15 @@
 	t.delegate = cell.Holder
 	t.delegatedAt = c.now
 	t.delegatedCell = cell.Cell
-	t.searching = adopt
+	t.searching, t.searchedOn = adopt, ""
+	if adopt {
+		t.searchedOn = t.lostEndpoint
+	}
 	c.markBegun(t.job)
 	origin, age, call := c.originOf(t.job)
 	c.out.Delegations = append(c.out.Delegations, Delegate{Holder: cell.Holder, Cell: cell.Cell, Evidence: t.evidence, Task: DelegatedTask{
 		ID: t.id, Service: t.job.Service, Queue: t.job.Queue, Spec: t.job.Spec, Step: step,
-		Run: t.runs, Checkpoint: t.checkpoint, CallerTimeout: t.job.expires.Sub(c.now), Origin: origin, OriginAge: age, OriginCall: call, Cell: cell.Cell, Adopt: adopt, Wait: c.cannotServe() && !adopt, Suspect: t.suspect() && !c.sharesElsewhere(t),
+		Run: t.runs, Checkpoint: t.checkpoint, CallerTimeout: t.job.expires.Sub(c.now), Origin: origin, OriginAge: age, OriginCall: call, Cell: cell.Cell, Adopt: adopt, SearchedOn: t.searchedOn, Wait: c.cannotServe() && !adopt, Suspect: t.suspect() && !c.sharesElsewhere(t),
 	}})
 }
 
--- a/dispatch/leased/delegated.go
+++ b/dispatch/leased/delegated.go
@@ -116,17 +116,50 @@
 	if c.awaitsCount(t.id) {
 		return false
 	}
-	if c.openTask(t.id) == nil && c.polledSince(j.cell, j.arrived) {
+	if c.openTask(t.id) == nil && c.hasSearched(j) {
 		c.answerDelegatedNow(j, t.runs, EndNotRun)
 		return true
 	}
 	if c.now.Sub(j.arrived) > c.opts.MaxLease+clockSlack {
-		c.answerDelegatedNow(j, t.runs, EndUnknown)
+		c.answerDelegatedNow(j, t.runs, j.endOfVainSearch())
 		return true
 	}
 	return false
 }
 
+// endOfVainSearch returns the answer to a search that has found neither a run nor its
+// end. A delegator that names the endpoint has had the run itself, and knows how long it
+// may be active; this core has adopted nothing.
+func (j *job) endOfVainSearch() End {
+	if j.searchedOn != "" {
+		return EndNoCapacity
+	}
+	return EndUnknown
+}
+
+// hasSearched reports whether no run of the task of a search is active where the search
+// is for it. The endpoint itself must have answered a Hold of this core since: entries may
+// know different endpoints of a cell, so that the lists of all those that are known here
+// say nothing of another one.
+func (c *Core) hasSearched(j *job) bool {
+	if j.searchedOn == "" {
+		return c.polledSince(j.cell, j.arrived)
+	}
+	e := c.endpoints[j.searchedOn]
+	return e != nil && e.held && c.polledAfter(e, j.arrived)
+}
+
+// polledAfter reports whether an endpoint has answered a Hold that was sent after the
+// given time. It requests one otherwise.
+func (c *Core) polledAfter(e *endpoint, since time.Time) bool {
+	if !e.polledAt.Before(since) {
+		return true
+	}
+	e.pollWanted = true
+	c.markDirty(e)
+	return false
+}
+
 // holdsEndpointOf reports whether any endpoint of a cell is held and not evacuated.
 func (c *Core) holdsEndpointOf(cell string) bool {
 	return slices.ContainsFunc(c.endpointList, func(e *endpoint) bool { return e.Cell == cell && e.held && !e.dropped && !e.evacuated })
@@ -155,9 +188,7 @@
 			all = false
 			continue
 		}
-		if e.polledAt.Before(since) {
-			e.pollWanted = true
-			c.markDirty(e)
+		if !c.polledAfter(e, since) {
 			all = false
 		}
 	}
@@ -168,7 +199,7 @@
 	j := &job{
 		Job:     Job{ID: d.ID.Job, Spec: d.Spec, Service: d.Service, Queue: d.Queue, MaxAttempts: 1, Steps: []Step{d.Step}},
 		tickets: []Ticket{ticket}, arrived: c.now, expires: c.now.Add(d.CallerTimeout), delegated: true, suspect: d.Suspect,
-		origin: d.Origin, cell: d.Cell, remaining: []int{1},
+		origin: d.Origin, cell: d.Cell, searchedOn: d.SearchedOn, remaining: []int{1},
 	}
 	j.tasks = [][]task{{{id: d.ID, job: j, step: &j.Steps[0], checkpoint: d.Checkpoint, lostAt: c.now}}}
 	c.tickets[ticket] = j
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -295,19 +295,19 @@
 func (c *Core) loseRun(e *endpoint, r *run) {
 	t := r.task
 	c.forgetRun(e, r)
-	c.unseen.add(r.id, c.now.Add(c.ownRunTimeout()), e.Cell)
+	c.unseen.add(r.id, c.now.Add(c.ownRunTimeout()), e.ID)
 	switch {
 	case t == nil:
 		// The request to stop it may have been lost, and its job submitted again.
 		if waiting := c.claimant(r.id); waiting != nil {
-			c.addLostRun(waiting, e.Cell)
+			c.addLostRun(waiting, e.Cell, e.ID)
 		}
 	case t.job.delegated:
 		c.answerDelegated(t.job, r.number, EndUnknown, "")
 	default:
 		t.state = waitingTask
 		t.evidence = EvidenceElapsed
-		c.addLostRun(t, e.Cell)
+		c.addLostRun(t, e.Cell, e.ID)
 		c.enqueue(t.job)
 	}
 }
--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -172,6 +172,9 @@
 	// Adopt reports that an earlier run may be active on an endpoint of the
 	// cell. That run is adopted or shown to have ended; none is started.
 	Adopt bool
+	// SearchedOn is the endpoint of that run; empty: not known. Only this endpoint's list
+	// shows that the run has ended.
+	SearchedOn EndpointID
 }
 
 // Ticket identifies one submission. The caller of Step chooses it.
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -40,10 +40,12 @@
 	failedOn       []EndpointID // endpoints where runs failed
 	evidence       Evidence     // why no earlier run is active
 	lostCell       string       // cell whose new holder may have an earlier run
+	lostEndpoint   EndpointID   // endpoint of that run; empty: not known
 	delegate       uint64       // holder that runs a delegated task
 	delegatedCell  string       // cell of a delegated task
 	refusedBy      []string     // cells that have refused a task that requires a label (labels.go)
 	searching      bool         // delegated to find an earlier run, not to start one
+	searchedOn     EndpointID   // where the search is for that run; empty: not known
 	delegatedAt    time.Time
 }
 
@@ -69,7 +71,8 @@
 	// checkUntil is when a delegated task is returned that waits for an endpoint which is
 	// asked for its incarnation; zero: it does not.
 	checkUntil time.Time
-	cell       string // of a delegated task: the only cell where it may run, so that its run can be found again
+	cell       string     // of a delegated task: the only cell where it may run, so that its run can be found again
+	searchedOn EndpointID // of a search: where the run was; empty: not known
 }
 
 func (j *job) task(id TaskID) *task {
@@ -216,7 +219,7 @@
 		return
 	case EndNotRun:
 		if t.searching {
-			c.unseen.overIn(t.id, t.delegatedCell)
+			c.unseen.overAt(t.id, t.searchedOn)
 		}
 	case EndFailed:
 		t.failures++
@@ -230,13 +233,13 @@
 		}
 	case EndNoCapacity:
 		if t.searching { // the delegate could not be reached
-			c.addLostRun(t, t.delegatedCell)
+			c.addLostRun(t, t.delegatedCell, t.searchedOn)
 		}
 	case EndEndpointLost:
 		c.endpointLost(t)
 		return
 	case EndUnknown:
-		c.addLostRun(t, t.delegatedCell)
+		c.addLostRun(t, t.delegatedCell, "")
 		c.addRemoteRun(t)
 	}
 	c.enqueue(t.job)
--- a/dispatch/leased/restart.go
+++ b/dispatch/leased/restart.go
@@ -31,8 +31,8 @@
 
 // unseenRun is a run of a task that may be active without being listed here.
 type unseenRun struct {
-	until time.Time // it is over then
-	cell  string    // where it is; empty: unknown
+	until    time.Time  // it is over then
+	endpoint EndpointID // where it is; empty: unknown
 }
 
 // unseenRuns are the tasks with unseen runs. They outlive the jobs of the tasks: a job
@@ -40,20 +40,21 @@
 type unseenRuns map[TaskID]unseenRun
 
 // add records that a run of a task may be active until a time.
-func (u unseenRuns) add(id TaskID, until time.Time, cell string) {
+func (u unseenRuns) add(id TaskID, until time.Time, endpoint EndpointID) {
 	known, exists := u[id]
-	if exists && known.cell != cell {
-		cell = ""
+	if exists && known.endpoint != endpoint {
+		endpoint = ""
 	}
-	u[id] = unseenRun{later(known.until, until), cell}
+	u[id] = unseenRun{later(known.until, until), endpoint}
 }
 
 // possible reports whether a run of a task may be active.
 func (u unseenRuns) possible(id TaskID, now time.Time) bool { return now.Before(u[id].until) }
 
-// overIn records that no run of a task is active in a cell.
-func (u unseenRuns) overIn(id TaskID, cell string) {
-	if known, exists := u[id]; exists && known.cell == cell {
+// overAt records that no run of a task is active on an endpoint. It settles nothing if the
+// endpoint is empty, or the run may be elsewhere.
+func (u unseenRuns) overAt(id TaskID, endpoint EndpointID) {
+	if known, exists := u[id]; exists && endpoint != "" && known.endpoint == endpoint {
 		delete(u, id)
 	}
 }
--- a/dispatch/leased/restart_evidence_test.go
+++ b/dispatch/leased/restart_evidence_test.go
@@ -365,9 +365,9 @@
 	c.wantAnswers(0)
 }
 
-// Guards against two runs that may be active in two cells, of which only the newer one
-// counts: a search in its cell finds nothing, and the other one may still be active.
-func TestDoubtInTwoCellsNeedsMoreThanOneSearch(t *testing.T) {
+// Guards against two runs that may be active on two endpoints, of which only the newer one
+// counts: a search for it finds nothing, and the other one may still be active.
+func TestDoubtOnTwoEndpointsNeedsMoreThanOneSearch(t *testing.T) {
 	c := newEvidenceCore(t, "e0", "e1", "e2")
 	c.endpoints[1].Cell, c.endpoints[2].Cell = "d", "x"
 	c.hold()
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -93,6 +93,7 @@
 	l.delegations[request.Task.ID] = open
 	l.log.Info("lent", zap.String("job", string(request.Task.ID.Job)), zap.Int("step", request.Task.ID.Step),
 		zap.Int("task", request.Task.ID.Index), zap.Int("run", request.Task.Run), zap.String("cell", request.Cell), zap.Bool("adopt", request.Task.Adopt),
+		zap.String("searched_on", string(request.Task.SearchedOn)),
 		zap.Stringer("evidence", request.Evidence))
 	go func() {
 		defer cancel()
