Count the answer to a Stop only for the endpoint that gave it

A run could count as over while a copy of its Start may still be executed, and its task be started again.

Cause: the answer to a Stop was matched by task and run number. Holders number the runs of a job on their own, from 17 on when it was submitted before, so a run of that number may be stopped on two endpoints. The answer of one then let the next list of the other end its run.

Evidence: TestAnsweredStopElsewhereProvesNoEnd failed before: run 17 started beside run 1, whose Start had no reply.

Measured: the test passes.

--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -391,7 +391,7 @@
 // listed as ended, unless the endpoint never had it.
 func (c *Core) stopReply(in *StopReply) {
 	r := c.runs[in.Task]
-	if in.Answered && r != nil && r.number == in.Run && r.state == runStopping {
+	if in.Answered && r != nil && r.number == in.Run && r.endpoint.ID == in.Endpoint && r.state == runStopping {
 		r.stopAnswered = c.now
 	}
 }
--- a/dispatch/leased/restart_evidence_test.go
+++ b/dispatch/leased/restart_evidence_test.go
@@ -195,6 +195,29 @@
 	c.wantRuns(first.Task, 2)
 }
 
+// Guards against the answer of one endpoint to a Stop that counts for a run with the same
+// number on another one: holders number the runs of a task on their own.
+func TestAnsweredStopElsewhereProvesNoEnd(t *testing.T) {
+	c := newEvidenceCore(t, "e0", "e1")
+	first := c.submit("j")
+	c.answerStart(&first, leased.StartUnanswered)
+	other := leased.EndpointID("e1")
+	if first.Endpoint == other {
+		other = "e0"
+	}
+	c.step(&leased.Cancel{Ticket: 1})
+	c.step(&leased.StopReply{Endpoint: other, Task: first.Task, Run: first.Run, Answered: true})
+	c.now = c.now.Add(time.Millisecond)
+	job := resubmitted(singleTaskJob("j"))
+	job.OnlyHolder = true
+	c.step(&leased.Submit{Ticket: 2, Job: job})
+	for range 3 { // the first of them was sent before the Stop was answered
+		c.pass(leased.TickInterval)
+		c.answerHold(first.Endpoint, leased.HoldReply{})
+	}
+	c.wantRuns(first.Task, 1)
+}
+
 // Guards against a refused repeat of a Start that proves that the task does not run: the
 // first copy has no reply yet, and may still be executed.
 func TestRefusedRepeatProvesNoEnd(t *testing.T) {
