Submit a job to the holder that its ID selects

Cause: if a connection is reset before its entry has read the request, the caller sends the request to another entry at once, not retransmit_ms later. An entry that gets little processor time then reads the request of the broken connection, submits it, and notices the reset up to 136 ms later. The stop of its runs takes 20 to 130 ms more. Each entry drew a holder by announced free capacity, so that nobody saw both submissions.

Now the first holder of a job follows from its ID by rendezvous hashing among the holders of the domain. A holder joins submissions with one ID, and starts no task beside a run that it stops. It holds while the entries know the same holders and reach them.

--- a/fleet/holderchoice.go
+++ b/fleet/holderchoice.go
@@ -1,32 +1,55 @@
 package fleet
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
+	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/dispatch/spread"
 	"lovagespread.example/membership/cells"
 )
 
-// holderFor returns the holder that a new job is submitted to: one of this
-// entry's failure domain or, if that has none or is evacuated, one of any other.
+// A picker selects one of the holders of a domain's cells, each with the announced free
+// capacity of its cell. The number draw, in [0, 1), is for one that selects at random.
+type picker func(holders []cells.Entry, free []int, draw float64) (cells.Entry, bool)
+
+// holderFor returns a holder for work that no other entry may submit at the same time: one
+// of this entry's failure domain or, if that has none or is evacuated, one of any other.
 // The random number draw, in [0, 1), selects among them by their announced free
 // capacity. While the domain is drained or returned, a growing or falling share of
-// its jobs goes to the others.
+// the work goes to the others.
 func holderFor(s *Snapshot, draw float64) (cells.Entry, bool) {
+	return chooseDomain(s, draw, pickByCapacity)
+}
+
+// holderOfJob returns the holder that a caller's job is submitted to. It follows from the
+// ID and the holders of the domain alone: a caller who has lost the connection may send the
+// job to another entry before the first one notices that, and only a holder that has both
+// submissions can tell that they are one job.
+func holderOfJob(s *Snapshot, id leased.JobID) (cells.Entry, bool) {
+	draw := float64(xxhash.Sum64String(string(id))>>11) / (1 << 53)
+	return chooseDomain(s, draw, func(holders []cells.Entry, _ []int, _ float64) (cells.Entry, bool) {
+		return pickByID(holders, id)
+	})
+}
+
+func chooseDomain(s *Snapshot, draw float64, pick picker) (cells.Entry, bool) {
 	own := s.View.Self.FailureDomain
 	share := s.share(own)
 	if draw < share {
 		if holders, free := holdersIn(s, own); len(holders) > 0 {
-			return pickHolder(holders, free, draw/share)
+			return pick(holders, free, draw/share)
 		}
-		return otherHolder(s, draw/share)
+		return otherHolder(s, draw/share, pick)
 	}
-	return otherHolder(s, (draw-share)/(1-share))
+	return otherHolder(s, (draw-share)/(1-share), pick)
 }
 
 // otherHolder returns a holder of any failure domain that is not evacuated.
-func otherHolder(s *Snapshot, draw float64) (cells.Entry, bool) {
+func otherHolder(s *Snapshot, draw float64, pick picker) (cells.Entry, bool) {
 	var holders []cells.Entry
 	var free []int
 	for _, domain := range slices.Sorted(maps.Keys(s.CellCounts)) {
@@ -36,10 +59,10 @@
 		more, moreFree := holdersIn(s, domain)
 		holders, free = append(holders, more...), append(free, moreFree...)
 	}
-	return pickHolder(holders, free, draw)
+	return pick(holders, free, draw)
 }
 
-func pickHolder(holders []cells.Entry, free []int, draw float64) (cells.Entry, bool) {
+func pickByCapacity(holders []cells.Entry, free []int, draw float64) (cells.Entry, bool) {
 	picked := spread.Pick(free, draw)
 	if picked < 0 {
 		return cells.Entry{}, false
@@ -47,6 +70,30 @@
 	return holders[picked], true
 }
 
+// pickByID selects a holder by rendezvous hashing, in proportion to the number of its
+// cells. While the set of holders changes, few jobs change theirs.
+func pickByID(holders []cells.Entry, id leased.JobID) (cells.Entry, bool) {
+	var best cells.Entry
+	var most uint64
+	occurrences := make(map[cells.Incarnation]uint64, len(holders))
+	for _, e := range holders {
+		occurrences[e.Incarnation]++
+		if score := rendezvousScore(id, e.Incarnation, occurrences[e.Incarnation]); score >= most {
+			best, most = e, score
+		}
+	}
+	return best, len(holders) > 0
+}
+
+// rendezvousScore returns the score of a holder's n-th cell for a job.
+func rendezvousScore(id leased.JobID, holder cells.Incarnation, n uint64) uint64 {
+	var key [48]byte
+	b := append(key[:0], id...)
+	b = binary.LittleEndian.AppendUint64(b, uint64(holder))
+	b = binary.LittleEndian.AppendUint64(b, n)
+	return xxhash.Sum64(b)
+}
+
 // holdersIn returns the holder of each cell of a failure domain, as far as it is
 // known, and the free capacity that was announced for the cell.
 func holdersIn(s *Snapshot, domain string) (holders []cells.Entry, free []int) {
--- a/fleet/service_test.go
+++ b/fleet/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -237,3 +238,45 @@
 		}
 	}
 }
+
+// Guards against a job that two entries of a failure domain submit to different holders:
+// each of these would run its tasks. The entries know the same holders, and different
+// announcements of free capacity.
+func TestEntriesSubmitAJobToOneHolder(t *testing.T) {
+	const jobs, cellCount = 1000, 8
+	entries := []cells.Entry{
+		{Name: "a1", FailureDomain: "a", Incarnation: 1, Weight: 1, Interval: time.Second},
+		{Name: "a2", FailureDomain: "a", Incarnation: 2, Weight: 1, Interval: time.Second},
+		{Name: "a3", FailureDomain: "a", Incarnation: 3, Weight: 1, Interval: time.Second},
+	}
+	now := time.Now()
+	snapshotOf := func(self int, free int) *Snapshot {
+		r := cells.New(entries[self], now.Add(-time.Minute))
+		for i, e := range entries {
+			if i != self {
+				r.ReceiveHeartbeat(now, e)
+			}
+		}
+		announced := map[cells.Cell]int{{FailureDomain: "a", Index: free, Total: cellCount}: 90_000}
+		return &Snapshot{View: r.View(now), CellCounts: map[string]int{"a": cellCount}, FreeMilliCores: announced}
+	}
+	l := testLoop(t, nil)
+	s := newService(l, l.peers, zap.NewNop(), l.metrics)
+	first, second := snapshotOf(0, 1), snapshotOf(1, 5)
+	share := make(map[cells.Incarnation]int)
+	for n := range jobs {
+		job := &leased.Job{ID: leased.JobID(fmt.Sprintf("%016x", n))}
+		one, ok := s.chooseHolder(first, job, 0)
+		other, also := s.chooseHolder(second, job, 0)
+		if !ok || !also || one.Incarnation != other.Incarnation {
+			t.Fatalf("job %s goes to %q from one entry, and to %q from another", job.ID, one.Name, other.Name)
+		}
+		share[one.Incarnation]++
+	}
+	for _, cell := range cells.All("a", cellCount) {
+		holder, _ := first.View.Holder(cell)
+		if min := jobs / cellCount / 2; share[holder.Incarnation] < min {
+			t.Errorf("holder %q gets %d of %d jobs, want %d or more", holder.Name, share[holder.Incarnation], jobs, min)
+		}
+	}
+}
