Repeat the Stop of a Start that was given up until it is answered

In virtual time, the Stop of a Start without a reply was lost, and the Start could still be executed by an incarnation that had seen no higher token.

Cause: the Stop was sent once, after the next answered Hold, and forgotten whether or not it was answered.

The Stop is now repeated every 200 ms while the endpoint answers, until a Stop is answered, the task runs on that endpoint again, or the Start is too old to be executed (13 s). TestStopOfALateStartIsRepeated failed before: one Stop within 2 s, want at least three. The mutant that sends it once is caught.

--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -366,6 +366,9 @@
 	if (e.unanswered > 0 || e.holdRefused) && len(e.runs) > 0 && c.now.Sub(e.leaseSent) > c.opts.MaxLease+clockSlack {
 		c.loseRuns(e)
 	}
+	if e.held && e.unanswered == 0 {
+		c.stopUnresolved(e)
+	}
 	for r := range e.runs.all() {
 		if r.task == nil && r.state != runStopping && c.now.Sub(r.unclaimedSince) > claimTimeout {
 			c.sendStop(e, r, "no job claims it")
@@ -390,6 +393,9 @@
 // stopReply records that an endpoint has received a Stop. The run is then
 // listed as ended, unless the endpoint never had it.
 func (c *Core) stopReply(in *StopReply) {
+	if e := c.endpoints[in.Endpoint]; e != nil && in.Answered {
+		e.unresolvedStopped(in.Task, in.Run)
+	}
 	r := c.runs[in.Task]
 	if in.Answered && r != nil && r.number == in.Run && r.endpoint.ID == in.Endpoint && r.state == runStopping {
 		r.stopAnswered = c.now
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -143,35 +143,10 @@
 	}
 }
 
-// unresolvedStart is a Start that may still be executed.
-type unresolvedStart struct {
-	task TaskID
-	run  int
-	sent time.Time
-}
-
-// maxRequestDelay is the time after its sending within which a request without a
-// reply may still be executed.
-const maxRequestDelay = 13 * time.Second
-
-// stopUnresolved stops the runs of Starts that were given up, before the Starts
-// are executed. An endpoint refuses a run that was stopped before it started.
-func (c *Core) stopUnresolved(e *endpoint) {
-	for _, u := range e.unresolvedStarts {
-		if c.now.Sub(u.sent) > maxRequestDelay || c.runs[u.task] != nil && c.runs[u.task].endpoint == e {
-			continue
-		}
-		c.out.Stops = append(c.out.Stops, Stop{
-			Endpoint: e.ID, Address: e.Address, Task: u.task, Run: u.run, Token: e.token, Reason: "its start was given up without a reply",
-		})
-	}
-	e.unresolvedStarts = nil
-}
-
 // endRun removes a run and applies its end to its task.
 func (c *Core) endRun(e *endpoint, r *run, end End, evidence Evidence, checkpoint string) {
 	if r.confirmed.IsZero() && r.tries > 0 && (end == EndLapsed || end == EndEndpointLost) {
-		e.unresolvedStarts = append(e.unresolvedStarts, unresolvedStart{r.id, r.number, r.sent})
+		e.unresolvedStarts = append(e.unresolvedStarts, unresolvedStart{task: r.id, run: r.number, sent: r.began})
 	}
 	c.forgetRun(e, r)
 	t := r.task
