Stand-in store: pages of 1 MB, and no lock while a list is encoded

TestEntriesStartBesideOddRecords failed beside load: "an entry is not ready after 10 s", with lists that did not arrive within 1.5 s.

Cause: the stand-in answered a list of 4 MB as one page, where the protocol allows 500 records or 1 MB, and encoded and sent it under the lock that all its calls take. Under the race detector each list held the lock for 540 to 720 ms on 8 cores beside other work, so that three entries waited for each other, and a request whose caller had given up was still served before the next one. No store of the protocol does that, so the test asked for something that no page asks.

The stand-in now sends pages of 1 MB and encodes them without the lock; values are encoded once.

--- a/standin/fakestore/read.go
+++ b/standin/fakestore/read.go
@@ -73,16 +73,32 @@
 	End     int64        `json:"end"`
 }
 
+// newest encodes its reply without the lock, so that a large list delays no other call.
 func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+	keys, records, response := s.newestPage(partitionOf(r), r.URL.Query().Get("after"))
+	for i, k := range keys {
+		response.Items = append(response.Items, newestItem{k, records[i].encoded, records[i].offset})
+	}
+	reply(w, http.StatusOK, response)
+}
+
+// newestPage returns the keys and records of the page that begins after a key, and the
+// reply without its items. A page has at least one record, if there is one.
+func (s *Store) newestPage(key partitionKey, after string) ([]string, []keyedRecord, newestReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.partition(partitionOf(r))
-	after := r.URL.Query().Get("after")
+	p := s.partition(key)
 	keys := lo.Filter(lo.Keys(p.newest), func(k string, _ int) bool { return k > after })
 	slices.Sort(keys)
-	response := newestReply{End: p.end(), HasMore: len(keys) > maxPageItems, Items: []newestItem{}}
-	for _, k := range keys[:min(len(keys), maxPageItems)] {
-		response.Items = append(response.Items, newestItem{k, base64.StdEncoding.EncodeToString(p.newest[k].value), p.newest[k].offset})
+	var page []keyedRecord
+	size := 0
+	for _, k := range keys {
+		record := p.newest[k]
+		size += len(k) + base64.StdEncoding.DecodedLen(len(record.encoded))
+		if len(page) == maxPageItems || size > maxPageBytes && len(page) > 0 {
+			break
+		}
+		page = append(page, record)
 	}
-	reply(w, http.StatusOK, response)
+	return keys[:len(page)], page, newestReply{End: p.end(), HasMore: len(keys) > len(page), Items: []newestItem{}}
 }
--- a/standin/fakestore/store.go
+++ b/standin/fakestore/store.go
@@ -5,6 +5,7 @@
 package fakestore
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -23,6 +24,7 @@
 	maxRecordBytes  = 262_144
 	maxRequestBytes = 2_097_152
 	maxPageItems    = 500
+	maxPageBytes    = 1 << 20 // of keys and values
 	lengthBytes     = 4
 	offsetBytes     = 8
 	dedupWindow     = 5 // newest appends of a producer whose repetition gets the same reply
@@ -64,8 +66,8 @@
 }
 
 type keyedRecord struct {
-	value  []byte
-	offset int64
+	encoded string // base64 of the value
+	offset  int64
 }
 
 type producer struct {
@@ -196,7 +198,7 @@
 		delete(p.newest, key)
 		return
 	}
-	p.newest[key] = keyedRecord{value, p.end()}
+	p.newest[key] = keyedRecord{base64.StdEncoding.EncodeToString(value), p.end()}
 }
 
 type refusal struct {
