Count crashes under unconfirmed runs apart

Callers saw a harmless stored job as failed, guilty of two crashes of endpoints: the Start before one was never confirmed, and the run under the other had just ended.

Cause: a crash under a run that its endpoint had never confirmed counted as any other. Such an endpoint may have been down before the Start was sent, so that one more crash under a run that was alone proved the guilt.

blame.Record counts these crashes apart. Two crashes prove the guilt only if both runs were confirmed or listed and one of them was alone. Three crashes prove it as before, confirmed or not: a task that crashes its endpoints before they confirm it has no other kind. The owner of a stored job does not count a crash either under a run whose failure is stored. That a run has ended and is not listed yet remains unknown; see docs/design/stored-jobs.md.

Messages and the log have two new fields. Without them, as from earlier versions, a crash counts as confirmed.

--- a/dispatch/blame/blame_test.go
+++ b/dispatch/blame/blame_test.go
@@ -30,6 +30,30 @@
 	}
 }
 
+// Guards against a harmless task that is given up for crashes under runs that may never have
+// begun, and against a task that is never given up because it crashes its endpoints before
+// they confirm it.
+func TestUnconfirmedCrashes(t *testing.T) {
+	for _, c := range []struct {
+		crashes, alone, unconfirmed int
+		want                        bool
+	}{{1, 1, 1, false}, {0, 0, 2, false}, {1, 0, 1, false}, {2, 0, 0, false}, {2, 1, 0, true}, {3, 0, 0, true}, {1, 1, 2, true}, {2, 0, 1, true}, {0, 0, 3, true}} {
+		var r blame.Record
+		for range c.unconfirmed {
+			r.AddUnconfirmed()
+		}
+		for i := range c.crashes {
+			r.Add(i < c.alone)
+		}
+		if r.Guilty() != c.want {
+			t.Errorf("%+v: guilty %t, want %t", r, r.Guilty(), c.want)
+		}
+		if r.Total() != c.crashes+c.unconfirmed || !r.MayBeGuilty(1) {
+			t.Errorf("%+v: %d crashes; with one more that is possible, guilty %t, want true", r, r.Total(), r.MayBeGuilty(1))
+		}
+	}
+}
+
 func TestMayBeGuilty(t *testing.T) {
 	for _, c := range []struct {
 		crashes, lost int
--- a/dispatch/leased/action.go
+++ b/dispatch/leased/action.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lovagespread.example/dispatch/blame"
 	"lovagespread.example/dispatch/evacuation"
 )
 
@@ -145,6 +146,8 @@
 	Run      int
 	Queue    string // empty: no job claimed the run
 	Alone    bool   // no other run was on the endpoint
+	// Unconfirmed reports that the endpoint has neither confirmed nor listed the run.
+	Unconfirmed bool
 }
 
 // Report notifies the owner of a stored job of a run that has begun or ended.
@@ -165,6 +168,17 @@
 type Loss struct {
 	Cause LossCause
 	Alone bool // no other run was on the endpoint
+	// Unconfirmed reports that the endpoint has neither confirmed nor listed the run.
+	Unconfirmed bool
+}
+
+// Count counts the loss of an endpoint that has crashed.
+func (l Loss) Count(r *blame.Record) {
+	if l.Unconfirmed {
+		r.AddUnconfirmed()
+		return
+	}
+	r.Add(l.Alone)
 }
 
 // LossCause is why an endpoint was lost.
--- a/dispatch/leased/attempts.go
+++ b/dispatch/leased/attempts.go
@@ -107,8 +107,7 @@
 	}
 	t.learnedAt = c.now
 	t.failures = max(t.failures, p.Failures)
-	t.crashes.Crashes = max(t.crashes.Crashes, p.Crashes.Crashes)
-	t.crashes.Alone = max(t.crashes.Alone, p.Crashes.Alone)
+	t.crashes.Merge(p.Crashes)
 	if !latest || t.state == suspended {
 		t.losses = max(t.losses, p.Losses)
 	} else {
--- a/dispatch/leased/crash.go
+++ b/dispatch/leased/crash.go
@@ -13,6 +13,8 @@
 	run   RunID
 	queue string // empty: no job claimed the run
 	alone bool   // no other run was on the endpoint
+	// unconfirmed reports that the endpoint has neither confirmed nor listed the run.
+	unconfirmed bool
 }
 
 // awaitsAnswer reports whether an endpoint with runs has not answered for longer than
@@ -44,11 +46,11 @@
 	}
 }
 
-// loseWithEndpoint ends a run that was lost with its endpoint. A run whose start
-// was never confirmed was not alone for sure: the endpoint may have been down
-// before, under other runs.
+// loseWithEndpoint ends a run that was lost with its endpoint. If its start was never
+// confirmed, the endpoint may have been down before, under other runs.
 func (c *Core) loseWithEndpoint(e *endpoint, r *run, alone bool) {
-	lost := lostRun{task: r.id, run: r.identity(), alone: alone && !r.confirmed.IsZero()}
+	unconfirmed := r.confirmed.IsZero()
+	lost := lostRun{task: r.id, run: r.identity(), alone: alone && !unconfirmed, unconfirmed: unconfirmed}
 	if r.task != nil {
 		lost.queue = r.task.job.Queue
 	}
@@ -84,14 +86,14 @@
 		c.clearLoss(e, lost)
 		return
 	}
-	c.out.Crashes = append(c.out.Crashes, Crash{Endpoint: e.ID, Task: lost.task, Run: lost.run.Number, Queue: lost.queue, Alone: lost.alone})
+	c.out.Crashes = append(c.out.Crashes, Crash{Endpoint: e.ID, Task: lost.task, Run: lost.run.Number, Queue: lost.queue, Alone: lost.alone, Unconfirmed: lost.unconfirmed})
 	c.reportLoss(e, lost, LossByCrash)
 	t := c.openTask(lost.task)
 	if t == nil {
 		return
 	}
 	t.losses = max(0, t.losses-1)
-	t.crashes.Add(lost.alone)
+	lost.loss(LossByCrash).Count(&t.crashes)
 	if t.crashes.Guilty() {
 		c.finish(t.job, Failed, guiltyReason, 0)
 		return
@@ -148,6 +150,10 @@
 		return
 	}
 	c.out.Reports = append(c.out.Reports, Report{
-		Endpoint: e.ID, IncarnationStart: lost.run.Incarnation, Task: lost.task, Run: lost.run.Number, End: EndEndpointLost, Loss: Loss{Cause: cause, Alone: lost.alone},
+		Endpoint: e.ID, IncarnationStart: lost.run.Incarnation, Task: lost.task, Run: lost.run.Number, End: EndEndpointLost, Loss: lost.loss(cause),
 	})
 }
+
+func (l *lostRun) loss(cause LossCause) Loss {
+	return Loss{Cause: cause, Alone: l.alone, Unconfirmed: l.unconfirmed}
+}
--- a/dispatch/leased/endpointfaults_test.go
+++ b/dispatch/leased/endpointfaults_test.go
@@ -16,6 +16,7 @@
 	takenOver  map[string]leased.EndpointID // addresses of endpoints that have replaced others
 	returnsAs  returnAs
 	downTime   time.Duration // from a crash to the return of the endpoint
+	crashDelay time.Duration // from the start of a deadly task to the crash; 0: the Start is not answered
 	crashCount int           // of endpoints
 	crashes    []leased.Crash
 }
@@ -28,12 +29,9 @@
 	newID
 )
 
-// crashDelay is the time from the start of a deadly task to the crash.
-const crashDelay = 10 * time.Millisecond
-
 func newEndpointFaults() endpointFaults {
 	return endpointFaults{
-		deadly: make(map[leased.TaskID]bool), replaced: make(map[leased.EndpointID]bool), broken: make(map[leased.EndpointID]bool), takenOver: make(map[string]leased.EndpointID), downTime: 3 * time.Second,
+		deadly: make(map[leased.TaskID]bool), replaced: make(map[leased.EndpointID]bool), broken: make(map[leased.EndpointID]bool), takenOver: make(map[string]leased.EndpointID), downTime: 3 * time.Second, crashDelay: 10 * time.Millisecond,
 	}
 }
 
--- a/dispatch/leased/isolate.go
+++ b/dispatch/leased/isolate.go
@@ -8,7 +8,7 @@
 
 // suspect reports whether an endpoint was lost, or has crashed, under a task.
 func (t *task) suspect() bool {
-	return t.losses > 0 || t.crashes.Crashes > 0 || t.job.suspect
+	return t.losses > 0 || t.crashes.Total() > 0 || t.job.suspect
 }
 
 // mayRunBeside reports whether a task may run beside the runs of an endpoint. A
--- a/dispatch/leased/sim_network_test.go
+++ b/dispatch/leased/sim_network_test.go
@@ -48,7 +48,13 @@
 		}
 		reply := handle(sim.endpoints[id])
 		sim.advanceEndpoint(id)
-		sim.after(networkDelay, func() { sim.step(core, reply) })
+		sim.after(networkDelay, func() {
+			if sim.crashDelay == 0 && sim.unreachable[id] { // it crashed before it replied
+				sim.after(timeout, func() { sim.step(core, noReply) })
+				return
+			}
+			sim.step(core, reply)
+		})
 	})
 }
 
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -165,7 +165,7 @@
 		sim.startCounts[task]++
 		sim.capacities.check(sim, spec.ID, task)
 		if sim.deadly[task] {
-			sim.after(crashDelay, func() { sim.crashEndpoint(spec.ID) })
+			sim.after(sim.crashDelay, func() { sim.crashEndpoint(spec.ID) })
 		}
 		if sim.taskWork != nil {
 			return sim.taskWork(task)
--- a/dispatch/stored/blame_test.go
+++ b/dispatch/stored/blame_test.go
@@ -164,6 +164,27 @@
 	}
 }
 
+// Guards against a crash that is counted under a run that had failed before: the end and the
+// loss were found by different entries.
+func TestCrashAfterTheRunHadFailedDoesNotCount(t *testing.T) {
+	job := testJob("a", 1)
+	job.MaxAttempts = 3
+	for _, first := range [][]leased.LossCause{nil, {leased.LossUnexplained}} {
+		s := New(testOptions())
+		s.Replay(start, 0, []Event{{Kind: JobAccepted, Job: "a", Spec: specOf(job)}})
+		run := leased.RunID{Number: 1, Endpoint: "e", Incarnation: 1}
+		for _, cause := range first {
+			s.Replay(start, 1, []Event{{Kind: TaskLost, Job: "a", Task: taskOf("a", 0), Run: run, Loss: leased.Loss{Cause: cause}}})
+		}
+		s.Replay(start, 2, []Event{{Kind: TaskEnded, Job: "a", Task: taskOf("a", 0), Run: run}})
+		s.Replay(start, 3, []Event{{Kind: TaskLost, Job: "a", Task: taskOf("a", 0), Run: run, Loss: leased.Loss{Cause: leased.LossByCrash, Alone: true}}})
+		p := s.FinishReplay(start).Offers[0].Job.Progress[0]
+		if p.Crashes.Total() != 0 || p.Losses != 0 || p.Failures != 1 {
+			t.Errorf("lost before %v: progress %+v, want one failure, no crash and no loss", first, p)
+		}
+	}
+}
+
 func specOf(job leased.Job) *leased.Job { return &job }
 
 // A report that is delivered twice must not count as two crashes, and a crash
--- a/dispatch/stored/job.go
+++ b/dispatch/stored/job.go
@@ -125,12 +125,16 @@
 		return false
 	}
 	t.lastRun = max(t.lastRun, e.Run.Number)
-	t.setLossCause(e.Run, e.Loss.Cause)
-	switch e.Loss.Cause {
+	cause := e.Loss.Cause
+	if t.hasFailed(e.Run) { // it had ended before its endpoint was lost
+		cause = leased.LossByCut
+	}
+	t.setLossCause(e.Run, cause)
+	switch cause {
 	case leased.LossUnexplained:
 		t.losses++
 	case leased.LossByCrash:
-		t.crashes.Add(e.Loss.Alone)
+		e.Loss.Count(&t.crashes)
 	}
 	return t.crashes.Guilty()
 }
--- a/fleet/keep/codec.go
+++ b/fleet/keep/codec.go
@@ -27,7 +27,7 @@
 	return lo.Map(list, func(p leased.TaskProgress, _ int) *fleetpb.TaskProgress {
 		return &fleetpb.TaskProgress{
 			Step: uint32(p.Step), Index: uint32(p.Index), Done: p.Done, Failures: uint32(p.Failures), Newest: uint32(p.LastRun), Saved: p.Checkpoint,
-			Crashes: uint32(p.Crashes.Crashes), CrashesAlone: uint32(p.Crashes.Alone), Losses: uint32(p.Losses),
+			Crashes: uint32(p.Crashes.Crashes), CrashesAlone: uint32(p.Crashes.Alone), CrashesUnconfirmed: uint32(p.Crashes.Unconfirmed), Losses: uint32(p.Losses),
 			Counted: lo.Map(p.Counted, func(r leased.CountedRun, _ int) *fleetpb.CountedRun { return countedToPB(&r) }), JobEnded: p.JobEnded,
 		}
 	})
@@ -38,7 +38,7 @@
 	return lo.Map(list, func(p *fleetpb.TaskProgress, _ int) leased.TaskProgress {
 		return leased.TaskProgress{
 			Step: int(p.Step), Index: int(p.Index), Done: p.Done, Failures: int(p.Failures), LastRun: int(p.Newest), Checkpoint: p.Saved,
-			Crashes: blame.Record{Crashes: int(p.Crashes), Alone: int(p.CrashesAlone)}, Losses: int(p.Losses),
+			Crashes: blame.Record{Crashes: int(p.Crashes), Alone: int(p.CrashesAlone), Unconfirmed: int(p.CrashesUnconfirmed)}, Losses: int(p.Losses),
 			Counted: lo.Map(p.Counted, func(r *fleetpb.CountedRun, _ int) leased.CountedRun { return countedFromPB(r) }), JobEnded: p.JobEnded,
 		}
 	})
@@ -62,13 +62,13 @@
 
 // LossToPB converts the loss of an endpoint to a message.
 func LossToPB(l leased.Loss) *fleetpb.Loss {
-	return &fleetpb.Loss{Cause: uint32(l.Cause), Alone: l.Alone}
+	return &fleetpb.Loss{Cause: uint32(l.Cause), Alone: l.Alone, Unconfirmed: l.Unconfirmed}
 }
 
 // LossFromPB converts a message to the loss of an endpoint. A cause that this
 // version does not know explains nothing.
 func LossFromPB(l *fleetpb.Loss) leased.Loss {
-	loss := leased.Loss{Cause: leased.LossUnexplained, Alone: l.Alone}
+	loss := leased.Loss{Cause: leased.LossUnexplained, Alone: l.Alone, Unconfirmed: l.Unconfirmed}
 	if l.Cause <= uint32(leased.LossByCut) {
 		loss.Cause = leased.LossCause(l.Cause)
 	}
@@ -170,7 +170,7 @@
 		return event, fmt.Sprintf("run %d", e.Run)
 	}
 	for _, p := range e.Progress {
-		if p.Newest > maxRun || max(p.Failures, p.Crashes, p.CrashesAlone, p.Losses) > maxCount {
+		if p.Newest > maxRun || max(p.Failures, p.Crashes, p.CrashesAlone, p.CrashesUnconfirmed, p.Losses) > maxCount {
 			return event, fmt.Sprintf("progress of step %d, task %d: run %d, %d failures, %d crashes, %d losses", p.Step, p.Index, p.Newest, p.Failures, p.Crashes, p.Losses)
 		}
 	}
--- a/fleet/keep/odd_test.go
+++ b/fleet/keep/odd_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
+	"lovagespread.example/dispatch/blame"
 	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/dispatch/stored"
 	"lovagespread.example/peer/fleetpb"
@@ -103,6 +104,22 @@
 	}
 }
 
+// Guards against crashes under runs that were never confirmed and count as confirmed ones
+// once they have been sent to another entry or read from the log.
+func TestUnconfirmedCrashesStayApart(t *testing.T) {
+	loss := leased.Loss{Cause: leased.LossByCrash, Unconfirmed: true}
+	if got := LossFromPB(LossToPB(loss)); got != loss {
+		t.Errorf("loss %+v, want %+v", got, loss)
+	}
+	if got := LossFromPB(&fleetpb.Loss{Cause: uint32(leased.LossByCrash), Alone: true}); got.Unconfirmed {
+		t.Error("a crash that an earlier version has reported counts as unconfirmed")
+	}
+	progress := leased.TaskProgress{Crashes: blame.Record{Crashes: 2, Alone: 1, Unconfirmed: 3}}
+	if got := ProgressFromPB(ProgressToPB([]leased.TaskProgress{progress})); got[0].Crashes != progress.Crashes {
+		t.Errorf("crashes %+v, want %+v", got[0].Crashes, progress.Crashes)
+	}
+}
+
 // Guards against an accepted job that is lost because it has a time or an amount that is
 // refused by now. Its values are cut instead.
 func TestStoredJobsOfEarlierVersionsStayValid(t *testing.T) {
--- a/fleet/keep/serve.go
+++ b/fleet/keep/serve.go
@@ -255,7 +255,7 @@
 // forwardUpdate forwards an update to the offer of its job, if there is one.
 func (s *ownedShard) forwardUpdate(u stored.TaskUpdate) {
 	s.env.Logger.Info("task_learned", zap.String("job", string(u.Task.Job)), zap.Int("step", u.Task.Step), zap.Int("task", u.Task.Index),
-		zap.Bool("done", u.Progress.Done), zap.Int("failures", u.Progress.Failures), zap.Int("crashes", u.Progress.Crashes.Crashes), zap.Uint64("from", u.From))
+		zap.Bool("done", u.Progress.Done), zap.Int("failures", u.Progress.Failures), zap.Int("crashes", u.Progress.Crashes.Total()), zap.Uint64("from", u.From))
 	if o, ok := s.offers[u.Task.Job]; ok && o.updates != nil {
 		o.updates.Add(u)
 	}
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -293,7 +293,7 @@
 // logCrash logs and counts a run under which its endpoint has crashed.
 func (l *Loop) logCrash(crash *leased.Crash) {
 	l.log.Warn("endpoint_crashed", zap.String("job", string(crash.Task.Job)), zap.Int("step", crash.Task.Step), zap.Int("task", crash.Task.Index),
-		zap.Int("run", crash.Run), zap.String("endpoint", string(crash.Endpoint)), zap.String("queue", crash.Queue), zap.Bool("alone", crash.Alone))
+		zap.Int("run", crash.Run), zap.String("endpoint", string(crash.Endpoint)), zap.String("queue", crash.Queue), zap.Bool("alone", crash.Alone), zap.Bool("unconfirmed", crash.Unconfirmed))
 	l.metrics.crashes.WithLabelValues(crash.Queue, strconv.FormatBool(crash.Alone)).Inc()
 }
 
