Offer a job to the next holder after a refusal

A job could wait for its whole deadline: an entry in whose view another one is a holder, which answers that it holds no cell, submitted the job to it again and again. The same held for a holder that can't be reached.

Cause: since the holder follows from the ID, the search for a holder no longer draws another one.

The search now passes over a holder after it has refused the job, or its call has failed and the job is not to go there once more. One that can't be reached gets the job twice, since another entry may reach it and have the same job.

--- a/dispatch/leased/delegated.go
+++ b/dispatch/leased/delegated.go
@@ -121,16 +121,16 @@
 		return true
 	}
 	if c.now.Sub(j.arrived) > c.opts.MaxLease+clockSlack {
-		c.answerDelegatedNow(j, t.runs, j.endOfVainSearch())
+		c.answerDelegatedNow(j, t.runs, j.endWithoutFinding())
 		return true
 	}
 	return false
 }
 
-// endOfVainSearch returns the answer to a search that has found neither a run nor its
+// endWithoutFinding returns the answer to a search that has found neither a run nor its
 // end. A delegator that names the endpoint has had the run itself, and knows how long it
 // may be active; this core has adopted nothing.
-func (j *job) endOfVainSearch() End {
+func (j *job) endWithoutFinding() End {
 	if j.searchedOn != "" {
 		return EndNoCapacity
 	}
--- a/fleet/balancing.go
+++ b/fleet/balancing.go
@@ -87,13 +87,13 @@
 }
 
 // chooseHolder returns the holder that a job is submitted to: the preferred one
-// if it is live, or else the one of holderOfJob, unless balancing is on, the queue there is long and
-// that of a random other holder is shorter.
-func (s *Service) chooseHolder(latest *Snapshot, job *leased.Job, preferred cells.Incarnation) (cells.Entry, bool) {
+// if it is live, or else the one of holderOfJob, unless balancing is on, the queue
+// there is long and that of a random other holder is shorter.
+func (s *Service) chooseHolder(latest *Snapshot, job *leased.Job, preferred cells.Incarnation, passed *passedOver) (cells.Entry, bool) {
 	if e, live := latest.View.Find(preferred); live && preferred != 0 && !e.Leaving && latest.serving(e.FailureDomain) {
 		return e, true
 	}
-	first, ok := holderOfJob(latest, job.ID)
+	first, ok := holderOfJob(latest, job.ID, passed)
 	now := time.Now()
 	if !ok || !s.loop.settings.Balancing || job.Resubmitted || !s.loop.balancer.isShort(now, first.Incarnation) {
 		return first, ok
--- a/fleet/balancing_test.go
+++ b/fleet/balancing_test.go
@@ -95,7 +95,7 @@
 		for id := cells.Incarnation(10); id < 20; id++ {
 			s.loop.balancer.receive(time.Now(), id, &balance.Load{Cores: 64}, 0)
 		}
-		if got, ok := s.chooseHolder(latest, &c.job, c.preferred); !ok || got.Name != c.want {
+		if got, ok := s.chooseHolder(latest, &c.job, c.preferred, &passedOver{}); !ok || got.Name != c.want {
 			t.Errorf("wait %v, preferred %d: %q, want %q", c.wait, c.preferred, got.Name, c.want)
 		}
 	}
--- a/fleet/holderchoice.go
+++ b/fleet/holderchoice.go
@@ -6,6 +6,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"github.com/samber/lo"
 
 	"lovagespread.example/dispatch/leased"
 	"lovagespread.example/dispatch/spread"
@@ -28,14 +30,48 @@
 // holderOfJob returns the holder that a caller's job is submitted to. It follows from the
 // ID and the holders of the domain alone: a caller who has lost the connection may send the
 // job to another entry before the first one notices that, and only a holder that has both
-// submissions can tell that they are one job.
-func holderOfJob(s *Snapshot, id leased.JobID) (cells.Entry, bool) {
+// submissions can tell that they are one job. Holders that are passed over get it only if
+// there is no other one.
+func holderOfJob(s *Snapshot, id leased.JobID, passed *passedOver) (cells.Entry, bool) {
 	draw := float64(xxhash.Sum64String(string(id))>>11) / (1 << 53)
 	return chooseDomain(s, draw, func(holders []cells.Entry, _ []int, _ float64) (cells.Entry, bool) {
-		return pickByID(holders, id)
+		return pickByID(passed.without(holders), id)
 	})
 }
 
+// passedOver are the holders to which a job is not submitted again while there are others.
+type passedOver struct {
+	holders   []cells.Incarnation
+	unreached cells.Incarnation // of the latest call of which nothing was sent
+}
+
+// refused records a holder that has answered that it holds no cell.
+func (p *passedOver) refused(holder cells.Entry) { p.holders = append(p.holders, holder.Incarnation) }
+
+// lost records a holder whose call has failed; again: the job goes to it once more. One
+// that could not be reached gets the job once more, too: other entries may reach it, and
+// have the same job.
+func (p *passedOver) lost(holder cells.Entry, err error, again bool) {
+	var notSent *notSentError
+	first := errors.As(err, &notSent) && p.unreached != holder.Incarnation
+	p.unreached = holder.Incarnation
+	if !first && !again {
+		p.holders = append(p.holders, holder.Incarnation)
+	}
+}
+
+// without returns the holders that are not passed over, or all if there is none.
+func (p *passedOver) without(holders []cells.Entry) []cells.Entry {
+	if len(p.holders) == 0 {
+		return holders
+	}
+	rest := lo.Reject(holders, func(e cells.Entry, _ int) bool { return slices.Contains(p.holders, e.Incarnation) })
+	if len(rest) == 0 {
+		return holders
+	}
+	return rest
+}
+
 func chooseDomain(s *Snapshot, draw float64, pick picker) (cells.Entry, bool) {
 	own := s.View.Self.FailureDomain
 	share := s.share(own)
--- a/fleet/holdersearch.go
+++ b/fleet/holdersearch.go
@@ -34,6 +34,7 @@
 	search := s.newSearch()
 	wait := callerWait{since: search.began, timeout: job.CallerTimeout, before: job.Waited}
 	backoff := minHolderBackoff
+	var passed passedOver
 	history.unknown = history.unknown || job.Resubmitted && len(history.lost) == 0
 	job.Movable = s.loop.settings.Balancing
 	for {
@@ -41,7 +42,7 @@
 			return s.abandoned() // the caller disconnected during the freeze
 		}
 		latest := s.loop.Latest()
-		holder, ok := s.chooseHolder(latest, &job, history.preferred)
+		holder, ok := s.chooseHolder(latest, &job, history.preferred, &passed)
 		history.preferred = 0
 		if ok {
 			sent := time.Now()
@@ -63,11 +64,14 @@
 				history.preferred = to
 				continue
 			}
-			if !errors.Is(err, errNotHolder) {
+			if errors.Is(err, errNotHolder) {
+				passed.refused(holder)
+			} else {
 				s.holderLost(holder, &job, err)
 				history.lost.add(holder, err)
 				search = s.newSearch()
 				history.preferred = history.again.next(holder, err)
+				passed.lost(holder, err, history.preferred != 0)
 			}
 		}
 		if ctx.Err() != nil {
--- a/fleet/service_test.go
+++ b/fleet/service_test.go
@@ -266,8 +266,8 @@
 	share := make(map[cells.Incarnation]int)
 	for n := range jobs {
 		job := &leased.Job{ID: leased.JobID(fmt.Sprintf("%016x", n))}
-		one, ok := s.chooseHolder(first, job, 0)
-		other, also := s.chooseHolder(second, job, 0)
+		one, ok := s.chooseHolder(first, job, 0, &passedOver{})
+		other, also := s.chooseHolder(second, job, 0, &passedOver{})
 		if !ok || !also || one.Incarnation != other.Incarnation {
 			t.Fatalf("job %s goes to %q from one entry, and to %q from another", job.ID, one.Name, other.Name)
 		}
@@ -280,3 +280,34 @@
 		}
 	}
 }
+
+// Guards against a job that goes to the same holder for ever, although that has answered
+// that it holds no cell, or cannot be reached.
+func TestJobGoesToAnotherHolderAfterARefusal(t *testing.T) {
+	holders := []cells.Entry{{Name: "a1", Incarnation: 1}, {Name: "a2", Incarnation: 2}, {Name: "a3", Incarnation: 3}}
+	unreachable := &notSentError{errors.New("refused")}
+	for _, c := range []struct {
+		name  string
+		fail  func(p *passedOver, holder cells.Entry)
+		moves int // the call after which the job goes to another holder
+	}{
+		{"it holds no cell", func(p *passedOver, holder cells.Entry) { p.refused(holder) }, 1},
+		{"it could not be reached", func(p *passedOver, holder cells.Entry) { p.lost(holder, unreachable, false) }, 2},
+		{"the call broke", func(p *passedOver, holder cells.Entry) { p.lost(holder, &brokenCallError{}, false) }, 1},
+		{"the call broke, and the job goes there once more", func(p *passedOver, holder cells.Entry) { p.lost(holder, &brokenCallError{}, true) }, 0},
+	} {
+		var passed passedOver
+		first, _ := pickByID(passed.without(holders), "j")
+		for call := 1; call <= 2; call++ {
+			c.fail(&passed, first)
+			next, ok := pickByID(passed.without(holders), "j")
+			if moved := next.Incarnation != first.Incarnation; !ok || moved != (c.moves > 0 && call >= c.moves) {
+				t.Errorf("%s, call %d: the job goes to %q after %q", c.name, call, next.Name, first.Name)
+			}
+		}
+	}
+	all := passedOver{holders: []cells.Incarnation{1, 2, 3}}
+	if _, ok := pickByID(all.without(holders), "j"); !ok {
+		t.Error("no holder gets the job once all were passed over")
+	}
+}
