Reject no job of which a run may be active at its holder

A caller could be told that none of its job had run (503), while a run was active: another entry had cancelled the job at its holder, and the caller had sent it to this one.

Cause: both submissions now meet at one holder, and the second was a new job there, which admission may reject. The runs that the holder was stopping counted for starts only.

Such a job counts as resubmitted to its only holder: its tasks wait for the ends of the runs that are known here, and it fails without the claim that it has not run.

--- a/dispatch/leased/submit.go
+++ b/dispatch/leased/submit.go
@@ -21,6 +21,7 @@
 		c.mergeProgress(&in.Job)
 		return
 	}
+	c.noteEarlierRuns(&in.Job)
 	j := c.newJob(in.Job, in.Ticket)
 	for _, ticket := range earlier {
 		j.tickets = append(j.tickets, ticket)
@@ -49,6 +50,15 @@
 	c.enqueue(j)
 }
 
+// noteEarlierRuns marks a job as resubmitted to its only holder if a run of it may be active
+// here: another entry had submitted it, and has cancelled it. So it is not rejected, which
+// would say that none of its tasks has run.
+func (c *Core) noteEarlierRuns(spec *Job) {
+	if !spec.Stored && !spec.Resubmitted && c.mayHaveRuns(spec) {
+		spec.Resubmitted, spec.OnlyHolder = true, true
+	}
+}
+
 // refuseLate returns a job that was submitted by a late call.
 func (c *Core) refuseLate(in *Submit) {
 	c.out.Answers = append(c.out.Answers, Answer{
--- a/dispatch/leased/unknown_endpoint_test.go
+++ b/dispatch/leased/two_submissions_test.go
@@ -40,3 +40,26 @@
 		t.Errorf("answer %+v, want completed", a)
 	}
 }
+
+// Guards against a rejection, which says that no task of the job has run, while a run is
+// active that this holder is stopping: another entry has cancelled the job, and its caller
+// has sent it to this entry.
+func TestJobWithAnEarlierRunIsNotRejected(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addEndpoints(0, 1)
+	sim.runUntil(200 * time.Millisecond)
+	ticket := sim.submitJob(0, singleTaskJob("j"), 900*time.Millisecond)
+	sim.runUntil(260 * time.Millisecond)
+	if n := sim.startCounts[leased.TaskID{Job: "j"}]; n != 1 {
+		t.Fatalf("the task was started %d times, want once", n)
+	}
+	sim.step(0, &leased.Cancel{Ticket: ticket})
+	again := singleTaskJob("j")
+	again.CallerTimeout = 800 * time.Millisecond // too short for another run
+	sim.submitJob(0, again, 900*time.Millisecond)
+	sim.runUntil(3 * time.Second)
+	if a := sim.answers["j"]; a.Verdict == leased.Rejected {
+		t.Errorf("answer %+v, want no rejection", a)
+	}
+	sim.wantNoDoubleRuns()
+}
