Revert "Ask other entries before a returned caller's job is submitted"

Cause: clients send deadlines above the timeout of their queue, so that a job of 0.9 s always looked as if its caller might have been back. Each asked 34 entries. Those with 0.19 of a core answer late, and then the job waited 2.25 s as a resubmitted one.

This reverts.

--- a/dispatch/leased/renewal.go
+++ b/dispatch/leased/renewal.go
@@ -31,12 +31,6 @@
 	return min(max(callerRetry, DefaultCallerRetry)-callerMargin, contactGrace+maxLease)
 }
 
-// ClaimTime returns how long after an entry was last heard the runs of its jobs may hold
-// leases.
-func ClaimTime(callerRetry, maxLease time.Duration) time.Duration {
-	return claimTime(callerRetry, maxLease)
-}
-
 // CallerSilence returns the time without a heartbeat after which the calls from an entry
 // are to be cancelled. The runs of its jobs are stopped then, before their leases end:
 // the leases of other tasks on the same endpoints end at the same time.
--- a/fleet/freecapacity.go
+++ b/fleet/freecapacity.go
@@ -19,11 +19,7 @@
 	b := m.heartbeat
 	l.withdrawCalls(b)
 	l.maxToken = max(l.maxToken, b.Token)
-	delay := l.delayOfHeartbeat(b.Incarnation, b.SentUs)
-	isNew := l.roster.ReceiveDelayedHeartbeat(now, entryOf(b), delay)
-	if b.Incarnation != uint64(l.view.Self.Incarnation) {
-		l.recent.record(entryOf(b), now.Add(-delay))
-	}
+	isNew := l.roster.ReceiveDelayedHeartbeat(now, entryOf(b), l.delayOfHeartbeat(b.Incarnation, b.SentUs))
 	l.roster.ReceiveLogContact(now, cells.Incarnation(b.Incarnation), logContactOf(b))
 	l.submitUnheard(cells.Incarnation(b.Incarnation))
 	l.heartbeats.addAddressesOf(b)
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -69,7 +69,6 @@
 	recordsWanted  chan struct{} // has a value if the endpoints' records should be read at once
 	startTimeout   timeoutEstimator
 	balancer       balancer
-	recent         *recentEntries
 
 	// Owned by the goroutine in run.
 	core                *leased.Core
@@ -120,7 +119,6 @@
 		messages:         make(chan message, messageQueueLength),
 		recordsWanted:    make(chan struct{}, 1),
 		roster:           cells.New(self, time.Now()),
-		recent:           newRecentEntries(s.claimsEnd()),
 		held:             make(map[leased.EndpointID]bool),
 		cellCounts:       make(map[string]int),
 		peerCapacity:     make(map[cells.Cell]announcedCapacity),
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -28,9 +28,6 @@
 	delegations          *prometheus.CounterVec // by end
 	withdrawnCalls       *prometheus.CounterVec // calls that their entries have given up, by result
 	endpointEvents       *prometheus.CounterVec // by event
-	returnedJobs         *prometheus.CounterVec // by decision
-	questions            *prometheus.CounterVec // to other entries about returned jobs, by result
-	endedSubmissions     *prometheus.CounterVec // because other entries asked for them, by result
 	balanced             *prometheus.CounterVec // jobs, by decision
 	predictedWait        prometheus.Gauge
 	waitTrend            prometheus.Gauge
@@ -80,9 +77,6 @@
 	m.delegations = counter("lends_total", "Tasks delegated to other holders, by how they ended.", "end")
 	m.withdrawnCalls = counter("withdrawn_calls_total", "Calls of other entries that those have given up, which were open (cancelled) or arrived later (refused), and calls that were on their way for too long (late).", "result")
 	m.endpointEvents = counter("endpoint_events_total", "Changes of the assumed state of endpoints, by event.", "event")
-	m.returnedJobs = counter("returned_jobs_total", "Jobs that their callers may have sent to another entry before, by what follows.", "decision")
-	m.questions = counter("return_questions_total", "Messages to other entries about returned jobs, by result.", "result")
-	m.endedSubmissions = counter("ended_submissions_total", "Submissions here whose callers have come back to another entry, by what has become of them.", "result")
 	m.balanced = counter("balanced_jobs_total", "Jobs that went to another holder because of its shorter queue, when submitted (sent) or later (moved).", "decision")
 	m.predictedWait = gauge("predicted_wait_seconds", "Predicted wait of a new job in the queue of this holder.")
 	m.waitTrend = gauge("predicted_wait_trend", "Change of the predicted wait, in seconds per second.")
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -58,7 +58,6 @@
 	p.peers.send = p.loop.send
 	p.peers.latest = p.loop.Latest
 	p.service = newService(p.loop, p.peers, log.Logger, m)
-	p.loop.recent.isHeard = p.service.questions.askAgain
 	if jobLog != nil && s.Stored.Shards > 0 {
 		p.loop.jobLog = &observedLog{Log: jobLog}
 		p.storedJobs = newStoredJobs(s.Stored, p.loop, p.peers, p.service, p.loop.jobLog, log.Logger, m)
@@ -120,7 +119,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	protocols.SetHTTP1(true)
 	s := &http.Server{
-		Handler:           fleetpb.NewFleetServer(&server{p.loop, p.peers, p.service, p.storedJobs, &p.endpointJournal}),
+		Handler:           fleetpb.NewFleetServer(&server{p.loop, p.peers, p.storedJobs, &p.endpointJournal}),
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: peerPingAfter, PingTimeout: peerPingTimeout, MaxConcurrentStreams: maxPeerCalls},
 		ReadHeaderTimeout: peerDialTimeout * 4,
@@ -152,10 +151,7 @@
 }
 
 func newService(l *Loop, p *peers, log *zap.Logger, m *metrics) *Service {
-	return &Service{
-		loop: l, peers: p, log: log, metrics: m, running: make(map[leased.JobID]*submission),
-		questions: newReturnQuestions(p.self, p.endSubmissions, l.recent, l.settings.claimsEnd(), guard{log, m}, m, log),
-	}
+	return &Service{loop: l, peers: p, log: log, metrics: m, running: make(map[leased.JobID]*submission)}
 }
 
 // ActiveWork returns the number of jobs and delegated tasks that have not ended.
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -20,7 +20,6 @@
 type server struct {
 	loop       *Loop
 	peers      *peers
-	service    *Service
 	storedJobs *storedJobs // nil: stored jobs are not served
 	// endpointJournal holds nil until the process follows the endpoints.
 	endpointJournal *atomic.Pointer[relay.Journal]
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -25,8 +25,6 @@
 	storedJobs *storedJobs // nil: stored jobs are not served
 	log        *zap.Logger
 	metrics    *metrics
-	questions  *returnQuestions
-	asked      askedJobs
 
 	mu      sync.Mutex
 	running map[leased.JobID]*submission
@@ -36,7 +34,6 @@
 type submission struct {
 	queue      string
 	receivedAt time.Time
-	patience   time.Duration // for how long its caller waited from then on
 	cancel     context.CancelFunc
 	cancelled  bool          // by a caller
 	ended      chan struct{} // closed at the end; outcome and history may be read then
@@ -142,13 +139,13 @@
 	ctx, cancel := context.WithTimeout(ctx, job.CallerTimeout)
 	defer cancel()
 	sub := &submission{
-		queue: job.Queue, receivedAt: time.Now(), patience: job.CallerTimeout, cancel: cancel, ended: make(chan struct{}), outcome: s.abandoned(),
+		queue: job.Queue, receivedAt: time.Now(), cancel: cancel, ended: make(chan struct{}), outcome: s.abandoned(),
 	}
 	earlier := s.track(job.ID, sub)
 	defer s.untrack(job.ID, sub)
 	outcome, answered := s.takeOver(earlier, &job, sub)
 	if !answered {
-		outcome = s.submitOnce(ctx, job, sub)
+		outcome = s.run(ctx, job, &sub.history)
 	}
 	if s.wasCancelled(sub) {
 		outcome = Outcome{Verdict: leased.Abandoned, Reason: ReasonCancelled}
