--- a/dispatch/leased/latestarts.go
+++ b/dispatch/leased/latestarts.go
@@ -42,7 +42,7 @@
 // Start may be executed.
 func (c *Core) awaitLateStart(e *endpoint, r *run) {
 	if c.mayStartLate(e, r) {
-		c.unseen.add(r.id, r.began.Add(maxRequestDelay), e.ID)
+		c.unseen.add(r.id, r.began.Add(maxRequestDelay), e.Cell)
 	}
 }
 
