--- a/dispatch/leased/crash.go
+++ b/dispatch/leased/crash.go
@@ -17,31 +17,13 @@
 	unconfirmed bool
 }
 
-// awaitsAnswer reports whether an endpoint with runs has not answered for longer than
-// their lease.
-func (c *Core) awaitsAnswer(e *endpoint) bool {
-	return (e.unanswered > 0 || e.holdRefused) && len(e.runs) > 0 && c.now.Sub(e.leaseSent) > c.ownRunTimeout()
-}
-
 // loseRuns ends the runs of an endpoint that has not answered for longer than
-// their lease, apart from those that may start late.
+// their lease.
 func (c *Core) loseRuns(e *endpoint) {
-	alone := len(e.runs) == 1
-	lost := make([]*run, 0, len(e.runs))
-	for r := range e.runs.all() {
-		if !c.mayStartLate(e, r) {
-			lost = append(lost, r)
-		}
-	}
-	if len(lost) < len(e.runs) {
-		c.keepLateStartsAway(e)
-	}
-	if len(lost) == 0 {
-		return
-	}
 	c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("leases_lapsed", "unresponsive for longer than the lease"))
 	e.lostAt = c.now
-	for _, r := range lost {
+	alone := len(e.runs) == 1
+	for r := range e.runs.all() {
 		c.loseWithEndpoint(e, r, alone)
 	}
 }
--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -64,7 +64,6 @@
 	slownessCounted bool          // the slow run was counted against its endpoint
 	suspect         bool          // of a task that may have crashed an endpoint
 	startUnanswered bool          // no Start was answered, or an earlier copy of a refused one was not
-	misdirected     bool          // the address of its Starts is that of another endpoint now
 	restarted       bool          // another incarnation answers and has not listed the run
 	leaseLimit      time.Time     // of a run without a task: its lease is extended no further
 }
@@ -90,8 +89,6 @@
 	dirty                         bool      // a Hold may be due
 	addedAt                       time.Time // when the endpoint was assigned to this core
 	polledAt                      time.Time // when the newest answered Hold was sent
-	// listedToken is the highest token under which the endpoint has listed its runs.
-	listedToken int64
 	// listedClock is the reading of the endpoint's clock in the newest list of
 	// its runs; 0: none in this incarnation.
 	listedClock time.Duration
@@ -125,7 +122,6 @@
 	readsClock bool          // the newest Hold serves only to read the clock
 	holdSent   time.Time     // when the newest Hold was sent
 	holdWait   time.Duration // wait requested by the newest Hold
-	holdToken  int64         // token of the newest Hold
 	holdSeen   int64         // LastSeen of the newest Hold
 	nextHold   time.Time     // no Hold is sent before
 	idleSince  time.Time
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -115,7 +115,6 @@
 	e.readsClock = false
 	e.holdSent = c.now
 	e.holdWait = wait
-	e.holdToken = e.token
 	e.holdSeen = 0
 	if e.mayAcknowledge(c.now) {
 		e.holdSeen = e.acknowledgeable()
@@ -203,9 +202,6 @@
 	e.nextHold = time.Time{}
 	e.updateClock(c.now, in.Clock)
 	e.listedClock = in.Clock
-	if !in.More {
-		e.listedToken = max(e.listedToken, e.holdToken)
-	}
 	e.acknowledged = max(e.acknowledged, e.holdSeen)
 	if !e.held {
 		e.held = true
@@ -321,7 +317,6 @@
 // endpoint has answered. A record of another writer may name the address of any endpoint.
 func (c *Core) otherIncarnation(e *endpoint, address string) {
 	if e.answeredAt == "" || e.answeredAt == address {
-		e.noteMisdirected(address)
 		c.endpointRestarted(e, 0)
 	}
 	c.countUnanswered(e)
@@ -350,7 +345,6 @@
 	e.nextHold = time.Time{}
 	if e.dropped { // it is not polled again: the other holder of its cell sees its runs
 		for r := range e.runs.all() {
-			c.awaitLateStart(e, r)
 			c.loseRun(e, r)
 		}
 	}
@@ -369,7 +363,7 @@
 			c.out.EndpointEvents = append(c.out.EndpointEvents, e.note("endpoint_probation", "the ejection is over"))
 		}
 	}
-	if c.awaitsAnswer(e) {
+	if (e.unanswered > 0 || e.holdRefused) && len(e.runs) > 0 && c.now.Sub(e.leaseSent) > c.opts.MaxLease+clockSlack {
 		c.loseRuns(e)
 	}
 	if e.held && e.unanswered == 0 {
@@ -379,7 +373,7 @@
 		if r.task == nil && r.state != runStopping && c.now.Sub(r.unclaimedSince) > claimTimeout {
 			c.sendStop(e, r, "no job claims it")
 		}
-		if r.state == runStopping && c.now.Sub(r.sent) > stopRetryInterval && !c.awaitsAnswer(e) {
+		if r.state == runStopping && c.now.Sub(r.sent) > stopRetryInterval {
 			c.sendStop(e, r, r.reason)
 		}
 	}
--- a/dispatch/leased/restart_open_test.go
+++ b/dispatch/leased/restart_open_test.go
@@ -103,7 +103,6 @@
 	sim.unreachable[first.Endpoint] = false
 	sim.downTime = 2 * time.Second
 	sim.crashEndpoint(first.Endpoint)
-	sim.announceLeaving(first.Endpoint) // the task goes to the other one
 	sim.runUntil(4 * time.Second)
 	if run, active := sim.endpoints[other].RunOf(first.Task); !active || run <= first.Run {
 		t.Fatalf("run %d, active %t on the other endpoint, want a later run", run, active)
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -60,7 +60,7 @@
 	}
 	alone := len(e.runs) == 1
 	for r := range e.runs.all() {
-		if r.listedBy != e.sequence && (before(r.confirmed, e.holdSent) || before(r.stopAnswered, e.holdSent) || e.keepsAwayStartsOf(r)) {
+		if r.listedBy != e.sequence && (before(r.confirmed, e.holdSent) || before(r.stopAnswered, e.holdSent)) {
 			c.endVanished(e, r, alone)
 		}
 	}
@@ -145,7 +145,7 @@
 
 // endRun removes a run and applies its end to its task.
 func (c *Core) endRun(e *endpoint, r *run, end End, evidence Evidence, checkpoint string) {
-	if r.hasUnansweredCopy() && (end == EndLapsed || end == EndEndpointLost) {
+	if r.confirmed.IsZero() && r.tries > 0 && (end == EndLapsed || end == EndEndpointLost) {
 		e.unresolvedStarts = append(e.unresolvedStarts, unresolvedStart{task: r.id, run: r.number, sent: r.began})
 	}
 	c.forgetRun(e, r)
