--- /dev/null
+++ b/review/rig2/executor.go
@@ -0,0 +1,361 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Times of executors, as in the settings file.
+const (
+	maxHold      = time.Second
+	stopTime     = 40 * time.Millisecond // at most stop_ms
+	beat         = 1500 * time.Millisecond
+	checkpointMS = 500 // checkpoint_s of a small deployment
+)
+
+// demand is what a task takes on an executor.
+type demand struct{ cpu, memMB int }
+
+// work is what a task does on an executor.
+type work struct {
+	demand
+	time          time.Duration
+	failFirst     int // this many of its runs fail
+	checkpointing bool
+}
+
+// executor is a stand-in of an executor, by the page "What lovagespread speaks". It guards
+// its capacity.
+type executor struct {
+	rec      *recorder
+	store    *store
+	id, zone string
+	label    string
+	capacity demand
+	workOf   func(task string) (work, bool)
+
+	mu       sync.Mutex
+	started  time.Time
+	born     int64
+	seq      int
+	gone     bool
+	token    int64
+	leaseEnd time.Duration
+	runs     map[string]*run
+	highest  map[string]int
+	failures map[string]int
+	finished []end
+	lastEnd  int64
+	changed  chan struct{}
+	address  string
+	server   *http.Server
+}
+
+type run struct {
+	task    string
+	number  int
+	work    work
+	began   time.Duration
+	ends    time.Duration
+	fails   bool
+	stopsAt time.Duration
+}
+
+type end struct {
+	number int64
+	task   string
+	run    int
+	how    string
+	saved  string
+}
+
+func startExecutor(rec *recorder, s *store, id, zone, label string, capacity demand, workOf func(string) (work, bool)) (*executor, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	x := &executor{
+		rec: rec, store: s, id: id, zone: zone, label: label, capacity: capacity, workOf: workOf, started: time.Now(), born: time.Now().UnixMilli(),
+		runs: make(map[string]*run), highest: make(map[string]int), failures: make(map[string]int), changed: make(chan struct{}), address: l.Addr().String(),
+	}
+	x.server = &http.Server{Handler: x, ReadHeaderTimeout: time.Minute}
+	go func() { _ = x.server.Serve(l) }()
+	x.announce()
+	go x.tick()
+	return x, nil
+}
+
+func (x *executor) clock() time.Duration { return time.Since(x.started) + time.Millisecond }
+
+func (x *executor) announce() {
+	x.mu.Lock()
+	if x.gone {
+		x.mu.Unlock()
+		return
+	}
+	x.seq++
+	data := fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":%d,"mem_mb":%d,"gpu":0},"labels":[%q,%q],"clock_ms":%d,"seq":%d,"born":%d}`,
+		serviceName, x.address, x.zone, x.capacity.cpu, x.capacity.memMB, x.label, "rack-"+x.zone, x.clock().Milliseconds(), x.seq, x.born)
+	x.mu.Unlock()
+	x.store.put(topicExecutors, x.id, data)
+}
+
+// lose ends the executor for good, without notice. Its record expires after three beats.
+func (x *executor) lose() {
+	x.mu.Lock()
+	x.gone = true
+	running := len(x.runs)
+	x.runs = nil
+	x.mu.Unlock()
+	_ = x.server.Close()
+	x.rec.printf("executor %s is lost for good, with %d runs", x.id, running)
+	time.AfterFunc(3*beat, func() {
+		for !x.store.put(topicExecutors, x.id, nil) {
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
+// tick advances the executor until it is lost.
+func (x *executor) tick() {
+	next := time.Now().Add(beat)
+	for {
+		time.Sleep(4 * time.Millisecond)
+		x.mu.Lock()
+		if x.gone {
+			x.mu.Unlock()
+			return
+		}
+		x.advance()
+		x.mu.Unlock()
+		if time.Now().After(next) {
+			next = next.Add(beat)
+			x.announce()
+		}
+	}
+}
+
+// advance ends the runs that are done, stopped or whose lease has lapsed.
+func (x *executor) advance() {
+	now := x.clock()
+	before := x.lastEnd
+	for _, r := range x.runs {
+		switch {
+		case r.ends <= now && r.ends <= x.leaseEnd && (r.stopsAt == 0 || r.ends <= r.stopsAt):
+			if r.fails {
+				x.failures[r.task]++
+				x.finish(r, "failed")
+			} else {
+				x.finish(r, "done")
+			}
+		case r.stopsAt > 0 && r.stopsAt <= now:
+			x.finish(r, "stopped")
+		case x.leaseEnd <= now:
+			x.finish(r, "lapsed")
+		}
+	}
+	if x.lastEnd > before {
+		close(x.changed)
+		x.changed = make(chan struct{})
+	}
+}
+
+func (x *executor) finish(r *run, how string) {
+	x.lastEnd++
+	e := end{x.lastEnd, r.task, r.number, how, x.saved(r)}
+	x.finished = append(x.finished, e)
+	delete(x.runs, r.task)
+	x.highest[r.task] = max(x.highest[r.task], r.number)
+	x.rec.ended(x.id, r.task, r.number, how)
+}
+
+// saved returns the checkpoint of a run: a new one with each checkpoint_s of work.
+func (x *executor) saved(r *run) string {
+	n := (min(x.clock(), r.ends) - r.began).Milliseconds() / checkpointMS
+	if !r.work.checkpointing || n == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%05x%.11s", n*checkpointMS, r.task)
+}
+
+type order struct {
+	Task    string `json:"task"`
+	Run     int    `json:"run_id"`
+	Spec    string `json:"spec"`
+	Until   int64  `json:"until_ms"`
+	Token   int64  `json:"fencing_token"`
+	Seen    int64  `json:"last_seen"`
+	Wait    int64  `json:"wait_ms"`
+	Restore string `json:"checkpoint"`
+}
+
+func (x *executor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if target := r.Header.Get("X-Target-Instance"); target != "" && target != x.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.URL.Path == "/health" {
+		return
+	}
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	x.mu.Lock()
+	if x.gone {
+		x.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	x.advance()
+	if o.Token < x.token {
+		x.refuse(w, "fence")
+		return
+	}
+	x.token = o.Token
+	switch r.URL.Path {
+	case "/run-start":
+		x.start(w, &o)
+	case "/run-stop":
+		if r := x.runs[o.Task]; r != nil && r.number <= o.Run && r.stopsAt == 0 {
+			r.stopsAt = x.clock() + stopTime
+			x.rec.printf("executor %s stops %s run=%d", x.id, o.Task, r.number)
+		}
+		x.highest[o.Task] = max(x.highest[o.Task], o.Run)
+		x.accept(w)
+	case "/hold":
+		x.hold(w, r, &o)
+	default:
+		x.mu.Unlock()
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (x *executor) refuse(w http.ResponseWriter, reason string) {
+	clock := x.clock().Milliseconds()
+	x.mu.Unlock()
+	answer(w, http.StatusConflict, map[string]any{"clock_ms": clock, "reason": reason})
+}
+
+func (x *executor) accept(w http.ResponseWriter) {
+	clock := x.clock().Milliseconds()
+	x.mu.Unlock()
+	answer(w, http.StatusOK, map[string]any{"clock_ms": clock})
+}
+
+func (x *executor) extend(untilMS int64) {
+	now := x.clock()
+	x.leaseEnd = max(x.leaseEnd, min(time.Duration(untilMS)*time.Millisecond, now+maxHold))
+}
+
+func (x *executor) used() demand {
+	var d demand
+	for _, r := range x.runs {
+		d.cpu += r.work.cpu
+		d.memMB += r.work.memMB
+	}
+	return d
+}
+
+func (x *executor) start(w http.ResponseWriter, o *order) {
+	now := x.clock()
+	if o.Until <= now.Milliseconds() {
+		x.refuse(w, "late")
+		return
+	}
+	x.extend(o.Until)
+	if r := x.runs[o.Task]; r != nil && r.number == o.Run {
+		x.accept(w)
+		return
+	}
+	if x.runs[o.Task] != nil || o.Run <= x.highest[o.Task] {
+		x.refuse(w, "old")
+		return
+	}
+	job, known := x.workOf(o.Task)
+	if !known {
+		x.rec.printf("executor %s is told to start %s, which no client sent", x.id, o.Task)
+	}
+	used := x.used()
+	if used.cpu+job.cpu > x.capacity.cpu || used.memMB+job.memMB > x.capacity.memMB {
+		x.refuse(w, "room")
+		return
+	}
+	left := job.time
+	var restored int64
+	if _, err := fmt.Sscanf(o.Restore[:min(5, len(o.Restore))], "%x", &restored); err == nil {
+		left = max(0, left-time.Duration(restored)*time.Millisecond) + 100*time.Millisecond
+	}
+	x.runs[o.Task] = &run{task: o.Task, number: o.Run, work: job, began: now, ends: now + left, fails: x.rec.failuresOf(o.Task) < job.failFirst}
+	x.rec.startedRun(x.id, o.Task, o.Run)
+	x.accept(w)
+}
+
+func (x *executor) hold(w http.ResponseWriter, r *http.Request, o *order) {
+	if o.Until > 0 {
+		x.extend(o.Until)
+	}
+	kept := x.finished[:0:0]
+	for _, e := range x.finished {
+		if e.number > o.Seen {
+			kept = append(kept, e)
+		} else {
+			x.rec.noted(x.id, e.task, e.run, e.how)
+		}
+	}
+	x.finished = kept
+	deadline := time.After(time.Duration(min(o.Wait, 2000)) * time.Millisecond)
+	for wait := o.Wait > 0; wait && len(x.finished) == 0 && !x.gone; {
+		changed := x.changed
+		x.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline:
+			wait = false
+		case <-r.Context().Done():
+			return
+		}
+		x.mu.Lock()
+		x.advance()
+	}
+	if x.gone {
+		x.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	body := struct {
+		Clock    int64   `json:"clock_ms"`
+		Born     int64   `json:"born"`
+		Running  [][]any `json:"running"`
+		Finished [][]any `json:"finished"`
+	}{x.clock().Milliseconds(), x.born, [][]any{}, [][]any{}}
+	now := x.clock()
+	for _, r := range x.runs {
+		percent := 0
+		if r.ends > r.began {
+			percent = int(min(99, 100*(now-r.began)/(r.ends-r.began)))
+		}
+		body.Running = append(body.Running, []any{r.task, r.number, x.saved(r), percent, r.work.cpu})
+	}
+	for _, e := range x.finished[:min(500, len(x.finished))] {
+		body.Finished = append(body.Finished, []any{e.number, e.task, e.run, e.how, e.saved})
+	}
+	x.mu.Unlock()
+	answer(w, http.StatusOK, body)
+}
+
+// running returns the tasks of a job that run here, and the capacity in use.
+func (x *executor) running(job string) (tasks []string, used demand) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for task := range x.runs {
+		if strings.HasPrefix(task, job+".") {
+			tasks = append(tasks, task)
+		}
+	}
+	return tasks, x.used()
+}
