--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -4,10 +4,15 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"os"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"lovagespread.example/membership/cells"
 )
 
 // Bounds of the small deployment, as in the settings files of the entries.
@@ -25,6 +30,8 @@
 	cases["snapshot"] = playSnapshot
 	cases["completed"] = playCompleted
 	cases["pending"] = playPending
+	cases["reborn"] = playReborn
+	cases["cut"] = playCut
 }
 
 func setup(format string, args ...any) error {
@@ -47,7 +54,7 @@
 // playStop: an entry gets SIGTERM while a caller waits there for a job that waits for
 // capacity.
 func playStop(r *rig, trouble bool) (verdict, error) {
-	if err := r.start(options{entriesPerZone: 2, labels: []string{"a", "a"}, timeoutMS: 20_000, maxAttempts: 3}); err != nil {
+	if err := r.start(options{entriesPerZone: 3, labels: []string{"a", "a"}, timeoutMS: 20_000, maxAttempts: 3}); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(contact)
@@ -98,8 +105,8 @@
 	return verdict{trouble && lost, text}, nil
 }
 
-// shards is the number of partitions that the entries use at 600 writes a second.
-const shards = 6
+// shards is the number of partitions that the entries use at 800 writes a second.
+const shards = 8
 
 // shardOf returns the shard of a job, as the entries' logs name it.
 func shardOf(id string) int {
@@ -137,7 +144,7 @@
 
 // playSnapshot: the owner of a large stored job is killed and started again.
 func playSnapshot(r *rig, trouble bool) (verdict, error) {
-	if err := r.start(options{entriesPerZone: 2, labels: []string{"a", "a", "a", "a"}, timeoutMS: 1500, maxAttempts: 3}); err != nil {
+	if err := r.start(options{entriesPerZone: 3, labels: []string{"a", "a", "a", "a"}, timeoutMS: 1500, maxAttempts: 3}); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(contact)
@@ -227,7 +234,7 @@
 // playCompleted: a task ends while the store is down. Its executor is lost and the entries
 // are killed before the store is back.
 func playCompleted(r *rig, trouble bool) (verdict, error) {
-	if err := r.start(options{entriesPerZone: 2, labels: []string{"a", "a", "a"}, timeoutMS: 1500, maxAttempts: 3}); err != nil {
+	if err := r.start(options{entriesPerZone: 3, labels: []string{"a", "a", "a"}, timeoutMS: 1500, maxAttempts: 3}); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(contact + 2*time.Second)
@@ -296,7 +303,7 @@
 // playPending: many users submit jobs at once that require a label, more than the executors
 // with that label can run.
 func playPending(r *rig, trouble bool) (verdict, error) {
-	if err := r.start(options{entriesPerZone: 2, labels: []string{"a", "a", "b", "b"}, timeoutMS: 1500, maxAttempts: 3}); err != nil {
+	if err := r.start(options{entriesPerZone: 3, labels: []string{"a", "a", "b", "b"}, timeoutMS: 1500, maxAttempts: 3}); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(contact)
@@ -355,3 +362,259 @@
 	}
 	return verdict{wrong > 0, fmt.Sprintf("%d of %d answers give under half of the pending jobs; %s", wrong, asked, text)}, nil
 }
+
+// setLate makes all executors leave a share of the orders unanswered and carry them out late.
+func (r *rig) setLate(share float64) {
+	r.rec.printf("executors leave %.3f of the orders unanswered and carry them out 2 to 12 s later", share)
+	for _, x := range r.executors {
+		x.mu.Lock()
+		x.lateShare = share
+		x.mu.Unlock()
+	}
+}
+
+// playReborn: executors carry some orders out late, and one of them crashes meanwhile and is
+// back under its id.
+func playReborn(r *rig, trouble bool) (verdict, error) {
+	if err := r.start(options{entriesPerZone: 3, labels: []string{"a", "a", "a", "a"}, timeoutMS: 1500, maxAttempts: 3}); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(contact)
+	if trouble {
+		r.setLate(0.055)
+	}
+	began := time.Now()
+	const jobs, wide = 36, 32
+	var ids []string
+	for n := range jobs {
+		id := jobID()
+		if got := r.submit(r.entries[n%len(r.entries)], id, jobBody{Spec: "long", Steps: []step{{Count: wide, CPU: 250, MemMB: 64, EstimateMS: 7_000}}}, 1500*time.Millisecond); got.status == 200 {
+			ids = append(ids, id)
+		}
+	}
+	time.Sleep(time.Until(began.Add(1500 * time.Millisecond)))
+	if trouble {
+		// The executor with the most unanswered starts.
+		worst, most := r.executors[0], -1
+		for _, x := range r.executors {
+			x.mu.Lock()
+			if n := x.unanswered["/run-start"]; n > most {
+				worst, most = x, n
+			}
+			x.mu.Unlock()
+		}
+		worst.crash(4500 * time.Millisecond)
+	}
+	time.Sleep(time.Until(began.Add(5500 * time.Millisecond)))
+	if trouble {
+		r.setLate(0)
+	}
+	time.Sleep(time.Until(began.Add(16 * time.Second)))
+	twice := ""
+	count := 0
+	for _, id := range ids {
+		for n := range wide {
+			if overlap := r.overlap(task(id, 0, n)); overlap != "" {
+				count++
+				twice = overlap
+			}
+		}
+	}
+	if len(ids) == 0 {
+		return verdict{}, setup("no job was accepted")
+	}
+	return verdict{count > 0, fmt.Sprintf("%d of %d tasks had two runs at the same time; the last one: %s", count, len(ids)*wide, twice)}, nil
+}
+
+// overlap describes two runs of a task at the same time, on executors that are up.
+func (r *rig) overlap(name string) string {
+	type interval struct {
+		startEvent
+		to time.Duration
+	}
+	var runs []interval
+	for _, s := range r.rec.startsOf(name) {
+		to := r.rec.now()
+		for _, e := range r.rec.endsOf(name) {
+			if e.executor == s.executor && e.run == s.run && e.at >= s.at {
+				to = min(to, e.at)
+			}
+		}
+		for _, before := range runs {
+			if before.at < to && s.at < before.to {
+				return fmt.Sprintf("%s: run %d on %s from %.3f to %.3f s and run %d on %s from %.3f to %.3f s", name,
+					before.run, before.executor, before.at.Seconds(), before.to.Seconds(), s.run, s.executor, s.at.Seconds(), to.Seconds())
+			}
+		}
+		runs = append(runs, interval{s, to})
+	}
+	return ""
+}
+
+// playCut: a zone is cut off while tasks of stored jobs, whose owners and holders are in other
+// zones, run on its executors.
+func playCut(r *rig, trouble bool) (verdict, error) {
+	if err := r.start(options{entriesPerZone: 2, labels: []string{"a", "a"}, timeoutMS: 20_000, maxAttempts: 3, proxied: true}); err != nil {
+		return verdict{}, err
+	}
+	// Who holds the executors of the zone during the cut depends on the incarnations of the
+	// entries. It must be an entry that has jobs from before.
+	zone := ""
+	for try := 0; zone == ""; try++ {
+		if try == 8 {
+			return verdict{}, setup("no zone fits after %d starts", try)
+		}
+		if try > 0 {
+			if err := r.restartAll(); err != nil {
+				return verdict{}, err
+			}
+		}
+		time.Sleep(contact)
+		zone = r.zoneToCut()
+	}
+	again, tasks, example, err := r.cutOnce(zone, trouble)
+	if err != nil {
+		return verdict{}, err
+	}
+	return verdict{again > 0, fmt.Sprintf("%s cut off: %d of %d tasks were started again after they had ended done; the last one: %s", zone, again, tasks, example)}, nil
+}
+
+// restartAll starts all entries again, before there is any traffic.
+func (r *rig) restartAll() error {
+	for _, e := range r.entries {
+		e.kill()
+		_ = os.Remove(e.logPath)
+	}
+	for n, e := range r.entries {
+		if r.network != nil {
+			r.network.Ended(n)
+		}
+		if err := e.start(); err != nil {
+			return err
+		}
+		if r.network != nil {
+			r.network.Started(n)
+		}
+	}
+	return r.waitReady(15 * time.Second)
+}
+
+var seenPattern = regexp.MustCompile(`"event":"entry_seen","entry":"([^"]+)".*?"incarnation":(\d+)`)
+
+// zoneToCut returns a zone whose executors will be held, while it is cut off, by an entry that
+// holds those of its own zone already; empty: there is none.
+func (r *rig) zoneToCut() string {
+	incarnations := make(map[string]uint64)
+	for _, e := range r.entries {
+		for _, m := range seenPattern.FindAllStringSubmatch(e.log(), -1) {
+			n, _ := strconv.ParseUint(m[2], 10, 64)
+			incarnations[m[1]] = max(incarnations[m[1]], n)
+		}
+	}
+	for _, zone := range zones {
+		var roster *cells.Roster
+		began := time.Now()
+		for _, e := range r.entries {
+			member := cells.Entry{Name: e.name, Address: e.ip, FailureDomain: e.zone, Incarnation: cells.Incarnation(incarnations[e.name]), Weight: 0.4, Interval: time.Second}
+			switch {
+			case e.zone == zone:
+			case roster == nil:
+				roster = cells.New(member, began)
+			default:
+				roster.ReceiveHeartbeat(began.Add(4*time.Second), member)
+			}
+		}
+		holder, ok := roster.View(began.Add(4 * time.Second)).Holder(cells.All(zone, 1)[0])
+		for _, e := range r.entries {
+			if ok && e.name == holder.Name && strings.Contains(e.log(), `"endpoint_held"`) {
+				return zone
+			}
+		}
+	}
+	return ""
+}
+
+// cutOnce cuts a zone off once. It returns how many tasks were started again, of how many.
+func (r *rig) cutOnce(cutOff string, trouble bool) (again, tasks int, example string, err error) {
+	const (
+		cutLength = 5500 * time.Millisecond
+		runTime   = 1500 * time.Millisecond
+		wanted    = 8
+	)
+	var background sync.WaitGroup
+	defer background.Wait()
+	run := func(e *entry, count, cpu, ms int) {
+		background.Add(1)
+		go func() {
+			defer background.Done()
+			r.submit(e, jobID(), jobBody{Spec: "background", BestEffort: true, Steps: []step{{Count: count, CPU: cpu, MemMB: 64, EstimateMS: ms, AntiAffinity: 1}}}, 20*time.Second)
+		}()
+	}
+	// Callers of the zone keep its two executors at work, with room left. Those of the other
+	// zones are full for a while.
+	var others []*entry
+	for _, zone := range zones {
+		if zone == cutOff {
+			run(r.entryIn(zone), 2, 4_000, 13_000)
+		} else {
+			run(r.entryIn(zone), 2, 28_000, 3_500)
+			others = append(others, r.entryIn(zone))
+		}
+	}
+	time.Sleep(800 * time.Millisecond)
+	var ids []string
+	for shard := 0; len(ids) < wanted; shard = (shard + 1) % shards {
+		owner := r.ownerOf(shard)
+		if owner == nil {
+			return 0, 0, "", setup("no entry says that it owns shard %d", shard)
+		}
+		if owner.zone != cutOff {
+			ids = append(ids, idIn(shard))
+		}
+	}
+	for n, id := range ids {
+		body := jobBody{Spec: "books a truck", Steps: []step{{Count: 1, CPU: 5_000, MemMB: 64, EstimateMS: int(runTime.Milliseconds())}}}
+		if got := r.submit(others[n%len(others)], id, body, 1500*time.Millisecond); got.status != 200 {
+			return 0, 0, "", setup("a job: %v", got)
+		}
+	}
+	if !until(3*time.Second, func() bool { return len(r.rec.startsOf(task(ids[0], 0, 0))) > 0 }) {
+		return 0, 0, "", setup("no task has started")
+	}
+	time.Sleep(runTime - 300*time.Millisecond)
+	if trouble {
+		r.cutZone(cutOff, true)
+	}
+	time.Sleep(cutLength)
+	if trouble {
+		r.cutZone(cutOff, false)
+	}
+	time.Sleep(6 * time.Second)
+	for _, id := range ids {
+		r.state(others[0], id)
+		name := task(id, 0, 0)
+		twice := ""
+		for _, s := range r.rec.startsOf(name) {
+			for _, e := range r.rec.endsOf(name) {
+				if e.how == "done" && e.at < s.at && e.noted > 0 && !e.lapsed {
+					twice = fmt.Sprintf("%s ended done at %.3f s on %s (run %d, taken note of at %.3f s, no lease had lapsed) and was started again at %.3f s on %s (run %d)",
+						name, e.at.Seconds(), e.executor, e.run, e.noted.Seconds(), s.at.Seconds(), s.executor, s.run)
+				}
+			}
+		}
+		if twice != "" {
+			again, example = again+1, twice
+		}
+	}
+	return again, len(ids), example, nil
+}
+
+// entryIn returns the first entry of a zone.
+func (r *rig) entryIn(zone string) *entry {
+	for _, e := range r.entries {
+		if e.zone == zone {
+			return e
+		}
+	}
+	return nil
+}
--- a/review/rig2/executor.go
+++ b/review/rig2/executor.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,22 +41,28 @@
 	label    string
 	capacity demand
 	workOf   func(task string) (work, bool)
+	check    func(x *executor, o *order)
 
-	mu       sync.Mutex
-	started  time.Time
-	born     int64
-	seq      int
-	gone     bool
-	token    int64
-	leaseEnd time.Duration
-	runs     map[string]*run
-	highest  map[string]int
-	failures map[string]int
-	finished []end
-	lastEnd  int64
-	changed  chan struct{}
-	address  string
-	server   *http.Server
+	mu         sync.Mutex
+	started    time.Time
+	born       int64
+	seq        int
+	gone       bool
+	down       bool    // after a crash, until the next incarnation
+	lateShare  float64 // of the orders that get no answer and are carried out 2 to 12 s later
+	hangs      bool
+	heldUp     []heldUp
+	unanswered map[string]int // by path, orders that were left unanswered
+	lapsedAt   time.Duration
+	token      int64
+	leaseEnd   time.Duration
+	runs       map[string]*run
+	highest    map[string]int
+	failures   map[string]int
+	finished   []end
+	lastEnd    int64
+	changed    chan struct{}
+	doors      map[string]*door // by the zone of the caller
 }
 
 type run struct {
@@ -72,19 +81,24 @@
 	run    int
 	how    string
 	saved  string
+	at     time.Duration
 }
 
 func startExecutor(rec *recorder, s *store, id, zone, label string, capacity demand, workOf func(string) (work, bool)) (*executor, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
 	x := &executor{
 		rec: rec, store: s, id: id, zone: zone, label: label, capacity: capacity, workOf: workOf, started: time.Now(), born: time.Now().UnixMilli(),
-		runs: make(map[string]*run), highest: make(map[string]int), failures: make(map[string]int), changed: make(chan struct{}), address: l.Addr().String(),
+		runs: make(map[string]*run), highest: make(map[string]int), failures: make(map[string]int), changed: make(chan struct{}), unanswered: make(map[string]int), doors: make(map[string]*door),
+	}
+	for _, caller := range zones {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		d := &door{address: l.Addr().String(), executor: x}
+		d.server = &http.Server{Handler: d, ReadHeaderTimeout: time.Minute}
+		x.doors[caller] = d
+		go func() { _ = d.server.Serve(l) }()
 	}
-	x.server = &http.Server{Handler: x, ReadHeaderTimeout: time.Minute}
-	go func() { _ = x.server.Serve(l) }()
 	x.announce()
 	go x.tick()
 	return x, nil
@@ -94,13 +108,13 @@
 
 func (x *executor) announce() {
 	x.mu.Lock()
-	if x.gone {
+	if x.gone || x.down {
 		x.mu.Unlock()
 		return
 	}
 	x.seq++
 	data := fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":%d,"mem_mb":%d,"gpu":0},"labels":[%q,%q],"clock_ms":%d,"seq":%d,"born":%d}`,
-		serviceName, x.address, x.zone, x.capacity.cpu, x.capacity.memMB, x.label, "rack-"+x.zone, x.clock().Milliseconds(), x.seq, x.born)
+		serviceName, anyDoor+x.id, x.zone, x.capacity.cpu, x.capacity.memMB, x.label, "rack-"+x.zone, x.clock().Milliseconds(), x.seq, x.born)
 	x.mu.Unlock()
 	x.store.put(topicExecutors, x.id, data)
 }
@@ -112,7 +126,7 @@
 	running := len(x.runs)
 	x.runs = nil
 	x.mu.Unlock()
-	_ = x.server.Close()
+	x.close()
 	x.rec.printf("executor %s is lost for good, with %d runs", x.id, running)
 	time.AfterFunc(3*beat, func() {
 		for !x.store.put(topicExecutors, x.id, nil) {
@@ -121,6 +135,41 @@
 	})
 }
 
+func (x *executor) close() {
+	for _, d := range x.doors {
+		_ = d.server.Close()
+	}
+}
+
+// anyDoor stands for the address of an executor in its record, until it is read from a zone.
+const anyDoor = "door-of-"
+
+// door is where the entries of a zone reach an executor.
+type door struct {
+	address  string
+	executor *executor
+	server   *http.Server
+	cut      atomic.Bool // nothing arrives and nothing leaves
+}
+
+func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if d.cut.Load() {
+		<-r.Context().Done()
+		return
+	}
+	held := httptest.NewRecorder()
+	d.executor.ServeHTTP(held, r)
+	if d.cut.Load() {
+		<-r.Context().Done()
+		return
+	}
+	for key, values := range held.Header() {
+		w.Header()[key] = values
+	}
+	w.WriteHeader(held.Code)
+	_, _ = w.Write(held.Body.Bytes())
+}
+
 // tick advances the executor until it is lost.
 func (x *executor) tick() {
 	next := time.Now().Add(beat)
@@ -131,7 +180,9 @@
 			x.mu.Unlock()
 			return
 		}
-		x.advance()
+		if !x.down {
+			x.advance()
+		}
 		x.mu.Unlock()
 		if time.Now().After(next) {
 			next = next.Add(beat)
@@ -167,7 +218,7 @@
 
 func (x *executor) finish(r *run, how string) {
 	x.lastEnd++
-	e := end{x.lastEnd, r.task, r.number, how, x.saved(r)}
+	e := end{x.lastEnd, r.task, r.number, how, x.saved(r), x.clock()}
 	x.finished = append(x.finished, e)
 	delete(x.runs, r.task)
 	x.highest[r.task] = max(x.highest[r.task], r.number)
@@ -208,10 +259,101 @@
 		return
 	}
 	x.mu.Lock()
-	if x.gone {
+	if x.gone || x.down {
 		x.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
+	if x.hangs {
+		x.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
+	if x.lateShare > 0 && rand.Float64() < x.lateShare {
+		x.mu.Unlock()
+		x.carryOutLate(r, o)
+		return
+	}
+	x.carryOut(w, r, o)
+}
+
+// heldUp is an order that was due while the executor was down.
+type heldUp struct {
+	request *http.Request
+	order   order
+	sent    time.Time
+}
+
+// latest is how long after it was sent an order is carried out at the latest.
+const latest = 12 * time.Second
+
+// carryOutLate leaves an order unanswered and carries it out 2 to 12 s later. One that is due
+// while the executor is down reaches it as soon as it is back.
+func (x *executor) carryOutLate(r *http.Request, o order) {
+	path, sent := r.URL.Path, time.Now()
+	o.Wait = 0
+	x.mu.Lock()
+	x.unanswered[path]++
+	x.mu.Unlock()
+	time.AfterFunc(2*time.Second+time.Duration(rand.Float64()*float64(10*time.Second)), func() {
+		x.mu.Lock()
+		late, _ := http.NewRequest(http.MethodPost, path, nil)
+		switch {
+		case x.gone:
+			x.mu.Unlock()
+		case x.down:
+			x.heldUp = append(x.heldUp, heldUp{late, o, sent})
+			x.mu.Unlock()
+		default:
+			x.rec.printf("executor %s carries out late, after %.1f s: %s %s run=%d", x.id, time.Since(sent).Seconds(), path, o.Task, o.Run)
+			x.carryOut(discard{}, late, o)
+		}
+	})
+	<-r.Context().Done()
+}
+
+// discard is an http.ResponseWriter whose response nobody gets.
+type discard struct{}
+
+func (discard) Header() http.Header         { return http.Header{} }
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) WriteHeader(int)             {}
+
+// crash ends everything that runs. A new incarnation under the same id follows.
+func (x *executor) crash(downFor time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.gone || x.down {
+		return
+	}
+	x.down = true
+	for _, r := range x.runs {
+		x.rec.crashed(x.id, r.task, r.number)
+	}
+	x.runs, x.highest, x.finished, x.lastEnd, x.token, x.leaseEnd, x.lapsedAt = make(map[string]*run), make(map[string]int), nil, 0, 0, 0, 0
+	close(x.changed)
+	x.changed = make(chan struct{})
+	x.rec.printf("executor %s crashes", x.id)
+	time.AfterFunc(downFor, func() {
+		x.mu.Lock()
+		x.down, x.started, x.born, x.seq = false, time.Now(), time.Now().UnixMilli(), 0
+		held := x.heldUp
+		x.heldUp = nil
+		x.rec.printf("executor %s is back", x.id)
+		for _, h := range held {
+			if time.Since(h.sent) > latest {
+				continue
+			}
+			x.rec.printf("executor %s carries out late, after %.1f s: %s %s run=%d", x.id, time.Since(h.sent).Seconds(), h.request.URL.Path, h.order.Task, h.order.Run)
+			x.carryOut(discard{}, h.request, h.order)
+			x.mu.Lock()
+		}
+		x.mu.Unlock()
+		x.announce()
+	})
+}
+
+// carryOut carries an order out. The caller has locked the executor.
+func (x *executor) carryOut(w http.ResponseWriter, r *http.Request, o order) {
 	x.advance()
 	if o.Token < x.token {
 		x.refuse(w, "fence")
@@ -250,9 +392,17 @@
 
 func (x *executor) extend(untilMS int64) {
 	now := x.clock()
+	x.noteLapse()
 	x.leaseEnd = max(x.leaseEnd, min(time.Duration(untilMS)*time.Millisecond, now+maxHold))
 }
 
+// noteLapse notes that the lease has lapsed, if it has.
+func (x *executor) noteLapse() {
+	if x.leaseEnd <= x.clock() {
+		x.lapsedAt = max(x.lapsedAt, x.leaseEnd)
+	}
+}
+
 func (x *executor) used() demand {
 	var d demand
 	for _, r := range x.runs {
@@ -293,6 +443,7 @@
 	}
 	x.runs[o.Task] = &run{task: o.Task, number: o.Run, work: job, began: now, ends: now + left, fails: x.rec.failuresOf(o.Task) < job.failFirst}
 	x.rec.startedRun(x.id, o.Task, o.Run)
+	x.check(x, o)
 	x.accept(w)
 }
 
@@ -300,17 +451,19 @@
 	if o.Until > 0 {
 		x.extend(o.Until)
 	}
+	x.noteLapse()
 	kept := x.finished[:0:0]
 	for _, e := range x.finished {
 		if e.number > o.Seen {
 			kept = append(kept, e)
 		} else {
-			x.rec.noted(x.id, e.task, e.run, e.how)
+			x.rec.noted(x.id, e.task, e.run, e.how, e.at <= x.lapsedAt)
 		}
 	}
 	x.finished = kept
 	deadline := time.After(time.Duration(min(o.Wait, 2000)) * time.Millisecond)
-	for wait := o.Wait > 0; wait && len(x.finished) == 0 && !x.gone; {
+	born := x.born
+	for wait := o.Wait > 0; wait && len(x.finished) == 0 && !x.gone && !x.down; {
 		changed := x.changed
 		x.mu.Unlock()
 		select {
@@ -323,7 +476,7 @@
 		x.mu.Lock()
 		x.advance()
 	}
-	if x.gone {
+	if x.gone || x.down || x.born != born {
 		x.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
--- a/review/rig2/record.go
+++ b/review/rig2/record.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -17,6 +18,7 @@
 	starts map[string][]startEvent
 	ends   map[string][]endEvent
 	acks   int // ends taken note of
+	seen   int // problems
 }
 
 type startEvent struct {
@@ -31,6 +33,7 @@
 	run      int
 	how      string
 	noted    time.Duration // 0: not yet
+	lapsed   bool          // the lease had lapsed before that
 }
 
 func newRecorder(path string) (*recorder, error) {
@@ -43,7 +46,17 @@
 
 func (r *recorder) now() time.Duration { return time.Since(r.began) }
 
+// problems returns how many problems were recorded.
+func (r *recorder) problems() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.seen
+}
+
 func (r *recorder) line(format string, args ...any) {
+	if strings.HasPrefix(format, "PROBLEM") {
+		r.seen++
+	}
 	fmt.Fprintf(r.w, "%9.3f s  %s\n", r.now().Seconds(), fmt.Sprintf(format, args...))
 }
 
@@ -67,18 +80,25 @@
 	r.line("executor %s lists the end of %s run=%d %s", executor, task, run, how)
 }
 
-func (r *recorder) noted(executor, task string, run int, how string) {
+func (r *recorder) noted(executor, task string, run int, how string, lapsed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range r.ends[task] {
 		if e := &r.ends[task][i]; e.executor == executor && e.run == run && e.noted == 0 {
-			e.noted = r.now()
+			e.noted, e.lapsed = r.now(), lapsed
 		}
 	}
 	r.acks++
 	r.line("last_seen of %s reaches the end of %s run=%d %s", executor, task, run, how)
 }
 
+func (r *recorder) crashed(executor, task string, run int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ends[task] = append(r.ends[task], endEvent{at: r.now(), executor: executor, run: run, how: "crashed"})
+	r.line("executor %s loses %s run=%d", executor, task, run)
+}
+
 func (r *recorder) failuresOf(task string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +19,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"lovagespread.example/standin/peerproxy"
 )
 
 const (
@@ -29,18 +32,22 @@
 // rig is a small deployment on loopback addresses: a store, executors, and the project's own
 // entries as separate processes.
 type rig struct {
-	rec       *recorder
-	store     *store
-	dir       string
-	root      string // of the repository
-	subnet    int
-	lock      net.PacketConn
-	executors []*executor
-	entries   []*entry
-	servers   []*http.Server
+	rec        *recorder
+	store      *store
+	proxied    bool
+	storeDoors map[string]*zoneStore
+	dir        string
+	root       string // of the repository
+	subnet     int
+	lock       net.PacketConn
+	executors  []*executor
+	entries    []*entry
+	servers    []*http.Server
+	network    *peerproxy.Network // between the entries; nil: they reach each other directly
 
 	mu   sync.Mutex
 	jobs map[string][]work // by job, the work of a task of each step
+	sent map[string]jobBody
 }
 
 // entry is one entry process.
@@ -65,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{rec: rec, dir: dir, root: root, jobs: make(map[string][]work), store: newStore(rec)}
+	r := &rig{rec: rec, dir: dir, root: root, jobs: make(map[string][]work), sent: make(map[string]jobBody), storeDoors: make(map[string]*zoneStore), store: newStore(rec)}
 	for range 200 {
 		r.subnet = 1 + rand.IntN(254)
 		if r.lock, err = net.ListenPacket("udp4", fmt.Sprintf("127.0.%d.1:7719", r.subnet)); err == nil {
@@ -109,14 +116,56 @@
 	labels         []string // of the executors of each zone
 	timeoutMS      int      // of the route
 	maxAttempts    int
+	// proxied lets the entries reach each other, and the executors of other zones, through
+	// proxies that can be cut.
+	proxied bool
+}
+
+// checkStart records what an order asks for that no client has sent.
+func (r *rig) checkStart(x *executor, o *order) {
+	parts := strings.Split(o.Task, ".")
+	r.mu.Lock()
+	body, known := r.sent[parts[0]]
+	r.mu.Unlock()
+	var step, index int
+	_, _ = fmt.Sscan(parts[2], &step)
+	_, _ = fmt.Sscan(parts[3], &index)
+	if !known || step >= len(body.Steps) || index >= body.Steps[step].Count {
+		r.rec.printf("PROBLEM UNASKED %s", o.Task)
+		return
+	}
+	if body.Spec != o.Spec {
+		r.rec.printf("PROBLEM UNASKED %s with another spec: %q", o.Task, o.Spec)
+	}
+	st := body.Steps[step]
+	if st.Requirements != "" && st.Requirements != x.label {
+		r.rec.printf("PROBLEM ROUTE %s on %s", o.Task, x.id)
+	}
+	if st.AntiAffinity > 0 {
+		n := 0
+		for name := range x.runs {
+			p := strings.Split(name, ".")
+			if p[0] == parts[0] && p[2] == parts[2] && name != o.Task {
+				n++
+			}
+		}
+		if n+1 > st.AntiAffinity {
+			r.rec.printf("PROBLEM ROUTE %s on %s beyond anti_affinity", o.Task, x.id)
+		}
+	}
 }
 
 // start starts the deployment and waits until all entries are ready.
 func (r *rig) start(o options) error {
-	address, err := r.serve(r.store)
-	if err != nil {
-		return err
+	addresses := make(map[string]string) // of the store, by the zone of the caller
+	for _, zone := range zones {
+		address, err := r.serve(r.zoneStore(zone))
+		if err != nil {
+			return err
+		}
+		addresses[zone] = address
 	}
+	r.proxied = o.proxied
 	r.store.publishConfig(7, o.timeoutMS, o.maxAttempts)
 	for z, zone := range zones {
 		for n, label := range o.labels {
@@ -124,6 +173,7 @@
 			if err != nil {
 				return err
 			}
+			x.check = r.checkStart
 			r.executors = append(r.executors, x)
 		}
 	}
@@ -132,16 +182,29 @@
 			e := &entry{rig: r, name: fmt.Sprintf("edge-%s-%d", zone, n+1), ip: fmt.Sprintf("127.0.%d.%d", r.subnet, 10+z*10+n), zone: zone}
 			e.settings = filepath.Join(r.dir, e.name+".toml")
 			e.logPath = filepath.Join(r.dir, e.name+".log")
-			if err := os.WriteFile(e.settings, []byte(r.settings(e, address, o)), 0o600); err != nil {
+			if err := os.WriteFile(e.settings, []byte(r.settings(e, addresses[zone], o)), 0o600); err != nil {
 				return err
 			}
 			r.entries = append(r.entries, e)
 		}
 	}
-	for _, e := range r.entries {
+	if o.proxied {
+		var err error
+		opts := peerproxy.Options{PeerPort: 7720, HeartbeatPort: 7721}
+		for _, e := range r.entries {
+			opts.Entries = append(opts.Entries, netip.MustParseAddr(e.ip))
+		}
+		if r.network, err = peerproxy.New(opts); err != nil {
+			return fmt.Errorf("%w: %v", errSetup, err)
+		}
+	}
+	for n, e := range r.entries {
 		if err := e.start(); err != nil {
 			return err
 		}
+		if r.network != nil {
+			r.network.Started(n)
+		}
 	}
 	return r.waitReady(15 * time.Second)
 }
@@ -155,7 +218,7 @@
 zone = %q
 region = "attica"
 internal_ports = [7720,7735]
-seeds = ["127.0.%d.10:8166","127.0.%d.20:8166","127.0.%d.30:8166"]
+seeds = [%s]
 bootstrap = true
 in_tolerance = false
 discovery = "platform"
@@ -209,7 +272,7 @@
 [platform]
 address = %q
 form = "log"
-writes_per_s = 600
+writes_per_s = 800
 reads_per_s = 2000
 parts = 24
 append_ms = 1.0
@@ -220,7 +283,44 @@
 keep_s = 300
 partition_mb = 200
 min_ttl_ms = 1000
-`, e.name, e.ip, e.zone, r.subnet, r.subnet, r.subnet, e.ip, e.ip, e.ip, store, recordBytes, requestBytes)
+`, e.name, e.ip, e.zone, r.seeds(), e.ip, e.ip, e.ip, store, recordBytes, requestBytes)
+}
+
+func (r *rig) zoneStore(zone string) *zoneStore {
+	z := &zoneStore{store: r.store, zone: zone, rig: r}
+	r.storeDoors[zone] = z
+	return z
+}
+
+func (r *rig) seeds() string {
+	text := fmt.Sprintf(`"127.0.%d.10:8166","127.0.%d.20:8166","127.0.%d.30:8166"`, r.subnet, r.subnet, r.subnet)
+	if r.proxied {
+		text = peerproxy.Announced(text, r.subnet)
+	}
+	return text
+}
+
+// cutZone cuts a zone off from the others, or ends that: its entries neither reach those of
+// the others nor their executors, and the other way round. All reach the store.
+func (r *rig) cutZone(zone string, on bool) {
+	r.rec.printf("zone %s cut off: %v", zone, on)
+	if os.Getenv("CUT_STORE") == "1" {
+		r.storeDoors[zone].cut.Store(on)
+	}
+	for a, from := range r.entries {
+		for b, to := range r.entries {
+			if from.zone != to.zone && (from.zone == zone || to.zone == zone) {
+				r.network.Direction(a, b).SetSilent(on)
+			}
+		}
+	}
+	for _, x := range r.executors {
+		for _, caller := range zones {
+			if caller != x.zone && (caller == zone || x.zone == zone) {
+				x.doors[caller].cut.Store(on)
+			}
+		}
+	}
 }
 
 func (r *rig) waitReady(limit time.Duration) error {
@@ -317,7 +417,10 @@
 		_ = s.Close()
 	}
 	for _, x := range r.executors {
-		_ = x.server.Close()
+		x.close()
+	}
+	if r.network != nil {
+		r.network.Close()
 	}
 	_ = r.lock.Close()
 	if keepLogs {
@@ -336,6 +439,8 @@
 	After         []int  `json:"after,omitempty"`
 	Requirements  string `json:"requirements,omitempty"`
 	Checkpointing bool   `json:"checkpointing,omitempty"`
+	AntiAffinity  int    `json:"anti_affinity,omitempty"`
+	Affinity      string `json:"affinity,omitempty"`
 
 	failFirst int
 }
@@ -366,6 +471,7 @@
 // submit sends a job. Its tasks run for exactly as long as they are estimated.
 func (r *rig) submit(e *entry, id string, body jobBody, patience time.Duration) reply {
 	r.mu.Lock()
+	r.sent[id] = body
 	if r.jobs[id] == nil {
 		for _, s := range body.Steps {
 			r.jobs[id] = append(r.jobs[id], work{demand{s.CPU, s.MemMB}, time.Duration(s.EstimateMS) * time.Millisecond, s.failFirst, s.Checkpointing})
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -7,12 +7,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"lovagespread.example/standin/peerproxy"
 )
 
 // Limits of the store, as the pages and the settings file state them.
@@ -30,7 +34,10 @@
 	mu      sync.Mutex
 	parts   map[string]*partition
 	changed chan struct{}
-	down    bool // each call gets 503, and nothing is done
+	down    bool    // each call gets 503, and nothing is done
+	lost    float64 // share of the writes that are done and not answered
+	late    bool    // these are done 1 to 6 s later
+	slow    time.Duration
 }
 
 type partition struct {
@@ -114,19 +121,31 @@
 	return true
 }
 
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *store) serve(w http.ResponseWriter, r *http.Request, z *zoneStore) {
 	time.Sleep(storeAnswer)
 	if s.isDown() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	s.mu.Lock()
+	lost, late, slow := s.lost, s.late, s.slow
+	s.mu.Unlock()
+	time.Sleep(slow)
+	if r.URL.Path == "/log-append" && lost > 0 && rand.Float64() < lost {
+		s.loseAnswer(r, late)
+		return
+	}
 	switch r.Method + " " + r.URL.Path {
 	case "POST /log-append":
+		if z.rig.proxied && r.URL.Query().Get("topic") == "keyed.entries" {
+			body, _ := io.ReadAll(r.Body)
+			r.Body = io.NopCloser(strings.NewReader(peerproxy.Announced(string(body), z.rig.subnet)))
+		}
 		s.append(w, r)
 	case "GET /log-read":
-		s.read(w, r)
+		s.read(w, r, z)
 	case "GET /log-newest":
-		s.listNewest(w, r)
+		s.listNewest(w, r, z)
 	case "POST /log-trim":
 		s.trim(w, r)
 	default:
@@ -134,6 +153,48 @@
 	}
 }
 
+// loseAnswer carries a write out without an answer, at once or 1 to 6 s later.
+func (s *store) loseAnswer(r *http.Request, late bool) {
+	body, _ := io.ReadAll(http.MaxBytesReader(nil, r.Body, requestBytes))
+	url := *r.URL
+	do := func() {
+		again, _ := http.NewRequest(http.MethodPost, url.String(), bytes.NewReader(body))
+		s.append(discard{}, again)
+	}
+	if late {
+		time.AfterFunc(time.Second+time.Duration(rand.Float64()*float64(5*time.Second)), do)
+	} else {
+		do()
+	}
+	<-r.Context().Done()
+}
+
+// zoneStore is the store as the entries of a zone reach it. The records of executors hold the
+// addresses at which this zone reaches them.
+type zoneStore struct {
+	store *store
+	zone  string
+	rig   *rig
+	cut   atomic.Bool // no call of the zone arrives
+}
+
+func (z *zoneStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if z.cut.Load() {
+		<-r.Context().Done()
+		return
+	}
+	z.store.serve(w, r, z)
+}
+
+func (z *zoneStore) executorRecord(value []byte) []byte {
+	for _, x := range z.rig.executors {
+		if door := x.doors[z.zone]; bytes.Contains(value, []byte(anyDoor+x.id)) {
+			return bytes.ReplaceAll(value, []byte(anyDoor+x.id), []byte(door.address))
+		}
+	}
+	return value
+}
+
 func answer(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -224,7 +285,7 @@
 	answer(w, http.StatusOK, reply)
 }
 
-func (s *store) read(w http.ResponseWriter, r *http.Request) {
+func (s *store) read(w http.ResponseWriter, r *http.Request, z *zoneStore) {
 	topic, n := place(r)
 	q := r.URL.Query()
 	from, _ := strconv.ParseInt(q.Get("from"), 10, 64)
@@ -249,6 +310,9 @@
 			data = binary.BigEndian.AppendUint64(data, uint64(p.first))
 			for at := from; at < p.end() && (at == from || len(data) < maxKB<<10); at++ {
 				record := p.records[at-p.first]
+				if topic == topicExecutors {
+					record = z.executorRecord(record)
+				}
 				data = binary.BigEndian.AppendUint32(data, uint32(len(record)))
 				data = append(data, record...)
 			}
@@ -271,7 +335,7 @@
 	}
 }
 
-func (s *store) listNewest(w http.ResponseWriter, r *http.Request) {
+func (s *store) listNewest(w http.ResponseWriter, r *http.Request, z *zoneStore) {
 	topic, n := place(r)
 	after := r.URL.Query().Get("after")
 	type item struct {
@@ -291,7 +355,11 @@
 	slices.Sort(keys)
 	items := []item{}
 	for _, key := range keys[:min(len(keys), 500)] {
-		items = append(items, item{key, base64.StdEncoding.EncodeToString(p.newest[key].value), p.newest[key].offset})
+		value := p.newest[key].value
+		if topic == topicExecutors {
+			value = z.executorRecord(value)
+		}
+		items = append(items, item{key, base64.StdEncoding.EncodeToString(value), p.newest[key].offset})
 	}
 	answer(w, http.StatusOK, map[string]any{"items": items, "has_more": len(keys) > len(items), "end": p.end()})
 }
