--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -618,3 +618,61 @@
 	}
 	return nil
 }
+
+func init() { cases["racks"] = playRacks }
+
+// playRacks: many users submit jobs at once whose tasks require a rack.
+func playRacks(r *rig, trouble bool) (verdict, error) {
+	if err := r.start(options{entriesPerZone: 3, labels: []string{"a", "a", "a", "a"}, timeoutMS: 1500, maxAttempts: 3}); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(contact)
+	// 4 executors a rack have room for 8 tasks. Each job has 4 tasks of 2 s. In 4 s they could
+	// run 16 tasks a rack, 12 jobs in all.
+	count := 12
+	if trouble {
+		count = 21
+	}
+	var ids []string
+	for n := range count {
+		id := jobID()
+		body := jobBody{Spec: "in a rack", Steps: []step{{Count: 4, CPU: 14_000, MemMB: 64, EstimateMS: 2_000, Requirements: "rack-" + zones[n%3]}}}
+		if got := r.submit(r.entries[n%len(r.entries)], id, body, 1500*time.Millisecond); got.status == 200 {
+			ids = append(ids, id)
+		}
+		time.Sleep(4*time.Second/time.Duration(count) - 10*time.Millisecond)
+	}
+	trafficEnded := time.Now()
+	idleSince := make(map[string]time.Time)
+	longest := make(map[string]time.Duration)
+	open := ids
+	for len(open) > 0 && time.Since(trafficEnded) < 40*time.Second {
+		time.Sleep(500 * time.Millisecond)
+		var rest []string
+		for n, id := range open {
+			got := r.state(r.entries[n%len(r.entries)], id)
+			if got.state == "completed" || got.state == "failed" {
+				continue
+			}
+			rest = append(rest, id)
+			if r.isRunning(id) || !r.hasRoom() {
+				delete(idleSince, id)
+				continue
+			}
+			if idleSince[id].IsZero() {
+				idleSince[id] = time.Now()
+			}
+			longest[id] = max(longest[id], time.Since(idleSince[id]))
+		}
+		open = rest
+	}
+	worst := time.Duration(0)
+	stuck := 0
+	for _, d := range longest {
+		worst = max(worst, d)
+		if d >= 3*time.Second {
+			stuck++
+		}
+	}
+	return verdict{stuck > 0, fmt.Sprintf("%d of %d accepted jobs had nothing running for 3 s and more while under half of the room was in use, the longest for %.1f s; %d are open 40 s after the last one was sent", stuck, len(ids), worst.Seconds(), len(open))}, nil
+}
