--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -502,7 +502,7 @@
 var seenPattern = regexp.MustCompile(`"event":"entry_seen","entry":"([^"]+)".*?"incarnation":(\d+)`)
 
 // zoneToCut returns a zone whose executors will be held, while it is cut off, by an entry that
-// holds those of its own zone already; empty: there is none.
+// holds those of its own zone already, where an owner keeps a shard; empty: there is none.
 func (r *rig) zoneToCut() string {
 	incarnations := make(map[string]uint64)
 	for _, e := range r.entries {
@@ -524,9 +524,10 @@
 				roster.ReceiveHeartbeat(began.Add(4*time.Second), member)
 			}
 		}
-		holder, ok := roster.View(began.Add(4 * time.Second)).Holder(cells.All(zone, 1)[0])
+		during := roster.View(began.Add(4 * time.Second))
+		holder, ok := during.Holder(cells.All(zone, 1)[0])
 		for _, e := range r.entries {
-			if ok && e.name == holder.Name && strings.Contains(e.log(), `"endpoint_held"`) {
+			if ok && e.name == holder.Name && strings.Contains(e.log(), `"endpoint_held"`) && r.keepsShard(e.zone, during) {
 				return zone
 			}
 		}
@@ -534,6 +535,17 @@
 	return ""
 }
 
+// keepsShard reports whether an owner of a zone goes on owning a shard during a cut.
+func (r *rig) keepsShard(zone string, during *cells.View) bool {
+	for shard := range shards {
+		before := r.ownerOf(shard)
+		if after, ok := during.Owner(shard, shards); ok && before != nil && before.zone == zone && after.Name == before.name {
+			return true
+		}
+	}
+	return false
+}
+
 // cutOnce cuts a zone off once. It returns how many tasks were started again, of how many.
 func (r *rig) cutOnce(cutOff string, trouble bool) (again, tasks int, example string, err error) {
 	const (
--- a/review/rig2/executor.go
+++ b/review/rig2/executor.go
@@ -43,26 +43,27 @@
 	workOf   func(task string) (work, bool)
 	check    func(x *executor, o *order)
 
-	mu         sync.Mutex
-	started    time.Time
-	born       int64
-	seq        int
-	gone       bool
-	down       bool    // after a crash, until the next incarnation
-	lateShare  float64 // of the orders that get no answer and are carried out 2 to 12 s later
-	hangs      bool
-	heldUp     []heldUp
-	unanswered map[string]int // by path, orders that were left unanswered
-	lapsedAt   time.Duration
-	token      int64
-	leaseEnd   time.Duration
-	runs       map[string]*run
-	highest    map[string]int
-	failures   map[string]int
-	finished   []end
-	lastEnd    int64
-	changed    chan struct{}
-	doors      map[string]*door // by the zone of the caller
+	mu            sync.Mutex
+	started       time.Time
+	born          int64
+	seq           int
+	drainingSince time.Time
+	gone          bool
+	down          bool    // after a crash, until the next incarnation
+	lateShare     float64 // of the orders that get no answer and are carried out 2 to 12 s later
+	hangs         bool
+	heldUp        []heldUp
+	unanswered    map[string]int // by path, orders that were left unanswered
+	lapsedAt      time.Duration
+	token         int64
+	leaseEnd      time.Duration
+	runs          map[string]*run
+	highest       map[string]int
+	failures      map[string]int
+	finished      []end
+	lastEnd       int64
+	changed       chan struct{}
+	doors         map[string]*door // by the zone of the caller
 }
 
 type run struct {
@@ -113,12 +114,50 @@
 		return
 	}
 	x.seq++
-	data := fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":%d,"mem_mb":%d,"gpu":0},"labels":[%q,%q],"clock_ms":%d,"seq":%d,"born":%d}`,
-		serviceName, anyDoor+x.id, x.zone, x.capacity.cpu, x.capacity.memMB, x.label, "rack-"+x.zone, x.clock().Milliseconds(), x.seq, x.born)
+	data := fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":%q,"remaining_ms":%d,"cold_left_ms":0,"capacity":{"cpu":%d,"mem_mb":%d,"gpu":0},"labels":[%q,%q],"clock_ms":%d,"seq":%d,"born":%d}`,
+		serviceName, anyDoor+x.id, x.zone, x.stateName(), x.remaining(), x.capacity.cpu, x.capacity.memMB, x.label, "rack-"+x.zone, x.clock().Milliseconds(), x.seq, x.born)
 	x.mu.Unlock()
 	x.store.put(topicExecutors, x.id, data)
 }
 
+func (x *executor) stateName() string {
+	if x.drainingSince.IsZero() {
+		return "ready"
+	}
+	return "draining"
+}
+
+// drainTime is how long a draining executor goes on serving.
+const drainTime = 2 * time.Second
+
+func (x *executor) remaining() int64 {
+	if x.drainingSince.IsZero() {
+		return 0
+	}
+	return max(0, (drainTime - time.Since(x.drainingSince)).Milliseconds())
+}
+
+// drain lets the executor announce that it leaves, and leave some time later. A new life of it
+// begins some seconds after that.
+func (x *executor) drain(extra time.Duration) {
+	x.mu.Lock()
+	if x.gone || x.down || !x.drainingSince.IsZero() {
+		x.mu.Unlock()
+		return
+	}
+	x.drainingSince = time.Now()
+	x.mu.Unlock()
+	x.rec.printf("executor %s drains", x.id)
+	x.announce()
+	time.AfterFunc(drainTime+extra, func() {
+		x.crash(3 * time.Second)
+		x.store.put(topicExecutors, x.id, nil)
+		x.mu.Lock()
+		x.drainingSince = time.Time{}
+		x.mu.Unlock()
+	})
+}
+
 // lose ends the executor for good, without notice. Its record expires after three beats.
 func (x *executor) lose() {
 	x.mu.Lock()
@@ -443,6 +482,9 @@
 	}
 	x.runs[o.Task] = &run{task: o.Task, number: o.Run, work: job, began: now, ends: now + left, fails: x.rec.failuresOf(o.Task) < job.failFirst}
 	x.rec.startedRun(x.id, o.Task, o.Run)
+	if !x.drainingSince.IsZero() && time.Since(x.drainingSince) > drainTime {
+		x.rec.printf("PROBLEM DRAIN %s on %s", o.Task, x.id)
+	}
 	x.check(x, o)
 	x.accept(w)
 }
--- a/review/rig2/soak.go
+++ b/review/rig2/soak.go
@@ -58,6 +58,10 @@
 		mu.Unlock()
 		wait.Add(1)
 		go func() { defer wait.Done(); r.live(j, stop) }()
+		if os.Getenv("FAST") == "1" && time.Since(began) < 12*time.Second {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
 		time.Sleep(time.Duration(20+rand.IntN(90)) * time.Millisecond)
 	}
 	time.Sleep(18 * time.Second)
@@ -260,6 +264,8 @@
 	case "slow":
 		set(func(s *store) { s.slow = 240 * time.Millisecond })
 		back(4500*time.Millisecond, func() { set(func(s *store) { s.slow = 0 }) })
+	case "drain":
+		x.drain(time.Duration(rand.IntN(4000)) * time.Millisecond)
 	case "zonecut":
 		zone := zones[rand.IntN(len(zones))]
 		r.cutZone(zone, true)
