--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -398,7 +398,7 @@
 		worst, most := r.executors[0], -1
 		for _, x := range r.executors {
 			x.mu.Lock()
-			if n := x.unanswered["/run-start"]; n > most {
+			if n := x.unanswered[names["start"]]; n > most {
 				worst, most = x, n
 			}
 			x.mu.Unlock()
--- a/review/rig2/executor.go
+++ b/review/rig2/executor.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -114,7 +115,7 @@
 		return
 	}
 	x.seq++
-	data := fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":%q,"remaining_ms":%d,"cold_left_ms":0,"capacity":{"cpu":%d,"mem_mb":%d,"gpu":0},"labels":[%q,%q],"clock_ms":%d,"seq":%d,"born":%d}`,
+	data := fmt.Appendf(nil, wireText("executor.json.txt"),
 		serviceName, anyDoor+x.id, x.zone, x.stateName(), x.remaining(), x.capacity.cpu, x.capacity.memMB, x.label, "rack-"+x.zone, x.clock().Milliseconds(), x.seq, x.born)
 	x.mu.Unlock()
 	x.store.put(topicExecutors, x.id, data)
@@ -274,26 +275,44 @@
 }
 
 type order struct {
-	Task    string `json:"task"`
-	Run     int    `json:"run_id"`
-	Spec    string `json:"spec"`
-	Until   int64  `json:"until_ms"`
-	Token   int64  `json:"fencing_token"`
-	Seen    int64  `json:"last_seen"`
-	Wait    int64  `json:"wait_ms"`
-	Restore string `json:"checkpoint"`
+	Task    string
+	Run     int
+	Spec    string
+	Until   int64
+	Token   int64
+	Seen    int64
+	Wait    int64
+	Restore string
+}
+
+// decodeOrder decodes the body of an order.
+func decodeOrder(body io.Reader) (o order, err error) {
+	var fields map[string]json.RawMessage
+	if err := json.NewDecoder(body).Decode(&fields); err != nil {
+		return o, err
+	}
+	for name, into := range map[string]any{
+		"task": &o.Task, "run_id": &o.Run, "spec": &o.Spec, names["until"]: &o.Until, names["token"]: &o.Token, names["seen"]: &o.Seen, "wait_ms": &o.Wait, "checkpoint": &o.Restore,
+	} {
+		if value, given := fields[name]; given {
+			if err := json.Unmarshal(value, into); err != nil {
+				return o, err
+			}
+		}
+	}
+	return o, nil
 }
 
 func (x *executor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if target := r.Header.Get("X-Target-Instance"); target != "" && target != x.id {
+	if target := r.Header.Get(names["target"]); target != "" && target != x.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if r.URL.Path == "/health" {
 		return
 	}
-	var o order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+	o, err := decodeOrder(r.Body)
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -400,9 +419,9 @@
 	}
 	x.token = o.Token
 	switch r.URL.Path {
-	case "/run-start":
+	case names["start"]:
 		x.start(w, &o)
-	case "/run-stop":
+	case names["stop"]:
 		if r := x.runs[o.Task]; r != nil && r.number <= o.Run && r.stopsAt == 0 {
 			r.stopsAt = x.clock() + stopTime
 			x.rec.printf("executor %s stops %s run=%d", x.id, o.Task, r.number)
@@ -420,13 +439,13 @@
 func (x *executor) refuse(w http.ResponseWriter, reason string) {
 	clock := x.clock().Milliseconds()
 	x.mu.Unlock()
-	answer(w, http.StatusConflict, map[string]any{"clock_ms": clock, "reason": reason})
+	answer(w, http.StatusConflict, map[string]any{names["clock"]: clock, "reason": reason})
 }
 
 func (x *executor) accept(w http.ResponseWriter) {
 	clock := x.clock().Milliseconds()
 	x.mu.Unlock()
-	answer(w, http.StatusOK, map[string]any{"clock_ms": clock})
+	answer(w, http.StatusOK, map[string]any{names["clock"]: clock})
 }
 
 func (x *executor) extend(untilMS int64) {
@@ -522,25 +541,21 @@
 		x.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
-	body := struct {
-		Clock    int64   `json:"clock_ms"`
-		Born     int64   `json:"born"`
-		Running  [][]any `json:"running"`
-		Finished [][]any `json:"finished"`
-	}{x.clock().Milliseconds(), x.born, [][]any{}, [][]any{}}
+	running, finished := [][]any{}, [][]any{}
+	clock, life := x.clock().Milliseconds(), x.born
 	now := x.clock()
 	for _, r := range x.runs {
 		percent := 0
 		if r.ends > r.began {
 			percent = int(min(99, 100*(now-r.began)/(r.ends-r.began)))
 		}
-		body.Running = append(body.Running, []any{r.task, r.number, x.saved(r), percent, r.work.cpu})
+		running = append(running, []any{r.task, r.number, x.saved(r), percent, r.work.cpu})
 	}
 	for _, e := range x.finished[:min(500, len(x.finished))] {
-		body.Finished = append(body.Finished, []any{e.number, e.task, e.run, e.how, e.saved})
+		finished = append(finished, []any{e.number, e.task, e.run, e.how, e.saved})
 	}
 	x.mu.Unlock()
-	answer(w, http.StatusOK, body)
+	answer(w, http.StatusOK, map[string]any{names["clock"]: clock, "born": life, "running": running, "finished": finished})
 }
 
 // running returns the tasks of a job that run here, and the capacity in use.
--- a/review/rig2/record.go
+++ b/review/rig2/record.go
@@ -89,7 +89,7 @@
 		}
 	}
 	r.acks++
-	r.line("last_seen of %s reaches the end of %s run=%d %s", executor, task, run, how)
+	r.line("the acknowledgement to %s reaches the end of %s run=%d %s", executor, task, run, how)
 }
 
 func (r *recorder) crashed(executor, task string, run int) {
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -131,22 +131,22 @@
 	lost, late, slow := s.lost, s.late, s.slow
 	s.mu.Unlock()
 	time.Sleep(slow)
-	if r.URL.Path == "/log-append" && lost > 0 && rand.Float64() < lost {
+	if r.Method+" "+r.URL.Path == names["append"] && lost > 0 && rand.Float64() < lost {
 		s.loseAnswer(r, late)
 		return
 	}
 	switch r.Method + " " + r.URL.Path {
-	case "POST /log-append":
-		if z.rig.proxied && r.URL.Query().Get("topic") == "keyed.entries" {
+	case names["append"]:
+		if z.rig.proxied && r.URL.Query().Get("topic") == names["keyed"]+"entries" {
 			body, _ := io.ReadAll(r.Body)
 			r.Body = io.NopCloser(strings.NewReader(peerproxy.Announced(string(body), z.rig.subnet)))
 		}
 		s.append(w, r)
-	case "GET /log-read":
+	case names["read"]:
 		s.read(w, r, z)
-	case "GET /log-newest":
+	case names["newest"]:
 		s.listNewest(w, r, z)
-	case "POST /log-trim":
+	case names["trim"]:
 		s.trim(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
@@ -273,7 +273,7 @@
 		return
 	}
 	reply := appendReply{p.end(), p.end() + int64(len(records))}
-	s.add(p, strings.HasPrefix(topic, "keyed."), records)
+	s.add(p, strings.HasPrefix(topic, names["keyed"]), records)
 	if prod != nil && len(records) > 0 {
 		prod.seq, _ = strconv.ParseInt(q.Get("seq"), 10, 64)
 		prod.started = true
@@ -384,14 +384,14 @@
 }
 
 // Topics that the platform writes.
-const (
-	topicOperator  = "keyed.op"
-	topicExecutors = "keyed.servers"
+var (
+	topicOperator  = names["keyed"] + "op"
+	topicExecutors = names["keyed"] + "servers"
 )
 
 // publishConfig writes the operator's configuration.
 func (s *store) publishConfig(version, timeoutMS, maxAttempts int) {
-	s.put(topicOperator, "config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r-1","host":%q,"path_prefix":%q,"type":"unsafe","timeout_ms":%d,"slo_ms":60,"priority":0,"service":%q,"max_attempts":%d,"stretch":1.6}],"services":[{"name":%q,"health_path":"/health","max_conns":64,"protocol":"h1","tls":false,"admission_check":true,"standby":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
+	s.put(topicOperator, "config", fmt.Appendf(nil, wireText("config.json.txt"),
 		version, routeHost, routePrefix, timeoutMS, serviceName, maxAttempts, serviceName))
 	s.rec.printf("operator writes configuration version=%d timeout_ms=%d max_attempts=%d", version, timeoutMS, maxAttempts)
 }
