--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -384,7 +384,7 @@
 		r.setLate(0.055)
 	}
 	began := time.Now()
-	const jobs, wide = 36, 32
+	const jobs, wide = 32, 32
 	var ids []string
 	for n := range jobs {
 		id := jobID()
@@ -639,20 +639,23 @@
 		return verdict{}, err
 	}
 	time.Sleep(contact)
-	// 4 executors a rack have room for 8 tasks. Each job has 4 tasks of 2 s. In 4 s they could
-	// run 16 tasks a rack, 12 jobs in all.
-	count := 12
-	if trouble {
-		count = 21
-	}
+	// 4 executors a rack have room for 8 tasks. Each job has 4 tasks of 2 s, so all racks run 3
+	// jobs a second. The usual traffic is 2.5 jobs a second; from 2 s to 6 s it is 1.8 times that.
+	const rate, length = 2.5, 8 * time.Second
 	var ids []string
-	for n := range count {
+	began := time.Now()
+	for n := 0; time.Since(began) < length; n++ {
+		gap := time.Duration(float64(time.Second) / rate)
+		if now := time.Since(began); trouble && now >= 2*time.Second && now < 6*time.Second {
+			gap = gap * 10 / 18
+		}
+		next := time.Now().Add(gap)
 		id := jobID()
 		body := jobBody{Spec: "in a rack", Steps: []step{{Count: 4, CPU: 14_000, MemMB: 64, EstimateMS: 2_000, Requirements: "rack-" + zones[n%3]}}}
 		if got := r.submit(r.entries[n%len(r.entries)], id, body, 1500*time.Millisecond); got.status == 200 {
 			ids = append(ids, id)
 		}
-		time.Sleep(4*time.Second/time.Duration(count) - 10*time.Millisecond)
+		time.Sleep(time.Until(next))
 	}
 	trafficEnded := time.Now()
 	idleSince := make(map[string]time.Time)
