Let the owner's log decide between an end and a restart

Cause: evidence that a run is over (a time, a list, an expired lease) was taken for knowledge of how it has ended. An end that an entry has seen and cannot report yet was counted and acknowledged whenever its report arrived. A longer wait closes cuts up to its length only.

Change: before a holder starts a task of which a run may have ended unseen (delegate cut off, delegation withdrawn, search without a result, endpoint taken over or lost, new holder, new owner, number refused as old), it asks the owner. The owner stores that runs up to a number are superseded (RunsSuperseded) and answers with that number, or that the task is done. Ends of superseded runs that are reported later don't count, and are acknowledged only after the lease of their endpoint has expired. The order of both records on the log decides, whoever owns the shard then. Owners and entries of earlier versions see a report that a run has begun, and answer without progress, which allows the restart as before.

Jobs at their first holder wait for unreachable entries like resubmitted ones (up to 8 s). That is no evidence, and spares second runs.

Tests: the simulated owner answers restart requests; answers of delegates don't cross a cut. With unresponsiveOwner the reports of ends stay unanswered as before, and restart requests are answered: the tests play the next owner, which the reports have not reached. Their checks are unchanged.

--- a/dispatch/leased/action.go
+++ b/dispatch/leased/action.go
@@ -159,9 +159,13 @@
 	Task             TaskID
 	Run              int
 	Begun            bool // false: the run has ended
-	End              End  // EndDone, EndFailed or EndEndpointLost
-	Loss             Loss // of a run that ended with EndEndpointLost
-	Checkpoint       string
+	// Restart is the number of a request to start the task again although an earlier run may
+	// have ended unseen; Run is the highest number of those known to the holder then. The
+	// request is answered by ReportsStored. 0: the report is about a run.
+	Restart    uint64
+	End        End  // EndDone, EndFailed or EndEndpointLost
+	Loss       Loss // of a run that ended with EndEndpointLost
+	Checkpoint string
 }
 
 // Loss is what is known about the loss of an endpoint under a run.
--- a/dispatch/leased/attempts.go
+++ b/dispatch/leased/attempts.go
@@ -98,7 +98,7 @@
 // cause becomes known.
 func (c *Core) learn(id TaskID, p *TaskProgress, latest bool) {
 	if p.Done {
-		c.taskDoneElsewhere(id)
+		c.taskDoneElsewhere(id, anyRun)
 		return
 	}
 	t := c.openTask(id)
@@ -106,6 +106,7 @@
 		return
 	}
 	t.learnedAt = c.now
+	t.superseded = max(t.superseded, p.Superseded)
 	t.failures = max(t.failures, p.Failures)
 	t.crashes.Merge(p.Crashes)
 	if !latest || t.state == suspended {
--- a/dispatch/leased/core.go
+++ b/dispatch/leased/core.go
@@ -61,7 +61,8 @@
 	loadedAt          time.Time            // when less than half of the usable capacity was last idle
 	adopting          []*job               // delegated tasks whose earlier runs are searched for
 	doneUnclaimed     map[TaskID]time.Time // when a run that no job claimed was listed as done
-	storedDone        map[TaskID]time.Time // done tasks of stored jobs
+	storedDone        map[TaskID]doneEnd   // done tasks of stored jobs
+	restartRequests   uint64               // number of the newest request to start a task again
 	uncounted         map[TaskID][]reportedEnd
 	counted           map[TaskID]countedTask
 	heldAnswers       map[TaskID][]heldAnswer
@@ -109,7 +110,7 @@
 		runs:          make(map[TaskID]*run),
 		freeIndex:     &freeIndex{},
 		doneUnclaimed: make(map[TaskID]time.Time),
-		storedDone:    make(map[TaskID]time.Time),
+		storedDone:    make(map[TaskID]doneEnd),
 		uncounted:     make(map[TaskID][]reportedEnd),
 		counted:       make(map[TaskID]countedTask),
 		heldAnswers:   make(map[TaskID][]heldAnswer),
@@ -317,6 +318,9 @@
 		}
 		for r := range e.runs.all() {
 			c.unseen.add(r.id, c.now.Add(c.ownRunTimeout()), e.ID)
+			if t := c.openTask(r.id); t != nil {
+				t.doubtEnd()
+			}
 			c.forgetRun(e, r)
 		}
 		e.record.RemoveFrom(c.peersOf(e))
--- a/dispatch/leased/delegated.go
+++ b/dispatch/leased/delegated.go
@@ -36,7 +36,7 @@
 		c.answerDelegatedNow(j, d.Run, EndNoCapacity)
 		return
 	}
-	if _, done := c.storedDone[t.id]; done && isStoredRun(d.Run) {
+	if isStoredRun(d.Run) && c.isStoredDone(t.id, d.Superseded) {
 		c.answerDelegatedNow(j, d.Run, EndDone) // the delegator did not receive the answer
 		return
 	}
@@ -103,13 +103,13 @@
 		return true
 	}
 	if r := c.runs[t.id]; r != nil {
-		if r.task == nil && r.state == runRunning {
+		if r.task == nil && r.state == runRunning && t.mayAdopt(r.number) {
 			c.adopt(t, r.endpoint, r)
 			return true
 		}
 		return false // it is being stopped
 	}
-	if _, done := c.doneUnclaimed[t.id]; done {
+	if _, done := c.doneUnclaimed[t.id]; done && t.superseded == 0 || c.isStoredDone(t.id, t.superseded) {
 		c.answerDelegatedNow(j, t.runs, EndDone)
 		return true
 	}
@@ -201,7 +201,7 @@
 		tickets: []Ticket{ticket}, arrived: c.now, expires: c.now.Add(d.CallerTimeout), delegated: true, suspect: d.Suspect,
 		origin: d.Origin, cell: d.Cell, searchedOn: d.SearchedOn, remaining: []int{1},
 	}
-	j.tasks = [][]task{{{id: d.ID, job: j, step: &j.Steps[0], checkpoint: d.Checkpoint, lostAt: c.now}}}
+	j.tasks = [][]task{{{id: d.ID, job: j, step: &j.Steps[0], checkpoint: d.Checkpoint, superseded: d.Superseded, lostAt: c.now}}}
 	c.tickets[ticket] = j
 	return j
 }
--- a/dispatch/leased/endpoint.go
+++ b/dispatch/leased/endpoint.go
@@ -102,14 +102,15 @@
 	runs             runList
 	used             Demand
 	freeIndex        *freeIndex
-	position         int              // in the freeIndex
-	unknownDemands   int              // number of runs with unknown demand
-	suspects         int              // number of runs that are suspect
-	lastSeen         int64            // number of the newest ended run that was listed
-	acknowledged     int64            // LastSeen of the newest answered Hold
-	unreported       map[int64]TaskID // ended runs that must not be acknowledged yet
-	lostRuns         []lostRun        // until it is known whether the endpoint has crashed
-	lostAt           time.Time        // when the newest of them was lost
+	position         int                // in the freeIndex
+	unknownDemands   int                // number of runs with unknown demand
+	suspects         int                // number of runs that are suspect
+	lastSeen         int64              // number of the newest ended run that was listed
+	acknowledged     int64              // LastSeen of the newest answered Hold
+	unreported       map[int64]TaskID   // ended runs that must not be acknowledged yet
+	discarded        map[int64]struct{} // ended runs that must not be acknowledged before the lease has expired
+	lostRuns         []lostRun          // until it is known whether the endpoint has crashed
+	lostAt           time.Time          // when the newest of them was lost
 
 	clock                time.Duration // reading of the endpoint's clock at clockAt
 	clockAt              time.Time     // zero: the clock is unknown
@@ -259,7 +260,7 @@
 
 // usable reports whether new tasks may be started on the endpoint.
 func (e *endpoint) usable(now time.Time) bool {
-	return e.held && e.described() && !e.dropped && !e.holdRefused && !e.evacuated && !e.shortLease && !e.Leaving && e.unknownDemands == 0 && e.unanswered <= e.tolerated &&
+	return e.held && e.described() && !e.dropped && !e.holdRefused && !e.evacuated && !e.shortLease && !e.Leaving && e.unknownDemands == 0 && len(e.discarded) == 0 && e.unanswered <= e.tolerated &&
 		!now.Before(e.pausedUntil) && e.record.Health() != outlier.Ejected
 }
 
--- a/dispatch/leased/hold.go
+++ b/dispatch/leased/hold.go
@@ -212,7 +212,7 @@
 	for i := range in.Ended {
 		c.applyEnded(e, &in.Ended[i])
 	}
-	if len(e.unreported) > 0 {
+	if len(e.unreported) > 0 || len(e.discarded) > 0 {
 		e.nextHold = c.now.Add(unreportedPollPause)
 	}
 	c.applyRunning(e, in.Running, in.More)
@@ -285,6 +285,7 @@
 		c.loseRun(e, r)
 	}
 	e.lastSeen, e.acknowledged, e.unreported = 0, 0, nil
+	e.discarded = nil
 	e.lostRuns = nil // the other holder sees what becomes of the endpoint
 }
 
@@ -300,6 +301,7 @@
 	case t == nil:
 		// The request to stop it may have been lost, and its job submitted again.
 		if waiting := c.claimant(r.id); waiting != nil {
+			c.doubtRemoteEnd(waiting)
 			c.addLostRun(waiting, e.Cell, e.ID)
 		}
 	case t.job.delegated:
@@ -307,6 +309,7 @@
 	default:
 		t.state = waitingTask
 		t.evidence = EvidenceElapsed
+		c.doubtRemoteEnd(t)
 		c.addLostRun(t, e.Cell, e.ID)
 		c.enqueue(t.job)
 	}
@@ -338,6 +341,7 @@
 	e.inFlight = false
 	e.sequence++ // a reply to a Hold with the earlier token is ignored
 	e.lastSeen, e.acknowledged, e.holdSeen, e.unreported = 0, 0, 0, nil
+	e.discarded = nil
 	e.clockAt, e.listedClock = time.Time{}, 0
 	for _, r := range e.runs {
 		r.beganClock, r.foundPercent = 0, 0
@@ -356,6 +360,7 @@
 	e.decaySlowness(TickInterval)
 	e.shortLease = c.allowedLease(e) < c.minUsefulLease()
 	c.endWatch(e)
+	c.releaseDiscarded(e)
 	if e.record.ReviewDue(c.now) {
 		before := e.record.Health()
 		e.record.Review(c.peersOf(e))
--- a/dispatch/leased/input.go
+++ b/dispatch/leased/input.go
@@ -117,6 +117,10 @@
 	Number           int64 // of the ended run
 	Task             TaskID
 	Run              int
+	Restart          uint64 // of the request that is answered; 0: a report about a run
+	// Discarded reports that the end does not count, because its run was superseded before
+	// the end was reported. The endpoint may forget it after its lease has expired.
+	Discarded bool
 	// Progress is what the owner of the job knows of the task, including this end; nil: it
 	// has not told.
 	Progress *TaskProgress
--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -112,8 +112,13 @@
 	Losses      int          // endpoints that were lost with the task for a reason that is not known
 	LastRun     int          // highest run number
 	Checkpoint  string       // newest checkpoint
+	// Superseded is the number up to which runs are superseded: the task was allowed to
+	// start again although they might have ended unseen, so their ends do not count.
+	Superseded int
 	// JobEnded reports that the job has ended: no task of it is started again.
 	JobEnded bool
+	// Discarded reports, in the answer to a report, that the end of the run does not count.
+	Discarded bool
 	// Counted lists the runs that Failures, Crashes and Losses count. It is set in
 	// snapshots only, to recognize reports that are repeated.
 	Counted []CountedRun
@@ -153,6 +158,7 @@
 	Spec          string
 	Step          Step
 	Run           int    // number of this run
+	Superseded    int    // as in TaskProgress
 	Checkpoint    string // checkpoint to resume from
 	CallerTimeout time.Duration
 	// Origin is the incarnation of the entry that waits for the job, if that is not the
--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -47,6 +47,11 @@
 	searching      bool         // delegated to find an earlier run, not to start one
 	searchedOn     EndpointID   // where the search is for that run; empty: not known
 	delegatedAt    time.Time
+	// endInDoubt is set for a task of a stored job if an earlier run may have ended unseen.
+	endInDoubt     bool
+	remoteSince    time.Time // since when that may have been seen by another entry; zero: it was not
+	restartRequest uint64    // number of the unanswered request to start the task again; 0: none
+	superseded     int       // ends of runs up to this number do not count
 }
 
 type job struct {
@@ -173,6 +178,7 @@
 // word does not settle it.
 func (c *Core) addRemoteRun(t *task) {
 	t.evidence = EvidenceElapsed
+	c.doubtRemoteEnd(t)
 	c.unseen.add(t.id, c.now.Add(c.remoteRunTimeout()), "")
 }
 
@@ -220,6 +226,7 @@
 	case EndNotRun:
 		if t.searching {
 			c.unseen.overAt(t.id, t.searchedOn)
+			t.remoteSince = time.Time{}
 		}
 	case EndFailed:
 		t.failures++
@@ -236,6 +243,7 @@
 			c.addLostRun(t, t.delegatedCell, t.searchedOn)
 		}
 	case EndEndpointLost:
+		t.doubtEnd()
 		c.endpointLost(t)
 		return
 	case EndUnknown:
@@ -250,7 +258,7 @@
 	t.state = doneTask
 	j.remaining[t.id.Step]--
 	if j.Stored {
-		c.storedDone[t.id] = c.now
+		c.noteStoredDone(t.id, t.runs)
 	}
 	c.markBegun(j)
 	for _, left := range j.remaining {
--- a/dispatch/leased/owner_test.go
+++ b/dispatch/leased/owner_test.go
@@ -24,6 +24,8 @@
 	inFlight   []stored.Event                        // that are being appended
 	// stalledUntil is when appends are stored that are sent before.
 	stalledUntil time.Duration
+	// at is the core beside which the owner runs: others reach it only if they reach that.
+	at int
 }
 
 type sentReport struct {
@@ -81,9 +83,10 @@
 			if len(r.Progress) > 0 {
 				progress = &r.Progress[0]
 			}
+			discarded := progress != nil && progress.Discarded
 			o.sim.after(networkDelay, func() {
 				o.sim.step(sent.core, &leased.ReportsStored{Reports: []leased.StoredReport{{
-					Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number, Task: p.Task, Run: p.Run, Progress: progress,
+					Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number, Task: p.Task, Run: p.Run, Restart: p.Restart, Discarded: discarded, Progress: progress,
 				}}})
 			})
 		}
@@ -133,7 +136,7 @@
 func (o *owner) offer(offer stored.Offer) {
 	var live []int
 	for core := range o.sim.cores {
-		if !o.sim.crashed[core] && len(o.sim.cellsOf(core)) > 0 {
+		if !o.sim.crashed[core] && o.reaches(core) && len(o.sim.cellsOf(core)) > 0 {
 			live = append(live, core)
 		}
 	}
@@ -192,18 +195,27 @@
 	if !waiting || o.sim.crashed[sent.core] || o.sim.cores[sent.core] != sent.by {
 		return
 	}
-	if o.shard == nil {
+	if o.shard == nil || !o.reaches(sent.core) {
 		o.sim.after(200*time.Millisecond, func() { o.deliver(ticket) })
 		return
 	}
 	r := sent.report
 	lost := r.End == leased.EndEndpointLost
 	o.step(&stored.Report{Ticket: ticket, From: uint64(sent.core + 1), Tasks: []stored.TaskReport{{
-		Task: r.Task, Run: leased.RunID{Number: r.Run, Endpoint: r.Endpoint, Incarnation: r.IncarnationStart}, Begun: r.Begun || lost, Done: r.End == leased.EndDone, Lost: lost, Loss: r.Loss,
+		Task: r.Task, Run: leased.RunID{Number: r.Run, Endpoint: r.Endpoint, Incarnation: r.IncarnationStart}, Begun: r.Begun || lost || r.Restart != 0, Done: r.End == leased.EndDone, Lost: lost, Loss: r.Loss, Restart: r.Restart,
 	}}})
 	o.sim.after(500*time.Millisecond, func() { o.deliver(ticket) })
 }
 
+// reaches reports whether the owner and a core exchange messages.
+func (o *owner) reaches(core int) bool { return o.sim.isolated[core] == o.sim.isolated[o.at] }
+
+// moveTo replaces the owner with one beside another core.
+func (o *owner) moveTo(core int) {
+	o.replace()
+	o.at = core
+}
+
 // coreCrashed ends the offers to a core that has crashed.
 func (o *owner) coreCrashed(core int) {
 	o.sim.after(lostHolderFor, func() {
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -66,7 +66,8 @@
 	return most
 }
 
-// mayStart reports whether a task waits and no earlier run of it may be active.
+// mayStart reports whether a task waits, no earlier run of it may be active, and none can
+// have ended unseen.
 func (c *Core) mayStart(t *task) bool {
 	if t.state != waitingTask || c.runs[t.id] != nil || c.unseen.possible(t.id, c.now) {
 		return false
@@ -74,7 +75,10 @@
 	if c.awaitsCount(t.id) {
 		return false
 	}
-	return !c.unheard(t.job) && !c.mayHaveEnded(t)
+	if c.unheard(t.job) || c.mayHaveEnded(t) {
+		return false
+	}
+	return c.restartAllowed(t)
 }
 
 func (c *Core) placeStep(j *job, step int) {
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -89,7 +89,7 @@
 		return
 	}
 	c.runs[row.Task] = r
-	if t := c.claimant(row.Task); t != nil {
+	if t := c.claimant(row.Task); t != nil && t.mayAdopt(row.Run) {
 		c.adopt(t, e, r)
 	}
 }
--- a/dispatch/leased/sim_holders_test.go
+++ b/dispatch/leased/sim_holders_test.go
@@ -53,7 +53,7 @@
 
 func (sim *simulation) answerDelegation(a leased.DelegatedAnswer) {
 	d, ok := sim.delegations[a.Task]
-	if !ok || d.ticket != a.Ticket {
+	if !ok || d.ticket != a.Ticket || sim.isolated[d.from] != sim.isolated[d.to] {
 		return
 	}
 	delete(sim.delegations, a.Task)
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -60,7 +60,8 @@
 	starts       []string             // all Starts in order, if recordStarts is set
 	taskCounts   map[leased.JobID]int // number of tasks of each job, for tests that compare sizes
 	isolated     map[int]bool         // cores that exchange no messages with the others
-	// unresponsiveOwner leaves reports of stored jobs unanswered.
+	// unresponsiveOwner leaves reports of runs of stored jobs unanswered. Requests to start
+	// tasks again are answered: by the next owner, which these reports have not reached.
 	unresponsiveOwner bool
 	reports           []leased.Report
 	pollCounts        map[leased.EndpointID]int
@@ -282,16 +283,20 @@
 		return
 	}
 	sim.reports = append(sim.reports, out.Reports...)
-	if len(out.Reports) > 0 && !sim.unresponsiveOwner {
+	if len(out.Reports) > 0 {
 		sim.after(2*networkDelay, sim.storeReports)
 	}
 }
 
-// storeReports notifies all cores that the ends reported so far are stored.
+// storeReports notifies all cores that the ends reported so far are stored, and answers
+// requests to start tasks again.
 func (sim *simulation) storeReports() {
 	var list []leased.StoredReport
 	for _, r := range sim.reports {
-		list = append(list, leased.StoredReport{Endpoint: r.Endpoint, IncarnationStart: r.IncarnationStart, Number: r.Number, Task: r.Task, Run: r.Run})
+		if sim.unresponsiveOwner && r.Restart == 0 {
+			continue
+		}
+		list = append(list, leased.StoredReport{Endpoint: r.Endpoint, IncarnationStart: r.IncarnationStart, Number: r.Number, Task: r.Task, Run: r.Run, Restart: r.Restart})
 	}
 	for core := range sim.cores {
 		sim.step(core, &leased.ReportsStored{Reports: list})
--- a/dispatch/leased/starts.go
+++ b/dispatch/leased/starts.go
@@ -41,6 +41,7 @@
 	case StartOldRun, StartLate:
 		if in.Result == StartOldRun && r.task != nil && r.task.job.Stored {
 			r.task.runs += resubmittedRunOffset // an earlier holder has used higher run numbers
+			r.task.doubtEnd()                   // one of these runs has ended here
 		}
 		c.endRun(e, r, EndNotRun, EvidenceRefused, "")
 	case StartNoCapacity:
--- a/dispatch/leased/stored.go
+++ b/dispatch/leased/stored.go
@@ -33,7 +33,7 @@
 	}
 	e.unreported[end.Number] = end.Task
 	if end.End == EndDone {
-		c.storedDone[end.Task] = c.now
+		c.noteStoredDone(end.Task, end.Run)
 	} else {
 		c.awaitCount(end.Task, reportedEnd{RunID{end.Run, e.ID, e.Born}, end.Number})
 	}
@@ -52,13 +52,13 @@
 func (c *Core) forgetStoredDone() {
 	for _, e := range c.endpointList {
 		for _, id := range e.unreported {
-			if _, known := c.storedDone[id]; known {
-				c.storedDone[id] = c.now
+			if done, known := c.storedDone[id]; known {
+				c.storedDone[id] = doneEnd{c.now, done.run}
 			}
 		}
 	}
-	for id, at := range c.storedDone {
-		if c.now.Sub(at) > storedDoneRetention {
+	for id, done := range c.storedDone {
+		if c.now.Sub(done.at) > storedDoneRetention {
 			delete(c.storedDone, id)
 		}
 	}
@@ -66,7 +66,8 @@
 
 // partitionTimeout is how long tasks of a stored job wait if earlier runs may
 // have ended on endpoints of an unreachable entry. It is longer than most
-// network partitions.
+// network partitions. It only spares second runs: what allows them is the record of the
+// owner (supersede.go).
 const partitionTimeout = 8 * time.Second
 
 // setReachability records whether some entries cannot be reached.
@@ -78,12 +79,13 @@
 }
 
 // mayHaveEnded reports whether an earlier run of a task may have ended on an
-// endpoint whose holder cannot be reached, or could not until recently.
+// endpoint whose holder cannot be reached, or could not until recently. No other entry has
+// said what became of the run.
 func (c *Core) mayHaveEnded(t *task) bool {
-	if !t.job.Resubmitted || !t.job.Stored || c.now.Sub(t.job.arrived) > partitionTimeout {
+	if t.remoteSince.IsZero() || c.now.Sub(t.remoteSince) > partitionTimeout {
 		return false
 	}
-	return c.someUnreachable || c.now.Sub(c.reachableSince) < c.resubmitPause(&t.job.Job)
+	return c.someUnreachable || c.now.Sub(c.reachableSince) < c.storedPause()
 }
 
 // reportBegun reports to the owner of a stored job that one of its tasks has
@@ -95,17 +97,29 @@
 }
 
 // applyStoredEnd marks the task of a stored job as done if the ended run is
-// done, regardless of which holder started it.
+// done, regardless of which holder started it. The answer of the owner decides whether an
+// end counts that is listed after a restart was asked for.
 func (c *Core) applyStoredEnd(end *EndedRun) {
-	if isStoredRun(end.Run) && end.End == EndDone {
-		c.taskDoneElsewhere(end.Task)
+	if !isStoredRun(end.Run) || end.End != EndDone {
+		return
+	}
+	if t := c.openTask(end.Task); t != nil && !t.mayAdopt(end.Run) {
+		return
 	}
+	c.taskDoneElsewhere(end.Task, end.Run)
 }
 
 // reportStored allows an ended run to be acknowledged to its endpoint, and its task to go
 // on.
 func (c *Core) reportStored(in *StoredReport) {
+	if in.Restart != 0 {
+		c.restartAnswered(in)
+		return
+	}
 	c.endCounted(in.Task, reportedEnd{RunID{in.Run, in.Endpoint, in.IncarnationStart}, in.Number}, in.Progress)
+	if in.Discarded {
+		c.discardEnd(in)
+	}
 	e := c.endpoints[in.Endpoint]
 	if e == nil || e.Born != in.IncarnationStart {
 		return
@@ -123,15 +137,18 @@
 	for number := range e.unreported {
 		most = min(most, number-1)
 	}
+	for number := range e.discarded {
+		most = min(most, number-1)
+	}
 	return most
 }
 
 // taskDoneElsewhere completes a task of a stored job that is done, as another
 // holder or the task's ended run shows. A run of it here is stopped.
-func (c *Core) taskDoneElsewhere(id TaskID) {
+func (c *Core) taskDoneElsewhere(id TaskID, run int) {
 	j := c.jobs[id.Job]
 	if j == nil {
-		c.storedDone[id] = c.now // the job may be submitted here later
+		c.noteStoredDone(id, run) // the job may be submitted here later
 		return
 	}
 	if !j.Stored {
@@ -175,6 +192,7 @@
 			continue
 		}
 		t.runs = max(t.runs, p.LastRun)
+		t.superseded = p.Superseded
 		t.failures = p.Failures
 		t.crashes, t.losses = p.Crashes, p.Losses
 		t.checkpoint = p.Checkpoint
@@ -195,7 +213,7 @@
 	for s := range j.tasks {
 		for i := range j.tasks[s] {
 			t := &j.tasks[s][i]
-			if _, done := c.storedDone[t.id]; done && t.state != doneTask {
+			if t.state != doneTask && c.isStoredDone(t.id, t.superseded) {
 				t.state = doneTask
 				j.remaining[s]--
 			}
--- a/dispatch/leased/submit.go
+++ b/dispatch/leased/submit.go
@@ -139,6 +139,9 @@
 			if c.unseen.possible(t.id, c.now) {
 				t.evidence = EvidenceElapsed
 			}
+			if spec.Resubmitted || t.evidence == EvidenceElapsed {
+				c.doubtRemoteEnd(t)
+			}
 		}
 	}
 	c.tickets[ticket] = j
@@ -155,11 +158,14 @@
 	case !j.Resubmitted || j.OnlyHolder:
 		return 0
 	case j.Stored:
-		return ownerGrace + c.remoteRunTimeout() + reportDelay
+		return c.storedPause()
 	}
 	return c.remoteRunTimeout()
 }
 
+// storedPause is how long a task of a stored job waits for runs under other holders.
+func (c *Core) storedPause() time.Duration { return ownerGrace + c.remoteRunTimeout() + reportDelay }
+
 // claimRuns assigns the runs that were found on the endpoints to a resubmitted
 // job.
 func (c *Core) claimRuns(j *job) {
@@ -169,11 +175,11 @@
 			if t.state != waitingTask {
 				continue
 			}
-			if r := c.runs[t.id]; r != nil && r.task == nil && r.state == runRunning {
+			if r := c.runs[t.id]; r != nil && r.task == nil && r.state == runRunning && t.mayAdopt(r.number) {
 				c.adopt(t, r.endpoint, r)
 				continue
 			}
-			if _, done := c.doneUnclaimed[t.id]; done {
+			if _, done := c.doneUnclaimed[t.id]; done && t.superseded == 0 {
 				c.taskDone(t)
 			}
 		}
--- a/dispatch/stored/apply.go
+++ b/dispatch/stored/apply.go
@@ -60,6 +60,10 @@
 		if j.applyTaskLost(e) {
 			j.markEnded(Failed, s.now)
 		}
+	case RunsSuperseded:
+		if j != nil && !j.state.Ended() {
+			j.applySuperseded(e)
+		}
 	case JobCancelled:
 		if j != nil && !j.state.Ended() {
 			j.markEnded(Cancelled, s.now)
@@ -104,6 +108,7 @@
 	if e.State.Ended() {
 		j := &jobState{id: e.Job, stored: true, offset: offset, writtenAt: s.replayedAt()}
 		j.markEnded(e.State, s.now)
+		j.restoreSuperseded(e.Progress)
 		s.jobs[e.Job] = j
 		return
 	}
@@ -128,6 +133,7 @@
 		return
 	}
 	t.checkpoint, t.lastRun, t.crashes, t.losses = p.Checkpoint, p.LastRun, p.Crashes, p.Losses
+	t.superseded, t.superseding = p.Superseded, p.Superseded
 	t.restoreCounted(p)
 	if p.Done && !t.done {
 		t.done = true
@@ -183,14 +189,23 @@
 		return
 	}
 	reply := Reply{Ticket: t, Result: r}
-	if slices.ContainsFunc(tasks, func(r TaskReport) bool { return r.Lost || !r.Begun && !r.Done }) {
+	if slices.ContainsFunc(tasks, s.wantsProgress) {
 		for i := range tasks {
-			reply.Progress = append(reply.Progress, s.jobs[tasks[i].Task.Job].progressOf(tasks[i].Task))
+			j := s.jobs[tasks[i].Task.Job]
+			progress := j.progressOf(tasks[i].Task)
+			progress.Discarded = j.discards(&tasks[i])
+			reply.Progress = append(reply.Progress, progress)
 		}
 	}
 	s.out.Replies = append(s.out.Replies, reply)
 }
 
+// wantsProgress reports whether the answer to a report has to tell what is known about the
+// task.
+func (s *Shard) wantsProgress(r TaskReport) bool {
+	return r.Lost || r.Restart != 0 || !r.Begun && !r.Done || s.jobs[r.Task.Job].discards(&r)
+}
+
 // update notifies the holder of a job of what has become known about a task.
 func (s *Shard) update(j *jobState, task leased.TaskID, from uint64) {
 	s.out.Updates = append(s.out.Updates, TaskUpdate{Task: task, From: from, Progress: j.progressOf(task)})
@@ -207,6 +222,12 @@
 	if t == nil || t.done {
 		return false
 	}
+	if r.Restart != 0 {
+		return s.handleRestart(in, r, t)
+	}
+	if t.isSuperseded(r) {
+		return s.awaitSuperseded(in.Ticket, r.Task, t)
+	}
 	t.lastRun = max(t.lastRun, r.Run.Number)
 	j.state = Running
 	if r.Lost {
--- a/dispatch/stored/event.go
+++ b/dispatch/stored/event.go
@@ -7,12 +7,13 @@
 
 // Kinds of events.
 const (
-	JobAccepted  EventKind = iota // with Spec
-	TaskEnded                     // with Task, Run, Done and Checkpoint
-	JobCancelled                  // by its caller
-	JobFailed                     // a task has used up its attempts
-	JobSnapshot                   // the whole state of a job; replaces its earlier events
-	TaskLost                      // an endpoint was lost with a run; with Task, Run and Loss
+	JobAccepted    EventKind = iota // with Spec
+	TaskEnded                       // with Task, Run, Done and Checkpoint
+	JobCancelled                    // by its caller
+	JobFailed                       // a task has used up its attempts
+	JobSnapshot                     // the whole state of a job; replaces its earlier events
+	TaskLost                        // an endpoint was lost with a run; with Task, Run and Loss
+	RunsSuperseded                  // ends of runs up to the number of Run no longer count; with Task
 )
 
 // Event is a change to a job as it is stored on the log.
@@ -22,7 +23,8 @@
 	// Spec is set for JobAccepted, and for the JobSnapshot of a job that has not
 	// ended.
 	Spec *leased.Job
-	// Progress lists the tasks in a JobSnapshot that have made progress.
+	// Progress lists the tasks in a JobSnapshot that have made progress. Of a job that has
+	// ended it tells only which runs are superseded.
 	Progress   []leased.TaskProgress
 	State      State // in a JobSnapshot
 	Task       leased.TaskID
--- a/dispatch/stored/job.go
+++ b/dispatch/stored/job.go
@@ -1,6 +1,7 @@
 package stored
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -26,6 +27,9 @@
 	unfinished      int // tasks that are not stored as done
 	// unreported counts the tasks that are not known to be done.
 	unreported int
+	// supersededRuns is, for a job that has ended, up to which number the runs of its tasks
+	// are superseded.
+	supersededRuns map[taskKey]int
 }
 
 // taskKey identifies a task within its job.
@@ -43,6 +47,9 @@
 	losses       int          // of unknown cause
 	lastRun      int          // highest known run number, possibly not stored yet
 	checkpoint   string
+	superseded   int            // number up to which runs are superseded
+	superseding  int            // the same, possibly not stored yet
+	restart      restartRequest // the newest one of a holder; not on the log
 }
 
 // runLoss is a run whose endpoint was lost.
@@ -88,6 +95,7 @@
 func (j *jobState) markEnded(state State, now time.Time) {
 	j.state = state
 	j.endedAt = now
+	j.keepSuperseded()
 	j.spec = nil
 	j.tasks = nil
 	j.confirmBy = time.Time{}
@@ -235,7 +243,7 @@
 func (t *taskState) taskProgress(key taskKey) leased.TaskProgress {
 	return leased.TaskProgress{
 		Step: key.step, Index: key.index, Done: t.done || t.reportedDone, Failures: t.failures(),
-		Crashes: t.crashes, Losses: t.losses, LastRun: t.lastRun, Checkpoint: t.checkpoint,
+		Crashes: t.crashes, Losses: t.losses, LastRun: t.lastRun, Superseded: t.superseded, Checkpoint: t.checkpoint,
 	}
 }
 
@@ -272,13 +280,14 @@
 			list = append(list, p)
 		}
 	}
+	sortByTask(list)
+	return list
+}
+
+func sortByTask(list []leased.TaskProgress) {
 	slices.SortFunc(list, func(a, b leased.TaskProgress) int {
-		if a.Step != b.Step {
-			return a.Step - b.Step
-		}
-		return a.Index - b.Index
+		return cmp.Or(a.Step-b.Step, a.Index-b.Index)
 	})
-	return list
 }
 
 // jobToOffer returns the job as it is offered to a holder.
--- a/dispatch/stored/message.go
+++ b/dispatch/stored/message.go
@@ -37,6 +37,9 @@
 	Lost       bool // the run's endpoint was lost, as Loss says
 	Loss       leased.Loss
 	Checkpoint string
+	// Restart is the number of a request to start the task again, as in leased.Report; 0:
+	// the report is about a run. Owners of earlier versions see that a run has begun.
+	Restart uint64
 }
 
 // Outcome reports how an offer to a holder ended.
@@ -108,7 +111,8 @@
 	Ticket Ticket
 	Result Result
 	// Progress lists what is known about the tasks of a Report, in their order, if the
-	// Report has a run that has not succeeded; otherwise it is nil.
+	// Report has a run that has not succeeded, an end that does not count, or a request to
+	// start a task again; otherwise it is nil.
 	Progress []leased.TaskProgress
 }
 
--- a/dispatch/stored/shard.go
+++ b/dispatch/stored/shard.go
@@ -234,7 +234,9 @@
 	}
 	j.snapshotPending = true
 	event := Event{Kind: JobSnapshot, Job: j.id, State: j.state}
-	if !j.state.Ended() {
+	if j.state.Ended() {
+		event.Progress = j.supersededProgress()
+	} else {
 		event.Spec = j.spec
 		event.Progress = j.progress(true)
 	}
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -64,7 +64,7 @@
 	return &fleetpb.LendRequest{
 		From: from, Job: string(t.ID.Job), Occurrence: uint32(t.ID.Occurrence), StepNumber: uint32(t.ID.Step), Index: uint32(t.ID.Index),
 		Service: t.Service, Queue: t.Queue, Spec: t.Spec, Step: stepToPB(&t.Step), Run: uint32(t.Run), Saved: t.Checkpoint,
-		PatienceUs: t.CallerTimeout.Microseconds(), Adopt: t.Adopt, SearchedOn: string(t.SearchedOn), Cell: t.Cell, Wait: t.Wait, Suspect: t.Suspect,
+		PatienceUs: t.CallerTimeout.Microseconds(), Adopt: t.Adopt, SearchedOn: string(t.SearchedOn), Superseded: uint32(t.Superseded), Cell: t.Cell, Wait: t.Wait, Suspect: t.Suspect,
 		Caller: t.Origin, CallerAgeUs: t.OriginAge.Microseconds(), CallerEpoch: t.OriginCall.Epoch, CallerCall: t.OriginCall.Number,
 	}
 }
@@ -73,7 +73,7 @@
 	return leased.DelegatedTask{
 		ID:      leased.TaskID{Job: leased.JobID(r.Job), Occurrence: int(r.Occurrence), Step: int(r.StepNumber), Index: int(r.Index)},
 		Service: r.Service, Queue: r.Queue, Spec: r.Spec, Step: stepFromPB(r.Step), Run: int(r.Run), Checkpoint: r.Saved,
-		CallerTimeout: microseconds(r.PatienceUs), Adopt: r.Adopt, SearchedOn: leased.EndpointID(r.SearchedOn), Cell: r.Cell, Wait: r.Wait, Suspect: r.Suspect,
+		CallerTimeout: microseconds(r.PatienceUs), Adopt: r.Adopt, SearchedOn: leased.EndpointID(r.SearchedOn), Superseded: int(r.Superseded), Cell: r.Cell, Wait: r.Wait, Suspect: r.Suspect,
 		Origin: r.Caller, OriginAge: microseconds(min(max(0, r.CallerAgeUs), maxCallerAge.Microseconds())),
 		OriginCall: leased.CallID{Epoch: r.CallerEpoch, Number: r.CallerCall},
 	}
--- a/fleet/keep/codec.go
+++ b/fleet/keep/codec.go
@@ -29,6 +29,7 @@
 			Step: uint32(p.Step), Index: uint32(p.Index), Done: p.Done, Failures: uint32(p.Failures), Newest: uint32(p.LastRun), Saved: p.Checkpoint,
 			Crashes: uint32(p.Crashes.Crashes), CrashesAlone: uint32(p.Crashes.Alone), CrashesUnconfirmed: uint32(p.Crashes.Unconfirmed), Losses: uint32(p.Losses),
 			Counted: lo.Map(p.Counted, func(r leased.CountedRun, _ int) *fleetpb.CountedRun { return countedToPB(&r) }), JobEnded: p.JobEnded,
+			Superseded: uint32(p.Superseded), Discarded: p.Discarded,
 		}
 	})
 }
@@ -40,6 +41,7 @@
 			Step: int(p.Step), Index: int(p.Index), Done: p.Done, Failures: int(p.Failures), LastRun: int(p.Newest), Checkpoint: p.Saved,
 			Crashes: blame.Record{Crashes: int(p.Crashes), Alone: int(p.CrashesAlone), Unconfirmed: int(p.CrashesUnconfirmed)}, Losses: int(p.Losses),
 			Counted: lo.Map(p.Counted, func(r *fleetpb.CountedRun, _ int) leased.CountedRun { return countedFromPB(r) }), JobEnded: p.JobEnded,
+			Superseded: int(p.Superseded), Discarded: p.Discarded,
 		}
 	})
 }
@@ -125,7 +127,7 @@
 	}
 	events := make([]stored.Event, 0, len(record.Events))
 	for _, e := range record.Events {
-		if e.Kind > uint32(stored.TaskLost) {
+		if e.Kind > uint32(stored.RunsSuperseded) {
 			continue // of a later version
 		}
 		event, reason := c.event(e, shard)
@@ -139,9 +141,8 @@
 
 // Limits of numbers in the records of stored jobs.
 const (
-	// maxRun is far above the number of starts of any task, and below what the message
-	// between entries can carry by far: numbers go on rising.
-	maxRun = 1 << 30
+	// maxRun is the highest number of a run: numbers go on rising.
+	maxRun = stored.MaxRun
 	// maxCount is above the number of failures, crashes or losses of any task. A replay
 	// takes memory for each failure.
 	maxCount = 100_000
@@ -170,7 +171,7 @@
 		return event, fmt.Sprintf("run %d", e.Run)
 	}
 	for _, p := range e.Progress {
-		if p.Newest > maxRun || max(p.Failures, p.Crashes, p.CrashesAlone, p.CrashesUnconfirmed, p.Losses) > maxCount {
+		if max(p.Newest, p.Superseded) > maxRun || max(p.Failures, p.Crashes, p.CrashesAlone, p.CrashesUnconfirmed, p.Losses) > maxCount {
 			return event, fmt.Sprintf("progress of step %d, task %d: run %d, %d failures, %d crashes, %d losses", p.Step, p.Index, p.Newest, p.Failures, p.Crashes, p.Losses)
 		}
 	}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -92,11 +92,27 @@
 	if !answer.answered {
 		return
 	}
+	r.logRestarts(list, answer.progress)
 	if reports := storedReports(list, answer.progress); len(reports) > 0 {
 		r.storedJobs.loop.send(coreInput{&leased.ReportsStored{Reports: reports}})
 	}
 }
 
+// logRestarts logs the answers to requests to start tasks again.
+func (r *reporter) logRestarts(list []leased.Report, progress []leased.TaskProgress) {
+	for i := range list {
+		p := &list[i]
+		if p.Restart == 0 {
+			continue
+		}
+		fields := []zap.Field{zap.String("job", string(p.Task.Job)), zap.Int("step", p.Task.Step), zap.Int("task", p.Task.Index), zap.Uint64("request", p.Restart), zap.Int("run", p.Run)}
+		if len(progress) == len(list) {
+			fields = append(fields, zap.Int("superseded", progress[i].Superseded), zap.Bool("done", progress[i].Done), zap.Bool("job_ended", progress[i].JobEnded))
+		}
+		r.storedJobs.log.Info("restart_answered", fields...)
+	}
+}
+
 // storedReports returns what the core learns from the answer to reports.
 func storedReports(list []leased.Report, progress []leased.TaskProgress) []leased.StoredReport {
 	var reports []leased.StoredReport
@@ -105,9 +121,12 @@
 		if p.Begun {
 			continue
 		}
-		report := leased.StoredReport{Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number, Task: p.Task, Run: p.Run}
-		if p.End != leased.EndDone && len(progress) == len(list) {
-			report.Progress = &progress[i]
+		report := leased.StoredReport{Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number, Task: p.Task, Run: p.Run, Restart: p.Restart}
+		if len(progress) == len(list) {
+			report.Discarded = progress[i].Discarded
+			if p.End != leased.EndDone || p.Restart != 0 {
+				report.Progress = &progress[i]
+			}
 		}
 		reports = append(reports, report)
 	}
@@ -115,11 +134,12 @@
 }
 
 // taskReport converts a report for the owner of the job. A loss is reported as a
-// start as well, which is all that owners of earlier versions make of it.
+// start as well, which is all that owners of earlier versions make of it; so is a request
+// for a restart.
 func taskReport(p *leased.Report) stored.TaskReport {
 	lost := p.End == leased.EndEndpointLost
 	return stored.TaskReport{
-		Task: p.Task, Run: leased.RunID{Number: p.Run, Endpoint: p.Endpoint, Incarnation: p.IncarnationStart}, Begun: p.Begun || lost, Done: p.End == leased.EndDone, Lost: lost, Loss: p.Loss, Checkpoint: p.Checkpoint,
+		Task: p.Task, Run: leased.RunID{Number: p.Run, Endpoint: p.Endpoint, Incarnation: p.IncarnationStart}, Begun: p.Begun || lost || p.Restart != 0, Done: p.End == leased.EndDone && p.Restart == 0, Lost: lost, Loss: p.Loss, Checkpoint: p.Checkpoint, Restart: p.Restart,
 	}
 }
 
@@ -127,7 +147,7 @@
 	return &fleetpb.ReportRequest{From: from, Shard: uint32(shard), Tasks: lo.Map(tasks, func(t stored.TaskReport, _ int) *fleetpb.TaskReport {
 		report := &fleetpb.TaskReport{
 			Job: string(t.Task.Job), Occurrence: uint32(t.Task.Occurrence), Step: uint32(t.Task.Step), Index: uint32(t.Task.Index),
-			Run: uint32(t.Run.Number), Endpoint: string(t.Run.Endpoint), Incarnation: t.Run.Incarnation, Begun: t.Begun, Done: t.Done, Saved: t.Checkpoint,
+			Run: uint32(t.Run.Number), Endpoint: string(t.Run.Endpoint), Incarnation: t.Run.Incarnation, Begun: t.Begun, Done: t.Done, Saved: t.Checkpoint, Restart: t.Restart,
 		}
 		if t.Lost {
 			report.Loss = keep.LossToPB(t.Loss)
@@ -140,7 +160,7 @@
 	return lo.Map(r.Tasks, func(t *fleetpb.TaskReport, _ int) stored.TaskReport {
 		report := stored.TaskReport{
 			Task: leased.TaskID{Job: leased.JobID(t.Job), Occurrence: int(t.Occurrence), Step: int(t.Step), Index: int(t.Index)},
-			Run:  leased.RunID{Number: int(t.Run), Endpoint: leased.EndpointID(t.Endpoint), Incarnation: t.Incarnation}, Begun: t.Begun, Done: t.Done, Checkpoint: t.Saved,
+			Run:  leased.RunID{Number: int(t.Run), Endpoint: leased.EndpointID(t.Endpoint), Incarnation: t.Incarnation}, Begun: t.Begun, Done: t.Done, Checkpoint: t.Saved, Restart: t.Restart,
 		}
 		if t.Loss != nil {
 			report.Lost, report.Loss = true, keep.LossFromPB(t.Loss)
