Let delegated tasks give way only to tasks that could use the endpoint

Cause: a holder refused delegated tasks while any job waited in its queue. Two holders whose queues wait for each other's endpoints refuse each other for good.

Change: a delegated task is refused only while a task waits that could run on the same endpoint once that is idle. With endpoints that are all alike nothing changes.

--- a/dispatch/leased/delegated.go
+++ b/dispatch/leased/delegated.go
@@ -45,14 +45,14 @@
 		return
 	}
 	e, fits := c.bestEndpoint(t, nil)
-	fits = fits && !c.now.Before(c.startsPausedUntil)
-	if d.Wait && c.holdsEndpointOf(d.Cell) && c.mayFitIn(t, d.Cell) && (!fits || c.waiting.len() > 0) {
+	free := fits && !c.now.Before(c.startsPausedUntil) && !c.isAwaited(e)
+	if d.Wait && c.holdsEndpointOf(d.Cell) && c.mayFitIn(t, d.Cell) && !free {
 		c.delegated[t.id] = j
 		t.runs = d.Run - 1
 		c.queueDelegated(j)
 		return
 	}
-	if !fits || c.waiting.len() > 0 || c.unheard(j) {
+	if !free || c.unheard(j) {
 		c.answerDelegatedNow(j, d.Run, EndNoCapacity)
 		return
 	}
@@ -66,6 +66,38 @@
 	c.start(t, e)
 }
 
+// isAwaited reports whether a task that waits here could run on an endpoint once the
+// endpoint is idle: tasks of this holder's queue go before delegated ones. Those that need
+// endpoints of another cell must not keep this one idle, or two holders whose queues wait for
+// each other's endpoints refuse each other for good.
+func (c *Core) isAwaited(e *endpoint) bool {
+	awaited := false
+	c.waiting.walk(func(j *job) bool {
+		awaited = c.awaits(j, e)
+		return !awaited
+	})
+	return awaited
+}
+
+// awaits reports whether a task of a job waits that could run on an endpoint once it is idle.
+func (c *Core) awaits(j *job, e *endpoint) bool {
+	if j.Service != e.Service || j.cell != "" && j.cell != e.Cell {
+		return false
+	}
+	for s := range j.tasks {
+		if !j.ready(s) || !j.Steps[s].fits(&e.Endpoint) {
+			continue
+		}
+		for i := range j.tasks[s] {
+			t := &j.tasks[s][i]
+			if t.state == waitingTask && c.runs[t.id] == nil && !c.unseen.possible(t.id, c.now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // queueDelegated lets a delegated task wait here.
 func (c *Core) queueDelegated(j *job) {
 	j.begun = true
