Answer the requests that outlast a planned stop

Cause: nothing ended the requests that are open at the end of the grace period; the process exited.

Change: 0.3 s before the end, the requests of waiting callers are ended and answered 504, with the reason that the entry stops. So are later ones on open connections.

TestStopAnswersRequestsThatOutlastIt fails without the call ("context deadline exceeded while awaiting headers").

--- a/cmd/lovage-fleet/serve.go
+++ b/cmd/lovage-fleet/serve.go
@@ -27,7 +27,10 @@
 	connectionDrainTime = 2400 * time.Millisecond
 	// stopReserve is the part of the grace period that is reserved for closing
 	// connections and the log.
-	stopReserve      = 500 * time.Millisecond
+	stopReserve = 500 * time.Millisecond
+	// answerReserve is the time before the end of the other phases in which requests that
+	// are still open are answered: their jobs may take much longer than the stop.
+	answerReserve    = 300 * time.Millisecond
 	idlePollInterval = 50 * time.Millisecond
 	// maxUnusedTime is how long a connection may be open without a request before a stop
 	// closes it. A caller that means to use it sends its request at once.
@@ -178,6 +181,7 @@
 // stoppable is what stop needs from a process.
 type stoppable interface {
 	Leave()
+	EndRequests()
 	ActiveWork() int
 }
 
@@ -198,6 +202,8 @@
 	process.Leave()
 	pause(ctx, connectionDrainTime)
 	endPhase("drain_connections")
+	lastAnswers := time.AfterFunc(time.Until(times.deadline())-answerReserve, process.EndRequests)
+	defer lastAnswers.Stop()
 	if err := callers.shutDown(ctx); err != nil {
 		log.Warn("stopped_with_open_requests", zap.Error(err))
 	}
--- a/cmd/lovage-fleet/stop_test.go
+++ b/cmd/lovage-fleet/stop_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,7 @@
 type busyProcess struct{ left bool }
 
 func (p *busyProcess) Leave()        { p.left = true }
+func (*busyProcess) EndRequests()    {}
 func (*busyProcess) ActiveWork() int { return 1 }
 
 // Guards against a process that is killed in its stop because it counts the grace period
@@ -67,6 +69,7 @@
 type idleProcess struct{}
 
 func (idleProcess) Leave()          {}
+func (idleProcess) EndRequests()    {}
 func (idleProcess) ActiveWork() int { return 0 }
 
 // Guards against a stop that lasts until the end of the grace period, though every
@@ -122,3 +125,47 @@
 		t.Errorf("status %d, want %d", resp.StatusCode, http.StatusNoContent)
 	}
 }
+
+// endingProcess has requests that are answered only when they are ended.
+type endingProcess struct {
+	idleProcess
+	ended chan struct{}
+	once  sync.Once
+}
+
+func (p *endingProcess) EndRequests() { p.once.Do(func() { close(p.ended) }) }
+
+// Guards against a process that exits while a caller waits, and closes its connection without
+// an answer (review/10): the caller's job waits for room for longer than the stop lasts.
+func TestStopAnswersRequestsThatOutlastIt(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	process := &endingProcess{ended: make(chan struct{})}
+	defer process.EndRequests()
+	callers := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-process.ended
+		w.WriteHeader(http.StatusGatewayTimeout)
+	}))
+	go func() { _ = callers.Serve(listener) }() // ends with the stop
+	core, lines := observer.New(zapcore.InfoLevel)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop(process, callers, newServer(nil), stopTimes{connectionDrainTime + 2*stopReserve, time.Now()}, zap.New(core))
+	}()
+	client := &http.Client{Timeout: connectionDrainTime + 4*stopReserve}
+	resp, err := client.Get("http://" + listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("status %d, want %d", resp.StatusCode, http.StatusGatewayTimeout)
+	}
+	<-stopped
+	if n := lines.FilterMessage("stopped_with_open_requests").Len(); n != 0 {
+		t.Error("the stop was cut off")
+	}
+}
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -157,6 +157,9 @@
 // ActiveWork returns the number of jobs and delegated tasks that have not ended.
 func (p *Process) ActiveWork() int { return p.service.ActiveWork() }
 
+// EndRequests ends the requests of callers who still wait, as Service.EndRequests does.
+func (p *Process) EndRequests() { p.service.EndRequests() }
+
 // Grace returns the time limit of a planned stop.
 func (p *Process) Grace() time.Duration { return p.settings.Grace }
 
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -28,6 +28,7 @@
 
 	mu      sync.Mutex
 	running map[leased.JobID]*submission
+	ending  bool // see EndRequests
 }
 
 // submission is a job whose caller waits at this entry.
@@ -147,8 +148,11 @@
 	if !answered {
 		outcome = s.run(ctx, job, &sub.history)
 	}
-	if s.wasCancelled(sub) {
+	switch {
+	case s.wasCancelled(sub):
 		outcome = Outcome{Verdict: leased.Abandoned, Reason: ReasonCancelled}
+	case outcome.Verdict == leased.Abandoned && s.isEnding():
+		outcome.Reason = reasonStopping
 	}
 	sub.outcome = outcome
 	took := time.Since(sub.receivedAt)
@@ -217,9 +221,36 @@
 	if earlier != nil {
 		earlier.cancel()
 	}
+	if s.ending {
+		sub.cancel()
+	}
 	return earlier
 }
 
+// reasonStopping is the reason in the Outcome of a job whose request ends with its entry.
+const reasonStopping = "this entry stops: send the job again under the same ID"
+
+// EndRequests ends all requests of callers who wait for a job at this entry, and those that
+// follow, with the answer that the job may have run. The process calls it shortly before it
+// exits. The callers send their jobs to other entries.
+func (s *Service) EndRequests() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ending = true
+	for _, sub := range s.running {
+		sub.cancel()
+	}
+	if len(s.running) > 0 {
+		s.log.Warn("requests_ended", zap.Int("requests", len(s.running)))
+	}
+}
+
+func (s *Service) isEnding() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ending
+}
+
 func (s *Service) untrack(id leased.JobID, sub *submission) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/fleet/service_test.go
+++ b/fleet/service_test.go
@@ -311,3 +311,32 @@
 		t.Error("no holder gets the job once all were passed over")
 	}
 }
+
+// Guards against callers who get no answer from an entry that exits (review/10): their jobs
+// wait for a holder or for room, and later requests come in on open connections.
+func TestEndedRequestsAreAnsweredAtOnce(t *testing.T) {
+	l := testLoop(t, nil)
+	view := cells.New(cells.Entry{Name: "a1", FailureDomain: "a", Incarnation: 1}, time.Now()).View(time.Now())
+	l.snapshot.Store(&Snapshot{View: view, Endpoints: []leased.Endpoint{{Service: "s", Capacity: leased.Demand{MilliCores: 90_000, MemoryMiB: 1000}}}})
+	s := newService(l, l.peers, zap.NewNop(), l.metrics)
+	submit := func(id leased.JobID) <-chan Outcome {
+		answer := make(chan Outcome, 1)
+		job := leased.Job{ID: id, Service: "s", CallerTimeout: time.Hour, Steps: []leased.Step{{Tasks: 1, Demand: leased.Demand{MilliCores: 27_000}}}}
+		go func() { answer <- s.Submit(context.Background(), job) }()
+		return answer
+	}
+	waiting := submit("j")
+	for !s.HasWaitingCaller("j") {
+		time.Sleep(time.Millisecond)
+	}
+	began := time.Now()
+	s.EndRequests()
+	for name, answer := range map[string]<-chan Outcome{"open": waiting, "later": submit("k")} {
+		if got := <-answer; got.Verdict != leased.Abandoned || got.Reason != reasonStopping {
+			t.Errorf("%s request: %+v, want abandoned because the entry stops", name, got)
+		}
+	}
+	if took := time.Since(began); took > holderTimeout/2 {
+		t.Errorf("answered after %v", took)
+	}
+}
