Report a stored job as begun once an endpoint has said so

Cause: a holder reported a job as begun when it sent a Start or offered a task to another holder, also if that was refused.

Change: the report follows the endpoint's word: an accepted Start, a listed run or an end. Delegates report the runs of delegated tasks.

--- a/dispatch/leased/jobs.go
+++ b/dispatch/leased/jobs.go
@@ -66,11 +66,13 @@
 	class       class     // of a queued job
 	tasks       [][]task  // by step
 	remaining   []int     // tasks of each step that are not done
-	begun       bool      // a run was started
-	failed      bool      // a run has failed, or was lost with its endpoint
-	delegated   bool      // one task of another holder's job
-	suspect     bool      // of a delegated task: an endpoint was lost with it before
-	origin      uint64    // of a delegated task: the entry that waits for its job; 0: the delegator, or not known
+	begun       bool      // a run was started, or a task was delegated
+	// begunReported is set once the owner of a stored job was told that a run has begun.
+	begunReported bool
+	failed        bool   // a run has failed, or was lost with its endpoint
+	delegated     bool   // one task of another holder's job
+	suspect       bool   // of a delegated task: an endpoint was lost with it before
+	origin        uint64 // of a delegated task: the entry that waits for its job; 0: the delegator, or not known
 	// originHeardAt is when the delegator last heard the origin.
 	originHeardAt time.Time
 	// checkUntil is when a delegated task is returned that waits for an endpoint which is
@@ -261,6 +263,7 @@
 		c.noteStoredDone(t.id, t.runs)
 	}
 	c.markBegun(j)
+	c.reportBegun(j, t.runs)
 	for _, left := range j.remaining {
 		if left > 0 {
 			if j.remaining[t.id.Step] == 0 {
--- a/dispatch/leased/place.go
+++ b/dispatch/leased/place.go
@@ -148,11 +148,10 @@
 // it would make late. Healthy endpoints differ by less.
 const slowEndpointFactor = 1.6
 
-// markBegun records that a run of a job was started.
+// markBegun records that a run of a job was started, or that one of its tasks was delegated.
 func (c *Core) markBegun(j *job) {
 	if !j.begun {
 		j.begun = true
-		c.reportBegun(j)
 		c.waiting.markBegun(j)
 	}
 }
--- a/dispatch/leased/runs.go
+++ b/dispatch/leased/runs.go
@@ -119,6 +119,7 @@
 	t.run = r
 	t.runs = max(t.runs, r.number)
 	c.markBegun(t.job)
+	c.reportBegun(t.job, r.number)
 	c.dequeueIfPlaced(t.job)
 }
 
@@ -130,6 +131,9 @@
 	if r.state == runStarting {
 		r.state = runRunning
 	}
+	if r.task != nil {
+		c.reportBegun(r.task.job, r.number)
+	}
 }
 
 // forgetRun removes a run from the endpoint and the core.
--- a/dispatch/leased/stored.go
+++ b/dispatch/leased/stored.go
@@ -88,12 +88,15 @@
 	return c.someUnreachable || c.now.Sub(c.reachableSince) < c.storedPause()
 }
 
-// reportBegun reports to the owner of a stored job that one of its tasks has
-// started.
-func (c *Core) reportBegun(j *job) {
-	if j.Stored && !j.delegated {
-		c.out.Reports = append(c.out.Reports, Report{Task: TaskID{Job: j.ID}, Begun: true})
+// reportBegun reports to the owner of a stored job, once, that a run of the job has begun, as
+// its endpoint says. A request for a start, or to another holder, may be refused. Delegates
+// report the runs of delegated tasks.
+func (c *Core) reportBegun(j *job, run int) {
+	if !isStoredRun(run) || j.begunReported {
+		return
 	}
+	j.begunReported = true
+	c.out.Reports = append(c.out.Reports, Report{Task: TaskID{Job: j.ID}, Begun: true})
 }
 
 // applyStoredEnd marks the task of a stored job as done if the ended run is
