Log which submission and which holder each run serves

Change: `submitted` at the holder (calling entry, epoch, call), `placed` and `lent` with the submission they serve and the delegate's incarnation, `delegated_ended` at the delegate with its word and the calls of the delegator and the origin, `lend_answer_dropped` when an answer comes after the withdrawal. They tell a second holder, a second submission, a start that crosses a withdrawal and a dropped answer apart. Tasks for which there was no room are not logged by the delegate.

--- a/dispatch/leased/action.go
+++ b/dispatch/leased/action.go
@@ -49,6 +49,15 @@
 	Free     Demand        // on the endpoint, before the start
 	Expected time.Duration // run time on the endpoint
 	Evidence Evidence      // that no earlier run is active
+	For      Submission    // that the run serves
+}
+
+// Submission identifies the call of another entry that a run or a delegation serves.
+type Submission struct {
+	Delegated bool   // it is a task that another holder has delegated to this one
+	Entry     uint64 // incarnation of the entry that has submitted the job or delegated the task; 0: this one
+	Origin    uint64 // of a delegated task: the entry that waits for its job; 0: Entry, or not known
+	Call      CallID // by which Entry has submitted the job; zero: not known
 }
 
 // Stop asks an endpoint to end a run.
@@ -121,6 +130,7 @@
 	Cell     string
 	Task     DelegatedTask
 	Evidence Evidence // that no earlier run is active; of a search for one it tells nothing
+	For      Submission
 }
 
 // DelegateCancel cancels a delegated task.
--- a/dispatch/leased/contacts.go
+++ b/dispatch/leased/contacts.go
@@ -105,6 +105,19 @@
 	return origin, min(max(0, c.now.Sub(heard)), contactRetention), call
 }
 
+// submissionOf returns the call that a run of a job serves.
+func (c *Core) submissionOf(j *job) Submission {
+	if j.delegated {
+		s := Submission{Delegated: true, Origin: j.origin}
+		for _, ticket := range j.tickets {
+			s.Entry = c.callers[ticket].id
+		}
+		return s
+	}
+	entry, _, call := c.originOf(j)
+	return Submission{Entry: entry, Call: call}
+}
+
 // originHeardAt returns when the entry that waits for the job of a delegated task was
 // last heard, by the delegator's word. That counts for this task only: it does not tell
 // which calls to this entry were withdrawn.
--- a/dispatch/leased/delegate.go
+++ b/dispatch/leased/delegate.go
@@ -206,7 +206,7 @@
 	}
 	c.markBegun(t.job)
 	origin, age, call := c.originOf(t.job)
-	c.out.Delegations = append(c.out.Delegations, Delegate{Holder: cell.Holder, Cell: cell.Cell, Evidence: t.evidence, Task: DelegatedTask{
+	c.out.Delegations = append(c.out.Delegations, Delegate{Holder: cell.Holder, Cell: cell.Cell, Evidence: t.evidence, For: Submission{Entry: origin, Call: call}, Task: DelegatedTask{
 		ID: t.id, Service: t.job.Service, Queue: t.job.Queue, Spec: t.job.Spec, Step: step,
 		Run: t.runs, Superseded: t.superseded, Checkpoint: t.checkpoint, CallerTimeout: t.job.expires.Sub(c.now), Origin: origin, OriginAge: age, OriginCall: call, Cell: cell.Cell, Adopt: adopt, SearchedOn: t.searchedOn, Wait: c.cannotServe() && !adopt, Suspect: t.suspect() && !c.sharesElsewhere(t),
 	}})
--- a/dispatch/leased/starts.go
+++ b/dispatch/leased/starts.go
@@ -143,6 +143,6 @@
 	c.out.Starts = append(c.out.Starts, Start{
 		Endpoint: e.ID, Address: e.Address, Task: r.id, Run: r.number, Attempt: r.tries, Spec: j.Spec, Checkpoint: r.task.checkpoint,
 		Until: e.leaseEnd(c.now, lease), Token: e.token, CallsLost: c.loss.tolerated() > 0, Evidence: r.task.evidence,
-		Waited: c.now.Sub(j.arrived), Free: e.free().plus(r.demand), Expected: r.expected,
+		Waited: c.now.Sub(j.arrived), Free: e.free().plus(r.demand), Expected: r.expected, For: c.submissionOf(j),
 	})
 }
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -24,7 +24,8 @@
 	l.log.Info("placed", zap.String("job", string(request.Task.Job)), zap.Int("step", request.Task.Step), zap.Int("task", request.Task.Index),
 		zap.Int("run", request.Run), zap.Int("attempt", request.Attempt), zap.String("endpoint", string(request.Endpoint)), zap.Duration("waited_ms", request.Waited),
 		zap.Int("free_millicores", request.Free.MilliCores), zap.Duration("expected_ms", request.Expected), zap.Int64("token", request.Token),
-		zap.Stringer("evidence", request.Evidence))
+		zap.Stringer("evidence", request.Evidence), zap.Bool("delegated", request.For.Delegated), zap.Uint64("from", request.For.Entry),
+		zap.Uint64("origin", request.For.Origin), zap.Uint64("epoch", request.For.Call.Epoch), zap.Uint64("call", request.For.Call.Number))
 	go func() {
 		began := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), l.startTimeout.timeout(request.Attempt, request.CallsLost))
@@ -94,7 +95,8 @@
 	l.log.Info("lent", zap.String("job", string(request.Task.ID.Job)), zap.Int("step", request.Task.ID.Step),
 		zap.Int("task", request.Task.ID.Index), zap.Int("run", request.Task.Run), zap.String("cell", request.Cell), zap.Bool("adopt", request.Task.Adopt),
 		zap.String("searched_on", string(request.Task.SearchedOn)),
-		zap.Stringer("evidence", request.Evidence))
+		zap.Stringer("evidence", request.Evidence), zap.Uint64("holder", request.Holder), zap.Uint64("from", request.For.Entry),
+		zap.Uint64("epoch", request.For.Call.Epoch), zap.Uint64("call", request.For.Call.Number))
 	go func() {
 		defer cancel()
 		reply := leased.DelegateReply{Task: request.Task.ID, Run: request.Task.Run, End: leased.EndUnknown}
@@ -116,6 +118,8 @@
 			zap.Int("run", r.Run), zap.String("end", r.End.String()))
 	}
 	if l.delegations[m.reply.Task] != m.of {
+		l.log.Info("lend_answer_dropped", zap.String("job", string(m.reply.Task.Job)), zap.Int("step", m.reply.Task.Step), zap.Int("task", m.reply.Task.Index),
+			zap.Int("run", m.reply.Run), zap.String("end", m.reply.End.String()))
 		return // it was withdrawn; a later delegation of the task may have the same run number
 	}
 	delete(l.delegations, m.reply.Task)
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
@@ -45,6 +46,8 @@
 		return nil, err
 	}
 	defer s.peers.inbound.end(c)
+	s.peers.log.Info("submitted", zap.String("job", r.Id), zap.Uint64("from", r.From), zap.Uint64("epoch", r.Epoch), zap.Uint64("call", r.Call),
+		zap.Bool("resubmitted", r.Resubmitted), zap.Bool("only_holder", r.OnlyHolder))
 	answer, ended := s.loop.runLocally(c.ctx, job, originOf(c, r))
 	if !ended {
 		return nil, c.ctx.Err()
@@ -127,6 +130,7 @@
 	}
 	defer s.peers.inbound.end(c)
 	answer, ended := s.loop.runDelegated(c.ctx, task, originOf(c, r))
+	s.logDelegated(c.ctx, r, &answer, ended)
 	if !ended && errors.Is(context.Cause(c.ctx), errCauseWithdrawn) {
 		return callerWithdrew(), nil
 	}
@@ -136,6 +140,20 @@
 	return delegatedAnswerToPB(&answer), nil
 }
 
+// logDelegated logs how a delegated task has ended here, unless there was no room for it.
+func (s *server) logDelegated(ctx context.Context, r *fleetpb.LendRequest, answer *leased.DelegatedAnswer, ended bool) {
+	if ended && answer.End == leased.EndNoCapacity {
+		return
+	}
+	end := answer.End.String()
+	if !ended {
+		end = fmt.Sprint(context.Cause(ctx))
+	}
+	s.peers.log.Info("delegated_ended", zap.String("job", r.Job), zap.Uint32("step", r.StepNumber), zap.Uint32("task", r.Index), zap.Uint32("run", r.Run),
+		zap.Bool("adopt", r.Adopt), zap.Uint64("from", r.From), zap.Uint64("epoch", r.Epoch), zap.Uint64("call", r.Call), zap.Uint64("origin", r.Caller),
+		zap.Uint64("origin_call", r.CallerCall), zap.String("end", end))
+}
+
 // Snapshot implements fleetpb.Fleet.
 func (s *server) Snapshot(context.Context, *fleetpb.SnapshotRequest) (*fleetpb.SnapshotResponse, error) {
 	latest := s.loop.Latest()
