Submit no job of a caller whose connection has ended

What was seen: the kernel hands out a request after its connection was closed or reset, and net/http notices the end at some later time.

Change: when a request has been read, its socket is looked at once more (recv with MSG_PEEK). If the connection has ended, nothing is submitted, the answer is 503 (nothing was run), and caller_gone is logged.

Evidence: TestRequestOfCallerThatHasGoneIsRecognized: the handler gets the complete request of a connection that was closed or reset before it was accepted. TestCheck covers callers that wait, send the next request, close or reset.

--- a/cmd/lovage-fleet/serve.go
+++ b/cmd/lovage-fleet/serve.go
@@ -15,6 +15,7 @@
 
 	"lovagespread.example/cmd/internal/command"
 	"lovagespread.example/fleet"
+	"lovagespread.example/fleet/callerconn"
 	"lovagespread.example/fleet/eventlog"
 	"lovagespread.example/platform"
 )
@@ -131,6 +132,7 @@
 func newServer(handler http.Handler) *server {
 	s := &server{connections: newConnections()}
 	s.Handler, s.ConnState = handler, s.connections.observe
+	s.ConnContext = callerconn.WithConn
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
 	return s
 }
