--- a/Makefile
+++ b/Makefile
@@ -124,6 +124,7 @@
 soak-short:
 	go build -o $(BIN)/ ./cmd/lovage-fleet ./cmd/lovage-load
 	$(BIN)/lovage-load soak -fleet $(BIN)/lovage-fleet -seed 2 -seconds 8
+	$(BIN)/lovage-load soak -fleet $(BIN)/lovage-fleet -crowd -entries 3 -seed 2 -seconds 8
 
 # Soak tests of seeds that have shown a fault of the code, or of a broken build. Add a
 # seed here once the fault that it has shown is fixed. 3: two runs of a task if the
--- a/cmd/lovage-load/soak.go
+++ b/cmd/lovage-load/soak.go
@@ -27,6 +27,8 @@
 	entries := flags.Int("entries", 2, "`number` of entries in each failure domain")
 	network := flags.Int("network", 0, "`number` N in the entries' addresses 127.0.N.x; 0: one that no other deployment uses")
 	noFaults := flags.Bool("calm", false, "inject no faults")
+	crowd := flags.Bool("crowd", false, "play more best-effort work than room, callers that come back and entries that die and are back")
+	atOnce := flags.Bool("at-once", false, "with -crowd: let some callers whose connection breaks come back at once")
 	keep := flags.String("keep", "", "`directory` for settings and logs (default: a temporary one, removed unless a guarantee is violated)")
 	if err := command.Parse(flags, args); err != nil {
 		return err
@@ -38,7 +40,7 @@
 	for n := range *seeds {
 		opts := soak.Options{
 			Binary: *binary, Seed: *seed + uint64(n), FaultDuration: time.Duration(*seconds) * time.Second,
-			Domains: *domains, Entries: *entries, Subnet: *network, NoFaults: *noFaults,
+			Domains: *domains, Entries: *entries, Subnet: *network, NoFaults: *noFaults, Crowd: *crowd, AtOnce: *atOnce,
 		}
 		violated, err := soakOnce(opts, *keep, out)
 		if err != nil {
--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -4,6 +4,8 @@
 //
 //	seed → a schedule of faults and jobs → violations
 //
+// In crowd mode it plays more work than room instead (crowd.go).
+//
 // Even seeds also evacuate failure domains. Two of three seeds have faults between the
 // entries while entries are restarted, with jobs that last longer.
 //
@@ -44,6 +46,9 @@
 	Entries       int // of each failure domain
 	Subnet        int // see usersplatform.Options
 	NoFaults      bool
+	Crowd         bool // see crowd.go
+	// AtOnce lets some callers of a crowd come back at once, and not after resendDelay.
+	AtOnce bool
 }
 
 // Report is the result of a soak test.
@@ -116,6 +121,9 @@
 	if err := s.startAll(ctx); err != nil {
 		return nil, err
 	}
+	if opts.Crowd {
+		return s.report, s.runCrowd(ctx)
+	}
 	return s.report, s.run(ctx)
 }
 
--- a/standin/usersplatform/deployment.go
+++ b/standin/usersplatform/deployment.go
@@ -302,6 +302,12 @@
 	return d.call(ctx, client, http.MethodPost, front, id, d.requestBody(id, true, tasks, run, ""), timeout)
 }
 
+// SubmitPatiently submits a job like Submit, for a caller who names a timeout and leaves the
+// connection open until ctx ends.
+func (d *Deployment) SubmitPatiently(ctx context.Context, client *http.Client, front string, id leased.JobID, tasks int, run, timeout time.Duration) Response {
+	return d.send(ctx, client, http.MethodPost, front, id, d.requestBody(id, true, tasks, run, ""), timeout)
+}
+
 // requestBody returns the request body of a job of equal tasks, which require a label unless it is empty, and sets the
 // run time of the tasks.
 func (d *Deployment) requestBody(id leased.JobID, bestEffort bool, tasks int, run time.Duration, label string) string {
@@ -318,6 +324,11 @@
 func (d *Deployment) call(ctx context.Context, client *http.Client, method, front string, id leased.JobID, body string, timeout time.Duration) Response {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	return d.send(ctx, client, method, front, id, body, timeout)
+}
+
+// send sends a request that names a timeout, and waits for the response until ctx ends.
+func (d *Deployment) send(ctx context.Context, client *http.Client, method, front string, id leased.JobID, body string, timeout time.Duration) Response {
 	start := time.Now()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+pathPrefix+string(id), strings.NewReader(body))
 	if err != nil {
