--- a/dispatch/stored/apply.go
+++ b/dispatch/stored/apply.go
@@ -44,6 +44,10 @@
 		s.applyAccepted(e, offset)
 	case JobSnapshot:
 		s.applySnapshot(e, offset)
+	case JobSnapshotPart:
+		if j != nil {
+			j.applySnapshotPart(e, s.now)
+		}
 	case TaskEnded:
 		if j == nil || j.state.Ended() {
 			return
@@ -100,13 +104,12 @@
 
 func (s *Shard) applySnapshot(e *Event, offset int64) {
 	if j := s.jobs[e.Job]; j != nil { // its earlier events have been applied
-		j.offset = offset
-		j.writtenAt = s.now
-		j.snapshotPending = false
+		j.snapshot = snapshot{offset: offset, partsLeft: e.Parts}
+		j.snapshotStored(s.now)
 		return
 	}
 	if e.State.Ended() {
-		j := &jobState{id: e.Job, stored: true, offset: offset, writtenAt: s.replayedAt()}
+		j := &jobState{id: e.Job, stored: true, offset: offset, writtenAt: s.replayedAt(), snapshot: snapshot{restores: true, partsLeft: e.Parts}}
 		j.markEnded(e.State, s.now)
 		j.restoreSuperseded(e.Progress)
 		s.jobs[e.Job] = j
@@ -117,6 +120,7 @@
 	}
 	j := newJobState(e.Spec, s.now)
 	j.stored, j.offset, j.writtenAt = true, offset, s.replayedAt()
+	j.snapshot = snapshot{restores: true, partsLeft: e.Parts}
 	if e.State == Running {
 		j.state = Running
 	}
--- a/dispatch/stored/batch.go
+++ b/dispatch/stored/batch.go
@@ -17,16 +17,13 @@
 
 // maxEncodedSize returns an upper bound of the size of an event on the log.
 func maxEncodedSize(e *Event) int {
-	const fixed, perStep, perTask, perRun = 64, 128, 24, 40
+	const fixed, perStep = 64, 128
 	size := fixed + len(e.Checkpoint) + len(e.Run.Endpoint)
 	if e.Spec != nil {
 		size += len(e.Spec.Spec) + len(e.Spec.Queue) + len(e.Spec.Service) + perStep*len(e.Spec.Steps)
 	}
 	for i := range e.Progress {
-		size += perTask + len(e.Progress[i].Checkpoint)
-		for _, run := range e.Progress[i].Counted {
-			size += perRun + len(run.ID.Endpoint)
-		}
+		size += progressSize(&e.Progress[i])
 	}
 	return size
 }
--- a/dispatch/stored/event.go
+++ b/dispatch/stored/event.go
@@ -7,13 +7,14 @@
 
 // Kinds of events.
 const (
-	JobAccepted    EventKind = iota // with Spec
-	TaskEnded                       // with Task, Run, Done and Checkpoint
-	JobCancelled                    // by its caller
-	JobFailed                       // a task has used up its attempts
-	JobSnapshot                     // the whole state of a job; replaces its earlier events
-	TaskLost                        // an endpoint was lost with a run; with Task, Run and Loss
-	RunsSuperseded                  // ends of runs up to the number of Run no longer count; with Task
+	JobAccepted     EventKind = iota // with Spec
+	TaskEnded                        // with Task, Run, Done and Checkpoint
+	JobCancelled                     // by its caller
+	JobFailed                        // a task has used up its attempts
+	JobSnapshot                      // the whole state of a job; replaces its earlier events
+	TaskLost                         // an endpoint was lost with a run; with Task, Run and Loss
+	RunsSuperseded                   // ends of runs up to the number of Run no longer count; with Task
+	JobSnapshotPart                  // more Progress of the JobSnapshot before it
 )
 
 // Event is a change to a job as it is stored on the log.
@@ -27,6 +28,7 @@
 	// ended it tells only which runs are superseded.
 	Progress   []leased.TaskProgress
 	State      State // in a JobSnapshot
+	Parts      int   // number of the JobSnapshotParts that follow a JobSnapshot
 	Task       leased.TaskID
 	Run        leased.RunID
 	Done       bool        // the run has succeeded; false: it has failed
--- a/dispatch/stored/job.go
+++ b/dispatch/stored/job.go
@@ -18,6 +18,7 @@
 	offset          int64 // of the first record that is needed to restore the job
 	writtenAt       time.Time
 	snapshotPending bool
+	snapshot        snapshot // the newest one of which a part is stored
 	acceptedAt      time.Time
 	endedAt         time.Time
 	attempt         int  // of the last offer
--- a/dispatch/stored/shard.go
+++ b/dispatch/stored/shard.go
@@ -231,14 +231,9 @@
 		return // the snapshot would replace the pending event without containing it
 	}
 	j.snapshotPending = true
-	event := Event{Kind: JobSnapshot, Job: j.id, State: j.state}
-	if j.state.Ended() {
-		event.Progress = j.supersededProgress()
-	} else {
-		event.Spec = j.spec
-		event.Progress = j.progress(true)
+	for _, event := range j.snapshotEvents() {
+		s.enqueue(event, 0, 0)
 	}
-	s.enqueue(event, 0, 0)
 }
 
 // trim deletes the records before the oldest one that a job needs.
--- a/fleet/keep/codec.go
+++ b/fleet/keep/codec.go
@@ -85,7 +85,7 @@
 		event := &fleetpb.JobEvent{
 			Kind: uint32(e.Kind), Job: string(e.Job), State: uint32(e.State), Progress: ProgressToPB(e.Progress),
 			Occurrence: uint32(e.Task.Occurrence), Step: uint32(e.Task.Step), Index: uint32(e.Task.Index),
-			Run: uint32(e.Run.Number), Endpoint: string(e.Run.Endpoint), Incarnation: e.Run.Incarnation, Done: e.Done, Saved: e.Checkpoint,
+			Run: uint32(e.Run.Number), Endpoint: string(e.Run.Endpoint), Incarnation: e.Run.Incarnation, Done: e.Done, Saved: e.Checkpoint, Parts: uint32(e.Parts),
 		}
 		if e.Kind == stored.TaskLost {
 			event.Loss = LossToPB(e.Loss)
@@ -127,7 +127,7 @@
 	}
 	events := make([]stored.Event, 0, len(record.Events))
 	for _, e := range record.Events {
-		if e.Kind > uint32(stored.RunsSuperseded) {
+		if e.Kind > uint32(stored.JobSnapshotPart) {
 			continue // of a later version
 		}
 		event, reason := c.event(e, shard)
@@ -154,7 +154,7 @@
 	event := stored.Event{
 		Kind: stored.EventKind(e.Kind), Job: id, State: stored.State(e.State), Progress: ProgressFromPB(e.Progress),
 		Run:  leased.RunID{Number: int(e.Run), Endpoint: leased.EndpointID(e.Endpoint), Incarnation: e.Incarnation},
-		Done: e.Done, Checkpoint: e.Saved,
+		Done: e.Done, Checkpoint: e.Saved, Parts: int(e.Parts),
 		Task: leased.TaskID{Job: id, Occurrence: int(e.Occurrence), Step: int(e.Step), Index: int(e.Index)},
 	}
 	if e.Loss != nil {
@@ -169,6 +169,8 @@
 		return event, fmt.Sprintf("state %d", e.State)
 	case e.Run > maxRun:
 		return event, fmt.Sprintf("run %d", e.Run)
+	case e.Parts > maxCount:
+		return event, fmt.Sprintf("a snapshot of %d more parts", e.Parts)
 	}
 	for _, p := range e.Progress {
 		if max(p.Newest, p.Superseded) > maxRun || max(p.Failures, p.Crashes, p.CrashesAlone, p.CrashesUnconfirmed, p.Losses) > maxCount {
