Allow a restart to the holder of the newest offer only

What could happen: a request to start a task again is held up by a cut, and reaches the owner after the job has another holder. It superseded the runs of that one: their ends were discarded, and the tasks ran once more.

Cause: a request named the asking entry, not the offer by which it has the job.

Change: offers are numbered by epoch and attempt (Job.Offer). The owner answers a request under an earlier offer with "the job has ended", and stores nothing. A holder that has got a newer offer meanwhile asks again.

--- a/dispatch/leased/action.go
+++ b/dispatch/leased/action.go
@@ -173,8 +173,9 @@
 	// have ended unseen; Run is the highest number of those known to the holder then. The
 	// request is answered by ReportsStored. 0: the report is about a run.
 	Restart    uint64
-	End        End  // EndDone, EndFailed or EndEndpointLost
-	Loss       Loss // of a run that ended with EndEndpointLost
+	Offer      uint64 // of the job, with Restart
+	End        End    // EndDone, EndFailed or EndEndpointLost
+	Loss       Loss   // of a run that ended with EndEndpointLost
 	Checkpoint string
 }
 
--- a/dispatch/leased/input.go
+++ b/dispatch/leased/input.go
@@ -118,6 +118,7 @@
 	Task             TaskID
 	Run              int
 	Restart          uint64 // of the request that is answered; 0: a report about a run
+	Offer            uint64 // as in that request
 	// Discarded reports that the end does not count, because its run was superseded before
 	// the end was reported. The endpoint may forget it after its lease has expired.
 	Discarded bool
--- a/dispatch/leased/job.go
+++ b/dispatch/leased/job.go
@@ -97,6 +97,9 @@
 	// capacity without a deadline, and the ends of its runs are reported before
 	// endpoints may forget them.
 	Stored bool
+	// Offer identifies the owner's offer of a stored job; newer offers have higher numbers.
+	// 0: the owner is of an earlier version.
+	Offer uint64
 	// Waited is how long the caller has waited already: since a stored job was
 	// accepted, or by earlier requests and at other holders.
 	Waited   time.Duration
--- a/dispatch/leased/owner_test.go
+++ b/dispatch/leased/owner_test.go
@@ -24,6 +24,7 @@
 	inFlight   []stored.Event                        // that are being appended
 	// stalledUntil is when appends are stored that are sent before.
 	stalledUntil time.Duration
+	epoch        int64
 	// at is the core beside which the owner runs: others reach it only if they reach that.
 	at int
 }
@@ -86,7 +87,7 @@
 			discarded := progress != nil && progress.Discarded
 			o.sim.after(networkDelay, func() {
 				o.sim.step(sent.core, &leased.ReportsStored{Reports: []leased.StoredReport{{
-					Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number, Task: p.Task, Run: p.Run, Restart: p.Restart, Discarded: discarded, Progress: progress,
+					Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number, Task: p.Task, Run: p.Run, Restart: p.Restart, Offer: p.Offer, Discarded: discarded, Progress: progress,
 				}}})
 			})
 		}
@@ -202,7 +203,7 @@
 	r := sent.report
 	lost := r.End == leased.EndEndpointLost
 	o.step(&stored.Report{Ticket: ticket, From: uint64(sent.core + 1), Tasks: []stored.TaskReport{{
-		Task: r.Task, Run: leased.RunID{Number: r.Run, Endpoint: r.Endpoint, Incarnation: r.IncarnationStart}, Begun: r.Begun || lost || r.Restart != 0, Done: r.End == leased.EndDone, Lost: lost, Loss: r.Loss, Restart: r.Restart,
+		Task: r.Task, Run: leased.RunID{Number: r.Run, Endpoint: r.Endpoint, Incarnation: r.IncarnationStart}, Begun: r.Begun || lost || r.Restart != 0, Done: r.End == leased.EndDone, Lost: lost, Loss: r.Loss, Restart: r.Restart, Offer: r.Offer,
 	}}})
 	o.sim.after(500*time.Millisecond, func() { o.deliver(ticket) })
 }
@@ -233,7 +234,8 @@
 	for _, id := range slices.Sorted(maps.Keys(o.offers)) {
 		o.withdraw(id)
 	}
-	o.shard = newShard()
+	o.epoch++
+	o.shard = stored.New(stored.Options{Retain: time.Hour, SnapshotAge: time.Hour, Epoch: o.epoch})
 	now := simStart.Add(o.sim.now)
 	for offset, events := range o.log {
 		o.shard.Replay(now, int64(offset), events)
--- a/dispatch/leased/sim_test.go
+++ b/dispatch/leased/sim_test.go
@@ -296,7 +296,7 @@
 		if sim.unresponsiveOwner && r.Restart == 0 {
 			continue
 		}
-		list = append(list, leased.StoredReport{Endpoint: r.Endpoint, IncarnationStart: r.IncarnationStart, Number: r.Number, Task: r.Task, Run: r.Run, Restart: r.Restart})
+		list = append(list, leased.StoredReport{Endpoint: r.Endpoint, IncarnationStart: r.IncarnationStart, Number: r.Number, Task: r.Task, Run: r.Run, Restart: r.Restart, Offer: r.Offer})
 	}
 	for core := range sim.cores {
 		sim.step(core, &leased.ReportsStored{Reports: list})
--- a/dispatch/leased/submit.go
+++ b/dispatch/leased/submit.go
@@ -18,6 +18,7 @@
 		j.tickets = append(j.tickets, in.Ticket)
 		c.tickets[in.Ticket] = j
 		j.Movable = j.Movable && in.Job.Movable
+		j.Offer = max(j.Offer, in.Job.Offer)
 		c.mergeProgress(&in.Job)
 		return
 	}
--- a/dispatch/leased/supersede.go
+++ b/dispatch/leased/supersede.go
@@ -47,7 +47,7 @@
 	if t.restartRequest == 0 {
 		c.restartRequests++
 		t.restartRequest = c.restartRequests
-		c.out.Reports = append(c.out.Reports, Report{Task: t.id, Run: t.runs, Restart: t.restartRequest})
+		c.out.Reports = append(c.out.Reports, Report{Task: t.id, Run: t.runs, Restart: t.restartRequest, Offer: t.job.Offer})
 	}
 	return false
 }
@@ -59,6 +59,10 @@
 	if t == nil || t.restartRequest != in.Restart {
 		return
 	}
+	if t.job.Offer != in.Offer { // another offer of the job has arrived since
+		t.restartRequest = 0
+		return
+	}
 	t.endInDoubt, t.restartRequest, t.remoteSince = false, 0, time.Time{}
 	if in.Progress == nil {
 		return
--- a/dispatch/leased/supersede_test.go
+++ b/dispatch/leased/supersede_test.go
@@ -210,7 +210,7 @@
 	task := leased.TaskID{Job: "j"}
 	first, second := leased.RunID{Number: 1, Endpoint: "a"}, leased.RunID{Number: 1 << 20, Endpoint: "b"}
 	log := playShard(shard, &stored.Accept{Job: job},
-		&stored.Report{Ticket: 1, Tasks: []stored.TaskReport{{Task: task, Run: first, Begun: true, Restart: 1}}},
+		&stored.Report{Ticket: 1, Tasks: []stored.TaskReport{{Task: task, Run: first, Begun: true, Restart: 1, Offer: 1}}},
 		&stored.Report{Ticket: 2, Tasks: []stored.TaskReport{{Task: task, Run: second, Done: true}}})
 	replayed := newShard()
 	for offset, events := range log {
--- a/dispatch/stored/apply.go
+++ b/dispatch/stored/apply.go
@@ -198,6 +198,7 @@
 			j := s.jobs[tasks[i].Task.Job]
 			progress := j.progressOf(tasks[i].Task)
 			progress.Discarded = j.discards(&tasks[i])
+			progress.JobEnded = progress.JobEnded || s.isOutdated(j, &tasks[i])
 			reply.Progress = append(reply.Progress, progress)
 		}
 	}
@@ -227,7 +228,7 @@
 		return false
 	}
 	if r.Restart != 0 {
-		return s.handleRestart(in, r, t)
+		return !s.isOutdated(j, r) && s.handleRestart(in, r, t)
 	}
 	if t.isSuperseded(r) {
 		return s.awaitSuperseded(in.Ticket, r.Task, t)
--- a/dispatch/stored/message.go
+++ b/dispatch/stored/message.go
@@ -40,6 +40,7 @@
 	// Restart is the number of a request to start the task again, as in leased.Report; 0:
 	// the report is about a run. Owners of earlier versions see that a run has begun.
 	Restart uint64
+	Offer   uint64 // that the holder has got the job by, with Restart
 }
 
 // Outcome reports how an offer to a holder ended.
--- a/dispatch/stored/shard.go
+++ b/dispatch/stored/shard.go
@@ -15,6 +15,8 @@
 	// SnapshotAge is the age of a job's record at which a snapshot replaces it:
 	// well below the age at which the log deletes the record.
 	SnapshotAge time.Duration
+	// Epoch is that of the owner; a later owner has a higher one.
+	Epoch int64
 }
 
 // Limits and intervals of a shard.
@@ -184,7 +186,9 @@
 	if j.usedUp() {
 		return
 	}
-	s.out.Offers = append(s.out.Offers, Offer{Attempt: j.attempt, Job: j.jobToOffer(s.now)})
+	job := j.jobToOffer(s.now)
+	job.Offer = s.offerOf(j)
+	s.out.Offers = append(s.out.Offers, Offer{Attempt: j.attempt, Job: job})
 }
 
 func (s *Shard) reply(t Ticket, r Result) {
--- a/dispatch/stored/supersede.go
+++ b/dispatch/stored/supersede.go
@@ -34,6 +34,21 @@
 	return s.awaitSuperseded(in.Ticket, r.Task, t)
 }
 
+// attemptBits is the number of low bits of an offer's number that count the offers of a job.
+const attemptBits = 20
+
+// offerOf returns the number of the newest offer of a job. Those of a later owner are higher.
+func (s *Shard) offerOf(j *jobState) uint64 {
+	return uint64(s.opts.Epoch)<<attemptBits | uint64(j.attempt)&(1<<attemptBits-1)
+}
+
+// isOutdated reports whether a request to start a task again is of a holder that has the job
+// by an earlier offer. The request may have been under way during a cut. Granted, it would
+// supersede the runs of the present holder. That one is told that the job has ended for it.
+func (s *Shard) isOutdated(j *jobState, r *TaskReport) bool {
+	return r.Restart != 0 && j != nil && !j.state.Ended() && r.Offer != s.offerOf(j)
+}
+
 // awaitSuperseded lets a ticket wait until it is stored which runs are superseded. It returns
 // false if it is.
 func (s *Shard) awaitSuperseded(ticket Ticket, task leased.TaskID, t *taskState) bool {
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -43,7 +43,7 @@
 		From: from, Id: string(j.ID), Spec: j.Spec, Service: j.Service, Queue: j.Queue, Priority: uint32(j.Priority),
 		MaxAttempts: uint32(j.MaxAttempts), Stretch: j.Stretch, SlackUs: j.Slack.Microseconds(), PatienceUs: j.CallerTimeout.Microseconds(),
 		Steps:       lo.Map(j.Steps, func(_ leased.Step, i int) *fleetpb.Step { return stepToPB(&j.Steps[i]) }),
-		Resubmitted: j.Resubmitted, OnlyHolder: j.OnlyHolder, Movable: j.Movable, Kept: j.Stored, WaitedUs: j.Waited.Microseconds(), Progress: keep.ProgressToPB(j.Progress),
+		Resubmitted: j.Resubmitted, OnlyHolder: j.OnlyHolder, Movable: j.Movable, Kept: j.Stored, Offer: j.Offer, WaitedUs: j.Waited.Microseconds(), Progress: keep.ProgressToPB(j.Progress),
 	}
 }
 
@@ -52,7 +52,7 @@
 		ID: leased.JobID(r.Id), Spec: r.Spec, Service: r.Service, Queue: r.Queue, Priority: int(r.Priority),
 		MaxAttempts: int(r.MaxAttempts), Stretch: r.Stretch, Slack: microseconds(r.SlackUs), CallerTimeout: microseconds(r.PatienceUs),
 		Steps:       lo.Map(r.Steps, func(s *fleetpb.Step, _ int) leased.Step { return stepFromPB(s) }),
-		Resubmitted: r.Resubmitted, OnlyHolder: r.OnlyHolder, Movable: r.Movable, Stored: r.Kept, Waited: microseconds(r.WaitedUs), Progress: keep.ProgressFromPB(r.Progress),
+		Resubmitted: r.Resubmitted, OnlyHolder: r.OnlyHolder, Movable: r.Movable, Stored: r.Kept, Offer: r.Offer, Waited: microseconds(r.WaitedUs), Progress: keep.ProgressFromPB(r.Progress),
 	}
 }
 
--- a/fleet/keep/take.go
+++ b/fleet/keep/take.go
@@ -117,7 +117,9 @@
 // because earlier owners are fenced off. It returns a *FencedError unless the claim, if
 // there is one, is among the records.
 func (r *Runner) replay(ctx context.Context, claimed *claim) (*stored.Shard, int64, int, error) {
-	shard := stored.New(r.env.Options)
+	options := r.env.Options
+	options.Epoch = r.epoch
+	shard := stored.New(options)
 	owned := claimed == nil
 	next, count := int64(0), 0
 	end := int64(math.MaxInt64) // not known yet
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -121,7 +121,7 @@
 		if p.Begun {
 			continue
 		}
-		report := leased.StoredReport{Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number, Task: p.Task, Run: p.Run, Restart: p.Restart}
+		report := leased.StoredReport{Endpoint: p.Endpoint, IncarnationStart: p.IncarnationStart, Number: p.Number, Task: p.Task, Run: p.Run, Restart: p.Restart, Offer: p.Offer}
 		if len(progress) == len(list) {
 			report.Discarded = progress[i].Discarded
 			if p.End != leased.EndDone || p.Restart != 0 {
@@ -139,7 +139,7 @@
 func taskReport(p *leased.Report) stored.TaskReport {
 	lost := p.End == leased.EndEndpointLost
 	return stored.TaskReport{
-		Task: p.Task, Run: leased.RunID{Number: p.Run, Endpoint: p.Endpoint, Incarnation: p.IncarnationStart}, Begun: p.Begun || lost || p.Restart != 0, Done: p.End == leased.EndDone && p.Restart == 0, Lost: lost, Loss: p.Loss, Checkpoint: p.Checkpoint, Restart: p.Restart,
+		Task: p.Task, Run: leased.RunID{Number: p.Run, Endpoint: p.Endpoint, Incarnation: p.IncarnationStart}, Begun: p.Begun || lost || p.Restart != 0, Done: p.End == leased.EndDone && p.Restart == 0, Lost: lost, Loss: p.Loss, Checkpoint: p.Checkpoint, Restart: p.Restart, Offer: p.Offer,
 	}
 }
 
@@ -147,7 +147,7 @@
 	return &fleetpb.ReportRequest{From: from, Shard: uint32(shard), Tasks: lo.Map(tasks, func(t stored.TaskReport, _ int) *fleetpb.TaskReport {
 		report := &fleetpb.TaskReport{
 			Job: string(t.Task.Job), Occurrence: uint32(t.Task.Occurrence), Step: uint32(t.Task.Step), Index: uint32(t.Task.Index),
-			Run: uint32(t.Run.Number), Endpoint: string(t.Run.Endpoint), Incarnation: t.Run.Incarnation, Begun: t.Begun, Done: t.Done, Saved: t.Checkpoint, Restart: t.Restart,
+			Run: uint32(t.Run.Number), Endpoint: string(t.Run.Endpoint), Incarnation: t.Run.Incarnation, Begun: t.Begun, Done: t.Done, Saved: t.Checkpoint, Restart: t.Restart, Offer: t.Offer,
 		}
 		if t.Lost {
 			report.Loss = keep.LossToPB(t.Loss)
@@ -160,7 +160,7 @@
 	return lo.Map(r.Tasks, func(t *fleetpb.TaskReport, _ int) stored.TaskReport {
 		report := stored.TaskReport{
 			Task: leased.TaskID{Job: leased.JobID(t.Job), Occurrence: int(t.Occurrence), Step: int(t.Step), Index: int(t.Index)},
-			Run:  leased.RunID{Number: int(t.Run), Endpoint: leased.EndpointID(t.Endpoint), Incarnation: t.Incarnation}, Begun: t.Begun, Done: t.Done, Checkpoint: t.Saved, Restart: t.Restart,
+			Run:  leased.RunID{Number: int(t.Run), Endpoint: leased.EndpointID(t.Endpoint), Incarnation: t.Incarnation}, Begun: t.Begun, Done: t.Done, Checkpoint: t.Saved, Restart: t.Restart, Offer: t.Offer,
 		}
 		if t.Loss != nil {
 			report.Lost, report.Loss = true, keep.LossFromPB(t.Loss)
