--- a/dispatch/stored/supersede.go
+++ b/dispatch/stored/supersede.go
@@ -42,9 +42,9 @@
 	return uint64(s.opts.Epoch)<<attemptBits | uint64(j.attempt)&(1<<attemptBits-1)
 }
 
-// isOutdated reports whether a request to start a task again is of a holder that has the job
-// by an earlier offer. The request may have been under way during a cut. Granted, it would
-// supersede the runs of the present holder. That one is told that the job has ended for it.
+// isOutdated reports whether a holder asks to start a task again that has the job by an
+// earlier offer: the request may have been under way during a cut, and would supersede the
+// runs of the present holder. The answer is that the job has ended.
 func (s *Shard) isOutdated(j *jobState, r *TaskReport) bool {
 	return r.Restart != 0 && j != nil && !j.state.Ended() && r.Offer != s.offerOf(j)
 }
