--- a/review/rig3/mix.go
+++ b/review/rig3/mix.go
@@ -96,6 +96,11 @@
 	{"store-silent", storeFault(fakestore.Faults{Hang: true})},
 	{"store-slow", storeFault(fakestore.Faults{Delay: 240 * time.Millisecond})},
 	{"store-lost", storeFault(fakestore.Faults{LoseReplies: true})},
+	{"store-late", func(p *platform, _ *rand.Rand, d time.Duration) {
+		p.lateStore.share.Store(35)
+		time.Sleep(d)
+		p.lateStore.share.Store(0)
+	}},
 	{"store-conns", func(p *platform, _ *rand.Rand, _ time.Duration) { p.StoreListener.SilenceOpen() }},
 	{"store-reset", func(p *platform, _ *rand.Rand, _ time.Duration) { p.StoreListener.BreakOpen() }},
 	{"store-compact", func(p *platform, _ *rand.Rand, _ time.Duration) { p.Store.Expire(fakeexecutor.Topic) }},
--- a/review/rig3/platform.go
+++ b/review/rig3/platform.go
@@ -77,6 +77,7 @@
 	dir, binary string
 	size        size
 	book        *book
+	lateStore   *lateStore
 	ctx         context.Context
 	cancel      context.CancelFunc
 
@@ -93,6 +94,9 @@
 	}
 	p := &platform{Deployment: d, dir: dir, binary: binary, size: s, book: b}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
+	if err := p.interposeStore(); err != nil {
+		return nil, err
+	}
 	p.entries, p.exited = make([]*exec.Cmd, len(d.Entries)), make([]chan struct{}, len(d.Entries))
 	for z := range s.zones {
 		zone := string(rune('a' + z))
