Review 3: the platform's names of the rig stand in a data file

No Go code outside of the adapter and the stand-ins may say them (TestPlatformNamesStayInsideTheAdapter in ./platform failed on review/rig3, and passes now, run uncached).

--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -45,7 +45,7 @@
 	}
 	best := ""
 	if j.bestEffort {
-		best = `"best_effort":true,`
+		best = `"` + names.NotStored + `":true,`
 	}
 	return `{"spec":"x",` + best + `"steps":[` + strings.Join(steps, ",") + `]}`
 }
--- a/review/rig3/odd.go
+++ b/review/rig3/odd.go
@@ -38,7 +38,7 @@
 		}
 		text := `{"spec":"` + pick("x", "", strings.Repeat("y", 4000), `\u0000\u2028<>&`) + `",`
 		if j.bestEffort {
-			text += `"best_effort":true,`
+			text += `"` + names.NotStored + `":true,`
 		}
 		text += `"steps":[` + strings.Join(steps, ",") + `]}`
 		p.book.add(j)
--- a/review/rig3/platform.go
+++ b/review/rig3/platform.go
@@ -251,7 +251,7 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(p.binary)
-	cmd.Env = append(os.Environ(), "LOVAGESPREAD_BOOT="+e.Settings)
+	cmd.Env = append(os.Environ(), names.SettingsVariable+"="+e.Settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.ExtraFiles = []*os.File{p.Reservation}
 	if err := cmd.Start(); err != nil {
