--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -21,8 +21,8 @@
 
 func init() {
 	scenarios["strand"] = scenario{size{zones: 4, entries: 3, workers: 35, cores: 32}, strand}
-	scenarios["blame"] = scenario{size{zones: 3, entries: 2, workers: 9, cores: 32, rack: 4}, blame}
-	scenarios["count"] = scenario{size{zones: 3, entries: 2, workers: 9, cores: 32, rack: 4}, count}
+	scenarios["blame"] = scenario{size{zones: 3, entries: 2, workers: 25, cores: 32, rack: 12, spread: true}, blame}
+	scenarios["count"] = scenario{size{zones: 3, entries: 2, workers: 25, cores: 32, rack: 12, spread: true}, count}
 	scenarios["withdraw"] = scenario{size{zones: 3, entries: 2, workers: 4, cores: 64}, withdraw}
 	scenarios["cancel"] = scenario{size{zones: 3, entries: 2, workers: 4, cores: 64}, cancelElsewhere}
 }
@@ -131,58 +131,84 @@
 // keepBusy submits a job whose tasks keep all executors of kind a busy for some 20 s, and
 // waits until they do.
 func (p *platform) keepBusy() []*job {
-	wide := step{count: 32, cpu: taskCores, time: 3 * time.Second, label: "a"}
-	j := &job{id: newID(), steps: []step{wide, wide, wide, wide, wide, wide}}
+	j := &job{id: newID()}
+	for range (p.size.zones*p.size.workers*20/3 + 31) / 32 {
+		j.steps = append(j.steps, step{count: 32, cpu: taskCores, time: 3 * time.Second, label: "a"})
+	}
 	p.submit(j, p.anyEntry(), patience)
 	time.Sleep(1500 * time.Millisecond)
 	return []*job{j}
 }
 
-// blame lets the executors of a rack lose power twice. One job is sent to them while they are
-// dark, and its task is at work there when they go dark again.
+// blame lets a few executors lose power twice. Some jobs are sent to them while they are
+// dark, and tasks are at work there when they go dark again.
 func blame(p *platform) error {
-	const darkTime = 4 * time.Second // at most 4.5 s
+	const (
+		jobs     = 4
+		darkTime = 4 * time.Second // at most 4.5 s
+	)
 	busy := p.keepBusy()
 	rack := p.rackOf()
 	if *trouble {
 		p.goDark(rack)
 		time.AfterFunc(darkTime, func() { p.comeBack(rack) })
 	}
-	j := &job{id: newID(), steps: []step{{count: 1, cpu: taskCores, time: 3 * time.Second}}}
-	p.submit(j, p.anyEntry(), patience)
+	list := p.submitAll(jobs, step{count: 1, cpu: taskCores, time: 3 * time.Second})
+	begun := func() int {
+		n := 0
+		for _, j := range list {
+			if p.book.startsOf(j.id) > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	onRack := func() int {
+		n := 0
+		for _, w := range rack {
+			w.WithState(func(e *leasedtest.Endpoint) { n += len(e.Running()) })
+		}
+		return n
+	}
 	deadline := time.Now().Add(20 * time.Second)
-	for p.book.startsOf(j.id) == 0 && time.Now().Before(deadline) {
+	for onRack() == 0 && begun() < len(list) && time.Now().Before(deadline) {
 		time.Sleep(10 * time.Millisecond)
 	}
-	if *trouble && p.book.startsOf(j.id) > 0 {
+	if *trouble && begun() > 0 {
 		time.Sleep(500 * time.Millisecond)
 		p.goDark(rack)
 		time.AfterFunc(darkTime, func() { p.comeBack(rack) })
 	}
 	deadline = time.Now().Add(40 * time.Second)
-	for time.Now().Before(deadline) {
+	ended := make(map[*job]bool)
+	for len(ended) < len(list) && time.Now().Before(deadline) {
 		time.Sleep(200 * time.Millisecond)
-		switch r := p.query(j, p.anyEntry()); r.state {
-		case "completed":
-			p.awaitAll(busy)
-			return nil
-		case "failed":
-			p.judgeFailed(j, r.state)
-			return nil
+		for _, j := range list {
+			if ended[j] {
+				continue
+			}
+			switch r := p.query(j, p.anyEntry()); r.state {
+			case "completed":
+				ended[j] = true
+			case "failed":
+				ended[j] = true
+				p.judgeFailed(j, r.state)
+			}
 		}
 	}
-	p.book.violation("LOST: %s has not ended", j.id)
+	p.awaitAll(busy)
 	return nil
 }
 
-// count asks how many jobs are pending after a rack of executors was lost, to which the first
+// count asks how many jobs are pending after a few executors were lost, to which the first
 // starts of their tasks were sent.
 func count(p *platform) error {
+	const jobs = 8
 	p.keepBusy()
 	if *trouble {
 		p.goDark(p.rackOf())
 	}
-	list := p.submitAll(p.size.rack, step{count: 1, cpu: taskCores, time: 2 * time.Second})
+	list := p.submitAll(jobs, step{count: 1, cpu: taskCores, time: 2 * time.Second})
 	time.Sleep(visibleTime + 2*time.Second + 500*time.Millisecond)
 	for range 8 {
 		for i := range p.Entries {
--- a/review/rig3/platform.go
+++ b/review/rig3/platform.go
@@ -53,10 +53,11 @@
 // size is the size of a deployment.
 type size struct {
 	zones   int
-	entries int // of each zone
-	workers int // executors of each zone
-	cores   int // of an executor
-	rack    int // more executors of the first zone, of kind b, in a rack of their own
+	entries int  // of each zone
+	workers int  // executors of each zone
+	cores   int  // of an executor
+	rack    int  // more executors, of kind b, in racks of their own
+	spread  bool // one rack of them in each zone, instead of one in the first
 }
 
 // worker is an executor and the listener on which it serves.
@@ -111,7 +112,11 @@
 		}
 	}
 	for n := range s.rack {
-		if err := p.addWorker("a", fmt.Sprintf("i-ab%02d", n), "b", "ra-b"); err != nil {
+		zone := "a"
+		if s.spread {
+			zone = string(rune('a' + n%s.zones))
+		}
+		if err := p.addWorker(zone, fmt.Sprintf("i-%sb%02d", zone, n), "b", "r"+zone+"-b"); err != nil {
 			return nil, err
 		}
 	}
