Let the log decide between a job's submissions and its cancellation

The DELETE is answered 410, "no such job", and the job runs all the same.

Cause: "no such job" is a statement about all submissions, and the owner made it from the jobs that were stored when it handled the DELETE. A job in its queue or in an append counted as none, and a submission that arrived after the answer was accepted like any other, here or at the next owner.

The worlds counted a cancellation only if it was answered as stored, so no schedule could show this.

Change: a cancellation is an event on the log whether the owner knows the job or not, and is answered once it is stored. An acceptance before it is cancelled by it; a submission behind it is refused for as long as ended jobs are retained, by each later owner, too. A job is not offered while its cancellation waits, since one batch may have both events.

Why it works: owner and next owners append and read one log, so an acceptance is either before the cancellation or refused; no answer rests on what one process knows at a moment.

TestCancelledJobIsWithdrawn wanted NoSuchJob at once and then accepted a job of the same ID, which is the fault; it now wants the answer once it is stored, and another ID for the job.

--- a/dispatch/leased/stored_world_test.go
+++ b/dispatch/leased/stored_world_test.go
@@ -38,8 +38,9 @@
 type worldJob struct {
 	leased.Job
 	accepted    bool
-	cancelled   bool
+	cancelled   bool          // as its caller was told, also if there is no such job
 	cancelledAt time.Duration // when the cancellation was acknowledged
+	denied      bool          // the caller was told, on cancelling it, that there is no such job
 	hopeless    map[leased.TaskID]bool
 	runTime     time.Duration
 }
@@ -257,14 +258,22 @@
 	}
 }
 
-// handIn hands a job in, and again until it is accepted.
+// handIn hands a job in, and again until it is accepted or cancelled.
 func (w *storedWorld) handIn(j *worldJob) {
-	if j.accepted {
+	if j.accepted || j.cancelled {
 		return
 	}
 	w.after(300*time.Millisecond, func() { w.handIn(j) })
+	w.submit(j)
+}
+
+// submit sends a submission of a job to the owner.
+func (w *storedWorld) submit(j *worldJob) {
 	w.ask(func(ticket stored.Ticket) stored.Input { return &stored.Accept{Ticket: ticket, Job: j.Job} }, func(r stored.Result) {
 		j.accepted = j.accepted || r == stored.Stored
+		if r == stored.Stored && j.denied {
+			w.fault("job %s is accepted after its caller was told that there is no such job", j.ID)
+		}
 	})
 }
 
@@ -274,8 +283,13 @@
 	}
 	w.after(300*time.Millisecond, func() { w.cancelJob(j) })
 	w.ask(func(ticket stored.Ticket) stored.Input { return &stored.Cancel{Ticket: ticket, Job: j.ID} }, func(r stored.Result) {
-		if r == stored.Stored && j.accepted && !j.cancelled {
-			j.cancelled, j.cancelledAt = true, w.now
+		w.trace(j.ID, "its cancellation is answered with %d", r)
+		if r != stored.Stored && r != stored.NoSuchJob || j.cancelled {
+			return
+		}
+		j.cancelled, j.cancelledAt, j.denied = true, w.now, r == stored.NoSuchJob
+		if j.denied && j.accepted {
+			w.fault("job %s was accepted, and its caller is told that there is no such job", j.ID)
 		}
 	})
 }
@@ -409,11 +423,18 @@
 // check checks what the callers see once all has calmed down.
 func (w *storedWorld) check() {
 	for id, j := range w.jobs {
-		if !j.accepted {
+		state := w.owner.shard.State(id)
+		switch {
+		case j.denied && state != stored.Unknown && state != stored.Cancelled:
+			w.fault("job %s is %v, and its caller was told that there is no such job", id, state)
+		case j.denied:
+			continue
+		case j.cancelled && !state.Ended():
+			w.fault("job %s is %v, and its caller was told that it is cancelled", id, state)
+		case !j.accepted && !j.cancelled:
 			w.fault("job %s was not accepted in %v", id, worldRest)
 			continue
 		}
-		state := w.owner.shard.State(id)
 		switch {
 		case state == stored.Unknown:
 			w.fault("job %s was accepted, and is not known", id)
@@ -459,11 +480,12 @@
 	return !j.anyTask(func(id leased.TaskID) bool { return !w.task(id).isDone() })
 }
 
-// playStoredWorld plays a world and returns the faults that were seen.
-func playStoredWorld(t *testing.T, seed uint64) []string {
+// playStoredWorld plays a world and returns the faults that were seen. AddJobs adds the jobs
+// that arrive at a time.
+func playStoredWorld(t *testing.T, seed uint64, addJobs func(*storedWorld, time.Duration)) []string {
 	w := newStoredWorld(t, seed)
 	for at := w.now; at < worldLoad; at += 90 * time.Millisecond {
-		w.addJob(at)
+		addJobs(w, at)
 	}
 	for range 3 + w.rng.IntN(8) {
 		w.at(time.Second+time.Duration(w.rng.Int64N(int64(worldLoad))), w.disturb)
@@ -480,7 +502,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			const shown = 5
-			faults := playStoredWorld(t, seed)
+			faults := playStoredWorld(t, seed, (*storedWorld).addJob)
 			for _, f := range faults[:min(shown, len(faults))] {
 				t.Error(f)
 			}
--- a/dispatch/stored/apply.go
+++ b/dispatch/stored/apply.go
@@ -69,9 +69,7 @@
 			j.applySuperseded(e)
 		}
 	case JobCancelled:
-		if j != nil && !j.state.Ended() {
-			j.markEnded(Cancelled, s.now)
-		}
+		s.applyCancelled(e, offset)
 	case JobFailed:
 		if j != nil && !j.state.Ended() {
 			j.markEnded(Failed, s.now)
@@ -171,8 +169,7 @@
 func (s *Shard) handleReport(in *Report) {
 	mustWait, unknown := false, false
 	for i := range in.Tasks {
-		j := s.jobs[in.Tasks[i].Task.Job]
-		unknown = unknown || j == nil || !j.stored
+		unknown = unknown || s.storedJob(in.Tasks[i].Task.Job) == nil
 		if s.handleTaskReport(in, &in.Tasks[i]) {
 			mustWait = true
 		}
@@ -192,10 +189,10 @@
 	if t == 0 {
 		return
 	}
-	reply := Reply{Ticket: t, Result: r}
+	reply := Reply{Ticket: t, Result: r, Unconfirmed: r == NoSuchJob}
 	if slices.ContainsFunc(tasks, s.wantsProgress) {
 		for i := range tasks {
-			j := s.jobs[tasks[i].Task.Job]
+			j := s.storedJob(tasks[i].Task.Job)
 			progress := j.progressOf(tasks[i].Task)
 			progress.Discarded = j.discards(&tasks[i])
 			progress.JobEnded = progress.JobEnded || s.isOutdated(j, &tasks[i])
@@ -208,7 +205,7 @@
 // wantsProgress reports whether the answer to a report has to tell what is known about the
 // task.
 func (s *Shard) wantsProgress(r TaskReport) bool {
-	return r.Lost || r.Restart != 0 || !r.Begun && !r.Done || s.jobs[r.Task.Job].discards(&r)
+	return r.Lost || r.Restart != 0 || !r.Begun && !r.Done || s.storedJob(r.Task.Job).discards(&r)
 }
 
 // update notifies the holder of a job of what has become known about a task.
@@ -219,8 +216,8 @@
 // handleTaskReport returns true if the report has to wait until an event is
 // stored.
 func (s *Shard) handleTaskReport(in *Report, r *TaskReport) bool {
-	j := s.jobs[r.Task.Job]
-	if j == nil || !j.stored || j.state.Ended() {
+	j := s.storedJob(r.Task.Job)
+	if j == nil || j.state.Ended() {
 		return false
 	}
 	t := j.task(r.Task)
--- a/dispatch/stored/batch.go
+++ b/dispatch/stored/batch.go
@@ -96,13 +96,14 @@
 		s.apply(&p.event, in.Offset)
 		s.afterStored(p)
 		for _, t := range p.tickets {
-			s.replyUnlessWaiting(t, batch[i+1:])
+			s.replyUnlessWaiting(t, p, batch[i+1:])
 		}
 	}
 }
 
-// replyUnlessWaiting answers a ticket unless it waits for further events.
-func (s *Shard) replyUnlessWaiting(t Ticket, rest []pendingEvent) {
+// replyUnlessWaiting answers a ticket of an event that is stored, unless it waits for further
+// events.
+func (s *Shard) replyUnlessWaiting(t Ticket, p *pendingEvent, rest []pendingEvent) {
 	for _, list := range [][]pendingEvent{rest, s.waiting} {
 		for i := range list {
 			if slices.Contains(list[i].tickets, t) {
@@ -115,7 +116,7 @@
 		s.replyToReport(t, Stored, tasks)
 		return
 	}
-	s.reply(t, Stored)
+	s.reply(t, s.resultOf(&p.event))
 }
 
 // handleAppendRefused handles a batch that was not stored. Jobs that were to be
--- a/dispatch/stored/crash_test.go
+++ b/dispatch/stored/crash_test.go
@@ -13,17 +13,19 @@
 // crashSim simulates a shard whose owners crash at random, on a log that loses
 // replies, with endpoints that list ends of runs until these are acknowledged.
 type crashSim struct {
-	t            *testing.T
-	rng          *rand.Rand
-	now          time.Time
-	shard        *Shard
-	log          [][]Event
-	lastTicket   Ticket
-	callbacks    map[Ticket]func(Result)
-	inFlight     *Append
-	stored       map[leased.JobID]bool   // jobs whose callers were told that they are accepted
-	refused      map[leased.JobID]bool   // jobs whose callers were told that they are refused
-	cancelled    map[leased.JobID]bool   // jobs whose callers were told that they are cancelled
+	t          *testing.T
+	rng        *rand.Rand
+	now        time.Time
+	shard      *Shard
+	log        [][]Event
+	lastTicket Ticket
+	callbacks  map[Ticket]func(Result)
+	inFlight   *Append
+	stored     map[leased.JobID]bool // jobs whose callers were told that they are accepted
+	refused    map[leased.JobID]bool // jobs whose callers were told that they are refused
+	cancelled  map[leased.JobID]bool // jobs whose callers were told that they are cancelled
+	// denied holds when the callers of jobs were told, on cancelling them, that there is no such job.
+	denied       map[leased.JobID]time.Time
 	listed       map[leased.TaskID]int   // run numbers of the ends that endpoints list
 	acknowledged map[leased.TaskID]bool  // whether the end that its endpoint has forgotten was a success
 	offers       map[leased.JobID]*Offer // active offers
@@ -39,7 +41,7 @@
 	sim := &crashSim{
 		t: t, rng: rand.New(rand.NewPCG(seed, 3)), now: start, shard: New(testOptions()), callbacks: make(map[Ticket]func(Result)),
 		stored: make(map[leased.JobID]bool), refused: make(map[leased.JobID]bool), cancelled: make(map[leased.JobID]bool),
-		listed: make(map[leased.TaskID]int), acknowledged: make(map[leased.TaskID]bool), offers: make(map[leased.JobID]*Offer),
+		denied: make(map[leased.JobID]time.Time), listed: make(map[leased.TaskID]int), acknowledged: make(map[leased.TaskID]bool), offers: make(map[leased.JobID]*Offer),
 		lastRun: make(map[leased.TaskID]int), failed: make(map[leased.TaskID]bool), knownDone: make(map[leased.TaskID]bool), jobs: make(map[leased.JobID]leased.Job),
 		failures: make(map[leased.TaskID]int), endpointLosses: newEndpointLosses(),
 	}
@@ -100,23 +102,21 @@
 	case 8:
 		sim.step(&Tick{})
 	case 9:
-		sim.rareEvent()
+		sim.rareEvent(job)
 	}
 }
 
-func (sim *crashSim) rareEvent() {
-	switch sim.rng.IntN(4) {
+func (sim *crashSim) rareEvent(job int) {
+	switch sim.rng.IntN(5) {
 	case 0:
 		sim.crash()
 	case 1:
 		for id := range sim.stored {
-			sim.request(func(t Ticket) Input { return &Cancel{Ticket: t, Job: id} }, func(r Result) {
-				if r == Stored && sim.shard.State(id) == Cancelled {
-					sim.cancelled[id] = true
-				}
-			})
+			sim.cancel(id)
 			return
 		}
+	case 4: // a job that may be known, in an append, or not submitted yet
+		sim.cancel(leased.JobID(fmt.Sprintf("j%d", sim.rng.IntN(job+2))))
 	case 2:
 		for id, o := range sim.offers {
 			sim.step(&Outcome{Job: id, Attempt: o.Attempt, Lost: true, Begun: true})
@@ -127,7 +127,34 @@
 	}
 }
 
+func (sim *crashSim) cancel(id leased.JobID) {
+	sim.request(func(t Ticket) Input { return &Cancel{Ticket: t, Job: id} }, func(r Result) {
+		switch {
+		case r == Stored && sim.shard.State(id) == Cancelled:
+			sim.cancelled[id] = true
+		case r == Stored && sim.shard.State(id) == Unknown:
+			sim.t.Fatalf("job %s is said to be stored and cancelled, and is not known", id)
+		case r == NoSuchJob && sim.onLog(id) && sim.now.Sub(start) < testOptions().Retain:
+			sim.t.Fatalf("job %s is on the log, and its caller is told that there is no such job", id)
+		case r == NoSuchJob && sim.onLog(id): // its end was forgotten after its retention
+		case r == NoSuchJob && sim.denied[id].IsZero():
+			sim.denied[id] = sim.now
+		}
+	})
+}
+
+// onLog reports whether the acceptance of a job is on the log.
+func (sim *crashSim) onLog(id leased.JobID) bool {
+	return slices.ContainsFunc(sim.log, func(events []Event) bool {
+		return slices.ContainsFunc(events, func(e Event) bool { return e.Kind == JobAccepted && e.Job == id })
+	})
+}
+
+// submit submits a job. A submission of a job that was cancelled before may arrive late.
 func (sim *crashSim) submit(id leased.JobID) {
+	if denied := sim.denied[id]; !denied.IsZero() && sim.now.Sub(denied) > testOptions().Retain {
+		return
+	}
 	if sim.refused[id] || sim.cancelled[id] || sim.jobs[id].ID != "" && sim.now.Sub(start) > testOptions().Retain {
 		return // callers do not resubmit such a job
 	}
@@ -139,6 +166,9 @@
 	sim.request(func(t Ticket) Input { return &Accept{Ticket: t, Job: job} }, func(r Result) {
 		switch r {
 		case Stored:
+			if !sim.denied[id].IsZero() {
+				sim.t.Fatalf("job %s is accepted after its caller was told that there is no such job", id)
+			}
 			sim.stored[id] = true
 		case Refused:
 			sim.refused[id] = true
@@ -245,6 +275,11 @@
 			sim.t.Fatalf("job %s was refused and is %v", id, sim.shard.State(id))
 		}
 	}
+	for id := range sim.denied {
+		if s := sim.shard.State(id); s != Unknown && s != Cancelled {
+			sim.t.Fatalf("the caller of job %s was told that there is no such job, and it is %v", id, s)
+		}
+	}
 	for id := range sim.cancelled {
 		if s := sim.shard.State(id); s != Cancelled && s != Unknown {
 			sim.t.Fatalf("job %s was cancelled and is %v", id, s)
@@ -268,8 +303,9 @@
 }
 
 // TestRandomOwnerCrashes simulates random crashes, lost and refused appends.
-// Accepted jobs must stay known, refused jobs must never appear, and no task may
-// be offered again after its endpoint was allowed to forget the end.
+// Accepted jobs must stay known, refused jobs must never appear, nor jobs whose
+// cancelling was answered with NoSuchJob, and no task may be offered again after its
+// endpoint was allowed to forget the end.
 func TestRandomOwnerCrashes(t *testing.T) {
 	for seed := range uint64(300) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/dispatch/stored/message.go
+++ b/dispatch/stored/message.go
@@ -100,17 +100,23 @@
 const (
 	Stored  Result = iota // the job, cancellation or report is stored
 	Refused               // it is not stored and never will be
-	// NoSuchJob answers Cancel and Report. It is valid only if the shard has no
-	// newer owner, which the caller of Step must check.
+	// NoSuchJob answers Cancel and Report. After a Cancel, it is on the log that the
+	// ID is cancelled: no submission of the job is accepted later, by any owner.
 	NoSuchJob
 	OtherOwner // this entry is not the owner and has done nothing: ask the owner
 	Uncertain  // the owner was replaced during the request: ask the new owner
+	// AlreadyCancelled answers Accept: the job was cancelled before it was stored. It is not
+	// stored and never will be.
+	AlreadyCancelled
 )
 
 // Reply answers a request.
 type Reply struct {
 	Ticket Ticket
 	Result Result
+	// Unconfirmed is set if the reply is valid only if the shard has no newer owner, which the
+	// caller of Step must check.
+	Unconfirmed bool
 	// Progress lists what is known about the tasks of a Report, in their order, if the
 	// Report has a run that has not succeeded, an end that does not count, or a request to
 	// start a task again; otherwise it is nil.
--- a/dispatch/stored/shard.go
+++ b/dispatch/stored/shard.go
@@ -45,6 +45,8 @@
 	opts         Options
 	now          time.Time
 	jobs         map[leased.JobID]*jobState
+	cancelled    cancelledIDs
+	cancelling   map[leased.JobID]bool   // cancellations that are not stored yet
 	reports      map[Ticket][]TaskReport // that wait for the log
 	waiting      []pendingEvent          // for the next batch
 	inFlight     []pendingEvent          // the batch that is being stored
@@ -65,7 +67,10 @@
 
 // New returns a shard without jobs.
 func New(opts Options) *Shard {
-	return &Shard{opts: opts, jobs: make(map[leased.JobID]*jobState), reports: make(map[Ticket][]TaskReport)}
+	return &Shard{
+		opts: opts, jobs: make(map[leased.JobID]*jobState), cancelled: newCancelledIDs(), cancelling: make(map[leased.JobID]bool),
+		reports: make(map[Ticket][]TaskReport),
+	}
 }
 
 // Step applies one input at the given time, which must not decrease, and
@@ -96,11 +101,19 @@
 // State returns the state of a job as callers see it. An end that is reported and not
 // stored yet does not count: the next owner may not learn of it.
 func (s *Shard) State(id leased.JobID) State {
-	j := s.jobs[id]
-	if j == nil || !j.stored {
-		return Unknown
+	if j := s.storedJob(id); j != nil {
+		return j.state
+	}
+	return Unknown
+}
+
+// storedJob returns a job that is on the log, or nil. A job whose acceptance waits for the log
+// has no runs yet.
+func (s *Shard) storedJob(id leased.JobID) *jobState {
+	if j := s.jobs[id]; j != nil && j.stored {
+		return j
 	}
-	return j.state
+	return nil
 }
 
 // Pending returns the number of jobs in each queue of which no task has started.
@@ -133,6 +146,10 @@
 		s.joinPending(&Event{Kind: JobAccepted, Job: in.Job.ID}, in.Ticket)
 		return
 	}
+	if s.isCancelled(in.Job.ID) {
+		s.reply(in.Ticket, AlreadyCancelled)
+		return
+	}
 	if len(s.waiting) >= maxWaitingEvents || s.now.Before(s.backoffUntil) {
 		s.reply(in.Ticket, Refused)
 		return
@@ -142,21 +159,6 @@
 	s.enqueue(Event{Kind: JobAccepted, Job: spec.ID, Spec: &spec}, in.Ticket, 0)
 }
 
-func (s *Shard) handleCancel(in *Cancel) {
-	j := s.jobs[in.Job]
-	switch {
-	case j == nil || !j.stored:
-		s.reply(in.Ticket, NoSuchJob)
-	case j.state.Ended():
-		s.reply(in.Ticket, Stored)
-	default:
-		event := Event{Kind: JobCancelled, Job: in.Job}
-		if !s.joinPending(&event, in.Ticket) {
-			s.enqueue(event, in.Ticket, 0)
-		}
-	}
-}
-
 // handleOutcome handles the end of an offer. Which tasks are done is known from
 // reports only. A job whose holder was lost is offered again.
 func (s *Shard) handleOutcome(in *Outcome) {
@@ -178,12 +180,12 @@
 	}
 }
 
-// offer offers a job to the next holder, unless one of its tasks has used up its attempts
-// and the job ends as soon as that is stored.
+// offer offers a job to the next holder, unless it ends as soon as an event is stored: its
+// cancellation, or the end of a run with which one of its tasks has used up its attempts.
 func (s *Shard) offer(j *jobState) {
 	j.attempt++
 	j.confirmBy = time.Time{}
-	if j.usedUp() {
+	if j.usedUp() || s.cancelling[j.id] {
 		return
 	}
 	job := j.jobToOffer(s.now)
@@ -198,6 +200,7 @@
 }
 
 func (s *Shard) handleTick() {
+	s.cancelled.expire(s.now, s.opts.Retain)
 	var due []*jobState
 	for id, j := range s.jobs {
 		switch {
@@ -240,13 +243,13 @@
 	}
 }
 
-// trim deletes the records before the oldest one that a job needs.
+// trim deletes the records before the oldest one that a job or a cancelled ID needs.
 func (s *Shard) trim() {
 	if s.now.Before(s.nextTrim) {
 		return
 	}
 	s.nextTrim = s.now.Add(trimInterval)
-	oldest := int64(-1)
+	oldest := s.cancelled.oldestOffset()
 	for _, j := range s.jobs {
 		if j.stored && (oldest < 0 || j.offset < oldest) {
 			oldest = j.offset
--- a/dispatch/stored/shard_test.go
+++ b/dispatch/stored/shard_test.go
@@ -136,11 +136,12 @@
 
 func TestCancelledJobIsWithdrawn(t *testing.T) {
 	s := New(testOptions())
-	wantReplies(t, s.Step(start, &Cancel{Ticket: 1, Job: "a"}), Reply{Ticket: 1, Result: NoSuchJob})
+	wantReplies(t, s.Step(start, &Cancel{Ticket: 1, Job: "none"}))
+	wantReplies(t, s.Step(start, &Appended{Sequence: 1}), Reply{Ticket: 1, Result: NoSuchJob})
 	s.Step(start, &Accept{Ticket: 2, Job: testJob("a", 1)})
-	s.Step(start, &Appended{Sequence: 1})
+	s.Step(start, &Appended{Sequence: 2})
 	s.Step(start, &Cancel{Ticket: 3, Job: "a"})
-	out := s.Step(start, &Appended{Sequence: 2})
+	out := s.Step(start, &Appended{Sequence: 3})
 	wantReplies(t, out, Reply{Ticket: 3, Result: Stored})
 	if len(out.Withdrawals) != 1 || s.State("a") != Cancelled {
 		t.Errorf("withdrawals %v, state %v", out.Withdrawals, s.State("a"))
--- a/fleet/keep/runner.go
+++ b/fleet/keep/runner.go
@@ -149,12 +149,13 @@
 	}
 }
 
-// Accept stores a job.
+// Accept stores a job, unless it was cancelled before.
 func (r *Runner) Accept(ctx context.Context, job leased.Job) stored.Result {
 	return r.do(ctx, request{input: func(t stored.Ticket) stored.Input { return &stored.Accept{Ticket: t, Job: job} }}).result
 }
 
-// Cancel cancels a job.
+// Cancel cancels a job. The result is NoSuchJob if no submission of it is on the log: none will
+// be accepted later, for as long as a job is retained after its end.
 func (r *Runner) Cancel(ctx context.Context, id leased.JobID) stored.Result {
 	return r.do(ctx, request{input: func(t stored.Ticket) stored.Input { return &stored.Cancel{Ticket: t, Job: id} }}).result
 }
--- a/fleet/keep/serve.go
+++ b/fleet/keep/serve.go
@@ -133,10 +133,11 @@
 	for i := range out.Appends {
 		go s.append(out.Appends[i], s.reserveAppend())
 	}
-	for _, r := range out.Replies {
+	for i := range out.Replies {
+		r := &out.Replies[i]
 		if to := s.replies[r.Ticket]; to != nil {
 			delete(s.replies, r.Ticket)
-			s.reply(to, reply{r.Result, r.Progress})
+			s.reply(to, r)
 		}
 	}
 	for _, id := range out.Withdrawals {
@@ -158,8 +159,9 @@
 
 // reply answers a request. A result that rests on what the shard does not know is
 // held back until the ownership is confirmed: a newer owner may know it.
-func (s *ownedShard) reply(to chan reply, answer reply) {
-	if answer.result != stored.NoSuchJob {
+func (s *ownedShard) reply(to chan reply, r *stored.Reply) {
+	answer := reply{r.Result, r.Progress}
+	if !r.Unconfirmed {
 		to <- answer
 		return
 	}
--- a/fleet/storedjobs.go
+++ b/fleet/storedjobs.go
@@ -340,7 +340,7 @@
 		sj.log.Warn("peer_answer_malformed", zap.Error(&InvalidAnswerError{owner.Name, fmt.Sprintf("result %d, state %d", reply.Result, reply.State)}))
 		return ownerReply{result: stored.OtherOwner, maybeApplied: true}
 	}
-	return ownerReply{result: stored.Result(reply.Result), state: stored.State(reply.State), progress: keep.ProgressFromPB(reply.Progress)}
+	return ownerReply{result: storedResult(reply), state: stored.State(reply.State), progress: keep.ProgressFromPB(reply.Progress)}
 }
 
 // accept asks the owner of a job's shard to store the job.
--- a/fleet/storedserver.go
+++ b/fleet/storedserver.go
@@ -25,9 +25,20 @@
 }
 
 func storedResponse(r stored.Result) *fleetpb.KeptResponse {
+	if r == stored.AlreadyCancelled { // for entries of earlier versions, it is a refusal like others
+		return &fleetpb.KeptResponse{Result: fleetpb.KeptResult_REFUSED, State: uint32(stored.Cancelled)}
+	}
 	return &fleetpb.KeptResponse{Result: fleetpb.KeptResult(r)}
 }
 
+// storedResult returns the result of a response.
+func storedResult(r *fleetpb.KeptResponse) stored.Result {
+	if r.Result == fleetpb.KeptResult_REFUSED && stored.State(r.State) == stored.Cancelled {
+		return stored.AlreadyCancelled
+	}
+	return stored.Result(r.Result)
+}
+
 // Keep implements fleetpb.Fleet.
 func (s *server) Keep(ctx context.Context, r *fleetpb.SubmitRequest) (*fleetpb.KeptResponse, error) {
 	runner := s.runnerOf(r.Id)
--- a/fleet/storedservice.go
+++ b/fleet/storedservice.go
@@ -18,8 +18,8 @@
 	StoredDone       StoredVerdict = iota // stored, cancelled, or its state is known
 	StoredRefused                         // nothing is stored and nothing will run
 	StoredUnknownJob                      // there is no such job
-	StoredNoOwner                         // no owner could be asked; nothing was stored
-	StoredUncertain                       // no owner has answered; the job may be stored
+	StoredNoOwner                         // no owner could be asked; nothing was changed
+	StoredUncertain                       // no owner has answered; the request may have had an effect
 )
 
 // String returns the verdict as logs and metrics show it.
@@ -31,7 +31,7 @@
 type StoredOutcome struct {
 	Verdict    StoredVerdict
 	State      stored.State // of a known job
-	Reason     string       // of a refusal
+	Reason     string       // why the request was not carried out, or may not have been
 	RetryAfter time.Duration
 }
 
@@ -39,7 +39,14 @@
 // available again by then, or the shard has a new owner.
 const storedRetryAfter = time.Second
 
-const noOwnerReason = "the shard of the job has no owner at the moment"
+// Reasons for requests that were not carried out.
+const (
+	logUnavailableReason   = "the log of stored jobs is unavailable: nothing was stored"
+	alreadyCancelledReason = "the job was cancelled before it was stored: nothing was stored"
+	mayBeStoredReason      = "the job may have been stored: send it again under the same ID"
+	noOwnerReason          = "the shard of the job has no owner at the moment: nothing was changed"
+	tooManyCancelledReason = "too many jobs that are not known were cancelled in the last minutes: cancel it again later"
+)
 
 // The rejection of a job that fits no endpoint. The time to retry is long for a
 // change of the deployment, but endpoints that have shrunk may grow again.
@@ -63,10 +70,7 @@
 		return outcome
 	}
 	a := s.storedJobs.accept(ctx, job)
-	outcome := StoredOutcome{Verdict: storeVerdict(&a), State: stored.Queued, Reason: "the log of stored jobs is unavailable", RetryAfter: storedRetryAfter}
-	if outcome.Verdict == StoredDone {
-		outcome.Reason = ""
-	}
+	outcome := storeOutcome(&a)
 	took := time.Since(began)
 	s.metrics.answers.WithLabelValues(job.Queue, outcome.Verdict.String()).Inc()
 	s.metrics.answerSeconds.WithLabelValues(job.Queue).Observe(took.Seconds())
@@ -80,11 +84,11 @@
 	a := s.storedJobs.state(ctx, id)
 	switch {
 	case !a.answered:
-		return StoredOutcome{Verdict: StoredUncertain, Reason: noOwnerReason, RetryAfter: storedRetryAfter}
+		return StoredOutcome{Verdict: StoredUncertain, Reason: mayBeStoredReason}
 	case a.result == stored.Stored && a.state != stored.Unknown:
 		return StoredOutcome{Verdict: StoredDone, State: a.state}
 	}
-	return StoredOutcome{Verdict: StoredRefused, Reason: unschedulableReason, RetryAfter: unschedulableRetryAfter}
+	return StoredOutcome{Verdict: StoredRefused, Reason: unschedulableReason + ": nothing was stored", RetryAfter: unschedulableRetryAfter}
 }
 
 func (s *Service) logStored(job *leased.Job, outcome *StoredOutcome, took time.Duration) {
@@ -96,44 +100,55 @@
 		zap.Int("shard", s.storedJobs.knownShardOf(job.ID)), zap.String("reason", outcome.Reason), zap.Duration("took_ms", took))
 }
 
-func storeVerdict(a *ownerReply) StoredVerdict {
+// storeOutcome returns the outcome of a submission that was sent to the owner of its shard.
+func storeOutcome(a *ownerReply) StoredOutcome {
 	switch {
 	case !a.answered && a.maybeApplied:
-		return StoredUncertain
+		return StoredOutcome{Verdict: StoredUncertain, Reason: mayBeStoredReason}
 	case !a.answered:
-		return StoredNoOwner
+		return StoredOutcome{Verdict: StoredNoOwner, Reason: logUnavailableReason, RetryAfter: storedRetryAfter}
 	case a.result == stored.Refused:
-		return StoredRefused
+		return StoredOutcome{Verdict: StoredRefused, Reason: logUnavailableReason, RetryAfter: storedRetryAfter}
+	case a.result == stored.AlreadyCancelled:
+		return StoredOutcome{Verdict: StoredRefused, Reason: alreadyCancelledReason}
 	}
-	return StoredDone
+	return StoredOutcome{Verdict: StoredDone, State: stored.Queued}
 }
 
-// CancelStored cancels a stored job.
+// CancelStored cancels a stored job. If there is no such job, none will be accepted under its
+// ID for as long as a job is retained after its end.
 func (s *Service) CancelStored(ctx context.Context, id leased.JobID) StoredOutcome {
+	began := time.Now()
 	a := s.storedJobs.cancel(ctx, id)
-	outcome := StoredOutcome{Verdict: queryVerdict(&a), State: stored.Cancelled, Reason: noOwnerReason, RetryAfter: storedRetryAfter}
-	s.log.Info("cancelled", zap.String("job", string(id)), zap.String("verdict", outcome.Verdict.String()))
+	outcome := cancelOutcome(&a)
+	s.log.Info("cancelled", zap.String("job", string(id)), zap.String("verdict", outcome.Verdict.String()), zap.String("reason", outcome.Reason),
+		zap.Int("shard", s.storedJobs.knownShardOf(id)), zap.Duration("took_ms", time.Since(began)))
 	return outcome
 }
 
-// StoredState returns the state of a stored job.
-func (s *Service) StoredState(ctx context.Context, id leased.JobID) StoredOutcome {
-	a := s.storedJobs.state(ctx, id)
-	outcome := StoredOutcome{Verdict: queryVerdict(&a), State: a.state, Reason: noOwnerReason, RetryAfter: storedRetryAfter}
-	if outcome.Verdict == StoredDone && a.state == stored.Unknown {
-		outcome.Verdict = StoredUnknownJob
+// cancelOutcome returns the outcome of a cancellation that was sent to the owner of its shard.
+func cancelOutcome(a *ownerReply) StoredOutcome {
+	switch {
+	case !a.answered:
+		return StoredOutcome{Verdict: StoredNoOwner, Reason: noOwnerReason, RetryAfter: storedRetryAfter}
+	case a.result == stored.Refused:
+		return StoredOutcome{Verdict: StoredRefused, Reason: tooManyCancelledReason, RetryAfter: storedRetryAfter}
+	case a.result == stored.NoSuchJob:
+		return StoredOutcome{Verdict: StoredUnknownJob}
 	}
-	return outcome
+	return StoredOutcome{Verdict: StoredDone, State: stored.Cancelled}
 }
 
-func queryVerdict(a *ownerReply) StoredVerdict {
+// StoredState returns the state of a stored job.
+func (s *Service) StoredState(ctx context.Context, id leased.JobID) StoredOutcome {
+	a := s.storedJobs.state(ctx, id)
 	switch {
 	case !a.answered:
-		return StoredNoOwner
-	case a.result == stored.NoSuchJob:
-		return StoredUnknownJob
+		return StoredOutcome{Verdict: StoredNoOwner, Reason: noOwnerReason, RetryAfter: storedRetryAfter}
+	case a.result == stored.NoSuchJob || a.state == stored.Unknown:
+		return StoredOutcome{Verdict: StoredUnknownJob}
 	}
-	return StoredDone
+	return StoredOutcome{Verdict: StoredDone, State: a.state}
 }
 
 // PendingJobs returns the number of jobs of a queue of which no task has started, as it
