Wait for the append of a job before its state is told

What callers saw: a GET during the append of a job was answered 410 if the log had confirmed the owner within the last second. A job submitted again at an entry that took it for too large by then was refused, "nothing was stored", while its first copy was in an append and then ran.

Cause: the state of a job that waits for the log counted as unknown, and the owner answered from it.

Change: a query is an input of the shard and waits with the acceptance of its job.

Why it works: the acceptance ends as stored or refused, or with the owner, and each of these answers the query.

--- a/dispatch/stored/batch.go
+++ b/dispatch/stored/batch.go
@@ -116,6 +116,11 @@
 		s.replyToReport(t, Stored, tasks)
 		return
 	}
+	if s.queries[t] {
+		delete(s.queries, t)
+		s.answerQuery(t, p.event.Job)
+		return
+	}
 	s.reply(t, s.resultOf(&p.event))
 }
 
@@ -137,10 +142,20 @@
 			}
 			delete(s.jobs, p.event.Job)
 			for _, t := range p.tickets {
-				s.reply(t, Refused)
+				s.refuse(t, p.event.Job)
 			}
 		}
 	}
 	s.inFlight = nil
 	s.waiting = retry
 }
+
+// refuse answers a ticket that waits for the acceptance of a job, which was refused.
+func (s *Shard) refuse(t Ticket, id leased.JobID) {
+	if s.queries[t] {
+		delete(s.queries, t)
+		s.answerQuery(t, id)
+		return
+	}
+	s.reply(t, Refused)
+}
--- a/dispatch/stored/message.go
+++ b/dispatch/stored/message.go
@@ -21,6 +21,12 @@
 	Job    leased.JobID
 }
 
+// Query requests the state of a job.
+type Query struct {
+	Ticket Ticket
+	Job    leased.JobID
+}
+
 // Report lists runs that have started or ended at an endpoint.
 type Report struct {
 	Ticket Ticket
@@ -66,6 +72,7 @@
 
 func (*Accept) isInput()        {}
 func (*Cancel) isInput()        {}
+func (*Query) isInput()         {}
 func (*Report) isInput()        {}
 func (*Outcome) isInput()       {}
 func (*Appended) isInput()      {}
@@ -98,7 +105,7 @@
 
 // Results of a request.
 const (
-	Stored  Result = iota // the job, cancellation or report is stored
+	Stored  Result = iota // the job, cancellation or report is stored, or the state is known
 	Refused               // it is not stored and never will be
 	// NoSuchJob answers Cancel and Report. After a Cancel, it is on the log that the
 	// ID is cancelled: no submission of the job is accepted later, by any owner.
@@ -114,6 +121,7 @@
 type Reply struct {
 	Ticket Ticket
 	Result Result
+	State  State // of the job, in the reply to a Query
 	// Unconfirmed is set if the reply is valid only if the shard has no newer owner, which the
 	// caller of Step must check.
 	Unconfirmed bool
--- a/dispatch/stored/shard.go
+++ b/dispatch/stored/shard.go
@@ -48,6 +48,7 @@
 	cancelled    cancelledIDs
 	cancelling   map[leased.JobID]bool   // cancellations that are not stored yet
 	reports      map[Ticket][]TaskReport // that wait for the log
+	queries      map[Ticket]bool         // that wait until the acceptance of their job is stored or refused
 	waiting      []pendingEvent          // for the next batch
 	inFlight     []pendingEvent          // the batch that is being stored
 	sequence     uint64
@@ -69,7 +70,7 @@
 func New(opts Options) *Shard {
 	return &Shard{
 		opts: opts, jobs: make(map[leased.JobID]*jobState), cancelled: newCancelledIDs(), cancelling: make(map[leased.JobID]bool),
-		reports: make(map[Ticket][]TaskReport),
+		reports: make(map[Ticket][]TaskReport), queries: make(map[Ticket]bool),
 	}
 }
 
@@ -83,6 +84,8 @@
 		s.handleAccept(in)
 	case *Cancel:
 		s.handleCancel(in)
+	case *Query:
+		s.handleQuery(in)
 	case *Report:
 		s.handleReport(in)
 	case *Outcome:
@@ -159,6 +162,23 @@
 	s.enqueue(Event{Kind: JobAccepted, Job: spec.ID, Spec: &spec}, in.Ticket, 0)
 }
 
+// handleQuery answers with the state of a job. While its acceptance is not on the log, neither
+// "there is no such job" nor a state is true: the answer waits until it is stored or refused.
+func (s *Shard) handleQuery(in *Query) {
+	if j := s.jobs[in.Job]; j != nil && !j.stored {
+		s.queries[in.Ticket] = true
+		s.joinPending(&Event{Kind: JobAccepted, Job: in.Job}, in.Ticket)
+		return
+	}
+	s.answerQuery(in.Ticket, in.Job)
+}
+
+// answerQuery answers a query about a job that is known, or of which no acceptance waits.
+func (s *Shard) answerQuery(t Ticket, id leased.JobID) {
+	state := s.State(id)
+	s.out.Replies = append(s.out.Replies, Reply{Ticket: t, Result: Stored, State: state, Unconfirmed: state == Unknown})
+}
+
 // handleOutcome handles the end of an offer. Which tasks are done is known from
 // reports only. A job whose holder was lost is offered again.
 func (s *Shard) handleOutcome(in *Outcome) {
--- a/fleet/keep/runner.go
+++ b/fleet/keep/runner.go
@@ -65,15 +65,17 @@
 // request is a request to the runner's goroutine.
 type request struct {
 	input func(stored.Ticket) stored.Input // nil: the request is a query
-	// query reads the state of the shard. It returns false if only an owner that
-	// is sure not to have been replaced may give the answer.
-	query func(*stored.Shard) bool
-	reply chan reply
+	query func(*stored.Shard)              // reads the state of the shard
+	// maxConfirmationAge is how old the last confirmation of the ownership may be for an
+	// answer that a newer owner might give differently; 0: a later one is needed.
+	maxConfirmationAge time.Duration
+	reply              chan reply
 }
 
 // reply is the answer to a request.
 type reply struct {
 	result   stored.Result
+	state    stored.State          // as in stored.Reply
 	progress []leased.TaskProgress // as in stored.Reply
 }
 
@@ -167,27 +169,21 @@
 	return answer.result, answer.progress
 }
 
-// State returns the state of a job.
+// State returns the state of a job, which is Unknown if there is no such job. It waits while an
+// acceptance of the job is on its way to the log.
 func (r *Runner) State(ctx context.Context, id leased.JobID) (stored.State, stored.Result) {
-	var state stored.State
-	result := r.do(ctx, request{query: func(s *stored.Shard) bool {
-		state = s.State(id)
-		return state != stored.Unknown // a newer owner may know it
-	}}).result
-	if result != stored.Stored {
-		return stored.Unknown, result // the query may still be under way
-	}
-	return state, result
+	answer := r.do(ctx, request{
+		input:              func(t stored.Ticket) stored.Input { return &stored.Query{Ticket: t, Job: id} },
+		maxConfirmationAge: maxConfirmationAge,
+	})
+	return answer.state, answer.result
 }
 
 // Pending returns the number of jobs in each queue of which no task has started. Only an
 // owner that has not been replaced knows it.
 func (r *Runner) Pending(ctx context.Context) (map[string]int, stored.Result) {
 	var counts map[string]int
-	result := r.do(ctx, request{query: func(s *stored.Shard) bool {
-		counts = s.Pending()
-		return false // a newer owner may know other jobs
-	}}).result
+	result := r.do(ctx, request{query: func(s *stored.Shard) { counts = s.Pending() }}).result
 	if result != stored.Stored {
 		return nil, result // the query may still be under way
 	}
--- a/fleet/keep/serve.go
+++ b/fleet/keep/serve.go
@@ -27,7 +27,7 @@
 	epoch              int64
 	events             chan any // confirmation, stored.Input, or an error that ends the ownership
 	ticket             stored.Ticket
-	replies            map[stored.Ticket]chan reply
+	replies            map[stored.Ticket]request
 	offers             map[leased.JobID]activeOffer
 	lease              lease
 	pendingQueries     []request          // they wait until the ownership is confirmed
@@ -50,7 +50,7 @@
 	defer cancel()
 	s := &ownedShard{
 		Runner: r, ctx: ctx, shard: taken.shard, epoch: taken.epoch, events: make(chan any, queueSize),
-		replies: make(map[stored.Ticket]chan reply), offers: make(map[leased.JobID]activeOffer),
+		replies: make(map[stored.Ticket]request), offers: make(map[leased.JobID]activeOffer),
 		lease: lease{confirmedAt: taken.startedAt}, sequence: taken.sequence,
 	}
 	defer s.release()
@@ -81,22 +81,22 @@
 	}
 }
 
-// answerQuery answers from the shard's state. If the answer might be outdated, it
-// waits until the ownership is confirmed.
+// answerQuery answers from the shard's state once it is known not to be outdated.
 func (s *ownedShard) answerQuery(req request) {
-	if !req.query(s.shard) && time.Since(s.lease.confirmedAt) > maxConfirmationAge {
+	if time.Since(s.lease.confirmedAt) > maxConfirmationAge { // a newer owner may know other jobs
 		s.pendingQueries = append(s.pendingQueries, req)
 		s.requestConfirmation()
 		return
 	}
+	req.query(s.shard)
 	req.reply <- reply{result: stored.Stored}
 }
 
 // release tells waiting callers to ask the next owner, which knows what was
 // stored.
 func (s *ownedShard) release() {
-	for _, to := range s.replies {
-		to <- reply{result: stored.Uncertain}
+	for _, req := range s.replies {
+		req.reply <- reply{result: stored.Uncertain}
 	}
 	for _, req := range s.pendingQueries {
 		req.reply <- reply{result: stored.OtherOwner}
@@ -122,7 +122,7 @@
 		return
 	}
 	s.ticket++
-	s.replies[s.ticket] = req.reply
+	s.replies[s.ticket] = req
 	s.step(req.input(s.ticket))
 }
 
@@ -135,9 +135,9 @@
 	}
 	for i := range out.Replies {
 		r := &out.Replies[i]
-		if to := s.replies[r.Ticket]; to != nil {
+		if req, waits := s.replies[r.Ticket]; waits {
 			delete(s.replies, r.Ticket)
-			s.reply(to, r)
+			s.reply(req, r)
 		}
 	}
 	for _, id := range out.Withdrawals {
@@ -159,13 +159,13 @@
 
 // reply answers a request. A result that rests on what the shard does not know is
 // held back until the ownership is confirmed: a newer owner may know it.
-func (s *ownedShard) reply(to chan reply, r *stored.Reply) {
-	answer := reply{r.Result, r.Progress}
-	if !r.Unconfirmed {
-		to <- answer
+func (s *ownedShard) reply(req request, r *stored.Reply) {
+	answer := reply{r.Result, r.State, r.Progress}
+	if !r.Unconfirmed || req.maxConfirmationAge > 0 && time.Since(s.lease.confirmedAt) <= req.maxConfirmationAge {
+		req.reply <- answer
 		return
 	}
-	s.unconfirmedReplies = append(s.unconfirmedReplies, unconfirmedReply{to, answer, time.Now()})
+	s.unconfirmedReplies = append(s.unconfirmedReplies, unconfirmedReply{req.reply, answer, time.Now()})
 	s.requestConfirmation()
 }
 
--- a/fleet/storedservice.go
+++ b/fleet/storedservice.go
@@ -145,7 +145,7 @@
 	switch {
 	case !a.answered:
 		return StoredOutcome{Verdict: StoredNoOwner, Reason: noOwnerReason, RetryAfter: storedRetryAfter}
-	case a.result == stored.NoSuchJob || a.state == stored.Unknown:
+	case a.state == stored.Unknown:
 		return StoredOutcome{Verdict: StoredUnknownJob}
 	}
 	return StoredOutcome{Verdict: StoredDone, State: a.state}
