Say that a cancellation without an answer may have been carried out

What callers saw: a DELETE that got no answer from the owner within 1.5 s was answered 503, "nothing was stored", though its cancellation was in an append and was stored later.

Cause: one function gave the verdict for GET and DELETE and did not look at whether the request may have had an effect.

Change: such a cancellation is answered 504, "the job may have been cancelled: cancel it again". 503 stays for requests that no owner has received.

Why it works: the entry knows whether a request was sent, and Uncertain replies of the owner count as sent.

--- a/fleet/storedservice.go
+++ b/fleet/storedservice.go
@@ -45,6 +45,7 @@
 	alreadyCancelledReason = "the job was cancelled before it was stored: nothing was stored"
 	mayBeStoredReason      = "the job may have been stored: send it again under the same ID"
 	noOwnerReason          = "the shard of the job has no owner at the moment: nothing was changed"
+	mayBeCancelledReason   = "the job may have been cancelled: cancel it again"
 	tooManyCancelledReason = "too many jobs that are not known were cancelled in the last minutes: cancel it again later"
 )
 
@@ -129,6 +130,8 @@
 // cancelOutcome returns the outcome of a cancellation that was sent to the owner of its shard.
 func cancelOutcome(a *ownerReply) StoredOutcome {
 	switch {
+	case !a.answered && a.maybeApplied:
+		return StoredOutcome{Verdict: StoredUncertain, Reason: mayBeCancelledReason}
 	case !a.answered:
 		return StoredOutcome{Verdict: StoredNoOwner, Reason: noOwnerReason, RetryAfter: storedRetryAfter}
 	case a.result == stored.Refused:
