Let clients of the soak leave and cancel their stored jobs

Groups of twelve clients now submit stored jobs at once, a quarter of them at two entries, leave after up to 60 or 400 ms, and cancel at another entry until that is acknowledged. Checked are: a job whose cancellation is answered 410 never runs and is never shown; one that is answered 2xx is not started later than cancel_ms after the answer and the last fault, and has ended.

--- a/experiment/soak/runs.go
+++ b/experiment/soak/runs.go
@@ -115,6 +115,21 @@
 	return false
 }
 
+// startAfter returns how long after a time a task of a job was started last; 0: none was.
+func (s *storedRuns) startAfter(id leased.JobID, tasks int, after time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	longest := time.Duration(0)
+	for index := range tasks {
+		if t := s.tasks[leased.TaskID{Job: id, Index: index}]; t != nil {
+			for _, start := range t.starts {
+				longest = max(longest, start.Sub(after))
+			}
+		}
+	}
+	return longest
+}
+
 // mayFail reports whether a task of a job has failed as often as it may.
 func (s *storedRuns) mayFail(id leased.JobID) bool {
 	s.mu.Lock()
--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -14,7 +14,8 @@
 // no task runs for long after the last caller has disconnected; planned stops
 // end within the grace period; no task starts in an evacuated failure domain later
 // than allowed after the request; every stored job stays known and ends, and no
-// refused one has run; a task that crashes its executors is given up.
+// refused one has run; a task that crashes its executors is given up; a stored job whose
+// client leaves and cancels it does not run on, nor at all if there is said to be no such job.
 package soak
 
 import (
@@ -55,7 +56,8 @@
 type Report struct {
 	Seed              uint64         `json:"seed"`
 	Jobs              int            `json:"jobs"`
-	Stored            int            `json:"stored"` // jobs that outlive their callers
+	Stored            int            `json:"stored"`    // jobs that outlive their callers
+	Cancelled         int            `json:"cancelled"` // stored jobs whose clients have left and cancelled them
 	Answers           map[string]int `json:"answers"`
 	Faults            map[string]int `json:"faults"`
 	ServedAfterFaults float64        `json:"served_after_faults"` // share of the jobs after the faults
@@ -92,7 +94,7 @@
 		rng:    rand.New(rand.NewPCG(opts.Seed, 7)),
 		report: &Report{Seed: opts.Seed, Answers: make(map[string]int), Faults: make(map[string]int), DeadlyStarts: make(map[int]int)},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, runStarted: make(chan struct{}, 1), jobLoad: &shortJobs,
-		acceptedJobs: make(map[leased.JobID]acceptedJob),
+		acceptedJobs: make(map[leased.JobID]acceptedJob), cancelledJobs: make(map[leased.JobID]cancelledJob),
 	}
 	if !opts.NoFaults && disturbsPeers(opts.Seed) {
 		s.jobLoad = &longJobs
@@ -147,6 +149,9 @@
 	// acceptedJobs are the same by ID.
 	acceptedJobs map[leased.JobID]acceptedJob
 	refused      []leased.JobID // jobs that were refused for storage
+	// cancelledJobs are those of clients who have left; calmSince is the end of the faults.
+	cancelledJobs map[leased.JobID]cancelledJob
+	calmSince     time.Time
 }
 
 // process is the process of an entry.
@@ -240,7 +245,7 @@
 	loadEnded := make(chan struct{})
 	go func() { s.load(loadCtx, s.jobLoad, nil); close(loadEnded) }()
 	storingEnded := make(chan struct{})
-	go func() { s.storeJobs(loadCtx, s.jobLoad); close(storingEnded) }()
+	go func() { s.storeJobs(loadCtx, watchCtx, s.jobLoad); close(storingEnded) }()
 	go s.askPending(watchCtx)
 	var faults sync.WaitGroup
 	if !s.opts.NoFaults && evacuatesDomains(s.opts.Seed) {
@@ -256,6 +261,9 @@
 		time.Sleep(faultInterval/2 + time.Duration(s.rng.Int64N(int64(faultInterval))))
 	}
 	faults.Wait()
+	if !s.opts.NoFaults {
+		s.calmSince = time.Now()
+	}
 	stopLoad()
 	<-loadEnded
 	<-storingEnded
@@ -267,6 +275,7 @@
 	s.checkReturned(startsBefore)
 	s.jobs.Wait()
 	s.checkStored(ctx)
+	s.checkCancelled(ctx)
 	s.storedRuns.check()
 	s.checkIdle()
 	return ctx.Err()
--- a/experiment/soak/stored.go
+++ b/experiment/soak/stored.go
@@ -29,9 +29,11 @@
 	maxDeadlyStarts = 5
 )
 
-// storeJobs submits stored jobs, which outlive their callers, until ctx ends.
-func (s *soak) storeJobs(ctx context.Context, load *jobLoad) {
+// storeJobs submits stored jobs, which outlive their callers, until ctx ends. Clients who leave
+// cancel their jobs until runCtx ends.
+func (s *soak) storeJobs(ctx, runCtx context.Context, load *jobLoad) {
 	rng := rand.New(rand.NewPCG(s.opts.Seed, 23))
+	leaves := rand.New(rand.NewPCG(s.opts.Seed, 31))
 	for n := 0; ctx.Err() == nil; n++ {
 		id := leased.JobID(fmt.Sprintf("%08x%08x", uint32(s.opts.Seed), 1<<31+n))
 		entry := rng.IntN(len(s.deployment.Entries))
@@ -45,6 +47,9 @@
 			job.FailShare = 0
 		}
 		s.jobs.Go(func() { s.storeJob(job, entry) })
+		if leaves.IntN(leaversEvery) == 0 {
+			s.leavers(runCtx, leaves, n*groupSize, run)
+		}
 		time.Sleep(load.storedInterval)
 	}
 }
--- a/standin/usersplatform/stored.go
+++ b/standin/usersplatform/stored.go
@@ -32,6 +32,11 @@
 	return d.call(ctx, client, http.MethodGet, front, id, "", timeout)
 }
 
+// CancelStored asks an entry to cancel a stored job.
+func (d *Deployment) CancelStored(ctx context.Context, client *http.Client, front string, id leased.JobID, timeout time.Duration) Response {
+	return d.call(ctx, client, http.MethodDelete, front, id, "", timeout)
+}
+
 // Pending asks an entry for the number of jobs of which no task has started.
 func (d *Deployment) Pending(ctx context.Context, client *http.Client, front string, timeout time.Duration) Response {
 	return d.call(ctx, client, http.MethodGet, front, "", "", timeout)
